workspace: typed ids, units, clock and the adapters for the platform and targets

Why: every other part hangs on the outer and inner interfaces, so these come first and stay small. Change: the crates lib, lib/testutils, stand-ins and cli; the traits Table, ObjectStore, HostList and Clock; an HTTP/1.1 client connection that sends each request at most once and says whether a byte may have left; a sharded pool; a bounded server.

--- /dev/null
+++ b/cli/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- /dev/null
+++ b/lib/src/connection/pool.rs
@@ -0,0 +1,151 @@
+//! Idle connections, kept for reuse in shards that each have their own lock.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::client::ClientConnection;
+use super::client::SendError;
+use crate::clock::Clock;
+use crate::sorted::Keyed;
+use crate::sorted::SortedVec;
+
+/// The number of shards; more than the threads, so that two rarely meet.
+const SHARD_COUNT: usize = 32;
+
+/// Bounds on the connections of a pool.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct PoolSettings {
+    /// The most idle connections to one address.
+    pub idle_limit: usize,
+    /// The age at which a connection is closed instead of reused.
+    pub age_limit: Duration,
+    /// The longest wait for a new connection.
+    pub connect_timeout: Duration,
+}
+
+impl Default for PoolSettings {
+    fn default() -> Self {
+        Self {
+            idle_limit: 64,
+            age_limit: Duration::from_secs(60),
+            connect_timeout: Duration::from_secs(1),
+        }
+    }
+}
+
+/// A connection out of the pool, with the time of its opening.
+#[derive(Debug)]
+pub struct PooledConnection {
+    /// The connection.
+    pub connection: ClientConnection,
+    opened_at: Instant,
+}
+
+#[derive(Debug)]
+struct IdleConnections {
+    address: SocketAddr,
+    connections: Vec<PooledConnection>,
+}
+
+impl Keyed for IdleConnections {
+    type Key = SocketAddr;
+
+    fn key(&self) -> &SocketAddr {
+        &self.address
+    }
+}
+
+/// Idle connections to any number of addresses.
+#[derive(Clone, Debug)]
+pub struct ConnectionPool<C> {
+    clock: C,
+    settings: PoolSettings,
+    shards: Arc<Vec<Mutex<SortedVec<IdleConnections>>>>,
+}
+
+impl<C> ConnectionPool<C>
+where
+    C: Clock,
+{
+    /// Creates an empty pool.
+    pub fn new(clock: C, settings: PoolSettings) -> Self {
+        let shards = (0..SHARD_COUNT).map(|_| Mutex::default());
+        Self {
+            clock,
+            settings,
+            shards: Arc::new(shards.collect()),
+        }
+    }
+
+    /// Returns an idle connection to `address`, or opens a new one.
+    pub async fn take(&self, address: SocketAddr) -> Result<PooledConnection, SendError> {
+        if let Some(idle) = self.take_idle(address) {
+            return Ok(idle);
+        }
+        self.open(address).await
+    }
+
+    /// Opens a new connection to `address`, whatever is idle.
+    pub async fn open(&self, address: SocketAddr) -> Result<PooledConnection, SendError> {
+        let connection = ClientConnection::open(address, self.settings.connect_timeout).await?;
+        Ok(PooledConnection {
+            connection,
+            opened_at: self.clock.now(),
+        })
+    }
+
+    /// Puts a connection back after its answer was read to the end.
+    ///
+    /// A connection that is busy, closed or too old is closed instead.
+    pub async fn put_back(&self, mut pooled: PooledConnection) {
+        if self.is_too_old(&pooled) || !pooled.connection.become_usable().await {
+            return;
+        }
+        let address = pooled.connection.address();
+        let mut shard = self.shard(address);
+        let idle = shard.get_or_insert_with(&address, || IdleConnections {
+            address,
+            connections: Vec::new(),
+        });
+        if idle.connections.len() < self.settings.idle_limit {
+            idle.connections.push(pooled);
+        }
+    }
+
+    /// Closes all idle connections to `address`, for instance after one of them went silent.
+    pub fn drop_idle(&self, address: SocketAddr) {
+        self.shard(address).remove(&address);
+    }
+
+    fn take_idle(&self, address: SocketAddr) -> Option<PooledConnection> {
+        let mut shard = self.shard(address);
+        let idle = shard.get_mut(&address)?;
+        while let Some(pooled) = idle.connections.pop() {
+            if pooled.connection.is_usable() && !self.is_too_old(&pooled) {
+                return Some(pooled);
+            }
+        }
+        shard.remove(&address);
+        None
+    }
+
+    fn is_too_old(&self, pooled: &PooledConnection) -> bool {
+        let age = self.clock.now().saturating_duration_since(pooled.opened_at);
+        age >= self.settings.age_limit
+    }
+
+    fn shard(&self, address: SocketAddr) -> MutexGuard<'_, SortedVec<IdleConnections>> {
+        let hash = xxh3_64(address.to_string().as_bytes());
+        let index = (hash % SHARD_COUNT as u64) as usize;
+        let locked = self.shards[index].lock();
+        // The vector is whole between any two statements, so a panic elsewhere leaves it usable.
+        locked.unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/lib/src/ids.rs
@@ -0,0 +1,233 @@
+//! Newtypes for the identifiers of hosts, entries, services, requests and versions.
+
+use std::str::FromStr;
+
+use derive_more::Display;
+use derive_more::Error;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// The greatest length of a textual identifier, in bytes.
+pub const ID_LENGTH_MAX_BYTES: usize = 128;
+
+/// Why a text is not an identifier.
+#[derive(Clone, Debug, Display, Eq, Error, PartialEq)]
+pub enum ParseIdError {
+    /// The text has no characters.
+    #[display("the identifier is empty. Hint: give it 1 to {ID_LENGTH_MAX_BYTES} characters")]
+    Empty,
+    /// The text is longer than [`ID_LENGTH_MAX_BYTES`].
+    #[display("the identifier has {length_bytes} bytes. Hint: shorten it to {ID_LENGTH_MAX_BYTES}")]
+    TooLong {
+        /// The length of the text.
+        length_bytes: usize,
+    },
+    /// The text holds a character other than a letter, a digit, `-`, `_`, `.` or `:`.
+    #[display("the identifier holds {found:?}. Hint: use letters, digits, '-', '_', '.' and ':'")]
+    Character {
+        /// The first such character.
+        found: char,
+    },
+    /// The text is not a whole number.
+    #[display("{text:?} is not a whole number. Hint: use digits only")]
+    Number {
+        /// The text that was given.
+        text: String,
+    },
+}
+
+fn check_text(text: &str) -> Result<(), ParseIdError> {
+    if text.is_empty() {
+        return Err(ParseIdError::Empty);
+    }
+    if text.len() > ID_LENGTH_MAX_BYTES {
+        let length_bytes = text.len();
+        return Err(ParseIdError::TooLong { length_bytes });
+    }
+    let is_allowed = |c: char| c.is_ascii_alphanumeric() || "-_.:".contains(c);
+    match text.chars().find(|c| !is_allowed(*c)) {
+        Some(found) => Err(ParseIdError::Character { found }),
+        None => Ok(()),
+    }
+}
+
+macro_rules! text_id {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(
+            Clone, Debug, Deserialize, Display, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+        )]
+        #[serde(try_from = "String", into = "String")]
+        pub struct $name(String);
+
+        impl $name {
+            /// Returns the identifier as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl AsRef<str> for $name {
+            fn as_ref(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = ParseIdError;
+
+            fn from_str(text: &str) -> Result<Self, Self::Err> {
+                check_text(text)?;
+                Ok(Self(text.to_owned()))
+            }
+        }
+
+        impl TryFrom<String> for $name {
+            type Error = ParseIdError;
+
+            fn try_from(text: String) -> Result<Self, Self::Error> {
+                check_text(&text)?;
+                Ok(Self(text))
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(id: $name) -> String {
+                id.0
+            }
+        }
+    };
+}
+
+macro_rules! number_id {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(
+            Clone, Copy, Debug, Default, Deserialize, Display, Eq, Hash, Ord, PartialEq,
+            PartialOrd, Serialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(pub u64);
+
+        impl $name {
+            /// Returns the number that follows this one.
+            #[must_use]
+            pub fn next(self) -> Self {
+                Self(self.0.saturating_add(1))
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = ParseIdError;
+
+            fn from_str(text: &str) -> Result<Self, Self::Err> {
+                let parsed = text.parse::<u64>();
+                parsed.map(Self).map_err(|_| ParseIdError::Number { text: text.to_owned() })
+            }
+        }
+    };
+}
+
+text_id!(
+    /// The name of an environment, such as `trial` or `production`.
+    EnvironmentId
+);
+text_id!(
+    /// The name of a region, which holds one or more data centres.
+    RegionId
+);
+text_id!(
+    /// The name of a data centre.
+    DataCentreId
+);
+text_id!(
+    /// The name of a fabric domain: hosts that share a fast interconnect.
+    FabricDomainId
+);
+text_id!(
+    /// The name of a host that runs a member of a replica group or a plain service.
+    HostId
+);
+text_id!(
+    /// The name of an entry host, which runs one `beryltray entry` process.
+    EntryId
+);
+text_id!(
+    /// The name of a replica group: the hosts that together hold one replica of a model.
+    GroupId
+);
+text_id!(
+    /// The name of a service that callers ask for.
+    ServiceId
+);
+text_id!(
+    /// The name of an operation of a service.
+    OperationId
+);
+text_id!(
+    /// The name of a client account.
+    AccountId
+);
+text_id!(
+    /// The name of a model's weights in the weight store.
+    WeightsId
+);
+text_id!(
+    /// The identifier of one request of a caller.
+    RequestId
+);
+text_id!(
+    /// The identifier of one attempt: one send of a request to a target, or one table write.
+    AttemptId
+);
+text_id!(
+    /// The key by which a caller marks repetitions of one piece of non-idempotent work.
+    IdempotencyKey
+);
+text_id!(
+    /// The digest of a document's bytes, in hexadecimal.
+    Digest
+);
+
+number_id!(
+    /// The number of a placement lease's holder; the fencing number of its orders.
+    Epoch
+);
+number_id!(
+    /// The generation of a replica group, which grows at every change of its members.
+    Generation
+);
+number_id!(
+    /// The number of a process's life; a process that comes back has a greater one.
+    Incarnation
+);
+number_id!(
+    /// The version of an environment's document; it only grows.
+    DocumentVersion
+);
+number_id!(
+    /// The revision of a row in the platform's table, which changes at every write to the row.
+    Revision
+);
+
+/// Returns the digest of `bytes`.
+pub fn digest_of(bytes: &[u8]) -> Digest {
+    use sha2::Digest as _;
+    let hash = sha2::Sha256::digest(bytes);
+    let text = hash.iter().map(|byte| format!("{byte:02x}"));
+    Digest(text.collect())
+}
+
+/// Returns a new random attempt identifier of 128 bits.
+pub fn new_attempt_id() -> AttemptId {
+    AttemptId(random_hex())
+}
+
+/// Returns a new random request identifier of 128 bits.
+pub fn new_request_id() -> RequestId {
+    RequestId(random_hex())
+}
+
+fn random_hex() -> String {
+    format!("{:032x}", rand::random::<u128>())
+}
--- /dev/null
+++ b/lib/src/process/mod.rs
@@ -0,0 +1,1 @@
+//! What lives for the process.
--- /dev/null
+++ b/lib/src/request/mod.rs
@@ -0,0 +1,3 @@
+//! What lives for one request.
+
+pub mod outcome;
--- /dev/null
+++ b/lib/src/units.rs
@@ -0,0 +1,172 @@
+//! Newtypes for counts, sizes, rates and shares.
+
+use std::str::FromStr;
+use std::time::Duration;
+
+use derive_more::Display;
+use derive_more::Error;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Why a text is not a quantity.
+#[derive(Clone, Debug, Display, Eq, Error, PartialEq)]
+pub enum ParseUnitError {
+    /// The text is not a number followed by the unit.
+    #[display("{text:?} is not a quantity. Hint: write {expected}, for example {example}")]
+    Malformed {
+        /// The text that was given.
+        text: String,
+        /// What was expected.
+        expected: String,
+        /// A text that would be accepted.
+        example: String,
+    },
+    /// The number is outside the range.
+    #[display("{text:?} is out of range. Hint: write a value from {least} to {most}")]
+    Range {
+        /// The text that was given.
+        text: String,
+        /// The least accepted value.
+        least: String,
+        /// The greatest accepted value.
+        most: String,
+    },
+}
+
+fn malformed(text: &str, expected: &str, example: &str) -> ParseUnitError {
+    ParseUnitError::Malformed {
+        text: text.to_owned(),
+        expected: expected.to_owned(),
+        example: example.to_owned(),
+    }
+}
+
+/// A number of tokens.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Display, Eq, Ord, PartialEq, PartialOrd, Serialize,
+)]
+#[serde(transparent)]
+#[display("{_0} tokens")]
+pub struct TokenCount(pub u64);
+
+impl FromStr for TokenCount {
+    type Err = ParseUnitError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let number = text.strip_suffix("tokens").unwrap_or(text).trim();
+        let parsed = number.parse::<u64>();
+        parsed
+            .map(Self)
+            .map_err(|_| malformed(text, "a whole number of tokens", "4096 tokens"))
+    }
+}
+
+/// A number of bytes.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Display, Eq, Ord, PartialEq, PartialOrd, Serialize,
+)]
+#[serde(transparent)]
+#[display("{_0} B")]
+pub struct ByteCount(pub u64);
+
+const KIBIBYTE_BYTES: u64 = 1024;
+const MEBIBYTE_BYTES: u64 = 1024 * KIBIBYTE_BYTES;
+const GIBIBYTE_BYTES: u64 = 1024 * MEBIBYTE_BYTES;
+
+impl FromStr for ByteCount {
+    type Err = ParseUnitError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let units = [
+            ("KiB", KIBIBYTE_BYTES),
+            ("MiB", MEBIBYTE_BYTES),
+            ("GiB", GIBIBYTE_BYTES),
+            ("B", 1),
+        ];
+        let error = || malformed(text, "a whole number and B, KiB, MiB or GiB", "64 KiB");
+        let unit = units.iter().find(|(suffix, _)| text.ends_with(suffix));
+        let (suffix, unit_bytes) = unit.ok_or_else(error)?;
+        let number = text.trim_end_matches(suffix).trim();
+        let count = number.parse::<u64>().map_err(|_| error())?;
+        count.checked_mul(*unit_bytes).map(Self).ok_or_else(error)
+    }
+}
+
+/// A rate of requests, in requests per second.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Display, PartialEq, PartialOrd, Serialize)]
+#[serde(transparent)]
+#[display("{_0}/s")]
+pub struct RequestRate(pub f64);
+
+impl FromStr for RequestRate {
+    type Err = ParseUnitError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let error = || malformed(text, "a number of requests per second", "25/s");
+        let number = text.strip_suffix("/s").ok_or_else(error)?;
+        let rate_per_s = number.trim().parse::<f64>().map_err(|_| error())?;
+        if rate_per_s.is_finite() && rate_per_s > 0.0 {
+            Ok(Self(rate_per_s))
+        } else {
+            Err(error())
+        }
+    }
+}
+
+/// A share of a whole, kept in thousandths.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(transparent)]
+pub struct Share {
+    /// The share, in thousandths of the whole.
+    pub thousandths: u16,
+}
+
+const WHOLE_THOUSANDTHS: u16 = 1000;
+
+impl Share {
+    /// Creates a share from a number of per cent, at most 100.
+    pub fn from_percent(percent: u16) -> Self {
+        let thousandths = percent.saturating_mul(10).min(WHOLE_THOUSANDTHS);
+        Self { thousandths }
+    }
+
+    /// Returns the share as a number from 0 to 1.
+    pub fn as_fraction(self) -> f64 {
+        f64::from(self.thousandths) / f64::from(WHOLE_THOUSANDTHS)
+    }
+}
+
+impl std::fmt::Display for Share {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}%", f64::from(self.thousandths) / 10.0)
+    }
+}
+
+impl FromStr for Share {
+    type Err = ParseUnitError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let error = || malformed(text, "a share in per cent", "12.5%");
+        let number = text.strip_suffix('%').ok_or_else(error)?;
+        let percent = number.trim().parse::<f64>().map_err(|_| error())?;
+        if (0.0..=100.0).contains(&percent) {
+            let thousandths = (percent * 10.0).round() as u16;
+            Ok(Self { thousandths })
+        } else {
+            let (least, most) = (String::from("0%"), String::from("100%"));
+            let text = text.to_owned();
+            Err(ParseUnitError::Range { text, least, most })
+        }
+    }
+}
+
+/// Parses a duration such as `750ms`, `5s` or `2min`.
+pub fn parse_duration(text: &str) -> Result<Duration, ParseUnitError> {
+    let parsed = humantime::parse_duration(text);
+    parsed.map_err(|_| malformed(text, "a duration with its unit", "750ms or 5s"))
+}
+
+/// Formats a duration as [`parse_duration`] reads it.
+pub fn format_duration(duration: Duration) -> String {
+    humantime::format_duration(duration).to_string()
+}
--- /dev/null
+++ b/lib/tests/runner.rs
@@ -0,0 +1,4 @@
+//! Runner of the library's integration tests.
+
+mod test_connection;
+mod test_units;
--- /dev/null
+++ b/lib/tests/test_units.rs
@@ -0,0 +1,45 @@
+//! Tests of identifiers and units.
+
+use std::time::Duration;
+
+use beryltray_lib::ids::HostId;
+use beryltray_lib::ids::ParseIdError;
+use beryltray_lib::units::ByteCount;
+use beryltray_lib::units::RequestRate;
+use beryltray_lib::units::Share;
+use beryltray_lib::units::parse_duration;
+
+#[test]
+fn host_id_parse_rejects_space() {
+    let parsed = "host 1".parse::<HostId>();
+    assert_eq!(parsed, Err(ParseIdError::Character { found: ' ' }));
+}
+
+#[test]
+fn host_id_deserialize_rejects_empty() {
+    assert!(serde_json::from_str::<HostId>("\"\"").is_err());
+}
+
+#[test]
+fn byte_count_parse_reads_units() {
+    assert_eq!("64 KiB".parse::<ByteCount>().unwrap(), ByteCount(65_536));
+    assert!("64".parse::<ByteCount>().is_err());
+}
+
+#[test]
+fn request_rate_parse_rejects_negative() {
+    assert!("-3/s".parse::<RequestRate>().is_err());
+    assert_eq!("25/s".parse::<RequestRate>().unwrap(), RequestRate(25.0));
+}
+
+#[test]
+fn share_display_round_trips() {
+    let share = "12.5%".parse::<Share>().unwrap();
+    assert_eq!(share.to_string().parse::<Share>().unwrap(), share);
+}
+
+#[test]
+fn duration_parse_needs_unit() {
+    assert_eq!(parse_duration("750ms").unwrap(), Duration::from_millis(750));
+    assert!(parse_duration("750").is_err());
+}
--- /dev/null
+++ b/lib/testutils/src/clock.rs
@@ -0,0 +1,52 @@
+//! A clock that stands still until the test moves it.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+use std::time::SystemTime;
+
+use beryltray_lib::clock::Clock;
+
+/// A clock that a test moves by hand; clones share the time.
+#[derive(Clone, Debug)]
+pub struct ManualClock {
+    origin: Instant,
+    elapsed: Arc<Mutex<Duration>>,
+}
+
+impl ManualClock {
+    /// Creates a clock whose monotonic time is some moment and whose wall time is the Unix epoch.
+    pub fn new() -> Self {
+        Self {
+            origin: Instant::now(),
+            elapsed: Arc::default(),
+        }
+    }
+
+    /// Moves the time forward.
+    pub fn advance(&self, step: Duration) {
+        *self.elapsed.lock().unwrap_or_else(PoisonError::into_inner) += step;
+    }
+
+    fn elapsed(&self) -> Duration {
+        *self.elapsed.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Default for ManualClock {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Clock for ManualClock {
+    fn now(&self) -> Instant {
+        self.origin + self.elapsed()
+    }
+
+    fn wall_time(&self) -> SystemTime {
+        SystemTime::UNIX_EPOCH + self.elapsed()
+    }
+}
--- /dev/null
+++ b/lib/testutils/src/lib.rs
@@ -0,0 +1,4 @@
+//! Test helpers: a clock that the test moves, and fixed seeds for generated cases.
+
+pub mod clock;
+pub mod seeds;
--- /dev/null
+++ b/stand-ins/tests/runner.rs
@@ -0,0 +1,1 @@
+//! Runner of the integration tests.
