ini: a reader that knows the line of every section and key

Settings are INI, and a fault has to be said with file, line, key and what was expected. rust-ini gives no line numbers, so each line is parsed as a text of its own; the price is that a value can't span lines, which no setting needs. All faults of a text are collected, so that a file is mended in one round. Typed sections serve the environment's document and the process settings alike.

Stopping at the first fault was ruled out for the number of rounds it costs.

--- /dev/null
+++ b/lib/src/ini/mod.rs
@@ -0,0 +1,33 @@
+//! Settings in INI text, read with the place of every section and key.
+//!
+//! The reader collects every error of a text instead of stopping at the first, so that an operator
+//! mends a file in one round. It serves both the environment's document and the process settings.
+//!
+//! ```
+//! use std::time::Duration;
+//!
+//! use beryltray_lib::ini::IniReader;
+//!
+//! let mut reader = IniReader::parse("example.ini", "[platform]\ntimeout = 2s\n");
+//! let mut platform = reader.take_section("platform");
+//! let timeout = platform.optional_in(
+//!     "timeout",
+//!     Duration::from_secs(1),
+//!     Duration::from_millis(10)..=Duration::from_secs(30),
+//! );
+//! reader.finish_section(platform);
+//! assert!(reader.finish().is_ok());
+//! assert_eq!(timeout, Duration::from_secs(2));
+//! ```
+
+pub mod error;
+pub mod reader;
+pub mod section;
+mod text;
+pub mod value;
+
+pub use error::IniError;
+pub use error::IniErrors;
+pub use reader::IniReader;
+pub use section::SectionReader;
+pub use value::IniValue;
--- /dev/null
+++ b/lib/src/ini/text.rs
@@ -0,0 +1,116 @@
+//! The sections and keys of an INI text with their lines.
+
+use ini::Ini;
+use ini::ParseOption;
+
+use super::error::IniError;
+use super::error::Location;
+
+/// A key and its value.
+#[derive(Clone, Debug)]
+pub(super) struct Entry {
+    pub key: String,
+    pub value: String,
+    pub line: usize,
+}
+
+/// A section and its keys in the order of the text.
+#[derive(Clone, Debug)]
+pub(super) struct Section {
+    pub name: String,
+    pub line: usize,
+    pub entries: Vec<Entry>,
+}
+
+/// What a text holds, faults included.
+#[derive(Debug)]
+pub(super) struct Contents {
+    pub sections: Vec<Section>,
+    pub errors: Vec<IniError>,
+    pub last_line: usize,
+}
+
+/// Splits a text into sections.
+///
+/// The library's parser gives no line numbers, so each line is given to it as a text of its own. A
+/// value can't span lines for that reason.
+pub(super) fn split_sections(file: &str, text: &str) -> Contents {
+    let mut contents = Contents {
+        sections: Vec::new(),
+        errors: Vec::new(),
+        last_line: 1,
+    };
+    let text = text.strip_prefix('\u{feff}').unwrap_or(text);
+    for (index, line_text) in text.lines().enumerate() {
+        let location = Location {
+            file: file.to_owned(),
+            line: index + 1,
+        };
+        contents.last_line = location.line;
+        contents.add_line(location, line_text.trim());
+    }
+    contents
+}
+
+impl Contents {
+    fn add_line(&mut self, location: Location, line_text: &str) {
+        let options = ParseOption {
+            enabled_escape: false,
+            ..ParseOption::default()
+        };
+        let Ok(parsed) = Ini::load_from_str_opt(line_text, options) else {
+            let found = line_text.to_owned();
+            self.errors.push(IniError::Syntax { location, found });
+            return;
+        };
+        for (section, properties) in parsed.iter() {
+            if let Some(name) = section {
+                self.open_section(&location, name);
+            }
+            for (key, value) in properties.iter() {
+                self.add_entry(&location, key, value);
+            }
+        }
+    }
+
+    fn open_section(&mut self, location: &Location, name: &str) {
+        let first = self.sections.iter().find(|section| section.name == name);
+        if let Some(first) = first {
+            self.errors.push(IniError::DuplicateSection {
+                location: location.clone(),
+                section: name.to_owned(),
+                first_line: first.line,
+            });
+        }
+        self.sections.push(Section {
+            name: name.to_owned(),
+            line: location.line,
+            entries: Vec::new(),
+        });
+    }
+
+    fn add_entry(&mut self, location: &Location, key: &str, value: &str) {
+        let Some(section) = self.sections.last_mut() else {
+            self.errors.push(IniError::NoSection {
+                location: location.clone(),
+                key: key.to_owned(),
+            });
+            return;
+        };
+        let first = section.entries.iter().find(|entry| entry.key == key);
+        if let Some(first) = first {
+            self.errors.push(IniError::DuplicateKey {
+                location: location.clone(),
+                section: section.name.clone(),
+                key: key.to_owned(),
+                first_line: first.line,
+            });
+            return;
+        }
+        section.entries.push(Entry {
+            key: key.to_owned(),
+            value: value.to_owned(),
+            line: location.line,
+        });
+    }
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`connection`]: what lives for a connection,
 //! - [`version`]: what lives for a version of the configuration,
 //! - [`process`]: what lives for the process,
+//! - [`ini`]: settings in INI text with the place of every fault,
 //! - [`platform`] and [`target`]: the outer interfaces and their adapters.
 
 #![warn(clippy::expect_used, clippy::panic, clippy::unwrap_used)]
@@ -18,6 +19,7 @@
 pub mod connection;
 pub mod hash;
 pub mod ids;
+pub mod ini;
 pub mod platform;
 pub mod process;
 pub mod request;
