target: the targets' interface as traits with one HTTP adapter

Why: another wire format must mean one more file, and the request path must not know about SSE. Change: the traits Targets and TargetAnswer; HttpTargets reads events through the library sse-stream and keeps a connection only after the answer's very end. Result: formatter and clippy pass; the adapter has no test of its own yet.

--- a/lib/src/target/http.rs
+++ b/lib/src/target/http.rs
@@ -1,20 +1,29 @@
 //! Targets over HTTP.
 
 use std::net::SocketAddr;
+use std::str::FromStr;
 use std::time::Duration;
 
 use bytes::Bytes;
-use derive_more::Display;
-use derive_more::Error;
+use futures_util::StreamExt as _;
 use http::HeaderMap;
 use http::Method;
 use http::Request;
-use http::StatusCode;
 use http::header::CONTENT_TYPE;
 use http::header::HOST;
 use hyper::body::Incoming;
 use serde::de::DeserializeOwned;
+use sse_stream::Sse;
+use sse_stream::SseStream;
 
+use super::AnswerError;
+use super::AnswerEvent;
+use super::AnswerHead;
+use super::ConnectionChoice;
+use super::ControlError;
+use super::Submission;
+use super::TargetAnswer;
+use super::Targets;
 use super::wire;
 use super::wire::CacheEvents;
 use super::wire::HostReport;
@@ -27,60 +36,12 @@
 use crate::connection::pool::ConnectionPool;
 use crate::connection::pool::PooledConnection;
 use crate::ids::AttemptId;
-use crate::ids::Generation;
-use crate::ids::GroupId;
 
 /// The longest report or answer to an order.
 const CONTROL_ANSWER_LIMIT_BYTES: usize = 1024 * 1024;
 
-/// Why a control call to a target failed.
-#[derive(Clone, Debug, Display, Eq, Error, PartialEq)]
-pub enum ControlError {
-    /// The target did not answer.
-    #[display("the target did not answer: {reason}. Hint: check that the host is up")]
-    NoAnswer {
-        /// What the connection said.
-        reason: String,
-    },
-    /// The target's answer does not follow its protocol.
-    #[display("the target's answer can't be read: {reason}. Hint: compare the two versions")]
-    Protocol {
-        /// What was wrong with the answer.
-        reason: String,
-    },
-}
-
-/// One attempt at a request, as it is sent to a target.
-#[derive(Clone, Debug)]
-pub struct Submission {
-    /// The attempt.
-    pub attempt: AttemptId,
-    /// The path at the target.
-    pub path: String,
-    /// The group and generation that are meant to answer, for a replica group.
-    pub group: Option<(GroupId, Generation)>,
-    /// The priority as the wire has it.
-    pub priority: String,
-    /// The number of tokens that the caller already has.
-    pub resume_from_tokens: u64,
-    /// The media type of the body.
-    pub content_type: String,
-    /// The body.
-    pub body: Bytes,
-}
-
-/// The head of a target's answer, and the connection that the body comes on.
-#[derive(Debug)]
-pub struct TargetAnswer {
-    /// The status.
-    pub status: StatusCode,
-    /// The headers.
-    pub headers: HeaderMap,
-    /// The body, still to be read.
-    pub body: Incoming,
-    /// The connection, to be put back once the body is read to its end.
-    pub connection: PooledConnection,
-}
+/// The longest time that a plain answer's body may take; the caller's deadline is shorter.
+const WHOLE_ANSWER_TIMEOUT: Duration = Duration::from_secs(3600);
 
 /// A client of any number of targets.
 #[derive(Clone, Debug)]
@@ -89,6 +50,36 @@
     control_timeout: Duration,
 }
 
+/// An answer that comes over HTTP.
+pub struct HttpAnswer<C> {
+    head: AnswerHead,
+    body: AnswerBody,
+    connection: PooledConnection,
+    pool: ConnectionPool<C>,
+}
+
+/// The body of an answer, read either as events or as a whole.
+enum AnswerBody {
+    Unread(Incoming),
+    Events(SseStream<Incoming>),
+    Taken,
+}
+
+impl AnswerBody {
+    /// Returns the events, or `None` after the body was taken.
+    fn events(&mut self) -> Option<&mut SseStream<Incoming>> {
+        let current = std::mem::replace(self, Self::Taken);
+        *self = match current {
+            Self::Unread(body) => Self::Events(SseStream::new(body)),
+            other => other,
+        };
+        match self {
+            Self::Events(events) => Some(events),
+            Self::Unread(_) | Self::Taken => None,
+        }
+    }
+}
+
 impl<C> HttpTargets<C>
 where
     C: Clock,
@@ -101,68 +92,6 @@
         }
     }
 
-    /// Returns the pool of connections to the targets.
-    pub fn pool(&self) -> &ConnectionPool<C> {
-        &self.pool
-    }
-
-    /// Sends an attempt once on `connection` and returns the head of the answer.
-    pub async fn submit(
-        &self,
-        mut connection: PooledConnection,
-        submission: Submission,
-    ) -> Result<TargetAnswer, SendError> {
-        let address = connection.connection.address();
-        let request = submission_request(address, submission)?;
-        let response = connection.connection.send(request).await?;
-        let (head, body) = response.into_parts();
-        Ok(TargetAnswer {
-            status: head.status,
-            headers: head.headers,
-            body,
-            connection,
-        })
-    }
-
-    /// Asks a target to stop an attempt.
-    pub async fn cancel(
-        &self,
-        address: SocketAddr,
-        attempt: &AttemptId,
-    ) -> Result<(), ControlError> {
-        let path = format!("{}{attempt}", wire::CANCEL_PATH_PREFIX);
-        self.exchange(address, Method::POST, &path, Bytes::new())
-            .await?;
-        Ok(())
-    }
-
-    /// Returns a host's report of itself.
-    pub async fn report(&self, address: SocketAddr) -> Result<HostReport, ControlError> {
-        self.call(address, Method::GET, wire::REPORT_PATH, Bytes::new())
-            .await
-    }
-
-    /// Gives an order to a host.
-    pub async fn order(
-        &self,
-        address: SocketAddr,
-        order: &Order,
-    ) -> Result<OrderAnswer, ControlError> {
-        let body = serde_json::to_vec(order).map_err(protocol_error)?;
-        self.call(address, Method::POST, wire::ORDER_PATH, body.into())
-            .await
-    }
-
-    /// Returns the cache events after `after_sequence`.
-    pub async fn cache_events(
-        &self,
-        address: SocketAddr,
-        after_sequence: u64,
-    ) -> Result<CacheEvents, ControlError> {
-        let path = format!("{}?after={after_sequence}", wire::CACHE_EVENTS_PATH);
-        self.call(address, Method::GET, &path, Bytes::new()).await
-    }
-
     async fn call<A>(
         &self,
         address: SocketAddr,
@@ -211,14 +140,162 @@
         let mut pooled = taken.map_err(|error| no_answer(error.to_string()))?;
         let sent = pooled.connection.send(request).await;
         let response = sent.map_err(|error| no_answer(error.to_string()))?;
+        let status = response.status();
         let body = response.into_body();
         let read = read_body(body, CONTROL_ANSWER_LIMIT_BYTES, self.control_timeout).await;
         let bytes = read.map_err(|error| no_answer(error.to_string()))?;
         self.pool.put_back(pooled).await;
+        if status.is_server_error() {
+            return Err(no_answer(status.to_string()));
+        }
         Ok(bytes)
     }
 }
 
+impl<C> Targets for HttpTargets<C>
+where
+    C: Clock,
+{
+    type Answer = HttpAnswer<C>;
+
+    async fn submit(
+        &self,
+        address: SocketAddr,
+        submission: Submission,
+    ) -> Result<HttpAnswer<C>, SendError> {
+        let mut connection = match submission.connection {
+            ConnectionChoice::Reused => self.pool.take(address).await?,
+            ConnectionChoice::New => self.pool.open(address).await?,
+        };
+        let request = submission_request(address, submission)?;
+        let response = connection.connection.send(request).await?;
+        let (parts, body) = response.into_parts();
+        Ok(HttpAnswer {
+            head: answer_head(parts.status.as_u16(), &parts.headers),
+            body: AnswerBody::Unread(body),
+            connection,
+            pool: self.pool.clone(),
+        })
+    }
+
+    async fn cancel(&self, address: SocketAddr, attempt: AttemptId) -> Result<(), ControlError> {
+        let path = format!("{}{attempt}", wire::CANCEL_PATH_PREFIX);
+        let answered = self.exchange(address, Method::POST, &path, Bytes::new());
+        answered.await.map(drop)
+    }
+
+    async fn report(&self, address: SocketAddr) -> Result<HostReport, ControlError> {
+        let path = wire::REPORT_PATH;
+        self.call(address, Method::GET, path, Bytes::new()).await
+    }
+
+    async fn order(&self, address: SocketAddr, order: Order) -> Result<OrderAnswer, ControlError> {
+        let body = serde_json::to_vec(&order).map_err(protocol_error)?;
+        let path = wire::ORDER_PATH;
+        self.call(address, Method::POST, path, body.into()).await
+    }
+
+    async fn cache_events(
+        &self,
+        address: SocketAddr,
+        after_sequence: u64,
+    ) -> Result<CacheEvents, ControlError> {
+        let path = format!("{}?after={after_sequence}", wire::CACHE_EVENTS_PATH);
+        self.call(address, Method::GET, &path, Bytes::new()).await
+    }
+
+    fn drop_idle(&self, address: SocketAddr) {
+        self.pool.drop_idle(address);
+    }
+}
+
+impl<C> TargetAnswer for HttpAnswer<C>
+where
+    C: Clock,
+{
+    fn head(&self) -> &AnswerHead {
+        &self.head
+    }
+
+    async fn next_event(&mut self) -> Result<AnswerEvent, AnswerError> {
+        loop {
+            let events = self.body.events().ok_or(AnswerError::NoEnd)?;
+            let event = match events.next().await {
+                None => return Err(AnswerError::NoEnd),
+                Some(Err(error)) => {
+                    let reason = error.to_string();
+                    return Err(AnswerError::Broken { reason });
+                }
+                Some(Ok(event)) => event,
+            };
+            if let Some(event) = answer_event(event)? {
+                return Ok(event);
+            }
+        }
+    }
+
+    async fn read_whole(self, limit_bytes: usize) -> Result<Bytes, AnswerError> {
+        let AnswerBody::Unread(body) = self.body else {
+            let reason = String::from("the body was read as events before");
+            return Err(AnswerError::Malformed { reason });
+        };
+        let read = read_body(body, limit_bytes, WHOLE_ANSWER_TIMEOUT).await;
+        let bytes = read.map_err(|error| AnswerError::Broken {
+            reason: error.to_string(),
+        })?;
+        self.pool.put_back(self.connection).await;
+        Ok(bytes)
+    }
+
+    async fn keep_connection(mut self) {
+        let Some(events) = self.body.events() else {
+            return;
+        };
+        if events.next().await.is_none() {
+            self.pool.put_back(self.connection).await;
+        }
+    }
+}
+
+fn answer_event(event: Sse) -> Result<Option<AnswerEvent>, AnswerError> {
+    let Some(data) = event.data else {
+        return Ok(None);
+    };
+    if data == wire::END_MARKER {
+        return Ok(Some(AnswerEvent::End));
+    }
+    let index = event.id.as_deref().map(u64::from_str);
+    match index {
+        Some(Ok(index)) => Ok(Some(AnswerEvent::Token { index, data })),
+        Some(Err(_)) | None => {
+            let reason = String::from("an event without the number of its token");
+            Err(AnswerError::Malformed { reason })
+        }
+    }
+}
+
+fn answer_head(status: u16, headers: &HeaderMap) -> AnswerHead {
+    let content_type = header_text(headers, CONTENT_TYPE.as_str());
+    AnswerHead {
+        status,
+        attempt: parsed_header(headers, wire::ATTEMPT_HEADER),
+        generation: parsed_header(headers, wire::GENERATION_HEADER),
+        is_refused_before_start: header_text(headers, wire::NOT_RUN_HEADER) == Some("true"),
+        content_type: content_type.unwrap_or_default().to_owned(),
+    }
+}
+
+fn header_text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+fn parsed_header<T>(headers: &HeaderMap, name: &str) -> Option<T>
+where
+    T: FromStr,
+{
+    header_text(headers, name)?.parse().ok()
+}
+
 fn protocol_error<E>(error: E) -> ControlError
 where
     E: std::error::Error,
@@ -238,14 +315,14 @@
         .header(HOST, address.to_string())
         .header(CONTENT_TYPE, submission.content_type)
         .header(wire::ATTEMPT_HEADER, submission.attempt.as_str())
-        .header(wire::PRIORITY_HEADER, submission.priority);
+        .header(wire::PRIORITY_HEADER, submission.priority.to_string());
     if submission.resume_from_tokens > 0 {
         request = request.header(wire::RESUME_HEADER, submission.resume_from_tokens);
     }
-    if let Some((group, generation)) = submission.group {
+    if let Some(group) = submission.group {
         request = request
-            .header(wire::GROUP_HEADER, group.as_str())
-            .header(wire::GENERATION_HEADER, generation.0);
+            .header(wire::GROUP_HEADER, group.group.as_str())
+            .header(wire::GENERATION_HEADER, group.generation.0);
     }
     let request = request.body(RequestBody::new(submission.body));
     request.map_err(|error| SendError::NotSent {
--- a/lib/src/version/document.rs
+++ b/lib/src/version/document.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use derive_more::Display;
+use derive_more::FromStr;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -102,8 +104,23 @@
 }
 
 /// A request's priority class; the first ones are served first.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Deserialize,
+    Display,
+    Eq,
+    FromStr,
+    Ord,
+    PartialEq,
+    PartialOrd,
+    Serialize,
+)]
 #[serde(rename_all = "snake_case")]
+#[display(rename_all = "snake_case")]
+#[from_str(rename_all = "snake_case")]
 pub enum Priority {
     /// A notice that passes a full queue.
     Emergency,
