version: read, check and write the environment's document

A document is read whole or not at all, with every fault at its line: units, ranges, unknown keys, operations named twice, a credential that two accounts share, and a repair that would start before the presence bound has closed the group. The canonical writer gives every key in one order; a test reads both examples back alike.

Whether the replicas fit is checked against the platform's host list by data centre and fabric domain; leaving hosts don't count. A data centre without a host of a service need not hold it, since the document names no data centre.

--- a/lib/src/ini/error.rs
+++ b/lib/src/ini/error.rs
@@ -146,6 +146,21 @@
         /// The greatest value that is accepted.
         most: String,
     },
+    /// What follows the prefix of a section's name is not of the expected type.
+    #[display(
+        "{location}: section [{section}] needs {expected} after `{prefix}`. \
+         Hint: write such a name without spaces"
+    )]
+    SectionName {
+        /// Where the section is.
+        location: Location,
+        /// The section.
+        section: String,
+        /// The prefix.
+        prefix: String,
+        /// What has to follow the prefix.
+        expected: String,
+    },
     /// A value that is well formed contradicts another part of the text.
     #[display("{location}: key `{key}` of [{section}]: expected {expected}. Hint: {hint}")]
     Conflict {
@@ -175,6 +190,7 @@
             | IniError::MissingKey { location, .. }
             | IniError::Value { location, .. }
             | IniError::Range { location, .. }
+            | IniError::SectionName { location, .. }
             | IniError::Conflict { location, .. } => location,
         }
     }
--- a/lib/src/ini/section.rs
+++ b/lib/src/ini/section.rs
@@ -120,9 +120,36 @@
     where
         T: IniValue + PartialOrd,
     {
-        let value = self.optional(key);
-        let checked = value.and_then(|value| self.check_range(key, value, &range));
-        checked.unwrap_or(default)
+        self.optional_within(key, range).unwrap_or(default)
+    }
+
+    /// Returns the value of a key within a range, or `None` if it is absent or wrong.
+    pub fn optional_within<T>(&mut self, key: &str, range: RangeInclusive<T>) -> Option<T>
+    where
+        T: IniValue + PartialOrd,
+    {
+        let value = self.optional(key)?;
+        self.check_range(key, value, &range)
+    }
+
+    /// Returns what follows `prefix` in the section's name.
+    ///
+    /// `None` means that an error was collected.
+    pub fn name_after<T>(&mut self, prefix: &str) -> Option<T>
+    where
+        T: IniValue,
+    {
+        let name = self.name.strip_prefix(prefix).unwrap_or(&self.name);
+        let value = T::parse_value(name);
+        if value.is_none() {
+            self.errors.push(IniError::SectionName {
+                location: self.location(self.line),
+                section: self.name.clone(),
+                prefix: prefix.to_owned(),
+                expected: T::expected(),
+            });
+        }
+        value
     }
 
     /// Collects an error about a key whose value contradicts another part of the text.
--- a/lib/src/version/mod.rs
+++ b/lib/src/version/mod.rs
@@ -1,3 +1,9 @@
 //! What lives for a version of the configuration: the environment's document.
 
 pub mod document;
+mod document_values;
+pub mod parse;
+pub mod placeable;
+pub mod write;
+
+pub use document_values::MODEL_OPERATION;
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -1,5 +1,6 @@
 //! Runner of the library's integration tests.
 
 mod test_connection;
+mod test_document;
 mod test_ini;
 mod test_units;
