--- /dev/null
+++ b/lib/src/request/answer.rs
@@ -0,0 +1,187 @@
+//! Answers to callers: every outcome with its status, headers and body.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderValue;
+use http::Response;
+use http::header::CONTENT_TYPE;
+use http::header::RETRY_AFTER;
+use serde::Serialize;
+
+use super::caller::CallerError;
+use super::caller::OUTCOME_HEADER;
+use super::caller::REQUEST_ID_HEADER;
+use super::outcome::NotRunReason;
+use super::outcome::Outcome;
+use super::outcome::UnknownReason;
+use crate::connection::body::ResponseBody;
+use crate::connection::body::full_body;
+use crate::ids::RequestId;
+
+const MEDIA_TYPE_JSON: &str = "application/json";
+const MEDIA_TYPE_EVENTS: &str = "text/event-stream";
+
+/// The body of an answer that holds no result, in the common shape of such errors.
+#[derive(Debug, Serialize)]
+struct ErrorBody {
+    error: ErrorDetail,
+}
+
+#[derive(Debug, Serialize)]
+struct ErrorDetail {
+    #[serde(rename = "type")]
+    kind: String,
+    message: String,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    retry_after_ms: Option<u128>,
+}
+
+impl Outcome {
+    /// Returns the word of the outcome in the answer's header.
+    pub fn word(&self) -> &'static str {
+        match self {
+            Self::Complete => "complete",
+            Self::NotRun { .. } => "not-run",
+            Self::Unknown { .. } => "unknown",
+            Self::Failed { .. } => "failed",
+        }
+    }
+
+    /// Returns the HTTP status of an answer that ends so.
+    pub fn status(&self) -> u16 {
+        match self {
+            Self::Complete => 200,
+            Self::NotRun { reason, .. } => match reason {
+                NotRunReason::OverLimit => 429,
+                _ => 503,
+            },
+            Self::Unknown { reason } => match reason {
+                UnknownReason::DeadlinePassed => 504,
+                _ => 502,
+            },
+            Self::Failed { status } => *status,
+        }
+    }
+
+    /// Returns when the caller should come back, if the outcome says so.
+    pub fn retry_after(&self) -> Option<Duration> {
+        match self {
+            Self::NotRun { retry_after, .. } => Some(*retry_after),
+            Self::Complete | Self::Unknown { .. } | Self::Failed { .. } => None,
+        }
+    }
+}
+
+/// Returns the answer for a request that ended without a result.
+pub fn outcome_answer(id: &RequestId, outcome: &Outcome) -> Response<ResponseBody> {
+    let detail = ErrorDetail {
+        kind: outcome.word().to_owned(),
+        message: outcome.to_string(),
+        retry_after_ms: outcome.retry_after().map(|wait| wait.as_millis()),
+    };
+    let mut answer = error_answer(outcome.status(), detail);
+    set_retry_after(&mut answer, outcome.retry_after());
+    set_header(&mut answer, OUTCOME_HEADER, outcome.word());
+    set_header(&mut answer, REQUEST_ID_HEADER, id.as_str());
+    answer
+}
+
+/// Returns the answer for a request that is refused for its form.
+pub fn refusal_answer(error: &CallerError) -> Response<ResponseBody> {
+    let detail = ErrorDetail {
+        kind: String::from("invalid"),
+        message: error.to_string(),
+        retry_after_ms: None,
+    };
+    let mut answer = error_answer(error.status(), detail);
+    set_header(&mut answer, OUTCOME_HEADER, "invalid");
+    answer
+}
+
+/// Returns the answer for a key whose work is still in flight.
+pub fn in_progress_answer(id: &RequestId, retry_after: Duration) -> Response<ResponseBody> {
+    let detail = ErrorDetail {
+        kind: String::from("in-progress"),
+        message: String::from("the work under this key is still in flight"),
+        retry_after_ms: Some(retry_after.as_millis()),
+    };
+    let mut answer = error_answer(409, detail);
+    set_retry_after(&mut answer, Some(retry_after));
+    set_header(&mut answer, OUTCOME_HEADER, "in-progress");
+    set_header(&mut answer, REQUEST_ID_HEADER, id.as_str());
+    answer
+}
+
+/// A result with its status and media type.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct WholeAnswer {
+    /// The HTTP status.
+    pub status: u16,
+    /// The media type of the body.
+    pub content_type: String,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// Returns the answer that holds a target's whole result.
+pub fn whole_answer(
+    id: &RequestId,
+    outcome: &Outcome,
+    result: WholeAnswer,
+) -> Response<ResponseBody> {
+    let mut answer = Response::new(full_body(result.body));
+    set_status(&mut answer, result.status);
+    set_header(&mut answer, CONTENT_TYPE.as_str(), &result.content_type);
+    set_header(&mut answer, OUTCOME_HEADER, outcome.word());
+    set_header(&mut answer, REQUEST_ID_HEADER, id.as_str());
+    answer
+}
+
+/// Returns the head of a streamed answer, whose end marker says that it is whole.
+pub fn stream_answer(id: &RequestId, body: ResponseBody) -> Response<ResponseBody> {
+    let mut answer = Response::new(body);
+    set_header(&mut answer, CONTENT_TYPE.as_str(), MEDIA_TYPE_EVENTS);
+    set_header(&mut answer, "cache-control", "no-store");
+    set_header(&mut answer, REQUEST_ID_HEADER, id.as_str());
+    answer
+}
+
+/// Returns the last event of a streamed answer that broke, before the connection is cut.
+pub fn broken_stream_event(outcome: &Outcome) -> Bytes {
+    let detail = ErrorDetail {
+        kind: outcome.word().to_owned(),
+        message: outcome.to_string(),
+        retry_after_ms: None,
+    };
+    let text = serde_json::to_string(&ErrorBody { error: detail }).unwrap_or_default();
+    Bytes::from(format!("event: error\ndata: {text}\n\n"))
+}
+
+fn error_answer(status: u16, detail: ErrorDetail) -> Response<ResponseBody> {
+    let text = serde_json::to_vec(&ErrorBody { error: detail }).unwrap_or_default();
+    let mut answer = Response::new(full_body(text));
+    set_status(&mut answer, status);
+    set_header(&mut answer, CONTENT_TYPE.as_str(), MEDIA_TYPE_JSON);
+    answer
+}
+
+fn set_status(answer: &mut Response<ResponseBody>, status: u16) {
+    let status = http::StatusCode::from_u16(status);
+    *answer.status_mut() = status.unwrap_or(http::StatusCode::BAD_GATEWAY);
+}
+
+fn set_retry_after(answer: &mut Response<ResponseBody>, wait: Option<Duration>) {
+    let Some(wait) = wait else {
+        return;
+    };
+    let seconds = wait.as_millis().div_ceil(1000).max(1);
+    set_header(answer, RETRY_AFTER.as_str(), &seconds.to_string());
+}
+
+fn set_header(answer: &mut Response<ResponseBody>, name: &str, value: &str) {
+    let name = http::HeaderName::try_from(name);
+    if let (Ok(name), Ok(value)) = (name, HeaderValue::from_str(value)) {
+        answer.headers_mut().insert(name, value);
+    }
+}
--- a/lib/src/target/http.rs
+++ b/lib/src/target/http.rs
@@ -156,17 +156,26 @@
 where
     C: Clock,
 {
+    type Connection = PooledConnection;
     type Answer = HttpAnswer<C>;
 
-    async fn submit(
+    async fn connect(
         &self,
         address: SocketAddr,
+        choice: ConnectionChoice,
+    ) -> Result<PooledConnection, SendError> {
+        match choice {
+            ConnectionChoice::Reused => self.pool.take(address).await,
+            ConnectionChoice::New => self.pool.open(address).await,
+        }
+    }
+
+    async fn submit(
+        &self,
+        mut connection: PooledConnection,
         submission: Submission,
     ) -> Result<HttpAnswer<C>, SendError> {
-        let mut connection = match submission.connection {
-            ConnectionChoice::Reused => self.pool.take(address).await?,
-            ConnectionChoice::New => self.pool.open(address).await?,
-        };
+        let address = connection.connection.address();
         let request = submission_request(address, submission)?;
         let response = connection.connection.send(request).await?;
         let (parts, body) = response.into_parts();
--- a/lib/src/target/mod.rs
+++ b/lib/src/target/mod.rs
@@ -95,8 +95,6 @@
     pub content_type: String,
     /// The body.
     pub body: Bytes,
-    /// Which connection to send on.
-    pub connection: ConnectionChoice,
 }
 
 /// The head of a target's answer.
@@ -148,13 +146,23 @@
 
 /// The targets' interface: requests, reports and orders.
 pub trait Targets: Clone + Send + Sync + 'static {
+    /// The type of a connection that can take an attempt.
+    type Connection: Send + 'static;
+
     /// The type of an answer.
     type Answer: TargetAnswer;
 
+    /// Returns a connection, so that the caller can check the target once more before it sends.
+    fn connect(
+        &self,
+        address: SocketAddr,
+        choice: ConnectionChoice,
+    ) -> impl Future<Output = Result<Self::Connection, SendError>> + Send;
+
     /// Sends an attempt exactly once and returns its answer's head.
     fn submit(
         &self,
-        address: SocketAddr,
+        connection: Self::Connection,
         submission: Submission,
     ) -> impl Future<Output = Result<Self::Answer, SendError>> + Send;
 
