--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -1,4 +1,5 @@
 //! Runner of the library's integration tests.
 
 mod test_connection;
+mod test_presence;
 mod test_units;
