--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -2,4 +2,5 @@
 
 mod test_connection;
 mod test_ini;
+mod test_presence;
 mod test_units;
