--- a/lib/src/ids.rs
+++ b/lib/src/ids.rs
@@ -156,6 +156,10 @@
     /// The name of a replica group: the hosts that together hold one replica of a model.
     GroupId
 );
+text_id!(
+    /// The name of a target as requests are routed: a replica group or a host of a plain service.
+    TargetId
+);
 text_id!(
     /// The name of a service that callers ask for.
     ServiceId
@@ -210,6 +214,18 @@
     Revision
 );
 
+impl From<GroupId> for TargetId {
+    fn from(group: GroupId) -> Self {
+        Self(group.0)
+    }
+}
+
+impl From<HostId> for TargetId {
+    fn from(host: HostId) -> Self {
+        Self(host.0)
+    }
+}
+
 /// Returns the digest of `bytes`.
 pub fn digest_of(bytes: &[u8]) -> Digest {
     use sha2::Digest as _;
--- a/lib/src/process/mod.rs
+++ b/lib/src/process/mod.rs
@@ -1,1 +1,3 @@
 //! What lives for the process.
+
+pub mod stragglers;
--- /dev/null
+++ b/lib/src/process/stragglers.rs
@@ -0,0 +1,264 @@
+//! Ejection of stragglers: targets much slower per token than the median of their service.
+//!
+//! A straggler is not dead, so health checks pass it. It is taken out of the choice for a while,
+//! then gets single probes, and comes back after several good ones. The share of targets that are
+//! out at once is capped, since a service whose targets are all slow is short of capacity and not
+//! helped by ejection.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::ids::TargetId;
+use crate::sorted::Keyed;
+use crate::sorted::SortedVec;
+use crate::units::Share;
+
+/// The weight of a new sample in the moving mean of the time per token.
+const SAMPLE_WEIGHT: f64 = 0.2;
+
+/// How stragglers are found and probed.
+#[derive(Clone, Debug, PartialEq)]
+pub struct StragglerSettings {
+    /// The greatest share of a service's targets that are out at once.
+    pub ejected_limit: Share,
+    /// How many times the median's time per token makes a straggler.
+    pub slowness_ratio: f64,
+    /// The samples that a target must have before it is judged.
+    pub samples_min: u32,
+    /// How long a target stays out before the first probe; doubles with each failed probe.
+    pub ejection: Duration,
+    /// The longest time between two probes.
+    pub ejection_max: Duration,
+    /// The time between two probes that went well.
+    pub probe_interval: Duration,
+    /// The good probes in a row that bring a target back.
+    pub good_probes: u32,
+}
+
+impl Default for StragglerSettings {
+    fn default() -> Self {
+        Self {
+            ejected_limit: Share::from_percent(20),
+            slowness_ratio: 2.0,
+            samples_min: 5,
+            ejection: Duration::from_secs(10),
+            ejection_max: Duration::from_secs(120),
+            probe_interval: Duration::from_secs(1),
+            good_probes: 3,
+        }
+    }
+}
+
+/// What may be sent to a target.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Standing {
+    /// The target takes requests as any other.
+    InUse,
+    /// The target is out.
+    Ejected,
+    /// One request may be sent now to see whether the target is still slow.
+    ProbeDue,
+}
+
+#[derive(Clone, Debug)]
+enum State {
+    InUse,
+    Ejected {
+        probe_at: Instant,
+        wait: Duration,
+        good_probes: u32,
+        is_probing: bool,
+    },
+}
+
+#[derive(Clone, Debug)]
+struct Pace {
+    target: TargetId,
+    mean_ms: f64,
+    samples: u32,
+    state: State,
+}
+
+impl Keyed for Pace {
+    type Key = TargetId;
+
+    fn key(&self) -> &TargetId {
+        &self.target
+    }
+}
+
+/// A sample beside the median of the service.
+#[derive(Clone, Copy, Debug)]
+struct Verdict {
+    sample_ms: f64,
+    sample_is_slow: bool,
+    mean_is_slow: bool,
+}
+
+/// The paces of a service's targets, and which of them are out.
+///
+/// ```
+/// use std::time::Duration;
+/// use std::time::Instant;
+///
+/// use beryltray_lib::process::stragglers::Standing;
+/// use beryltray_lib::process::stragglers::StragglerSettings;
+/// use beryltray_lib::process::stragglers::Stragglers;
+///
+/// let mut stragglers = Stragglers::new(StragglerSettings::default());
+/// let now = Instant::now();
+/// for (name, ms) in [("a", 30), ("b", 30), ("c", 30), ("d", 30), ("slow", 200)] {
+///     for _ in 0..5 {
+///         stragglers.on_sample(&name.parse()?, Duration::from_millis(ms), now);
+///     }
+/// }
+/// assert_eq!(stragglers.standing(&"slow".parse()?, now), Standing::Ejected);
+/// # Ok::<(), beryltray_lib::ids::ParseIdError>(())
+/// ```
+#[derive(Clone, Debug)]
+pub struct Stragglers {
+    settings: StragglerSettings,
+    paces: SortedVec<Pace>,
+}
+
+impl Stragglers {
+    /// Creates a judge of targets that have no samples yet.
+    pub fn new(settings: StragglerSettings) -> Self {
+        let paces = SortedVec::new();
+        Self { settings, paces }
+    }
+
+    /// Changes the settings and keeps what is known of the targets.
+    pub fn set_settings(&mut self, settings: StragglerSettings) {
+        self.settings = settings;
+    }
+
+    /// Takes in the time per token of an answer, without the wait for its first token.
+    pub fn on_sample(&mut self, target: &TargetId, time_per_token: Duration, now: Instant) {
+        let sample_ms = time_per_token.as_secs_f64() * 1e3;
+        let pace = self.paces.get_or_insert_with(target, || Pace {
+            target: target.clone(),
+            mean_ms: sample_ms,
+            samples: 0,
+            state: State::InUse,
+        });
+        pace.samples = pace.samples.saturating_add(1);
+        pace.mean_ms += SAMPLE_WEIGHT * (sample_ms - pace.mean_ms);
+        let median_ms = self.median_ms();
+        let is_slow = |ms: f64| ms > self.settings.slowness_ratio * median_ms;
+        let sample_is_slow = is_slow(sample_ms);
+        let mean_is_slow = self.paces.get(target).is_some_and(|p| is_slow(p.mean_ms));
+        let verdict = Verdict {
+            sample_ms,
+            sample_is_slow,
+            mean_is_slow,
+        };
+        self.judge(target, verdict, now);
+    }
+
+    /// Takes in that a probe was sent, so that the next one waits its turn.
+    pub fn on_probe_sent(&mut self, target: &TargetId, now: Instant) {
+        let Some(pace) = self.paces.get_mut(target) else {
+            return;
+        };
+        if let State::Ejected {
+            probe_at,
+            wait,
+            is_probing,
+            ..
+        } = &mut pace.state
+        {
+            *probe_at = now + *wait;
+            *is_probing = true;
+        }
+    }
+
+    /// Forgets targets for which `keep` is false, so that they no longer count in the median.
+    pub fn retain<F>(&mut self, keep: F)
+    where
+        F: Fn(&TargetId) -> bool,
+    {
+        self.paces.retain(|pace| keep(&pace.target));
+    }
+
+    /// Returns what may be sent to `target`.
+    pub fn standing(&self, target: &TargetId, now: Instant) -> Standing {
+        let state = self.paces.get(target).map(|pace| &pace.state);
+        match state {
+            None | Some(State::InUse) => Standing::InUse,
+            Some(State::Ejected { probe_at, .. }) if *probe_at <= now => Standing::ProbeDue,
+            Some(State::Ejected { .. }) => Standing::Ejected,
+        }
+    }
+
+    /// Returns the mean time per token of `target`, once it has a sample.
+    pub fn mean_time_per_token(&self, target: &TargetId) -> Option<Duration> {
+        let pace = self.paces.get(target)?;
+        Some(Duration::from_secs_f64(pace.mean_ms / 1e3))
+    }
+
+    /// Returns the number of targets that are out.
+    pub fn ejected_count(&self) -> usize {
+        let is_ejected = |pace: &&Pace| matches!(pace.state, State::Ejected { .. });
+        self.paces.iter().filter(is_ejected).count()
+    }
+
+    fn judge(&mut self, target: &TargetId, verdict: Verdict, now: Instant) {
+        let has_room = self.has_room();
+        let settings = &self.settings;
+        let Some(pace) = self.paces.get_mut(target) else {
+            return;
+        };
+        match &mut pace.state {
+            State::InUse => {
+                let is_judged = pace.samples >= settings.samples_min;
+                if is_judged && verdict.mean_is_slow && has_room {
+                    pace.state = State::Ejected {
+                        probe_at: now + settings.ejection,
+                        wait: settings.ejection,
+                        good_probes: 0,
+                        is_probing: false,
+                    };
+                }
+            }
+            State::Ejected {
+                probe_at,
+                wait,
+                good_probes,
+                is_probing,
+            } => {
+                // Answers to requests that were sent before the ejection say nothing new.
+                if !std::mem::take(is_probing) {
+                    return;
+                }
+                if verdict.sample_is_slow {
+                    *good_probes = 0;
+                    *wait = (*wait * 2).min(settings.ejection_max);
+                    *probe_at = now + *wait;
+                    return;
+                }
+                *good_probes += 1;
+                *wait = settings.probe_interval;
+                *probe_at = now + *wait;
+                if *good_probes >= settings.good_probes {
+                    pace.state = State::InUse;
+                    pace.samples = 0;
+                    pace.mean_ms = verdict.sample_ms;
+                }
+            }
+        }
+    }
+
+    /// Returns whether one more target may be out.
+    fn has_room(&self) -> bool {
+        let limit = self.settings.ejected_limit.as_fraction() * self.paces.len() as f64;
+        (self.ejected_count() + 1) as f64 <= limit
+    }
+
+    /// Returns the median of the targets' times per token, in milliseconds; 0 without samples.
+    pub fn median_ms(&self) -> f64 {
+        let mut means: Vec<f64> = self.paces.iter().map(|pace| pace.mean_ms).collect();
+        means.sort_by(f64::total_cmp);
+        means.get(means.len() / 2).copied().unwrap_or_default()
+    }
+}
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -1,4 +1,6 @@
 //! Runner of the library's integration tests.
 
 mod test_connection;
+mod test_routing;
+mod test_stragglers;
 mod test_units;
--- /dev/null
+++ b/lib/tests/test_stragglers.rs
@@ -0,0 +1,93 @@
+//! Tests of the ejection of stragglers.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use beryltray_lib::ids::TargetId;
+use beryltray_lib::process::stragglers::Standing;
+use beryltray_lib::process::stragglers::StragglerSettings;
+use beryltray_lib::process::stragglers::Stragglers;
+use beryltray_lib::units::Share;
+use beryltray_testutils::seeds::quickcheck_with_seed;
+
+const FAST: Duration = Duration::from_millis(30);
+const SLOW: Duration = Duration::from_millis(200);
+
+fn target(index: usize) -> TargetId {
+    format!("group-{index}").parse().unwrap()
+}
+
+fn with_one_straggler(now: Instant) -> Stragglers {
+    let mut stragglers = Stragglers::new(StragglerSettings::default());
+    for _ in 0..6 {
+        for index in 0..10 {
+            let pace = if index == 0 { SLOW } else { FAST };
+            stragglers.on_sample(&target(index), pace, now);
+        }
+    }
+    stragglers
+}
+
+#[test]
+fn straggler_slow_target_is_ejected() {
+    let now = Instant::now();
+    let stragglers = with_one_straggler(now);
+    assert_eq!(stragglers.standing(&target(0), now), Standing::Ejected);
+    assert_eq!(stragglers.ejected_count(), 1);
+}
+
+#[test]
+fn straggler_comes_back_after_good_probes() {
+    let mut now = Instant::now();
+    let mut stragglers = with_one_straggler(now);
+    now += Duration::from_secs(10);
+    for _ in 0..3 {
+        assert_eq!(stragglers.standing(&target(0), now), Standing::ProbeDue);
+        stragglers.on_probe_sent(&target(0), now);
+        assert_eq!(stragglers.standing(&target(0), now), Standing::Ejected);
+        stragglers.on_sample(&target(0), FAST, now);
+        now += Duration::from_secs(1);
+    }
+    assert_eq!(stragglers.standing(&target(0), now), Standing::InUse);
+}
+
+#[test]
+fn straggler_slow_probe_doubles_the_wait() {
+    let start = Instant::now();
+    let mut stragglers = with_one_straggler(start);
+    let probed = start + Duration::from_secs(10);
+    stragglers.on_probe_sent(&target(0), probed);
+    stragglers.on_sample(&target(0), SLOW, probed);
+    let standing = |secs| stragglers.standing(&target(0), probed + Duration::from_secs(secs));
+    assert_eq!(standing(19), Standing::Ejected);
+    assert_eq!(standing(20), Standing::ProbeDue);
+}
+
+#[test]
+fn straggler_late_answers_do_not_lengthen_the_ejection() {
+    let start = Instant::now();
+    let mut stragglers = with_one_straggler(start);
+    for _ in 0..10 {
+        stragglers.on_sample(&target(0), SLOW, start);
+    }
+    let due = start + Duration::from_secs(10);
+    assert_eq!(stragglers.standing(&target(0), due), Standing::ProbeDue);
+}
+
+#[test]
+fn straggler_ejected_share_is_capped() {
+    fn is_capped(paces_ms: Vec<u16>) -> bool {
+        let now = Instant::now();
+        let limit = Share::from_percent(20);
+        let mut stragglers = Stragglers::new(StragglerSettings::default());
+        for _ in 0..6 {
+            for (index, pace_ms) in paces_ms.iter().enumerate() {
+                let pace = Duration::from_millis(u64::from(*pace_ms));
+                stragglers.on_sample(&target(index), pace, now);
+            }
+        }
+        let most = limit.as_fraction() * paces_ms.len() as f64;
+        stragglers.ejected_count() as f64 <= most
+    }
+    quickcheck_with_seed(21, 300).quickcheck(is_capped as fn(Vec<u16>) -> bool);
+}
