--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -3,4 +3,6 @@
 mod test_connection;
 mod test_ini;
 mod test_presence;
+mod test_routing;
+mod test_stragglers;
 mod test_units;
