version: follow the head and change it, both as pure machines

A table that was restored to an older state gets the version in force written back by compare-and-set, since what an operator was told is accepted must stay. Letting the restored head win was ruled out: it reverts accepted changes.

A change is a compare-and-set on the version that the operator knew. A lost answer is settled by reading the history row; only an absent row leads to another attempt, under the same condition, so that at most one takes effect. A change on a table that is behind the entries is refused with a hint.

--- /dev/null
+++ b/lib/src/version/change/driver.rs
@@ -0,0 +1,120 @@
+//! Drives a change against the platform.
+
+use crate::attempts::AttemptSource;
+use crate::clock::Clock;
+use crate::ids::DocumentVersion;
+use crate::ids::digest_of;
+use crate::platform::ObjectStore;
+use crate::platform::Table;
+use crate::platform::rows::HeadRow;
+use crate::version::store::VersionStore;
+use crate::version::store::VersionStoreError;
+
+use super::Change;
+use super::ChangeAction;
+use super::ChangeOutcome;
+use super::ChangeRequest;
+use super::ChangeSettings;
+use super::conflict::ConflictReport;
+use super::conflict::ConflictTexts;
+
+/// Carries out changes of one environment.
+#[derive(Clone, Debug)]
+pub struct ChangeDriver<T, C> {
+    store: VersionStore<T>,
+    clock: C,
+    settings: ChangeSettings,
+}
+
+impl<T, C> ChangeDriver<T, C>
+where
+    T: Table + ObjectStore,
+    C: Clock,
+{
+    /// Creates a driver.
+    pub fn new(store: VersionStore<T>, clock: C, settings: ChangeSettings) -> Self {
+        Self {
+            store,
+            clock,
+            settings,
+        }
+    }
+
+    /// Makes `text` the head, and returns how that ended.
+    pub async fn apply<A>(&self, request: ChangeRequest, text: &str, attempts: A) -> ChangeOutcome
+    where
+        A: AttemptSource,
+    {
+        let now = self.clock.now();
+        let mut change = Change::new(request, self.settings.clone(), attempts, now);
+        let mut action = change.start();
+        loop {
+            action = match action {
+                ChangeAction::Finish(outcome) => return outcome,
+                other => self.step(&mut change, other, text).await,
+            };
+        }
+    }
+
+    async fn step<A>(
+        &self,
+        change: &mut Change<A>,
+        action: ChangeAction,
+        text: &str,
+    ) -> ChangeAction
+    where
+        A: AttemptSource,
+    {
+        match action {
+            ChangeAction::ReadHead => match self.store.head().await {
+                Ok(stored) => change.on_head(stored),
+                Err(error) => change.on_failed(error, self.clock.now()),
+            },
+            ChangeAction::PutText => {
+                let digest = digest_of(text.as_bytes());
+                match self.store.put_text(&digest, text).await {
+                    Ok(()) => change.on_text_stored(),
+                    Err(error) => change.on_failed(error, self.clock.now()),
+                }
+            }
+            ChangeAction::Commit {
+                attempt,
+                row,
+                observed,
+            } => {
+                let answer = self.store.commit_head(attempt, &row, observed).await;
+                change.on_commit(answer, self.clock.now())
+            }
+            ChangeAction::ReadPast(version) => match self.store.past(version).await {
+                Ok(past) => change.on_past(past, self.clock.now()),
+                Err(error) => change.on_failed(error, self.clock.now()),
+            },
+            ChangeAction::WaitUntil(at) => {
+                let delay = at.saturating_duration_since(self.clock.now());
+                tokio::time::sleep(delay).await;
+                change.on_tick()
+            }
+            ChangeAction::Finish(_) => action,
+        }
+    }
+
+    /// Returns both changes of a conflict.
+    pub async fn conflict_report(
+        &self,
+        base: DocumentVersion,
+        current: HeadRow,
+        refused: &str,
+    ) -> Result<ConflictReport, VersionStoreError> {
+        let base_text = match self.store.past(base).await? {
+            Some(past) => self.store.text(&past.row.digest).await?,
+            None => String::new(),
+        };
+        let current_text = self.store.text(&current.digest).await?;
+        let texts = ConflictTexts {
+            base: &base_text,
+            current: &current_text,
+            refused,
+        };
+        Ok(ConflictReport::new(base, current, texts))
+    }
+}
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -1,7 +1,9 @@
 //! Runner of the library's integration tests.
 
+mod test_change;
 mod test_connection;
 mod test_document;
+mod test_head;
 mod test_ini;
 mod test_presence;
 mod test_routing;
--- /dev/null
+++ b/lib/tests/test_change.rs
@@ -0,0 +1,357 @@
+//! Tests of changes to the head: one of two operators wins, and lost answers are settled.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use beryltray_lib::attempts::RandomAttempts;
+use beryltray_lib::clock::SystemClock;
+use beryltray_lib::ids::DocumentVersion;
+use beryltray_lib::ids::digest_of;
+use beryltray_lib::ids::new_attempt_id;
+use beryltray_lib::platform::CommitOutcome;
+use beryltray_lib::platform::rows::HeadRow;
+use beryltray_lib::version::change::ChangeOutcome;
+use beryltray_lib::version::change::ChangeRequest;
+use beryltray_lib::version::change::ChangeSettings;
+use beryltray_lib::version::change::driver::ChangeDriver;
+use beryltray_lib::version::change::force::EntryProgress;
+use beryltray_lib::version::change::force::EntryVersion;
+use beryltray_lib::version::change::force::ForceProgress;
+use beryltray_lib::version::head::HeadMark;
+use beryltray_lib::version::store::VersionStore;
+use beryltray_testutils::table::MemoryTable;
+use beryltray_testutils::table::TableFault;
+use quickcheck::Arbitrary;
+use quickcheck::Gen;
+use todc_utils::linearizability::WGLChecker;
+use todc_utils::linearizability::history::Action;
+use todc_utils::linearizability::history::History;
+use todc_utils::specifications::Specification;
+
+const SEED: u64 = 0x4348_414e;
+const SCHEDULES: u64 = 200;
+const RETRY_DELAY: Duration = Duration::from_micros(10);
+
+type Driver = ChangeDriver<MemoryTable, SystemClock>;
+
+fn store(table: &MemoryTable) -> VersionStore<MemoryTable> {
+    VersionStore::new(table.clone(), "trial".parse().unwrap())
+}
+
+fn driver(table: &MemoryTable, patience: Duration) -> Driver {
+    let settings = ChangeSettings {
+        patience,
+        retry_delay: RETRY_DELAY,
+    };
+    ChangeDriver::new(store(table), SystemClock, settings)
+}
+
+fn request(base: u64, text: &str) -> ChangeRequest {
+    ChangeRequest {
+        base: DocumentVersion(base),
+        digest: digest_of(text.as_bytes()),
+        author: String::from("maud"),
+        accepted_unix_s: 0,
+        highest_in_force: None,
+    }
+}
+
+async fn apply(driver: &Driver, base: u64, text: &str) -> ChangeOutcome {
+    let request = request(base, text);
+    driver.apply(request, text, RandomAttempts).await
+}
+
+fn accepted_version(outcome: &ChangeOutcome) -> Option<u64> {
+    match outcome {
+        ChangeOutcome::Accepted { row } => Some(row.version.0),
+        _ => None,
+    }
+}
+
+async fn apply_with_fault(fault: TableFault) -> (ChangeOutcome, MemoryTable) {
+    let table = MemoryTable::new();
+    let driver = driver(&table, Duration::from_secs(5));
+    // The calls are: read the head, store the text, commit.
+    table.script([TableFault::None, TableFault::None, fault]);
+    let outcome = apply(&driver, 0, "# one\n").await;
+    (outcome, table)
+}
+
+#[tokio::test]
+async fn change_same_base_one_accepted_one_conflict() {
+    let table = MemoryTable::new();
+    let driver = driver(&table, Duration::from_secs(5));
+    apply(&driver, 0, "a\nb\nc\n").await;
+    assert_eq!(
+        accepted_version(&apply(&driver, 1, "a\nB\nc\n").await),
+        Some(2)
+    );
+    let second = apply(&driver, 1, "a\nb\nC\n").await;
+    let ChangeOutcome::Conflict { base, current } = second else {
+        panic!("{second}");
+    };
+    let report = driver.conflict_report(base, current.unwrap(), "a\nb\nC\n");
+    let report = report.await.unwrap();
+    assert!(report.theirs.contains("-b\n+B\n"));
+    assert!(report.yours.contains("-c\n+C\n"));
+}
+
+#[tokio::test]
+async fn change_same_text_is_unchanged() {
+    let table = MemoryTable::new();
+    let driver = driver(&table, Duration::from_secs(5));
+    apply(&driver, 0, "# one\n").await;
+    let again = apply(&driver, 1, "# one\n").await;
+    assert!(matches!(again, ChangeOutcome::Unchanged { .. }));
+}
+
+#[tokio::test]
+async fn change_lost_answer_is_accepted_once() {
+    let (outcome, table) = apply_with_fault(TableFault::LostAnswer).await;
+    assert_eq!(accepted_version(&outcome), Some(1));
+    assert_eq!(table.committed().len(), 1);
+}
+
+#[tokio::test]
+async fn change_lost_request_is_sent_again() {
+    let (outcome, table) = apply_with_fault(TableFault::LostRequest).await;
+    assert_eq!(accepted_version(&outcome), Some(1));
+    assert_eq!(table.committed().len(), 1);
+}
+
+#[tokio::test]
+async fn change_late_effect_is_accepted_once() {
+    let (outcome, table) = apply_with_fault(TableFault::LateEffect).await;
+    assert_eq!(accepted_version(&outcome), Some(1));
+    table.release_late();
+    assert_eq!(table.committed().len(), 1);
+    assert_eq!(store(&table).history().await.unwrap().len(), 1);
+}
+
+#[tokio::test]
+async fn change_outage_is_certainly_not_accepted() {
+    let table = MemoryTable::new();
+    table.set_down(true);
+    let outcome = apply(&driver(&table, Duration::from_millis(5)), 0, "# one\n").await;
+    assert!(matches!(outcome, ChangeOutcome::NotAccepted { .. }));
+}
+
+#[tokio::test]
+async fn change_outage_after_lost_answer_is_undecided() {
+    let table = MemoryTable::new();
+    let faults = [TableFault::None, TableFault::None, TableFault::LateEffect];
+    table.script(faults.into_iter().chain([TableFault::Unavailable; 4096]));
+    let outcome = apply(&driver(&table, Duration::from_millis(20)), 0, "# one\n").await;
+    assert!(
+        matches!(outcome, ChangeOutcome::Undecided { .. }),
+        "{outcome}"
+    );
+}
+
+#[tokio::test]
+async fn change_restored_table_is_refused_until_written_back() {
+    let table = MemoryTable::new();
+    let driver = driver(&table, Duration::from_secs(5));
+    apply(&driver, 0, "# one\n").await;
+    let older = table.snapshot();
+    let second = apply(&driver, 1, "# two\n").await;
+    let ChangeOutcome::Accepted { row } = second else {
+        panic!("{second}");
+    };
+    table.restore(older);
+    let mut request = request(1, "# three\n");
+    request.highest_in_force = Some(HeadMark::from(&row));
+    let outcome = driver.apply(request, "# three\n", RandomAttempts).await;
+    assert!(matches!(outcome, ChangeOutcome::TableBehind { .. }));
+}
+
+#[test]
+fn force_progress_names_who_is_behind_or_unheard() {
+    let address = |port: u16| SocketAddr::from(([127, 0, 0, 1], port));
+    let mark = |version: u64| HeadMark {
+        version: DocumentVersion(version),
+        digest: digest_of(b"x"),
+    };
+    let heard = |entry: &str, version| EntryVersion {
+        entry: entry.parse().unwrap(),
+        in_force: Some(mark(version)),
+        reason: None,
+    };
+    let mut progress = ForceProgress::new(mark(4), &[address(1), address(2), address(3)]);
+    progress.on_heard(address(1), heard("a", 5));
+    progress.on_heard(address(2), heard("b", 3));
+    assert_eq!(progress.waiting(), [address(2), address(3)]);
+    let unheard = &progress.entries().get(&address(3)).unwrap().progress;
+    assert_eq!(*unheard, EntryProgress::NotHeard);
+    progress.on_heard(address(2), heard("b", 4));
+    progress.on_heard(address(3), heard("c", 4));
+    assert!(progress.is_everywhere());
+}
+
+/// An operation on the head: a compare-and-set by version, with its result.
+#[derive(Clone, Debug)]
+struct HeadOperation {
+    base: u64,
+    is_accepted: bool,
+}
+
+struct HeadSpecification;
+
+impl Specification for HeadSpecification {
+    type State = u64;
+    type Operation = HeadOperation;
+
+    fn init() -> u64 {
+        0
+    }
+
+    fn apply(operation: &HeadOperation, head: &u64) -> (bool, u64) {
+        let is_current = operation.base == *head;
+        let next = if operation.is_accepted {
+            head + 1
+        } else {
+            *head
+        };
+        (operation.is_accepted == is_current, next)
+    }
+}
+
+/// One round: operators that change the head at once, all on bases that they believe in.
+#[derive(Clone, Debug)]
+struct Round {
+    bases: Vec<u64>,
+    faults: Vec<TableFault>,
+}
+
+impl Arbitrary for Round {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let operators = 1 + usize::arbitrary(g) % 3;
+        let bases = (0..operators).map(|_| u64::arbitrary(g) % 3).collect();
+        let faults = (0..12).map(|_| match u8::arbitrary(g) % 6 {
+            0 => TableFault::LostAnswer,
+            1 => TableFault::LostRequest,
+            2 => TableFault::LateEffect,
+            3 => TableFault::Unavailable,
+            _ => TableFault::None,
+        });
+        Self {
+            bases,
+            faults: faults.collect(),
+        }
+    }
+}
+
+type HeadHistory = Arc<Mutex<Vec<(usize, Action<HeadOperation>)>>>;
+
+/// A way to change the head, so that a faulty one can stand in for the driver.
+trait HeadChange: Clone + Send + Sync + 'static {
+    fn change(
+        &self,
+        table: MemoryTable,
+        base: u64,
+        text: String,
+    ) -> impl Future<Output = bool> + Send;
+}
+
+#[derive(Clone)]
+struct Settled;
+
+impl HeadChange for Settled {
+    async fn change(&self, table: MemoryTable, base: u64, text: String) -> bool {
+        let driver = driver(&table, Duration::from_secs(60));
+        let outcome = apply(&driver, base, &text).await;
+        accepted_version(&outcome).is_some()
+    }
+}
+
+/// The faulty variant: a lost answer is taken for a change that was not accepted.
+#[derive(Clone)]
+struct LostAnswerMeansRefused;
+
+impl HeadChange for LostAnswerMeansRefused {
+    async fn change(&self, table: MemoryTable, base: u64, text: String) -> bool {
+        let store = store(&table);
+        let Ok(head) = store.head().await else {
+            return false;
+        };
+        let version = head.as_ref().map_or(0, |head| head.row.version.0);
+        let row = HeadRow {
+            version: DocumentVersion(base + 1),
+            digest: digest_of(text.as_bytes()),
+            base: DocumentVersion(base),
+            author: String::from("maud"),
+            accepted_unix_s: 0,
+        };
+        let observed = head.map(|head| head.revision);
+        let attempt = new_attempt_id();
+        let commit = store.commit_head(attempt, &row, observed);
+        version == base && matches!(commit.await, Ok(CommitOutcome::Committed { .. }))
+    }
+}
+
+async fn record<H>(change: H, table: MemoryTable, call: (usize, u64, String), history: HeadHistory)
+where
+    H: HeadChange,
+{
+    let (operator, base, text) = call;
+    let operation = |is_accepted| HeadOperation { base, is_accepted };
+    let push = |action| history.lock().unwrap().push((operator, action));
+    push(Action::Call(operation(false)));
+    let is_accepted = change.change(table, base, text).await;
+    push(Action::Response(operation(is_accepted)));
+}
+
+/// Runs rounds of racing operators and returns whether their history is linearizable.
+fn is_linearizable<H>(rounds: &[Round], change: &H) -> bool
+where
+    H: HeadChange,
+{
+    let mut runtime = tokio::runtime::Builder::new_current_thread();
+    let runtime = runtime.enable_all().build().unwrap();
+    let history = HeadHistory::default();
+    runtime.block_on(async {
+        let table = MemoryTable::new();
+        for (index, round) in rounds.iter().enumerate() {
+            let head = store(&table).head().await.unwrap();
+            let version = head.map_or(0, |head| head.row.version.0);
+            table.script(round.faults.clone());
+            let mut tasks = Vec::new();
+            for (operator, back) in round.bases.iter().enumerate() {
+                let text = format!("# {index} {operator}\n");
+                let call = (operator, version.saturating_sub(*back), text);
+                let recorded = record(change.clone(), table.clone(), call, history.clone());
+                tasks.push(tokio::spawn(recorded));
+            }
+            for task in tasks {
+                task.await.unwrap();
+            }
+            table.clear_script();
+            table.release_late();
+        }
+    });
+    let actions = std::mem::take(&mut *history.lock().unwrap());
+    actions.is_empty()
+        || WGLChecker::<HeadSpecification>::is_linearizable(History::from_actions(actions))
+}
+
+fn rounds(generator: &mut Gen) -> Vec<Round> {
+    (0..3).map(|_| Round::arbitrary(generator)).collect()
+}
+
+#[test]
+fn change_racing_operators_are_linearizable() {
+    let mut generator = Gen::from_size_and_seed(64, SEED);
+    for schedule in 0..SCHEDULES {
+        let rounds = rounds(&mut generator);
+        assert!(is_linearizable(&rounds, &Settled), "{schedule}: {rounds:?}");
+    }
+}
+
+#[test]
+fn change_lost_answer_means_refused_is_caught() {
+    let mut generator = Gen::from_size_and_seed(64, SEED);
+    let is_caught = |_| !is_linearizable(&rounds(&mut generator), &LostAnswerMeansRefused);
+    assert!((0..SCHEDULES).any(is_caught));
+}
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -2,3 +2,4 @@
 
 pub mod clock;
 pub mod seeds;
+pub mod table;
