--- /dev/null
+++ b/stand-ins/src/plain/mod.rs
@@ -0,0 +1,50 @@
+//! The stand-in of one host of a plain service.
+//!
+//! It runs every operation that reaches it, whether a repetition does harm or not, and records what
+//! ran, so that a checker can count.
+
+pub mod faults;
+mod service;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use beryltray_lib::ids::HostId;
+use tokio_util::sync::CancellationToken;
+
+use self::service::PlainService;
+use crate::server::Running;
+use crate::server::StartError;
+use crate::server::bind;
+use crate::server::serve;
+
+/// Settings of a plain service's stand-in.
+#[derive(Clone, Debug)]
+pub struct PlainSettings {
+    /// The address to listen on; port 0 takes any free one.
+    pub listen: SocketAddr,
+    /// The host's name.
+    pub host: HostId,
+    /// The time that an operation takes.
+    pub work_time: Duration,
+}
+
+impl PlainSettings {
+    /// Creates settings for a host on a free port of the loopback interface.
+    pub fn new(host: HostId) -> Self {
+        Self {
+            listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+            host,
+            work_time: Duration::from_millis(5),
+        }
+    }
+}
+
+/// Starts a plain service's stand-in.
+pub async fn start(settings: PlainSettings) -> Result<Running, StartError> {
+    let (listener, address) = bind(settings.listen).await?;
+    let stop = CancellationToken::new();
+    let service = PlainService::new(settings, stop.clone());
+    tokio::spawn(serve(listener, service, stop.clone()));
+    Ok(Running::new(address, stop))
+}
--- /dev/null
+++ b/stand-ins/src/platform/mod.rs
@@ -0,0 +1,54 @@
+//! The platform's stand-in: a table, an object store and a list of hosts, all in memory.
+
+pub mod faults;
+pub mod hosts;
+mod service;
+pub mod table;
+
+use std::net::SocketAddr;
+
+use beryltray_lib::platform::ListedHost;
+use tokio_util::sync::CancellationToken;
+
+use self::service::PlatformService;
+use crate::server::Running;
+use crate::server::StartError;
+use crate::server::bind;
+use crate::server::serve;
+
+/// Settings of the platform's stand-in.
+#[derive(Clone, Debug)]
+pub struct PlatformSettings {
+    /// The address to listen on; port 0 takes any free one.
+    pub listen: SocketAddr,
+    /// The hosts in the list.
+    pub hosts: Vec<ListedHost>,
+}
+
+impl Default for PlatformSettings {
+    fn default() -> Self {
+        Self {
+            listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+            hosts: Vec::new(),
+        }
+    }
+}
+
+/// Starts the platform's stand-in.
+///
+/// ```
+/// use beryltray_stand_ins::platform;
+///
+/// # async fn example() -> Result<(), beryltray_stand_ins::server::StartError> {
+/// let running = platform::start(platform::PlatformSettings::default()).await?;
+/// println!("{}", running.address());
+/// # Ok(())
+/// # }
+/// ```
+pub async fn start(settings: PlatformSettings) -> Result<Running, StartError> {
+    let (listener, address) = bind(settings.listen).await?;
+    let stop = CancellationToken::new();
+    let service = PlatformService::new(settings.hosts);
+    tokio::spawn(serve(listener, service, stop.clone()));
+    Ok(Running::new(address, stop))
+}
--- /dev/null
+++ b/stand-ins/src/server.rs
@@ -0,0 +1,132 @@
+//! The listener that all stand-ins share: it can be stopped at once, as a killed process is.
+
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use beryltray_lib::connection::server::HttpHandler;
+use derive_more::Display;
+use derive_more::Error;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio_util::sync::CancellationToken;
+
+/// The wait after a failed accept, so that a lack of file handles does not spin.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+
+/// Why a stand-in did not start.
+#[derive(Clone, Debug, Display, Eq, Error, PartialEq)]
+pub enum StartError {
+    /// The address can't be listened on.
+    #[display("can't listen on {address}: {reason}. Hint: choose a free port, or port 0")]
+    Bind {
+        /// The address.
+        address: SocketAddr,
+        /// What the operating system said.
+        reason: String,
+    },
+}
+
+/// The number of a connection; later connections have greater ones.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct ConnectionNumber(pub u64);
+
+/// A stand-in that runs; dropping it stops it.
+#[derive(Debug)]
+pub struct Running {
+    address: SocketAddr,
+    stop: CancellationToken,
+}
+
+impl Running {
+    pub(crate) fn new(address: SocketAddr, stop: CancellationToken) -> Self {
+        Self { address, stop }
+    }
+
+    /// Returns the address that the stand-in listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Closes the listener and all connections at once.
+    pub fn stop(&self) {
+        self.stop.cancel();
+    }
+
+    /// Waits until the stand-in has stopped, for instance by a fault that kills it.
+    pub async fn stopped(&self) {
+        self.stop.cancelled().await;
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.stop.cancel();
+    }
+}
+
+/// Opens the listener of a stand-in.
+pub async fn bind(address: SocketAddr) -> Result<(TcpListener, SocketAddr), StartError> {
+    let bind_error = |error: std::io::Error| StartError::Bind {
+        address,
+        reason: error.to_string(),
+    };
+    let listener = TcpListener::bind(address).await.map_err(bind_error)?;
+    let bound = listener.local_addr().map_err(bind_error)?;
+    Ok((listener, bound))
+}
+
+/// Serves HTTP/1.1 until `stop`, which breaks off every connection.
+pub async fn serve<H>(listener: TcpListener, handler: H, stop: CancellationToken)
+where
+    H: HttpHandler,
+{
+    let mut number = 0;
+    loop {
+        let accepted = tokio::select! {
+            () = stop.cancelled() => return,
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                number += 1;
+                let connection = serve_connection(stream, number, handler.clone());
+                tokio::spawn(stop.clone().run_until_cancelled_owned(connection));
+            }
+            Err(error) => {
+                log::warn!("accept failed: {error}");
+                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection<H>(stream: TcpStream, number: u64, handler: H)
+where
+    H: HttpHandler,
+{
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!("connection refused: {error}");
+        return;
+    }
+    let service = service_fn(move |mut request| {
+        let handler = handler.clone();
+        let extensions: &mut http::Extensions = http::Request::extensions_mut(&mut request);
+        extensions.insert(ConnectionNumber(number));
+        async move { Ok::<_, std::convert::Infallible>(handler.handle(request).await) }
+    });
+    let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+    if let Err(error) = connection.await {
+        log::debug!("connection ended: {error}");
+    }
+}
+
+/// Locks a stand-in's state, which is whole between any two statements.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
