--- /dev/null
+++ b/cli/src/commands/entry.rs
@@ -0,0 +1,118 @@
+//! `beryltray entry`: the daemon on an entry host.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use beryltray_lib::clock::SystemClock;
+use beryltray_lib::connection::pool::ConnectionPool;
+use beryltray_lib::connection::pool::PoolSettings;
+use beryltray_lib::ini::IniErrors;
+use beryltray_lib::platform::http::HttpPlatform;
+use beryltray_lib::process::entry::EntryError;
+use beryltray_lib::process::entry::ShutdownTokens;
+use beryltray_lib::process::entry::run_entry;
+use beryltray_lib::process::settings::EntrySettings;
+use beryltray_lib::target::http::HttpTargets;
+use clap::Args;
+use derive_more::Display;
+use derive_more::Error;
+use derive_more::From;
+use tokio::signal::unix::Signal;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+
+/// Why an entry did not run.
+#[derive(Debug, Display, Error, From)]
+pub(crate) enum EntryCommandError {
+    /// The settings file can't be read.
+    #[display("can't read {}: {source}. Hint: check the path after --settings", path.display())]
+    #[from(skip)]
+    SettingsFile {
+        /// The file.
+        path: PathBuf,
+        /// What the system said.
+        source: std::io::Error,
+    },
+    /// The settings hold faults.
+    Settings(IniErrors),
+    /// The entry failed.
+    Entry(EntryError),
+    /// A signal can't be waited for.
+    #[display("can't wait for signals: {_0}. Hint: this is a fault of the system")]
+    Signal(std::io::Error),
+}
+
+/// Runs an entry: it answers callers, routes their requests to targets, and takes its share of the
+/// control duties of its data centre.
+///
+/// SIGTERM or SIGINT ends the process gracefully: /ready turns false, new requests are still served
+/// while the balancer notices, then the listener closes and the requests in flight run to their
+/// end. A second signal ends it at once.
+///
+/// Exit codes: 0 after an end as asked for; 2 if the settings hold a fault or an address is taken.
+#[derive(Args, Debug)]
+pub(crate) struct EntryArgs {
+    /// The INI file with the process's settings; docs/operating/settings.md lists the keys.
+    #[arg(long, value_name = "FILE")]
+    settings: PathBuf,
+}
+
+impl EntryArgs {
+    fn read_settings(&self) -> Result<EntrySettings, EntryCommandError> {
+        let text = std::fs::read_to_string(&self.settings);
+        let text = text.map_err(|source| EntryCommandError::SettingsFile {
+            path: self.settings.clone(),
+            source,
+        })?;
+        let file = self.settings.display().to_string();
+        Ok(EntrySettings::parse(&file, &text)?)
+    }
+
+    /// Runs the entry until a signal ends it.
+    pub(crate) async fn run(self) -> Result<ExitCode, EntryCommandError> {
+        let settings = self.read_settings()?;
+        if std::env::var_os(env_logger::DEFAULT_FILTER_ENV).is_none() {
+            log::set_max_level(settings.log_level);
+        }
+        let shutdown = ShutdownTokens::default();
+        let signals = (
+            signal(SignalKind::terminate())?,
+            signal(SignalKind::interrupt())?,
+        );
+        tokio::spawn(forward_signals(signals, shutdown.clone()));
+        run_with_system(settings, shutdown).await?;
+        Ok(ExitCode::SUCCESS)
+    }
+}
+
+/// Runs an entry with the system's clock and the HTTP adapters.
+pub(crate) async fn run_with_system(
+    settings: EntrySettings,
+    shutdown: ShutdownTokens,
+) -> Result<(), EntryError> {
+    let clock = SystemClock;
+    let platform = HttpPlatform::new(settings.platform.address, settings.platform.timeout, clock);
+    let pool = PoolSettings {
+        connect_timeout: settings.targets.connect_timeout,
+        age_limit: settings.targets.connection_age_limit,
+        ..PoolSettings::default()
+    };
+    let pool = ConnectionPool::new(clock, pool);
+    let targets = HttpTargets::new(pool, settings.targets.control_timeout);
+    run_entry(settings, clock, platform, targets, shutdown).await
+}
+
+async fn forward_signals(signals: (Signal, Signal), shutdown: ShutdownTokens) {
+    let (mut terminate, mut interrupt) = signals;
+    wait_for_any(&mut terminate, &mut interrupt).await;
+    shutdown.graceful.cancel();
+    wait_for_any(&mut terminate, &mut interrupt).await;
+    shutdown.quick.cancel();
+}
+
+async fn wait_for_any(terminate: &mut Signal, interrupt: &mut Signal) {
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+}
--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -1,5 +1,6 @@
 //! The commands, one file each.
 
+mod entry;
 mod stand_in;
 
 use std::process::ExitCode;
@@ -15,6 +16,8 @@
 /// What `beryltray` is asked to do.
 #[derive(Debug, Subcommand)]
 pub(crate) enum Command {
+    /// Runs an entry: the daemon that answers callers and routes their requests.
+    Entry(entry::EntryArgs),
     /// Runs a small stand-in for an outer service, for trials and tests.
     #[command(subcommand)]
     StandIn(stand_in::StandInCommand),
@@ -23,6 +26,8 @@
 /// Why a command failed.
 #[derive(Debug, Display, Error, From)]
 pub(crate) enum CommandError {
+    /// An entry did not run.
+    Entry(entry::EntryCommandError),
     /// A stand-in did not run.
     StandIn(stand_in::StandInError),
 }
@@ -38,6 +43,7 @@
     /// Runs the command to its end.
     pub(crate) async fn run(self) -> Result<ExitCode, CommandError> {
         match self {
+            Self::Entry(args) => Ok(args.run().await?),
             Self::StandIn(command) => Ok(command.run().await?),
         }
     }
--- /dev/null
+++ b/lib/src/process/entry/mod.rs
@@ -0,0 +1,17 @@
+//! The daemon on an entry host: it joins the decisions with sockets, tasks and the clock.
+
+mod configuration;
+mod operators;
+mod poll;
+mod run;
+mod state;
+
+pub use operators::LIVE_PATH;
+pub use operators::METRICS_PATH;
+pub use operators::READY_PATH;
+pub use operators::STATUS_PATH;
+pub use run::EntryError;
+pub use run::ShutdownTokens;
+pub use run::run_entry;
+pub use state::EntryState;
+pub use state::Platform;
--- /dev/null
+++ b/lib/src/process/entry/operators.rs
@@ -0,0 +1,193 @@
+//! The operators' interface: liveness, readiness, metrics and status.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::header::CONTENT_TYPE;
+use hyper::body::Incoming;
+
+use super::state::EntryState;
+use super::state::Platform;
+use crate::clock::Clock;
+use crate::connection::body::ResponseBody;
+use crate::connection::body::full_body;
+use crate::connection::server::HttpHandler;
+use crate::ids::ServiceId;
+use crate::platform::rows::GroupRow;
+use crate::process::lifecycle::Stage;
+use crate::process::presence::GateVerdict;
+use crate::process::presence::HostPresence;
+use crate::process::services::ServiceTargets;
+use crate::process::status::EntryStatus;
+use crate::process::status::GroupStatus;
+use crate::process::status::HostStatus;
+use crate::process::status::ServiceStatus;
+use crate::target::Targets;
+
+/// The path that answers as long as the process runs.
+pub const LIVE_PATH: &str = "/live";
+/// The path that the balancer asks before it sends requests.
+pub const READY_PATH: &str = "/ready";
+/// The path of the metrics.
+pub const METRICS_PATH: &str = "/metrics";
+/// The path of the status.
+pub const STATUS_PATH: &str = "/status";
+
+/// Answers operators and the balancer.
+#[derive(Debug)]
+pub struct OperatorHandler<C, P, T> {
+    state: Arc<EntryState<C, P, T>>,
+}
+
+impl<C, P, T> OperatorHandler<C, P, T> {
+    /// Creates a handler.
+    pub fn new(state: Arc<EntryState<C, P, T>>) -> Self {
+        Self { state }
+    }
+}
+
+impl<C, P, T> Clone for OperatorHandler<C, P, T> {
+    fn clone(&self) -> Self {
+        Self::new(Arc::clone(&self.state))
+    }
+}
+
+impl<C, P, T> HttpHandler for OperatorHandler<C, P, T>
+where
+    C: Clock,
+    P: Platform,
+    T: Targets,
+{
+    async fn handle(&self, request: Request<Incoming>) -> Response<ResponseBody> {
+        match request.uri().path() {
+            LIVE_PATH => text(StatusCode::OK, "live\n"),
+            READY_PATH => self.ready(),
+            METRICS_PATH => self.metrics(),
+            STATUS_PATH => self.status(),
+            _ => text(
+                StatusCode::NOT_FOUND,
+                "try /live, /ready, /metrics or /status\n",
+            ),
+        }
+    }
+}
+
+impl<C, P, T> OperatorHandler<C, P, T>
+where
+    C: Clock,
+    P: Platform,
+    T: Targets,
+{
+    fn ready(&self) -> Response<ResponseBody> {
+        match self.state.lifecycle.stage() {
+            Stage::Ready => text(StatusCode::OK, "ready\n"),
+            stage => text(StatusCode::SERVICE_UNAVAILABLE, &format!("{stage}\n")),
+        }
+    }
+
+    fn metrics(&self) -> Response<ResponseBody> {
+        let now = self.state.clock.now();
+        self.state.shards.for_each(|service, targets| {
+            let open = targets.open_count(service, now);
+            let gauge = &self.state.metrics.open_targets;
+            gauge
+                .with_label_values(&[service.as_str()])
+                .set(open as i64);
+        });
+        match self.state.metrics.render() {
+            Ok(rendered) => Response::new(full_body(rendered)),
+            Err(error) => text(StatusCode::INTERNAL_SERVER_ERROR, &format!("{error}\n")),
+        }
+    }
+
+    fn status(&self) -> Response<ResponseBody> {
+        match serde_json::to_vec(&self.entry_status()) {
+            Ok(body) => json(body),
+            Err(error) => text(StatusCode::INTERNAL_SERVER_ERROR, &format!("{error}\n")),
+        }
+    }
+
+    fn entry_status(&self) -> EntryStatus {
+        let state = &self.state;
+        let in_force = state.in_force.get();
+        let mut services = Vec::new();
+        let now = state.clock.now();
+        state.shards.for_each(|service, targets| {
+            services.push(service_status(service, targets, now));
+        });
+        EntryStatus {
+            entry: state.identity.entry.clone(),
+            incarnation: state.identity.incarnation,
+            data_centre: state.identity.data_centre.clone(),
+            environment: state.identity.environment.clone(),
+            stage: state.lifecycle.stage(),
+            not_ready_because: state.not_ready_because(),
+            document_version: in_force.as_ref().map(|in_force| in_force.version),
+            document_digest: in_force.as_ref().map(|in_force| in_force.digest.clone()),
+            in_flight_requests: state.metrics.in_flight.get(),
+            is_platform_reached: state.is_platform_reached(),
+            lease: None,
+            services,
+            members: Vec::new(),
+        }
+    }
+}
+
+fn service_status(service: &ServiceId, targets: &ServiceTargets, now: Instant) -> ServiceStatus {
+    let gate = &targets.gate;
+    let group_status = |group| group_status(group, gate, now);
+    ServiceStatus {
+        service: service.clone(),
+        queued_requests: 0,
+        groups: gate.groups().map(group_status).collect(),
+        hosts: gate.hosts().map(|host| host_status(host, now)).collect(),
+    }
+}
+
+fn group_status(
+    group: &GroupRow,
+    gate: &crate::process::presence::PresenceGate,
+    now: Instant,
+) -> GroupStatus {
+    let verdict = gate.verdict(&group.group, now);
+    let (load, closed_because) = match &verdict {
+        GateVerdict::Open(open) => (Some(open.load), None),
+        GateVerdict::Closed { reason } => (None, Some(reason.to_string())),
+    };
+    GroupStatus {
+        group: group.group.clone(),
+        generation: group.generation,
+        members: group.members.clone(),
+        reserved_spares: group.reserved_spares.clone(),
+        is_open: verdict.is_open(),
+        closed_because,
+        load,
+    }
+}
+
+fn host_status(host: &HostPresence, now: Instant) -> HostStatus {
+    let age_ms = |age: Duration| age.as_millis() as u64;
+    HostStatus {
+        host: host.host().clone(),
+        report_age_ms: host.report_age(now).map(age_ms),
+        is_leaving: host.is_leaving(),
+        is_unreachable: host.is_unreachable(),
+    }
+}
+
+fn text(status: StatusCode, body: &str) -> Response<ResponseBody> {
+    let mut response = Response::new(full_body(body.to_owned()));
+    *response.status_mut() = status;
+    response
+}
+
+fn json(body: Vec<u8>) -> Response<ResponseBody> {
+    let mut response = Response::new(full_body(body));
+    let value = http::HeaderValue::from_static("application/json");
+    response.headers_mut().insert(CONTENT_TYPE, value);
+    response
+}
--- /dev/null
+++ b/lib/src/process/entry/poll.rs
@@ -0,0 +1,135 @@
+//! The tasks that keep the entry's view of its targets fresh.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::task::JoinSet;
+
+use super::state::EntryState;
+use super::state::Platform;
+use crate::clock::Clock;
+use crate::platform::ListedHost;
+use crate::platform::PlatformError;
+use crate::platform::Row;
+use crate::platform::rows::GroupRow;
+use crate::platform::rows::group_prefix;
+use crate::process::lifecycle::Stage;
+use crate::process::presence::ReportSource;
+use crate::target::Targets;
+
+/// The time between two reads of the host list and of the groups' rows.
+const LIST_POLL_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Reads the host list and the groups' rows until the task is dropped.
+pub async fn follow_lists<C, P, T>(state: Arc<EntryState<C, P, T>>)
+where
+    C: Clock,
+    P: Platform,
+    T: Targets,
+{
+    let mut ticks = tokio::time::interval(LIST_POLL_INTERVAL);
+    loop {
+        ticks.tick().await;
+        let hosts = refresh_hosts(&state).await;
+        note(&state, "hosts", hosts);
+        let groups = refresh_groups(&state).await;
+        note(&state, "groups", groups);
+        if state.not_ready_because().is_none() && state.lifecycle.advance(Stage::Ready) {
+            log::info!("entry is ready");
+        }
+    }
+}
+
+fn note<C, P, T>(state: &EntryState<C, P, T>, call: &str, result: Result<(), PlatformError>)
+where
+    C: Clock,
+    P: Platform,
+    T: Targets,
+{
+    if let Err(error) = &result {
+        log::debug!(call = call; "list not read: {error}");
+    }
+    state.note_platform(call, result.is_ok());
+}
+
+async fn refresh_hosts<C, P, T>(state: &EntryState<C, P, T>) -> Result<(), PlatformError>
+where
+    C: Clock,
+    P: Platform,
+    T: Targets,
+{
+    let listed = state.platform.hosts().await?;
+    let is_near = |host: &ListedHost| host.data_centre == state.identity.data_centre;
+    let near = listed.into_iter().filter(is_near).collect();
+    state.shards.on_listed_hosts(near, state.clock.now());
+    state.note_host_list();
+    Ok(())
+}
+
+async fn refresh_groups<C, P, T>(state: &EntryState<C, P, T>) -> Result<(), PlatformError>
+where
+    C: Clock,
+    P: Platform,
+    T: Targets,
+{
+    let identity = &state.identity;
+    let prefix = group_prefix(&identity.environment, &identity.data_centre);
+    let rows = state.platform.scan(prefix).await?;
+    let groups: Vec<GroupRow> = rows.iter().filter_map(read_group).collect();
+    state.shards.on_groups(&groups, state.clock.now());
+    Ok(())
+}
+
+fn read_group(row: &Row) -> Option<GroupRow> {
+    let parsed = serde_json::from_str(&row.value);
+    if let Err(error) = &parsed {
+        log::error!(key = row.key.as_str(); "group row can't be read: {error}");
+    }
+    parsed.ok()
+}
+
+/// Asks the hosts for their reports until the task is dropped.
+pub async fn follow_reports<C, P, T>(state: Arc<EntryState<C, P, T>>)
+where
+    C: Clock,
+    P: Platform,
+    T: Targets,
+{
+    let mut ticks = tokio::time::interval(state.settings.targets.poll_interval);
+    loop {
+        ticks.tick().await;
+        let mut polls = JoinSet::new();
+        for host in state.shards.listed_hosts() {
+            polls.spawn(poll_host(Arc::clone(&state), host));
+        }
+        while polls.join_next().await.is_some() {}
+    }
+}
+
+async fn poll_host<C, P, T>(state: Arc<EntryState<C, P, T>>, host: ListedHost)
+where
+    C: Clock,
+    P: Platform,
+    T: Targets,
+{
+    let asked_at = state.clock.now();
+    let report = state.targets.report(host.address).await;
+    let now = state.clock.now();
+    // The report may be as old as the question, whatever held the answer up.
+    let age = now.saturating_duration_since(asked_at);
+    match report {
+        Ok(report) if report.host == host.host => {
+            state
+                .shards
+                .on_report(report, age, ReportSource::Direct, now);
+        }
+        Ok(report) => {
+            log::warn!(expected:% = host.host, reported:% = report.host; "host has another name");
+            state.shards.on_unreachable(&host.host, now);
+        }
+        Err(error) => {
+            log::debug!(host:% = host.host; "no report: {error}");
+            state.shards.on_unreachable(&host.host, now);
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/process/entry/run.rs
@@ -0,0 +1,135 @@
+//! The start and the graceful end of an entry.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use derive_more::Display;
+use derive_more::Error;
+use derive_more::From;
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+use tokio::task::JoinSet;
+use tokio_util::sync::CancellationToken;
+
+use super::configuration::follow_head;
+use super::operators::OperatorHandler;
+use super::poll::follow_lists;
+use super::poll::follow_reports;
+use super::state::EntryState;
+use super::state::Platform;
+use crate::clock::Clock;
+use crate::connection::server::ServerSettings;
+use crate::connection::server::serve;
+use crate::process::lifecycle::Stage;
+use crate::process::settings::EntrySettings;
+use crate::request::handler::CallerHandler;
+use crate::target::Targets;
+
+/// Why an entry could not run.
+#[derive(Debug, Display, Error, From)]
+pub enum EntryError {
+    /// The process can't listen at an address.
+    #[display("can't listen at {address}: {source}. Hint: is another process using it?")]
+    #[from(skip)]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// What the system said.
+        source: std::io::Error,
+    },
+    /// The metrics could not be set up.
+    #[display("the metrics can't be set up: {_0}. Hint: this is a fault of the program")]
+    Metrics(prometheus::Error),
+}
+
+/// How the process is told to end.
+#[derive(Clone, Debug, Default)]
+pub struct ShutdownTokens {
+    /// Ends the process without cutting a request off.
+    pub graceful: CancellationToken,
+    /// Ends the process at once.
+    pub quick: CancellationToken,
+}
+
+/// Runs an entry until it is told to end and its requests are done.
+pub async fn run_entry<C, P, T>(
+    settings: EntrySettings,
+    clock: C,
+    platform: P,
+    targets: T,
+    shutdown: ShutdownTokens,
+) -> Result<(), EntryError>
+where
+    C: Clock,
+    P: Platform,
+    T: Targets,
+{
+    let listen = settings.listen;
+    let caller_listener = bind(listen.callers).await?;
+    let operator_listener = bind(listen.operators).await?;
+    let state = Arc::new(EntryState::new(settings, clock, platform, targets)?);
+
+    let mut background = JoinSet::new();
+    background.spawn(follow_head(Arc::clone(&state)));
+    background.spawn(follow_lists(Arc::clone(&state)));
+    background.spawn(follow_reports(Arc::clone(&state)));
+    background.spawn(serve(
+        operator_listener,
+        OperatorHandler::new(Arc::clone(&state)),
+        ServerSettings::default(),
+        CancellationToken::new(),
+    ));
+    log::info!(
+        entry:% = state.identity.entry, callers:% = listen.callers, operators:% = listen.operators;
+        "entry started"
+    );
+
+    let close_listener = CancellationToken::new();
+    let callers = tokio::spawn(serve(
+        caller_listener,
+        CallerHandler::new(Arc::clone(&state)),
+        state.settings.callers.server,
+        close_listener.clone(),
+    ));
+    let drained = drain(&state, &shutdown, close_listener, callers);
+    tokio::select! {
+        () = drained => log::info!("all requests are done"),
+        () = shutdown.quick.cancelled() => log::warn!("ended at once; requests were cut off"),
+    }
+    background.shutdown().await;
+    Ok(())
+}
+
+/// Waits for the end, gives the balancer its notice, and lets the requests in flight finish.
+async fn drain<C, P, T>(
+    state: &EntryState<C, P, T>,
+    shutdown: &ShutdownTokens,
+    close_listener: CancellationToken,
+    callers: JoinHandle<()>,
+) where
+    C: Clock,
+    P: Platform,
+    T: Targets,
+{
+    shutdown.graceful.cancelled().await;
+    state.lifecycle.advance(Stage::Draining);
+    let settings = state.settings.shutdown;
+    log::info!(notice_ms = millis(settings.notice); "draining: the balancer is given notice");
+    tokio::time::sleep(settings.notice).await;
+    state.lifecycle.advance(Stage::Stopping);
+    close_listener.cancel();
+    let finished = tokio::time::timeout(settings.drain_limit, callers).await;
+    if finished.is_err() {
+        log::error!(limit_ms = millis(settings.drain_limit); "requests were cut off at the limit");
+    }
+}
+
+fn millis(duration: Duration) -> u64 {
+    duration.as_millis() as u64
+}
+
+async fn bind(address: SocketAddr) -> Result<TcpListener, EntryError> {
+    let bound = TcpListener::bind(address).await;
+    bound.map_err(|source| EntryError::Listen { address, source })
+}
--- /dev/null
+++ b/lib/src/process/entry/state.rs
@@ -0,0 +1,117 @@
+//! What all tasks of an entry share.
+
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+
+use crate::clock::Clock;
+use crate::platform::HostList;
+use crate::platform::ObjectStore;
+use crate::platform::Table;
+use crate::process::identity::EntryIdentity;
+use crate::process::identity::incarnation_from;
+use crate::process::in_force::InForceCell;
+use crate::process::lifecycle::Lifecycle;
+use crate::process::metrics::Metrics;
+use crate::process::services::ServiceShards;
+use crate::process::settings::EntrySettings;
+use crate::target::Targets;
+
+/// All services of the platform.
+pub trait Platform: Table + ObjectStore + HostList {}
+
+impl<P> Platform for P where P: Table + ObjectStore + HostList {}
+
+/// What all tasks of an entry share.
+#[derive(Debug)]
+pub struct EntryState<C, P, T> {
+    /// The clock.
+    pub clock: C,
+    /// The platform.
+    pub platform: P,
+    /// The targets' interface.
+    pub targets: T,
+    /// The process's settings.
+    pub settings: EntrySettings,
+    /// Who this process is.
+    pub identity: EntryIdentity,
+    /// The document in force.
+    pub in_force: InForceCell,
+    /// What is known of the targets.
+    pub shards: ServiceShards,
+    /// The stage of the entry's life.
+    pub lifecycle: Lifecycle,
+    /// The metrics.
+    pub metrics: Metrics,
+    is_platform_reached: AtomicBool,
+    has_host_list: AtomicBool,
+}
+
+impl<C, P, T> EntryState<C, P, T>
+where
+    C: Clock,
+    P: Platform,
+    T: Targets,
+{
+    /// Creates the state of a process that knows nothing yet.
+    pub fn new(
+        settings: EntrySettings,
+        clock: C,
+        platform: P,
+        targets: T,
+    ) -> Result<Self, prometheus::Error> {
+        let identity = EntryIdentity {
+            entry: settings.entry.clone(),
+            incarnation: incarnation_from(&clock),
+            data_centre: settings.data_centre.clone(),
+            environment: settings.environment.clone(),
+        };
+        Ok(Self {
+            clock,
+            platform,
+            targets,
+            settings,
+            identity,
+            in_force: InForceCell::default(),
+            shards: ServiceShards::default(),
+            lifecycle: Lifecycle::default(),
+            metrics: Metrics::new()?,
+            is_platform_reached: AtomicBool::new(false),
+            has_host_list: AtomicBool::new(false),
+        })
+    }
+
+    /// Records whether the platform answered, and counts a failure.
+    pub fn note_platform(&self, call: &str, is_reached: bool) {
+        let was_reached = self.is_platform_reached.swap(is_reached, Ordering::Relaxed);
+        if !is_reached {
+            self.metrics
+                .platform_failures
+                .with_label_values(&[call])
+                .inc();
+        }
+        if was_reached != is_reached {
+            log::warn!(call = call, is_reached = is_reached; "platform reachability changed");
+        }
+    }
+
+    /// Returns whether the platform answered the last call.
+    pub fn is_platform_reached(&self) -> bool {
+        self.is_platform_reached.load(Ordering::Relaxed)
+    }
+
+    /// Records that the entry has a view of its targets.
+    pub fn note_host_list(&self) {
+        self.has_host_list.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns why the entry can't serve yet, if it can't.
+    pub fn not_ready_because(&self) -> Option<String> {
+        if self.in_force.get().is_none() {
+            return Some(String::from("no document is in force"));
+        }
+        if !self.has_host_list.load(Ordering::Relaxed) {
+            return Some(String::from("no list of hosts was read"));
+        }
+        None
+    }
+}
--- a/lib/src/process/mod.rs
+++ b/lib/src/process/mod.rs
@@ -1,4 +1,12 @@
 //! What lives for the process.
 
+pub mod entry;
+pub mod identity;
+pub mod in_force;
+pub mod lifecycle;
+pub mod metrics;
 pub mod presence;
+pub mod services;
+pub mod settings;
+pub mod status;
 pub mod stragglers;
--- /dev/null
+++ b/lib/src/process/services.rs
@@ -0,0 +1,332 @@
+//! What the process knows of each service's targets, in one shard a service.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::RwLock;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::ids::HostId;
+use crate::ids::ServiceId;
+use crate::ids::TargetId;
+use crate::platform::ListedHost;
+use crate::platform::rows::GroupRow;
+use crate::process::presence::GateVerdict;
+use crate::process::presence::PresenceGate;
+use crate::process::presence::ReportSource;
+use crate::request::route::Choice;
+use crate::request::route::FinishedAnswer;
+use crate::request::route::RouteError;
+use crate::request::route::RouteQuery;
+use crate::request::route::RouterSettings;
+use crate::request::routing::Router;
+use crate::sorted::Keyed;
+use crate::sorted::SortedVec;
+use crate::target::GroupIncarnation;
+use crate::target::wire::HostReport;
+use crate::target::wire::LoadReport;
+use crate::version::document::Document;
+use crate::version::document::RoutingSettings;
+use crate::version::document::Service;
+use crate::version::document::ServiceKind;
+
+/// The targets of one service: who may be sent work, and how loaded they are.
+#[derive(Debug)]
+pub struct ServiceTargets {
+    /// Whether the service is a model's.
+    pub is_model: bool,
+    /// Who may be sent work.
+    pub gate: PresenceGate,
+    /// How loaded the targets are.
+    pub router: Router,
+}
+
+/// A target that may be sent work now.
+#[derive(Clone, Debug, PartialEq)]
+struct OpenTarget {
+    target: TargetId,
+    address: SocketAddr,
+    group: Option<GroupIncarnation>,
+    load: LoadReport,
+    report_age: Duration,
+}
+
+/// A target that was chosen for an attempt.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ChosenTarget {
+    /// The target and why it was chosen.
+    pub choice: Choice,
+    /// The address of its target interface.
+    pub address: SocketAddr,
+    /// The group and generation, for a model service.
+    pub group: Option<GroupIncarnation>,
+    /// The number of targets that could have been chosen.
+    pub candidate_count: usize,
+}
+
+/// What a choice of a target depends on.
+#[derive(Clone, Copy, Debug)]
+pub struct TargetQuery<'a> {
+    /// A text that requests with the same prompt prefix share.
+    pub prefix: Option<&'a str>,
+    /// A target to avoid, since an earlier try failed there.
+    pub avoid: Option<&'a TargetId>,
+}
+
+impl ServiceTargets {
+    fn new(service: &Service, routing: &RoutingSettings) -> Self {
+        Self {
+            is_model: matches!(service.kind, ServiceKind::Model { .. }),
+            gate: PresenceGate::new(routing.presence_bound),
+            router: Router::new(RouterSettings::from_document(service, routing)),
+        }
+    }
+
+    fn set_settings(&mut self, service: &Service, routing: &RoutingSettings) {
+        self.is_model = matches!(service.kind, ServiceKind::Model { .. });
+        self.gate.set_presence_bound(routing.presence_bound);
+        let settings = RouterSettings::from_document(service, routing);
+        self.router.set_settings(settings);
+    }
+
+    fn open_targets(&self, service: &ServiceId, now: Instant) -> Vec<OpenTarget> {
+        if !self.is_model {
+            let hosts = self.gate.plain_targets(service, now).into_iter();
+            return hosts
+                .map(|host| OpenTarget {
+                    target: host.host.into(),
+                    address: host.address,
+                    group: None,
+                    load: host.load,
+                    report_age: host.report_age,
+                })
+                .collect();
+        }
+        let groups = self.gate.open_groups(service, now).into_iter();
+        groups
+            .map(|open| OpenTarget {
+                target: open.group.clone().into(),
+                address: open.address,
+                group: Some(GroupIncarnation {
+                    group: open.group,
+                    generation: open.generation,
+                }),
+                load: open.load,
+                report_age: open.report_age,
+            })
+            .collect()
+    }
+
+    /// Returns the number of targets that may be sent work.
+    pub fn open_count(&self, service: &ServiceId, now: Instant) -> usize {
+        self.open_targets(service, now).len()
+    }
+
+    /// Returns whether a chosen group or plain host may still be sent work.
+    fn is_open(&self, chosen: &ChosenTarget, now: Instant) -> bool {
+        match &chosen.group {
+            Some(group) => match self.gate.verdict(&group.group, now) {
+                GateVerdict::Open(open) => open.generation == group.generation,
+                GateVerdict::Closed { .. } => false,
+            },
+            None => self.is_plain_open(&chosen.choice.target, now),
+        }
+    }
+
+    fn is_plain_open(&self, target: &TargetId, now: Instant) -> bool {
+        let hosts = self.gate.hosts();
+        let mut hosts = hosts.filter(|host| host.host().as_str() == target.as_str());
+        hosts.any(|host| host.fresh_report(self.gate.presence_bound(), now).is_ok())
+    }
+
+    fn choose(
+        &mut self,
+        service: &ServiceId,
+        query: TargetQuery<'_>,
+        draw: u64,
+        now: Instant,
+    ) -> Result<ChosenTarget, RouteError> {
+        let open = self.open_targets(service, now);
+        for target in &open {
+            let sampled_at = now.checked_sub(target.report_age).unwrap_or(now);
+            self.router
+                .on_report(&target.target, target.load, sampled_at);
+        }
+        let names: Vec<TargetId> = open.iter().map(|open| open.target.clone()).collect();
+        let query = RouteQuery {
+            open: &names,
+            prefix: query.prefix,
+            avoid: query.avoid,
+            draw,
+        };
+        let choice = self.router.choose(query, now)?;
+        let candidate_count = open.len();
+        let chosen = open.into_iter().find(|open| open.target == choice.target);
+        let Some(chosen) = chosen else {
+            let service = service.clone();
+            return Err(RouteError::NoneOpen { service });
+        };
+        self.router.on_sent(&choice.target, now);
+        Ok(ChosenTarget {
+            choice,
+            address: chosen.address,
+            group: chosen.group,
+            candidate_count,
+        })
+    }
+}
+
+#[derive(Clone, Debug)]
+struct ServiceShard {
+    service: ServiceId,
+    targets: Arc<Mutex<ServiceTargets>>,
+}
+
+impl Keyed for ServiceShard {
+    type Key = ServiceId;
+
+    fn key(&self) -> &ServiceId {
+        &self.service
+    }
+}
+
+/// The targets of all services; each service has its own lock.
+#[derive(Clone, Debug, Default)]
+pub struct ServiceShards {
+    shards: Arc<RwLock<SortedVec<ServiceShard>>>,
+    hosts: Arc<RwLock<SortedVec<ListedHost>>>,
+}
+
+impl ServiceShards {
+    /// Follows a new document: adds and removes services and changes their settings.
+    pub fn on_document(&self, document: &Document) {
+        let mut shards = self.shards.write().unwrap_or_else(PoisonError::into_inner);
+        shards.retain(|shard| document.services.contains_key(&shard.service));
+        for service in &document.services {
+            let create = || ServiceShard {
+                service: service.name.clone(),
+                targets: Arc::new(Mutex::new(ServiceTargets::new(service, &document.routing))),
+            };
+            let shard = shards.get_or_insert_with(&service.name, create);
+            lock(&shard.targets).set_settings(service, &document.routing);
+        }
+    }
+
+    /// Takes in the platform's list, reduced to this data centre.
+    pub fn on_listed_hosts(&self, hosts: Vec<ListedHost>, now: Instant) {
+        for shard in self.all() {
+            let is_own = |host: &&ListedHost| host.service == shard.service;
+            let own = hosts.iter().filter(is_own).cloned().collect();
+            lock(&shard.targets).gate.on_listed_hosts(own, now);
+        }
+        let mut known = self.hosts.write().unwrap_or_else(PoisonError::into_inner);
+        for host in hosts {
+            known.insert(host);
+        }
+    }
+
+    /// Takes in the rows of all groups of this data centre.
+    pub fn on_groups(&self, groups: &[GroupRow], now: Instant) {
+        for shard in self.all() {
+            let is_own = |group: &&GroupRow| group.service == shard.service;
+            let own = groups.iter().filter(is_own).cloned().collect();
+            lock(&shard.targets).gate.on_groups(own, now);
+        }
+    }
+
+    /// Takes in a host's report.
+    pub fn on_report(&self, report: HostReport, age: Duration, source: ReportSource, now: Instant) {
+        let Some(shard) = self.shard_of_host(&report.host) else {
+            return;
+        };
+        let mut targets = lock(&shard.targets);
+        targets.gate.on_report(report, age, source, now);
+    }
+
+    /// Takes in that a host could not be reached.
+    pub fn on_unreachable(&self, host: &HostId, now: Instant) {
+        if let Some(shard) = self.shard_of_host(host) {
+            lock(&shard.targets).gate.on_unreachable(host, now);
+        }
+    }
+
+    /// Takes in a peer's word that a host is leaving.
+    pub fn on_leaving(&self, host: &HostId, now: Instant) {
+        if let Some(shard) = self.shard_of_host(host) {
+            lock(&shard.targets).gate.on_leaving(host, now);
+        }
+    }
+
+    /// Chooses a target for an attempt and counts the attempt as sent.
+    pub fn choose(
+        &self,
+        service: &ServiceId,
+        query: TargetQuery<'_>,
+        draw: u64,
+        now: Instant,
+    ) -> Result<ChosenTarget, RouteError> {
+        let Some(shard) = self.shard(service) else {
+            let service = service.clone();
+            return Err(RouteError::NoneOpen { service });
+        };
+        let mut targets = lock(&shard.targets);
+        targets.choose(service, query, draw, now)
+    }
+
+    /// Returns whether a chosen target may still be sent work.
+    pub fn is_open(&self, service: &ServiceId, chosen: &ChosenTarget, now: Instant) -> bool {
+        let shard = self.shard(service);
+        shard.is_some_and(|shard| lock(&shard.targets).is_open(chosen, now))
+    }
+
+    /// Takes in that an attempt ended.
+    pub fn on_finished(
+        &self,
+        service: &ServiceId,
+        target: &TargetId,
+        answer: Option<FinishedAnswer>,
+        now: Instant,
+    ) {
+        if let Some(shard) = self.shard(service) {
+            lock(&shard.targets).router.on_finished(target, answer, now);
+        }
+    }
+
+    /// Calls `inspect` with each service's targets, one lock at a time.
+    pub fn for_each<F>(&self, mut inspect: F)
+    where
+        F: FnMut(&ServiceId, &mut ServiceTargets),
+    {
+        for shard in self.all() {
+            inspect(&shard.service, &mut lock(&shard.targets));
+        }
+    }
+
+    /// Returns the known hosts of this data centre, by name.
+    pub fn listed_hosts(&self) -> Vec<ListedHost> {
+        let hosts = self.hosts.read().unwrap_or_else(PoisonError::into_inner);
+        hosts.iter().cloned().collect()
+    }
+
+    fn shard_of_host(&self, host: &HostId) -> Option<ServiceShard> {
+        let hosts = self.hosts.read().unwrap_or_else(PoisonError::into_inner);
+        self.shard(&hosts.get(host)?.service)
+    }
+
+    fn shard(&self, service: &ServiceId) -> Option<ServiceShard> {
+        let shards = self.shards.read().unwrap_or_else(PoisonError::into_inner);
+        shards.get(service).cloned()
+    }
+
+    fn all(&self) -> Vec<ServiceShard> {
+        let shards = self.shards.read().unwrap_or_else(PoisonError::into_inner);
+        shards.iter().cloned().collect()
+    }
+}
+
+fn lock(targets: &Mutex<ServiceTargets>) -> MutexGuard<'_, ServiceTargets> {
+    targets.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/lib/src/process/settings.rs
@@ -0,0 +1,261 @@
+//! The settings of an entry's process: its names, addresses and bounds.
+//!
+//! They hold what differs between hosts. What the operators decide for a whole environment is in
+//! the environment's document.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use log::LevelFilter;
+
+use crate::connection::server::ServerSettings;
+use crate::ids::DataCentreId;
+use crate::ids::EntryId;
+use crate::ids::EnvironmentId;
+use crate::ini::IniErrors;
+use crate::ini::IniReader;
+use crate::ini::IniValue;
+use crate::ini::SectionReader;
+use crate::units::ByteCount;
+
+const TIMEOUT_MIN: Duration = Duration::from_millis(10);
+const TIMEOUT_MAX: Duration = Duration::from_secs(60);
+const NOTICE_MAX: Duration = Duration::from_secs(300);
+const DRAIN_MAX: Duration = Duration::from_secs(3600);
+const POLL_MIN: Duration = Duration::from_millis(50);
+const POLL_MAX: Duration = Duration::from_secs(5);
+
+/// The settings of an entry's process.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct EntrySettings {
+    /// The entry's name.
+    pub entry: EntryId,
+    /// The environment that the entry serves.
+    pub environment: EnvironmentId,
+    /// The entry's data centre.
+    pub data_centre: DataCentreId,
+    /// Where the process listens.
+    pub listen: ListenSettings,
+    /// How the platform is reached.
+    pub platform: PlatformSettings,
+    /// How the other entries are found.
+    pub peers: PeerSettings,
+    /// What callers may send.
+    pub callers: CallerSettings,
+    /// How targets are polled.
+    pub targets: TargetSettings,
+    /// How the process ends.
+    pub shutdown: ShutdownSettings,
+    /// The least severe level that is logged.
+    pub log_level: LevelFilter,
+}
+
+/// Where the process listens.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ListenSettings {
+    /// The address for callers.
+    pub callers: SocketAddr,
+    /// The address for operators: readiness, metrics and status.
+    pub operators: SocketAddr,
+    /// The address for the state exchange with other entries.
+    pub peers: SocketAddr,
+    /// The address for requests that other data centres relay.
+    pub relay: SocketAddr,
+}
+
+/// How the platform is reached.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct PlatformSettings {
+    /// The platform's address.
+    pub address: SocketAddr,
+    /// The longest wait for an answer.
+    pub timeout: Duration,
+}
+
+/// How the other entries are found.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct PeerSettings {
+    /// The exchange addresses of some entries, of any data centre.
+    pub seeds: Vec<SocketAddr>,
+}
+
+/// What callers may send.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct CallerSettings {
+    /// Bounds on heads and streams.
+    pub server: ServerSettings,
+    /// The longest body.
+    pub body_limit: ByteCount,
+    /// The longest time that a body may take.
+    pub body_timeout: Duration,
+}
+
+/// How targets are polled.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct TargetSettings {
+    /// The time between two reports of a host.
+    pub poll_interval: Duration,
+    /// The longest wait for a report or for the answer to an order.
+    pub control_timeout: Duration,
+    /// The longest wait for a connection.
+    pub connect_timeout: Duration,
+    /// The greatest age of a connection.
+    pub connection_age_limit: Duration,
+}
+
+/// How the process ends.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ShutdownSettings {
+    /// How long new work is still served while the balancer notices.
+    pub notice: Duration,
+    /// How long requests in flight may take before they are cut.
+    pub drain_limit: Duration,
+}
+
+impl EntrySettings {
+    /// Reads the settings; `file` names the text in messages.
+    pub fn parse(file: &str, text: &str) -> Result<Self, IniErrors> {
+        let mut reader = IniReader::parse(file, text);
+        let entry = read_section(&mut reader, "entry", entry_section);
+        let listen = read_section(&mut reader, "listen", listen_section);
+        let platform = read_section(&mut reader, "platform", platform_section);
+        let peers = read_section(&mut reader, "peers", peers_section);
+        let callers = read_section(&mut reader, "callers", callers_section);
+        let targets = read_section(&mut reader, "targets", targets_section);
+        let shutdown = read_section(&mut reader, "shutdown", shutdown_section);
+        let log_level = read_section(&mut reader, "log", log_section);
+        reader.finish()?;
+        // A required value that can't be read has been reported, so none is missing here.
+        let none_missing = || IniErrors { errors: Vec::new() };
+        let names = entry.ok_or_else(none_missing)?;
+        Ok(Self {
+            entry: names.entry,
+            environment: names.environment,
+            data_centre: names.data_centre,
+            listen: listen.ok_or_else(none_missing)?,
+            platform: platform.ok_or_else(none_missing)?,
+            peers,
+            callers,
+            targets,
+            shutdown,
+            log_level,
+        })
+    }
+}
+
+struct EntryNames {
+    entry: EntryId,
+    environment: EnvironmentId,
+    data_centre: DataCentreId,
+}
+
+fn read_section<F, T>(reader: &mut IniReader, name: &str, read: F) -> T
+where
+    F: FnOnce(&mut SectionReader) -> T,
+{
+    let mut section = reader.take_section(name);
+    let value = read(&mut section);
+    reader.finish_section(section);
+    value
+}
+
+fn entry_section(section: &mut SectionReader) -> Option<EntryNames> {
+    let entry = section.required("name");
+    let environment = section.required("environment");
+    let data_centre = section.required("data-centre");
+    Some(EntryNames {
+        entry: entry?,
+        environment: environment?,
+        data_centre: data_centre?,
+    })
+}
+
+fn listen_section(section: &mut SectionReader) -> Option<ListenSettings> {
+    let callers = section.required("callers");
+    let operators = section.required("operators");
+    let peers = section.required("peers");
+    let relay = section.required("relay");
+    Some(ListenSettings {
+        callers: callers?,
+        operators: operators?,
+        peers: peers?,
+        relay: relay?,
+    })
+}
+
+fn platform_section(section: &mut SectionReader) -> Option<PlatformSettings> {
+    let address = section.required("address");
+    let default = Duration::from_secs(1);
+    let timeout = section.optional_in("timeout", default, TIMEOUT_MIN..=TIMEOUT_MAX);
+    Some(PlatformSettings {
+        address: address?,
+        timeout,
+    })
+}
+
+fn peers_section(section: &mut SectionReader) -> PeerSettings {
+    PeerSettings {
+        seeds: section.optional_or("seeds", Vec::new()),
+    }
+}
+
+fn callers_section(section: &mut SectionReader) -> CallerSettings {
+    let server = ServerSettings::default();
+    let stream_limit = section.optional_in("stream-limit", server.stream_limit, 1..=10_000);
+    let head_timeout = section.optional_in(
+        "head-timeout",
+        server.head_timeout,
+        TIMEOUT_MIN..=TIMEOUT_MAX,
+    );
+    let body_limit = section.optional_or("body-limit", ByteCount(4 * 1024 * 1024));
+    let default = Duration::from_secs(10);
+    let body_timeout = section.optional_in("body-timeout", default, TIMEOUT_MIN..=TIMEOUT_MAX);
+    CallerSettings {
+        server: ServerSettings {
+            stream_limit,
+            head_timeout,
+            ..server
+        },
+        body_limit,
+        body_timeout,
+    }
+}
+
+fn targets_section(section: &mut SectionReader) -> TargetSettings {
+    let mut duration = |key: &str, default_ms: u64, least: Duration, most: Duration| {
+        section.optional_in(key, Duration::from_millis(default_ms), least..=most)
+    };
+    TargetSettings {
+        poll_interval: duration("poll-interval", 500, POLL_MIN, POLL_MAX),
+        control_timeout: duration("control-timeout", 800, TIMEOUT_MIN, TIMEOUT_MAX),
+        connect_timeout: duration("connect-timeout", 500, TIMEOUT_MIN, TIMEOUT_MAX),
+        connection_age_limit: duration("connection-age-limit", 60_000, POLL_MIN, DRAIN_MAX),
+    }
+}
+
+fn shutdown_section(section: &mut SectionReader) -> ShutdownSettings {
+    let notice = Duration::from_secs(5);
+    let drain_limit = Duration::from_secs(600);
+    ShutdownSettings {
+        notice: section.optional_in("notice", notice, Duration::ZERO..=NOTICE_MAX),
+        drain_limit: section.optional_in("drain-limit", drain_limit, Duration::ZERO..=DRAIN_MAX),
+    }
+}
+
+fn log_section(section: &mut SectionReader) -> LevelFilter {
+    section.optional_or("level", LevelFilter::Info)
+}
+
+impl IniValue for LevelFilter {
+    fn expected() -> String {
+        String::from("off, error, warn, info, debug or trace")
+    }
+
+    fn parse_value(text: &str) -> Option<Self> {
+        text.parse().ok()
+    }
+
+    fn format_value(&self) -> String {
+        self.to_string().to_lowercase()
+    }
+}
--- /dev/null
+++ b/lib/src/request/attempt.rs
@@ -0,0 +1,268 @@
+//! One attempt at a request: one send to one target, and the check of who answered.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use derive_more::Display;
+
+use super::answer::WholeAnswer;
+use super::caller::AnswerShape;
+use super::caller::CallerRequest;
+use super::outcome::UnknownReason;
+use crate::clock::Clock;
+use crate::connection::client::SendError;
+use crate::ids::AttemptId;
+use crate::process::services::ChosenTarget;
+use crate::process::services::ServiceShards;
+use crate::target::AnswerError;
+use crate::target::AnswerEvent;
+use crate::target::AnswerHead;
+use crate::target::ConnectionChoice;
+use crate::target::Submission;
+use crate::target::TargetAnswer;
+use crate::target::Targets;
+use crate::target::wire;
+
+/// The longest answer of a plain service.
+const PLAIN_ANSWER_LIMIT_BYTES: usize = 8 * 1024 * 1024;
+
+/// Why an attempt brought no answer.
+#[derive(Clone, Debug, Display, Eq, PartialEq)]
+pub enum AttemptFailure {
+    /// No byte was sent, since there was no connection.
+    #[display("not sent: {source}")]
+    NotSent {
+        /// What the connection said.
+        source: SendError,
+    },
+    /// No byte was sent, since the target's gate closed meanwhile.
+    #[display("not sent: the target's gate closed")]
+    GateClosed,
+    /// The target attests that it refused the request before it started.
+    #[display("refused before the start with status {status}")]
+    Refused {
+        /// The target's status.
+        status: u16,
+    },
+    /// The target answered with an error of its own.
+    #[display("the target answered with status {}", answer.status)]
+    Failed {
+        /// The target's answer.
+        answer: WholeAnswer,
+    },
+    /// It can't be said whether the request ran.
+    #[display("unknown: {reason}")]
+    Unknown {
+        /// Why not.
+        reason: UnknownReason,
+    },
+    /// The target fell silent after the request was sent.
+    #[display("the target fell silent")]
+    Silent,
+}
+
+impl AttemptFailure {
+    /// Returns whether the request was certainly not run.
+    pub fn is_not_run(&self) -> bool {
+        matches!(
+            self,
+            Self::NotSent { .. } | Self::GateClosed | Self::Refused { .. }
+        )
+    }
+
+    /// Returns the failure's word in metrics.
+    pub fn word(&self) -> &'static str {
+        match self {
+            Self::NotSent { .. } => "not-sent",
+            Self::GateClosed => "gate-closed",
+            Self::Refused { .. } => "refused",
+            Self::Failed { .. } => "failed",
+            Self::Unknown { .. } => "unknown",
+            Self::Silent => "silent",
+        }
+    }
+}
+
+/// What an attempt needs besides the request.
+#[derive(Clone, Debug)]
+pub struct AttemptPlan {
+    /// The attempt.
+    pub attempt: AttemptId,
+    /// The target.
+    pub target: ChosenTarget,
+    /// The number of tokens that the caller already has.
+    pub resume_from_tokens: u64,
+    /// Which connection to send on.
+    pub connection: ConnectionChoice,
+    /// The longest wait for the answer's head.
+    pub head_timeout: Duration,
+    /// Whether the target's word that it refused before the start is trusted.
+    pub has_trusted_refusals: bool,
+}
+
+/// Sends an attempt once, if the target's gate is still open, and checks who answers.
+pub async fn start_attempt<C, T>(
+    clock: &C,
+    targets: &T,
+    shards: &ServiceShards,
+    request: &CallerRequest,
+    plan: &AttemptPlan,
+) -> Result<T::Answer, AttemptFailure>
+where
+    C: Clock,
+    T: Targets,
+{
+    let not_sent = |source| AttemptFailure::NotSent { source };
+    let connected = targets.connect(plan.target.address, plan.connection).await;
+    let connection = connected.map_err(not_sent)?;
+    if !shards.is_open(&request.service, &plan.target, clock.now()) {
+        return Err(AttemptFailure::GateClosed);
+    }
+    let sent = targets.submit(connection, submission(request, plan));
+    let answered = match tokio::time::timeout(plan.head_timeout, sent).await {
+        Err(_) => return Err(AttemptFailure::Silent),
+        Ok(answered) => answered,
+    };
+    let answer = answered.map_err(|error| match error {
+        SendError::NotSent { .. } => not_sent(error),
+        SendError::MaybeSent { .. } => AttemptFailure::Unknown {
+            reason: UnknownReason::ConnectionLost,
+        },
+    })?;
+    check_head(answer, plan).await
+}
+
+fn submission(request: &CallerRequest, plan: &AttemptPlan) -> Submission {
+    let path = match request.shape {
+        AnswerShape::Stream | AnswerShape::Whole => wire::CHAT_PATH.to_owned(),
+        AnswerShape::Plain => format!("{}{}", wire::OPERATION_PATH_PREFIX, request.operation),
+    };
+    Submission {
+        attempt: plan.attempt.clone(),
+        path,
+        group: plan.target.group.clone(),
+        priority: request.priority,
+        resume_from_tokens: plan.resume_from_tokens,
+        content_type: request.content_type.clone(),
+        body: request.body.clone(),
+    }
+}
+
+async fn check_head<A>(answer: A, plan: &AttemptPlan) -> Result<A, AttemptFailure>
+where
+    A: TargetAnswer,
+{
+    let head = answer.head().clone();
+    if let Some(reason) = mismatch(&head, plan) {
+        return Err(AttemptFailure::Unknown { reason });
+    }
+    if head.is_refused_before_start && plan.has_trusted_refusals {
+        let status = head.status;
+        return Err(AttemptFailure::Refused { status });
+    }
+    if head.status >= 400 {
+        return Err(read_failure(answer, head).await);
+    }
+    Ok(answer)
+}
+
+/// Returns why an answer does not belong to the attempt, if it does not.
+fn mismatch(head: &AnswerHead, plan: &AttemptPlan) -> Option<UnknownReason> {
+    if head.attempt.as_ref() != Some(&plan.attempt) {
+        return Some(UnknownReason::NotWhole);
+    }
+    let expected = plan.target.group.as_ref().map(|group| group.generation);
+    let is_success = head.status < 400;
+    if is_success && expected.is_some() && head.generation != expected {
+        return Some(UnknownReason::WrongGeneration);
+    }
+    None
+}
+
+async fn read_failure<A>(answer: A, head: AnswerHead) -> AttemptFailure
+where
+    A: TargetAnswer,
+{
+    match answer.read_whole(PLAIN_ANSWER_LIMIT_BYTES).await {
+        Ok(body) => AttemptFailure::Failed {
+            answer: WholeAnswer {
+                status: head.status,
+                content_type: head.content_type,
+                body,
+            },
+        },
+        Err(_) => AttemptFailure::Unknown {
+            reason: UnknownReason::ConnectionLost,
+        },
+    }
+}
+
+/// Reads a plain service's answer to its end.
+pub async fn read_plain<A>(answer: A) -> Result<WholeAnswer, AttemptFailure>
+where
+    A: TargetAnswer,
+{
+    let head = answer.head().clone();
+    let read = answer.read_whole(PLAIN_ANSWER_LIMIT_BYTES).await;
+    let body: Bytes = read.map_err(|_| AttemptFailure::Unknown {
+        reason: UnknownReason::NotWhole,
+    })?;
+    Ok(WholeAnswer {
+        status: head.status,
+        content_type: head.content_type,
+        body,
+    })
+}
+
+/// A checked step of a streamed answer.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum StreamStep {
+    /// The next token, as a chunk in the common chat-completions shape.
+    Token {
+        /// The chunk.
+        data: String,
+    },
+    /// A chunk without a token.
+    Note {
+        /// The chunk.
+        data: String,
+    },
+    /// The end of the whole answer.
+    End,
+    /// No byte came for the silence bound.
+    Silent,
+    /// The stream broke.
+    Broken {
+        /// How it broke.
+        source: AnswerError,
+    },
+}
+
+/// Reads the next token, passing over those that the caller has.
+///
+/// A token out of order counts as a break: the caller must never get an answer with a hole.
+pub async fn next_step<A>(answer: &mut A, expected_index: u64, silence: Duration) -> StreamStep
+where
+    A: TargetAnswer,
+{
+    loop {
+        let event = match tokio::time::timeout(silence, answer.next_event()).await {
+            Err(_) => return StreamStep::Silent,
+            Ok(Err(source)) => return StreamStep::Broken { source },
+            Ok(Ok(event)) => event,
+        };
+        match event {
+            AnswerEvent::End => return StreamStep::End,
+            AnswerEvent::Note { data } => return StreamStep::Note { data },
+            AnswerEvent::Token { index, .. } if index < expected_index => {}
+            AnswerEvent::Token { index, data } if index == expected_index => {
+                return StreamStep::Token { data };
+            }
+            AnswerEvent::Token { index, .. } => {
+                let reason = format!("token {index} came instead of {expected_index}");
+                let source = AnswerError::Malformed { reason };
+                return StreamStep::Broken { source };
+            }
+        }
+    }
+}
--- a/lib/src/request/caller.rs
+++ b/lib/src/request/caller.rs
@@ -241,7 +241,11 @@
             deadline: deadline(headers)?,
             priority: header(headers, PRIORITY_HEADER, "emergency, normal or batch")?
                 .unwrap_or_default(),
-            key: header(headers, IDEMPOTENCY_KEY_HEADER, "1 to 128 letters, digits, -_.:")?,
+            key: header(
+                headers,
+                IDEMPOTENCY_KEY_HEADER,
+                "1 to 128 letters, digits, -_.:",
+            )?,
             content_type: content_type(headers),
         })
     }
@@ -341,13 +345,19 @@
 }
 
 fn credential_digest(headers: &HeaderMap) -> Result<Digest, CallerError> {
-    let value = headers.get(AUTHORIZATION).ok_or(CallerError::NoCredential)?;
+    let value = headers
+        .get(AUTHORIZATION)
+        .ok_or(CallerError::NoCredential)?;
     let text = value.to_str().map_err(|_| CallerError::NoCredential)?;
-    let credential = text.strip_prefix("Bearer ").ok_or(CallerError::NoCredential)?;
+    let credential = text
+        .strip_prefix("Bearer ")
+        .ok_or(CallerError::NoCredential)?;
     Ok(digest_of(credential.trim().as_bytes()))
 }
 
 fn content_type(headers: &HeaderMap) -> String {
-    let given = headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
+    let given = headers
+        .get(CONTENT_TYPE)
+        .and_then(|value| value.to_str().ok());
     given.unwrap_or("application/json").to_owned()
 }
--- a/lib/src/target/http.rs
+++ b/lib/src/target/http.rs
@@ -1,5 +1,6 @@
 //! Targets over HTTP.
 
+use std::borrow::Cow;
 use std::net::SocketAddr;
 use std::str::FromStr;
 use std::time::Duration;
@@ -12,6 +13,7 @@
 use http::header::CONTENT_TYPE;
 use http::header::HOST;
 use hyper::body::Incoming;
+use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use sse_stream::Sse;
 use sse_stream::SseStream;
@@ -237,7 +239,7 @@
                 }
                 Some(Ok(event)) => event,
             };
-            if let Some(event) = answer_event(event)? {
+            if let Some(event) = answer_event(event, self.head.attempt.as_ref())? {
                 return Ok(event);
             }
         }
@@ -266,23 +268,49 @@
     }
 }
 
-fn answer_event(event: Sse) -> Result<Option<AnswerEvent>, AnswerError> {
+fn answer_event(
+    event: Sse,
+    attempt: Option<&AttemptId>,
+) -> Result<Option<AnswerEvent>, AnswerError> {
     let Some(data) = event.data else {
         return Ok(None);
     };
     if data == wire::END_MARKER {
         return Ok(Some(AnswerEvent::End));
     }
-    let index = event.id.as_deref().map(u64::from_str);
-    match index {
-        Some(Ok(index)) => Ok(Some(AnswerEvent::Token { index, data })),
-        Some(Err(_)) | None => {
-            let reason = String::from("an event without the number of its token");
+    if !is_own_chunk(&data, attempt) {
+        let reason = String::from("an event of another attempt");
+        return Err(AnswerError::Malformed { reason });
+    }
+    let Some(id) = event.id else {
+        return Ok(Some(AnswerEvent::Note { data }));
+    };
+    match id.parse() {
+        Ok(index) => Ok(Some(AnswerEvent::Token { index, data })),
+        Err(_) => {
+            let reason = format!("{id:?} is not the number of a token");
             Err(AnswerError::Malformed { reason })
         }
     }
 }
 
+/// The part of a chunk that says which attempt it belongs to.
+#[derive(Deserialize)]
+struct ChunkOwner<'a> {
+    #[serde(borrow)]
+    id: Option<Cow<'a, str>>,
+}
+
+/// Returns whether a chunk belongs to `attempt`, as far as it says.
+fn is_own_chunk(data: &str, attempt: Option<&AttemptId>) -> bool {
+    let owner = serde_json::from_str::<ChunkOwner<'_>>(data);
+    let owner = owner.ok().and_then(|owner| owner.id);
+    match (owner, attempt) {
+        (Some(owner), Some(attempt)) => owner == attempt.as_str(),
+        (None, _) | (_, None) => true,
+    }
+}
+
 fn answer_head(status: u16, headers: &HeaderMap) -> AnswerHead {
     let content_type = header_text(headers, CONTENT_TYPE.as_str());
     AnswerHead {
--- a/lib/src/target/mod.rs
+++ b/lib/src/target/mod.rs
@@ -122,6 +122,11 @@
         /// The data of the event, a chunk in the common chat-completions shape.
         data: String,
     },
+    /// A chunk without a token, such as the one with the reason of the end.
+    Note {
+        /// The data of the event.
+        data: String,
+    },
     /// The end of a whole answer.
     End,
 }
