--- a/lib/src/process/mod.rs
+++ b/lib/src/process/mod.rs
@@ -2,3 +2,4 @@
 
 pub mod lease;
 pub mod presence;
+pub mod stragglers;
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -2,5 +2,9 @@
 
 mod test_connection;
 mod test_lease;
+mod test_document;
+mod test_ini;
 mod test_presence;
+mod test_routing;
+mod test_stragglers;
 mod test_units;
