--- a/lib/src/process/mod.rs
+++ b/lib/src/process/mod.rs
@@ -5,6 +5,7 @@
 pub mod in_force;
 pub mod lifecycle;
 pub mod metrics;
+pub mod lease;
 pub mod presence;
 pub mod services;
 pub mod settings;
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -1,6 +1,7 @@
 //! Runner of the library's integration tests.
 
 mod test_connection;
+mod test_lease;
 mod test_document;
 mod test_ini;
 mod test_presence;
