admission: weighted fair queues and limits shared between entries

A request waits only as long as its deadline allows and is refused at once otherwise, with when to come back. Start-time fair queueing keeps a flooding account from delaying others; emergency notices pass a full queue and have a few places above the capacity; every tenth turn is for batch work, so that strict classes don't starve it.

An account's limit is divided by grants: the grantor takes a grant off its own rate before it publishes it and gets it back only after an echo. Ruled out: shares straight from the demands last heard, which a test shows to sum above the limit when messages are late. The sum holds over 400 generated schedules of late, repeated, reordered and lost messages; an entry that hears nobody falls back to its equal part.

--- /dev/null
+++ b/lib/src/process/limits.rs
@@ -0,0 +1,315 @@
+//! The rate limits of the client accounts, which hold for the whole data centre.
+//!
+//! Each entry limits what it admits by a token bucket per account. The buckets' rates follow the
+//! demand by grants between the entries (see [`super::limit_shares`]), which travel in the peer
+//! exchange. An entry that hears nobody keeps its equal part of the limit.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::limit_shares::LimitShares;
+use super::limit_shares::PublishedShare;
+use crate::ids::AccountId;
+use crate::ids::EntryId;
+use crate::ids::Incarnation;
+use crate::request::token_bucket::TokenBucket;
+use crate::sorted::Keyed;
+use crate::sorted::SortedVec;
+use crate::units::RequestRate;
+use crate::version::document::Account;
+use crate::version::document::Priority;
+
+/// How the limits are shared.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LimitSettings {
+    /// The time whose worth of requests may come at once.
+    pub burst: Duration,
+    /// The time without word of a peer after which its grants are no longer used.
+    pub silence: Duration,
+    /// The time over which demand is averaged.
+    pub demand_window: Duration,
+}
+
+impl Default for LimitSettings {
+    fn default() -> Self {
+        Self {
+            burst: Duration::from_secs(1),
+            silence: Duration::from_secs(3),
+            demand_window: Duration::from_secs(2),
+        }
+    }
+}
+
+/// The last message of a peer that an entry applied.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Echo {
+    /// The peer.
+    pub peer: EntryId,
+    /// The life of the peer that sent it.
+    pub incarnation: Incarnation,
+    /// The message's number.
+    pub sequence: u64,
+}
+
+impl Keyed for Echo {
+    type Key = EntryId;
+
+    fn key(&self) -> &EntryId {
+        &self.peer
+    }
+}
+
+/// An account's share in a message.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct AccountShare {
+    /// The account.
+    pub account: AccountId,
+    /// The entry's demand and grants.
+    pub share: PublishedShare,
+}
+
+impl Keyed for AccountShare {
+    type Key = AccountId;
+
+    fn key(&self) -> &AccountId {
+        &self.account
+    }
+}
+
+/// What an entry tells its peers about the limits.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct LimitMessage {
+    /// The sender's life.
+    pub incarnation: Incarnation,
+    /// The message's number in that life.
+    pub sequence: u64,
+    /// The last message of each peer that the sender applied.
+    pub echoes: SortedVec<Echo>,
+    /// The accounts.
+    pub accounts: SortedVec<AccountShare>,
+}
+
+#[derive(Clone, Debug)]
+struct AccountLimit {
+    account: AccountId,
+    bucket: TokenBucket,
+    shares: LimitShares,
+    asked_requests: f64,
+    demand_per_s: f64,
+}
+
+impl Keyed for AccountLimit {
+    type Key = AccountId;
+
+    fn key(&self) -> &AccountId {
+        &self.account
+    }
+}
+
+/// The limits of all accounts at one entry.
+///
+/// ```
+/// use std::time::Instant;
+///
+/// use beryltray_lib::ids::Incarnation;
+/// use beryltray_lib::process::limits::AccountLimits;
+/// use beryltray_lib::process::limits::LimitSettings;
+/// use beryltray_lib::units::RequestRate;
+/// use beryltray_lib::version::document::Priority;
+///
+/// let now = Instant::now();
+/// let account = "lakes-transit".parse()?;
+/// let mut limits =
+///     AccountLimits::new("entry-1".parse()?, Incarnation(1), LimitSettings::default(), now);
+/// limits.set_entries(4, now);
+/// limits.set_limit(&account, RequestRate(8.0), now);
+/// // Two of the eight a second are this entry's part.
+/// assert!(limits.take(&account, Priority::Normal, now).is_ok());
+/// assert!(limits.take(&account, Priority::Normal, now).is_ok());
+/// assert!(limits.take(&account, Priority::Normal, now).is_err());
+/// # Ok::<(), beryltray_lib::ids::ParseIdError>(())
+/// ```
+#[derive(Clone, Debug)]
+pub struct AccountLimits {
+    own: EntryId,
+    incarnation: Incarnation,
+    settings: LimitSettings,
+    entries: usize,
+    sequence: u64,
+    echoes: SortedVec<Echo>,
+    limits: SortedVec<AccountLimit>,
+    averaged_at: Instant,
+}
+
+impl AccountLimits {
+    /// Creates the limits of an entry that knows no account and no peer.
+    pub fn new(
+        own: EntryId,
+        incarnation: Incarnation,
+        settings: LimitSettings,
+        now: Instant,
+    ) -> Self {
+        Self {
+            own,
+            incarnation,
+            settings,
+            entries: 1,
+            sequence: 0,
+            echoes: SortedVec::new(),
+            limits: SortedVec::new(),
+            averaged_at: now,
+        }
+    }
+
+    /// Sets the number of entries of the data centre, this one and suspected ones included.
+    pub fn set_entries(&mut self, entries: usize, now: Instant) {
+        self.entries = entries.max(1);
+        for limit in self.limits.iter_mut() {
+            let limit_per_s = limit.shares.limit_per_s();
+            limit.shares.set_limit(limit_per_s, self.entries);
+            limit.apply(now);
+        }
+    }
+
+    /// Takes over the limits of a document's accounts and forgets all others.
+    pub fn set_accounts(&mut self, accounts: &SortedVec<Account>, now: Instant) {
+        self.limits
+            .retain(|limit| accounts.contains_key(&limit.account));
+        for account in accounts {
+            self.set_limit(&account.name, account.rate_limit, now);
+        }
+    }
+
+    /// Sets an account's limit for the data centre.
+    pub fn set_limit(&mut self, account: &AccountId, rate: RequestRate, now: Instant) {
+        let shares = LimitShares::new(rate.0, self.entries);
+        let part = RequestRate(shares.usable_per_s());
+        let burst = self.settings.burst;
+        let entries = self.entries;
+        let limit = self.limits.get_or_insert_with(account, || AccountLimit {
+            account: account.clone(),
+            bucket: TokenBucket::new(part, burst, now),
+            shares,
+            asked_requests: 0.0,
+            demand_per_s: 0.0,
+        });
+        limit.shares.set_limit(rate.0, entries);
+        limit.apply(now);
+    }
+
+    /// Takes a request of `account` off its limit, or returns when the caller should come back.
+    ///
+    /// Emergency notices may run a full bucket into debt. An account without a limit is refused.
+    pub fn take(
+        &mut self,
+        account: &AccountId,
+        priority: Priority,
+        now: Instant,
+    ) -> Result<(), Duration> {
+        let Some(limit) = self.limits.get_mut(account) else {
+            return Err(self.settings.silence);
+        };
+        limit.asked_requests += 1.0;
+        match priority {
+            Priority::Emergency => limit.bucket.take_on_credit(now),
+            Priority::Normal | Priority::Batch => limit.bucket.take(now),
+        }
+    }
+
+    /// Takes in a peer's message; one that is older than the last is ignored.
+    pub fn on_message(&mut self, peer: &EntryId, message: &LimitMessage, now: Instant) {
+        let number = (message.incarnation, message.sequence);
+        let last = self.echoes.get(peer);
+        if last.is_some_and(|last| (last.incarnation, last.sequence) >= number) {
+            return;
+        }
+        self.echoes.insert(Echo {
+            peer: peer.clone(),
+            incarnation: message.incarnation,
+            sequence: message.sequence,
+        });
+        let echo = message.echoes.get(&self.own);
+        let echo = echo.filter(|echo| echo.incarnation == self.incarnation);
+        for limit in self.limits.iter_mut() {
+            let share = message.accounts.get(&limit.account).map(|a| &a.share);
+            let demand_per_s = share.map_or(0.0, |share| share.demand_per_s);
+            let grant = share.and_then(|share| share.grants.get(&self.own));
+            let grant_per_s = grant.map_or(0.0, |grant| grant.rate_per_s);
+            limit.shares.on_heard(peer, demand_per_s, grant_per_s, now);
+            if let Some(echo) = echo {
+                limit.shares.on_echo(peer, echo.sequence);
+            }
+            limit.apply(now);
+        }
+    }
+
+    /// Forgets a peer that is gone for good; [`AccountLimits::set_entries`] tells the new number.
+    pub fn on_peer_gone(&mut self, peer: &EntryId, now: Instant) {
+        for limit in self.limits.iter_mut() {
+            limit.shares.on_peer_gone(peer);
+            limit.apply(now);
+        }
+    }
+
+    /// Averages the demand, decides the grants and returns the next message to the peers.
+    ///
+    /// The grants are in force at this entry from this call on, so the message may be lost.
+    pub fn next_message(&mut self, now: Instant) -> LimitMessage {
+        self.sequence += 1;
+        let elapsed = now.saturating_duration_since(self.averaged_at);
+        self.averaged_at = now;
+        for limit in self.limits.iter_mut() {
+            limit.average(elapsed, self.settings.demand_window);
+            limit.shares.on_tick(self.settings.silence, now);
+            limit.shares.rebalance(limit.demand_per_s, self.sequence);
+            limit.apply(now);
+        }
+        LimitMessage {
+            incarnation: self.incarnation,
+            sequence: self.sequence,
+            echoes: self.echoes.clone(),
+            accounts: self
+                .limits
+                .iter()
+                .filter_map(AccountLimit::published)
+                .collect(),
+        }
+    }
+
+    /// Returns the rate that this entry may admit for `account` now.
+    pub fn usable(&self, account: &AccountId) -> Option<RequestRate> {
+        let limit = self.limits.get(account)?;
+        Some(limit.bucket.rate())
+    }
+}
+
+impl AccountLimit {
+    fn apply(&mut self, now: Instant) {
+        let rate = RequestRate(self.shares.usable_per_s());
+        self.bucket.set_rate(rate, now);
+    }
+
+    fn average(&mut self, elapsed: Duration, window: Duration) {
+        let elapsed_s = elapsed.as_secs_f64();
+        if elapsed_s <= 0.0 {
+            return;
+        }
+        let asked_per_s = std::mem::take(&mut self.asked_requests) / elapsed_s;
+        let weight = (elapsed_s / window.as_secs_f64()).min(1.0);
+        self.demand_per_s += weight * (asked_per_s - self.demand_per_s);
+    }
+
+    /// Returns what is published, or nothing for an account without demand or grants.
+    fn published(&self) -> Option<AccountShare> {
+        let share = PublishedShare {
+            demand_per_s: self.demand_per_s,
+            grants: self.shares.grants(),
+        };
+        let is_idle = share.demand_per_s < f64::EPSILON && share.grants.is_empty();
+        let account = self.account.clone();
+        (!is_idle).then_some(AccountShare { account, share })
+    }
+}
--- a/lib/src/request/mod.rs
+++ b/lib/src/request/mod.rs
@@ -1,6 +1,9 @@
 //! What lives for one request.
 
+pub mod admission;
+pub mod fair_queue;
 pub mod outcome;
 pub mod route;
 pub mod routing;
 pub mod target_load;
+pub mod token_bucket;
--- a/lib/src/request/routing.rs
+++ b/lib/src/request/routing.rs
@@ -182,6 +182,21 @@
         self.stragglers.retain(is_known);
     }
 
+    /// Returns how many requests this entry may have in flight at the open targets, given what
+    /// its peers have there.
+    pub fn capacity(&self, open: &[TargetId]) -> u32 {
+        let limit = u64::from(self.settings.in_flight_limit_requests);
+        let places = open.iter().map(|target| {
+            let Some(load) = self.loads.get(target) else {
+                return limit;
+            };
+            let own = load.own_totals().in_flight_requests();
+            let others = load.known_in_flight_requests() - own;
+            limit.saturating_sub(others).max(own)
+        });
+        u32::try_from(places.sum::<u64>()).unwrap_or(u32::MAX)
+    }
+
     /// Returns what is known of the load of `target`.
     pub fn load(&self, target: &TargetId) -> Option<&TargetLoad> {
         self.loads.get(target)
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -1,7 +1,9 @@
 //! Runner of the library's integration tests.
 
+mod test_admission;
 mod test_connection;
 mod test_ini;
+mod test_limits;
 mod test_presence;
 mod test_routing;
 mod test_stragglers;
--- /dev/null
+++ b/lib/tests/test_limits.rs
@@ -0,0 +1,271 @@
+//! Tests of the data centre's account limits, shared between entries.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use beryltray_lib::ids::AccountId;
+use beryltray_lib::ids::EntryId;
+use beryltray_lib::ids::Incarnation;
+use beryltray_lib::process::limits::AccountLimits;
+use beryltray_lib::process::limits::LimitMessage;
+use beryltray_lib::process::limits::LimitSettings;
+use beryltray_lib::units::RequestRate;
+use beryltray_lib::version::document::Priority;
+use beryltray_testutils::seeds::quickcheck_with_seed;
+
+const ENTRIES: usize = 4;
+const LIMIT_PER_S: f64 = 40.0;
+const ROUND: Duration = Duration::from_millis(500);
+const NEVER_SILENT: Duration = Duration::from_secs(100_000);
+const TOLERANCE_PER_S: f64 = 1e-6;
+
+fn account() -> AccountId {
+    "lakes-transit".parse().unwrap()
+}
+
+fn entry(index: usize) -> EntryId {
+    format!("entry-{index}").parse().unwrap()
+}
+
+fn settings(silence: Duration) -> LimitSettings {
+    LimitSettings {
+        silence,
+        ..LimitSettings::default()
+    }
+}
+
+fn limits(index: usize, settings: LimitSettings, now: Instant) -> AccountLimits {
+    let mut limits = AccountLimits::new(entry(index), Incarnation(1), settings, now);
+    limits.set_entries(ENTRIES, now);
+    limits.set_limit(&account(), RequestRate(LIMIT_PER_S), now);
+    limits
+}
+
+fn cluster(silence: Duration, now: Instant) -> Vec<AccountLimits> {
+    let entries = 0..ENTRIES;
+    entries
+        .map(|index| limits(index, settings(silence), now))
+        .collect()
+}
+
+fn usable_sum(cluster: &[AccountLimits]) -> f64 {
+    let usable = cluster
+        .iter()
+        .filter_map(|limits| limits.usable(&account()));
+    usable.map(|rate| rate.0).sum()
+}
+
+/// What the checker drives: the library's limits, or a faulty variant.
+trait Sharer {
+    fn ask(&mut self, requests: u8, now: Instant);
+    fn next_message(&mut self, now: Instant) -> LimitMessage;
+    fn on_message(&mut self, peer: &EntryId, message: &LimitMessage, now: Instant);
+    fn usable_per_s(&self) -> f64;
+}
+
+impl Sharer for AccountLimits {
+    fn ask(&mut self, requests: u8, now: Instant) {
+        for _ in 0..requests {
+            let _ = self.take(&account(), Priority::Normal, now);
+        }
+    }
+
+    fn next_message(&mut self, now: Instant) -> LimitMessage {
+        AccountLimits::next_message(self, now)
+    }
+
+    fn on_message(&mut self, peer: &EntryId, message: &LimitMessage, now: Instant) {
+        AccountLimits::on_message(self, peer, message, now);
+    }
+
+    fn usable_per_s(&self) -> f64 {
+        self.usable(&account()).unwrap().0
+    }
+}
+
+/// The faulty variant: the limit is divided by the demands last heard, without grants.
+struct DemandSharer {
+    limits: AccountLimits,
+    own_per_s: f64,
+    heard_per_s: Vec<(EntryId, f64)>,
+}
+
+impl Sharer for DemandSharer {
+    fn ask(&mut self, requests: u8, now: Instant) {
+        self.limits.ask(requests, now);
+    }
+
+    fn next_message(&mut self, now: Instant) -> LimitMessage {
+        let message = self.limits.next_message(now);
+        self.own_per_s = demand_of(&message);
+        message
+    }
+
+    fn on_message(&mut self, peer: &EntryId, message: &LimitMessage, _now: Instant) {
+        self.heard_per_s.retain(|(heard, _)| heard != peer);
+        self.heard_per_s.push((peer.clone(), demand_of(message)));
+    }
+
+    fn usable_per_s(&self) -> f64 {
+        let heard: f64 = self.heard_per_s.iter().map(|(_, demand)| demand).sum();
+        let all = self.own_per_s + heard;
+        if all > 0.0 {
+            LIMIT_PER_S * self.own_per_s / all
+        } else {
+            0.0
+        }
+    }
+}
+
+fn demand_of(message: &LimitMessage) -> f64 {
+    let share = message.accounts.get(&account());
+    share.map_or(0.0, |account| account.share.demand_per_s)
+}
+
+/// One step: whose turn it is, how many requests come there, and which messages arrive.
+type Step = (u8, u8, Vec<(u8, u8)>);
+
+/// Delivers messages that were sent at any time before: late, again, out of order or never.
+fn deliver<S>(cluster: &mut [S], sent: &[(usize, LimitMessage)], picks: &[(u8, u8)], now: Instant)
+where
+    S: Sharer,
+{
+    for (message, to) in picks {
+        let (from, message) = &sent[usize::from(*message) % sent.len()];
+        let to = usize::from(*to) % ENTRIES;
+        if *from != to {
+            cluster[to].on_message(&entry(*from), message, now);
+        }
+    }
+}
+
+/// Returns the greatest sum of the rates that the entries might admit at any step.
+fn greatest_sum<S>(mut cluster: Vec<S>, steps: &[Step], start: Instant) -> f64
+where
+    S: Sharer,
+{
+    let mut now = start;
+    let mut sent = Vec::new();
+    let mut greatest = 0.0_f64;
+    for (turn, requests, picks) in steps {
+        now += ROUND;
+        let turn = usize::from(*turn) % ENTRIES;
+        cluster[turn].ask(*requests, now);
+        sent.push((turn, cluster[turn].next_message(now)));
+        deliver(&mut cluster, &sent, picks, now);
+        greatest = greatest.max(cluster.iter().map(Sharer::usable_per_s).sum());
+    }
+    greatest
+}
+
+fn holds(sum_per_s: f64) -> bool {
+    sum_per_s <= LIMIT_PER_S + TOLERANCE_PER_S
+}
+
+/// Exchanges messages between the entries for which `hears` is true.
+fn exchange<F>(cluster: &mut [AccountLimits], hears: F, now: Instant)
+where
+    F: Fn(usize, usize) -> bool,
+{
+    let messages: Vec<_> = cluster
+        .iter_mut()
+        .map(|limits| limits.next_message(now))
+        .collect();
+    for (from, message) in messages.iter().enumerate() {
+        for (to, limits) in cluster.iter_mut().enumerate() {
+            if from != to && hears(from, to) {
+                limits.on_message(&entry(from), message, now);
+            }
+        }
+    }
+}
+
+/// Runs rounds in which only entry 0 has demand.
+fn run_with_demand_at_first(cluster: &mut [AccountLimits], rounds: u32, now: &mut Instant) {
+    for _ in 0..rounds {
+        *now += ROUND;
+        for _ in 0..20 {
+            let _ = cluster[0].take(&account(), Priority::Normal, *now);
+        }
+        exchange(cluster, |_, _| true, *now);
+    }
+}
+
+#[test]
+fn limit_sum_holds_over_lost_late_and_repeated_messages() {
+    fn sum_holds(steps: Vec<Step>) -> bool {
+        let now = Instant::now();
+        // No entry counts another as silent here; messages may be arbitrarily late.
+        let cluster = cluster(NEVER_SILENT, now);
+        holds(greatest_sum(cluster, &steps, now))
+    }
+    quickcheck_with_seed(41, 400).quickcheck(sum_holds as fn(Vec<Step>) -> bool);
+}
+
+#[test]
+fn limit_by_raw_demand_is_caught() {
+    fn sum_holds(steps: Vec<Step>) -> bool {
+        let now = Instant::now();
+        let sharers = cluster(NEVER_SILENT, now)
+            .into_iter()
+            .map(|limits| DemandSharer {
+                limits,
+                own_per_s: 0.0,
+                heard_per_s: Vec::new(),
+            });
+        holds(greatest_sum(sharers.collect(), &steps, now))
+    }
+    let property = sum_holds as fn(Vec<Step>) -> bool;
+    assert!(quickcheck_with_seed(41, 400).quicktest(property).is_err());
+}
+
+#[test]
+fn limit_shares_follow_demand() {
+    let mut now = Instant::now();
+    let mut cluster = cluster(Duration::from_secs(3), now);
+    run_with_demand_at_first(&mut cluster, 20, &mut now);
+    let usable = cluster[0].usable(&account()).unwrap();
+    assert!(usable.0 > 0.95 * LIMIT_PER_S);
+    assert!(holds(usable_sum(&cluster)));
+}
+
+#[test]
+fn limit_hearing_nobody_falls_back_to_fair_part() {
+    let mut now = Instant::now();
+    let mut cluster = cluster(Duration::from_secs(3), now);
+    run_with_demand_at_first(&mut cluster, 20, &mut now);
+    for _ in 0..20 {
+        now += ROUND;
+        exchange(&mut cluster, |_, _| false, now);
+        assert!(holds(usable_sum(&cluster)));
+    }
+    for limits in &cluster {
+        let usable = limits.usable(&account()).unwrap();
+        assert_eq!(usable.0, LIMIT_PER_S / ENTRIES as f64);
+    }
+}
+
+#[test]
+fn limit_without_fallback_is_caught() {
+    let mut now = Instant::now();
+    let mut cluster = cluster(NEVER_SILENT, now);
+    run_with_demand_at_first(&mut cluster, 20, &mut now);
+    now += 100 * ROUND;
+    exchange(&mut cluster, |_, _| false, now);
+    let starved = cluster[1].usable(&account()).unwrap();
+    assert!(starved.0 < LIMIT_PER_S / ENTRIES as f64);
+}
+
+#[test]
+fn limit_emergency_goes_into_bounded_debt() {
+    let now = Instant::now();
+    let mut limits = limits(0, LimitSettings::default(), now);
+    let part = LIMIT_PER_S as usize / ENTRIES;
+    let passed = |limits: &mut AccountLimits, priority| {
+        let takes = (0..100).map(|_| limits.take(&account(), priority, now));
+        takes.filter(Result::is_ok).count()
+    };
+    assert_eq!(passed(&mut limits, Priority::Normal), part);
+    assert_eq!(passed(&mut limits, Priority::Emergency), part);
+    assert!(limits.take(&account(), Priority::Normal, now).is_err());
+}
