--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -2,6 +2,7 @@
 
 mod test_admission;
 mod test_connection;
+mod test_document;
 mod test_ini;
 mod test_limits;
 mod test_presence;
