retry: budgeted tries, stream recovery, silent connections and spill

Spill reads summaries only, uses a share of the told spare capacity between two summaries, and never relays a relayed request.

--- a/lib/src/connection/mod.rs
+++ b/lib/src/connection/mod.rs
@@ -4,3 +4,4 @@
 pub mod client;
 pub mod pool;
 pub mod server;
+pub mod silence;
--- a/lib/src/process/mod.rs
+++ b/lib/src/process/mod.rs
@@ -3,4 +3,5 @@
 pub mod limit_shares;
 pub mod limits;
 pub mod presence;
+pub mod spill;
 pub mod stragglers;
--- a/lib/src/request/mod.rs
+++ b/lib/src/request/mod.rs
@@ -3,7 +3,9 @@
 pub mod admission;
 pub mod fair_queue;
 pub mod outcome;
+pub mod retry;
 pub mod route;
 pub mod routing;
+pub mod stream;
 pub mod target_load;
 pub mod token_bucket;
--- /dev/null
+++ b/lib/tests/test_spill.rs
@@ -0,0 +1,102 @@
+//! Tests of the choice of another data centre.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use beryltray_lib::process::spill::NoSpillReason;
+use beryltray_lib::process::spill::ServiceSummary;
+use beryltray_lib::process::spill::Spill;
+use beryltray_lib::process::spill::SpillQuery;
+use beryltray_testutils::seeds::quickcheck_with_seed;
+
+fn summary(data_centre: &str, spare_requests: u32, queue_wait_ms: u64) -> ServiceSummary {
+    ServiceSummary {
+        data_centre: data_centre.parse().unwrap(),
+        serving_targets: 8,
+        spare_requests,
+        queue_wait: Duration::from_millis(queue_wait_ms),
+    }
+}
+
+fn query(draw: u64) -> SpillQuery {
+    SpillQuery {
+        was_relayed: false,
+        own_wait: None,
+        allowed_wait: Duration::from_secs(2),
+        draw,
+    }
+}
+
+#[test]
+fn spill_relayed_request_stays() {
+    fn stays(draw: u64, spare_requests: u32) -> bool {
+        let now = Instant::now();
+        let mut spill = Spill::new(Default::default());
+        spill.on_summary(summary("b", spare_requests, 0), now);
+        let query = SpillQuery {
+            was_relayed: true,
+            ..query(draw)
+        };
+        spill.choose(query, now) == Err(NoSpillReason::AlreadyRelayed)
+    }
+    quickcheck_with_seed(61, 200).quickcheck(stays as fn(u64, u32) -> bool);
+}
+
+#[test]
+fn spill_request_in_time_here_stays() {
+    let now = Instant::now();
+    let mut spill = Spill::new(Default::default());
+    spill.on_summary(summary("b", 100, 0), now);
+    let query = SpillQuery {
+        own_wait: Some(Duration::from_secs(1)),
+        ..query(0)
+    };
+    assert_eq!(spill.choose(query, now), Err(NoSpillReason::ServedHere));
+}
+
+#[test]
+fn spill_stale_summary_is_not_used() {
+    let now = Instant::now();
+    let mut spill = Spill::new(Default::default());
+    spill.on_summary(summary("b", 100, 0), now);
+    let later = now + Duration::from_secs(5);
+    assert_eq!(spill.choose(query(0), later), Err(NoSpillReason::NoRoom));
+}
+
+#[test]
+fn spill_longer_wait_elsewhere_is_not_chosen() {
+    let now = Instant::now();
+    let mut spill = Spill::new(Default::default());
+    spill.on_summary(summary("b", 100, 3_000), now);
+    assert_eq!(spill.choose(query(0), now), Err(NoSpillReason::NoRoom));
+}
+
+#[test]
+fn spill_between_summaries_is_bounded_by_the_share() {
+    fn is_bounded(draws: Vec<u64>) -> bool {
+        let now = Instant::now();
+        let mut spill = Spill::new(Default::default());
+        spill.on_summary(summary("b", 40, 0), now);
+        spill.on_summary(summary("c", 20, 0), now);
+        let mut relayed = 0;
+        for draw in draws.iter().cycle().take(100) {
+            if let Ok(data_centre) = spill.choose(query(*draw), now) {
+                spill.on_relayed(&data_centre);
+                relayed += 1;
+            }
+        }
+        relayed <= 15
+    }
+    quickcheck_with_seed(62, 200).quickcheck(is_bounded as fn(Vec<u64>) -> bool);
+}
+
+#[test]
+fn spill_refusal_counts_until_the_next_summary() {
+    let now = Instant::now();
+    let mut spill = Spill::new(Default::default());
+    spill.on_summary(summary("b", 40, 0), now);
+    spill.on_refused(&"b".parse().unwrap());
+    assert_eq!(spill.choose(query(0), now), Err(NoSpillReason::NoRoom));
+    spill.on_summary(summary("b", 40, 0), now + Duration::from_secs(1));
+    assert_eq!(spill.choose(query(0), now), Ok("b".parse().unwrap()));
+}
