--- a/lib/src/process/mod.rs
+++ b/lib/src/process/mod.rs
@@ -10,4 +10,8 @@
 pub mod services;
 pub mod settings;
 pub mod status;
+pub mod limit_shares;
+pub mod limits;
+pub mod presence;
+pub mod spill;
 pub mod stragglers;
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -1,10 +1,15 @@
 //! Runner of the library's integration tests.
 
+mod test_admission;
 mod test_connection;
 mod test_lease;
 mod test_document;
 mod test_ini;
+mod test_limits;
 mod test_presence;
+mod test_retry;
 mod test_routing;
+mod test_silence;
+mod test_spill;
 mod test_stragglers;
 mod test_units;
