--- a/lib/src/process/mod.rs
+++ b/lib/src/process/mod.rs
@@ -2,3 +2,5 @@
 
 pub mod exchange;
 pub mod membership;
+pub mod presence;
+pub mod stragglers;
