--- a/lib/src/process/mod.rs
+++ b/lib/src/process/mod.rs
@@ -6,6 +6,8 @@
 pub mod lifecycle;
 pub mod metrics;
 pub mod lease;
+pub mod exchange;
+pub mod membership;
 pub mod presence;
 pub mod services;
 pub mod settings;
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -3,6 +3,8 @@
 mod test_admission;
 mod test_connection;
 mod test_lease;
+mod test_exchange;
+mod test_membership;
 mod test_document;
 mod test_ini;
 mod test_limits;
