stand-ins: a fault-injecting TCP relay, and tests of every stand-in

The targets' adapter takes only events that carry a token's number, so the last token now carries the finish reason and no chunk comes without an id. Restoring the table twice no longer brings back rows that the first restored state had undone.

--- a/cli/src/commands/stand_in.rs
+++ b/cli/src/commands/stand_in.rs
@@ -18,6 +18,8 @@
 use beryltray_stand_ins::plain::PlainSettings;
 use beryltray_stand_ins::platform;
 use beryltray_stand_ins::platform::PlatformSettings;
+use beryltray_stand_ins::relay;
+use beryltray_stand_ins::relay::RelaySettings;
 use beryltray_stand_ins::server::Running;
 use beryltray_stand_ins::server::StartError;
 use clap::Args;
@@ -117,6 +119,8 @@
     Engine(EngineArgs),
     /// One host of a plain service.
     Plain(PlainArgs),
+    /// A TCP relay that cuts, silences and delays.
+    Relay(RelayArgs),
 }
 
 /// Options of `stand-in platform`.
@@ -179,6 +183,20 @@
     work_time: Duration,
 }
 
+/// Options of `stand-in relay`.
+#[derive(Args, Debug)]
+pub(crate) struct RelayArgs {
+    /// The address that clients connect to.
+    #[arg(long, value_name = "IP:PORT", default_value = DEFAULT_LISTEN)]
+    listen: SocketAddr,
+    /// The address of the control paths.
+    #[arg(long, value_name = "IP:PORT", default_value = DEFAULT_LISTEN)]
+    control: SocketAddr,
+    /// The address that the connections lead to.
+    #[arg(long, value_name = "IP:PORT")]
+    target: SocketAddr,
+}
+
 impl StandInCommand {
     /// Runs the stand-in until SIGTERM, SIGINT or a fault that kills it.
     pub(crate) async fn run(self) -> Result<ExitCode, StandInError> {
@@ -206,6 +224,16 @@
                 };
                 Ok(plain::start(settings).await?)
             }
+            Self::Relay(args) => {
+                let settings = RelaySettings {
+                    listen: args.listen,
+                    control: args.control,
+                    target: args.target,
+                };
+                let running = relay::start(settings).await?;
+                println!("control on {}", running.control_address);
+                Ok(running.relay)
+            }
         }
     }
 }
--- a/stand-ins/src/engine/generate.rs
+++ b/stand-ins/src/engine/generate.rs
@@ -55,9 +55,8 @@
                 return self.interrupt(sender, interruption);
             }
         }
-        let last = self.chunk(None);
-        let events = format!("data: {last}\n\ndata: {}\n\n", wire::END_MARKER);
-        if sender.send(Bytes::from(events)).await.is_err() {
+        let event = format!("data: {}\n\n", wire::END_MARKER);
+        if sender.send(Bytes::from(event)).await.is_err() {
             return self.record_end(WorkEnd::BrokenOff);
         }
         self.record_end(WorkEnd::Whole);
@@ -184,21 +183,20 @@
     }
 
     fn event(&self, index: u64) -> String {
-        let chunk = self.chunk(Some(&token_text(&self.marker, index)));
-        format!("id: {index}\ndata: {chunk}\n\n")
-    }
-
-    /// Returns a chunk with `text`, or the last one.
-    fn chunk(&self, text: Option<&str>) -> serde_json::Value {
-        let delta = text.map_or_else(|| json!({}), |text| json!({"content": text}));
-        let finish_reason = text.is_none().then_some("stop");
-        let choice = json!({"index": 0, "delta": delta, "finish_reason": finish_reason});
-        json!({
+        let text = token_text(&self.marker, index);
+        let is_last = index + 1 == self.answer_tokens;
+        let choice = json!({
+            "index": 0,
+            "delta": {"content": text},
+            "finish_reason": is_last.then_some("stop"),
+        });
+        let chunk = json!({
             "id": self.attempt,
             "object": "chat.completion.chunk",
             "created": 0,
             "model": self.model,
             "choices": [choice],
-        })
+        });
+        format!("id: {index}\ndata: {chunk}\n\n")
     }
 }
--- a/stand-ins/src/lib.rs
+++ b/stand-ins/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`platform`]: the table, the object store and the list of hosts,
 //! - [`engine`]: one host of a model's replica group,
 //! - [`plain`]: one host of a plain service,
+//! - [`relay`]: a TCP relay that cuts, silences and delays,
 //! - [`control`]: the paths for faults and truth, common to all,
 //! - [`answer`]: the answer that a request must get, derived from the request alone.
 
@@ -17,5 +18,6 @@
 pub mod json;
 pub mod plain;
 pub mod platform;
+pub mod relay;
 pub mod server;
 pub mod truth;
--- a/stand-ins/src/platform/service.rs
+++ b/stand-ins/src/platform/service.rs
@@ -60,6 +60,8 @@
     objects: SortedVec<StoredObject>,
     hosts: HostHistory,
     faults: PlatformFaults,
+    /// The positions in the truth of the commits that no restored state undid.
+    standing_commits: Vec<usize>,
     truth: PlatformTruth,
 }
 
@@ -78,6 +80,7 @@
             objects: SortedVec::new(),
             hosts: HostHistory::new(Instant::now(), hosts),
             faults: PlatformFaults::default(),
+            standing_commits: Vec::new(),
             truth: PlatformTruth::default(),
         };
         Self {
@@ -172,6 +175,7 @@
             self.truth.refused_commits += 1;
             return;
         }
+        self.standing_commits.push(self.truth.commits.len());
         self.truth.commits.push(TableCommit {
             at_unix_us: now_unix_us(),
             transaction,
@@ -210,11 +214,13 @@
     }
 
     fn restore(&mut self, last: Revision) {
+        let commits = &self.truth.commits;
+        let revision_of = |index: &usize| commits.get(*index).and_then(committed_revision);
+        let is_kept = |index: &usize| revision_of(index).is_some_and(|revision| revision <= last);
+        self.standing_commits.retain(is_kept);
         let mut older = TableState::default();
-        for commit in &self.truth.commits {
-            if let CommitOutcome::Committed { revision } = commit.outcome
-                && revision <= last
-            {
+        for commit in self.standing_commits.iter().map(|index| &commits[*index]) {
+            if let Some(revision) = committed_revision(commit) {
                 older.replay(&commit.transaction, revision);
             }
         }
@@ -222,3 +228,10 @@
         self.truth.restored_unix_us.push(now_unix_us());
     }
 }
+
+fn committed_revision(commit: &TableCommit) -> Option<Revision> {
+    match commit.outcome {
+        CommitOutcome::Committed { revision } => Some(revision),
+        CommitOutcome::Refused { .. } => None,
+    }
+}
--- /dev/null
+++ b/stand-ins/tests/common.rs
@@ -0,0 +1,68 @@
+//! Small helpers of the stand-ins' tests.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use beryltray_lib::clock::SystemClock;
+use beryltray_lib::connection::body::RequestBody;
+use beryltray_lib::connection::body::read_body;
+use beryltray_lib::connection::client::ClientConnection;
+use beryltray_lib::connection::pool::ConnectionPool;
+use beryltray_lib::connection::pool::PoolSettings;
+use beryltray_lib::target::http::HttpTargets;
+use bytes::Bytes;
+use http::Method;
+use http::Request;
+use http::header::HOST;
+use serde::de::DeserializeOwned;
+
+/// The bound on every wait; no test depends on how long anything takes below it.
+pub(crate) const GENEROUS: Duration = Duration::from_secs(20);
+const POLL: Duration = Duration::from_millis(10);
+const LIMIT_BYTES: usize = 1 << 24;
+
+pub(crate) fn targets() -> HttpTargets<SystemClock> {
+    let pool = ConnectionPool::new(SystemClock, PoolSettings::default());
+    HttpTargets::new(pool, GENEROUS)
+}
+
+pub(crate) async fn call(address: SocketAddr, method: Method, path: &str, body: &str) -> Bytes {
+    let mut connection = ClientConnection::open(address, GENEROUS).await.unwrap();
+    let request = Request::builder()
+        .method(method)
+        .uri(path)
+        .header(HOST, address.to_string())
+        .body(RequestBody::new(Bytes::copy_from_slice(body.as_bytes())))
+        .unwrap();
+    let response = connection.send(request).await.unwrap();
+    read_body(response.into_body(), LIMIT_BYTES, GENEROUS)
+        .await
+        .unwrap()
+}
+
+pub(crate) async fn set_faults(address: SocketAddr, change: &str) {
+    let answer = call(address, Method::POST, "/control/faults", change).await;
+    assert_eq!(&answer[..], b"changed");
+}
+
+pub(crate) async fn truth<T>(address: SocketAddr) -> T
+where
+    T: DeserializeOwned,
+{
+    let answer = call(address, Method::GET, "/control/truth", "").await;
+    serde_json::from_slice(&answer).unwrap()
+}
+
+pub(crate) async fn eventually<F, A>(mut condition: F)
+where
+    F: FnMut() -> A,
+    A: Future<Output = bool>,
+{
+    let wait = async {
+        while !condition().await {
+            tokio::time::sleep(POLL).await;
+        }
+    };
+    tokio::time::timeout(GENEROUS, wait).await.unwrap();
+}
--- a/stand-ins/tests/runner.rs
+++ b/stand-ins/tests/runner.rs
@@ -1,1 +1,7 @@
-//! Runner of the integration tests.
+//! Runner of the stand-ins' integration tests.
+
+mod common;
+mod test_engine;
+mod test_plain;
+mod test_platform;
+mod test_relay;
