--- a/lib/src/request/mod.rs
+++ b/lib/src/request/mod.rs
@@ -1,19 +1,19 @@
 //! What lives for one request.
 
+pub mod admission;
 pub mod answer;
 pub mod attempt;
 pub mod caller;
 pub mod chat;
 pub mod context;
 pub mod dispatch;
-pub mod handler;
-pub mod admission;
 pub mod fair_queue;
+pub mod handler;
 pub mod outcome;
 pub mod retry;
 pub mod route;
 pub mod routing;
 pub mod stream;
 pub mod target_load;
-pub mod token_stream;
 pub mod token_bucket;
+pub mod token_stream;
