--- a/lib/src/process/entry/configuration.rs
+++ b/lib/src/process/entry/configuration.rs
@@ -116,7 +116,9 @@
         }
     };
     let document = parse_document(&text)?;
-    state.shards.on_document(&document);
+    let now = state.clock.now();
+    state.shards.on_document(&document, now);
+    state.limits().set_accounts(&document.accounts, now);
     let version = head.version;
     let candidate = InForce {
         version,
--- a/lib/src/process/entry/state.rs
+++ b/lib/src/process/entry/state.rs
@@ -1,5 +1,8 @@
 //! What all tasks of an entry share.
 
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 
@@ -11,6 +14,8 @@
 use crate::process::identity::incarnation_from;
 use crate::process::in_force::InForceCell;
 use crate::process::lifecycle::Lifecycle;
+use crate::process::limits::AccountLimits;
+use crate::process::limits::LimitSettings;
 use crate::process::metrics::Metrics;
 use crate::process::services::ServiceShards;
 use crate::process::settings::EntrySettings;
@@ -42,6 +47,7 @@
     pub lifecycle: Lifecycle,
     /// The metrics.
     pub metrics: Metrics,
+    limits: Mutex<AccountLimits>,
     is_platform_reached: AtomicBool,
     has_host_list: AtomicBool,
 }
@@ -65,7 +71,14 @@
             data_centre: settings.data_centre.clone(),
             environment: settings.environment.clone(),
         };
+        let limits = AccountLimits::new(
+            identity.entry.clone(),
+            identity.incarnation,
+            LimitSettings::default(),
+            clock.now(),
+        );
         Ok(Self {
+            limits: Mutex::new(limits),
             clock,
             platform,
             targets,
@@ -80,6 +93,11 @@
         })
     }
 
+    /// Returns the limits of the client accounts, locked.
+    pub fn limits(&self) -> MutexGuard<'_, AccountLimits> {
+        self.limits.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Records whether the platform answered, and counts a failure.
     pub fn note_platform(&self, call: &str, is_reached: bool) {
         let was_reached = self.is_platform_reached.swap(is_reached, Ordering::Relaxed);
--- a/lib/src/process/mod.rs
+++ b/lib/src/process/mod.rs
@@ -1,5 +1,6 @@
 //! What lives for the process.
 
+pub mod admitter;
 pub mod entry;
 pub mod exchange;
 pub mod identity;
--- a/lib/src/process/services.rs
+++ b/lib/src/process/services.rs
@@ -9,14 +9,22 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use tokio::sync::oneshot;
+
 use crate::ids::HostId;
 use crate::ids::ServiceId;
 use crate::ids::TargetId;
 use crate::platform::ListedHost;
 use crate::platform::rows::GroupRow;
+use crate::process::admitter::AdmissionVerdict;
+use crate::process::admitter::Admitter;
 use crate::process::presence::GateVerdict;
 use crate::process::presence::PresenceGate;
 use crate::process::presence::ReportSource;
+use crate::request::admission::Ticket;
+use crate::request::fair_queue::QueueKey;
+use crate::request::retry::RetryBudget;
+use crate::request::retry::RetryBudgetSettings;
 use crate::request::route::Choice;
 use crate::request::route::FinishedAnswer;
 use crate::request::route::RouteError;
@@ -29,7 +37,6 @@
 use crate::target::wire::HostReport;
 use crate::target::wire::LoadReport;
 use crate::version::document::Document;
-use crate::version::document::RoutingSettings;
 use crate::version::document::Service;
 use crate::version::document::ServiceKind;
 
@@ -42,6 +49,10 @@
     pub gate: PresenceGate,
     /// How loaded the targets are.
     pub router: Router,
+    /// The requests that wait for a place.
+    pub admitter: Admitter,
+    /// What may be spent on further tries.
+    pub retry_budget: RetryBudget,
 }
 
 /// A target that may be sent work now.
@@ -77,19 +88,33 @@
 }
 
 impl ServiceTargets {
-    fn new(service: &Service, routing: &RoutingSettings) -> Self {
+    fn new(service: &Service, document: &Document, now: Instant) -> Self {
+        let routing = &document.routing;
         Self {
             is_model: matches!(service.kind, ServiceKind::Model { .. }),
             gate: PresenceGate::new(routing.presence_bound),
             router: Router::new(RouterSettings::from_document(service, routing)),
+            admitter: Admitter::default(),
+            retry_budget: RetryBudget::new(budget_settings(document), now),
         }
     }
 
-    fn set_settings(&mut self, service: &Service, routing: &RoutingSettings) {
+    fn set_settings(&mut self, service: &Service, document: &Document) {
+        let routing = &document.routing;
         self.is_model = matches!(service.kind, ServiceKind::Model { .. });
         self.gate.set_presence_bound(routing.presence_bound);
         let settings = RouterSettings::from_document(service, routing);
         self.router.set_settings(settings);
+        self.retry_budget.set_settings(budget_settings(document));
+    }
+
+    /// Follows the targets' state: how many requests may be in flight, and who waits in vain.
+    fn tick(&mut self, service: &ServiceId, now: Instant) {
+        let open = self.open_targets(service, now);
+        let names: Vec<TargetId> = open.into_iter().map(|open| open.target).collect();
+        let capacity_requests = self.router.capacity(&names);
+        self.admitter.set_capacity(capacity_requests, now);
+        self.admitter.tick(now);
     }
 
     fn open_targets(&self, service: &ServiceId, now: Instant) -> Vec<OpenTarget> {
@@ -202,16 +227,16 @@
 
 impl ServiceShards {
     /// Follows a new document: adds and removes services and changes their settings.
-    pub fn on_document(&self, document: &Document) {
+    pub fn on_document(&self, document: &Document, now: Instant) {
         let mut shards = self.shards.write().unwrap_or_else(PoisonError::into_inner);
         shards.retain(|shard| document.services.contains_key(&shard.service));
         for service in &document.services {
             let create = || ServiceShard {
                 service: service.name.clone(),
-                targets: Arc::new(Mutex::new(ServiceTargets::new(service, &document.routing))),
+                targets: Arc::new(Mutex::new(ServiceTargets::new(service, document, now))),
             };
             let shard = shards.get_or_insert_with(&service.name, create);
-            lock(&shard.targets).set_settings(service, &document.routing);
+            lock(&shard.targets).set_settings(service, document);
         }
     }
 
@@ -295,6 +320,59 @@
         }
     }
 
+    /// Asks for a place among the requests in flight; `None` without such a service.
+    pub fn request_admission(
+        &self,
+        service: &ServiceId,
+        key: QueueKey,
+        deadline: Instant,
+        now: Instant,
+    ) -> Option<(Ticket, oneshot::Receiver<AdmissionVerdict>)> {
+        let shard = self.shard(service)?;
+        let mut targets = lock(&shard.targets);
+        targets.tick(service, now);
+        Some(targets.admitter.request(key, deadline, now))
+    }
+
+    /// Gives a place back; `service_time` is there after a whole answer.
+    pub fn release(&self, service: &ServiceId, service_time: Option<Duration>, now: Instant) {
+        if let Some(shard) = self.shard(service) {
+            lock(&shard.targets).admitter.release(service_time, now);
+        }
+    }
+
+    /// Takes back a request for a place.
+    pub fn cancel(&self, service: &ServiceId, ticket: Ticket) {
+        if let Some(shard) = self.shard(service) {
+            lock(&shard.targets).admitter.cancel(ticket);
+        }
+    }
+
+    /// Calls `spend` with the service's retry budget; `None` without such a service.
+    pub fn with_retry_budget<F, R>(&self, service: &ServiceId, spend: F) -> Option<R>
+    where
+        F: FnOnce(&mut RetryBudget) -> R,
+    {
+        let shard = self.shard(service)?;
+        let mut targets = lock(&shard.targets);
+        Some(spend(&mut targets.retry_budget))
+    }
+
+    /// Returns the time that a whole answer of the service takes as a rule.
+    pub fn expected_time(&self, service: &ServiceId) -> Duration {
+        let shard = self.shard(service);
+        shard.map_or(Duration::ZERO, |shard| {
+            lock(&shard.targets).router.mean_answer_time()
+        })
+    }
+
+    /// Follows the targets' state and gives up on requests that wait in vain.
+    pub fn tick(&self, now: Instant) {
+        for shard in self.all() {
+            lock(&shard.targets).tick(&shard.service, now);
+        }
+    }
+
     /// Calls `inspect` with each service's targets, one lock at a time.
     pub fn for_each<F>(&self, mut inspect: F)
     where
@@ -327,6 +405,13 @@
     }
 }
 
+fn budget_settings(document: &Document) -> RetryBudgetSettings {
+    RetryBudgetSettings {
+        share: document.retries.budget,
+        ..RetryBudgetSettings::default()
+    }
+}
+
 fn lock(targets: &Mutex<ServiceTargets>) -> MutexGuard<'_, ServiceTargets> {
     targets.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/lib/src/request/mod.rs
+++ b/lib/src/request/mod.rs
@@ -10,6 +10,7 @@
 pub mod fair_queue;
 pub mod handler;
 pub mod outcome;
+pub mod permit;
 pub mod retry;
 pub mod route;
 pub mod routing;
--- a/stand-ins/tests/test_engine.rs
+++ b/stand-ins/tests/test_engine.rs
@@ -117,6 +117,7 @@
                 assert!(data.contains(&token_text("m1", index)));
                 indices.push(index);
             }
+            Ok(AnswerEvent::Note { .. }) => {}
             Ok(AnswerEvent::End) => return (indices, Ok(())),
             Err(error) => return (indices, Err(error)),
         }
