request: admission, retry budget and stream recovery on the path

Why: the path had neither bounds on what it takes in nor a bound on what it sends again. Change: each request takes from its account's limit, waits for a place in the service's fair queue, and is given up on at once with a time to come back; a further try is paid from the retry budget unless nothing was sent; a broken stream is resumed at its last token after the target answered on a new connection.

--- a/lib/src/process/entry/poll.rs
+++ b/lib/src/process/entry/poll.rs
@@ -20,6 +20,9 @@
 /// The time between two reads of the host list and of the groups' rows.
 const LIST_POLL_INTERVAL: Duration = Duration::from_secs(1);
 
+/// The time between two looks at the queues.
+const CAPACITY_TICK_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Reads the host list and the groups' rows until the task is dropped.
 pub async fn follow_lists<C, P, T>(state: Arc<EntryState<C, P, T>>)
 where
@@ -88,6 +91,20 @@
     parsed.ok()
 }
 
+/// Keeps capacity and queues in step with the targets until the task is dropped.
+pub async fn follow_capacity<C, P, T>(state: Arc<EntryState<C, P, T>>)
+where
+    C: Clock,
+    P: Platform,
+    T: Targets,
+{
+    let mut ticks = tokio::time::interval(CAPACITY_TICK_INTERVAL);
+    loop {
+        ticks.tick().await;
+        state.shards.tick(state.clock.now());
+    }
+}
+
 /// Asks the hosts for their reports until the task is dropped.
 pub async fn follow_reports<C, P, T>(state: Arc<EntryState<C, P, T>>)
 where
--- a/lib/src/process/entry/run.rs
+++ b/lib/src/process/entry/run.rs
@@ -14,6 +14,7 @@
 
 use super::configuration::follow_head;
 use super::operators::OperatorHandler;
+use super::poll::follow_capacity;
 use super::poll::follow_lists;
 use super::poll::follow_reports;
 use super::state::EntryState;
@@ -73,6 +74,7 @@
     let mut background = JoinSet::new();
     background.spawn(follow_head(Arc::clone(&state)));
     background.spawn(follow_lists(Arc::clone(&state)));
+    background.spawn(follow_capacity(Arc::clone(&state)));
     background.spawn(follow_reports(Arc::clone(&state)));
     background.spawn(serve(
         operator_listener,
--- a/lib/src/request/attempt.rs
+++ b/lib/src/request/attempt.rs
@@ -49,6 +49,8 @@
     Failed {
         /// The target's answer.
         answer: WholeAnswer,
+        /// Whether the target says that it refused before the start, which is not trusted.
+        is_refusal: bool,
     },
     /// It can't be said whether the request ran.
     #[display("unknown: {reason}")]
@@ -70,6 +72,14 @@
         )
     }
 
+    /// Returns whether another target could do better, were the work run again.
+    pub fn is_worth_a_retry(&self) -> bool {
+        match self {
+            Self::Failed { answer, is_refusal } => *is_refusal || answer.status >= 500,
+            _ => true,
+        }
+    }
+
     /// Returns the failure's word in metrics.
     pub fn word(&self) -> &'static str {
         match self {
@@ -190,6 +200,7 @@
                 content_type: head.content_type,
                 body,
             },
+            is_refusal: head.is_refused_before_start,
         },
         Err(_) => AttemptFailure::Unknown {
             reason: UnknownReason::ConnectionLost,
--- a/lib/src/request/caller.rs
+++ b/lib/src/request/caller.rs
@@ -13,6 +13,7 @@
 use http::request::Parts;
 use serde::Deserialize;
 use serde::Serialize;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::connection::body::ReadBodyError;
 use crate::ids::Digest;
@@ -42,6 +43,9 @@
 /// Header of an answer: how the request ended.
 pub const OUTCOME_HEADER: &str = "x-outcome";
 
+/// The length of the prompt prefix that decides where its cache is looked for.
+const PREFIX_BYTES: usize = 256;
+
 /// The longest deadline that a caller may ask for.
 pub const DEADLINE_MAX: Duration = Duration::from_secs(3600);
 
@@ -178,6 +182,8 @@
     pub body: Bytes,
     /// The digest of service, operation and body.
     pub digest: Digest,
+    /// A text that requests with the same prompt prefix share.
+    pub prefix: Option<String>,
 }
 
 /// The part of a path that says what the caller asks for.
@@ -259,6 +265,7 @@
             CallerPath::Chat => chat_body(&body)?,
         };
         let digest = request_digest(&service, &operation, &body);
+        let prefix = (shape != AnswerShape::Plain).then(|| prompt_prefix(&body));
         Ok(CallerRequest {
             id: self.id,
             credential_digest: self.credential_digest,
@@ -271,6 +278,7 @@
             content_type: self.content_type,
             body,
             digest,
+            prefix,
         })
     }
 }
@@ -309,6 +317,28 @@
     digest_of(&text)
 }
 
+/// Returns the hash of the start of the first message, where callers keep what they share.
+fn prompt_prefix(body: &Bytes) -> String {
+    let prompt = serde_json::from_slice::<PromptBody>(body).ok();
+    let first = prompt.and_then(|prompt| prompt.messages.into_iter().next());
+    let text = first.map_or_else(String::new, |message| message.content.to_string());
+    let length_bytes = text.len().min(PREFIX_BYTES);
+    format!("{:016x}", xxh3_64(&text.as_bytes()[..length_bytes]))
+}
+
+/// The part of a chat-completions request that its prompt prefix is read from.
+#[derive(Debug, Deserialize)]
+struct PromptBody {
+    #[serde(default)]
+    messages: Vec<PromptMessage>,
+}
+
+#[derive(Debug, Deserialize)]
+struct PromptMessage {
+    #[serde(default)]
+    content: serde_json::Value,
+}
+
 fn header<T>(headers: &HeaderMap, name: &str, expected: &str) -> Result<Option<T>, CallerError>
 where
     T: FromStr,
--- a/lib/src/request/dispatch.rs
+++ b/lib/src/request/dispatch.rs
@@ -10,9 +10,13 @@
 use super::outcome::NotRunReason;
 use super::outcome::Outcome;
 use super::outcome::UnknownReason;
+use super::retry::NoRetryReason;
+use super::retry::TryState;
+use super::retry::decide_retry;
 use super::route::RouteError;
 use crate::clock::Clock;
 use crate::ids::AttemptId;
+use crate::ids::TargetId;
 use crate::ids::new_attempt_id;
 use crate::process::entry::EntryState;
 use crate::process::entry::Platform;
@@ -25,8 +29,8 @@
 const NO_TARGET_RETRY_AFTER: Duration = Duration::from_secs(2);
 /// When a caller whose request found all targets full should come back.
 const FULL_RETRY_AFTER: Duration = Duration::from_secs(1);
-/// The most tries at one request.
-const TRIES_MAX: u32 = 2;
+/// The most tries of a request that was not sent, the first included.
+const UNSENT_TRIES_MAX: u32 = 3;
 
 /// How a request ended without a result, with the target's own answer if it gave one.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -46,9 +50,14 @@
     }
 }
 
-impl Ending {
-    /// Returns how a request ends whose last attempt failed so.
-    pub fn from_failure(failure: AttemptFailure) -> Self {
+impl From<UnknownReason> for Ending {
+    fn from(reason: UnknownReason) -> Self {
+        Outcome::Unknown { reason }.into()
+    }
+}
+
+impl From<AttemptFailure> for Ending {
+    fn from(failure: AttemptFailure) -> Self {
         let not_run = |reason| Outcome::NotRun {
             reason,
             retry_after: NO_TARGET_RETRY_AFTER,
@@ -58,12 +67,9 @@
                 not_run(NotRunReason::NoTarget).into()
             }
             AttemptFailure::Refused { .. } => not_run(NotRunReason::Refused).into(),
-            AttemptFailure::Unknown { reason } => Outcome::Unknown { reason }.into(),
-            AttemptFailure::Silent => Outcome::Unknown {
-                reason: UnknownReason::ConnectionLost,
-            }
-            .into(),
-            AttemptFailure::Failed { answer } => Self {
+            AttemptFailure::Unknown { reason } => reason.into(),
+            AttemptFailure::Silent => UnknownReason::ConnectionLost.into(),
+            AttemptFailure::Failed { answer, .. } => Self {
                 outcome: Outcome::Failed {
                     status: answer.status,
                 },
@@ -73,6 +79,39 @@
     }
 }
 
+/// What a request has used of its tries.
+#[derive(Clone, Debug)]
+pub struct Tries {
+    /// What the decision on a further try depends on.
+    pub state: TryState,
+    /// The attempt to send next.
+    pub attempt: AttemptId,
+    avoid: Option<TargetId>,
+}
+
+impl Tries {
+    /// Creates the tries of a request whose first attempt has the name `attempt`.
+    pub fn new(context: &RequestContext, attempt: AttemptId, expected_time: Duration) -> Self {
+        Self {
+            state: TryState {
+                is_idempotent: context.is_idempotent,
+                tries: 0,
+                passed_tokens: 0,
+                deadline: context.deadline_at,
+                expected_time,
+            },
+            attempt,
+            avoid: None,
+        }
+    }
+
+    /// Moves on to the next attempt, on another target than `failed`.
+    pub fn move_on(&mut self, failed: TargetId) {
+        self.avoid = Some(failed);
+        self.attempt = new_attempt_id();
+    }
+}
+
 /// An attempt whose answer has begun.
 #[derive(Debug)]
 pub struct Dispatched<A> {
@@ -88,20 +127,17 @@
 pub async fn dispatch<C, P, T>(
     state: &EntryState<C, P, T>,
     context: &RequestContext,
-    attempt: &AttemptId,
+    tries: &mut Tries,
 ) -> Result<Dispatched<T::Answer>, Ending>
 where
     C: Clock,
     P: Platform,
     T: Targets,
 {
-    let mut attempt = attempt.clone();
-    let mut avoid = None;
-    let mut tries = 0;
     loop {
-        tries += 1;
-        let target = choose(state, context, avoid.as_ref())?;
-        let plan = plan(state, context, attempt.clone(), target.clone());
+        tries.state.tries += 1;
+        let target = choose(state, context, tries.avoid.as_ref())?;
+        let plan = plan(state, context, tries.attempt.clone(), target.clone());
         let started = start_attempt(
             &state.clock,
             &state.targets,
@@ -112,7 +148,7 @@
         let failure = match started.await {
             Ok(answer) => {
                 return Ok(Dispatched {
-                    attempt,
+                    attempt: tries.attempt.clone(),
                     target,
                     answer,
                 });
@@ -120,22 +156,65 @@
             Err(failure) => failure,
         };
         note_failure(state, context, &target, &failure);
-        let is_final =
-            matches!(failure, AttemptFailure::Failed { ref answer } if answer.status < 500);
-        let may_repeat = context.is_idempotent || failure.is_not_run();
-        let has_time = !context.remaining(state.clock.now()).is_zero();
-        if is_final || !may_repeat || !has_time || tries == TRIES_MAX {
-            return Err(Ending::from_failure(failure));
+        if let Err(reason) = may_try_again(state, context, tries, &failure) {
+            log::debug!(request:% = context.request.id; "no further try: {reason}");
+            return Err(failure_ending(state, context, failure));
         }
-        avoid = Some(target.choice.target);
-        attempt = new_attempt_id();
+        tries.move_on(target.choice.target);
     }
 }
 
+/// Returns how a request ends; a target that fell silent until the deadline is said so.
+fn failure_ending<C, P, T>(
+    state: &EntryState<C, P, T>,
+    context: &RequestContext,
+    failure: AttemptFailure,
+) -> Ending
+where
+    C: Clock,
+    P: Platform,
+    T: Targets,
+{
+    let is_late = context.remaining(state.clock.now()).is_zero();
+    if failure == AttemptFailure::Silent && is_late {
+        return UnknownReason::DeadlinePassed.into();
+    }
+    failure.into()
+}
+
+/// Decides on a further try after `failure`, and spends the retry budget if one is made.
+///
+/// What was not sent has cost no target anything, so it needs no budget and is open to all work.
+pub fn may_try_again<C, P, T>(
+    state: &EntryState<C, P, T>,
+    context: &RequestContext,
+    tries: &Tries,
+    failure: &AttemptFailure,
+) -> Result<(), NoRetryReason>
+where
+    C: Clock,
+    P: Platform,
+    T: Targets,
+{
+    let now = state.clock.now();
+    if failure.is_not_run() {
+        let is_left = tries.state.tries < UNSENT_TRIES_MAX && now < context.deadline_at;
+        return is_left.then_some(()).ok_or(NoRetryReason::NoTryLeft);
+    }
+    if !failure.is_worth_a_retry() {
+        return Err(NoRetryReason::NoTryLeft);
+    }
+    let service = &context.request.service;
+    let decided = state
+        .shards
+        .with_retry_budget(service, |budget| decide_retry(&tries.state, budget, now));
+    decided.unwrap_or(Err(NoRetryReason::BudgetSpent))
+}
+
 fn choose<C, P, T>(
     state: &EntryState<C, P, T>,
     context: &RequestContext,
-    avoid: Option<&crate::ids::TargetId>,
+    avoid: Option<&TargetId>,
 ) -> Result<ChosenTarget, Ending>
 where
     C: Clock,
@@ -144,13 +223,12 @@
 {
     let request = &context.request;
     let query = TargetQuery {
-        prefix: None,
+        prefix: request.prefix.as_deref(),
         avoid,
     };
     let draw = rand::random();
-    let chosen = state
-        .shards
-        .choose(&request.service, query, draw, state.clock.now());
+    let now = state.clock.now();
+    let chosen = state.shards.choose(&request.service, query, draw, now);
     match chosen {
         Ok(chosen) => {
             log::debug!(
@@ -209,7 +287,8 @@
     }
 }
 
-fn note_failure<C, P, T>(
+/// Records that an attempt failed.
+pub fn note_failure<C, P, T>(
     state: &EntryState<C, P, T>,
     context: &RequestContext,
     target: &ChosenTarget,
@@ -221,12 +300,11 @@
 {
     let service = &context.request.service;
     let now = state.clock.now();
-    state
-        .shards
-        .on_finished(service, &target.choice.target, None, now);
+    let target = &target.choice.target;
+    state.shards.on_finished(service, target, None, now);
     state.metrics.count_attempt(service, failure.word());
     log::debug!(
-        request:% = context.request.id, target:% = target.choice.target;
+        request:% = context.request.id, target:% = target;
         "attempt failed: {failure}"
     );
 }
--- a/lib/src/request/handler.rs
+++ b/lib/src/request/handler.rs
@@ -5,6 +5,7 @@
 use http::Request;
 use http::Response;
 use hyper::body::Incoming;
+use prometheus::IntGauge;
 
 use super::answer::WholeAnswer;
 use super::answer::broken_stream_event;
@@ -12,7 +13,6 @@
 use super::answer::refusal_answer;
 use super::answer::stream_answer;
 use super::answer::whole_answer;
-use super::attempt::read_plain;
 use super::caller::AnswerShape;
 use super::caller::CallerError;
 use super::caller::CallerHead;
@@ -22,10 +22,13 @@
 use super::chat::token_event;
 use super::context::RequestContext;
 use super::dispatch::Ending;
-use super::dispatch::dispatch;
+use super::dispatch::Tries;
+use super::fair_queue::QueueKey;
 use super::outcome::NotRunReason;
 use super::outcome::Outcome;
 use super::outcome::UnknownReason;
+use super::permit::AdmissionPermit;
+use super::plain::run_plain;
 use super::token_stream::StreamPart;
 use super::token_stream::TokenStream;
 use crate::clock::Clock;
@@ -108,90 +111,130 @@
     }
 
     async fn answer(&self, context: RequestContext) -> Response<ResponseBody> {
-        self.state.metrics.in_flight.inc();
+        let in_flight = InFlight::new(&self.state.metrics.in_flight);
+        let permit = match self.admit(&context).await {
+            Ok(permit) => permit,
+            Err(outcome) => return self.end(&context, outcome.into()),
+        };
         if context.request.shape == AnswerShape::Stream && context.is_idempotent {
-            return self.answer_stream(context).await;
+            return self.answer_stream(context, permit, in_flight).await;
         }
         let ended = self.run_whole(&context).await;
-        self.state.metrics.in_flight.dec();
-        let outcome = ended
-            .as_ref()
-            .map_or_else(|end| end.outcome, |_| Outcome::Complete);
-        self.note_outcome(&context, &outcome);
-        let id = &context.request.id;
         match ended {
-            Ok(answer) => whole_answer(id, &outcome, answer),
-            Err(Ending {
-                answer: Some(answer),
-                ..
-            }) => whole_answer(id, &outcome, answer),
-            Err(Ending { answer: None, .. }) => outcome_answer(id, &outcome),
+            Ok(answer) => {
+                let now = self.state.clock.now();
+                permit.finish(now.saturating_duration_since(context.received_at));
+                self.note_outcome(&context, &Outcome::Complete);
+                whole_answer(&context.request.id, &Outcome::Complete, answer)
+            }
+            Err(ending) => self.end(&context, ending),
         }
     }
 
+    /// Waits for a place within the account's limit and the service's queue.
+    async fn admit(&self, context: &RequestContext) -> Result<AdmissionPermit<C>, Outcome> {
+        let state = &self.state;
+        let now = state.clock.now();
+        let priority = context.request.priority;
+        let taken = state.limits().take(&context.account.name, priority, now);
+        taken.map_err(|retry_after| Outcome::NotRun {
+            reason: NotRunReason::OverLimit,
+            retry_after,
+        })?;
+        let key = QueueKey {
+            account: context.account.name.clone(),
+            weight: context.account.weight,
+            priority,
+            cost: 1.0,
+        };
+        let service = &context.request.service;
+        let asked = state
+            .shards
+            .request_admission(service, key, context.deadline_at, now);
+        let Some((ticket, verdict)) = asked else {
+            return Err(Outcome::NotRun {
+                reason: NotRunReason::NoTarget,
+                retry_after: NOT_READY_RETRY_AFTER,
+            });
+        };
+        let clock = state.clock.clone();
+        let shards = state.shards.clone();
+        let mut permit = AdmissionPermit::new(clock, shards, service.clone(), ticket, verdict);
+        permit.admitted().await?;
+        Ok(permit)
+    }
+
     /// Runs a request whose answer is passed on only when it is whole.
     async fn run_whole(&self, context: &RequestContext) -> Result<WholeAnswer, Ending> {
-        let state = &self.state;
-        let dispatched = dispatch(state, context, &new_attempt_id()).await?;
+        let tries = self.tries(context);
         if context.request.shape == AnswerShape::Plain {
-            let target = dispatched.target.choice.target.clone();
-            let remaining = context.remaining(state.clock.now());
-            let read = tokio::time::timeout(remaining, read_plain(dispatched.answer)).await;
-            let service = &context.request.service;
-            let now = state.clock.now();
-            state.shards.on_finished(service, &target, None, now);
-            return match read {
-                Ok(read) => read.map_err(Ending::from_failure),
-                Err(_) => Err(unknown(UnknownReason::DeadlinePassed)),
-            };
+            return run_plain(&self.state, context, tries).await;
+        }
+        let gathered = self.gather(context, tries).await?;
+        if context.request.shape == AnswerShape::Stream {
+            return Ok(gathered.into_events());
         }
-        let mut stream = TokenStream::new(dispatched);
+        let completion = gathered.into_completion(&context.request.id, &context.request.service);
+        completion.map_err(|_| UnknownReason::NotWhole.into())
+    }
+
+    fn tries(&self, context: &RequestContext) -> Tries {
+        let expected_time = self.state.shards.expected_time(&context.request.service);
+        Tries::new(context, new_attempt_id(), expected_time)
+    }
+
+    async fn gather(&self, context: &RequestContext, tries: Tries) -> Result<GatheredChat, Ending> {
+        let state = &self.state;
+        let mut stream = TokenStream::start(state, context, tries).await?;
         let mut gathered = GatheredChat::default();
         loop {
             match stream.next(state, context).await {
                 Ok(StreamPart::Token { index, data }) => gathered.push_token(index, data),
                 Ok(StreamPart::Note { data }) => gathered.push_note(data),
                 Ok(StreamPart::End) => break,
-                Err(reason) => {
+                Err(ending) => {
                     stream.finish(state, context, false).await;
-                    return Err(unknown(reason));
+                    return Err(ending);
                 }
             }
         }
         stream.finish(state, context, true).await;
-        if context.request.shape == AnswerShape::Stream {
-            return Ok(gathered.into_events());
-        }
-        let completion = gathered.into_completion(&context.request.id, &context.request.service);
-        completion.map_err(|_| unknown(UnknownReason::NotWhole))
+        Ok(gathered)
     }
 
     /// Runs a request whose answer is passed on token by token.
-    async fn answer_stream(&self, context: RequestContext) -> Response<ResponseBody> {
-        let dispatched = dispatch(&self.state, &context, &new_attempt_id()).await;
-        let dispatched = match dispatched {
-            Ok(dispatched) => dispatched,
-            Err(ending) => return self.end_stream_early(&context, ending),
+    async fn answer_stream(
+        &self,
+        context: RequestContext,
+        permit: AdmissionPermit<C>,
+        in_flight: InFlight,
+    ) -> Response<ResponseBody> {
+        let tries = self.tries(&context);
+        let mut stream = match TokenStream::start(&self.state, &context, tries).await {
+            Ok(stream) => stream,
+            Err(ending) => return self.end(&context, ending),
         };
-        let mut stream = TokenStream::new(dispatched);
         let first = match stream.next(&self.state, &context).await {
             Ok(first) => first,
-            Err(reason) => {
+            Err(ending) => {
                 stream.finish(&self.state, &context, false).await;
-                return self.end_stream_early(&context, unknown(reason));
+                return self.end(&context, ending);
             }
         };
         let id = context.request.id.clone();
         let (sender, body) = streamed_body();
         let handler = self.clone();
         tokio::spawn(async move {
-            handler.forward(context, stream, first, sender).await;
+            handler
+                .forward(context, stream, first, sender, permit)
+                .await;
+            drop(in_flight);
         });
         stream_answer(&id, body)
     }
 
-    fn end_stream_early(&self, context: &RequestContext, ending: Ending) -> Response<ResponseBody> {
-        self.state.metrics.in_flight.dec();
+    /// Returns the answer of a request that ended without a result.
+    fn end(&self, context: &RequestContext, ending: Ending) -> Response<ResponseBody> {
         self.note_outcome(context, &ending.outcome);
         let id = &context.request.id;
         match ending.answer {
@@ -207,43 +250,44 @@
         mut stream: TokenStream<T::Answer>,
         first: StreamPart,
         sender: BodySender,
+        permit: AdmissionPermit<C>,
     ) {
         let mut part = Ok(first);
         let ended = loop {
-            match part {
-                Ok(StreamPart::Token { index, data }) => {
-                    if sender.send(token_event(index, &data)).await.is_err() {
-                        break Err(None);
-                    }
-                }
-                Ok(StreamPart::Note { data }) => {
-                    if sender.send(note_event(&data)).await.is_err() {
-                        break Err(None);
-                    }
-                }
+            let event = match part {
+                Ok(StreamPart::Token { index, data }) => token_event(index, &data),
+                Ok(StreamPart::Note { data }) => note_event(&data),
                 Ok(StreamPart::End) => break Ok(()),
-                Err(reason) => break Err(Some(reason)),
+                Err(ending) => break Err(Some(ending)),
+            };
+            if sender.send(event).await.is_err() {
+                break Err(None);
             }
             part = tokio::select! {
                 part = stream.next(&self.state, &context) => part,
                 () = sender.closed() => break Err(None),
             };
         };
-        stream.finish(&self.state, &context, ended.is_ok()).await;
-        self.state.metrics.in_flight.dec();
         match ended {
             Ok(()) => {
                 if sender.send(end_event()).await.is_ok() {
                     sender.finish();
                 }
+                let now = self.state.clock.now();
+                permit.finish(now.saturating_duration_since(context.received_at));
+                stream.finish(&self.state, &context, true).await;
                 self.note_outcome(&context, &Outcome::Complete);
             }
-            Err(None) => log::debug!(request:% = context.request.id; "the caller went away"),
-            Err(Some(reason)) => {
-                let outcome = Outcome::Unknown { reason };
+            Err(None) => {
+                log::debug!(request:% = context.request.id; "the caller went away");
+                stream.finish(&self.state, &context, false).await;
+            }
+            Err(Some(ending)) => {
                 // A reader that is gone needs no word of the break.
-                let _ = sender.send(broken_stream_event(&outcome)).await;
-                self.note_outcome(&context, &outcome);
+                let _ = sender.send(broken_stream_event(&ending.outcome)).await;
+                drop(sender);
+                stream.finish(&self.state, &context, false).await;
+                self.note_outcome(&context, &ending.outcome);
             }
         }
     }
@@ -258,6 +302,19 @@
     }
 }
 
-fn unknown(reason: UnknownReason) -> Ending {
-    Outcome::Unknown { reason }.into()
+/// Counts a request as in flight until it is dropped.
+#[derive(Debug)]
+struct InFlight(IntGauge);
+
+impl InFlight {
+    fn new(gauge: &IntGauge) -> Self {
+        gauge.inc();
+        Self(gauge.clone())
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.dec();
+    }
 }
--- a/lib/src/request/mod.rs
+++ b/lib/src/request/mod.rs
@@ -11,6 +11,7 @@
 pub mod handler;
 pub mod outcome;
 pub mod permit;
+pub mod plain;
 pub mod retry;
 pub mod route;
 pub mod routing;
--- /dev/null
+++ b/lib/src/request/permit.rs
@@ -0,0 +1,98 @@
+//! The place of one request among those that its service has in flight.
+
+use std::time::Duration;
+
+use tokio::sync::oneshot;
+
+use super::admission::Ticket;
+use super::outcome::NotRunReason;
+use super::outcome::Outcome;
+use crate::clock::Clock;
+use crate::ids::ServiceId;
+use crate::process::admitter::AdmissionVerdict;
+use crate::process::services::ServiceShards;
+
+/// When a caller should come back whose service was taken out of the document meanwhile.
+const SERVICE_GONE_RETRY_AFTER: Duration = Duration::from_secs(2);
+
+/// A request's place; dropping it gives the place to the next one.
+#[derive(Debug)]
+pub struct AdmissionPermit<C>
+where
+    C: Clock,
+{
+    clock: C,
+    shards: ServiceShards,
+    service: ServiceId,
+    ticket: Ticket,
+    verdict: Option<oneshot::Receiver<AdmissionVerdict>>,
+    is_admitted: bool,
+}
+
+impl<C> AdmissionPermit<C>
+where
+    C: Clock,
+{
+    /// Asks for a place; [`AdmissionPermit::admitted`] waits for it.
+    pub fn new(
+        clock: C,
+        shards: ServiceShards,
+        service: ServiceId,
+        ticket: Ticket,
+        verdict: oneshot::Receiver<AdmissionVerdict>,
+    ) -> Self {
+        Self {
+            clock,
+            shards,
+            service,
+            ticket,
+            verdict: Some(verdict),
+            is_admitted: false,
+        }
+    }
+
+    /// Waits until the request may be sent, or returns the outcome that it ends in.
+    pub async fn admitted(&mut self) -> Result<(), Outcome> {
+        let Some(verdict) = self.verdict.as_mut() else {
+            return Ok(());
+        };
+        let verdict = verdict.await;
+        self.verdict = None;
+        let gone = Outcome::NotRun {
+            reason: NotRunReason::NoTarget,
+            retry_after: SERVICE_GONE_RETRY_AFTER,
+        };
+        let verdict = verdict.unwrap_or(Err(gone));
+        self.is_admitted = verdict.is_ok();
+        verdict
+    }
+
+    /// Gives the place back after a whole answer that took `service_time`.
+    pub fn finish(mut self, service_time: Duration) {
+        if self.is_admitted {
+            self.is_admitted = false;
+            let now = self.clock.now();
+            self.shards.release(&self.service, Some(service_time), now);
+        }
+    }
+}
+
+impl<C> Drop for AdmissionPermit<C>
+where
+    C: Clock,
+{
+    fn drop(&mut self) {
+        let now = self.clock.now();
+        let verdict = self.verdict.take();
+        if let Some(mut verdict) = verdict {
+            match verdict.try_recv() {
+                Ok(Ok(())) => self.is_admitted = true,
+                Ok(Err(_)) => {}
+                Err(_) => self.shards.cancel(&self.service, self.ticket),
+            }
+        }
+        if self.is_admitted {
+            self.shards.release(&self.service, None, now);
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/request/plain.rs
@@ -0,0 +1,70 @@
+//! A plain service's request: one whole answer, from one try or a further one.
+
+use super::answer::WholeAnswer;
+use super::attempt::AttemptFailure;
+use super::attempt::read_plain;
+use super::context::RequestContext;
+use super::dispatch::Dispatched;
+use super::dispatch::Ending;
+use super::dispatch::Tries;
+use super::dispatch::dispatch;
+use super::dispatch::may_try_again;
+use super::dispatch::note_failure;
+use super::outcome::UnknownReason;
+use crate::clock::Clock;
+use crate::process::entry::EntryState;
+use crate::process::entry::Platform;
+use crate::target::TargetAnswer;
+use crate::target::Targets;
+
+/// Runs a plain service's request until its answer is whole or it is given up on.
+pub async fn run_plain<C, P, T>(
+    state: &EntryState<C, P, T>,
+    context: &RequestContext,
+    mut tries: Tries,
+) -> Result<WholeAnswer, Ending>
+where
+    C: Clock,
+    P: Platform,
+    T: Targets,
+{
+    loop {
+        let dispatched = dispatch(state, context, &mut tries).await?;
+        let Dispatched { target, answer, .. } = dispatched;
+        let failure = match read_in_time(state, context, answer).await {
+            Ok(whole) => {
+                let now = state.clock.now();
+                let service = &context.request.service;
+                let target = &target.choice.target;
+                state.shards.on_finished(service, target, None, now);
+                state.metrics.count_attempt(service, "complete");
+                return Ok(whole);
+            }
+            Err(failure) => failure,
+        };
+        note_failure(state, context, &target, &failure);
+        if let Err(reason) = may_try_again(state, context, &tries, &failure) {
+            log::debug!(request:% = context.request.id; "no further try: {reason}");
+            return Err(failure.into());
+        }
+        tries.move_on(target.choice.target);
+    }
+}
+
+async fn read_in_time<A, C, P, T>(
+    state: &EntryState<C, P, T>,
+    context: &RequestContext,
+    answer: A,
+) -> Result<WholeAnswer, AttemptFailure>
+where
+    A: TargetAnswer,
+    C: Clock,
+    P: Platform,
+    T: Targets,
+{
+    let remaining = context.remaining(state.clock.now());
+    let read = tokio::time::timeout(remaining, read_plain(answer)).await;
+    read.unwrap_or(Err(AttemptFailure::Unknown {
+        reason: UnknownReason::DeadlinePassed,
+    }))
+}
--- a/lib/src/request/token_stream.rs
+++ b/lib/src/request/token_stream.rs
@@ -1,16 +1,26 @@
-//! A model's answer, read token by token from one target.
+//! A model's answer, read token by token and recovered where it breaks.
 
 use std::time::Instant;
 
+use super::attempt::AttemptPlan;
 use super::attempt::StreamStep;
 use super::attempt::next_step;
+use super::attempt::start_attempt;
 use super::context::RequestContext;
 use super::dispatch::Dispatched;
+use super::dispatch::Ending;
+use super::dispatch::Tries;
+use super::dispatch::dispatch;
 use super::outcome::UnknownReason;
 use super::route::FinishedAnswer;
+use super::stream::AnswerStream;
+use super::stream::StreamFailure;
+use super::stream::StreamRecovery;
 use crate::clock::Clock;
 use crate::process::entry::EntryState;
 use crate::process::entry::Platform;
+use crate::target::AnswerError;
+use crate::target::ConnectionChoice;
 use crate::target::TargetAnswer;
 use crate::target::Targets;
 use crate::units::TokenCount;
@@ -18,7 +28,9 @@
 /// A model's answer as it comes from a target.
 #[derive(Debug)]
 pub struct TokenStream<A> {
-    dispatched: Dispatched<A>,
+    current: Option<Dispatched<A>>,
+    tries: Tries,
+    recovery: AnswerStream,
     next_index: u64,
     first_token_at: Option<Instant>,
 }
@@ -46,39 +58,152 @@
 where
     A: TargetAnswer,
 {
-    /// Starts to read an answer.
-    pub fn new(dispatched: Dispatched<A>) -> Self {
-        Self {
-            dispatched,
+    /// Sends the request and returns its answer, still to be read.
+    pub async fn start<C, P, T>(
+        state: &EntryState<C, P, T>,
+        context: &RequestContext,
+        mut tries: Tries,
+    ) -> Result<Self, Ending>
+    where
+        C: Clock,
+        P: Platform,
+        T: Targets<Answer = A>,
+    {
+        let dispatched = dispatch(state, context, &mut tries).await?;
+        Ok(Self {
+            current: Some(dispatched),
+            recovery: AnswerStream::new(tries.state, true),
+            tries,
             next_index: 0,
             first_token_at: None,
-        }
+        })
     }
 
-    /// Returns the next part, or why there is none.
+    /// Returns the next part, or how the request ends without one.
     pub async fn next<C, P, T>(
         &mut self,
         state: &EntryState<C, P, T>,
         context: &RequestContext,
-    ) -> Result<StreamPart, UnknownReason>
+    ) -> Result<StreamPart, Ending>
     where
         C: Clock,
         P: Platform,
         T: Targets<Answer = A>,
     {
-        let silence = context.silence_bound(state.clock.now());
-        let step = next_step(&mut self.dispatched.answer, self.next_index, silence).await;
-        match step {
-            StreamStep::Token { data } => Ok(self.on_token(state, context, data)),
-            StreamStep::Note { data } => Ok(StreamPart::Note { data }),
-            StreamStep::End => Ok(StreamPart::End),
-            StreamStep::Silent if context.remaining(state.clock.now()).is_zero() => {
-                Err(UnknownReason::DeadlinePassed)
+        loop {
+            let silence = context.silence_bound(state.clock.now());
+            let Some(current) = self.current.as_mut() else {
+                return Err(UnknownReason::ConnectionLost.into());
+            };
+            let step = next_step(&mut current.answer, self.next_index, silence).await;
+            let failure = match step {
+                StreamStep::Token { data } => return Ok(self.on_token(state, context, data)),
+                StreamStep::Note { data } => return Ok(StreamPart::Note { data }),
+                StreamStep::End => return Ok(StreamPart::End),
+                StreamStep::Silent => UnknownReason::ConnectionLost,
+                StreamStep::Broken { source } => {
+                    log::debug!(request:% = context.request.id; "stream broke: {source}");
+                    broken_reason(&source)
+                }
+            };
+            if context.remaining(state.clock.now()).is_zero() {
+                return Err(UnknownReason::DeadlinePassed.into());
             }
-            StreamStep::Silent => Err(UnknownReason::ConnectionLost),
-            StreamStep::Broken { source } => {
-                log::debug!(request:% = context.request.id; "stream broke: {source}");
-                Err(UnknownReason::NotWhole)
+            self.recover(state, context, failure).await?;
+        }
+    }
+
+    /// Resumes the answer, starts it anew, or returns how the request ends.
+    async fn recover<C, P, T>(
+        &mut self,
+        state: &EntryState<C, P, T>,
+        context: &RequestContext,
+        reason: UnknownReason,
+    ) -> Result<(), Ending>
+    where
+        C: Clock,
+        P: Platform,
+        T: Targets<Answer = A>,
+    {
+        let Some(broken) = self.current.take() else {
+            return Err(reason.into());
+        };
+        let Dispatched {
+            attempt, target, ..
+        } = broken;
+        let failure = classify(state, context, &target, reason).await;
+        let now = state.clock.now();
+        let service = &context.request.service;
+        let recovery = &mut self.recovery;
+        let decided = state
+            .shards
+            .with_retry_budget(service, |budget| recovery.on_failure(failure, budget, now));
+        log::info!(
+            request:% = context.request.id,
+            target:% = target.choice.target,
+            failure:% = failure,
+            decision:? = decided;
+            "stream recovery"
+        );
+        match decided {
+            Some(StreamRecovery::Resume { .. }) => {
+                let plan = AttemptPlan {
+                    attempt: attempt.clone(),
+                    target: target.clone(),
+                    resume_from_tokens: self.next_index,
+                    connection: ConnectionChoice::New,
+                    head_timeout: context.silence_bound(now),
+                    has_trusted_refusals: false,
+                };
+                self.resume(state, context, plan).await
+            }
+            Some(StreamRecovery::Retry) => {
+                state
+                    .shards
+                    .on_finished(service, &target.choice.target, None, now);
+                self.tries.move_on(target.choice.target);
+                self.current = Some(dispatch(state, context, &mut self.tries).await?);
+                Ok(())
+            }
+            Some(StreamRecovery::EndBroken { .. }) | None => {
+                state
+                    .shards
+                    .on_finished(service, &target.choice.target, None, now);
+                Err(reason.into())
+            }
+        }
+    }
+
+    async fn resume<C, P, T>(
+        &mut self,
+        state: &EntryState<C, P, T>,
+        context: &RequestContext,
+        plan: AttemptPlan,
+    ) -> Result<(), Ending>
+    where
+        C: Clock,
+        P: Platform,
+        T: Targets<Answer = A>,
+    {
+        let started = start_attempt(
+            &state.clock,
+            &state.targets,
+            &state.shards,
+            &context.request,
+            &plan,
+        );
+        match started.await {
+            Ok(answer) => {
+                self.current = Some(Dispatched {
+                    attempt: plan.attempt,
+                    target: plan.target,
+                    answer,
+                });
+                Ok(())
+            }
+            Err(failure) => {
+                super::dispatch::note_failure(state, context, &plan.target, &failure);
+                Err(UnknownReason::ConnectionLost.into())
             }
         }
     }
@@ -103,12 +228,13 @@
         }
         let index = self.next_index;
         self.next_index += 1;
+        self.recovery.on_tokens(1);
         StreamPart::Token { index, data }
     }
 
     /// Tells the router and the target how the answer ended.
     pub async fn finish<C, P, T>(
-        self,
+        mut self,
         state: &EntryState<C, P, T>,
         context: &RequestContext,
         is_whole: bool,
@@ -117,30 +243,66 @@
         P: Platform,
         T: Targets<Answer = A>,
     {
+        let Some(current) = self.current.take() else {
+            return;
+        };
         let now = state.clock.now();
         let service = &context.request.service;
-        let target = &self.dispatched.target;
-        let generation_time = self
-            .first_token_at
-            .map(|first| now.saturating_duration_since(first));
-        let finished = generation_time.map(|generation_time| FinishedAnswer {
+        let target = &current.target.choice.target;
+        let finished = self.first_token_at.filter(|_| is_whole);
+        let finished = finished.map(|first_token_at| FinishedAnswer {
             tokens: TokenCount(self.next_index),
-            generation_time,
+            generation_time: now.saturating_duration_since(first_token_at),
         });
-        let finished = finished.filter(|_| is_whole);
-        state
-            .shards
-            .on_finished(service, &target.choice.target, finished, now);
+        state.shards.on_finished(service, target, finished, now);
         if is_whole {
             state.metrics.count_attempt(service, "complete");
-            self.dispatched.answer.keep_connection().await;
+            let is_first_try = self.tries.state.tries == 1;
+            if is_first_try {
+                state
+                    .shards
+                    .with_retry_budget(service, |budget| budget.on_success(now));
+            }
+            current.answer.keep_connection().await;
             return;
         }
         state.metrics.count_attempt(service, "broken");
-        let (address, attempt) = (target.address, self.dispatched.attempt.clone());
-        drop(self.dispatched);
+        let (address, attempt) = (current.target.address, current.attempt.clone());
+        drop(current);
         if let Err(error) = state.targets.cancel(address, attempt).await {
             log::debug!(request:% = context.request.id; "not cancelled: {error}");
         }
     }
 }
+
+fn broken_reason(source: &AnswerError) -> UnknownReason {
+    match source {
+        AnswerError::Broken { .. } => UnknownReason::ConnectionLost,
+        AnswerError::NoEnd | AnswerError::Malformed { .. } => UnknownReason::NotWhole,
+    }
+}
+
+/// Asks the target over a new connection, since an old one may have gone silent for good.
+async fn classify<C, P, T>(
+    state: &EntryState<C, P, T>,
+    context: &RequestContext,
+    target: &crate::process::services::ChosenTarget,
+    reason: UnknownReason,
+) -> StreamFailure
+where
+    C: Clock,
+    P: Platform,
+    T: Targets,
+{
+    if reason == UnknownReason::WrongGeneration {
+        return StreamFailure::WrongAnswer;
+    }
+    state.targets.drop_idle(target.address);
+    let is_alive = state.targets.report(target.address).await.is_ok();
+    let now = state.clock.now();
+    if is_alive && state.shards.is_open(&context.request.service, target, now) {
+        StreamFailure::ConnectionLost
+    } else {
+        StreamFailure::TargetLost
+    }
+}
