connection: calls between entries over tarpc, relayed answers over tonic

A peer's client drops a connection whose answer is late, since a connection may go silent for good while new ones work.

--- a/lib/src/connection/mod.rs
+++ b/lib/src/connection/mod.rs
@@ -1,6 +1,8 @@
-//! What lives for a connection: clients, pools and servers over HTTP.
+//! What lives for a connection: clients, pools and servers.
 
 pub mod body;
 pub mod client;
+pub mod peer;
 pub mod pool;
+pub mod relay;
 pub mod server;
--- /dev/null
+++ b/lib/src/connection/peer/metered.rs
@@ -0,0 +1,107 @@
+//! A stream that counts its bytes, so that the cost of the control traffic is known.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::task::Context;
+use std::task::Poll;
+
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::io::ReadBuf;
+
+use crate::units::ByteCount;
+
+#[derive(Debug, Default)]
+struct Counters {
+    read_bytes: AtomicU64,
+    written_bytes: AtomicU64,
+    writes: AtomicU64,
+}
+
+/// Counts the traffic of any number of streams; clones share the counts.
+#[derive(Clone, Debug, Default)]
+pub struct TrafficMeter {
+    counters: Arc<Counters>,
+}
+
+impl TrafficMeter {
+    /// Returns the bytes that were read.
+    pub fn read(&self) -> ByteCount {
+        ByteCount(self.counters.read_bytes.load(Ordering::Relaxed))
+    }
+
+    /// Returns the bytes that were written.
+    pub fn written(&self) -> ByteCount {
+        ByteCount(self.counters.written_bytes.load(Ordering::Relaxed))
+    }
+
+    /// Returns the number of writes, each of which is at least one packet.
+    pub fn writes(&self) -> u64 {
+        self.counters.writes.load(Ordering::Relaxed)
+    }
+}
+
+/// A stream whose bytes a [`TrafficMeter`] counts.
+#[derive(Debug)]
+pub struct Metered<S> {
+    stream: S,
+    meter: TrafficMeter,
+}
+
+impl<S> Metered<S> {
+    /// Counts the bytes of `stream`.
+    pub fn new(stream: S, meter: TrafficMeter) -> Self {
+        Self { stream, meter }
+    }
+}
+
+impl<S> AsyncRead for Metered<S>
+where
+    S: AsyncRead + Unpin,
+{
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        let polled = Pin::new(&mut self.stream).poll_read(context, buffer);
+        let read_bytes = buffer.filled().len().saturating_sub(before) as u64;
+        let counters = &self.meter.counters;
+        counters.read_bytes.fetch_add(read_bytes, Ordering::Relaxed);
+        polled
+    }
+}
+
+impl<S> AsyncWrite for Metered<S>
+where
+    S: AsyncWrite + Unpin,
+{
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let polled = Pin::new(&mut self.stream).poll_write(context, bytes);
+        if let Poll::Ready(Ok(written)) = &polled {
+            let counters = &self.meter.counters;
+            let written_bytes = *written as u64;
+            counters
+                .written_bytes
+                .fetch_add(written_bytes, Ordering::Relaxed);
+            counters.writes.fetch_add(1, Ordering::Relaxed);
+        }
+        polled
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
--- /dev/null
+++ b/lib/src/connection/peer/server.rs
@@ -0,0 +1,108 @@
+//! The server of the calls between entries.
+
+use futures_util::StreamExt as _;
+use tarpc::context::Context;
+use tarpc::server::BaseChannel;
+use tarpc::server::Channel as _;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use super::PeerHandler;
+use super::PeerService;
+use super::PeerSettings;
+use super::metered::TrafficMeter;
+use super::status::EntryStatus;
+use super::transport;
+use crate::connection::server::ACCEPT_RETRY_DELAY;
+use crate::ids::Digest;
+use crate::process::exchange::wire::Frame;
+
+#[derive(Clone, Debug)]
+struct Adapter<H>(H);
+
+impl<H> PeerService for Adapter<H>
+where
+    H: PeerHandler,
+{
+    async fn exchange(self, _: Context, frame: Frame) -> Frame {
+        self.0.exchange(frame).await
+    }
+
+    async fn document(self, _: Context, digest: Digest) -> Option<String> {
+        self.0.document(digest).await
+    }
+
+    async fn status(self, _: Context) -> EntryStatus {
+        self.0.status().await
+    }
+}
+
+/// Answers the calls of peers until `stop` is cancelled.
+///
+/// Calls in flight are cut off then: each may be repeated, and the caller has other peers.
+pub async fn serve_peers<H>(
+    listener: TcpListener,
+    handler: H,
+    settings: PeerSettings,
+    meter: TrafficMeter,
+    stop: CancellationToken,
+) where
+    H: PeerHandler,
+{
+    let connections = TaskTracker::new();
+    loop {
+        let accepted = tokio::select! {
+            () = stop.cancelled() => break,
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                let serving = serve_connection(
+                    stream,
+                    handler.clone(),
+                    settings,
+                    meter.clone(),
+                    stop.clone(),
+                );
+                connections.spawn(serving);
+            }
+            Err(error) => {
+                log::warn!("accept of a peer failed: {error}");
+                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+            }
+        }
+    }
+    drop(listener);
+    connections.close();
+    connections.wait().await;
+}
+
+async fn serve_connection<H>(
+    stream: TcpStream,
+    handler: H,
+    settings: PeerSettings,
+    meter: TrafficMeter,
+    stop: CancellationToken,
+) where
+    H: PeerHandler,
+{
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!("peer's connection refused: {error}");
+        return;
+    }
+    let channel = BaseChannel::with_defaults(transport(stream, settings, meter));
+    let mut calls = Box::pin(channel.execute(Adapter(handler).serve()));
+    loop {
+        let next = tokio::select! {
+            () = stop.cancelled() => break,
+            next = tokio::time::timeout(settings.idle_limit, calls.next()) => next,
+        };
+        match next {
+            // The answer is short work and leaves through `calls`, so it is driven beside it.
+            Ok(Some(call)) => drop(tokio::spawn(call)),
+            Ok(None) | Err(_) => break,
+        }
+    }
+}
--- a/lib/src/connection/server.rs
+++ b/lib/src/connection/server.rs
@@ -20,7 +20,7 @@
 use super::body::ResponseBody;
 
 /// The wait after a failed accept, so that a lack of file handles does not spin.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+pub(crate) const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// What answers the requests of a server.
 pub trait HttpHandler: Clone + Send + Sync + 'static {
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -1,11 +1,13 @@
 //! Runner of the library's integration tests.
 
 mod test_connection;
-mod test_exchange;
-mod test_membership;
 mod test_document;
+mod test_exchange;
 mod test_ini;
+mod test_membership;
+mod test_peer;
 mod test_presence;
+mod test_relay;
 mod test_routing;
 mod test_stragglers;
 mod test_units;
--- /dev/null
+++ b/lib/tests/test_peer.rs
@@ -0,0 +1,221 @@
+//! Tests of the calls between entries, over loopback with real connections.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use beryltray_lib::clock::SystemClock;
+use beryltray_lib::connection::peer::PeerHandler;
+use beryltray_lib::connection::peer::PeerSettings;
+use beryltray_lib::connection::peer::client::PeerClient;
+use beryltray_lib::connection::peer::client::PeerError;
+use beryltray_lib::connection::peer::metered::TrafficMeter;
+use beryltray_lib::connection::peer::server::serve_peers;
+use beryltray_lib::connection::peer::status::EntryStatus;
+use beryltray_lib::ids::Digest;
+use beryltray_lib::ids::Incarnation;
+use beryltray_lib::ids::digest_of;
+use beryltray_lib::process::exchange::ExchangeAction;
+use beryltray_lib::process::exchange::ExchangeSettings;
+use beryltray_lib::process::exchange::Seed;
+use beryltray_lib::process::exchange::StateExchange;
+use beryltray_lib::process::exchange::wire::Frame;
+use beryltray_lib::process::membership::member::MemberIdentity;
+use beryltray_testutils::mesh::Mesh;
+use tokio::io::AsyncReadExt as _;
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+
+const DOCUMENT: &str = "[service beryl-writers]";
+const DATA_CENTRE: &str = "lakes-a";
+
+#[derive(Clone)]
+struct Entry {
+    exchange: Arc<Mutex<StateExchange>>,
+}
+
+impl PeerHandler for Entry {
+    async fn exchange(&self, frame: Frame) -> Frame {
+        let (answer, _) = self
+            .exchange
+            .lock()
+            .unwrap()
+            .on_call(&frame, Instant::now());
+        answer
+    }
+
+    async fn document(&self, digest: Digest) -> Option<String> {
+        (digest == digest_of(DOCUMENT.as_bytes())).then(|| DOCUMENT.to_owned())
+    }
+
+    async fn status(&self) -> EntryStatus {
+        let exchange = self.exchange.lock().unwrap();
+        EntryStatus {
+            identity: exchange.membership().own().clone(),
+            is_leaving: false,
+            in_force: None,
+            latest: None,
+            members: Vec::new(),
+        }
+    }
+}
+
+fn identity(index: usize, address: SocketAddr) -> MemberIdentity {
+    MemberIdentity {
+        entry: Mesh::entry(index),
+        incarnation: Incarnation(1),
+        data_centre: DATA_CENTRE.parse().unwrap(),
+        address,
+    }
+}
+
+fn client(address: SocketAddr) -> PeerClient<SystemClock> {
+    let settings = PeerSettings {
+        call_timeout: Duration::from_secs(5),
+        ..PeerSettings::default()
+    };
+    PeerClient::new(address, settings, SystemClock, TrafficMeter::default())
+}
+
+/// Starts an entry that looks for others at `seeds`.
+async fn start(index: usize, seeds: &[SocketAddr], stop: CancellationToken) -> (Entry, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let seeds = seeds.iter().map(|&address| Seed {
+        data_centre: DATA_CENTRE.parse().unwrap(),
+        address,
+    });
+    let settings = ExchangeSettings {
+        seeds: seeds.collect(),
+        ..ExchangeSettings::default()
+    };
+    let exchange = StateExchange::new(identity(index, address), settings, Instant::now());
+    let exchange = Arc::new(Mutex::new(exchange));
+    let entry = Entry { exchange };
+    let meter = TrafficMeter::default();
+    let settings = PeerSettings::default();
+    tokio::spawn(serve_peers(listener, entry.clone(), settings, meter, stop));
+    (entry, address)
+}
+
+/// Runs one round of an entry, its second calls included.
+async fn run_round(entry: &Entry) {
+    let mut actions = entry.exchange.lock().unwrap().on_round(Instant::now());
+    while let Some(action) = actions.pop() {
+        let ExchangeAction::Call { address, peer } = action else {
+            continue;
+        };
+        let frame = entry
+            .exchange
+            .lock()
+            .unwrap()
+            .compose(peer.as_ref(), Instant::now());
+        let answer = client(address).exchange(frame).await.unwrap();
+        let news = entry
+            .exchange
+            .lock()
+            .unwrap()
+            .on_answer(&answer, Instant::now());
+        actions.extend(news);
+    }
+}
+
+#[tokio::test]
+async fn exchange_over_loopback_entries_know_each_other() {
+    let stop = CancellationToken::new();
+    let (first, first_address) = start(0, &[], stop.clone()).await;
+    let (second, _) = start(1, &[first_address], stop.clone()).await;
+    let (third, _) = start(2, &[first_address], stop.clone()).await;
+    for _ in 0..7 {
+        for entry in [&first, &second, &third] {
+            run_round(entry).await;
+        }
+    }
+    for entry in [&first, &second, &third] {
+        let exchange = entry.exchange.lock().unwrap();
+        assert_eq!(exchange.membership().duty_sharers().len(), 3);
+    }
+    stop.cancel();
+}
+
+#[tokio::test]
+async fn document_pull_by_digest() {
+    let stop = CancellationToken::new();
+    let (_, address) = start(0, &[], stop.clone()).await;
+    let client = client(address);
+    let text = client.document(digest_of(DOCUMENT.as_bytes())).await;
+    assert_eq!(text, Ok(Some(DOCUMENT.to_owned())));
+    assert_eq!(client.document(digest_of(b"other")).await, Ok(None));
+    assert_eq!(
+        client.status().await.unwrap().identity,
+        identity(0, address)
+    );
+    stop.cancel();
+}
+
+#[tokio::test]
+async fn call_refused_is_not_connected() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    drop(listener);
+    let called = client(address).status().await;
+    assert!(matches!(called, Err(PeerError::NotConnected { .. })));
+}
+
+#[tokio::test]
+async fn call_after_peer_restart_reconnects() {
+    let stop = CancellationToken::new();
+    let (_, address) = start(0, &[], stop.clone()).await;
+    let client = client(address);
+    client.status().await.unwrap();
+    stop.cancel();
+    // The first call after the stop may find the old connection closed.
+    while client.status().await.is_ok() {}
+    let listener = loop {
+        match TcpListener::bind(address).await {
+            Ok(listener) => break listener,
+            Err(_) => tokio::task::yield_now().await,
+        }
+    };
+    let exchange = StateExchange::new(
+        identity(0, address),
+        ExchangeSettings::default(),
+        Instant::now(),
+    );
+    let exchange = Arc::new(Mutex::new(exchange));
+    let entry = Entry { exchange };
+    let stop = CancellationToken::new();
+    let meter = TrafficMeter::default();
+    let settings = PeerSettings::default();
+    tokio::spawn(serve_peers(listener, entry, settings, meter, stop.clone()));
+    assert!(client.status().await.is_ok());
+    stop.cancel();
+}
+
+#[tokio::test]
+async fn call_on_silent_connection_opens_new_one() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let server = tokio::spawn(async move {
+        let mut silent = Vec::new();
+        for _ in 0..2 {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let mut buffer = [0; 64];
+            assert!(stream.read(&mut buffer).await.unwrap() > 0);
+            silent.push(stream);
+        }
+        silent.len()
+    });
+    let settings = PeerSettings {
+        call_timeout: Duration::from_millis(50),
+        ..PeerSettings::default()
+    };
+    let client = PeerClient::new(address, settings, SystemClock, TrafficMeter::default());
+    for _ in 0..2 {
+        let called = client.status().await;
+        assert!(matches!(called, Err(PeerError::NoAnswer { .. })));
+    }
+    assert_eq!(server.await.unwrap(), 2);
+}
