--- a/lib/src/connection/mod.rs
+++ b/lib/src/connection/mod.rs
@@ -6,3 +6,4 @@
 pub mod pool;
 pub mod relay;
 pub mod server;
+pub mod silence;
--- a/lib/src/process/mod.rs
+++ b/lib/src/process/mod.rs
@@ -1,6 +1,19 @@
 //! What lives for the process.
 
+pub mod admitter;
+pub mod entry;
 pub mod exchange;
+pub mod identity;
+pub mod in_force;
+pub mod lease;
+pub mod lifecycle;
+pub mod limit_shares;
+pub mod limits;
 pub mod membership;
+pub mod metrics;
 pub mod presence;
+pub mod services;
+pub mod settings;
+pub mod spill;
+pub mod status;
 pub mod stragglers;
