cli: load, arrivals at a given rate and what became of them

Keyed work can have a twin that is sent at once under the same key, and can come back.

A prompt's marker is now its last word: as the first one it made every prefix unique, and no prefix was ever found in a cache.

--- /dev/null
+++ b/cli/src/commands/load.rs
@@ -0,0 +1,200 @@
+//! `beryltray load`: sends requests at a given rate and counts what becomes of them.
+
+use std::io::BufWriter;
+use std::io::Write as _;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use beryltray_lib::units::RequestRate;
+use beryltray_lib::units::Share;
+use beryltray_lib::units::parse_duration;
+use beryltray_stand_ins::invocation::CallerOutcome;
+use beryltray_stand_ins::invocation::Invocation;
+use clap::Args;
+use clap::ValueEnum;
+use derive_more::Display;
+use derive_more::Error;
+use tokio::sync::mpsc;
+
+use crate::load::arrivals::ArrivalSettings;
+use crate::load::caller::CallSettings;
+use crate::load::runner::LoadSettings;
+use crate::load::runner::run_load;
+use crate::load::spec::AccountSpec;
+use crate::load::spec::WorkSpec;
+
+/// Why the load was not sent.
+#[derive(Debug, Display, Error)]
+pub(crate) enum LoadError {
+    /// Nothing was asked for.
+    #[display("nothing to send. Hint: name work with --work or --keyed")]
+    NoWork,
+    /// The history can't be written.
+    #[display("can't write {}: {reason}. Hint: check the path", path.display())]
+    History {
+        /// The file.
+        path: PathBuf,
+        /// What the operating system said.
+        reason: String,
+    },
+    /// The results can't be written as JSON.
+    #[display("can't write the results: {reason}")]
+    Results {
+        /// What the library said.
+        reason: String,
+    },
+}
+
+/// The form of the results.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, ValueEnum)]
+pub(crate) enum Format {
+    /// Tables for people.
+    #[default]
+    Table,
+    /// One JSON object.
+    Json,
+}
+
+/// Options of `load`.
+#[derive(Args, Debug)]
+pub(crate) struct LoadArgs {
+    /// An entry's address; may be repeated, and requests go round.
+    #[arg(long, value_name = "IP:PORT", required = true)]
+    entry: Vec<SocketAddr>,
+    /// The mean rate of arrivals, which do not wait for answers.
+    #[arg(long, default_value = "20/s")]
+    rate: RequestRate,
+    /// How long requests arrive.
+    #[arg(long, value_parser = parse_duration, default_value = "10s")]
+    duration: Duration,
+    /// Work without a key; a model service is its name alone; may be repeated.
+    #[arg(long, value_name = "SERVICE[/OPERATION][*WEIGHT]")]
+    work: Vec<WorkSpec>,
+    /// Non-idempotent work, sent with a key; may be repeated.
+    #[arg(long, value_name = "SERVICE/OPERATION[*WEIGHT]")]
+    keyed: Vec<WorkSpec>,
+    /// The share of the requests that are keyed.
+    #[arg(long, default_value = "20%")]
+    keyed_share: Share,
+    /// The share of the keyed requests that two callers send at once.
+    #[arg(long, default_value = "0%")]
+    twin_share: Share,
+    /// How often a keyed request without a result comes back under its key.
+    #[arg(long, default_value_t = 0)]
+    keyed_retries: u32,
+    /// An account; may be repeated.
+    #[arg(long, value_name = "NAME=CREDENTIAL[*WEIGHT]", required = true)]
+    account: Vec<AccountSpec>,
+    /// The share of the requests that are emergencies.
+    #[arg(long, default_value = "0%")]
+    emergency_share: Share,
+    /// The deadline of each request.
+    #[arg(long, value_parser = parse_duration, default_value = "10s")]
+    deadline: Duration,
+    /// The length of a model's answer, in tokens.
+    #[arg(long, default_value_t = 16)]
+    tokens: u64,
+    /// The number of prompt prefixes that the requests share.
+    #[arg(long, default_value_t = 8)]
+    prefixes: u32,
+    /// The seed of the arrivals.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// A file for the history, one JSON object a line.
+    #[arg(long, value_name = "FILE")]
+    history: Option<PathBuf>,
+    /// The form of the results.
+    #[arg(long, value_enum, default_value_t)]
+    format: Format,
+    /// Ends with 1 unless every request was complete.
+    #[arg(long)]
+    require_complete: bool,
+    /// Writes no progress line.
+    #[arg(long)]
+    quiet: bool,
+}
+
+impl LoadArgs {
+    /// Sends the load and prints the results.
+    pub(crate) async fn run(self) -> Result<ExitCode, LoadError> {
+        if self.work.is_empty() && self.keyed.is_empty() {
+            return Err(LoadError::NoWork);
+        }
+        let (sender, receiver) = mpsc::unbounded_channel();
+        let writer = tokio::spawn(write_history(self.history.clone(), receiver));
+        let stats = run_load(self.settings(), sender).await;
+        if let Ok(written) = writer.await {
+            written?;
+        }
+        let report = stats.report();
+        match self.format {
+            Format::Table => println!("{}", report.table()),
+            Format::Json => println!("{}", json_text(&report)?),
+        }
+        let is_complete = stats.outcomes.of(CallerOutcome::Complete) == stats.outcomes.total();
+        let is_failed = self.require_complete && !is_complete;
+        Ok(ExitCode::from(u8::from(is_failed)))
+    }
+
+    fn settings(&self) -> LoadSettings {
+        let arrivals = ArrivalSettings {
+            rate: self.rate,
+            duration: self.duration,
+            work: self.work.clone(),
+            keyed_work: self.keyed.clone(),
+            keyed_share: self.keyed_share,
+            twin_share: self.twin_share,
+            emergency_share: self.emergency_share,
+            accounts: self.account.clone(),
+            prefixes: self.prefixes,
+            seed: self.seed,
+        };
+        let call = CallSettings {
+            entries: self.entry.clone(),
+            deadline: self.deadline,
+            tokens: self.tokens,
+        };
+        LoadSettings {
+            arrivals,
+            call,
+            keyed_retries: self.keyed_retries,
+            has_progress: !self.quiet,
+        }
+    }
+}
+
+fn json_text<T>(report: &T) -> Result<String, LoadError>
+where
+    T: serde::Serialize,
+{
+    let text = serde_json::to_string_pretty(report);
+    text.map_err(|error| LoadError::Results {
+        reason: error.to_string(),
+    })
+}
+
+async fn write_history(
+    path: Option<PathBuf>,
+    mut invocations: mpsc::UnboundedReceiver<Invocation>,
+) -> Result<(), LoadError> {
+    let Some(path) = path else {
+        return Ok(());
+    };
+    let history_error = |reason: String| LoadError::History {
+        path: path.clone(),
+        reason,
+    };
+    let created = std::fs::File::create(&path);
+    let file = created.map_err(|error| history_error(error.to_string()))?;
+    let mut writer = BufWriter::new(file);
+    while let Some(invocation) = invocations.recv().await {
+        let line = serde_json::to_string(&invocation);
+        let line = line.map_err(|error| history_error(error.to_string()))?;
+        let written = writeln!(writer, "{line}");
+        written.map_err(|error| history_error(error.to_string()))?;
+    }
+    let flushed = writer.flush();
+    flushed.map_err(|error| history_error(error.to_string()))
+}
--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -1,6 +1,7 @@
 //! The commands, one file each.
 
 mod entry;
+mod load;
 mod stand_in;
 
 use std::process::ExitCode;
@@ -18,6 +19,8 @@
 pub(crate) enum Command {
     /// Runs an entry: the daemon that answers callers and routes their requests.
     Entry(entry::EntryArgs),
+    /// Sends requests at a given rate and counts what becomes of them.
+    Load(load::LoadArgs),
     /// Runs a small stand-in for an outer service, for trials and tests.
     #[command(subcommand)]
     StandIn(stand_in::StandInCommand),
@@ -28,6 +31,8 @@
 pub(crate) enum CommandError {
     /// An entry did not run.
     Entry(entry::EntryCommandError),
+    /// The load was not sent.
+    Load(load::LoadError),
     /// A stand-in did not run.
     StandIn(stand_in::StandInError),
 }
@@ -44,6 +49,7 @@
     pub(crate) async fn run(self) -> Result<ExitCode, CommandError> {
         match self {
             Self::Entry(args) => Ok(args.run().await?),
+            Self::Load(args) => Ok(args.run().await?),
             Self::StandIn(command) => Ok(command.run().await?),
         }
     }
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -1,6 +1,7 @@
 //! The `beryltray` command: the daemon, the operators' commands and the stand-ins in one binary.
 
 mod commands;
+mod load;
 
 use std::process::ExitCode;
 
--- a/stand-ins/src/answer.rs
+++ b/stand-ins/src/answer.rs
@@ -1,6 +1,7 @@
 //! The answer that a request must get, derived from the request alone.
 //!
-//! A caller puts a unique marker first into its prompt or body. The stand-ins echo it, so that a
+//! A caller puts a unique marker into its body: the last word of a prompt, so that prompts can share a
+//! prefix, or the member `marker` of a plain request. The stand-ins echo it, so that a
 //! checker recognises another caller's answer and a truncated one without any further record.
 
 use serde::Deserialize;
@@ -44,9 +45,9 @@
         last.map_or("", |message| message.content.as_str())
     }
 
-    /// Returns the marker, which is the first word of the last message.
+    /// Returns the marker, which is the last word of the last message.
     pub fn marker(&self) -> String {
-        let word = self.prompt().split_whitespace().next();
+        let word = self.prompt().split_whitespace().next_back();
         bounded(word.unwrap_or_default())
     }
 
--- a/stand-ins/src/lib.rs
+++ b/stand-ins/src/lib.rs
@@ -8,13 +8,15 @@
 //! - [`plain`]: one host of a plain service,
 //! - [`relay`]: a TCP relay that cuts, silences and delays,
 //! - [`control`]: the paths for faults and truth, common to all,
-//! - [`answer`]: the answer that a request must get, derived from the request alone.
+//! - [`answer`]: the answer that a request must get, derived from the request alone,
+//! - [`truth`] and [`invocation`]: what the stand-ins and the callers of a trial record.
 
 #![warn(clippy::expect_used, clippy::panic, clippy::unwrap_used)]
 
 pub mod answer;
 pub mod control;
 pub mod engine;
+pub mod invocation;
 pub mod json;
 pub mod plain;
 pub mod platform;
--- a/stand-ins/tests/test_engine.rs
+++ b/stand-ins/tests/test_engine.rs
@@ -86,7 +86,7 @@
     let targets = targets();
     let address = replica.leader.address();
     let connection = targets.connect(address, ConnectionChoice::New).await;
-    let message = r#"[{"role": "user", "content": "m1 write a notice"}]"#;
+    let message = r#"[{"role": "user", "content": "write a notice m1"}]"#;
     let body = format!(
         r#"{{"model": "writers", "stream": true, "max_tokens": 4, "messages": {message}}}"#
     );
@@ -117,6 +117,7 @@
                 assert!(data.contains(&token_text("m1", index)));
                 indices.push(index);
             }
+            Ok(AnswerEvent::Note { .. }) => panic!("an event without a token's number"),
             Ok(AnswerEvent::End) => return (indices, Ok(())),
             Err(error) => return (indices, Err(error)),
         }
