exchange: send totals and limit grants in the exchange, one status type

The routing's totals travel as two digits and the requests in flight; the receiver adds the upper digits. The limits' grants travel rounded down, so that none grows under way, and the exchange's acknowledgements take the place of the limits' own echoes.

--- a/lib/src/connection/peer/client.rs
+++ b/lib/src/connection/peer/client.rs
@@ -15,11 +15,11 @@
 use super::PeerServiceClient;
 use super::PeerSettings;
 use super::metered::TrafficMeter;
-use super::status::EntryStatus;
 use super::transport;
 use crate::clock::Clock;
 use crate::ids::Digest;
 use crate::process::exchange::wire::Frame;
+use crate::process::status::EntryStatus;
 
 /// Why a peer did not answer.
 #[derive(Clone, Debug, Display, Eq, Error, PartialEq)]
--- a/lib/src/connection/peer/mod.rs
+++ b/lib/src/connection/peer/mod.rs
@@ -6,7 +6,6 @@
 pub mod client;
 pub mod metered;
 pub mod server;
-pub mod status;
 
 use std::future::Future;
 use std::time::Duration;
@@ -18,9 +17,9 @@
 
 use self::metered::Metered;
 use self::metered::TrafficMeter;
-use self::status::EntryStatus;
 use crate::ids::Digest;
 use crate::process::exchange::wire::Frame;
+use crate::process::status::EntryStatus;
 
 /// What a peer can be asked for; `tarpc` makes the client and the server of it.
 #[tarpc::service]
--- a/lib/src/connection/peer/server.rs
+++ b/lib/src/connection/peer/server.rs
@@ -13,11 +13,11 @@
 use super::PeerService;
 use super::PeerSettings;
 use super::metered::TrafficMeter;
-use super::status::EntryStatus;
 use super::transport;
 use crate::connection::server::ACCEPT_RETRY_DELAY;
 use crate::ids::Digest;
 use crate::process::exchange::wire::Frame;
+use crate::process::status::EntryStatus;
 
 #[derive(Clone, Debug)]
 struct Adapter<H>(H);
--- /dev/null
+++ b/lib/src/process/exchange/limits.rs
@@ -0,0 +1,112 @@
+//! The limits of the client accounts, as they travel in the exchange.
+//!
+//! The exchange's own acknowledgements stand in for the echoes of [`LimitMessage`]: a peer that
+//! acknowledged a version of this entry's state has applied the message that it holds.
+
+use super::StateExchange;
+use super::link::Link;
+use super::record::OwnerRecord;
+use super::value::GrantedRate;
+use super::value::QuantisedShare;
+use super::value::RateLevel;
+use super::wire::StateVersion;
+use crate::ids::AccountId;
+use crate::ids::EntryId;
+use crate::process::limit_shares::Grant;
+use crate::process::limit_shares::PublishedShare;
+use crate::process::limits::AccountShare;
+use crate::process::limits::Echo;
+use crate::process::limits::LimitMessage;
+use crate::sorted::SortedVec;
+
+/// The number of published messages whose versions are remembered.
+const MESSAGES: usize = 64;
+
+/// A published message and the version of the state that holds it.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct PublishedLimits {
+    sequence: u64,
+    version: StateVersion,
+}
+
+impl StateExchange {
+    /// Publishes the message that the account limits made for the peers.
+    pub fn set_limits(&mut self, message: &LimitMessage) {
+        let version = self.own.next_version();
+        let known: Vec<AccountId> = self.own.limits.entries().map(|e| e.key.clone()).collect();
+        for account in &known {
+            if !message.accounts.contains_key(account) {
+                self.own.limits.drop_value(account, version);
+            }
+        }
+        for account in &message.accounts {
+            let share = self.quantised_share(&account.share);
+            self.own.limits.set(&account.account, share, version);
+        }
+        let sequence = message.sequence;
+        self.published_limits
+            .push_back(PublishedLimits { sequence, version });
+        if self.published_limits.len() > MESSAGES {
+            self.published_limits.pop_front();
+        }
+    }
+
+    /// Returns a peer's latest message, with the grants to this entry only.
+    pub fn limit_message(&self, peer: &EntryId) -> Option<LimitMessage> {
+        let record = self.records.get(peer)?;
+        let accounts = record.limits.entries();
+        let accounts = accounts.map(|entry| AccountShare {
+            account: entry.key.clone(),
+            share: self.published_share(entry.value),
+        });
+        Some(LimitMessage {
+            incarnation: record.identity.incarnation,
+            sequence: record.version.0,
+            echoes: self.echo(record).into_iter().collect(),
+            accounts: accounts.collect(),
+        })
+    }
+
+    fn quantised_share(&self, share: &PublishedShare) -> QuantisedShare {
+        let grants = share.grants.iter().filter_map(|grant| {
+            let link: &Link = self.links.get(&grant.peer)?;
+            let rate = RateLevel::at_most(grant.rate_per_s);
+            Some(GrantedRate {
+                peer: link.stream,
+                rate,
+            })
+        });
+        QuantisedShare {
+            demand: RateLevel::nearest(share.demand_per_s),
+            grants: grants.collect(),
+        }
+    }
+
+    fn published_share(&self, share: &QuantisedShare) -> PublishedShare {
+        let own = self.own.stream;
+        let is_own = |grant: &&GrantedRate| grant.peer == own;
+        let grant = share.grants.iter().find(is_own).map(|grant| Grant {
+            peer: self.own.identity.entry.clone(),
+            rate_per_s: grant.rate.per_s(),
+        });
+        let grants: SortedVec<Grant> = grant.into_iter().collect();
+        PublishedShare {
+            demand_per_s: share.demand.per_s(),
+            grants,
+        }
+    }
+
+    /// Returns the latest message of this entry that the owner of `record` applied.
+    fn echo(&self, record: &OwnerRecord) -> Option<Echo> {
+        let link = self.links.get(&record.identity.entry)?;
+        let is_present_life = link.stream == record.stream;
+        let acked = link.acked;
+        let mut applied = self.published_limits.iter().rev();
+        let latest = applied.find(|published| published.version <= acked)?;
+        is_present_life.then(|| Echo {
+            peer: self.own.identity.entry.clone(),
+            incarnation: self.own.identity.incarnation,
+            sequence: latest.sequence,
+        })
+    }
+}
--- a/lib/src/process/exchange/mod.rs
+++ b/lib/src/process/exchange/mod.rs
@@ -38,6 +38,7 @@
 
 pub mod column;
 mod compose;
+mod limits;
 mod link;
 pub mod own;
 mod receive;
@@ -48,6 +49,7 @@
 pub mod view;
 pub mod wire;
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
@@ -59,6 +61,7 @@
 use crate::process::membership::member::MemberIdentity;
 use crate::sorted::SortedVec;
 use crate::target::wire::HostReport;
+use limits::PublishedLimits;
 use link::Link;
 use link::SentFrames;
 use record::OwnerRecord;
@@ -67,6 +70,9 @@
 use value::DocumentHead;
 
 /// What the exchange asks of its driver.
+///
+/// The driver carries the actions of a call out before it sends the answer, because the answer
+/// acknowledges the news that they bring.
 #[derive(Clone, Debug, PartialEq)]
 pub enum ExchangeAction {
     /// Call an entry with a frame from [`StateExchange::compose`].
@@ -78,6 +84,13 @@
     },
     /// The view of the members changed.
     Member(MembershipAction),
+    /// A peer of this data centre was heard; its sends and limits are to be read anew.
+    PeerNews {
+        /// The peer.
+        peer: EntryId,
+        /// The time since the news, at most.
+        age: Duration,
+    },
     /// A peer reported on a host.
     Report {
         /// The report.
@@ -104,6 +117,7 @@
     links: SortedVec<Link>,
     sent: SentFrames,
     round: u64,
+    published_limits: VecDeque<PublishedLimits>,
 }
 
 impl StateExchange {
@@ -120,6 +134,7 @@
             links: SortedVec::new(),
             sent: SentFrames::default(),
             round: 0,
+            published_limits: VecDeque::new(),
         }
     }
 
--- a/lib/src/process/exchange/own.rs
+++ b/lib/src/process/exchange/own.rs
@@ -4,19 +4,18 @@
 
 use super::StateExchange;
 use super::record::OwnerRecord;
-use super::value::Demand;
 use super::value::DocumentHead;
 use super::value::FarService;
 use super::value::HostDescription;
 use super::value::HostLoad;
-use super::value::ServiceSummary;
-use crate::ids::AccountId;
+use super::value::QuantisedSummary;
 use crate::ids::DocumentVersion;
 use crate::ids::HostId;
 use crate::ids::Incarnation;
 use crate::ids::ServiceId;
+use crate::ids::TargetId;
+use crate::request::target_load::SendTotals;
 use crate::target::wire::HostReport;
-use crate::units::RequestRate;
 
 impl StateExchange {
     /// Publishes a host's report, which this entry polled at `polled_at`.
@@ -39,17 +38,10 @@
         self.own.loads.drop_value(host, version);
     }
 
-    /// Publishes how many requests this entry sent to a target since the target's report.
-    pub fn set_sent(&mut self, host: &HostId, sent_requests: u32) {
+    /// Publishes how many requests this entry sent to a target and how many of them ended.
+    pub fn set_sends(&mut self, target: &TargetId, totals: SendTotals) {
         let version = self.own.next_version();
-        self.own.sent.set(host, sent_requests, version);
-    }
-
-    /// Publishes a client account's demand at this entry.
-    pub fn set_demand(&mut self, account: &AccountId, rate: RequestRate) {
-        let version = self.own.next_version();
-        let demand = Demand::from(rate);
-        self.own.demands.set(account, demand, version);
+        self.own.sends.set(target, totals.into(), version);
     }
 
     /// Marks a host as about to go away, in its lives up to `incarnation`.
@@ -81,7 +73,7 @@
     }
 
     /// Publishes this entry's summary of a service in its data centre.
-    pub fn set_summary(&mut self, service: &ServiceId, summary: ServiceSummary) {
+    pub fn set_summary(&mut self, service: &ServiceId, summary: QuantisedSummary) {
         let version = self.own.next_version();
         self.own.summaries.set(service, summary, version);
     }
@@ -113,7 +105,7 @@
 fn publish_service(
     own: &mut OwnerRecord,
     service: &FarService,
-    summary: ServiceSummary,
+    summary: QuantisedSummary,
     record: &OwnerRecord,
     version: super::wire::StateVersion,
 ) {
--- a/lib/src/process/exchange/receive.rs
+++ b/lib/src/process/exchange/receive.rs
@@ -243,6 +243,10 @@
             return;
         };
         if let Some(near) = &block.near {
+            actions.push(ExchangeAction::PeerNews {
+                peer: owner.clone(),
+                age: now.saturating_duration_since(record.composed_at),
+            });
             report_hosts(record, near, now, actions);
             report_leaving(record, near, actions);
         }
--- a/lib/src/process/exchange/record.rs
+++ b/lib/src/process/exchange/record.rs
@@ -7,14 +7,16 @@
 use derive_more::Error;
 
 use super::column::Column;
-use super::value::Demand;
 use super::value::DocumentHead;
 use super::value::FarService;
 use super::value::HostDescription;
 use super::value::HostLoad;
-use super::value::ServiceSummary;
+use super::value::QuantisedShare;
+use super::value::QuantisedSummary;
+use super::value::SendCount;
 use super::wire::Block;
 use super::wire::NearDelta;
+use super::wire::Slot;
 use super::wire::StateVersion;
 use super::wire::StreamTag;
 use crate::ids::AccountId;
@@ -23,8 +25,11 @@
 use crate::ids::HostId;
 use crate::ids::Incarnation;
 use crate::ids::ServiceId;
+use crate::ids::TargetId;
 use crate::process::membership::member::MemberIdentity;
+use crate::request::target_load::SendTotals;
 use crate::sorted::Keyed;
+use crate::sorted::SortedVec;
 
 /// Who a block is for.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -73,16 +78,17 @@
     pub hosts: Column<HostId, HostDescription>,
     /// The load of these hosts.
     pub loads: Column<HostId, HostLoad>,
-    /// Requests that the owner sent to each target since the target's report.
-    pub sent: Column<HostId, u32>,
-    /// The demand of each client account at the owner.
-    pub demands: Column<AccountId, Demand>,
+    /// Requests that the owner sent to each target.
+    pub sends: Column<TargetId, SendCount>,
+    /// The demand of each client account at the owner, and the owner's grants.
+    pub limits: Column<AccountId, QuantisedShare>,
     /// Hosts that are about to go away.
     pub leaving: Column<HostId, Incarnation>,
     /// What the owner heard from other data centres.
-    pub far: Column<FarService, ServiceSummary>,
+    pub far: Column<FarService, QuantisedSummary>,
     /// The owner's summary of its data centre.
-    pub summaries: Column<ServiceId, ServiceSummary>,
+    pub summaries: Column<ServiceId, QuantisedSummary>,
+    totals: SortedVec<KnownTotals>,
     settling: Settling,
 }
 
@@ -109,11 +115,12 @@
             in_force_at: StateVersion::default(),
             hosts: Column::default(),
             loads: Column::default(),
-            sent: Column::default(),
-            demands: Column::default(),
+            sends: Column::default(),
+            limits: Column::default(),
             leaving: Column::default(),
             far: Column::default(),
             summaries: Column::default(),
+            totals: SortedVec::new(),
             settling: Settling {
                 settled: StateVersion::default(),
                 marked: StateVersion::default(),
@@ -229,8 +236,8 @@
         NearDelta {
             hosts: self.hosts.delta_since(base, now),
             loads: self.loads.delta_since(base, now),
-            sent: self.sent.delta_since(base, now),
-            demands: self.demands.delta_since(base, now),
+            sends: self.sends.delta_since(base, now),
+            limits: self.limits.delta_since(base, now),
             leaving: self.leaving.delta_since(base, now),
             far: self.far.delta_since(base, now),
         }
@@ -239,13 +246,56 @@
     fn apply_near(&mut self, near: &NearDelta, version: StateVersion, composed_at: Instant) {
         self.hosts.apply(&near.hosts, version, composed_at);
         self.loads.apply(&near.loads, version, composed_at);
-        self.sent.apply(&near.sent, version, composed_at);
-        self.demands.apply(&near.demands, version, composed_at);
+        self.sends.apply(&near.sends, version, composed_at);
+        self.limits.apply(&near.limits, version, composed_at);
+        for send in near.sends.iter().flat_map(|delta| &delta.values) {
+            self.apply_send(send.slot, send.value);
+        }
         self.leaving.apply(&near.leaving, version, composed_at);
         self.far.apply(&near.far, version, composed_at);
     }
 }
 
+impl OwnerRecord {
+    /// Returns how many requests the owner ever sent to a target, and how many of them ended.
+    pub fn send_totals(&self, target: &TargetId) -> Option<SendTotals> {
+        self.totals.get(target).map(|known| known.totals)
+    }
+
+    /// Returns the totals of all targets.
+    pub fn all_send_totals(&self) -> impl Iterator<Item = (&TargetId, SendTotals)> {
+        self.totals
+            .iter()
+            .map(|known| (&known.target, known.totals))
+    }
+
+    fn apply_send(&mut self, slot: Slot, count: SendCount) {
+        let Some(entry) = self.sends.entry(slot) else {
+            return;
+        };
+        let target = entry.key;
+        let known = self.totals.get_or_insert_with(target, || KnownTotals {
+            target: target.clone(),
+            totals: SendTotals::default(),
+        });
+        known.totals = count.totals_after(known.totals);
+    }
+}
+
+#[derive(Clone, Debug)]
+struct KnownTotals {
+    target: TargetId,
+    totals: SendTotals,
+}
+
+impl Keyed for KnownTotals {
+    type Key = TargetId;
+
+    fn key(&self) -> &TargetId {
+        &self.target
+    }
+}
+
 impl Keyed for OwnerRecord {
     type Key = EntryId;
 
--- a/lib/src/process/exchange/value.rs
+++ b/lib/src/process/exchange/value.rs
@@ -7,6 +7,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::wire::StreamTag;
 use crate::ids::DataCentreId;
 use crate::ids::Digest;
 use crate::ids::DocumentVersion;
@@ -15,10 +16,10 @@
 use crate::ids::Incarnation;
 use crate::ids::ServiceId;
 use crate::ids::WeightsId;
+use crate::request::target_load::SendTotals;
 use crate::target::wire::GroupMembership;
 use crate::target::wire::HostReport;
 use crate::target::wire::LoadReport;
-use crate::units::RequestRate;
 use crate::units::Share;
 
 /// The number of levels for each doubling.
@@ -58,20 +59,85 @@
     }
 }
 
-/// The demand of a client account: the rate of the requests that it offers.
+/// A rate, in requests per second.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(transparent)]
-pub struct Demand(LogLevel);
+pub struct RateLevel(LogLevel);
 
-impl From<RequestRate> for Demand {
-    fn from(rate: RequestRate) -> Self {
-        Self(LogLevel::nearest(rate.0))
+impl RateLevel {
+    /// Returns the level that is nearest to a rate.
+    pub fn nearest(rate_per_s: f64) -> Self {
+        Self(LogLevel::nearest(rate_per_s))
     }
+
+    /// Returns the greatest level that is not above a rate, so that no grant grows under way.
+    pub fn at_most(rate_per_s: f64) -> Self {
+        let LogLevel(level) = LogLevel::nearest(rate_per_s);
+        let is_above = LogLevel(level).value() > rate_per_s;
+        Self(LogLevel(level - u8::from(is_above)))
+    }
+
+    /// Returns the rate, in requests per second.
+    pub fn per_s(self) -> f64 {
+        self.0.value()
+    }
+}
+
+/// A part of an account's limit that the owner grants to a peer.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct GrantedRate {
+    /// The peer's stream: the grant is for that life of the peer only.
+    pub peer: StreamTag,
+    /// The rate.
+    pub rate: RateLevel,
+}
+
+/// An account's demand at the owner and the owner's grants.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct QuantisedShare {
+    /// The rate that callers ask for.
+    pub demand: RateLevel,
+    /// The grants to peers; a peer that is missing has none.
+    pub grants: Vec<GrantedRate>,
+}
+
+/// The length of [`SendCount::sent_tail`].
+const SENT_TAIL_BYTES: usize = 2;
+
+/// How many requests the owner sent to a target and how many of them are in flight.
+///
+/// The number sent is told without its upper digits, which the receiver adds from what it knows.
+/// That holds as long as it hears the owner at least once in 65,536 requests to one target.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct SendCount {
+    /// The lower digits of the number of requests sent.
+    pub sent_tail: [u8; SENT_TAIL_BYTES],
+    /// Requests in flight.
+    pub in_flight_requests: u32,
 }
 
-impl From<Demand> for RequestRate {
-    fn from(demand: Demand) -> Self {
-        Self(demand.0.value())
+impl From<SendTotals> for SendCount {
+    fn from(totals: SendTotals) -> Self {
+        let sent = totals.sent_requests as u16;
+        let in_flight = totals.in_flight_requests();
+        Self {
+            sent_tail: sent.to_le_bytes(),
+            in_flight_requests: u32::try_from(in_flight).unwrap_or(u32::MAX),
+        }
+    }
+}
+
+impl SendCount {
+    /// Returns the totals, given those that were last known.
+    pub fn totals_after(self, last: SendTotals) -> SendTotals {
+        let new_requests =
+            u16::from_le_bytes(self.sent_tail).wrapping_sub(last.sent_requests as u16);
+        let sent_requests = last.sent_requests + u64::from(new_requests);
+        let in_flight = u64::from(self.in_flight_requests);
+        SendTotals {
+            sent_requests,
+            finished_requests: sent_requests.saturating_sub(in_flight),
+        }
     }
 }
 
@@ -166,7 +232,7 @@
 
 /// What a data centre tells the others of one of its services.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub struct ServiceSummary {
+pub struct QuantisedSummary {
     /// Targets that can serve now: groups, or hosts of a plain service.
     pub serving_targets: u32,
     /// Requests that they could take at once beyond those they have.
--- a/lib/src/process/exchange/view.rs
+++ b/lib/src/process/exchange/view.rs
@@ -6,13 +6,10 @@
 use super::StateExchange;
 use super::record::OwnerRecord;
 use super::value::FarService;
-use super::value::ServiceSummary;
-use crate::ids::AccountId;
-use crate::ids::EntryId;
+use super::value::QuantisedSummary;
 use crate::ids::HostId;
 use crate::ids::Incarnation;
 use crate::process::membership::links::poller;
-use crate::units::RequestRate;
 
 /// A service in another data centre, as it was a short time ago.
 #[derive(Clone, Debug, PartialEq)]
@@ -20,7 +17,7 @@
     /// The service and its data centre.
     pub service: FarService,
     /// The summary.
-    pub summary: ServiceSummary,
+    pub summary: QuantisedSummary,
     /// How old it is at most.
     pub age: Duration,
 }
@@ -51,24 +48,6 @@
         Some(now.saturating_duration_since(freshest))
     }
 
-    /// Returns how many requests the peers sent to a target since its report.
-    pub fn sent_by_peers(&self, host: &HostId) -> u64 {
-        let counts = self.present_records().filter_map(|record| {
-            let sent = record.sent.get(host)?;
-            Some(u64::from(*sent.value))
-        });
-        counts.sum()
-    }
-
-    /// Returns a client account's demand at each other entry of the data centre.
-    pub fn demand_by_peer(&self, account: &AccountId) -> Vec<(&EntryId, RequestRate)> {
-        let demands = self.present_records().filter_map(|record| {
-            let demand = record.demands.get(account)?;
-            Some((&record.identity.entry, RequestRate::from(*demand.value)))
-        });
-        demands.collect()
-    }
-
     /// Returns whether any entry marked this life of a host as about to go away.
     pub fn is_marked_leaving(&self, host: &HostId, incarnation: Incarnation) -> bool {
         // The mark is sticky, so that of an entry that is gone still counts.
--- a/lib/src/process/exchange/wire.rs
+++ b/lib/src/process/exchange/wire.rs
@@ -8,17 +8,19 @@
 use serde::Serialize;
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::value::Demand;
 use super::value::DocumentHead;
 use super::value::FarService;
 use super::value::HostDescription;
 use super::value::HostLoad;
-use super::value::ServiceSummary;
+use super::value::QuantisedShare;
+use super::value::QuantisedSummary;
+use super::value::SendCount;
 use crate::ids::AccountId;
 use crate::ids::DocumentVersion;
 use crate::ids::HostId;
 use crate::ids::Incarnation;
 use crate::ids::ServiceId;
+use crate::ids::TargetId;
 use crate::process::membership::member::MemberIdentity;
 
 /// The length of a [`StreamTag`].
@@ -157,14 +159,14 @@
     pub hosts: Option<ColumnDelta<HostId, HostDescription>>,
     /// The load of the polled hosts.
     pub loads: Option<ColumnDelta<HostId, HostLoad>>,
-    /// Requests that the owner sent to each target since the target's report.
-    pub sent: Option<ColumnDelta<HostId, u32>>,
-    /// The demand of each client account at the owner.
-    pub demands: Option<ColumnDelta<AccountId, Demand>>,
+    /// Requests that the owner sent to each target.
+    pub sends: Option<ColumnDelta<TargetId, SendCount>>,
+    /// The demand of each client account at the owner, and the owner's grants.
+    pub limits: Option<ColumnDelta<AccountId, QuantisedShare>>,
     /// Hosts that are about to go away, with the greatest incarnation that the mark counts for.
     pub leaving: Option<ColumnDelta<HostId, Incarnation>>,
     /// What the owner heard from other data centres.
-    pub far: Option<ColumnDelta<FarService, ServiceSummary>>,
+    pub far: Option<ColumnDelta<FarService, QuantisedSummary>>,
 }
 
 /// News of one owner's state: everything after `base` up to `upto`.
@@ -189,7 +191,7 @@
     /// The news for the owner's data centre; absent on the way to another one.
     pub near: Option<NearDelta>,
     /// The summary of each service; absent on the way within a data centre.
-    pub summaries: Option<ColumnDelta<ServiceId, ServiceSummary>>,
+    pub summaries: Option<ColumnDelta<ServiceId, QuantisedSummary>>,
 }
 
 /// One message of the exchange; a call and its answer have the same form.
