entry: the head watcher keeps the document in force, peers hand over whole versions

Why: a version that a peer holds must come with its row, or a write-back after a restore of the platform would lose who accepted it. Change: the entry runs version::head's driver instead of a bare read of the head; the peers' call pulls a version by mark instead of a text by digest. The exchange that feeds the peers' heads is not wired yet.

--- a/lib/src/connection/peer/client.rs
+++ b/lib/src/connection/peer/client.rs
@@ -17,9 +17,10 @@
 use super::metered::TrafficMeter;
 use super::transport;
 use crate::clock::Clock;
-use crate::ids::Digest;
 use crate::process::exchange::wire::Frame;
 use crate::process::status::EntryStatus;
+use crate::version::head::FetchedVersion;
+use crate::version::head::HeadMark;
 
 /// Why a peer did not answer.
 #[derive(Clone, Debug, Display, Eq, Error, PartialEq)]
@@ -94,10 +95,9 @@
         self.call(call).await
     }
 
-    /// Returns the text of a document, if the peer has it.
-    pub async fn document(&self, digest: Digest) -> Result<Option<String>, PeerError> {
-        let call =
-            async |client: PeerServiceClient, context| client.document(context, digest).await;
+    /// Returns a version of the environment's document, or a later one, if the peer holds it.
+    pub async fn version(&self, mark: HeadMark) -> Result<Option<FetchedVersion>, PeerError> {
+        let call = async |client: PeerServiceClient, context| client.version(context, mark).await;
         self.call(call).await
     }
 
--- a/lib/src/connection/peer/mod.rs
+++ b/lib/src/connection/peer/mod.rs
@@ -1,6 +1,6 @@
 //! Unary calls between entries, over `tarpc`.
 //!
-//! Three calls are enough: the state exchange, the pull of a document by its digest, and the
+//! Three calls are enough: the state exchange, the pull of a version of the document, and the
 //! status for operators. Each may be repeated without harm. Streams go over [`super::relay`].
 
 pub mod client;
@@ -17,17 +17,18 @@
 
 use self::metered::Metered;
 use self::metered::TrafficMeter;
-use crate::ids::Digest;
 use crate::process::exchange::wire::Frame;
 use crate::process::status::EntryStatus;
+use crate::version::head::FetchedVersion;
+use crate::version::head::HeadMark;
 
 /// What a peer can be asked for; `tarpc` makes the client and the server of it.
 #[tarpc::service]
 pub trait PeerService {
     /// Exchanges state.
     async fn exchange(frame: Frame) -> Frame;
-    /// Returns the text of the document with this digest, if the peer has it.
-    async fn document(digest: Digest) -> Option<String>;
+    /// Returns a version of the environment's document, or a later one, if the peer holds it.
+    async fn version(mark: HeadMark) -> Option<FetchedVersion>;
     /// Returns the status of the entry.
     async fn status() -> EntryStatus;
 }
@@ -37,8 +38,8 @@
     /// Takes a frame in and returns the answer.
     fn exchange(&self, frame: Frame) -> impl Future<Output = Frame> + Send;
 
-    /// Returns the text of the document with this digest, if it is here.
-    fn document(&self, digest: Digest) -> impl Future<Output = Option<String>> + Send;
+    /// Returns a version of the environment's document, or a later one, if it is here.
+    fn version(&self, mark: HeadMark) -> impl Future<Output = Option<FetchedVersion>> + Send;
 
     /// Returns the status of this entry.
     fn status(&self) -> impl Future<Output = EntryStatus> + Send;
--- a/lib/src/connection/peer/server.rs
+++ b/lib/src/connection/peer/server.rs
@@ -15,9 +15,10 @@
 use super::metered::TrafficMeter;
 use super::transport;
 use crate::connection::server::ACCEPT_RETRY_DELAY;
-use crate::ids::Digest;
 use crate::process::exchange::wire::Frame;
 use crate::process::status::EntryStatus;
+use crate::version::head::FetchedVersion;
+use crate::version::head::HeadMark;
 
 #[derive(Clone, Debug)]
 struct Adapter<H>(H);
@@ -30,8 +31,8 @@
         self.0.exchange(frame).await
     }
 
-    async fn document(self, _: Context, digest: Digest) -> Option<String> {
-        self.0.document(digest).await
+    async fn version(self, _: Context, mark: HeadMark) -> Option<FetchedVersion> {
+        self.0.version(mark).await
     }
 
     async fn status(self, _: Context) -> EntryStatus {
--- a/lib/src/process/entry/mod.rs
+++ b/lib/src/process/entry/mod.rs
@@ -2,6 +2,7 @@
 
 mod configuration;
 mod operators;
+mod peers;
 mod poll;
 mod run;
 mod state;
@@ -10,6 +11,7 @@
 pub use operators::METRICS_PATH;
 pub use operators::READY_PATH;
 pub use operators::STATUS_PATH;
+pub use peers::EntryPeers;
 pub use run::EntryError;
 pub use run::ShutdownTokens;
 pub use run::run_entry;
--- a/lib/src/process/entry/operators.rs
+++ b/lib/src/process/entry/operators.rs
@@ -126,8 +126,10 @@
             environment: state.identity.environment.clone(),
             stage: state.lifecycle.stage(),
             not_ready_because: state.not_ready_because(),
-            document_version: in_force.as_ref().map(|in_force| in_force.version),
-            document_digest: in_force.as_ref().map(|in_force| in_force.digest.clone()),
+            document_version: in_force.as_ref().map(|in_force| in_force.row.version),
+            document_digest: in_force
+                .as_ref()
+                .map(|in_force| in_force.row.digest.clone()),
             in_flight_requests: state.metrics.in_flight.get(),
             is_platform_reached: state.is_platform_reached(),
             lease: None,
--- a/lib/src/process/entry/run.rs
+++ b/lib/src/process/entry/run.rs
@@ -8,12 +8,14 @@
 use derive_more::Error;
 use derive_more::From;
 use tokio::net::TcpListener;
+use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 
 use super::configuration::follow_head;
 use super::operators::OperatorHandler;
+use super::peers::EntryPeers;
 use super::poll::follow_capacity;
 use super::poll::follow_lists;
 use super::poll::follow_reports;
@@ -27,6 +29,9 @@
 use crate::request::handler::CallerHandler;
 use crate::target::Targets;
 
+/// The number of peers' events that wait for the watcher of the head.
+const PEER_EVENT_BUFFER: usize = 256;
+
 /// Why an entry could not run.
 #[derive(Debug, Display, Error, From)]
 pub enum EntryError {
@@ -72,7 +77,9 @@
     let state = Arc::new(EntryState::new(settings, clock, platform, targets)?);
 
     let mut background = JoinSet::new();
-    background.spawn(follow_head(Arc::clone(&state)));
+    let (peer_events, heard) = mpsc::channel(PEER_EVENT_BUFFER);
+    let peers = EntryPeers::default();
+    background.spawn(follow_head(Arc::clone(&state), peers.clone(), heard));
     background.spawn(follow_lists(Arc::clone(&state)));
     background.spawn(follow_capacity(Arc::clone(&state)));
     background.spawn(follow_reports(Arc::clone(&state)));
@@ -100,6 +107,7 @@
         () = shutdown.quick.cancelled() => log::warn!("ended at once; requests were cut off"),
     }
     background.shutdown().await;
+    drop(peer_events);
     Ok(())
 }
 
--- a/lib/src/process/entry/state.rs
+++ b/lib/src/process/entry/state.rs
@@ -20,6 +20,7 @@
 use crate::process::services::ServiceShards;
 use crate::process::settings::EntrySettings;
 use crate::target::Targets;
+use crate::version::head::HeadReadiness;
 
 /// All services of the platform.
 pub trait Platform: Table + ObjectStore + HostList {}
@@ -48,6 +49,7 @@
     /// The metrics.
     pub metrics: Metrics,
     limits: Mutex<AccountLimits>,
+    head_readiness: Mutex<Option<HeadReadiness>>,
     is_platform_reached: AtomicBool,
     has_host_list: AtomicBool,
 }
@@ -79,6 +81,7 @@
         );
         Ok(Self {
             limits: Mutex::new(limits),
+            head_readiness: Mutex::default(),
             clock,
             platform,
             targets,
@@ -122,10 +125,24 @@
         self.has_host_list.store(true, Ordering::Relaxed);
     }
 
+    /// Records whether a document is in force, and why not.
+    pub fn set_head_readiness(&self, readiness: HeadReadiness) {
+        let mut current = self
+            .head_readiness
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        *current = Some(readiness);
+    }
+
     /// Returns why the entry can't serve yet, if it can't.
     pub fn not_ready_because(&self) -> Option<String> {
         if self.in_force.get().is_none() {
-            return Some(String::from("no document is in force"));
+            let readiness = self
+                .head_readiness
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner);
+            let reason = readiness.as_ref().map(ToString::to_string);
+            return Some(reason.unwrap_or_else(|| String::from("the head was not asked for yet")));
         }
         if !self.has_host_list.load(Ordering::Relaxed) {
             return Some(String::from("no list of hosts was read"));
--- a/lib/src/process/in_force.rs
+++ b/lib/src/process/in_force.rs
@@ -4,46 +4,31 @@
 use std::sync::PoisonError;
 use std::sync::RwLock;
 
-use crate::ids::Digest;
-use crate::ids::DocumentVersion;
-use crate::version::document::Document;
+use crate::version::head::HeadVersion;
 
-/// A version of the environment's document.
-#[derive(Clone, Debug, PartialEq)]
-pub struct InForce {
-    /// The version.
-    pub version: DocumentVersion,
-    /// The digest of the text.
-    pub digest: Digest,
-    /// The text, as the operator applied it.
-    pub text: String,
-    /// What the text says.
-    pub document: Document,
-}
-
-/// The cell that holds the document in force.
+/// The cell that holds the version in force.
 ///
-/// A request takes the document once and keeps that version to its end.
+/// A request takes the version once and keeps it to its end.
 #[derive(Clone, Debug, Default)]
 pub struct InForceCell {
-    current: Arc<RwLock<Option<Arc<InForce>>>>,
+    current: Arc<RwLock<Option<Arc<HeadVersion>>>>,
 }
 
 impl InForceCell {
-    /// Returns the document in force, or `None` before the first one.
-    pub fn get(&self) -> Option<Arc<InForce>> {
+    /// Returns the version in force, or `None` before the first one.
+    pub fn get(&self) -> Option<Arc<HeadVersion>> {
         let current = self.current.read().unwrap_or_else(PoisonError::into_inner);
         current.clone()
     }
 
-    /// Puts `candidate` in force if its version is greater than the present one.
+    /// Puts `candidate` in force unless the present version is the same or a greater one.
     ///
     /// Returns whether it was put in force.
-    pub fn advance(&self, candidate: Arc<InForce>) -> bool {
+    pub fn advance(&self, candidate: Arc<HeadVersion>) -> bool {
         let mut current = self.current.write().unwrap_or_else(PoisonError::into_inner);
         let is_newer = current
             .as_ref()
-            .is_none_or(|current| candidate.version > current.version);
+            .is_none_or(|current| candidate.mark() > current.mark());
         if is_newer {
             *current = Some(candidate);
         }
--- a/lib/src/request/context.rs
+++ b/lib/src/request/context.rs
@@ -7,10 +7,10 @@
 use super::caller::AnswerShape;
 use super::caller::CallerError;
 use super::caller::CallerRequest;
-use crate::process::in_force::InForce;
 use crate::version::document::Account;
 use crate::version::document::Service;
 use crate::version::document::ServiceKind;
+use crate::version::head::HeadVersion;
 
 /// A request with the version of the document that it started under.
 #[derive(Clone, Debug)]
@@ -18,7 +18,7 @@
     /// The request.
     pub request: CallerRequest,
     /// The version of the document.
-    pub in_force: Arc<InForce>,
+    pub in_force: Arc<HeadVersion>,
     /// The service.
     pub service: Service,
     /// The caller's account.
@@ -35,7 +35,7 @@
     /// Checks a request against the document.
     pub fn new(
         request: CallerRequest,
-        in_force: Arc<InForce>,
+        in_force: Arc<HeadVersion>,
         received_at: Instant,
     ) -> Result<Self, CallerError> {
         let account = find_account(&request, &in_force)?;
@@ -75,13 +75,13 @@
     }
 }
 
-fn find_account(request: &CallerRequest, in_force: &InForce) -> Result<Account, CallerError> {
+fn find_account(request: &CallerRequest, in_force: &HeadVersion) -> Result<Account, CallerError> {
     let mut accounts = in_force.document.accounts.iter();
     let account = accounts.find(|account| account.credential_digest == request.credential_digest);
     account.cloned().ok_or(CallerError::UnknownCredential)
 }
 
-fn find_service(request: &CallerRequest, in_force: &InForce) -> Result<Service, CallerError> {
+fn find_service(request: &CallerRequest, in_force: &HeadVersion) -> Result<Service, CallerError> {
     let name = request.service.clone();
     let service = in_force.document.services.get(&name);
     let Some(service) = service else {
--- a/lib/tests/test_peer.rs
+++ b/lib/tests/test_peer.rs
@@ -13,9 +13,10 @@
 use beryltray_lib::connection::peer::client::PeerError;
 use beryltray_lib::connection::peer::metered::TrafficMeter;
 use beryltray_lib::connection::peer::server::serve_peers;
-use beryltray_lib::ids::Digest;
+use beryltray_lib::ids::DocumentVersion;
 use beryltray_lib::ids::Incarnation;
 use beryltray_lib::ids::digest_of;
+use beryltray_lib::platform::rows::HeadRow;
 use beryltray_lib::process::exchange::ExchangeAction;
 use beryltray_lib::process::exchange::ExchangeSettings;
 use beryltray_lib::process::exchange::Seed;
@@ -24,6 +25,8 @@
 use beryltray_lib::process::lifecycle::Stage;
 use beryltray_lib::process::membership::member::MemberIdentity;
 use beryltray_lib::process::status::EntryStatus;
+use beryltray_lib::version::head::FetchedVersion;
+use beryltray_lib::version::head::HeadMark;
 use beryltray_testutils::mesh::Mesh;
 use tokio::io::AsyncReadExt as _;
 use tokio::net::TcpListener;
@@ -32,6 +35,23 @@
 const DOCUMENT: &str = "[service beryl-writers]";
 const DATA_CENTRE: &str = "lakes-a";
 
+fn head_row() -> HeadRow {
+    HeadRow {
+        version: DocumentVersion(3),
+        digest: digest_of(DOCUMENT.as_bytes()),
+        base: DocumentVersion(2),
+        author: "operator".to_owned(),
+        accepted_unix_s: 7,
+    }
+}
+
+fn held_version() -> FetchedVersion {
+    FetchedVersion {
+        row: head_row(),
+        text: DOCUMENT.to_owned(),
+    }
+}
+
 #[derive(Clone)]
 struct Entry {
     exchange: Arc<Mutex<StateExchange>>,
@@ -47,8 +67,8 @@
         answer
     }
 
-    async fn document(&self, digest: Digest) -> Option<String> {
-        (digest == digest_of(DOCUMENT.as_bytes())).then(|| DOCUMENT.to_owned())
+    async fn version(&self, mark: HeadMark) -> Option<FetchedVersion> {
+        (mark == HeadMark::from(&head_row())).then(held_version)
     }
 
     async fn status(&self) -> EntryStatus {
@@ -151,13 +171,17 @@
 }
 
 #[tokio::test]
-async fn document_pull_by_digest() {
+async fn version_pull_by_mark() {
     let stop = CancellationToken::new();
     let (_, address) = start(0, &[], stop.clone()).await;
     let client = client(address);
-    let text = client.document(digest_of(DOCUMENT.as_bytes())).await;
-    assert_eq!(text, Ok(Some(DOCUMENT.to_owned())));
-    assert_eq!(client.document(digest_of(b"other")).await, Ok(None));
+    let mark = HeadMark::from(&head_row());
+    assert_eq!(client.version(mark.clone()).await, Ok(Some(held_version())));
+    let other = HeadMark {
+        digest: digest_of(b"other"),
+        ..mark
+    };
+    assert_eq!(client.version(other).await, Ok(None));
     let status = client.status().await.unwrap();
     assert_eq!(status.entry, Mesh::entry(0));
     assert_eq!(status.in_flight_requests, 3);
