--- a/lib/src/platform/rows.rs
+++ b/lib/src/platform/rows.rs
@@ -17,6 +17,8 @@
 use crate::ids::IdempotencyKey;
 use crate::ids::Incarnation;
 use crate::ids::ServiceId;
+use crate::ids::WeightsId;
+use crate::sorted::Keyed;
 
 /// Returns the key of an environment's head.
 pub fn head_key(environment: &EnvironmentId) -> String {
@@ -110,7 +112,10 @@
     pub service: ServiceId,
     /// The generation, which grows at every change of the members.
     pub generation: Generation,
-    /// The hosts of the replica; the position is the rank, and rank 0 takes requests.
+    /// The weights that the members load in this generation.
+    pub weights: WeightsId,
+    /// The hosts of the replica; the position is the rank, and rank 0 takes requests. A group that
+    /// was dissolved has none and keeps its row, so that its generation only grows.
     pub members: Vec<HostId>,
     /// Hosts held for the repair of this group, written here before they are needed.
     pub reserved_spares: Vec<HostId>,
@@ -118,6 +123,14 @@
     pub epoch: Epoch,
 }
 
+impl Keyed for GroupRow {
+    type Key = GroupId;
+
+    fn key(&self) -> &GroupId {
+        &self.group
+    }
+}
+
 /// What a host is assigned to.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct AssignmentRow {
--- a/lib/src/process/lease/machine.rs
+++ b/lib/src/process/lease/machine.rs
@@ -119,14 +119,16 @@
 
     /// Takes note of an epoch that a group's row or a host has seen.
     ///
-    /// The next takeover goes above it, also if the platform has lost the lease's row.
+    /// The next write of the lease goes above it, also if the platform has lost the lease's row or
+    /// restored an older one. Until then a holder with a smaller epoch has no fence.
     pub fn on_epoch(&mut self, epoch: Epoch) {
         self.highest_epoch = self.highest_epoch.max(epoch);
     }
 
     /// Returns what a write or order sent now must carry, or `None` if this entry may send none.
     pub fn fence(&self, now: Instant) -> Option<Fence> {
-        let held = self.held.filter(|held| now < held.until)?;
+        let is_valid = |held: &Held| now < held.until && held.epoch >= self.highest_epoch;
+        let held = self.held.filter(is_valid)?;
         let SeenRow::Present { revision, .. } = self.seen else {
             return None;
         };
@@ -248,6 +250,10 @@
                 unchanged_since,
                 ..
             } => {
+                let is_outrun = |held: Held| held.epoch < self.highest_epoch;
+                if self.held.is_some_and(is_outrun) {
+                    return Some(self.takeover_row());
+                }
                 if let (Some(_), Some(lease)) = (self.held, lease) {
                     let mut renewed = lease.clone();
                     renewed.renewal = renewed.renewal.saturating_add(1);
--- a/lib/src/process/presence/gate.rs
+++ b/lib/src/process/presence/gate.rs
@@ -9,11 +9,14 @@
 use super::OpenGroup;
 use super::PlainTarget;
 use super::ReportSource;
+use crate::ids::Generation;
 use crate::ids::GroupId;
 use crate::ids::HostId;
 use crate::ids::ServiceId;
 use crate::platform::ListedHost;
 use crate::platform::rows::GroupRow;
+use crate::process::substitution::Substitution;
+use crate::process::substitution::substitution_of;
 use crate::sorted::Keyed;
 use crate::sorted::SortedVec;
 use crate::target::wire::HostReport;
@@ -214,11 +217,39 @@
         })
     }
 
+    /// Judges a group as its row has it, then with a reserved spare in a member's place.
     fn judge(&self, row: &GroupRow, now: Instant) -> Result<OpenGroup, ClosedReason> {
-        let leader = row.members.first().ok_or(ClosedReason::NoMembers)?;
+        let judged = self.judge_members(row, row.generation, &row.members, now);
+        let reports = row.reserved_spares.iter().filter_map(|spare| {
+            let presence = self.hosts.get(spare)?;
+            presence.report()?.membership.as_ref()
+        });
+        let mut standing_in = reports
+            .filter(|membership| membership.group == row.group)
+            .filter_map(|membership| substitution_of(row, membership.generation));
+        let is_open = |found: &Substitution| {
+            let (generation, members) = (found.generation, &found.members);
+            self.judge_members(row, generation, members, now).ok()
+        };
+        judged.or_else(|reason| standing_in.find_map(|found| is_open(&found)).ok_or(reason))
+    }
+
+    fn judge_members(
+        &self,
+        row: &GroupRow,
+        generation: Generation,
+        members: &[HostId],
+        now: Instant,
+    ) -> Result<OpenGroup, ClosedReason> {
+        let leader = members.first().ok_or(ClosedReason::NoMembers)?;
         let mut report_age = Duration::ZERO;
-        for (rank, member) in row.members.iter().enumerate() {
-            let age = self.judge_member(row, rank, member, now)?;
+        for (rank, member) in members.iter().enumerate() {
+            let place = Place {
+                group: &row.group,
+                generation,
+                rank,
+            };
+            let age = self.judge_member(&place, member, now)?;
             report_age = report_age.max(age);
         }
         let unlisted = || ClosedReason::Unlisted {
@@ -229,10 +260,10 @@
         let load = presence.report().map(|report| report.load);
         Ok(OpenGroup {
             group: row.group.clone(),
-            generation: row.generation,
+            generation,
             leader: leader.clone(),
             address: listed.address,
-            members: row.members.clone(),
+            members: members.to_vec(),
             load: load.unwrap_or_default(),
             report_age,
         })
@@ -241,8 +272,7 @@
     /// Returns the age of a member's report if it confirms the member's place in the group.
     fn judge_member(
         &self,
-        row: &GroupRow,
-        rank: usize,
+        place: &Place<'_>,
         member: &HostId,
         now: Instant,
     ) -> Result<Duration, ClosedReason> {
@@ -251,33 +281,40 @@
             return Err(ClosedReason::Unheard { host });
         };
         let report = presence.fresh_report(self.presence_bound, now)?;
-        check_membership(row, rank, report)?;
+        check_membership(place, report)?;
         Ok(presence.report_age(now).unwrap_or_default())
     }
 }
 
-/// Compares what a member reports with its place in the group's row.
-fn check_membership(row: &GroupRow, rank: usize, report: &HostReport) -> Result<(), ClosedReason> {
+/// A member's place in a group.
+struct Place<'a> {
+    group: &'a GroupId,
+    generation: Generation,
+    rank: usize,
+}
+
+/// Compares what a member reports with its place in the group.
+fn check_membership(place: &Place<'_>, report: &HostReport) -> Result<(), ClosedReason> {
     let host = report.host.clone();
     let reported = match &report.membership {
-        Some(membership) if membership.group == row.group => membership,
+        Some(membership) if &membership.group == place.group => membership,
         other => {
             let reported = other.as_ref().map(|membership| membership.group.clone());
             return Err(ClosedReason::OtherGroup { host, reported });
         }
     };
-    if reported.generation != row.generation {
+    if reported.generation != place.generation {
         return Err(ClosedReason::OtherGeneration {
             host,
             reported: reported.generation,
-            expected: row.generation,
+            expected: place.generation,
         });
     }
-    if usize::try_from(reported.rank) != Ok(rank) {
+    if usize::try_from(reported.rank) != Ok(place.rank) {
         return Err(ClosedReason::OtherRank {
             host,
             reported: reported.rank,
-            expected: u32::try_from(rank).unwrap_or(u32::MAX),
+            expected: u32::try_from(place.rank).unwrap_or(u32::MAX),
         });
     }
     if !reported.is_ready {
--- a/lib/src/process/presence/mod.rs
+++ b/lib/src/process/presence/mod.rs
@@ -4,6 +4,8 @@
 //! serves. [`PresenceGate`] joins the two: a group is open while each of its members has itself
 //! confirmed, within the presence bound, the same group and generation. Nothing that a stale lease
 //! holder does can open a gate, since a host that followed a late order reports another generation.
+//! A group whose reserved spare stands in for a member is judged by the members that its generation
+//! denotes, see [`super::substitution`].
 //!
 //! # Example
 //!
--- a/lib/tests/test_presence.rs
+++ b/lib/tests/test_presence.rs
@@ -17,6 +17,7 @@
 use beryltray_lib::process::presence::GateVerdict;
 use beryltray_lib::process::presence::PresenceGate;
 use beryltray_lib::process::presence::ReportSource;
+use beryltray_lib::process::substitution::substitution;
 use beryltray_lib::target::wire::GroupMembership;
 use beryltray_lib::target::wire::HostReport;
 use beryltray_lib::target::wire::LoadReport;
@@ -50,6 +51,7 @@
         group: group(),
         service: "writers".parse().unwrap(),
         generation: Generation(generation),
+        weights: "writer-3".parse().unwrap(),
         members: (0..HOSTS.len()).map(host).collect(),
         reserved_spares: Vec::new(),
         epoch: Epoch(1),
@@ -391,3 +393,26 @@
 fn gate_ignoring_age_is_caught() {
     assert!(!check(Fault::IgnoresAge));
 }
+
+#[test]
+fn verdict_reserved_spare_stands_in() {
+    let now = Instant::now();
+    let mut gate = PresenceGate::new(BOUND);
+    let mut row = row(100);
+    row.reserved_spares = vec![row.members.pop().unwrap()];
+    gate.on_listed_hosts(listed_live(), now);
+    gate.on_groups(vec![row.clone()], now);
+    let found = substitution(&row, 1, 0).unwrap();
+    for (rank, member) in found.members.iter().enumerate() {
+        let mut confirmed = report(rank, 1, found.generation.0);
+        confirmed.host = member.clone();
+        gate.on_report(confirmed, FRESH, ReportSource::Direct, now);
+    }
+    let GateVerdict::Open(open) = gate.verdict(&group(), now) else {
+        panic!("closed: {:?}", reason(&gate, now));
+    };
+    assert_eq!(open.members, vec![host(0), host(2)]);
+    assert_eq!(open.generation, found.generation);
+    gate.on_report(report(0, 1, 100), FRESH, ReportSource::Direct, now);
+    assert!(!gate.verdict(&group(), now).is_open());
+}
--- /dev/null
+++ b/stand-ins/src/fleet/host.rs
@@ -0,0 +1,216 @@
+//! One host of a fleet.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use beryltray_lib::ids::Epoch;
+use beryltray_lib::ids::Generation;
+use beryltray_lib::ids::GroupId;
+use beryltray_lib::ids::HostId;
+use beryltray_lib::ids::Incarnation;
+use beryltray_lib::ids::WeightsId;
+use beryltray_lib::platform::ListedHost;
+use beryltray_lib::target::wire::GroupMembership;
+use beryltray_lib::target::wire::HostReport;
+use beryltray_lib::target::wire::LoadReport;
+use beryltray_lib::target::wire::Order;
+use beryltray_lib::target::wire::OrderAction;
+
+/// The group that a host joined.
+#[derive(Clone, Debug)]
+struct Joined {
+    group: GroupId,
+    generation: Generation,
+    rank: u32,
+    weights: WeightsId,
+}
+
+/// Weights on their way into a host's memory.
+#[derive(Clone, Debug)]
+struct Loading {
+    weights: WeightsId,
+    done: Duration,
+}
+
+/// One host of a fleet.
+#[derive(Clone, Debug)]
+pub struct FleetHost {
+    /// The host's entry in the platform's list.
+    pub listed: ListedHost,
+    /// Whether the host runs but nobody hears it.
+    pub is_muted: bool,
+    /// Whether the host says that it is leaving.
+    pub is_leaving: bool,
+    /// Whether the host refuses an order with an old fencing number.
+    pub is_fenced: bool,
+    is_up: bool,
+    incarnation: Incarnation,
+    joined: Option<Joined>,
+    loaded: Option<WeightsId>,
+    loading: Option<Loading>,
+    highest_epoch: Epoch,
+    last_report: Option<HostReport>,
+    heard_at: Instant,
+}
+
+impl FleetHost {
+    /// Creates a host that is up and has nothing loaded.
+    pub(super) fn new(listed: ListedHost, now: Instant) -> Self {
+        let mut host = Self {
+            listed,
+            is_muted: false,
+            is_leaving: false,
+            is_fenced: true,
+            is_up: true,
+            incarnation: Incarnation(1),
+            joined: None,
+            loaded: None,
+            loading: None,
+            highest_epoch: Epoch::default(),
+            last_report: None,
+            heard_at: now,
+        };
+        host.last_report = Some(host.report());
+        host
+    }
+
+    /// Returns the host's name.
+    pub fn name(&self) -> &HostId {
+        &self.listed.host
+    }
+
+    /// Returns whether the host is powered and runs.
+    pub fn is_up(&self) -> bool {
+        self.is_up
+    }
+
+    /// Returns whether the host is loading weights.
+    pub fn is_loading(&self) -> bool {
+        self.is_up && self.loading.is_some()
+    }
+
+    /// Stops the host.
+    pub fn kill(&mut self) {
+        self.is_up = false;
+    }
+
+    /// Starts the host again as a new life with nothing in memory.
+    pub fn restart(&mut self) {
+        self.is_up = true;
+        self.is_leaving = false;
+        self.incarnation = self.incarnation.next();
+        self.joined = None;
+        self.loaded = None;
+        self.loading = None;
+        self.highest_epoch = Epoch::default();
+    }
+
+    /// Lets the host run on where it stopped, as after a pause.
+    pub fn resume(&mut self) {
+        self.is_up = true;
+    }
+
+    /// Returns whether the host serves in this place of a group.
+    pub fn serves(&self, group: &GroupId, generation: Generation, rank: u32) -> bool {
+        let joined = self.joined.as_ref();
+        let is_placed = joined.is_some_and(|joined| {
+            &joined.group == group && joined.generation == generation && joined.rank == rank
+        });
+        is_placed && self.is_up && !self.is_leaving && self.is_ready()
+    }
+
+    /// Returns the generation of `group` that the host is in, if it runs and is in the group.
+    pub fn generation_in(&self, group: &GroupId) -> Option<Generation> {
+        let joined = self.joined.as_ref().filter(|_| self.is_up)?;
+        (&joined.group == group).then_some(joined.generation)
+    }
+
+    pub(super) fn last_report(&self) -> Option<&HostReport> {
+        self.last_report.as_ref()
+    }
+
+    pub(super) fn heard_at(&self) -> Instant {
+        self.heard_at
+    }
+
+    /// Lets time pass; `loaded_for` is the time's worth at the store's full rate.
+    pub(super) fn advance(&mut self, now: Instant, loaded_for: Duration, load_time: Duration) {
+        if !self.is_up {
+            return;
+        }
+        if let Some(loading) = &mut self.loading {
+            loading.done += loaded_for;
+            if loading.done >= load_time {
+                self.loaded = Some(loading.weights.clone());
+                self.loading = None;
+            }
+        }
+        if !self.is_muted {
+            self.last_report = Some(self.report());
+            self.heard_at = now;
+        }
+    }
+
+    /// Follows an order, unless it is stale and the host checks.
+    pub(super) fn obey(&mut self, order: &Order) {
+        let is_refused = self.is_fenced && order.epoch < self.highest_epoch;
+        if !self.is_up || self.is_muted || is_refused {
+            return;
+        }
+        self.highest_epoch = self.highest_epoch.max(order.epoch);
+        match &order.action {
+            OrderAction::Leave => self.joined = None,
+            OrderAction::Preload { weights } => self.load(weights),
+            OrderAction::Join {
+                group,
+                generation,
+                members,
+                weights,
+            } => {
+                let mut ranked = (0_u32..).zip(members);
+                let place = ranked.find(|(_, member)| &member.host == self.name());
+                self.joined = place.map(|(rank, _)| Joined {
+                    group: group.clone(),
+                    generation: *generation,
+                    rank,
+                    weights: weights.clone(),
+                });
+                self.load(weights);
+            }
+        }
+    }
+
+    fn load(&mut self, weights: &WeightsId) {
+        let is_loading = self
+            .loading
+            .as_ref()
+            .is_some_and(|loading| &loading.weights == weights);
+        if self.loaded.as_ref() != Some(weights) && !is_loading {
+            let (weights, done) = (weights.clone(), Duration::ZERO);
+            self.loading = Some(Loading { weights, done });
+        }
+    }
+
+    fn is_ready(&self) -> bool {
+        let wanted = self.joined.as_ref().map(|joined| &joined.weights);
+        wanted.is_some() && wanted == self.loaded.as_ref()
+    }
+
+    fn report(&self) -> HostReport {
+        let membership = self.joined.as_ref().map(|joined| GroupMembership {
+            group: joined.group.clone(),
+            generation: joined.generation,
+            rank: joined.rank,
+            is_ready: self.is_ready(),
+        });
+        HostReport {
+            host: self.name().clone(),
+            incarnation: self.incarnation,
+            membership,
+            loaded_weights: self.loaded.iter().cloned().collect(),
+            is_leaving: self.is_leaving,
+            load: LoadReport::default(),
+            highest_epoch: self.highest_epoch,
+        }
+    }
+}
--- /dev/null
+++ b/stand-ins/src/fleet/mod.rs
@@ -0,0 +1,321 @@
+//! The hosts of one data centre in memory, on a clock that the caller moves.
+//!
+//! [`Fleet`] obeys the orders of a placement machine, keeps its rows in a [`TableState`] and knows
+//! the truth about which groups serve. It has no sockets and no tasks, so that tests and
+//! measurements go through days of failures in seconds.
+
+mod host;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use beryltray_lib::ids::AttemptId;
+use beryltray_lib::ids::DataCentreId;
+use beryltray_lib::ids::EnvironmentId;
+use beryltray_lib::ids::Epoch;
+use beryltray_lib::ids::FabricDomainId;
+use beryltray_lib::ids::HostId;
+use beryltray_lib::ids::ParseIdError;
+use beryltray_lib::ids::Revision;
+use beryltray_lib::ids::ServiceId;
+use beryltray_lib::ids::WeightsId;
+use beryltray_lib::platform::Check;
+use beryltray_lib::platform::CommitOutcome;
+use beryltray_lib::platform::Condition;
+use beryltray_lib::platform::ListedHost;
+use beryltray_lib::platform::ListedState;
+use beryltray_lib::platform::Put;
+use beryltray_lib::platform::Row;
+use beryltray_lib::platform::Transaction;
+use beryltray_lib::platform::rows::AssignmentRow;
+use beryltray_lib::platform::rows::GroupRow;
+use beryltray_lib::platform::rows::assignment_prefix;
+use beryltray_lib::platform::rows::group_prefix;
+use beryltray_lib::platform::rows::lease_key;
+use beryltray_lib::process::lease::Fence;
+use beryltray_lib::process::placement::HostOrder;
+use beryltray_lib::process::placement::HostView;
+use beryltray_lib::process::placement::PlacementInput;
+use beryltray_lib::process::placement::Versioned;
+use beryltray_lib::process::substitution::substitution_of;
+use beryltray_lib::sorted::SortedVec;
+use beryltray_lib::version::document::Document;
+
+pub use host::FleetHost;
+
+use crate::platform::table::TableState;
+
+/// The age of the reports of hosts that answer.
+const REPORT_LAG: Duration = Duration::from_secs(1);
+/// How long a fence of the fleet's lease is valid.
+const FENCE_TIME: Duration = Duration::from_secs(8);
+
+/// The settings of a fleet.
+#[derive(Clone, Debug)]
+pub struct FleetSettings {
+    /// The environment's name.
+    pub environment: EnvironmentId,
+    /// The data centre's name.
+    pub data_centre: DataCentreId,
+    /// The service that all hosts are reserved for.
+    pub service: ServiceId,
+    /// The number of hosts in each fabric domain.
+    pub domains: Vec<usize>,
+    /// The time of a load that has the weight store's full rate.
+    pub load_time: Duration,
+    /// The number of loads that the weight store serves at full rate; more of them share it.
+    pub full_rate_loads: usize,
+}
+
+/// The hosts of one data centre and the rows that place them.
+#[derive(Clone, Debug)]
+pub struct Fleet {
+    settings: FleetSettings,
+    hosts: Vec<FleetHost>,
+    table: TableState,
+    now: Instant,
+    epoch: Epoch,
+    last_attempt: u64,
+}
+
+impl Fleet {
+    /// Creates a fleet whose hosts are all up, with nothing loaded.
+    pub fn new(settings: FleetSettings, now: Instant) -> Result<Self, ParseIdError> {
+        let mut hosts = Vec::new();
+        for (domain, count) in settings.domains.iter().enumerate() {
+            let domain = format!("domain-{domain}").parse::<FabricDomainId>()?;
+            for _ in 0..*count {
+                let host = format!("host-{:03}", hosts.len()).parse::<HostId>()?;
+                let listed = ListedHost {
+                    host,
+                    service: settings.service.clone(),
+                    address: SocketAddr::from(([127, 0, 0, 1], 0)),
+                    data_centre: settings.data_centre.clone(),
+                    domain: domain.clone(),
+                    state: ListedState::Live,
+                };
+                hosts.push(FleetHost::new(listed, now));
+            }
+        }
+        let mut fleet = Self {
+            settings,
+            hosts,
+            table: TableState::default(),
+            now,
+            epoch: Epoch::default(),
+            last_attempt: 0,
+        };
+        fleet.take_over()?;
+        Ok(fleet)
+    }
+
+    /// Returns a new attempt identifier.
+    pub fn attempt(&mut self) -> Result<AttemptId, ParseIdError> {
+        self.last_attempt += 1;
+        format!("attempt-{}", self.last_attempt).parse()
+    }
+
+    /// Moves the lease to a new epoch, as a takeover does.
+    pub fn take_over(&mut self) -> Result<(), ParseIdError> {
+        self.epoch = self.epoch.next();
+        let key = lease_key(&self.settings.environment, &self.settings.data_centre);
+        let value = self.epoch.to_string();
+        let attempt = self.attempt()?;
+        self.table.commit(&Transaction {
+            attempt,
+            checks: Vec::new(),
+            puts: vec![Put { key, value }],
+            deletes: Vec::new(),
+        });
+        Ok(())
+    }
+
+    /// Returns the fence of the lease's holder.
+    pub fn fence(&self) -> Fence {
+        let key = lease_key(&self.settings.environment, &self.settings.data_centre);
+        let row = self.table.read(std::slice::from_ref(&key)).pop().flatten();
+        let revision = row.map_or(Revision::default(), |row| row.revision);
+        let condition = Condition::Revision(revision);
+        Fence {
+            epoch: self.epoch,
+            check: Check { key, condition },
+            until: self.now + FENCE_TIME,
+        }
+    }
+
+    /// Returns the time.
+    pub fn now(&self) -> Instant {
+        self.now
+    }
+
+    /// Moves the time forward; loads share the weight store's rate.
+    pub fn advance(&mut self, step: Duration) {
+        self.now += step;
+        let loading = self.hosts.iter().filter(|host| host.is_loading()).count();
+        let crowding = loading
+            .max(1)
+            .div_ceil(self.settings.full_rate_loads.max(1));
+        let crowding = u32::try_from(crowding).unwrap_or(u32::MAX);
+        for host in &mut self.hosts {
+            host.advance(self.now, step / crowding, self.settings.load_time);
+        }
+    }
+
+    /// Returns what placement decides from now.
+    pub fn input(&self, document: &Document) -> PlacementInput {
+        let (environment, data_centre) = (&self.settings.environment, &self.settings.data_centre);
+        let groups = self.table.scan(&group_prefix(environment, data_centre));
+        let assignments = self
+            .table
+            .scan(&assignment_prefix(environment, data_centre));
+        let views = self.hosts.iter().map(|host| self.view(host));
+        PlacementInput {
+            document: document.clone(),
+            hosts: views.collect(),
+            groups: groups.iter().filter_map(parse::<GroupRow>).collect(),
+            assignments: assignments
+                .iter()
+                .filter_map(parse::<AssignmentRow>)
+                .collect(),
+        }
+    }
+
+    /// Carries out a transaction.
+    pub fn commit(&mut self, transaction: &Transaction) -> CommitOutcome {
+        self.table.commit(transaction)
+    }
+
+    /// Gives an order to its host.
+    pub fn obey(&mut self, order: &HostOrder) {
+        if let Some(host) = self.host_mut(&order.host) {
+            host.obey(&order.order);
+        }
+    }
+
+    /// Returns the hosts.
+    pub fn hosts(&self) -> &[FleetHost] {
+        &self.hosts
+    }
+
+    /// Returns a host for a change.
+    pub fn host_mut(&mut self, host: &HostId) -> Option<&mut FleetHost> {
+        self.hosts.iter_mut().find(|known| known.name() == host)
+    }
+
+    /// Returns the groups that have members, as the table has them.
+    pub fn groups(&self) -> Vec<GroupRow> {
+        let (environment, data_centre) = (&self.settings.environment, &self.settings.data_centre);
+        let rows = self.table.scan(&group_prefix(environment, data_centre));
+        let rows = rows.iter().filter_map(parse::<GroupRow>);
+        let rows = rows.map(|row| row.value);
+        rows.filter(|row| !row.members.is_empty()).collect()
+    }
+
+    /// Returns the number of groups whose members all serve together, by the hosts' own truth.
+    pub fn serving_groups(&self) -> usize {
+        let groups = self.groups();
+        groups.iter().filter(|row| self.is_serving(row)).count()
+    }
+
+    /// Returns the number of hosts that load weights.
+    pub fn loading_hosts(&self) -> usize {
+        self.hosts.iter().filter(|host| host.is_loading()).count()
+    }
+
+    /// Returns the number of hosts that are powered.
+    pub fn powered_hosts(&self) -> usize {
+        self.hosts.iter().filter(|host| host.is_up()).count()
+    }
+
+    fn is_serving(&self, row: &GroupRow) -> bool {
+        let generations = self
+            .hosts
+            .iter()
+            .filter_map(|host| host.generation_in(&row.group));
+        let mut substitutions = generations.filter_map(|found| substitution_of(row, found));
+        let serves = |generation, members: &[HostId]| {
+            let mut ranked = (0_u32..).zip(members);
+            ranked.all(|(rank, member)| {
+                let host = self.hosts.iter().find(|host| host.name() == member);
+                host.is_some_and(|host| host.serves(&row.group, generation, rank))
+            })
+        };
+        serves(row.generation, &row.members)
+            || substitutions.any(|found| serves(found.generation, &found.members))
+    }
+
+    fn view(&self, host: &FleetHost) -> HostView {
+        let is_heard = host.is_up() && !host.is_muted;
+        let silence = self.now.saturating_duration_since(host.heard_at());
+        HostView {
+            listed: host.listed.clone(),
+            report: host.last_report().cloned(),
+            report_age: if is_heard {
+                REPORT_LAG
+            } else {
+                silence + REPORT_LAG
+            },
+            is_leaving: host.is_leaving,
+            is_unreachable: false,
+        }
+    }
+}
+
+fn parse<T>(row: &Row) -> Option<Versioned<T>>
+where
+    T: serde::de::DeserializeOwned,
+{
+    let value = serde_json::from_str(&row.value).ok()?;
+    let revision = row.revision;
+    Some(Versioned { value, revision })
+}
+
+/// Returns whether no host is a member or spare of two groups, and no group spans two domains.
+pub fn is_sound(groups: &[GroupRow], hosts: &[FleetHost]) -> bool {
+    let named = groups
+        .iter()
+        .flat_map(|row| row.members.iter().chain(&row.reserved_spares));
+    let mut named: Vec<&HostId> = named.collect();
+    let count = named.len();
+    named.sort();
+    named.dedup();
+    let domain_of = |host: &HostId| {
+        let found = hosts.iter().find(|known| known.name() == host);
+        found.map(|known| &known.listed.domain)
+    };
+    let spans_one = groups.iter().all(|row| {
+        let mut domains = row.members.iter().map(domain_of);
+        let first = domains.next();
+        domains.all(|domain| Some(domain) == first)
+    });
+    named.len() == count && spans_one
+}
+
+/// Returns the document of a fleet with one model service.
+pub fn fleet_document(
+    service: ServiceId,
+    weights: WeightsId,
+    hosts_per_replica: u32,
+    replicas: Option<u32>,
+) -> Document {
+    use beryltray_lib::version::document::Service;
+    use beryltray_lib::version::document::ServiceKind;
+    let service = Service {
+        name: service,
+        kind: ServiceKind::Model {
+            weights,
+            hosts_per_replica,
+            replicas,
+            has_fenced_orders: true,
+        },
+        operations: SortedVec::new(),
+        default_deadline: Duration::from_secs(20),
+        in_flight_limit_requests: 48,
+        has_trusted_refusals: false,
+    };
+    Document {
+        services: [service].into_iter().collect(),
+        ..Document::default()
+    }
+}
--- a/stand-ins/src/lib.rs
+++ b/stand-ins/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod answer;
 pub mod control;
 pub mod engine;
+pub mod fleet;
 pub mod json;
 pub mod plain;
 pub mod platform;
