--- a/stand-ins/src/lib.rs
+++ b/stand-ins/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod control;
 pub mod engine;
 pub mod invocation;
+pub mod fleet;
 pub mod json;
 pub mod plain;
 pub mod platform;
