--- a/lib/src/request/mod.rs
+++ b/lib/src/request/mod.rs
@@ -11,6 +11,8 @@
 pub mod fair_queue;
 pub mod handler;
 pub mod outcome;
+pub mod permit;
+pub mod plain;
 pub mod retry;
 pub mod route;
 pub mod routing;
