--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -2,6 +2,8 @@
 
 mod test_admission;
 mod test_change;
+mod test_claim_store;
+mod test_claims;
 mod test_connection;
 mod test_document;
 mod test_exchange;
