exchange: seeds without a data centre, links found again after a long cut

A seed is an address alone, as the process settings give it. When no entry of another data centre answers, its remembered entries are tried in turn, and entries learn each other's links, so that a new keeper of a link has an address to call.

--- a/lib/src/process/exchange/compose.rs
+++ b/lib/src/process/exchange/compose.rs
@@ -15,11 +15,14 @@
 use super::wire::StreamTag;
 use crate::hash::rendezvous_weight;
 use crate::ids::EntryId;
+use crate::process::membership::member::Member;
 use crate::process::membership::member::MemberIdentity;
 use crate::process::membership::member::MemberState;
 
 /// The rounds after the start in which every frame asks for what this entry lacks.
 const NEWCOMER_ROUNDS: u64 = 3;
+/// The far intervals within which a link was in use.
+const FRESH_LINK_INTERVALS: u32 = 3;
 
 impl StateExchange {
     /// Returns the frame with which to call `peer` now, or a seed if `peer` is `None`.
@@ -87,7 +90,7 @@
             ack: self.held_version(link),
             vector: (is_near && tells_vector).then(|| self.vector()),
             blocks,
-            contacts: self.contacts(!is_near && tells_vector),
+            contacts: self.contacts(audience, tells_vector, now),
         }
     }
 
@@ -156,13 +159,26 @@
         })
     }
 
-    /// Returns the live entries of this data centre, for a peer in another one.
-    fn contacts(&self, is_wanted: bool) -> Vec<MemberIdentity> {
+    /// Returns entries that the peer may need to call: to a peer in another data centre those of
+    /// this one, to a peer in this one those of others that were heard on a link.
+    fn contacts(&self, audience: Audience, is_wanted: bool, now: Instant) -> Vec<MemberIdentity> {
         if !is_wanted {
             return Vec::new();
         }
-        let present = self.membership.present_in(&self.own.identity.data_centre);
-        let alive = present.filter(|member| member.state == MemberState::Alive);
-        alive.map(|member| member.identity.clone()).collect()
+        let own = &self.own.identity.data_centre;
+        let fresh = self.settings.far_interval * FRESH_LINK_INTERVALS;
+        let alive = self.membership.members();
+        let alive = alive.filter(|member| member.state == MemberState::Alive);
+        let is_wanted = |member: &&Member| match audience {
+            Audience::Far => member.identity.data_centre == *own,
+            Audience::Near => {
+                let link = self.links.get(&member.identity.entry);
+                let silence = link.and_then(|link| link.silence(now));
+                let is_linked = silence.is_some_and(|silence| silence < fresh);
+                member.identity.data_centre != *own && is_linked
+            }
+        };
+        let contacts = alive.filter(is_wanted);
+        contacts.map(|member| member.identity.clone()).collect()
     }
 }
--- a/lib/src/process/exchange/mod.rs
+++ b/lib/src/process/exchange/mod.rs
@@ -66,7 +66,6 @@
 use link::SentFrames;
 use record::OwnerRecord;
 pub use settings::ExchangeSettings;
-pub use settings::Seed;
 use value::DocumentHead;
 
 /// What the exchange asks of its driver.
--- a/lib/src/process/exchange/rounds.rs
+++ b/lib/src/process/exchange/rounds.rs
@@ -117,36 +117,43 @@
     fn far_calls(&self, now: Instant) -> Vec<ExchangeAction> {
         let sharers = self.membership.duty_sharers();
         let own = &self.own.identity.entry;
+        let interval = self.settings.far_interval;
         let mut calls = Vec::new();
         for far in self.far_data_centres() {
-            let keepers = link_keepers(&far, &sharers, self.settings.links_per_data_centre);
+            let keepers = link_keepers(far, &sharers, self.settings.links_per_data_centre);
             if !keepers.contains(&own) {
                 continue;
             }
-            let interval = self.settings.far_interval;
-            let member = self.far_peer(&far);
-            let due = member.filter(|m| self.is_call_due(&m.identity.entry, interval, now));
-            calls.extend(due.map(call_to));
-            if member.is_none() && self.is_search_round() {
-                calls.extend(self.seed_of(&far).map(call_to_seed));
-            }
+            let peer = self
+                .far_peer(far)
+                .filter(|member| self.is_call_due(&member.identity.entry, interval, now));
+            calls.extend(peer.map(call_to));
         }
         calls
     }
 
     /// Returns the entry of another data centre that this one calls.
+    ///
+    /// When none answers, for instance because the data centres are cut off from each other, it
+    /// tries the remembered ones in turn, so that the link is found again after a long cut.
     fn far_peer(&self, far: &DataCentreId) -> Option<&Member> {
         let present = self.membership.present_in(far);
-        let (failed, answering): (Vec<&Member>, Vec<&Member>) =
-            present.partition(|member| self.has_failed(&member.identity.entry));
-        let candidates = if answering.is_empty() {
-            failed
-        } else {
-            answering
-        };
-        let entries = candidates.iter().map(|member| &member.identity.entry);
-        let chosen = rendezvous_owner(self.own.identity.entry.as_str(), entries)?;
-        self.membership.get(chosen)
+        let answering = present.filter(|member| !self.has_failed(&member.identity.entry));
+        let entries = answering.map(|member| &member.identity.entry);
+        if let Some(chosen) = rendezvous_owner(self.own.identity.entry.as_str(), entries) {
+            return self.membership.get(chosen);
+        }
+        if !self.is_search_round() {
+            return None;
+        }
+        let members = self.membership.members();
+        let is_there = |member: &&Member| member.identity.data_centre == *far;
+        let remembered: Vec<&Member> = members
+            .filter(is_there)
+            .filter(|member| member.state != MemberState::Left)
+            .collect();
+        let turn = (self.round / SEARCH_ROUNDS) as usize;
+        remembered.get(turn % remembered.len().max(1)).copied()
     }
 
     fn has_failed(&self, entry: &EntryId) -> bool {
@@ -154,29 +161,17 @@
         link.is_some_and(|link| link.has_failed)
     }
 
-    fn far_data_centres(&self) -> Vec<DataCentreId> {
-        let seeds = self.settings.seeds.iter().map(|seed| &seed.data_centre);
+    fn far_data_centres(&self) -> Vec<&DataCentreId> {
         let members = self.membership.members();
-        let known = members.map(|member| &member.identity.data_centre);
-        let mut data_centres: Vec<DataCentreId> = seeds.chain(known).cloned().collect();
-        data_centres.sort_unstable();
-        data_centres.dedup();
-        data_centres.retain(|name| *name != self.own.identity.data_centre);
-        data_centres
-    }
-
-    /// Returns one of the data centre's seeds, another one in each search round.
-    fn seed_of(&self, data_centre: &DataCentreId) -> Option<SocketAddr> {
-        let seeds = self.settings.seeds.iter();
-        let seeds: Vec<SocketAddr> = seeds
-            .filter(|seed| seed.data_centre == *data_centre)
-            .map(|seed| seed.address)
-            .collect();
-        let turn = (self.round / SEARCH_ROUNDS) as usize;
-        seeds.get(turn % seeds.len().max(1)).copied()
+        let mut known: Vec<&DataCentreId> =
+            members.map(|member| &member.identity.data_centre).collect();
+        known.sort_unstable();
+        known.dedup();
+        known.retain(|name| **name != self.own.identity.data_centre);
+        known
     }
 
-    /// Calls the seeds of this data centre at whose address no member is known.
+    /// Calls the seeds at whose address no member is known.
     fn seed_calls(&self) -> Vec<ExchangeAction> {
         if !self.is_search_round() {
             return Vec::new();
@@ -186,10 +181,9 @@
             let mut members = self.membership.members();
             address == own.address || members.any(|m| m.identity.address == address)
         };
-        let seeds = self.settings.seeds.iter();
-        let near = seeds.filter(|seed| seed.data_centre == own.data_centre);
-        let unknown = near.filter(|seed| !is_known(seed.address));
-        unknown.map(|seed| call_to_seed(seed.address)).collect()
+        let seeds = self.settings.seeds.iter().copied();
+        let unknown = seeds.filter(|address| !is_known(*address));
+        unknown.map(call_to_seed).collect()
     }
 
     fn is_search_round(&self) -> bool {
--- a/lib/src/process/exchange/settings.rs
+++ b/lib/src/process/exchange/settings.rs
@@ -3,23 +3,13 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::ids::DataCentreId;
 use crate::process::membership::MembershipSettings;
 
-/// An address at which an entry may be found before any is known.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Seed {
-    /// The data centre of the address.
-    pub data_centre: DataCentreId,
-    /// The address.
-    pub address: SocketAddr,
-}
-
 /// How often entries exchange state, and with whom.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ExchangeSettings {
-    /// Addresses at which to look for other entries.
-    pub seeds: Vec<Seed>,
+    /// Addresses at which to look for other entries, of any data centre.
+    pub seeds: Vec<SocketAddr>,
     /// The time between two calls of a pair of entries in one data centre, and between rounds.
     pub near_interval: Duration,
     /// The time between two calls on a link to another data centre.
--- a/lib/testutils/src/mesh.rs
+++ b/lib/testutils/src/mesh.rs
@@ -8,7 +8,6 @@
 use beryltray_lib::ids::Incarnation;
 use beryltray_lib::process::exchange::ExchangeAction;
 use beryltray_lib::process::exchange::ExchangeSettings;
-use beryltray_lib::process::exchange::Seed;
 use beryltray_lib::process::exchange::StateExchange;
 use beryltray_lib::process::exchange::wire::Echo;
 use beryltray_lib::process::exchange::wire::Frame;
@@ -112,10 +111,7 @@
         let start = Instant::now();
         let count = data_centres.len();
         let data_centres: Vec<String> = data_centres.iter().map(|&name| name.into()).collect();
-        let seeds = (0..count).map(|index| Seed {
-            data_centre: data_centres[index].parse().unwrap(),
-            address: ([127, 0, 0, 1], PORT_BASE + index as u16).into(),
-        });
+        let seeds = (0..count).map(|index| ([127, 0, 0, 1], PORT_BASE + index as u16).into());
         let settings = ExchangeSettings {
             seeds: seeds.collect(),
             ..ExchangeSettings::default()
