testutils: checkers of recorded histories, each shown to catch its fault

A promise is proved over what the callers saw and what the stand-ins know to be true. The checkers are pure and count what they looked at. The tries under one key go through the registry's linearizability checker; versions in force are no linearizable object, since the promise gives them seconds, and are checked for order alone.

The platform's stand-in now keeps the revision of a restore and the time at which a leaving mark is visible, since two checkers need them.

--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -2,12 +2,13 @@
 
 mod test_admission;
 mod test_connection;
-mod test_lease;
-mod test_exchange;
-mod test_membership;
 mod test_document;
+mod test_exchange;
+mod test_history;
 mod test_ini;
+mod test_lease;
 mod test_limits;
+mod test_membership;
 mod test_presence;
 mod test_retry;
 mod test_routing;
--- /dev/null
+++ b/lib/tests/test_history.rs
@@ -0,0 +1,420 @@
+//! Tests of the history checkers: a faithful history passes, and each faulty one is caught.
+
+use std::time::Duration;
+
+use beryltray_lib::ids::AttemptId;
+use beryltray_lib::ids::DocumentVersion;
+use beryltray_lib::ids::Epoch;
+use beryltray_lib::ids::Generation;
+use beryltray_lib::ids::HostId;
+use beryltray_lib::ids::Incarnation;
+use beryltray_lib::ids::Revision;
+use beryltray_lib::ids::new_attempt_id;
+use beryltray_lib::platform::CommitOutcome;
+use beryltray_lib::platform::Put;
+use beryltray_lib::platform::Transaction;
+use beryltray_lib::platform::rows::GroupRow;
+use beryltray_lib::platform::rows::HeadRow;
+use beryltray_lib::platform::rows::LeaseRow;
+use beryltray_stand_ins::answer::whole_text;
+use beryltray_stand_ins::invocation::CallerOutcome;
+use beryltray_stand_ins::invocation::Invocation;
+use beryltray_stand_ins::truth::EngineTruth;
+use beryltray_stand_ins::truth::EngineWork;
+use beryltray_stand_ins::truth::LeavingMark;
+use beryltray_stand_ins::truth::PlainTruth;
+use beryltray_stand_ins::truth::PlainWork;
+use beryltray_stand_ins::truth::PlatformTruth;
+use beryltray_stand_ins::truth::TableCommit;
+use beryltray_stand_ins::truth::TableRestore;
+use beryltray_stand_ins::truth::WorkEnd;
+use beryltray_testutils::history::Bounds;
+use beryltray_testutils::history::History;
+use beryltray_testutils::history::Promise;
+use beryltray_testutils::history::VersionObservation;
+use beryltray_testutils::history::Violation;
+use serde::Serialize;
+
+const TOKENS: u64 = 4;
+const LONG: Duration = Duration::from_secs(60);
+
+fn booking(outcome: CallerOutcome, sent_unix_us: u64, ended_unix_us: u64) -> Invocation {
+    Invocation {
+        marker: String::from("m1"),
+        account: "harbour".parse().unwrap(),
+        service: "slot-ledger".parse().unwrap(),
+        operation: Some("book".parse().unwrap()),
+        key: Some("k1".parse().unwrap()),
+        expected_tokens: 0,
+        intended_unix_us: sent_unix_us,
+        sent_unix_us,
+        ended_unix_us,
+        outcome,
+        answer: String::from(r#"{"marker": "m1"}"#),
+    }
+}
+
+fn chat(outcome: CallerOutcome, answer: String) -> Invocation {
+    Invocation {
+        operation: None,
+        key: None,
+        expected_tokens: TOKENS,
+        answer,
+        ..booking(outcome, 10, 20)
+    }
+}
+
+fn run(received_unix_us: u64) -> PlainWork {
+    PlainWork {
+        received_unix_us,
+        operation: "book".parse().unwrap(),
+        attempt: Some(new_attempt_id()),
+        marker: String::from("m1"),
+        leaving_for_ms: None,
+        is_run: true,
+        end: WorkEnd::Whole,
+    }
+}
+
+fn host(name: &str) -> HostId {
+    name.parse().unwrap()
+}
+
+fn bookings(invocations: Vec<Invocation>, works: Vec<PlainWork>) -> History {
+    History {
+        invocations,
+        plains: vec![PlainTruth {
+            host: host("desk-1"),
+            works,
+        }],
+        ..History::default()
+    }
+}
+
+fn engine(work: EngineWork) -> History {
+    History {
+        engines: vec![EngineTruth {
+            host: host("a1"),
+            works: vec![work],
+            memberships: Vec::new(),
+        }],
+        ..History::default()
+    }
+}
+
+fn engine_work() -> EngineWork {
+    let group = Some(("g1".parse().unwrap(), Generation(1)));
+    EngineWork {
+        received_unix_us: 10,
+        ended_unix_us: 20,
+        attempt: None::<AttemptId>,
+        marker: String::from("m1"),
+        sent_to: group.clone(),
+        own: group,
+        missing_members: Vec::new(),
+        missing_for_ms: 0,
+        leaving_for_ms: None,
+        resumed_from_tokens: 0,
+        sent_tokens: TOKENS,
+        end: WorkEnd::Whole,
+    }
+}
+
+fn put<T>(key: &str, value: &T) -> Put
+where
+    T: Serialize,
+{
+    Put {
+        key: key.to_owned(),
+        value: serde_json::to_string(value).unwrap(),
+    }
+}
+
+fn platform(puts: Vec<Put>) -> History {
+    let commits = puts.into_iter().zip(1..);
+    let commits = commits.map(|(put, number)| TableCommit {
+        at_unix_us: number * 10,
+        transaction: Transaction {
+            attempt: new_attempt_id(),
+            checks: Vec::new(),
+            puts: vec![put],
+            deletes: Vec::new(),
+        },
+        outcome: CommitOutcome::Committed {
+            revision: Revision(number),
+        },
+        is_answer_lost: false,
+    });
+    History {
+        platform: PlatformTruth {
+            commits: commits.collect(),
+            ..PlatformTruth::default()
+        },
+        ..History::default()
+    }
+}
+
+fn group(name: &str, members: &[&str], spares: &[&str], epoch: u64) -> Put {
+    let hosts = |names: &[&str]| names.iter().map(|name| host(name)).collect::<Vec<_>>();
+    let row = GroupRow {
+        group: name.parse().unwrap(),
+        service: "beryl-writers".parse().unwrap(),
+        generation: Generation(1),
+        members: hosts(members),
+        reserved_spares: hosts(spares),
+        epoch: Epoch(epoch),
+    };
+    put(&format!("group/trial/lakes-a/{name}"), &row)
+}
+
+fn lease(holder: &str, epoch: u64) -> Put {
+    let row = LeaseRow {
+        epoch: Epoch(epoch),
+        holder: holder.parse().unwrap(),
+        incarnation: Incarnation(1),
+        renewal: 0,
+        is_released: false,
+    };
+    put("lease/trial/lakes-a", &row)
+}
+
+fn head(version: u64) -> Put {
+    let row = HeadRow {
+        version: DocumentVersion(version),
+        digest: "abc".parse().unwrap(),
+        base: DocumentVersion(version - 1),
+        author: String::from("ada"),
+        accepted_unix_s: 0,
+    };
+    put("head/trial", &row)
+}
+
+fn violations(history: &History, promise: Promise) -> Vec<Violation> {
+    let verdicts = history.check(&Bounds::default());
+    let verdict = verdicts
+        .into_iter()
+        .find(|verdict| verdict.promise == promise);
+    verdict.unwrap().violations
+}
+
+fn checked(history: &History, promise: Promise) -> u64 {
+    let verdicts = history.check(&Bounds::default());
+    let verdict = verdicts
+        .into_iter()
+        .find(|verdict| verdict.promise == promise);
+    verdict.unwrap().checked_operations
+}
+
+fn assert_keeps_all(history: &History) {
+    for verdict in history.check(&Bounds::default()) {
+        assert_eq!(verdict.violations, [], "{}", verdict.promise);
+    }
+}
+
+#[test]
+fn history_faithful_keeps_all() {
+    let retried = vec![
+        booking(CallerOutcome::NotRun, 10, 20),
+        booking(CallerOutcome::Complete, 30, 40),
+    ];
+    assert_keeps_all(&bookings(retried, vec![run(35)]));
+    assert_keeps_all(&engine(engine_work()));
+    let placement = vec![
+        lease("e1", 1),
+        group("g1", &["a1", "a2"], &["a3"], 1),
+        lease("e1", 1),
+        lease("e2", 2),
+        group("g1", &["a1", "a3"], &[], 2),
+        group("g2", &["a2"], &[], 2),
+        head(1),
+        head(2),
+    ];
+    assert_keeps_all(&platform(placement));
+}
+
+#[test]
+fn at_most_once_second_run_is_caught() {
+    let history = bookings(
+        vec![booking(CallerOutcome::Complete, 10, 50)],
+        vec![run(20), run(30)],
+    );
+    let marker = String::from("m1");
+    let expected = Violation::RanAgain { marker, runs: 2 };
+    assert_eq!(violations(&history, Promise::AtMostOnce), [expected]);
+    assert_eq!(checked(&history, Promise::AtMostOnce), 1);
+}
+
+#[test]
+fn not_run_run_before_answer_is_caught() {
+    let told = vec![booking(CallerOutcome::NotRun, 10, 50)];
+    let history = bookings(told, vec![run(20)]);
+    let marker = String::from("m1");
+    let expected = Violation::RanAfterAll { marker };
+    assert_eq!(violations(&history, Promise::NotRun), [expected]);
+}
+
+#[test]
+fn not_run_run_after_answer_is_caught() {
+    let tries = vec![
+        booking(CallerOutcome::NotRun, 10, 20),
+        booking(CallerOutcome::Complete, 40, 50),
+    ];
+    let history = bookings(tries, vec![run(30)]);
+    assert_eq!(violations(&history, Promise::NotRun).len(), 1);
+}
+
+#[test]
+fn not_run_stream_at_engine_is_caught() {
+    let mut history = engine(engine_work());
+    history.invocations = vec![chat(CallerOutcome::NotRun, String::new())];
+    assert_eq!(violations(&history, Promise::NotRun).len(), 1);
+}
+
+#[test]
+fn claim_order_not_run_after_result_is_caught() {
+    let tries = vec![
+        booking(CallerOutcome::Complete, 10, 20),
+        booking(CallerOutcome::NotRun, 30, 40),
+    ];
+    let history = bookings(tries, vec![run(15)]);
+    assert_eq!(violations(&history, Promise::ClaimOrder).len(), 1);
+    let concurrent = vec![
+        booking(CallerOutcome::Complete, 10, 35),
+        booking(CallerOutcome::NotRun, 30, 40),
+    ];
+    let history = bookings(concurrent, vec![run(32)]);
+    assert_eq!(violations(&history, Promise::ClaimOrder), []);
+}
+
+#[test]
+fn answers_truncated_is_caught() {
+    let truncated = whole_text("m1", TOKENS - 1);
+    let history = History {
+        invocations: vec![chat(CallerOutcome::Complete, truncated.clone())],
+        ..History::default()
+    };
+    assert_eq!(violations(&history, Promise::OwnWholeAnswer).len(), 1);
+    let visibly_broken = History {
+        invocations: vec![chat(CallerOutcome::Broken, truncated)],
+        ..History::default()
+    };
+    assert_eq!(violations(&visibly_broken, Promise::OwnWholeAnswer), []);
+}
+
+#[test]
+fn answers_foreign_is_caught() {
+    let foreign = whole_text("m2", TOKENS);
+    for outcome in [CallerOutcome::Complete, CallerOutcome::Broken] {
+        let history = History {
+            invocations: vec![chat(outcome, foreign.clone())],
+            ..History::default()
+        };
+        assert_eq!(violations(&history, Promise::OwnWholeAnswer).len(), 1);
+    }
+    let mut foreign = booking(CallerOutcome::Complete, 10, 20);
+    foreign.answer = String::from(r#"{"marker": "m2"}"#);
+    let history = bookings(vec![foreign], Vec::new());
+    assert_eq!(violations(&history, Promise::OwnWholeAnswer).len(), 1);
+}
+
+#[test]
+fn gate_missing_member_is_caught() {
+    let sent = |missing_for: Duration| {
+        engine(EngineWork {
+            missing_members: vec![host("a2")],
+            missing_for_ms: missing_for.as_millis() as u64,
+            ..engine_work()
+        })
+    };
+    let within = sent(Bounds::default().presence);
+    assert_eq!(violations(&within, Promise::Gate), []);
+    assert_eq!(violations(&sent(LONG), Promise::Gate).len(), 1);
+}
+
+#[test]
+fn one_group_shared_host_is_caught() {
+    let shared = vec![
+        group("g1", &["a1", "a2"], &[], 1),
+        group("g2", &["a2", "a3"], &[], 1),
+    ];
+    let two_members = platform(shared);
+    assert_eq!(violations(&two_members, Promise::OneGroupAHost).len(), 1);
+    let reserved = vec![
+        group("g1", &["a1"], &["a2"], 1),
+        group("g2", &["a2"], &[], 1),
+    ];
+    let spare_elsewhere = platform(reserved);
+    assert_eq!(
+        violations(&spare_elsewhere, Promise::OneGroupAHost).len(),
+        1
+    );
+}
+
+#[test]
+fn one_group_after_restore_is_judged_by_restored_rows() {
+    let mut history = platform(vec![
+        group("g1", &["a1"], &[], 1),
+        group("g2", &["a2"], &[], 1),
+        group("g3", &["a2"], &[], 1),
+    ]);
+    assert_eq!(violations(&history, Promise::OneGroupAHost).len(), 1);
+    history.platform.restores = vec![TableRestore {
+        at_unix_us: 25,
+        revision: Revision(1),
+    }];
+    assert_eq!(violations(&history, Promise::OneGroupAHost), []);
+}
+
+#[test]
+fn fenced_writes_old_epoch_is_caught() {
+    let stale = vec![lease("e1", 1), lease("e2", 2), group("g1", &["a1"], &[], 1)];
+    let history = platform(stale);
+    let found = violations(&history, Promise::FencedWrites);
+    assert!(matches!(found[..], [Violation::StaleWrite { .. }]));
+}
+
+#[test]
+fn fenced_writes_takeover_under_same_epoch_is_caught() {
+    let history = platform(vec![lease("e1", 1), lease("e2", 1)]);
+    let found = violations(&history, Promise::FencedWrites);
+    assert!(matches!(found[..], [Violation::EpochStep { .. }]));
+}
+
+#[test]
+fn leaving_new_work_is_caught() {
+    let own_word = engine(EngineWork {
+        leaving_for_ms: Some(LONG.as_millis() as u64),
+        ..engine_work()
+    });
+    assert_eq!(violations(&own_word, Promise::Leaving).len(), 1);
+    let received_unix_us = LONG.as_micros() as u64;
+    let mut listed = bookings(Vec::new(), vec![run(received_unix_us)]);
+    listed.platform.leaving_marks = vec![LeavingMark {
+        host: host("desk-1"),
+        visible_unix_us: 0,
+    }];
+    assert_eq!(violations(&listed, Promise::Leaving).len(), 1);
+    listed.platform.leaving_marks[0].visible_unix_us = received_unix_us;
+    assert_eq!(violations(&listed, Promise::Leaving), []);
+}
+
+#[test]
+fn head_going_back_is_caught() {
+    let history = platform(vec![head(1), head(3), head(2)]);
+    assert_eq!(violations(&history, Promise::HeadOnlyGrows).len(), 1);
+}
+
+#[test]
+fn in_force_going_back_is_caught() {
+    let observe = |at_unix_us, version| VersionObservation {
+        at_unix_us,
+        entry: "e1".parse().unwrap(),
+        version: DocumentVersion(version),
+    };
+    let history = History {
+        versions: vec![observe(10, 2), observe(20, 3), observe(30, 2)],
+        ..History::default()
+    };
+    assert_eq!(violations(&history, Promise::HeadOnlyGrows).len(), 1);
+    assert_eq!(checked(&history, Promise::HeadOnlyGrows), 3);
+}
--- /dev/null
+++ b/lib/testutils/src/history/claims.rs
@@ -0,0 +1,85 @@
+//! The tries under one key, checked for linearizability.
+//!
+//! The object is one piece of work, which has run or has not. A complete try runs it or finds it
+//! run; a try that is told "not run" must find it not run. A try whose end is unknown may take
+//! effect at any time up to the end of the history, so its response is put there.
+
+use beryltray_stand_ins::invocation::CallerOutcome;
+use beryltray_stand_ins::invocation::Invocation;
+use todc_utils::Action;
+use todc_utils::History as Actions;
+use todc_utils::WGLChecker;
+use todc_utils::specifications::Specification;
+
+use super::History;
+use super::Promise;
+use super::Verdict;
+use super::Violation;
+
+struct ClaimSpec;
+
+impl Specification for ClaimSpec {
+    type State = bool;
+    type Operation = CallerOutcome;
+
+    fn init() -> bool {
+        false
+    }
+
+    fn apply(outcome: &CallerOutcome, is_run: &bool) -> (bool, bool) {
+        match outcome {
+            CallerOutcome::Complete | CallerOutcome::Failed => (true, true),
+            CallerOutcome::NotRun | CallerOutcome::NotSent | CallerOutcome::Invalid => {
+                (!is_run, *is_run)
+            }
+            CallerOutcome::InProgress => (true, *is_run),
+            CallerOutcome::Unknown | CallerOutcome::Broken | CallerOutcome::NoAnswer => {
+                (true, true)
+            }
+        }
+    }
+}
+
+pub(super) fn check(history: &History) -> Verdict {
+    let mut invocations = history.invocations_by_marker();
+    invocations.retain(|invocation| invocation.key.is_some());
+    let mut violations = Vec::new();
+    for tries in invocations.chunk_by(|a, b| a.marker == b.marker) {
+        if !WGLChecker::<ClaimSpec>::is_linearizable(actions(tries)) {
+            violations.push(Violation::NotLinearizable {
+                marker: tries[0].marker.clone(),
+                outcomes: tries.iter().map(|invocation| invocation.outcome).collect(),
+            });
+        }
+    }
+    Verdict {
+        promise: Promise::ClaimOrder,
+        checked_operations: invocations.len() as u64,
+        violations,
+    }
+}
+
+fn actions(tries: &[&Invocation]) -> Actions<CallerOutcome> {
+    let mut timed = Vec::new();
+    for (process, invocation) in tries.iter().enumerate() {
+        let outcome = invocation.outcome;
+        let sent = (invocation.sent_unix_us, process, Action::Call(outcome));
+        timed.push(sent);
+        timed.push((
+            ended_unix_us(invocation),
+            process,
+            Action::Response(outcome),
+        ));
+    }
+    timed.sort_by_key(|(at_unix_us, _, _)| *at_unix_us);
+    let actions = timed.into_iter();
+    let actions = actions.map(|(_, process, action)| (process, action));
+    Actions::from_actions(actions.collect())
+}
+
+fn ended_unix_us(invocation: &Invocation) -> u64 {
+    match invocation.outcome {
+        CallerOutcome::Unknown | CallerOutcome::Broken | CallerOutcome::NoAnswer => u64::MAX,
+        _ => invocation.ended_unix_us,
+    }
+}
--- /dev/null
+++ b/lib/testutils/src/history/gate.rs
@@ -0,0 +1,37 @@
+//! No request reaches a group's leader while a member has been missing beyond the bound.
+
+use beryltray_lib::ids::HostId;
+use beryltray_stand_ins::truth::EngineWork;
+
+use super::Bounds;
+use super::History;
+use super::Promise;
+use super::Verdict;
+use super::Violation;
+use super::as_ms;
+
+pub(super) fn check(history: &History, bounds: &Bounds) -> Verdict {
+    let mut checked_operations = 0;
+    let mut violations = Vec::new();
+    for engine in &history.engines {
+        checked_operations += engine.works.len() as u64;
+        let breaches = engine.works.iter();
+        violations.extend(breaches.filter_map(|work| breach(&engine.host, work, bounds)));
+    }
+    Verdict {
+        promise: Promise::Gate,
+        checked_operations,
+        violations,
+    }
+}
+
+fn breach(host: &HostId, work: &EngineWork, bounds: &Bounds) -> Option<Violation> {
+    let missing = work.missing_members.first()?;
+    let is_too_long = work.missing_for_ms > as_ms(bounds.presence);
+    is_too_long.then(|| Violation::MemberMissing {
+        marker: work.marker.clone(),
+        host: host.clone(),
+        missing: missing.clone(),
+        missing_for_ms: work.missing_for_ms,
+    })
+}
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -1,5 +1,7 @@
-//! Test helpers: a clock that the test moves, fixed seeds, and a network of exchanges.
+//! Test helpers: a clock that the test moves, fixed seeds, a network of exchanges, and the
+//! checkers of recorded histories.
 
 pub mod clock;
+pub mod history;
 pub mod mesh;
 pub mod seeds;
--- a/stand-ins/src/platform/service.rs
+++ b/stand-ins/src/platform/service.rs
@@ -36,10 +36,14 @@
 use crate::json::read_bytes;
 use crate::json::text_response;
 use crate::server::lock;
+use crate::truth::LeavingMark;
 use crate::truth::PlatformTruth;
 use crate::truth::TableCommit;
+use crate::truth::TableRestore;
 use crate::truth::now_unix_us;
 
+const MICROSECONDS_PER_MS: u64 = 1000;
+
 #[derive(Debug)]
 struct StoredObject {
     key: String,
@@ -201,6 +205,11 @@
         self.faults.apply(change);
         if let Some(host) = &change.mark_leaving {
             self.hosts.set_state(now, host, ListedState::Leaving);
+            let lag_us = self.faults.list_lag_ms.saturating_mul(MICROSECONDS_PER_MS);
+            self.truth.leaving_marks.push(LeavingMark {
+                host: host.clone(),
+                visible_unix_us: now_unix_us().saturating_add(lag_us),
+            });
         }
         if let Some(host) = &change.mark_live {
             self.hosts.set_state(now, host, ListedState::Live);
@@ -225,7 +234,10 @@
             }
         }
         self.table.restore(&older);
-        self.truth.restored_unix_us.push(now_unix_us());
+        self.truth.restores.push(TableRestore {
+            at_unix_us: now_unix_us(),
+            revision: last,
+        });
     }
 }
 
--- a/stand-ins/src/truth.rs
+++ b/stand-ins/src/truth.rs
@@ -10,6 +10,7 @@
 use beryltray_lib::ids::GroupId;
 use beryltray_lib::ids::HostId;
 use beryltray_lib::ids::OperationId;
+use beryltray_lib::ids::Revision;
 use beryltray_lib::platform::CommitOutcome;
 use beryltray_lib::platform::Transaction;
 use serde::Deserialize;
@@ -132,6 +133,24 @@
     pub is_answer_lost: bool,
 }
 
+/// A return of the table to an older state.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct TableRestore {
+    /// When it happened.
+    pub at_unix_us: u64,
+    /// The last revision that was kept.
+    pub revision: Revision,
+}
+
+/// A host that the list shows as leaving.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct LeavingMark {
+    /// The host.
+    pub host: HostId,
+    /// When the list shows it, its lag included.
+    pub visible_unix_us: u64,
+}
+
 /// What the platform decided.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct PlatformTruth {
@@ -139,6 +158,8 @@
     pub commits: Vec<TableCommit>,
     /// The number of transactions that were refused.
     pub refused_commits: u64,
-    /// The times at which an older state was restored.
-    pub restored_unix_us: Vec<u64>,
+    /// The returns to an older state, in order.
+    pub restores: Vec<TableRestore>,
+    /// The hosts that were marked as leaving.
+    pub leaving_marks: Vec<LeavingMark>,
 }
