--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -5,3 +5,4 @@
 pub mod history;
 pub mod mesh;
 pub mod seeds;
+pub mod table;
