cli: check-history, each promise with its checked operations and violations

A trial's callers, stand-ins, versions and faults are files with one JSON object a line. Each stand-in writes its truth when it ends, a fault that kills it included, since what a process knew is lost with it. The recovery of a fault is the end of the last request without a result before the next fault.

--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -1,5 +1,6 @@
 //! The commands, one file each.
 
+mod check_history;
 mod entry;
 mod load;
 mod stand_in;
@@ -17,6 +18,8 @@
 /// What `beryltray` is asked to do.
 #[derive(Debug, Subcommand)]
 pub(crate) enum Command {
+    /// Checks the promises over what a trial recorded.
+    CheckHistory(check_history::CheckHistoryArgs),
     /// Runs an entry: the daemon that answers callers and routes their requests.
     Entry(entry::EntryArgs),
     /// Sends requests at a given rate and counts what becomes of them.
@@ -29,6 +32,8 @@
 /// Why a command failed.
 #[derive(Debug, Display, Error, From)]
 pub(crate) enum CommandError {
+    /// A history was not checked.
+    CheckHistory(check_history::CheckHistoryError),
     /// An entry did not run.
     Entry(entry::EntryCommandError),
     /// The load was not sent.
@@ -48,6 +53,7 @@
     /// Runs the command to its end.
     pub(crate) async fn run(self) -> Result<ExitCode, CommandError> {
         match self {
+            Self::CheckHistory(args) => Ok(args.run()?),
             Self::Entry(args) => Ok(args.run().await?),
             Self::Load(args) => Ok(args.run().await?),
             Self::StandIn(command) => Ok(command.run().await?),
--- a/cli/src/commands/stand_in.rs
+++ b/cli/src/commands/stand_in.rs
@@ -135,6 +135,9 @@
     /// A file with one host a line; empty lines and those that start with '#' are passed over.
     #[arg(long, value_name = "FILE")]
     hosts_file: Option<PathBuf>,
+    /// A file that the truth is written to at the end.
+    #[arg(long, value_name = "FILE")]
+    truth: Option<PathBuf>,
 }
 
 /// Options of `stand-in engine`.
@@ -167,6 +170,9 @@
     /// How old the reported load is.
     #[arg(long, value_parser = parse_duration, default_value = "300ms")]
     report_lag: Duration,
+    /// A file that the truth is written to at the end.
+    #[arg(long, value_name = "FILE")]
+    truth: Option<PathBuf>,
 }
 
 /// Options of `stand-in plain`.
@@ -181,6 +187,9 @@
     /// The time that an operation takes.
     #[arg(long, value_parser = parse_duration, default_value = "5ms")]
     work_time: Duration,
+    /// A file that the truth is written to at the end.
+    #[arg(long, value_name = "FILE")]
+    truth: Option<PathBuf>,
 }
 
 /// Options of `stand-in relay`.
@@ -212,6 +221,7 @@
                 let settings = PlatformSettings {
                     listen: args.listen,
                     hosts: args.hosts()?,
+                    truth_file: args.truth,
                 };
                 Ok(platform::start(settings).await?)
             }
@@ -220,6 +230,7 @@
                 let settings = PlainSettings {
                     listen: args.listen,
                     work_time: args.work_time,
+                    truth_file: args.truth,
                     ..PlainSettings::new(args.host)
                 };
                 Ok(plain::start(settings).await?)
@@ -272,6 +283,7 @@
             time_per_token: self.time_per_token,
             batch_limit_requests: self.batch_limit,
             report_lag: self.report_lag,
+            truth_file: self.truth,
             ..EngineSettings::new(self.host)
         }
     }
@@ -288,5 +300,7 @@
         _ = interrupt.recv() => (),
         () = running.stopped() => (),
     }
+    running.stop();
+    running.stopped().await;
     Ok(())
 }
--- a/lib/tests/test_history.rs
+++ b/lib/tests/test_history.rs
@@ -33,6 +33,8 @@
 use beryltray_testutils::history::Promise;
 use beryltray_testutils::history::VersionObservation;
 use beryltray_testutils::history::Violation;
+use beryltray_testutils::history::recovery::FaultMark;
+use beryltray_testutils::history::recovery::recoveries;
 use serde::Serialize;
 
 const TOKENS: u64 = 4;
@@ -418,3 +420,20 @@
     assert_eq!(violations(&history, Promise::HeadOnlyGrows).len(), 1);
     assert_eq!(checked(&history, Promise::HeadOnlyGrows), 3);
 }
+
+#[test]
+fn recoveries_are_counted_up_to_the_next_fault() {
+    let fault = |name: &str, at_unix_us| FaultMark {
+        fault: name.to_owned(),
+        at_unix_us,
+    };
+    let tries = [
+        booking(CallerOutcome::Unknown, 12, 18),
+        booking(CallerOutcome::Complete, 14, 30),
+        booking(CallerOutcome::Complete, 25, 30),
+    ];
+    let found = recoveries(&tries, &[fault("cut", 10), fault("heal", 20)]);
+    assert_eq!(found[0].incomplete_requests, 1);
+    assert_eq!(found[0].whole_after, Duration::from_micros(8));
+    assert_eq!((found[1].requests, found[1].incomplete_requests), (1, 0));
+}
--- a/lib/testutils/src/history/mod.rs
+++ b/lib/testutils/src/history/mod.rs
@@ -9,6 +9,7 @@
 mod gate;
 mod leaving;
 mod not_run;
+pub mod recovery;
 mod table;
 mod versions;
 mod violation;
--- a/stand-ins/src/engine/mod.rs
+++ b/stand-ins/src/engine/mod.rs
@@ -16,6 +16,7 @@
 mod state;
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::time::Duration;
 
 use beryltray_lib::ids::HostId;
@@ -53,6 +54,8 @@
     pub cache_limit_prefixes: usize,
     /// Every how many cache events one is lost; zero loses none.
     pub cache_event_gap: u64,
+    /// The file that the truth is written to at the end, if any.
+    pub truth_file: Option<PathBuf>,
 }
 
 impl EngineSettings {
@@ -70,6 +73,7 @@
             report_lag: Duration::from_millis(300),
             cache_limit_prefixes: 64,
             cache_event_gap: 16,
+            truth_file: None,
         }
     }
 }
@@ -78,9 +82,12 @@
 pub async fn start(settings: EngineSettings) -> Result<Running, StartError> {
     let (listener, address) = bind(settings.listen).await?;
     let stop = CancellationToken::new();
+    let truth_file = settings.truth_file.clone();
     let service = EngineService::new(settings, stop.clone());
     let watcher = members::watch_members(service.clone());
     tokio::spawn(stop.clone().run_until_cancelled_owned(watcher));
-    tokio::spawn(serve(listener, service, stop.clone()));
-    Ok(Running::new(address, stop))
+    tokio::spawn(serve(listener, service.clone(), stop.clone()));
+    let running = Running::new(address, stop);
+    running.write_truth_at_end(truth_file, move || service.truth_text());
+    Ok(running)
 }
--- a/stand-ins/src/plain/mod.rs
+++ b/stand-ins/src/plain/mod.rs
@@ -7,6 +7,7 @@
 mod service;
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::time::Duration;
 
 use beryltray_lib::ids::HostId;
@@ -27,6 +28,8 @@
     pub host: HostId,
     /// The time that an operation takes.
     pub work_time: Duration,
+    /// The file that the truth is written to at the end, if any.
+    pub truth_file: Option<PathBuf>,
 }
 
 impl PlainSettings {
@@ -36,6 +39,7 @@
             listen: SocketAddr::from(([127, 0, 0, 1], 0)),
             host,
             work_time: Duration::from_millis(5),
+            truth_file: None,
         }
     }
 }
@@ -44,7 +48,10 @@
 pub async fn start(settings: PlainSettings) -> Result<Running, StartError> {
     let (listener, address) = bind(settings.listen).await?;
     let stop = CancellationToken::new();
+    let truth_file = settings.truth_file.clone();
     let service = PlainService::new(settings, stop.clone());
-    tokio::spawn(serve(listener, service, stop.clone()));
-    Ok(Running::new(address, stop))
+    tokio::spawn(serve(listener, service.clone(), stop.clone()));
+    let running = Running::new(address, stop);
+    running.write_truth_at_end(truth_file, move || service.truth_text());
+    Ok(running)
 }
--- a/stand-ins/src/plain/service.rs
+++ b/stand-ins/src/plain/service.rs
@@ -80,6 +80,11 @@
         }
     }
 
+    /// Returns the truth as JSON.
+    pub(super) fn truth_text(&self) -> Option<String> {
+        serde_json::to_string(&lock(&self.state).truth).ok()
+    }
+
     async fn route(&self, request: Request<Incoming>) -> Answer {
         let (head, body) = request.into_parts();
         let path = head.uri.path();
--- a/stand-ins/src/platform/mod.rs
+++ b/stand-ins/src/platform/mod.rs
@@ -6,6 +6,7 @@
 pub mod table;
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 use beryltray_lib::platform::ListedHost;
 use tokio_util::sync::CancellationToken;
@@ -23,6 +24,8 @@
     pub listen: SocketAddr,
     /// The hosts in the list.
     pub hosts: Vec<ListedHost>,
+    /// The file that the truth is written to at the end, if any.
+    pub truth_file: Option<PathBuf>,
 }
 
 impl Default for PlatformSettings {
@@ -30,6 +33,7 @@
         Self {
             listen: SocketAddr::from(([127, 0, 0, 1], 0)),
             hosts: Vec::new(),
+            truth_file: None,
         }
     }
 }
@@ -48,7 +52,10 @@
 pub async fn start(settings: PlatformSettings) -> Result<Running, StartError> {
     let (listener, address) = bind(settings.listen).await?;
     let stop = CancellationToken::new();
+    let truth_file = settings.truth_file.clone();
     let service = PlatformService::new(settings.hosts);
-    tokio::spawn(serve(listener, service, stop.clone()));
-    Ok(Running::new(address, stop))
+    tokio::spawn(serve(listener, service.clone(), stop.clone()));
+    let running = Running::new(address, stop);
+    running.write_truth_at_end(truth_file, move || service.truth_text());
+    Ok(running)
 }
--- a/stand-ins/src/platform/service.rs
+++ b/stand-ins/src/platform/service.rs
@@ -92,6 +92,11 @@
         }
     }
 
+    /// Returns the truth as JSON.
+    pub(super) fn truth_text(&self) -> Option<String> {
+        serde_json::to_string(&lock(&self.state).truth).ok()
+    }
+
     async fn route(&self, request: Request<Incoming>) -> Answer {
         let path = request.uri().path().to_owned();
         let method = request.method().clone();
--- a/stand-ins/src/server.rs
+++ b/stand-ins/src/server.rs
@@ -1,6 +1,7 @@
 //! The listener that all stand-ins share: it can be stopped at once, as a killed process is.
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
@@ -15,6 +16,7 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 
 /// The wait after a failed accept, so that a lack of file handles does not spin.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -41,11 +43,34 @@
 pub struct Running {
     address: SocketAddr,
     stop: CancellationToken,
+    last_words: TaskTracker,
 }
 
 impl Running {
     pub(crate) fn new(address: SocketAddr, stop: CancellationToken) -> Self {
-        Self { address, stop }
+        Self {
+            address,
+            stop,
+            last_words: TaskTracker::new(),
+        }
+    }
+
+    /// Writes what `truth` returns to `file`, once the stand-in has stopped.
+    pub(crate) fn write_truth_at_end<F>(&self, file: Option<PathBuf>, truth: F)
+    where
+        F: FnOnce() -> Option<String> + Send + 'static,
+    {
+        let Some(file) = file else {
+            return;
+        };
+        let stop = self.stop.clone();
+        self.last_words.spawn(async move {
+            stop.cancelled().await;
+            let written = std::fs::write(&file, truth().unwrap_or_default());
+            if let Err(error) = written {
+                log::error!("the truth can't be written to {}: {error}", file.display());
+            }
+        });
     }
 
     /// Returns the address that the stand-in listens on.
@@ -61,6 +86,8 @@
     /// Waits until the stand-in has stopped, for instance by a fault that kills it.
     pub async fn stopped(&self) {
         self.stop.cancelled().await;
+        self.last_words.close();
+        self.last_words.wait().await;
     }
 }
 
