--- a/stand-ins/src/lib.rs
+++ b/stand-ins/src/lib.rs
@@ -16,8 +16,8 @@
 pub mod answer;
 pub mod control;
 pub mod engine;
-pub mod invocation;
 pub mod fleet;
+pub mod invocation;
 pub mod json;
 pub mod plain;
 pub mod platform;
