request: non-idempotent work is claimed before it is sent and recorded after

Why: a works order or booking must run at most once, whoever pauses or dies. Change: keyed work runs in a task of its own that outlives its caller's connection, under a durable claim; the graceful end waits for it and for its record.

--- a/lib/src/process/entry/run.rs
+++ b/lib/src/process/entry/run.rs
@@ -74,12 +74,14 @@
     let listen = settings.listen;
     let caller_listener = bind(listen.callers).await?;
     let operator_listener = bind(listen.operators).await?;
-    let state = Arc::new(EntryState::new(settings, clock, platform, targets)?);
+    let (state, claim_task) = EntryState::new(settings, clock, platform, targets)?;
+    let state = Arc::new(state);
 
     let mut background = JoinSet::new();
     let (peer_events, heard) = mpsc::channel(PEER_EVENT_BUFFER);
     let peers = EntryPeers::default();
     background.spawn(follow_head(Arc::clone(&state), peers.clone(), heard));
+    background.spawn(claim_task.run());
     background.spawn(follow_lists(Arc::clone(&state)));
     background.spawn(follow_capacity(Arc::clone(&state)));
     background.spawn(follow_reports(Arc::clone(&state)));
@@ -129,12 +131,27 @@
     tokio::time::sleep(settings.notice).await;
     state.lifecycle.advance(Stage::Stopping);
     close_listener.cancel();
-    let finished = tokio::time::timeout(settings.drain_limit, callers).await;
+    let finished = tokio::time::timeout(settings.drain_limit, finish(state, callers)).await;
     if finished.is_err() {
         log::error!(limit_ms = millis(settings.drain_limit); "requests were cut off at the limit");
     }
 }
 
+/// Waits for the requests in flight, for the work that goes on without a caller, and for its record.
+async fn finish<C, P, T>(state: &EntryState<C, P, T>, callers: JoinHandle<()>)
+where
+    C: Clock,
+    P: Platform,
+    T: Targets,
+{
+    if let Err(error) = callers.await {
+        log::error!("the callers' listener failed: {error}");
+    }
+    state.keyed_work.close();
+    state.keyed_work.wait().await;
+    state.claims.flush().await;
+}
+
 fn millis(duration: Duration) -> u64 {
     duration.as_millis() as u64
 }
--- a/lib/src/process/entry/state.rs
+++ b/lib/src/process/entry/state.rs
@@ -6,6 +6,9 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 
+use tokio_util::task::TaskTracker;
+
+use crate::attempts::RandomAttempts;
 use crate::clock::Clock;
 use crate::platform::HostList;
 use crate::platform::ObjectStore;
@@ -19,6 +22,13 @@
 use crate::process::metrics::Metrics;
 use crate::process::services::ServiceShards;
 use crate::process::settings::EntrySettings;
+use crate::request::claim::ClaimBook;
+use crate::request::claim::ClaimOwner;
+use crate::request::claim::ClaimSettings;
+use crate::request::claim::store::ClaimStore;
+use crate::request::claim::store::ClaimTask;
+use crate::request::claim::store::NoPeerTable;
+use crate::request::claim::store::claim_task;
 use crate::target::Targets;
 use crate::version::head::HeadReadiness;
 
@@ -27,6 +37,9 @@
 
 impl<P> Platform for P where P: Table + ObjectStore + HostList {}
 
+/// The task of an entry's claims.
+pub type EntryClaimTask<C, P> = ClaimTask<P, NoPeerTable, RandomAttempts, C>;
+
 /// What all tasks of an entry share.
 #[derive(Debug)]
 pub struct EntryState<C, P, T> {
@@ -48,6 +61,10 @@
     pub lifecycle: Lifecycle,
     /// The metrics.
     pub metrics: Metrics,
+    /// The claims on non-idempotent work.
+    pub claims: ClaimStore,
+    /// Non-idempotent work in flight, which goes on when its callers go away.
+    pub keyed_work: TaskTracker,
     limits: Mutex<AccountLimits>,
     head_readiness: Mutex<Option<HeadReadiness>>,
     is_platform_reached: AtomicBool,
@@ -60,13 +77,13 @@
     P: Platform,
     T: Targets,
 {
-    /// Creates the state of a process that knows nothing yet.
+    /// Creates the state of a process that knows nothing yet, and the task of its claims.
     pub fn new(
         settings: EntrySettings,
         clock: C,
         platform: P,
         targets: T,
-    ) -> Result<Self, prometheus::Error> {
+    ) -> Result<(Self, EntryClaimTask<C, P>), prometheus::Error> {
         let identity = EntryIdentity {
             entry: settings.entry.clone(),
             incarnation: incarnation_from(&clock),
@@ -79,7 +96,16 @@
             LimitSettings::default(),
             clock.now(),
         );
-        Ok(Self {
+        let owner = ClaimOwner {
+            environment: identity.environment.clone(),
+            entry: identity.entry.clone(),
+            incarnation: identity.incarnation,
+        };
+        let book = ClaimBook::new(ClaimSettings::default(), owner, RandomAttempts);
+        let (claims, claim_task) = claim_task(book, platform.clone(), NoPeerTable, clock.clone());
+        let state = Self {
+            claims,
+            keyed_work: TaskTracker::new(),
             limits: Mutex::new(limits),
             head_readiness: Mutex::default(),
             clock,
@@ -93,7 +119,8 @@
             metrics: Metrics::new()?,
             is_platform_reached: AtomicBool::new(false),
             has_host_list: AtomicBool::new(false),
-        })
+        };
+        Ok((state, claim_task))
     }
 
     /// Returns the limits of the client accounts, locked.
--- a/lib/src/request/dispatch.rs
+++ b/lib/src/request/dispatch.rs
@@ -105,10 +105,14 @@
         }
     }
 
-    /// Moves on to the next attempt, on another target than `failed`.
-    pub fn move_on(&mut self, failed: TargetId) {
+    /// Moves on to another target than `failed`.
+    ///
+    /// An attempt that was never sent keeps its name, under which the work may be claimed.
+    pub fn move_on(&mut self, failed: TargetId, was_sent: bool) {
         self.avoid = Some(failed);
-        self.attempt = new_attempt_id();
+        if was_sent {
+            self.attempt = new_attempt_id();
+        }
     }
 }
 
@@ -160,7 +164,7 @@
             log::debug!(request:% = context.request.id; "no further try: {reason}");
             return Err(failure_ending(state, context, failure));
         }
-        tries.move_on(target.choice.target);
+        tries.move_on(target.choice.target, !failure.is_not_run());
     }
 }
 
--- a/lib/src/request/handler.rs
+++ b/lib/src/request/handler.rs
@@ -9,6 +9,7 @@
 
 use super::answer::WholeAnswer;
 use super::answer::broken_stream_event;
+use super::answer::in_progress_answer;
 use super::answer::outcome_answer;
 use super::answer::refusal_answer;
 use super::answer::stream_answer;
@@ -16,7 +17,6 @@
 use super::caller::AnswerShape;
 use super::caller::CallerError;
 use super::caller::CallerHead;
-use super::chat::GatheredChat;
 use super::chat::end_event;
 use super::chat::note_event;
 use super::chat::token_event;
@@ -24,19 +24,21 @@
 use super::dispatch::Ending;
 use super::dispatch::Tries;
 use super::fair_queue::QueueKey;
+use super::keyed::KeyedEnding;
+use super::keyed::run_keyed;
 use super::outcome::NotRunReason;
 use super::outcome::Outcome;
-use super::outcome::UnknownReason;
 use super::permit::AdmissionPermit;
-use super::plain::run_plain;
 use super::token_stream::StreamPart;
 use super::token_stream::TokenStream;
+use super::whole::run_whole;
 use crate::clock::Clock;
 use crate::connection::body::BodySender;
 use crate::connection::body::ResponseBody;
 use crate::connection::body::read_body;
 use crate::connection::body::streamed_body;
 use crate::connection::server::HttpHandler;
+use crate::ids::IdempotencyKey;
 use crate::ids::new_attempt_id;
 use crate::process::entry::EntryState;
 use crate::process::entry::Platform;
@@ -119,18 +121,69 @@
         if context.request.shape == AnswerShape::Stream && context.is_idempotent {
             return self.answer_stream(context, permit, in_flight).await;
         }
-        let ended = self.run_whole(&context).await;
-        match ended {
-            Ok(answer) => {
-                let now = self.state.clock.now();
-                permit.finish(now.saturating_duration_since(context.received_at));
-                self.note_outcome(&context, &Outcome::Complete);
-                whole_answer(&context.request.id, &Outcome::Complete, answer)
-            }
+        match context
+            .request
+            .key
+            .clone()
+            .filter(|_| !context.is_idempotent)
+        {
+            Some(key) => self.answer_keyed(context, key, permit).await,
+            None => self.answer_whole(context, permit).await,
+        }
+    }
+
+    async fn answer_whole(
+        &self,
+        context: RequestContext,
+        permit: AdmissionPermit<C>,
+    ) -> Response<ResponseBody> {
+        let tries = self.tries(&context);
+        match run_whole(&self.state, &context, tries).await {
+            Ok(answer) => self.end_whole(&context, permit, answer),
             Err(ending) => self.end(&context, ending),
         }
     }
 
+    async fn answer_keyed(
+        &self,
+        context: RequestContext,
+        key: IdempotencyKey,
+        permit: AdmissionPermit<C>,
+    ) -> Response<ResponseBody> {
+        let context = Arc::new(context);
+        let id = &context.request.id;
+        match run_keyed(&self.state, &context, key).await {
+            KeyedEnding::Answer(answer) if answer.status < 400 => {
+                self.end_whole(&context, permit, answer)
+            }
+            KeyedEnding::Answer(answer) => {
+                let status = answer.status;
+                let outcome = Outcome::Failed { status };
+                let answer = Some(answer);
+                self.end(&context, Ending { outcome, answer })
+            }
+            KeyedEnding::Ended(ending) => self.end(&context, ending),
+            KeyedEnding::InProgress { retry_after } => in_progress_answer(id, retry_after),
+            KeyedEnding::KeyReused => {
+                let error = CallerError::KeyReused;
+                self.state.metrics.count_refusal(error.status());
+                refusal_answer(&error)
+            }
+        }
+    }
+
+    fn end_whole(
+        &self,
+        context: &RequestContext,
+        permit: AdmissionPermit<C>,
+        answer: WholeAnswer,
+    ) -> Response<ResponseBody> {
+        let now = self.state.clock.now();
+        permit.finish(now.saturating_duration_since(context.received_at));
+        self.note_outcome(context, &Outcome::Complete);
+        whole_answer(&context.request.id, &Outcome::Complete, answer)
+    }
+
     /// Waits for a place within the account's limit and the service's queue.
     async fn admit(&self, context: &RequestContext) -> Result<AdmissionPermit<C>, Outcome> {
         let state = &self.state;
@@ -164,44 +217,11 @@
         Ok(permit)
     }
 
-    /// Runs a request whose answer is passed on only when it is whole.
-    async fn run_whole(&self, context: &RequestContext) -> Result<WholeAnswer, Ending> {
-        let tries = self.tries(context);
-        if context.request.shape == AnswerShape::Plain {
-            return run_plain(&self.state, context, tries).await;
-        }
-        let gathered = self.gather(context, tries).await?;
-        if context.request.shape == AnswerShape::Stream {
-            return Ok(gathered.into_events());
-        }
-        let completion = gathered.into_completion(&context.request.id, &context.request.service);
-        completion.map_err(|_| UnknownReason::NotWhole.into())
-    }
-
     fn tries(&self, context: &RequestContext) -> Tries {
         let expected_time = self.state.shards.expected_time(&context.request.service);
         Tries::new(context, new_attempt_id(), expected_time)
     }
 
-    async fn gather(&self, context: &RequestContext, tries: Tries) -> Result<GatheredChat, Ending> {
-        let state = &self.state;
-        let mut stream = TokenStream::start(state, context, tries).await?;
-        let mut gathered = GatheredChat::default();
-        loop {
-            match stream.next(state, context).await {
-                Ok(StreamPart::Token { index, data }) => gathered.push_token(index, data),
-                Ok(StreamPart::Note { data }) => gathered.push_note(data),
-                Ok(StreamPart::End) => break,
-                Err(ending) => {
-                    stream.finish(state, context, false).await;
-                    return Err(ending);
-                }
-            }
-        }
-        stream.finish(state, context, true).await;
-        Ok(gathered)
-    }
-
     /// Runs a request whose answer is passed on token by token.
     async fn answer_stream(
         &self,
--- a/lib/src/request/plain.rs
+++ b/lib/src/request/plain.rs
@@ -47,7 +47,7 @@
             log::debug!(request:% = context.request.id; "no further try: {reason}");
             return Err(failure.into());
         }
-        tries.move_on(target.choice.target);
+        tries.move_on(target.choice.target, true);
     }
 }
 
--- a/lib/src/request/token_stream.rs
+++ b/lib/src/request/token_stream.rs
@@ -161,7 +161,7 @@
                 state
                     .shards
                     .on_finished(service, &target.choice.target, None, now);
-                self.tries.move_on(target.choice.target);
+                self.tries.move_on(target.choice.target, true);
                 self.current = Some(dispatch(state, context, &mut self.tries).await?);
                 Ok(())
             }
--- /dev/null
+++ b/lib/src/request/whole.rs
@@ -0,0 +1,65 @@
+//! A request whose answer is passed on only when it is whole.
+
+use super::answer::WholeAnswer;
+use super::caller::AnswerShape;
+use super::chat::GatheredChat;
+use super::context::RequestContext;
+use super::dispatch::Ending;
+use super::dispatch::Tries;
+use super::outcome::UnknownReason;
+use super::plain::run_plain;
+use super::token_stream::StreamPart;
+use super::token_stream::TokenStream;
+use crate::clock::Clock;
+use crate::process::entry::EntryState;
+use crate::process::entry::Platform;
+use crate::target::Targets;
+
+/// Runs a request to its whole answer, in the shape that the caller asked for.
+pub async fn run_whole<C, P, T>(
+    state: &EntryState<C, P, T>,
+    context: &RequestContext,
+    tries: Tries,
+) -> Result<WholeAnswer, Ending>
+where
+    C: Clock,
+    P: Platform,
+    T: Targets,
+{
+    if context.request.shape == AnswerShape::Plain {
+        return run_plain(state, context, tries).await;
+    }
+    let gathered = gather(state, context, tries).await?;
+    if context.request.shape == AnswerShape::Stream {
+        return Ok(gathered.into_events());
+    }
+    let completion = gathered.into_completion(&context.request.id, &context.request.service);
+    completion.map_err(|_| UnknownReason::NotWhole.into())
+}
+
+async fn gather<C, P, T>(
+    state: &EntryState<C, P, T>,
+    context: &RequestContext,
+    tries: Tries,
+) -> Result<GatheredChat, Ending>
+where
+    C: Clock,
+    P: Platform,
+    T: Targets,
+{
+    let mut stream = TokenStream::start(state, context, tries).await?;
+    let mut gathered = GatheredChat::default();
+    loop {
+        match stream.next(state, context).await {
+            Ok(StreamPart::Token { index, data }) => gathered.push_token(index, data),
+            Ok(StreamPart::Note { data }) => gathered.push_note(data),
+            Ok(StreamPart::End) => break,
+            Err(ending) => {
+                stream.finish(state, context, false).await;
+                return Err(ending);
+            }
+        }
+    }
+    stream.finish(state, context, true).await;
+    Ok(gathered)
+}
--- a/lib/tests/test_history.rs
+++ b/lib/tests/test_history.rs
@@ -162,6 +162,7 @@
         group: name.parse().unwrap(),
         service: "beryl-writers".parse().unwrap(),
         generation: Generation(1),
+        weights: "beryl-writer-3".parse().unwrap(),
         members: hosts(members),
         reserved_spares: hosts(spares),
         epoch: Epoch(epoch),
