cli: status shows entries, groups and closed gates; demo runs the whole path in one process

Why: a newcomer must see what runs and try a request within minutes. Change: the commands status and demo.

--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -1,9 +1,11 @@
 //! The commands, one file each.
 
 mod check_history;
+mod demo;
 mod entry;
 mod load;
 mod stand_in;
+mod status;
 
 use std::process::ExitCode;
 
@@ -20,6 +22,8 @@
 pub(crate) enum Command {
     /// Checks the promises over what a trial recorded.
     CheckHistory(check_history::CheckHistoryArgs),
+    /// Runs the whole path in one process and sends requests through it.
+    Demo(demo::DemoArgs),
     /// Runs an entry: the daemon that answers callers and routes their requests.
     Entry(entry::EntryArgs),
     /// Sends requests at a given rate and counts what becomes of them.
@@ -27,6 +31,8 @@
     /// Runs a small stand-in for an outer service, for trials and tests.
     #[command(subcommand)]
     StandIn(stand_in::StandInCommand),
+    /// Shows the entries, their versions, their groups, and why a gate is closed.
+    Status(status::StatusArgs),
 }
 
 /// Why a command failed.
@@ -34,12 +40,16 @@
 pub(crate) enum CommandError {
     /// A history was not checked.
     CheckHistory(check_history::CheckHistoryError),
+    /// The demo did not run.
+    Demo(demo::DemoError),
     /// An entry did not run.
     Entry(entry::EntryCommandError),
     /// The load was not sent.
     Load(load::LoadError),
     /// A stand-in did not run.
     StandIn(stand_in::StandInError),
+    /// The statuses were not shown.
+    Status(status::StatusCommandError),
 }
 
 impl CommandError {
@@ -54,9 +64,11 @@
     pub(crate) async fn run(self) -> Result<ExitCode, CommandError> {
         match self {
             Self::CheckHistory(args) => Ok(args.run()?),
+            Self::Demo(args) => Ok(args.run().await?),
             Self::Entry(args) => Ok(args.run().await?),
             Self::Load(args) => Ok(args.run().await?),
             Self::StandIn(command) => Ok(command.run().await?),
+            Self::Status(args) => Ok(args.run().await?),
         }
     }
 }
