--- /dev/null
+++ b/cli/src/commands/experiment/routing.rs
@@ -0,0 +1,410 @@
+//! Measures the choice of targets under lagging reports, a straggler, shared prefixes, uneven
+//! groups and several entries, beside round robin and two choices on raw reports.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use beryltray_lib::clock::Clock as _;
+use beryltray_lib::clock::SystemClock;
+use beryltray_lib::ids::TargetId;
+use beryltray_lib::request::admission::AdmissionAction;
+use beryltray_lib::request::admission::AdmissionRequest;
+use beryltray_lib::request::admission::Ticket;
+use beryltray_lib::request::fair_queue::QueueKey;
+use beryltray_lib::request::route::FinishedAnswer;
+use beryltray_lib::target::wire::LoadReport;
+use beryltray_lib::units::TokenCount;
+use beryltray_lib::version::document::Priority;
+
+use super::engine::Engine;
+use super::engine::EngineModel;
+use super::engine::EngineRequest;
+use super::engine::Started;
+use super::report::Report;
+use super::report::Row;
+use super::report::Section;
+use super::routing_entry::Entry;
+use super::routing_entry::POLICIES;
+use super::routing_entry::Policy;
+use super::routing_entry::RouterVariant;
+use super::routing_entry::id;
+use super::simulation::EventQueue;
+use super::simulation::Random;
+use super::simulation::Samples;
+
+/// The runs with successive seeds whose requests are put together.
+const RUNS: u64 = 4;
+const ENTRIES: usize = 8;
+/// The groups of the data centre.
+pub(super) const GROUPS: usize = 16;
+const SMALL_GROUPS: usize = 4;
+const PREFIXES: usize = 400;
+const MEAN_TOKENS: f64 = 150.0;
+const STRAGGLER_SLOWNESS: f64 = 4.0;
+const RUN: Duration = Duration::from_secs(300);
+const WARM_UP: Duration = Duration::from_secs(30);
+const STRAGGLER_FROM: Duration = Duration::from_secs(60);
+const REPORT_INTERVAL: Duration = Duration::from_millis(500);
+const REPORT_LAG: Duration = Duration::from_millis(300);
+const EXCHANGE_INTERVAL: Duration = Duration::from_millis(250);
+const TICK_INTERVAL: Duration = Duration::from_millis(100);
+const DEADLINE: Duration = Duration::from_secs(30);
+const LOADS: [f64; 3] = [0.5, 0.9, 1.3];
+
+/// The engines of most groups.
+pub(super) const LARGE: EngineModel = EngineModel {
+    batch_limit_requests: 16,
+    time_per_token: Duration::from_millis(30),
+    prefill_miss: Duration::from_millis(200),
+    prefill_hit: Duration::from_millis(40),
+    cached_prefixes: 32,
+};
+
+const SMALL: EngineModel = EngineModel {
+    batch_limit_requests: 8,
+    time_per_token: Duration::from_millis(40),
+    ..LARGE
+};
+
+#[derive(Clone, Copy, Debug)]
+enum Event {
+    Arrival,
+    FirstToken { request: usize },
+    Finished { request: usize },
+    Sample { group: usize },
+    Report { group: usize, load: LoadReport },
+    Exchange { entry: usize },
+    Tick,
+    Straggler,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Request {
+    entry: usize,
+    group: usize,
+    prefix: usize,
+    tokens: u64,
+    arrived_at: Instant,
+    sent_at: Instant,
+    first_token_at: Instant,
+    is_hit: bool,
+}
+
+#[derive(Default)]
+struct Measured {
+    first_token_ms: Samples,
+    hits: usize,
+    served: usize,
+    late: usize,
+    refused: usize,
+    arrived: usize,
+}
+
+struct Run {
+    policy: Policy,
+    rate_per_s: f64,
+    start: Instant,
+    random: Random,
+    events: EventQueue<Event>,
+    targets: Vec<TargetId>,
+    engines: Vec<Engine>,
+    entries: Vec<Entry>,
+    requests: Vec<Request>,
+    measured: Measured,
+}
+
+/// Runs all policies at all loads.
+pub(crate) fn measure(seed: u64) -> Report {
+    let sections = LOADS.map(|load| Section {
+        title: format!("offered load {load} of capacity"),
+        rows: POLICIES
+            .iter()
+            .map(|(name, policy)| row(name, *policy, load, seed))
+            .collect(),
+    });
+    Report {
+        experiment: String::from("routing"),
+        seed,
+        sections: sections.into(),
+    }
+}
+
+fn row(name: &str, policy: Policy, load: f64, seed: u64) -> Row {
+    let measured = (0..RUNS).fold(Measured::default(), |measured, run| {
+        Run::new(policy, load, seed + run, measured).run()
+    });
+    let percent = |count: usize, of: usize| 100.0 * count as f64 / of.max(1) as f64;
+    let first_token_ms = &measured.first_token_ms;
+    Row::new(name)
+        .with("p50 first token ms", first_token_ms.percentile(50.0))
+        .with("p95 ms", first_token_ms.percentile(95.0))
+        .with("p99 ms", first_token_ms.percentile(99.0))
+        .with("cache hits %", percent(measured.hits, measured.served))
+        .with("late %", percent(measured.late, measured.arrived))
+        .with("refused %", percent(measured.refused, measured.arrived))
+}
+
+fn model_of(group: usize) -> EngineModel {
+    if group < SMALL_GROUPS { SMALL } else { LARGE }
+}
+
+/// Returns the requests per second that all groups serve when their batches are full and half of
+/// the prefixes are cached.
+fn capacity_per_s() -> f64 {
+    let rates = (0..GROUPS).map(|group| {
+        let model = model_of(group);
+        let prefill = (model.prefill_hit + model.prefill_miss) / 2;
+        let time = model.full_batch_time(MEAN_TOKENS) + prefill;
+        model.batch_limit_requests as f64 / time.as_secs_f64()
+    });
+    rates.sum()
+}
+
+impl Run {
+    fn new(policy: Policy, load: f64, seed: u64, measured: Measured) -> Self {
+        let start = SystemClock.now();
+        let variant = match policy {
+            Policy::Router(variant) => variant,
+            Policy::RoundRobin | Policy::RawTwoChoices => RouterVariant::Whole,
+        };
+        let names = (0..ENTRIES).filter_map(|index| id("entry", index));
+        let entries = names.filter_map(|name| Entry::new(name, variant, start));
+        let mut run = Self {
+            policy,
+            rate_per_s: load * capacity_per_s(),
+            start,
+            random: Random::new(seed),
+            events: EventQueue::new(),
+            targets: (0..GROUPS).filter_map(|index| id("group", index)).collect(),
+            engines: (0..GROUPS)
+                .map(|group| Engine::new(model_of(group), start))
+                .collect(),
+            entries: entries.collect(),
+            requests: Vec::new(),
+            measured,
+        };
+        run.schedule_first();
+        run
+    }
+
+    fn schedule_first(&mut self) {
+        self.events.push(self.start, Event::Arrival);
+        self.events.push(self.start, Event::Tick);
+        self.events
+            .push(self.start + STRAGGLER_FROM, Event::Straggler);
+        for group in 0..GROUPS {
+            let phase = REPORT_INTERVAL.mul_f64(group as f64 / GROUPS as f64);
+            self.events
+                .push(self.start + phase, Event::Sample { group });
+        }
+        for entry in 0..ENTRIES {
+            let phase = EXCHANGE_INTERVAL.mul_f64(entry as f64 / ENTRIES as f64);
+            self.events
+                .push(self.start + phase, Event::Exchange { entry });
+        }
+    }
+
+    fn run(mut self) -> Measured {
+        let end = self.start + RUN;
+        while let Some((now, event)) = self.events.pop() {
+            if now > end {
+                break;
+            }
+            self.on_event(event, now);
+        }
+        self.measured
+    }
+
+    fn on_event(&mut self, event: Event, now: Instant) {
+        match event {
+            Event::Arrival => self.on_arrival(now),
+            Event::FirstToken { request } => self.on_first_token(request, now),
+            Event::Finished { request } => self.on_finished(request, now),
+            Event::Sample { group } => {
+                let load = self.engines[group].load();
+                self.events
+                    .push(now + REPORT_LAG, Event::Report { group, load });
+                self.events
+                    .push(now + REPORT_INTERVAL, Event::Sample { group });
+            }
+            Event::Report { group, load } => {
+                let poller = group % ENTRIES;
+                self.entries[poller].on_report(group, &self.targets[group], load, now);
+            }
+            Event::Exchange { entry } => self.on_exchange(entry, now),
+            Event::Tick => self.on_tick(now),
+            Event::Straggler => self.engines[GROUPS - 1].set_slowness(STRAGGLER_SLOWNESS),
+        }
+    }
+
+    fn on_arrival(&mut self, now: Instant) {
+        let gap = self.random.gap(self.rate_per_s);
+        self.events.push(now + gap, Event::Arrival);
+        let request = Request {
+            entry: self.random.below(ENTRIES),
+            group: 0,
+            prefix: self.random.zipf(PREFIXES),
+            tokens: 1 + self.random.exponential(MEAN_TOKENS).min(4.0 * MEAN_TOKENS) as u64,
+            arrived_at: now,
+            sent_at: now,
+            first_token_at: now,
+            is_hit: false,
+        };
+        let number = self.requests.len();
+        self.requests.push(request);
+        if self.is_measured(number) {
+            self.measured.arrived += 1;
+        }
+        let actions = match self.admission_request(number) {
+            Some(asked) => self.entries[request.entry].admission.on_request(asked, now),
+            None => Vec::new(),
+        };
+        self.carry_out(actions, now);
+    }
+
+    fn admission_request(&self, number: usize) -> Option<AdmissionRequest> {
+        Some(AdmissionRequest {
+            ticket: Ticket(number as u64),
+            key: QueueKey {
+                account: id("account", 0)?,
+                weight: 1,
+                priority: Priority::Normal,
+                cost: 1.0,
+            },
+            deadline: self.requests[number].arrived_at + DEADLINE,
+        })
+    }
+
+    fn carry_out(&mut self, actions: Vec<AdmissionAction>, now: Instant) {
+        for action in actions {
+            match action {
+                AdmissionAction::Admit { ticket } | AdmissionAction::Dequeue { ticket } => {
+                    self.send(ticket.0 as usize, now);
+                }
+                AdmissionAction::Refuse { ticket, .. } => self.refuse(ticket.0 as usize),
+                AdmissionAction::Wait { .. } => {}
+            }
+        }
+    }
+
+    fn send(&mut self, number: usize, now: Instant) {
+        let draw = self.random.number();
+        let request = &mut self.requests[number];
+        let entry = &mut self.entries[request.entry];
+        let chosen = entry.choose(self.policy, &self.targets, request.prefix, draw, now);
+        let Some(group) = chosen else {
+            self.put_back(number, now);
+            return;
+        };
+        request.group = group;
+        request.sent_at = now;
+        entry.router.on_sent(&self.targets[group], now);
+        let submitted = EngineRequest {
+            number,
+            prefix: request.prefix,
+            tokens: request.tokens,
+        };
+        let started = self.engines[group].submit(submitted, now);
+        self.on_started(started);
+    }
+
+    fn put_back(&mut self, number: usize, now: Instant) {
+        let Some(asked) = self.admission_request(number) else {
+            return;
+        };
+        let entry = &mut self.entries[self.requests[number].entry];
+        let actions = entry.admission.on_no_place(asked, now);
+        self.carry_out(actions, now);
+    }
+
+    fn refuse(&mut self, number: usize) {
+        if self.is_measured(number) {
+            self.measured.refused += 1;
+        }
+    }
+
+    fn on_started(&mut self, started: Option<Started>) {
+        let Some(started) = started else {
+            return;
+        };
+        let number = started.request.number;
+        self.requests[number].is_hit = started.is_hit;
+        self.events.push(
+            started.first_token_at,
+            Event::FirstToken { request: number },
+        );
+        self.events
+            .push(started.finished_at, Event::Finished { request: number });
+    }
+
+    fn on_first_token(&mut self, number: usize, now: Instant) {
+        self.requests[number].first_token_at = now;
+        if self.is_measured(number) {
+            let request = &self.requests[number];
+            let wait = now.duration_since(request.arrived_at);
+            self.measured.first_token_ms.push(wait.as_secs_f64() * 1e3);
+            self.measured.served += 1;
+            self.measured.hits += usize::from(request.is_hit);
+        }
+    }
+
+    fn on_finished(&mut self, number: usize, now: Instant) {
+        let request = self.requests[number];
+        let started = self.engines[request.group].finish(now);
+        self.on_started(started);
+        let is_late = now.duration_since(request.arrived_at) > DEADLINE;
+        if self.is_measured(number) && is_late {
+            self.measured.late += 1;
+        }
+        let answer = FinishedAnswer {
+            tokens: TokenCount(request.tokens),
+            generation_time: now.duration_since(request.first_token_at),
+        };
+        let entry = &mut self.entries[request.entry];
+        let target = &self.targets[request.group];
+        entry.router.on_finished(target, Some(answer), now);
+        let service_time = now.duration_since(request.sent_at);
+        let actions = entry.admission.on_finished(service_time, now);
+        self.carry_out(actions, now);
+    }
+
+    fn on_exchange(&mut self, entry: usize, now: Instant) {
+        self.events
+            .push(now + EXCHANGE_INTERVAL, Event::Exchange { entry });
+        let sender = &self.entries[entry];
+        let name = sender.name.clone();
+        let reports = sender.reports.clone();
+        let totals: Vec<_> = self
+            .targets
+            .iter()
+            .map(|target| sender.router.load(target).map(|load| load.own_totals()))
+            .collect();
+        let hears_sends = self.policy != Policy::Router(RouterVariant::WithoutPeers);
+        for other in (0..ENTRIES).filter(|other| *other != entry) {
+            let receiver = &mut self.entries[other];
+            for (group, target) in self.targets.iter().enumerate() {
+                if group % ENTRIES == entry {
+                    receiver.on_report(group, target, reports[group].0, reports[group].1);
+                }
+                if hears_sends && let Some(totals) = totals[group] {
+                    receiver.router.on_peer_sends(&name, target, totals, now);
+                }
+            }
+        }
+    }
+
+    fn on_tick(&mut self, now: Instant) {
+        self.events.push(now + TICK_INTERVAL, Event::Tick);
+        for index in 0..ENTRIES {
+            let entry = &mut self.entries[index];
+            let capacity = entry.router.capacity(&self.targets, ENTRIES as u32, now);
+            let mut actions = entry.admission.set_capacity(capacity, now);
+            actions.extend(entry.admission.on_tick(now));
+            self.carry_out(actions, now);
+        }
+    }
+
+    fn is_measured(&self, number: usize) -> bool {
+        self.requests[number].arrived_at >= self.start + WARM_UP
+    }
+}
--- /dev/null
+++ b/cli/src/commands/experiment/routing_entry.rs
@@ -0,0 +1,161 @@
+//! An entry of the routing experiment, which chooses by the router or by a plain baseline.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use beryltray_lib::ids::EntryId;
+use beryltray_lib::ids::TargetId;
+use beryltray_lib::process::stragglers::StragglerSettings;
+use beryltray_lib::request::admission::Admission;
+use beryltray_lib::request::admission::AdmissionSettings;
+use beryltray_lib::request::route::RouteQuery;
+use beryltray_lib::request::route::RouterSettings;
+use beryltray_lib::request::routing::Router;
+use beryltray_lib::target::wire::LoadReport;
+use beryltray_lib::units::Share;
+
+use super::routing::GROUPS;
+use super::routing::LARGE;
+
+/// The most requests in flight at a group.
+const IN_FLIGHT_LIMIT_REQUESTS: u32 = 20;
+
+/// A way to choose a target.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Policy {
+    RoundRobin,
+    RawTwoChoices,
+    Router(RouterVariant),
+}
+
+/// The router, whole or with a part taken out.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum RouterVariant {
+    Whole,
+    WithoutPeers,
+    WithoutAffinity,
+    WithoutEjection,
+}
+
+pub(super) const POLICIES: [(&str, Policy); 6] = [
+    ("round robin", Policy::RoundRobin),
+    ("two choices, raw reports", Policy::RawTwoChoices),
+    (
+        "router without peers' sends",
+        Policy::Router(RouterVariant::WithoutPeers),
+    ),
+    (
+        "router without affinity",
+        Policy::Router(RouterVariant::WithoutAffinity),
+    ),
+    (
+        "router without ejection",
+        Policy::Router(RouterVariant::WithoutEjection),
+    ),
+    ("router", Policy::Router(RouterVariant::Whole)),
+];
+
+/// An entry with its machines and the raw reports.
+pub(super) struct Entry {
+    pub(super) name: EntryId,
+    pub(super) router: Router,
+    pub(super) admission: Admission,
+    pub(super) raw: Vec<LoadReport>,
+    pub(super) reports: Vec<(LoadReport, Instant)>,
+    pub(super) next_turn: usize,
+}
+
+impl Entry {
+    pub(super) fn new(name: EntryId, variant: RouterVariant, now: Instant) -> Option<Self> {
+        let affinity_excess = Share::from_percent(25);
+        let ejected_limit = match variant {
+            RouterVariant::WithoutEjection => Share::default(),
+            _ => Share::from_percent(20),
+        };
+        let router = Router::new(RouterSettings {
+            service: id("service", 0)?,
+            in_flight_limit_requests: IN_FLIGHT_LIMIT_REQUESTS,
+            affinity_excess,
+            prefix_gain: LARGE.prefill_miss - LARGE.prefill_hit,
+            report_lag: Duration::ZERO,
+            stragglers: StragglerSettings {
+                ejected_limit,
+                ..StragglerSettings::default()
+            },
+        });
+        Some(Self {
+            name,
+            router,
+            admission: Admission::new(AdmissionSettings::default()),
+            raw: vec![LoadReport::default(); GROUPS],
+            reports: vec![(LoadReport::default(), now); GROUPS],
+            next_turn: 0,
+        })
+    }
+
+    pub(super) fn on_report(
+        &mut self,
+        group: usize,
+        target: &TargetId,
+        load: LoadReport,
+        at: Instant,
+    ) {
+        if self.reports[group].1 < at {
+            self.reports[group] = (load, at);
+            self.raw[group] = load;
+            self.router.on_report(target, load, at);
+        }
+    }
+
+    pub(super) fn choose(
+        &mut self,
+        policy: Policy,
+        targets: &[TargetId],
+        prefix: usize,
+        draw: u64,
+        now: Instant,
+    ) -> Option<usize> {
+        match policy {
+            Policy::RoundRobin => {
+                self.next_turn = (self.next_turn + 1) % GROUPS;
+                Some(self.next_turn)
+            }
+            Policy::RawTwoChoices => Some(self.raw_two_choices(draw)),
+            Policy::Router(variant) => {
+                let prefix = format!("prefix-{prefix}");
+                let has_affinity = variant != RouterVariant::WithoutAffinity;
+                let query = RouteQuery {
+                    open: targets,
+                    prefix: has_affinity.then_some(prefix.as_str()),
+                    avoid: None,
+                    draw,
+                };
+                let choice = self.router.choose(query, now).ok()?;
+                targets.binary_search(&choice.target).ok()
+            }
+        }
+    }
+
+    fn raw_two_choices(&self, draw: u64) -> usize {
+        let first = draw as usize % GROUPS;
+        let second = (first + 1 + (draw >> 32) as usize % (GROUPS - 1)) % GROUPS;
+        let load = |group: usize| {
+            let report = &self.raw[group];
+            let requests = f64::from(report.queued_requests + report.running_requests);
+            requests / f64::from(report.batch_limit_requests.max(1))
+        };
+        if load(second) < load(first) {
+            second
+        } else {
+            first
+        }
+    }
+}
+
+/// Returns the identifier with `prefix` and a number.
+pub(super) fn id<T>(prefix: &str, index: usize) -> Option<T>
+where
+    T: std::str::FromStr,
+{
+    format!("{prefix}-{index:02}").parse().ok()
+}
--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -1,5 +1,6 @@
 //! The commands, one file each.
 
+mod experiment;
 mod stand_in;
 
 use std::process::ExitCode;
@@ -15,6 +16,9 @@
 /// What `beryltray` is asked to do.
 #[derive(Debug, Subcommand)]
 pub(crate) enum Command {
+    /// Measures a policy beside its plain baselines.
+    #[command(subcommand)]
+    Experiment(experiment::ExperimentCommand),
     /// Runs a small stand-in for an outer service, for trials and tests.
     #[command(subcommand)]
     StandIn(stand_in::StandInCommand),
@@ -38,6 +42,7 @@
     /// Runs the command to its end.
     pub(crate) async fn run(self) -> Result<ExitCode, CommandError> {
         match self {
+            Self::Experiment(command) => Ok(command.run()),
             Self::StandIn(command) => Ok(command.run().await?),
         }
     }
--- a/lib/src/request/admission.rs
+++ b/lib/src/request/admission.rs
@@ -15,12 +15,17 @@
 
 /// The weight of a new request in the moving mean of the service times.
 const SERVICE_TIME_WEIGHT: f64 = 0.05;
+/// The mean deviations above the mean that a request's own service time is reckoned with, since
+/// long answers must make their deadline too.
+const RESERVED_DEVIATIONS: f64 = 2.0;
 
 /// How requests are admitted.
 #[derive(Clone, Debug, PartialEq)]
 pub struct AdmissionSettings {
     /// The most requests that wait.
     pub queue_limit_requests: usize,
+    /// The longest wait of normal work, whatever its deadline; a longer queue serves no more.
+    pub queue_wait_max: Duration,
     /// The places above the capacity that only emergency notices use.
     pub emergency_reserve_requests: u32,
     /// The time that a request takes at a target, until some have been seen.
@@ -35,6 +40,7 @@
     fn default() -> Self {
         Self {
             queue_limit_requests: 256,
+            queue_wait_max: Duration::from_secs(5),
             emergency_reserve_requests: 4,
             assumed_service_time: Duration::from_secs(2),
             retry_after_min: Duration::from_secs(1),
@@ -134,6 +140,7 @@
     capacity_requests: u32,
     in_flight_requests: u32,
     mean_service_time: Duration,
+    service_time_deviation: Duration,
     queue: FairQueue<Waiting>,
 }
 
@@ -146,6 +153,7 @@
             capacity_requests: 0,
             in_flight_requests: 0,
             mean_service_time,
+            service_time_deviation: Duration::ZERO,
             queue: FairQueue::default(),
         }
     }
@@ -175,10 +183,20 @@
         self.enqueue(request, now)
     }
 
+    /// Takes in that no target had a place for an admitted request, which waits again.
+    ///
+    /// Nothing more is sent until a request ends or [`Admission::set_capacity`] is called.
+    pub fn on_no_place(&mut self, request: AdmissionRequest, now: Instant) -> Vec<AdmissionAction> {
+        self.in_flight_requests = self.in_flight_requests.saturating_sub(1);
+        self.capacity_requests = self.capacity_requests.min(self.in_flight_requests.max(1));
+        self.enqueue(request, now)
+    }
+
     /// Takes in that an admitted request ended `service_time` after it was sent.
     pub fn on_finished(&mut self, service_time: Duration, now: Instant) -> Vec<AdmissionAction> {
-        let old = self.mean_service_time.mul_f64(1.0 - SERVICE_TIME_WEIGHT);
-        self.mean_service_time = old + service_time.mul_f64(SERVICE_TIME_WEIGHT);
+        let deviation = service_time.abs_diff(self.mean_service_time);
+        self.mean_service_time = moved(self.mean_service_time, service_time);
+        self.service_time_deviation = moved(self.service_time_deviation, deviation);
         self.on_released(now)
     }
 
@@ -196,7 +214,7 @@
 
     /// Gives up on waiting requests that can no longer make their deadline.
     pub fn on_tick(&mut self, now: Instant) -> Vec<AdmissionAction> {
-        let latest = now + self.mean_service_time;
+        let latest = now + self.reserved_time();
         let late = self
             .queue
             .remove_where(|queued| queued.item.deadline < latest);
@@ -207,7 +225,7 @@
     pub fn next_tick(&self) -> Option<Instant> {
         let deadlines = self.queue.iter().map(|queued| queued.item.deadline);
         let first = deadlines.min()?;
-        Some(first.checked_sub(self.mean_service_time).unwrap_or(first))
+        Some(first.checked_sub(self.reserved_time()).unwrap_or(first))
     }
 
     /// Returns the wait that a new request of ordinary priority would have.
@@ -225,6 +243,11 @@
         self.in_flight_requests
     }
 
+    /// Returns the time that a request should have left when it is sent.
+    fn reserved_time(&self) -> Duration {
+        self.mean_service_time + self.service_time_deviation.mul_f64(RESERVED_DEVIATIONS)
+    }
+
     fn has_place(&self, priority: Priority) -> bool {
         let reserve = match priority {
             Priority::Emergency => self.settings.emergency_reserve_requests,
@@ -237,7 +260,11 @@
         let ticket = request.ticket;
         let estimated_wait = self.wait_behind(self.queue.ahead_of(&request.key));
         let spare = request.deadline.saturating_duration_since(now);
-        let allowed_wait = spare.saturating_sub(self.mean_service_time);
+        let in_time = spare.saturating_sub(self.reserved_time());
+        let allowed_wait = match request.key.priority {
+            Priority::Normal => in_time.min(self.settings.queue_wait_max),
+            Priority::Emergency | Priority::Batch => in_time,
+        };
         if estimated_wait > allowed_wait {
             let retry_after = estimated_wait - allowed_wait;
             return vec![self.refuse(ticket, NotRunReason::Overloaded, retry_after)];
@@ -300,3 +327,8 @@
         }
     }
 }
+
+/// Moves an exponentially weighted mean towards a new value.
+fn moved(mean: Duration, value: Duration) -> Duration {
+    mean.mul_f64(1.0 - SERVICE_TIME_WEIGHT) + value.mul_f64(SERVICE_TIME_WEIGHT)
+}
--- a/lib/src/request/route.rs
+++ b/lib/src/request/route.rs
@@ -13,6 +13,9 @@
 use crate::version::document::RoutingSettings;
 use crate::version::document::Service;
 
+/// What a cached prefix saves of the time to the first token, as a rule.
+const PREFIX_GAIN: Duration = Duration::from_millis(150);
+
 /// How a service's requests are routed.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RouterSettings {
@@ -22,6 +25,9 @@
     pub in_flight_limit_requests: u32,
     /// How much fuller than the mean a prefix's home may be.
     pub affinity_excess: Share,
+    /// How much longer the wait at a prefix's home may be than elsewhere: what a cached prefix
+    /// saves of the time to the first token.
+    pub prefix_gain: Duration,
     /// How old the engine's own figures are when it reports them.
     pub report_lag: Duration,
     /// How stragglers are ejected.
@@ -35,6 +41,7 @@
             service: service.name.clone(),
             in_flight_limit_requests: service.in_flight_limit_requests,
             affinity_excess: routing.affinity_excess,
+            prefix_gain: PREFIX_GAIN,
             report_lag: Duration::ZERO,
             stragglers: StragglerSettings {
                 ejected_limit: routing.ejected_limit,
--- a/lib/src/request/routing.rs
+++ b/lib/src/request/routing.rs
@@ -25,6 +25,9 @@
 
 /// The homes that a prefix has, the first one preferred.
 const AFFINITY_HOMES: usize = 2;
+/// The requests that a target gets beyond its batch, as a share of it, so that a place in the batch
+/// that becomes free is filled at once; the others wait at the entry, where the queue is fair.
+const BATCH_HEADROOM: f64 = 0.25;
 /// How many requests above the bound a home may have, so that an idle service keeps affinity.
 const AFFINITY_SLACK_REQUESTS: f64 = 1.0;
 /// The batch size that is assumed for a target that has not reported one.
@@ -53,6 +56,7 @@
 ///     service: "beryl-writers".parse()?,
 ///     in_flight_limit_requests: 32,
 ///     affinity_excess: Share::from_percent(25),
+///     prefix_gain: std::time::Duration::from_millis(150),
 ///     report_lag: std::time::Duration::ZERO,
 ///     stragglers: Default::default(),
 /// });
@@ -121,8 +125,12 @@
         if in_use.len() == 1 {
             return Ok(choice(first, ChoiceReason::OnlyOne));
         }
-        let home = query.prefix.and_then(|prefix| self.home(prefix, &in_use));
-        Ok(home.unwrap_or_else(|| better_of_two(&in_use, query.draw)))
+        let better = better_of_two(&in_use, query.draw);
+        let longest_wait = better.estimated_wait + self.settings.prefix_gain;
+        let home = query
+            .prefix
+            .and_then(|prefix| self.home(prefix, longest_wait, &in_use));
+        Ok(home.unwrap_or(better))
     }
 
     /// Takes in that a request was sent to `target`.
@@ -182,19 +190,17 @@
         self.stragglers.retain(is_known);
     }
 
-    /// Returns how many requests this entry may have in flight at the open targets, given what
-    /// its peers have there.
-    pub fn capacity(&self, open: &[TargetId]) -> u32 {
-        let limit = u64::from(self.settings.in_flight_limit_requests);
-        let places = open.iter().map(|target| {
-            let Some(load) = self.loads.get(target) else {
-                return limit;
-            };
-            let own = load.own_totals().in_flight_requests();
-            let others = load.known_in_flight_requests() - own;
-            limit.saturating_sub(others).max(own)
-        });
-        u32::try_from(places.sum::<u64>()).unwrap_or(u32::MAX)
+    /// Returns how many requests this entry may have in flight at the open targets: its own, and
+    /// its part of the free places, which `entries` entries share.
+    pub fn capacity(&self, open: &[TargetId], entries: u32, now: Instant) -> u32 {
+        let is_in_use =
+            |target: &&TargetId| self.stragglers.standing(target, now) == Standing::InUse;
+        let in_use = open.iter().filter(is_in_use);
+        let free: u64 = in_use.map(|target| self.free_places(target)).sum();
+        let own = open.iter().filter_map(|target| self.loads.get(target));
+        let own: u64 = own.map(|load| load.own_totals().in_flight_requests()).sum();
+        let capacity = own + free.div_ceil(u64::from(entries.max(1)));
+        u32::try_from(capacity).unwrap_or(u32::MAX)
     }
 
     /// Returns what is known of the load of `target`.
@@ -234,15 +240,23 @@
     fn candidates<'a>(&self, query: RouteQuery<'a>) -> Vec<Candidate<'a>> {
         let is_other = |target: &&TargetId| Some(*target) != query.avoid;
         let open = query.open.iter().filter(is_other);
-        open.filter(|target| self.has_place(target))
+        open.filter(|target| self.free_places(target) > 0)
             .map(|target| self.candidate(target))
             .collect()
     }
 
-    fn has_place(&self, target: &TargetId) -> bool {
+    /// Returns how many more requests `target` may have in flight.
+    fn free_places(&self, target: &TargetId) -> u64 {
         let load = self.loads.get(target);
         let in_flight = load.map_or(0, TargetLoad::known_in_flight_requests);
-        in_flight < u64::from(self.settings.in_flight_limit_requests)
+        let limit = u64::from(self.settings.in_flight_limit_requests);
+        let batch = load
+            .and_then(TargetLoad::report)
+            .map(|report| report.batch_limit_requests);
+        let batch_limit = batch.filter(|batch| *batch > 0).map_or(limit, |batch| {
+            (f64::from(batch) * (1.0 + BATCH_HEADROOM)).ceil() as u64
+        });
+        limit.min(batch_limit).saturating_sub(in_flight)
     }
 
     fn candidate<'a>(&self, target: &'a TargetId) -> Candidate<'a> {
@@ -311,8 +325,14 @@
         }
     }
 
-    /// Returns the first home of `prefix` that is within the bound.
-    fn home(&self, prefix: &str, candidates: &[Candidate<'_>]) -> Option<Choice> {
+    /// Returns the first home of `prefix` that is within the bound and whose wait is not longer
+    /// than what the cached prefix saves.
+    fn home(
+        &self,
+        prefix: &str,
+        longest_wait: Duration,
+        candidates: &[Candidate<'_>],
+    ) -> Option<Choice> {
         let mut ranked: Vec<(u64, &Candidate<'_>)> = candidates
             .iter()
             .map(|c| (rendezvous_weight(prefix, c.target.as_str()), c))
@@ -322,7 +342,8 @@
         let mean = total / candidates.len() as f64;
         let bound = mean * (1.0 + self.settings.affinity_excess.as_fraction());
         let is_within = |c: &Candidate<'_>| {
-            c.occupancy <= bound + AFFINITY_SLACK_REQUESTS / c.batch_limit_requests
+            let slack = AFFINITY_SLACK_REQUESTS / c.batch_limit_requests;
+            c.occupancy <= bound + slack && c.wait <= longest_wait
         };
         let homes = ranked.iter().take(AFFINITY_HOMES);
         let mut within = homes.enumerate().filter(|(_, (_, c))| is_within(c));
