--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -4,6 +4,7 @@
 mod demo;
 mod entry;
 mod load;
+mod experiment;
 mod stand_in;
 mod status;
 
@@ -28,6 +29,9 @@
     Entry(entry::EntryArgs),
     /// Sends requests at a given rate and counts what becomes of them.
     Load(load::LoadArgs),
+    /// Measures a policy beside its plain baselines.
+    #[command(subcommand)]
+    Experiment(experiment::ExperimentCommand),
     /// Runs a small stand-in for an outer service, for trials and tests.
     #[command(subcommand)]
     StandIn(stand_in::StandInCommand),
@@ -67,6 +71,7 @@
             Self::Demo(args) => Ok(args.run().await?),
             Self::Entry(args) => Ok(args.run().await?),
             Self::Load(args) => Ok(args.run().await?),
+            Self::Experiment(command) => Ok(command.run()),
             Self::StandIn(command) => Ok(command.run().await?),
             Self::Status(args) => Ok(args.run().await?),
         }
