config: check, show, diff, apply, promote and history

The commands are thin: the decisions are the library's machines. A second change on the same base ends with exit code 3 and shows both changes as diffs against the version that both were made on. Undoing is applying an earlier version's text as a new version, since versions never revert.

The document goes to the standard output as applied and its version to the standard error, so that `config show > FILE` gives a file to change.

--- /dev/null
+++ b/cli/src/commands/config/apply.rs
@@ -0,0 +1,204 @@
+//! `beryltray config apply`: makes a document the next version of an environment.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+use std::time::UNIX_EPOCH;
+
+use beryltray_lib::attempts::RandomAttempts;
+use beryltray_lib::clock::Clock;
+use beryltray_lib::clock::SystemClock;
+use beryltray_lib::ids::DocumentVersion;
+use beryltray_lib::ids::digest_of;
+use beryltray_lib::platform::rows::HeadRow;
+use beryltray_lib::units::parse_duration;
+use beryltray_lib::version::change::ChangeOutcome;
+use beryltray_lib::version::change::ChangeRequest;
+use beryltray_lib::version::change::ChangeSettings;
+use beryltray_lib::version::change::driver::ChangeDriver;
+use beryltray_lib::version::head::HeadMark;
+use beryltray_lib::version::parse::parse_document;
+use clap::Args;
+
+use super::ConfigError;
+use super::EXIT_CODE_CONFLICT;
+use super::EXIT_CODE_NOT_EVERYWHERE;
+use super::entries::EntryOptions;
+use super::options::EnvironmentOptions;
+use super::options::Platform;
+use super::options::check_hosts;
+use super::options::read_document;
+use super::report::ChangeReport;
+use super::report::ForceReport;
+use super::report::print_json;
+use super::report::resolve_version;
+use crate::commands::load::Format;
+
+/// Makes a document the next version of an environment.
+///
+/// Name the version that you made your change on with --base; `config show` prints it. If another
+/// change came first, nothing is changed and both changes are shown. An answer of the platform that
+/// got lost is settled by reading back, so that a change is never applied twice.
+///
+/// With --entry, the command waits until the version is in force on these entries and on all that
+/// they know, and names those that don't have it yet or were not heard.
+///
+/// Exit codes: 0 accepted, and in force wherever that was asked; 1 the platform failed; 2 the
+/// document or the command line holds a fault; 3 another change came first; 4 accepted, but not
+/// every entry was heard to have it in force.
+#[derive(Args, Debug)]
+pub(crate) struct ApplyArgs {
+    /// The document.
+    #[arg(
+        value_name = "FILE",
+        conflicts_with = "earlier",
+        required_unless_present = "earlier"
+    )]
+    file: Option<PathBuf>,
+    /// Apply the text of this earlier version again, to undo what came after it.
+    #[arg(long, value_name = "NUMBER")]
+    earlier: Option<DocumentVersion>,
+    #[command(flatten)]
+    environment: EnvironmentOptions,
+    #[command(flatten)]
+    change: ChangeOptions,
+}
+
+/// Options of every change.
+#[derive(Args, Debug)]
+pub(crate) struct ChangeOptions {
+    /// The version of the environment that the change was made on; 0 for the first one.
+    #[arg(long, value_name = "NUMBER")]
+    base: DocumentVersion,
+    /// Who makes the change, for the history.
+    #[arg(long, value_name = "NAME", env = "USER", default_value = "unknown")]
+    author: String,
+    #[command(flatten)]
+    entries: EntryOptions,
+    /// How long a platform that fails is tried.
+    #[arg(long, value_parser = parse_duration, default_value = "20s")]
+    patience: Duration,
+    /// Accept a document whose replicas don't fit on the platform's live hosts.
+    #[arg(long)]
+    without_host_check: bool,
+    /// The form of the result.
+    #[arg(long, value_enum, default_value_t)]
+    format: Format,
+}
+
+impl ApplyArgs {
+    /// Applies the document.
+    pub(crate) async fn run(self) -> Result<ExitCode, ConfigError> {
+        let text = match &self.file {
+            Some(path) => read_document(path)?.0,
+            None => {
+                let versions = self.environment.versions();
+                let row = resolve_version(&versions, self.earlier).await?;
+                versions.text(&row.digest).await?
+            }
+        };
+        self.change.run(&self.environment, &text).await
+    }
+}
+
+impl ChangeOptions {
+    /// Makes `text` the next version, and reports how that ended.
+    pub(crate) async fn run(
+        &self,
+        environment: &EnvironmentOptions,
+        text: &str,
+    ) -> Result<ExitCode, ConfigError> {
+        let document = parse_document(text)?;
+        if !self.without_host_check {
+            check_hosts(&environment.platform.client(), &document).await?;
+        }
+        let request = self.request(environment, text).await?;
+        let settings = ChangeSettings {
+            patience: self.patience,
+            ..ChangeSettings::default()
+        };
+        let driver = ChangeDriver::new(environment.versions(), SystemClock, settings);
+        let outcome = driver.apply(request, text, RandomAttempts).await;
+        let report = self.report(&driver, outcome, text).await?;
+        match self.format {
+            Format::Json => print_json(&report)?,
+            Format::Table => report.print(),
+        }
+        Ok(exit_code(&report))
+    }
+
+    async fn request(
+        &self,
+        environment: &EnvironmentOptions,
+        text: &str,
+    ) -> Result<ChangeRequest, ConfigError> {
+        let highest = self.entries.highest_in_force(&environment.environment);
+        let wall_time = SystemClock.wall_time().duration_since(UNIX_EPOCH);
+        Ok(ChangeRequest {
+            base: self.base,
+            digest: digest_of(text.as_bytes()),
+            author: self.author.clone(),
+            accepted_unix_s: wall_time.unwrap_or_default().as_secs(),
+            highest_in_force: highest.await?,
+        })
+    }
+
+    async fn report(
+        &self,
+        driver: &ChangeDriver<Platform, SystemClock>,
+        outcome: ChangeOutcome,
+        text: &str,
+    ) -> Result<ChangeReport, ConfigError> {
+        let failed = |is_certain| ChangeReport::Failed {
+            reason: outcome.to_string(),
+            is_certain,
+        };
+        Ok(match &outcome {
+            ChangeOutcome::Accepted { row } => ChangeReport::Accepted {
+                version: row.clone(),
+                force: self.force(row).await,
+            },
+            ChangeOutcome::Unchanged { row } => ChangeReport::Unchanged {
+                version: row.clone(),
+                force: self.force(row).await,
+            },
+            ChangeOutcome::Conflict { base, current } => match current {
+                Some(current) => {
+                    let report = driver.conflict_report(*base, current.clone(), text);
+                    ChangeReport::conflict(report.await?)
+                }
+                None => ChangeReport::Conflict {
+                    base: *base,
+                    current: None,
+                    theirs: String::new(),
+                    yours: String::new(),
+                },
+            },
+            ChangeOutcome::TableBehind { .. } | ChangeOutcome::NotAccepted { .. } => failed(true),
+            ChangeOutcome::Undecided { .. } => failed(false),
+        })
+    }
+
+    async fn force(&self, row: &HeadRow) -> Option<ForceReport> {
+        if !self.entries.is_waiting() {
+            return None;
+        }
+        let progress = self.entries.wait(HeadMark::from(row)).await;
+        Some(ForceReport::from(&progress))
+    }
+}
+
+fn exit_code(report: &ChangeReport) -> ExitCode {
+    match report {
+        ChangeReport::Accepted { force, .. } | ChangeReport::Unchanged { force, .. } => {
+            let is_everywhere = force.as_ref().is_none_or(ForceReport::is_everywhere);
+            if is_everywhere {
+                ExitCode::SUCCESS
+            } else {
+                ExitCode::from(EXIT_CODE_NOT_EVERYWHERE)
+            }
+        }
+        ChangeReport::Conflict { .. } => ExitCode::from(EXIT_CODE_CONFLICT),
+        ChangeReport::Failed { .. } => ExitCode::FAILURE,
+    }
+}
--- /dev/null
+++ b/cli/src/commands/config/history.rs
@@ -0,0 +1,68 @@
+//! `beryltray config history`: lists the versions of an environment.
+
+use std::process::ExitCode;
+use std::time::Duration;
+use std::time::UNIX_EPOCH;
+
+use beryltray_lib::platform::rows::HeadRow;
+use clap::Args;
+use comfy_table::Table;
+use comfy_table::presets::NOTHING;
+
+use super::ConfigError;
+use super::options::EnvironmentOptions;
+use super::report::print_json;
+use crate::commands::load::Format;
+
+/// The digits of a digest that are enough to tell versions apart by eye.
+const DIGEST_SHOWN_DIGITS: usize = 12;
+
+/// Lists the versions of an environment, the latest one last.
+///
+/// A version never comes back by itself. To undo a change, apply the text of an earlier version:
+/// `config apply --earlier NUMBER`.
+///
+/// Exit codes: 0 listed; 1 the platform failed; 2 a fault in the command line.
+#[derive(Args, Debug)]
+pub(crate) struct HistoryArgs {
+    #[command(flatten)]
+    environment: EnvironmentOptions,
+    /// The form of the result.
+    #[arg(long, value_enum, default_value_t)]
+    format: Format,
+}
+
+impl HistoryArgs {
+    /// Prints the list.
+    pub(crate) async fn run(self) -> Result<ExitCode, ConfigError> {
+        let past = self.environment.versions().history().await?;
+        let rows = past.into_iter().map(|past| past.row).collect::<Vec<_>>();
+        match self.format {
+            Format::Json => print_json(&rows)?,
+            Format::Table if rows.is_empty() => println!("no version yet"),
+            Format::Table => println!("{}", table(&rows)),
+        }
+        Ok(ExitCode::SUCCESS)
+    }
+}
+
+fn table(rows: &[HeadRow]) -> Table {
+    let mut table = Table::new();
+    table.load_preset(NOTHING);
+    table.set_header(["VERSION", "MADE ON", "ACCEPTED", "AUTHOR", "DIGEST"]);
+    for row in rows {
+        let accepted_at = UNIX_EPOCH + Duration::from_secs(row.accepted_unix_s);
+        let digest = row.digest.as_str();
+        table.add_row([
+            row.version.to_string(),
+            row.base.to_string(),
+            humantime::format_rfc3339_seconds(accepted_at).to_string(),
+            row.author.clone(),
+            digest
+                .get(..DIGEST_SHOWN_DIGITS)
+                .unwrap_or(digest)
+                .to_owned(),
+        ]);
+    }
+    table
+}
--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -1,5 +1,6 @@
 //! The commands, one file each.
 
+mod config;
 mod entry;
 mod load;
 mod stand_in;
@@ -17,6 +18,9 @@
 /// What `beryltray` is asked to do.
 #[derive(Debug, Subcommand)]
 pub(crate) enum Command {
+    /// Reads, checks and changes an environment's document.
+    #[command(subcommand)]
+    Config(config::ConfigCommand),
     /// Runs an entry: the daemon that answers callers and routes their requests.
     Entry(entry::EntryArgs),
     /// Sends requests at a given rate and counts what becomes of them.
@@ -29,6 +33,8 @@
 /// Why a command failed.
 #[derive(Debug, Display, Error, From)]
 pub(crate) enum CommandError {
+    /// A command on documents failed.
+    Config(config::ConfigError),
     /// An entry did not run.
     Entry(entry::EntryCommandError),
     /// The load was not sent.
@@ -40,7 +46,10 @@
 impl CommandError {
     /// Returns the exit code that the command ends with.
     pub(crate) fn exit_code(&self) -> ExitCode {
-        ExitCode::from(EXIT_CODE_USAGE)
+        match self {
+            Self::Config(error) => error.exit_code(),
+            _ => ExitCode::from(EXIT_CODE_USAGE),
+        }
     }
 }
 
@@ -48,6 +57,7 @@
     /// Runs the command to its end.
     pub(crate) async fn run(self) -> Result<ExitCode, CommandError> {
         match self {
+            Self::Config(command) => Ok(command.run().await?),
             Self::Entry(args) => Ok(args.run().await?),
             Self::Load(args) => Ok(args.run().await?),
             Self::StandIn(command) => Ok(command.run().await?),
--- /dev/null
+++ b/cli/src/entry_client.rs
@@ -0,0 +1,47 @@
+//! Asks entries for their status.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use beryltray_lib::connection::body::ReadBodyError;
+use beryltray_lib::connection::body::RequestBody;
+use beryltray_lib::connection::body::read_body;
+use beryltray_lib::connection::client::ClientConnection;
+use beryltray_lib::connection::client::SendError;
+use beryltray_lib::process::entry::STATUS_PATH;
+use beryltray_lib::process::status::EntryStatus;
+use derive_more::Display;
+use derive_more::Error;
+use derive_more::From;
+use http::Request;
+use http::header::HOST;
+
+/// The longest status.
+const STATUS_LIMIT_BYTES: usize = 16 * 1024 * 1024;
+
+/// Why an entry's status was not read.
+#[derive(Debug, Display, Error, From)]
+pub(crate) enum StatusError {
+    /// The entry was not reached.
+    Send(SendError),
+    /// The answer broke off.
+    Body(ReadBodyError),
+    /// The request can't be built.
+    Request(http::Error),
+    /// The answer is not a status.
+    #[display("the answer is not a status: {_0}. Hint: give the entry's address for operators")]
+    Format(serde_json::Error),
+}
+
+/// Reads the status of the entry whose operators' interface is at `address`.
+pub(crate) async fn read_status(
+    address: SocketAddr,
+    timeout: Duration,
+) -> Result<EntryStatus, StatusError> {
+    let mut connection = ClientConnection::open(address, timeout).await?;
+    let request = Request::get(STATUS_PATH).header(HOST, address.to_string());
+    let request = request.body(RequestBody::default())?;
+    let response = connection.send(request).await?;
+    let body = read_body(response.into_body(), STATUS_LIMIT_BYTES, timeout).await?;
+    Ok(serde_json::from_slice(&body)?)
+}
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -1,6 +1,7 @@
 //! The `beryltray` command: the daemon, the operators' commands and the stand-ins in one binary.
 
 mod commands;
+mod entry_client;
 mod load;
 
 use std::process::ExitCode;
--- a/cli/tests/runner.rs
+++ b/cli/tests/runner.rs
@@ -1,3 +1,4 @@
 //! Runner of the integration tests.
+mod test_config_command;
 mod test_load_command;
 mod test_stand_in_command;
--- /dev/null
+++ b/cli/tests/test_config_command.rs
@@ -0,0 +1,256 @@
+//! Tests of `beryltray config` as its own process, against a stand-in platform.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::Output;
+use std::process::Stdio;
+
+use tokio::io::AsyncBufReadExt as _;
+use tokio::io::BufReader;
+use tokio::process::Child;
+use tokio::process::Command;
+
+const COMMONS: &str = include_str!("../../docs/examples/commons.ini");
+
+fn example(name: &str) -> String {
+    format!("{}/../docs/examples/{name}", env!("CARGO_MANIFEST_DIR"))
+}
+
+async fn beryltray(args: &[&str]) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_beryltray"));
+    command.env("USER", "maud").env_remove("RUST_LOG");
+    command.args(args).output().await.unwrap()
+}
+
+fn stdout(output: &Output) -> String {
+    String::from_utf8(output.stdout.clone()).unwrap()
+}
+
+fn stderr(output: &Output) -> String {
+    String::from_utf8(output.stderr.clone()).unwrap()
+}
+
+/// A stand-in platform and a directory for documents, both gone with the value.
+struct Trial {
+    platform: String,
+    directory: PathBuf,
+    _child: Child,
+}
+
+impl Drop for Trial {
+    fn drop(&mut self) {
+        std::fs::remove_dir_all(&self.directory).unwrap();
+    }
+}
+
+/// Names the hosts that the Commons' example needs in one data centre.
+fn host_args() -> Vec<String> {
+    let writers = (0..20).map(|index| {
+        let domain = index / 4;
+        format!(
+            "w{index},beryl-writers,127.0.0.1:{},lakes-a,d{domain}",
+            9000 + index
+        )
+    });
+    let ledger = std::iter::once(String::from("l0,slot-ledger,127.0.0.1:9100,lakes-a,d0"));
+    writers.chain(ledger).collect()
+}
+
+async fn start_trial(name: &str, hosts: &[String]) -> Trial {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_beryltray"));
+    command.args(["stand-in", "platform"]);
+    for host in hosts {
+        command.args(["--host", host]);
+    }
+    command.stdout(Stdio::piped()).kill_on_drop(true);
+    let mut child = command.spawn().unwrap();
+    let mut lines = BufReader::new(child.stdout.take().unwrap()).lines();
+    let line = lines.next_line().await.unwrap().unwrap();
+    let platform = line.strip_prefix("listening on ").unwrap().to_owned();
+    let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::create_dir_all(&directory).unwrap();
+    Trial {
+        platform,
+        directory,
+        _child: child,
+    }
+}
+
+impl Trial {
+    fn file(&self, name: &str, text: &str) -> String {
+        let path = self.directory.join(name);
+        std::fs::write(&path, text).unwrap();
+        path.display().to_string()
+    }
+
+    async fn config(&self, environment: &str, args: &[&str]) -> Output {
+        let common = ["--environment", environment, "--platform", &self.platform];
+        beryltray(&[&["config"], args, &common[..]].concat()).await
+    }
+
+    async fn apply(&self, file: &str, base: &str, more: &[&str]) -> Output {
+        let args = [&["apply", file, "--base", base], more].concat();
+        self.config("trial", &args).await
+    }
+}
+
+#[tokio::test]
+async fn config_check_examples_have_no_fault() {
+    for name in ["commons.ini", "pritchard.ini"] {
+        let output = beryltray(&["config", "check", &example(name)]).await;
+        assert_eq!(output.status.code(), Some(0), "{}", stderr(&output));
+        assert!(stdout(&output).contains("no fault; 2 services, 10 client accounts"));
+    }
+}
+
+#[tokio::test]
+async fn config_check_misspelt_key_names_line_and_key() {
+    let trial = start_trial("config_check_misspelt_key", &[]).await;
+    let text = COMMONS.replace("presence-bound", "presense-bound");
+    let line = 1 + text
+        .lines()
+        .position(|line| line.starts_with("presense"))
+        .unwrap();
+    let file = trial.file("commons.ini", &text);
+    let output = beryltray(&["config", "check", &file]).await;
+    assert_eq!(output.status.code(), Some(2));
+    let message = stderr(&output);
+    let place = format!("commons.ini:{line}: unknown key `presense-bound` in [routing]");
+    assert!(message.contains(&place), "{message}");
+    assert!(
+        message.contains("Hint: did you mean `presence-bound`?"),
+        "{message}"
+    );
+}
+
+#[tokio::test]
+async fn config_check_too_few_hosts_is_refused() {
+    let hosts = host_args();
+    let trial = start_trial("config_check_too_few_hosts", &hosts[1..]).await;
+    let file = example("commons.ini");
+    let output = beryltray(&["config", "check", &file, "--platform", &trial.platform]).await;
+    assert_eq!(output.status.code(), Some(2));
+    assert!(stderr(&output).contains("wants 5 replicas in data centre lakes-a"));
+    let refused = trial.apply(&file, "0", &[]).await;
+    assert_eq!(refused.status.code(), Some(2));
+    let accepted = trial.apply(&file, "0", &["--without-host-check"]).await;
+    assert_eq!(accepted.status.code(), Some(0));
+}
+
+#[tokio::test]
+async fn config_apply_same_base_is_one_conflict() {
+    let trial = start_trial("config_apply_same_base", &host_args()).await;
+    let first = trial.apply(&example("commons.ini"), "0", &[]).await;
+    assert_eq!(first.status.code(), Some(0), "{}", stderr(&first));
+    assert!(stdout(&first).contains("accepted as version 1"));
+    let faster = trial.file("faster.ini", &COMMONS.replace("= 20s", "= 15s"));
+    let fewer = trial.file(
+        "fewer.ini",
+        &COMMONS.replace("replicas = 5", "replicas = 4"),
+    );
+    let (left, right) = tokio::join!(
+        trial.apply(&faster, "1", &[]),
+        trial.apply(&fewer, "1", &[])
+    );
+    let mut codes = [left.status.code(), right.status.code()];
+    codes.sort();
+    assert_eq!(codes, [Some(0), Some(3)]);
+    let (winner, loser) = if left.status.success() {
+        (left, right)
+    } else {
+        (right, left)
+    };
+    assert!(stdout(&winner).contains("accepted as version 2"));
+    let said = stdout(&loser);
+    assert!(
+        said.contains("made on version 1, but version 2 by maud came first"),
+        "{said}"
+    );
+    assert!(
+        said.contains("-default-deadline = 20s\n+default-deadline = 15s"),
+        "{said}"
+    );
+    assert!(said.contains("-replicas = 5\n+replicas = 4"), "{said}");
+}
+
+#[tokio::test]
+async fn config_earlier_version_undoes_change() {
+    let trial = start_trial("config_earlier_version", &host_args()).await;
+    trial.apply(&example("commons.ini"), "0", &[]).await;
+    let changed = trial.file(
+        "changed.ini",
+        &COMMONS.replace("budget = 10%", "budget = 20%"),
+    );
+    trial.apply(&changed, "1", &[]).await;
+    let diff = trial
+        .config("trial", &["diff", "--from", "1", "--to", "2"])
+        .await;
+    assert!(stdout(&diff).contains("-budget = 10%\n+budget = 20%"));
+    let undone = ["apply", "--earlier", "1", "--base", "2"];
+    let undone = trial.config("trial", &undone).await;
+    assert_eq!(undone.status.code(), Some(0), "{}", stderr(&undone));
+    let shown = trial.config("trial", &["show"]).await;
+    assert_eq!(stdout(&shown), COMMONS);
+    assert!(stderr(&shown).starts_with("version 3 by maud"));
+    let history = trial
+        .config("trial", &["history", "--format", "json"])
+        .await;
+    let history: serde_json::Value = serde_json::from_slice(&history.stdout).unwrap();
+    assert_eq!(history.as_array().unwrap().len(), 3);
+    assert_eq!(history[0]["digest"], history[2]["digest"]);
+}
+
+#[tokio::test]
+async fn config_promote_moves_same_digest() {
+    let trial = start_trial("config_promote", &host_args()).await;
+    trial.apply(&example("commons.ini"), "0", &[]).await;
+    let mut args = vec!["config", "promote", "--from", "trial", "--to", "production"];
+    args.extend([
+        "--base",
+        "0",
+        "--platform",
+        &trial.platform,
+        "--format",
+        "json",
+    ]);
+    let promoted = beryltray(&args).await;
+    assert_eq!(promoted.status.code(), Some(0), "{}", stderr(&promoted));
+    let report: serde_json::Value = serde_json::from_slice(&promoted.stdout).unwrap();
+    assert_eq!(report["outcome"], "accepted");
+    let shown = trial
+        .config("production", &["show", "--format", "json"])
+        .await;
+    let shown: serde_json::Value = serde_json::from_slice(&shown.stdout).unwrap();
+    assert_eq!(shown["digest"], report["version"]["digest"]);
+    assert_eq!(shown["text"], COMMONS);
+}
+
+#[tokio::test]
+async fn config_apply_unheard_entry_is_named() {
+    let trial = start_trial("config_apply_unheard", &host_args()).await;
+    let closed = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address: SocketAddr = closed.local_addr().unwrap();
+    drop(closed);
+    let address = address.to_string();
+    let more = ["--entry", &address, "--within", "300ms"];
+    let output = trial.apply(&example("commons.ini"), "0", &more).await;
+    assert_eq!(output.status.code(), Some(4), "{}", stderr(&output));
+    let said = stdout(&output);
+    assert!(said.contains("accepted as version 1"));
+    let row = said.lines().find(|line| line.contains(&address)).unwrap();
+    assert!(row.contains("not heard"), "{said}");
+}
+
+#[tokio::test]
+async fn config_platform_unreachable_is_failure() {
+    let args = [
+        "show",
+        "--environment",
+        "trial",
+        "--platform",
+        "127.0.0.1:1",
+    ];
+    let output = beryltray(&[&["config"], &args[..]].concat()).await;
+    assert_eq!(output.status.code(), Some(1));
+    assert!(stderr(&output).contains("Hint:"));
+}
--- a/lib/src/version/change/force.rs
+++ b/lib/src/version/change/force.rs
@@ -4,6 +4,7 @@
 
 use derive_more::Display;
 
+use crate::ids::DocumentVersion;
 use crate::ids::EntryId;
 use crate::sorted::Keyed;
 use crate::sorted::SortedVec;
@@ -61,11 +62,30 @@
     }
 }
 
-/// The progress of a version over all entries that the operator asked about.
+/// An entry that was not asked, as another one told of it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct MemberProgress {
+    /// The entry.
+    pub entry: EntryId,
+    /// The highest version that any entry told of it.
+    pub version: Option<DocumentVersion>,
+}
+
+impl Keyed for MemberProgress {
+    type Key = EntryId;
+
+    fn key(&self) -> &EntryId {
+        &self.entry
+    }
+}
+
+/// The progress of a version over the entries that the operator asked, and over those that they
+/// know.
 #[derive(Clone, Debug)]
 pub struct ForceProgress {
     mark: HeadMark,
     entries: SortedVec<AddressProgress>,
+    members: SortedVec<MemberProgress>,
 }
 
 impl ForceProgress {
@@ -78,7 +98,11 @@
                 progress: EntryProgress::NotHeard,
             });
         }
-        Self { mark, entries }
+        Self {
+            mark,
+            entries,
+            members: SortedVec::new(),
+        }
     }
 
     /// Takes in what an entry says.
@@ -101,9 +125,35 @@
         self.entries.insert(AddressProgress { address, progress });
     }
 
-    /// Returns whether every entry has the version.
+    /// Takes in what an entry tells of another one that it takes for alive.
+    pub fn on_member(&mut self, entry: EntryId, version: Option<DocumentVersion>) {
+        let create = || MemberProgress {
+            entry: entry.clone(),
+            version: None,
+        };
+        let member = self.members.get_or_insert_with(&entry, create);
+        member.version = member.version.max(version);
+    }
+
+    /// Returns whether every entry that was asked or told of has the version.
     pub fn is_everywhere(&self) -> bool {
-        self.waiting().is_empty()
+        self.waiting().is_empty() && self.members_behind().is_empty()
+    }
+
+    /// Returns the entries that were not asked and that no one told to have the version.
+    pub fn members_behind(&self) -> Vec<&MemberProgress> {
+        let is_behind = |member: &&MemberProgress| {
+            !self.was_heard(&member.entry) && member.version < Some(self.mark.version)
+        };
+        self.members.iter().filter(is_behind).collect()
+    }
+
+    fn was_heard(&self, entry: &EntryId) -> bool {
+        self.entries.iter().any(|heard| match &heard.progress {
+            EntryProgress::NotHeard => false,
+            EntryProgress::Behind { entry: other, .. } => other == entry,
+            EntryProgress::InForce { entry: other } => other == entry,
+        })
     }
 
     /// Returns the addresses whose entries were not heard to have the version.
--- a/lib/tests/test_change.rs
+++ b/lib/tests/test_change.rs
@@ -185,6 +185,12 @@
     assert_eq!(progress.waiting(), [address(2), address(3)]);
     let unheard = &progress.entries().get(&address(3)).unwrap().progress;
     assert_eq!(*unheard, EntryProgress::NotHeard);
+    progress.on_member("d".parse().unwrap(), Some(DocumentVersion(3)));
+    progress.on_member("a".parse().unwrap(), None);
+    let behind = progress.members_behind();
+    assert_eq!(behind.len(), 1);
+    assert_eq!(behind[0].entry.as_str(), "d");
+    progress.on_member("d".parse().unwrap(), Some(DocumentVersion(4)));
     progress.on_heard(address(2), heard("b", 4));
     progress.on_heard(address(3), heard("c", 4));
     assert!(progress.is_everywhere());
