--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -1,6 +1,7 @@
 //! The commands, one file each.
 
 mod config;
+mod check_history;
 mod entry;
 mod load;
 mod stand_in;
@@ -21,6 +22,8 @@
     /// Reads, checks and changes an environment's document.
     #[command(subcommand)]
     Config(config::ConfigCommand),
+    /// Checks the promises over what a trial recorded.
+    CheckHistory(check_history::CheckHistoryArgs),
     /// Runs an entry: the daemon that answers callers and routes their requests.
     Entry(entry::EntryArgs),
     /// Sends requests at a given rate and counts what becomes of them.
@@ -35,6 +38,8 @@
 pub(crate) enum CommandError {
     /// A command on documents failed.
     Config(config::ConfigError),
+    /// A history was not checked.
+    CheckHistory(check_history::CheckHistoryError),
     /// An entry did not run.
     Entry(entry::EntryCommandError),
     /// The load was not sent.
@@ -58,6 +63,7 @@
     pub(crate) async fn run(self) -> Result<ExitCode, CommandError> {
         match self {
             Self::Config(command) => Ok(command.run().await?),
+            Self::CheckHistory(args) => Ok(args.run()?),
             Self::Entry(args) => Ok(args.run().await?),
             Self::Load(args) => Ok(args.run().await?),
             Self::StandIn(command) => Ok(command.run().await?),
