--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -1,5 +1,6 @@
 //! The commands, one file each.
 
+mod config;
 mod check_history;
 mod demo;
 mod entry;
@@ -21,6 +22,9 @@
 /// What `beryltray` is asked to do.
 #[derive(Debug, Subcommand)]
 pub(crate) enum Command {
+    /// Reads, checks and changes an environment's document.
+    #[command(subcommand)]
+    Config(config::ConfigCommand),
     /// Checks the promises over what a trial recorded.
     CheckHistory(check_history::CheckHistoryArgs),
     /// Runs the whole path in one process and sends requests through it.
@@ -42,6 +46,8 @@
 /// Why a command failed.
 #[derive(Debug, Display, Error, From)]
 pub(crate) enum CommandError {
+    /// A command on documents failed.
+    Config(config::ConfigError),
     /// A history was not checked.
     CheckHistory(check_history::CheckHistoryError),
     /// The demo did not run.
@@ -59,7 +65,10 @@
 impl CommandError {
     /// Returns the exit code that the command ends with.
     pub(crate) fn exit_code(&self) -> ExitCode {
-        ExitCode::from(EXIT_CODE_USAGE)
+        match self {
+            Self::Config(error) => error.exit_code(),
+            _ => ExitCode::from(EXIT_CODE_USAGE),
+        }
     }
 }
 
@@ -67,6 +76,7 @@
     /// Runs the command to its end.
     pub(crate) async fn run(self) -> Result<ExitCode, CommandError> {
         match self {
+            Self::Config(command) => Ok(command.run().await?),
             Self::CheckHistory(args) => Ok(args.run()?),
             Self::Demo(args) => Ok(args.run().await?),
             Self::Entry(args) => Ok(args.run().await?),
