--- a/lib/src/process/exchange/mod.rs
+++ b/lib/src/process/exchange/mod.rs
@@ -61,12 +61,12 @@
 use crate::process::membership::member::MemberIdentity;
 use crate::sorted::SortedVec;
 use crate::target::wire::HostReport;
+use crate::version::head::HeadMark;
 use limits::PublishedLimits;
 use link::Link;
 use link::SentFrames;
 use record::OwnerRecord;
 pub use settings::ExchangeSettings;
-use value::DocumentHead;
 
 /// What the exchange asks of its driver.
 ///
@@ -102,8 +102,13 @@
         /// The host.
         host: HostId,
     },
-    /// A peer knows a later version of the document.
-    Head(DocumentHead),
+    /// A peer knows another version of the document.
+    Head {
+        /// The peer.
+        peer: EntryId,
+        /// The version.
+        mark: HeadMark,
+    },
 }
 
 /// The state exchange of one entry.
@@ -158,7 +163,7 @@
     }
 
     /// Returns the greatest document head that any entry is known to have.
-    pub fn latest_head(&self) -> Option<&DocumentHead> {
+    pub fn latest_head(&self) -> Option<&HeadMark> {
         self.own.head.as_ref()
     }
 
--- a/lib/src/process/exchange/own.rs
+++ b/lib/src/process/exchange/own.rs
@@ -4,7 +4,6 @@
 
 use super::StateExchange;
 use super::record::OwnerRecord;
-use super::value::DocumentHead;
 use super::value::FarService;
 use super::value::HostDescription;
 use super::value::HostLoad;
@@ -16,6 +15,7 @@
 use crate::ids::TargetId;
 use crate::request::target_load::SendTotals;
 use crate::target::wire::HostReport;
+use crate::version::head::HeadMark;
 
 impl StateExchange {
     /// Publishes a host's report, which this entry polled at `polled_at`.
@@ -54,9 +54,8 @@
     ///
     /// The head is passed on before the document is in force here, because the way through the
     /// other data centres must not wait for each entry to load it.
-    pub fn set_head(&mut self, head: &DocumentHead) -> bool {
-        let known = self.own.head.as_ref().map(|known| known.version);
-        if known.is_some_and(|known| head.version <= known) {
+    pub fn set_head(&mut self, head: &HeadMark) -> bool {
+        if self.own.head.as_ref().is_some_and(|known| head <= known) {
             return false;
         }
         self.own.head_at = self.own.next_version();
--- a/lib/src/process/exchange/receive.rs
+++ b/lib/src/process/exchange/receive.rs
@@ -6,7 +6,6 @@
 use super::StateExchange;
 use super::link::Link;
 use super::record::OwnerRecord;
-use super::value::DocumentHead;
 use super::value::report_of;
 use super::wire::Block;
 use super::wire::Echo;
@@ -236,8 +235,12 @@
         now: Instant,
         actions: &mut Vec<ExchangeAction>,
     ) {
-        if let Some(head) = &block.head {
-            self.on_head(head, actions);
+        if let Some(mark) = &block.head {
+            self.set_head(mark);
+            actions.push(ExchangeAction::Head {
+                peer: owner.clone(),
+                mark: mark.clone(),
+            });
         }
         let Some(record) = self.records.get(owner) else {
             return;
@@ -252,12 +255,6 @@
         }
     }
 
-    fn on_head(&mut self, head: &DocumentHead, actions: &mut Vec<ExchangeAction>) {
-        if self.set_head(head) {
-            actions.push(ExchangeAction::Head(head.clone()));
-        }
-    }
-
     fn address_of(&self, entry: &EntryId) -> Option<std::net::SocketAddr> {
         let record = self.records.get(entry)?;
         Some(record.identity.address)
--- a/lib/src/process/exchange/record.rs
+++ b/lib/src/process/exchange/record.rs
@@ -7,7 +7,6 @@
 use derive_more::Error;
 
 use super::column::Column;
-use super::value::DocumentHead;
 use super::value::FarService;
 use super::value::HostDescription;
 use super::value::HostLoad;
@@ -30,6 +29,7 @@
 use crate::request::target_load::SendTotals;
 use crate::sorted::Keyed;
 use crate::sorted::SortedVec;
+use crate::version::head::HeadMark;
 
 /// Who a block is for.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -67,7 +67,7 @@
     /// Whether the owner is about to stop.
     pub is_leaving: bool,
     /// The document head that the owner knows.
-    pub head: Option<DocumentHead>,
+    pub head: Option<HeadMark>,
     /// The version at which the head became news.
     pub head_at: StateVersion,
     /// The version of the document that the owner has in force.
--- a/lib/src/process/exchange/value.rs
+++ b/lib/src/process/exchange/value.rs
@@ -9,8 +9,6 @@
 
 use super::wire::StreamTag;
 use crate::ids::DataCentreId;
-use crate::ids::Digest;
-use crate::ids::DocumentVersion;
 use crate::ids::Epoch;
 use crate::ids::HostId;
 use crate::ids::Incarnation;
@@ -141,16 +139,6 @@
     }
 }
 
-/// The version of the environment's document that is in force.
-#[derive(Clone, Debug, Deserialize, Display, Eq, Ord, PartialEq, PartialOrd, Serialize)]
-#[display("version {version} ({digest})")]
-pub struct DocumentHead {
-    /// The version.
-    pub version: DocumentVersion,
-    /// The digest of the document.
-    pub digest: Digest,
-}
-
 /// The part of a host's report that rarely changes.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct HostDescription {
--- a/lib/src/process/exchange/wire.rs
+++ b/lib/src/process/exchange/wire.rs
@@ -8,7 +8,6 @@
 use serde::Serialize;
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::value::DocumentHead;
 use super::value::FarService;
 use super::value::HostDescription;
 use super::value::HostLoad;
@@ -22,6 +21,7 @@
 use crate::ids::ServiceId;
 use crate::ids::TargetId;
 use crate::process::membership::member::MemberIdentity;
+use crate::version::head::HeadMark;
 
 /// The length of a [`StreamTag`].
 const STREAM_TAG_BYTES: usize = 4;
@@ -185,7 +185,7 @@
     /// Whether the owner is about to stop.
     pub is_leaving: bool,
     /// The document head that the owner knows, if it is news.
-    pub head: Option<DocumentHead>,
+    pub head: Option<HeadMark>,
     /// The version of the document that the owner has in force, if it is news.
     pub in_force: Option<DocumentVersion>,
     /// The news for the owner's data centre; absent on the way to another one.
--- a/lib/tests/test_exchange.rs
+++ b/lib/tests/test_exchange.rs
@@ -6,7 +6,6 @@
 use beryltray_lib::ids::Incarnation;
 use beryltray_lib::ids::TargetId;
 use beryltray_lib::ids::digest_of;
-use beryltray_lib::process::exchange::value::DocumentHead;
 use beryltray_lib::process::exchange::value::LogLevel;
 use beryltray_lib::process::exchange::value::QuantisedSummary;
 use beryltray_lib::process::limits::AccountLimits;
@@ -14,6 +13,7 @@
 use beryltray_lib::request::target_load::SendTotals;
 use beryltray_lib::units::RequestRate;
 use beryltray_lib::version::document::Priority;
+use beryltray_lib::version::head::HeadMark;
 use beryltray_testutils::mesh::Fault;
 use beryltray_testutils::mesh::Mesh;
 use beryltray_testutils::mesh::Trouble;
@@ -199,8 +199,8 @@
     }
 }
 
-fn head(version: u64) -> DocumentHead {
-    DocumentHead {
+fn head(version: u64) -> HeadMark {
+    HeadMark {
         version: DocumentVersion(version),
         digest: digest_of(&version.to_le_bytes()),
     }
