--- a/stand-ins/src/lib.rs
+++ b/stand-ins/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod answer;
 pub mod control;
 pub mod engine;
+pub mod fleet;
 pub mod invocation;
 pub mod json;
 pub mod plain;
