--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -1,11 +1,11 @@
 //! The commands, one file each.
 
-mod config;
 mod check_history;
+mod config;
 mod demo;
 mod entry;
-mod load;
 mod experiment;
+mod load;
 mod stand_in;
 mod status;
 
