--- a/lib/src/process/services.rs
+++ b/lib/src/process/services.rs
@@ -6,6 +6,8 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::sync::RwLock;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -109,10 +111,10 @@
     }
 
     /// Follows the targets' state: how many requests may be in flight, and who waits in vain.
-    fn tick(&mut self, service: &ServiceId, now: Instant) {
+    fn tick(&mut self, service: &ServiceId, entries: u32, now: Instant) {
         let open = self.open_targets(service, now);
         let names: Vec<TargetId> = open.into_iter().map(|open| open.target).collect();
-        let capacity_requests = self.router.capacity(&names);
+        let capacity_requests = self.router.capacity(&names, entries, now);
         self.admitter.set_capacity(capacity_requests, now);
         self.admitter.tick(now);
     }
@@ -223,6 +225,8 @@
 pub struct ServiceShards {
     shards: Arc<RwLock<SortedVec<ServiceShard>>>,
     hosts: Arc<RwLock<SortedVec<ListedHost>>>,
+    /// The other entries of the data centre that share the targets.
+    peer_count: Arc<AtomicU32>,
 }
 
 impl ServiceShards {
@@ -330,7 +334,7 @@
     ) -> Option<(Ticket, oneshot::Receiver<AdmissionVerdict>)> {
         let shard = self.shard(service)?;
         let mut targets = lock(&shard.targets);
-        targets.tick(service, now);
+        targets.tick(service, self.entry_count(), now);
         Some(targets.admitter.request(key, deadline, now))
     }
 
@@ -368,8 +372,9 @@
 
     /// Follows the targets' state and gives up on requests that wait in vain.
     pub fn tick(&self, now: Instant) {
+        let entries = self.entry_count();
         for shard in self.all() {
-            lock(&shard.targets).tick(&shard.service, now);
+            lock(&shard.targets).tick(&shard.service, entries, now);
         }
     }
 
@@ -383,6 +388,15 @@
         }
     }
 
+    /// Sets how many other entries of the data centre share the targets.
+    pub fn set_peer_count(&self, peer_count: u32) {
+        self.peer_count.store(peer_count, Ordering::Relaxed);
+    }
+
+    fn entry_count(&self) -> u32 {
+        self.peer_count.load(Ordering::Relaxed).saturating_add(1)
+    }
+
     /// Returns the known hosts of this data centre, by name.
     pub fn listed_hosts(&self) -> Vec<ListedHost> {
         let hosts = self.hosts.read().unwrap_or_else(PoisonError::into_inner);
