--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -3,3 +3,4 @@
 pub mod clock;
 pub mod mesh;
 pub mod seeds;
+pub mod table;
