entry: hold the placement lease in the daemon and place the data centre's groups

The status shows the lease.

A round no longer gives orders to the hosts of a group that it changes. Before, adopting a substitution in the table first ordered the hosts back to the old generation by the rows as they were read, and the group closed for a moment.

--- a/lib/src/process/entry/mod.rs
+++ b/lib/src/process/entry/mod.rs
@@ -2,6 +2,7 @@
 
 mod configuration;
 mod operators;
+mod placement;
 mod poll;
 mod run;
 mod state;
--- a/lib/src/process/entry/operators.rs
+++ b/lib/src/process/entry/operators.rs
@@ -130,7 +130,7 @@
             document_digest: in_force.as_ref().map(|in_force| in_force.digest.clone()),
             in_flight_requests: state.metrics.in_flight.get(),
             is_platform_reached: state.is_platform_reached(),
-            lease: None,
+            lease: state.lease(),
             services,
             members: Vec::new(),
         }
--- a/lib/src/process/entry/run.rs
+++ b/lib/src/process/entry/run.rs
@@ -14,6 +14,7 @@
 
 use super::configuration::follow_head;
 use super::operators::OperatorHandler;
+use super::placement::follow_placement;
 use super::poll::follow_capacity;
 use super::poll::follow_lists;
 use super::poll::follow_reports;
@@ -76,6 +77,8 @@
     background.spawn(follow_lists(Arc::clone(&state)));
     background.spawn(follow_capacity(Arc::clone(&state)));
     background.spawn(follow_reports(Arc::clone(&state)));
+    let placement = follow_placement(Arc::clone(&state), shutdown.graceful.clone());
+    background.spawn(placement);
     background.spawn(serve(
         operator_listener,
         OperatorHandler::new(Arc::clone(&state)),
--- a/lib/src/process/entry/state.rs
+++ b/lib/src/process/entry/state.rs
@@ -19,6 +19,7 @@
 use crate::process::metrics::Metrics;
 use crate::process::services::ServiceShards;
 use crate::process::settings::EntrySettings;
+use crate::process::status::LeaseStatus;
 use crate::target::Targets;
 
 /// All services of the platform.
@@ -48,6 +49,7 @@
     /// The metrics.
     pub metrics: Metrics,
     limits: Mutex<AccountLimits>,
+    lease: Mutex<Option<LeaseStatus>>,
     is_platform_reached: AtomicBool,
     has_host_list: AtomicBool,
 }
@@ -79,6 +81,7 @@
         );
         Ok(Self {
             limits: Mutex::new(limits),
+            lease: Mutex::default(),
             clock,
             platform,
             targets,
@@ -98,6 +101,17 @@
         self.limits.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Records the placement lease as this entry last saw it.
+    pub fn show_lease(&self, status: Option<LeaseStatus>) {
+        *self.lease.lock().unwrap_or_else(PoisonError::into_inner) = status;
+    }
+
+    /// Returns the placement lease as this entry last saw it.
+    pub fn lease(&self) -> Option<LeaseStatus> {
+        let lease = self.lease.lock();
+        lease.unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
     /// Records whether the platform answered, and counts a failure.
     pub fn note_platform(&self, call: &str, is_reached: bool) {
         let was_reached = self.is_platform_reached.swap(is_reached, Ordering::Relaxed);
--- a/lib/src/process/placement/machine.rs
+++ b/lib/src/process/placement/machine.rs
@@ -20,6 +20,7 @@
 use crate::ids::DataCentreId;
 use crate::ids::EnvironmentId;
 use crate::ids::Epoch;
+use crate::ids::HostId;
 use crate::platform::Transaction;
 use crate::platform::rows::GroupRow;
 use crate::process::lease::Fence;
@@ -31,7 +32,7 @@
 /// What a round of decisions asks for.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct PlacementPlan {
-    /// The rows to write. The round's orders follow from the rows as they were, so the driver
+    /// The rows to write. The orders that they ask for come with the next round, so the driver
     /// decides again once the transaction has taken effect.
     pub transaction: Option<Transaction>,
     /// The orders to send, whatever becomes of the transaction.
@@ -101,8 +102,9 @@
         }
         let written = transaction(&self.keys, fence, input, &board.groups, new_attempt());
         let decisions = std::mem::take(&mut board.decisions);
+        let withheld = changed_hosts(input, &board.groups);
         board.groups = rows(input);
-        let orders = Orders::new(&board, &mut self.sent).due(&mut new_attempt);
+        let orders = Orders::new(&board, &mut self.sent, withheld).due(&mut new_attempt);
         PlacementPlan {
             transaction: written,
             orders,
@@ -136,7 +138,7 @@
             let Some(chosen) = wanted_substitution(&board, row) else {
                 continue;
             };
-            let orders = Orders::new(&board, &mut self.sent);
+            let orders = Orders::new(&board, &mut self.sent, Vec::new());
             let due = orders.due_for_substitution(row, &chosen, &mut new_attempt);
             if !due.is_empty() {
                 plan.decisions.extend(substituted(row, &chosen));
@@ -183,6 +185,21 @@
     rows.map(|group| group.value.clone()).collect()
 }
 
+/// Returns the hosts of the groups whose rows `groups` changes, before and after the change.
+fn changed_hosts(input: &PlacementInput, groups: &SortedVec<GroupRow>) -> Vec<HostId> {
+    let mut changed = Vec::new();
+    for after in groups {
+        let before = input.groups.get(&after.group).map(|held| &held.value);
+        if before == Some(after) {
+            continue;
+        }
+        for row in before.into_iter().chain([after]) {
+            changed.extend(row.members.iter().chain(&row.reserved_spares).cloned());
+        }
+    }
+    changed
+}
+
 fn highest_epoch(input: &PlacementInput) -> Epoch {
     let reports = input.hosts.iter().filter_map(|view| view.report.as_ref());
     let seen = reports.map(|report| report.highest_epoch).max();
--- a/lib/src/process/placement/orders.rs
+++ b/lib/src/process/placement/orders.rs
@@ -86,10 +86,16 @@
     due: Vec<HostOrder>,
     loads_free: usize,
     loads_limit: usize,
+    /// Hosts whose rows are about to change, so that an order by the old ones would be undone.
+    withheld: Vec<HostId>,
 }
 
 impl<'a> Orders<'a> {
-    pub(super) fn new(board: &'a Board<'a>, sent: &'a mut SortedVec<SentOrder>) -> Self {
+    pub(super) fn new(
+        board: &'a Board<'a>,
+        sent: &'a mut SortedVec<SentOrder>,
+        withheld: Vec<HostId>,
+    ) -> Self {
         let limit = board.input.document.placement.concurrent_loads_limit;
         let loads_limit = usize::try_from(limit).unwrap_or(usize::MAX);
         let loading = loading_hosts(board, sent);
@@ -99,6 +105,7 @@
             due: Vec::new(),
             loads_free: loads_limit.saturating_sub(loading),
             loads_limit,
+            withheld,
         }
     }
 
@@ -255,7 +262,8 @@
             return;
         };
         let is_leaving = self.board.state(&wish.host) == HostState::Leaving;
-        let must_wait = is_leaving || self.must_drain(report, &wish);
+        let is_withheld = self.withheld.contains(&wish.host);
+        let must_wait = is_leaving || is_withheld || self.must_drain(report, &wish);
         if must_wait || self.is_under_way(report, &wish) {
             return;
         }
--- a/stand-ins/tests/test_placement.rs
+++ b/stand-ins/tests/test_placement.rs
@@ -284,9 +284,11 @@
     (0..15).for_each(|_| bench.step_without_table());
     assert_eq!(bench.fleet.serving_groups(), 1);
     bench.decisions.clear();
-    bench.run(20);
+    for _ in 0..20 {
+        bench.step();
+        assert_eq!(bench.fleet.serving_groups(), 1);
+    }
     assert!(matches!(bench.decisions[0], Decision::Adopt { .. }));
-    assert_eq!(bench.fleet.serving_groups(), 1);
     assert!(!bench.fleet.groups()[0].members.contains(&host(1)));
 }
 
