--- /dev/null
+++ b/cli/src/commands/experiment/limits.rs
@@ -0,0 +1,270 @@
+//! Measures an account's limit across entries: how much is admitted above it and below it while
+//! the demand shifts, and while entries are apart.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use beryltray_lib::clock::Clock as _;
+use beryltray_lib::clock::SystemClock;
+use beryltray_lib::ids::AccountId;
+use beryltray_lib::ids::EntryId;
+use beryltray_lib::ids::Incarnation;
+use beryltray_lib::process::limits::AccountLimits;
+use beryltray_lib::process::limits::LimitMessage;
+use beryltray_lib::process::limits::LimitSettings;
+use beryltray_lib::request::token_bucket::TokenBucket;
+use beryltray_lib::units::RequestRate;
+use beryltray_lib::version::document::Priority;
+
+use super::report::Report;
+use super::report::Row;
+use super::report::Section;
+use super::routing_entry::id;
+use super::simulation::EventQueue;
+use super::simulation::Random;
+
+const ENTRIES: usize = 8;
+const LIMIT_PER_S: f64 = 80.0;
+/// What callers ask for, as a multiple of the limit.
+const DEMAND: f64 = 1.5;
+/// The part of the demand that comes at the busiest entry.
+const BUSIEST_SHARE: f64 = 0.6;
+const SHIFT_INTERVAL: Duration = Duration::from_secs(20);
+const ROUND: Duration = Duration::from_millis(250);
+const DELAY_MAX: Duration = Duration::from_millis(400);
+const LOSS: f64 = 0.05;
+const RUN: Duration = Duration::from_secs(240);
+const WARM_UP: Duration = Duration::from_secs(10);
+const WINDOW_S: usize = 5;
+
+/// Who hears whom.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Contact {
+    All,
+    Halves,
+    Nobody,
+    /// Cut into halves and together again every 30 s.
+    Flapping,
+}
+
+const CONTACTS: [(&str, Contact); 4] = [
+    ("all hear each other", Contact::All),
+    ("cut into halves", Contact::Halves),
+    ("nobody hears anybody", Contact::Nobody),
+    (
+        "cut into halves for 30 s of every minute",
+        Contact::Flapping,
+    ),
+];
+
+/// How the limit is divided.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Policy {
+    WholeEach,
+    FixedParts,
+    LastDemand,
+    Grants,
+}
+
+const POLICIES: [(&str, Policy); 4] = [
+    ("whole limit at each entry", Policy::WholeEach),
+    ("fixed equal parts", Policy::FixedParts),
+    ("by demand last heard", Policy::LastDemand),
+    ("grants", Policy::Grants),
+];
+
+#[derive(Clone, Debug)]
+enum Event {
+    Arrival,
+    Round {
+        entry: usize,
+    },
+    Message {
+        from: usize,
+        to: usize,
+        message: LimitMessage,
+    },
+}
+
+struct Entry {
+    name: EntryId,
+    limits: AccountLimits,
+    bucket: TokenBucket,
+    own_per_s: f64,
+    heard_per_s: [Option<f64>; ENTRIES],
+}
+
+struct Run {
+    policy: Policy,
+    contact: Contact,
+    account: AccountId,
+    start: Instant,
+    random: Random,
+    events: EventQueue<Event>,
+    entries: Vec<Entry>,
+    admitted_by_s: Vec<u32>,
+}
+
+/// Runs all policies in all states of contact.
+pub(crate) fn measure(seed: u64) -> Report {
+    let sections = CONTACTS.iter().map(|(title, contact)| Section {
+        title: (*title).to_owned(),
+        rows: POLICIES
+            .iter()
+            .filter_map(|(name, policy)| row(name, *policy, *contact, seed))
+            .collect(),
+    });
+    Report {
+        experiment: String::from("limits"),
+        seed,
+        sections: sections.collect(),
+    }
+}
+
+fn row(name: &str, policy: Policy, contact: Contact, seed: u64) -> Option<Row> {
+    let mut run = Run::new(policy, contact, seed)?;
+    run.run();
+    let warm_up_s = WARM_UP.as_secs() as usize;
+    let measured = run.admitted_by_s.get(warm_up_s..)?;
+    let mean = measured.iter().sum::<u32>() as f64 / measured.len().max(1) as f64;
+    let windows = measured
+        .windows(WINDOW_S)
+        .map(|window| window.iter().sum::<u32>());
+    let worst = f64::from(windows.max().unwrap_or_default()) / WINDOW_S as f64;
+    let percent = |rate_per_s: f64| 100.0 * rate_per_s / LIMIT_PER_S;
+    let row = Row::new(name)
+        .with("admitted % of limit, mean", percent(mean))
+        .with("worst 5 s %", percent(worst));
+    Some(row)
+}
+
+impl Run {
+    fn new(policy: Policy, contact: Contact, seed: u64) -> Option<Self> {
+        let start = SystemClock.now();
+        let account: AccountId = id("account", 0)?;
+        let part = match policy {
+            Policy::WholeEach => LIMIT_PER_S,
+            _ => LIMIT_PER_S / ENTRIES as f64,
+        };
+        let settings = LimitSettings::default();
+        let names = (0..ENTRIES).filter_map(|index| id::<EntryId>("entry", index));
+        let entries = names.map(|name| {
+            let incarnation = Incarnation(1);
+            let mut limits = AccountLimits::new(name.clone(), incarnation, settings.clone(), start);
+            limits.set_entries(ENTRIES, start);
+            limits.set_limit(&account, RequestRate(LIMIT_PER_S), start);
+            Entry {
+                name,
+                limits,
+                bucket: TokenBucket::new(RequestRate(part), settings.burst, start),
+                own_per_s: 0.0,
+                heard_per_s: [None; ENTRIES],
+            }
+        });
+        Some(Self {
+            policy,
+            contact,
+            entries: entries.collect(),
+            account,
+            start,
+            random: Random::new(seed),
+            events: EventQueue::new(),
+            admitted_by_s: vec![0; RUN.as_secs() as usize],
+        })
+    }
+
+    fn run(&mut self) {
+        self.events.push(self.start, Event::Arrival);
+        for entry in 0..ENTRIES {
+            let phase = ROUND.mul_f64(entry as f64 / ENTRIES as f64);
+            self.events.push(self.start + phase, Event::Round { entry });
+        }
+        while let Some((now, event)) = self.events.pop() {
+            if now >= self.start + RUN {
+                return;
+            }
+            match event {
+                Event::Arrival => self.on_arrival(now),
+                Event::Round { entry } => self.on_round(entry, now),
+                Event::Message { from, to, message } => self.on_message(from, to, &message, now),
+            }
+        }
+    }
+
+    fn on_arrival(&mut self, now: Instant) {
+        let gap = self.random.gap(DEMAND * LIMIT_PER_S);
+        self.events.push(now + gap, Event::Arrival);
+        let elapsed = now.duration_since(self.start);
+        let shift = elapsed.as_secs() / SHIFT_INTERVAL.as_secs();
+        let busiest = shift as usize * 3 % ENTRIES;
+        let is_busiest = self.random.fraction() < BUSIEST_SHARE;
+        let index = if is_busiest {
+            busiest
+        } else {
+            self.random.below(ENTRIES)
+        };
+        let entry = &mut self.entries[index];
+        let own = entry.limits.take(&self.account, Priority::Normal, now);
+        let is_admitted = match self.policy {
+            Policy::Grants => own.is_ok(),
+            _ => entry.bucket.take(now).is_ok(),
+        };
+        self.admitted_by_s[elapsed.as_secs() as usize] += u32::from(is_admitted);
+    }
+
+    fn on_round(&mut self, index: usize, now: Instant) {
+        self.events.push(now + ROUND, Event::Round { entry: index });
+        let entry = &mut self.entries[index];
+        let message = entry.limits.next_message(now);
+        entry.own_per_s = demand_of(&message, &self.account);
+        self.share_by_demand(index, now);
+        for to in (0..ENTRIES).filter(|to| *to != index) {
+            let is_lost = self.random.fraction() < LOSS;
+            if is_lost || !self.hears(index, to, now) {
+                continue;
+            }
+            let delay = DELAY_MAX.mul_f64(self.random.fraction());
+            let message = message.clone();
+            let from = index;
+            self.events
+                .push(now + delay, Event::Message { from, to, message });
+        }
+    }
+
+    fn on_message(&mut self, from: usize, to: usize, message: &LimitMessage, now: Instant) {
+        let name = self.entries[from].name.clone();
+        let entry = &mut self.entries[to];
+        entry.limits.on_message(&name, message, now);
+        entry.heard_per_s[from] = Some(demand_of(message, &self.account));
+        self.share_by_demand(to, now);
+    }
+
+    /// The baseline: the limit divided by the demands last heard.
+    fn share_by_demand(&mut self, index: usize, now: Instant) {
+        if self.policy != Policy::LastDemand {
+            return;
+        }
+        let entry = &mut self.entries[index];
+        let all = entry.own_per_s + entry.heard_per_s.iter().flatten().sum::<f64>();
+        if all > 0.0 {
+            let rate = RequestRate(LIMIT_PER_S * entry.own_per_s / all);
+            entry.bucket.set_rate(rate, now);
+        }
+    }
+
+    fn hears(&self, from: usize, to: usize, now: Instant) -> bool {
+        let is_same_half = (from < ENTRIES / 2) == (to < ENTRIES / 2);
+        let elapsed = now.duration_since(self.start);
+        match self.contact {
+            Contact::All => true,
+            Contact::Halves => is_same_half,
+            Contact::Nobody => false,
+            Contact::Flapping => is_same_half || elapsed.as_secs() % 60 < 30,
+        }
+    }
+}
+
+fn demand_of(message: &LimitMessage, account: &AccountId) -> f64 {
+    let share = message.accounts.get(account);
+    share.map_or(0.0, |account| account.share.demand_per_s)
+}
--- a/cli/src/commands/experiment/mod.rs
+++ b/cli/src/commands/experiment/mod.rs
@@ -2,11 +2,15 @@
 //!
 //! The experiments drive the library's own machines on a clock that the event loop moves.
 
+mod admission;
 mod engine;
+mod limits;
 mod report;
+mod retries;
 mod routing;
 mod routing_entry;
 mod simulation;
+mod spill;
 
 use std::process::ExitCode;
 
@@ -19,8 +23,16 @@
 /// Which policy to measure.
 #[derive(Clone, Debug, Subcommand)]
 pub(crate) enum ExperimentCommand {
+    /// The admission at one entry: shares of accounts and wait by class.
+    Admission(ExperimentArgs),
+    /// The accounts' limits across entries: what is admitted above and below them.
+    Limits(ExperimentArgs),
+    /// Further tries: goodput and amplification through a brown-out and an outage.
+    Retries(ExperimentArgs),
     /// The choice of targets: time to first token, cache hits and late answers.
     Routing(ExperimentArgs),
+    /// The relay to other data centres while one is short of targets.
+    Spill(ExperimentArgs),
 }
 
 /// Options of every experiment.
@@ -38,7 +50,11 @@
     /// Runs the experiment and prints its report.
     pub(crate) fn run(&self) -> ExitCode {
         let (args, measure): (&ExperimentArgs, fn(u64) -> Report) = match self {
+            Self::Admission(args) => (args, admission::measure),
+            Self::Limits(args) => (args, limits::measure),
+            Self::Retries(args) => (args, retries::measure),
             Self::Routing(args) => (args, routing::measure),
+            Self::Spill(args) => (args, spill::measure),
         };
         println!("{}", measure(args.seed).render(args.format));
         ExitCode::SUCCESS
--- /dev/null
+++ b/cli/src/commands/experiment/retries.rs
@@ -0,0 +1,407 @@
+//! Measures further tries through a brown-out and a full outage: goodput and amplification,
+//! beside no further tries and naive ones.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use beryltray_lib::clock::Clock as _;
+use beryltray_lib::clock::SystemClock;
+use beryltray_lib::request::retry::RetryBudget;
+use beryltray_lib::request::retry::RetryBudgetSettings;
+use beryltray_lib::request::retry::TryState;
+use beryltray_lib::request::retry::decide_hedge;
+use beryltray_lib::request::retry::decide_retry;
+
+use super::engine::Engine;
+use super::engine::EngineModel;
+use super::engine::EngineRequest;
+use super::engine::Started;
+use super::report::Report;
+use super::report::Row;
+use super::report::Section;
+use super::simulation::EventQueue;
+use super::simulation::Random;
+
+const GROUPS: usize = 16;
+const LOAD: f64 = 0.8;
+const MEAN_TOKENS: f64 = 100.0;
+const DEADLINE: Duration = Duration::from_secs(15);
+const NAIVE_TRIES_MAX: u32 = 4;
+/// The wait for the first token after which a naive caller tries again.
+const NAIVE_TIMEOUT: Duration = Duration::from_secs(3);
+/// The wait for the first token after which a hedge is sent.
+const HEDGE_AFTER: Duration = Duration::from_secs(3);
+const FAULT_FROM: Duration = Duration::from_secs(60);
+const FAULT_UNTIL: Duration = Duration::from_secs(120);
+const RUN: Duration = Duration::from_secs(240);
+const REFUSAL_TIME: Duration = Duration::from_millis(50);
+const MODEL: EngineModel = EngineModel {
+    batch_limit_requests: 16,
+    time_per_token: Duration::from_millis(30),
+    prefill_miss: Duration::from_millis(100),
+    prefill_hit: Duration::from_millis(100),
+    cached_prefixes: 1,
+};
+
+/// What fails between the two moments.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Fault {
+    /// Half of the answers of four groups break off.
+    BrownOut,
+    /// All groups are four times slower.
+    SlowDown,
+    /// All groups refuse every request.
+    Outage,
+}
+
+const FAULTS: [(&str, Fault); 3] = [
+    (
+        "half of the answers of 4 of 16 groups break off",
+        Fault::BrownOut,
+    ),
+    ("all groups 4 times slower", Fault::SlowDown),
+    ("all groups refuse", Fault::Outage),
+];
+
+/// Who tries again, and when.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Policy {
+    Never,
+    Naive,
+    Budget,
+    BudgetAndHedges,
+}
+
+const POLICIES: [(&str, Policy); 4] = [
+    ("no further tries", Policy::Never),
+    ("naive, up to 4 tries", Policy::Naive),
+    ("budget", Policy::Budget),
+    ("budget and hedges", Policy::BudgetAndHedges),
+];
+
+#[derive(Clone, Copy, Debug)]
+enum Event {
+    Arrival,
+    FirstToken {
+        attempt: usize,
+    },
+    Ended {
+        attempt: usize,
+        is_whole: bool,
+        holds_place: bool,
+    },
+    Slow {
+        attempt: usize,
+    },
+    FaultBegins,
+    FaultEnds,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Request {
+    tokens: u64,
+    arrived_at: Instant,
+    tries: u32,
+    failed_tries: u32,
+    has_first_token: bool,
+    is_done: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Attempt {
+    request: usize,
+    group: usize,
+}
+
+/// Counts of one phase of the run.
+#[derive(Clone, Copy, Debug, Default)]
+struct Phase {
+    requests: usize,
+    sends: usize,
+    good: usize,
+}
+
+struct Run {
+    policy: Policy,
+    fault: Fault,
+    is_faulty: bool,
+    start: Instant,
+    random: Random,
+    events: EventQueue<Event>,
+    engines: Vec<Engine>,
+    budget: RetryBudget,
+    requests: Vec<Request>,
+    attempts: Vec<Attempt>,
+    phases: [Phase; 3],
+}
+
+/// Runs all policies through all faults.
+pub(crate) fn measure(seed: u64) -> Report {
+    let sections = FAULTS.iter().map(|(title, fault)| Section {
+        title: format!("{title}, for 60 s at {LOAD} of capacity"),
+        rows: POLICIES
+            .iter()
+            .map(|(name, policy)| row(name, *policy, *fault, seed))
+            .collect(),
+    });
+    Report {
+        experiment: String::from("retries"),
+        seed,
+        sections: sections.collect(),
+    }
+}
+
+fn row(name: &str, policy: Policy, fault: Fault, seed: u64) -> Row {
+    let mut run = Run::new(policy, fault, seed);
+    run.run();
+    let [before, during, after] = run.phases;
+    let goodput = |phase: Phase| 100.0 * phase.good as f64 / phase.requests.max(1) as f64;
+    let sends = |phase: Phase| phase.sends as f64 / phase.requests.max(1) as f64;
+    Row::new(name)
+        .with("goodput before %", goodput(before))
+        .with("during %", goodput(during))
+        .with("60 s after %", goodput(after))
+        .with("sends a request before", sends(before))
+        .with("during", sends(during))
+        .with("60 s after", sends(after))
+}
+
+fn rate_per_s() -> f64 {
+    let time = MODEL.full_batch_time(MEAN_TOKENS) + MODEL.prefill_miss;
+    LOAD * GROUPS as f64 * MODEL.batch_limit_requests as f64 / time.as_secs_f64()
+}
+
+impl Run {
+    fn new(policy: Policy, fault: Fault, seed: u64) -> Self {
+        let start = SystemClock.now();
+        Self {
+            policy,
+            fault,
+            is_faulty: false,
+            start,
+            random: Random::new(seed),
+            events: EventQueue::new(),
+            engines: (0..GROUPS).map(|_| Engine::new(MODEL, start)).collect(),
+            budget: RetryBudget::new(RetryBudgetSettings::default(), start),
+            requests: Vec::new(),
+            attempts: Vec::new(),
+            phases: [Phase::default(); 3],
+        }
+    }
+
+    fn run(&mut self) {
+        self.events.push(self.start, Event::Arrival);
+        self.events
+            .push(self.start + FAULT_FROM, Event::FaultBegins);
+        self.events.push(self.start + FAULT_UNTIL, Event::FaultEnds);
+        while let Some((now, event)) = self.events.pop() {
+            if now > self.start + RUN {
+                return;
+            }
+            match event {
+                Event::Arrival => self.on_arrival(now),
+                Event::FirstToken { attempt } => {
+                    let request = self.attempts[attempt].request;
+                    self.requests[request].has_first_token = true;
+                }
+                Event::Ended {
+                    attempt,
+                    is_whole,
+                    holds_place,
+                } => {
+                    self.on_ended(attempt, is_whole, holds_place, now);
+                }
+                Event::Slow { attempt } => self.on_slow(attempt, now),
+                Event::FaultBegins => self.set_fault(true),
+                Event::FaultEnds => self.set_fault(false),
+            }
+        }
+    }
+
+    fn set_fault(&mut self, is_faulty: bool) {
+        self.is_faulty = is_faulty;
+        if self.fault == Fault::SlowDown {
+            let slowness = if is_faulty { 4.0 } else { 1.0 };
+            self.engines
+                .iter_mut()
+                .for_each(|engine| engine.set_slowness(slowness));
+        }
+    }
+
+    /// Returns the phase in which a request came: before, during or within 60 s after the fault.
+    fn phase_of(&mut self, request: usize) -> Option<&mut Phase> {
+        let elapsed = self.requests[request].arrived_at.duration_since(self.start);
+        if elapsed < FAULT_FROM {
+            Some(&mut self.phases[0])
+        } else if elapsed < FAULT_UNTIL {
+            Some(&mut self.phases[1])
+        } else if elapsed < FAULT_UNTIL + Duration::from_secs(60) {
+            Some(&mut self.phases[2])
+        } else {
+            None
+        }
+    }
+
+    fn on_arrival(&mut self, now: Instant) {
+        let gap = self.random.gap(rate_per_s());
+        self.events.push(now + gap, Event::Arrival);
+        let tokens = 1 + self.random.exponential(MEAN_TOKENS).min(2.0 * MEAN_TOKENS) as u64;
+        let number = self.requests.len();
+        self.requests.push(Request {
+            tokens,
+            arrived_at: now,
+            tries: 0,
+            failed_tries: 0,
+            has_first_token: false,
+            is_done: false,
+        });
+        if let Some(phase) = self.phase_of(number) {
+            phase.requests += 1;
+        }
+        self.send(number, None, now);
+    }
+
+    fn send(&mut self, request: usize, avoid: Option<usize>, now: Instant) {
+        self.requests[request].tries += 1;
+        if let Some(phase) = self.phase_of(request) {
+            phase.sends += 1;
+        }
+        let group = self.less_loaded(avoid);
+        let attempt = self.attempts.len();
+        self.attempts.push(Attempt { request, group });
+        let slow_after = match self.policy {
+            Policy::Naive => Some(NAIVE_TIMEOUT),
+            Policy::BudgetAndHedges => Some(HEDGE_AFTER),
+            Policy::Never | Policy::Budget => None,
+        };
+        if let Some(slow_after) = slow_after {
+            self.events.push(now + slow_after, Event::Slow { attempt });
+        }
+        if self.is_faulty && self.fault == Fault::Outage {
+            let refused = Event::Ended {
+                attempt,
+                is_whole: false,
+                holds_place: false,
+            };
+            self.events.push(now + REFUSAL_TIME, refused);
+            return;
+        }
+        let submitted = EngineRequest {
+            number: attempt,
+            prefix: 0,
+            tokens: self.requests[request].tokens,
+        };
+        let started = self.engines[group].submit(submitted, now);
+        self.on_started(started);
+    }
+
+    /// Returns the less loaded of two groups; the routing is the same for all policies.
+    fn less_loaded(&mut self, avoid: Option<usize>) -> usize {
+        let requests = |engine: &Engine| {
+            let load = engine.load();
+            load.queued_requests + load.running_requests
+        };
+        let first = self.random.below(GROUPS);
+        let second = self.random.below(GROUPS);
+        if Some(first) == avoid {
+            return (first + 1) % GROUPS;
+        }
+        if Some(second) == avoid {
+            return first;
+        }
+        let is_less = requests(&self.engines[second]) < requests(&self.engines[first]);
+        if is_less { second } else { first }
+    }
+
+    fn on_started(&mut self, started: Option<Started>) {
+        let Some(started) = started else {
+            return;
+        };
+        let attempt = started.request.number;
+        let group = self.attempts[attempt].group;
+        let is_broken_group = self.fault == Fault::BrownOut && group < 4;
+        let breaks = self.is_faulty && is_broken_group && self.random.fraction() < 0.5;
+        let (ended_at, is_whole) = if breaks {
+            // The break comes before the first token, so that a further try may help.
+            (started.first_token_at, false)
+        } else {
+            self.events
+                .push(started.first_token_at, Event::FirstToken { attempt });
+            (started.finished_at, true)
+        };
+        let ended = Event::Ended {
+            attempt,
+            is_whole,
+            holds_place: true,
+        };
+        self.events.push(ended_at, ended);
+    }
+
+    fn on_ended(&mut self, number: usize, is_whole: bool, holds_place: bool, now: Instant) {
+        let attempt = self.attempts[number];
+        if holds_place {
+            let started = self.engines[attempt.group].finish(now);
+            self.on_started(started);
+        }
+        let request = self.requests[attempt.request];
+        if request.is_done {
+            return;
+        }
+        if !is_whole {
+            self.requests[attempt.request].failed_tries += 1;
+            self.on_failed(number, now);
+            return;
+        }
+        self.requests[attempt.request].is_done = true;
+        let is_good = now <= request.arrived_at + DEADLINE;
+        if is_good && let Some(phase) = self.phase_of(attempt.request) {
+            phase.good += 1;
+        }
+        if request.tries == 1 {
+            self.budget.on_success(now);
+        }
+    }
+
+    fn on_failed(&mut self, number: usize, now: Instant) {
+        let attempt = self.attempts[number];
+        let state = self.try_state(attempt.request);
+        let tries_again = match self.policy {
+            Policy::Never => false,
+            Policy::Naive => state.tries < NAIVE_TRIES_MAX,
+            Policy::Budget | Policy::BudgetAndHedges => {
+                decide_retry(&state, &mut self.budget, now).is_ok()
+            }
+        };
+        if tries_again {
+            self.send(attempt.request, Some(attempt.group), now);
+        }
+    }
+
+    fn on_slow(&mut self, number: usize, now: Instant) {
+        let attempt = self.attempts[number];
+        let request = self.requests[attempt.request];
+        if request.is_done || request.has_first_token || request.failed_tries > 0 {
+            return;
+        }
+        let state = self.try_state(attempt.request);
+        let tries_again = match self.policy {
+            Policy::Naive => state.tries < NAIVE_TRIES_MAX,
+            Policy::BudgetAndHedges => decide_hedge(&state, &mut self.budget, now).is_ok(),
+            Policy::Never | Policy::Budget => false,
+        };
+        if tries_again {
+            self.send(attempt.request, Some(attempt.group), now);
+        }
+    }
+
+    fn try_state(&self, number: usize) -> TryState {
+        let request = &self.requests[number];
+        TryState {
+            is_idempotent: true,
+            tries: request.tries,
+            passed_tokens: 0,
+            deadline: request.arrived_at + DEADLINE,
+            expected_time: MODEL.full_batch_time(MEAN_TOKENS),
+        }
+    }
+}
