spill, stragglers: room in a peer's queue counts; failing targets are ejected

The setting relay_above takes the place of the test that a request in time here stays, which is now that one served soon here stays.

A target whose answers often break off is passed over like a slow one, under the same cap.

--- a/cli/src/commands/experiment/engine.rs
+++ b/cli/src/commands/experiment/engine.rs
@@ -98,6 +98,13 @@
         self.start_next(now)
     }
 
+    /// Takes a waiting request out of the queue and returns whether it was there.
+    pub(crate) fn remove_queued(&mut self, number: usize) -> bool {
+        let before = self.queue.len();
+        self.queue.retain(|request| request.number != number);
+        self.queue.len() < before
+    }
+
     /// Returns the load as the engine would report it.
     pub(crate) fn load(&self) -> LoadReport {
         let time_per_token = self.time_per_token();
--- a/lib/src/process/spill.rs
+++ b/lib/src/process/spill.rs
@@ -13,6 +13,7 @@
 use crate::ids::DataCentreId;
 use crate::sorted::Keyed;
 use crate::sorted::SortedVec;
+use crate::units::RequestRate;
 
 /// What a data centre tells others of one service.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -25,6 +26,8 @@
     pub spare_requests: u32,
     /// The wait of a request that came now.
     pub queue_wait: Duration,
+    /// The requests that end in a second, and so the rate at which the queue moves.
+    pub finish_rate: RequestRate,
 }
 
 /// How requests are relayed.
@@ -32,9 +35,11 @@
 pub struct SpillSettings {
     /// The age at which a summary is no longer used.
     pub summary_age_max: Duration,
+    /// The wait here up to which nothing is relayed.
+    pub relay_above: Duration,
     /// How much shorter the wait elsewhere must be.
     pub gain_min: Duration,
-    /// The share of the spare capacity told by a summary that this entry may use, since the
+    /// The share of the room told by a summary that this entry may use, since the
     /// other entries of its data centre read the same summary.
     pub spare_share: f64,
 }
@@ -43,6 +48,7 @@
     fn default() -> Self {
         Self {
             summary_age_max: Duration::from_secs(5),
+            relay_above: Duration::from_millis(250),
             gain_min: Duration::from_millis(200),
             spare_share: 0.25,
         }
@@ -68,8 +74,8 @@
     /// It came from another data centre.
     #[display("already relayed")]
     AlreadyRelayed,
-    /// This data centre serves it in time.
-    #[display("served here in time")]
+    /// This data centre serves it soon.
+    #[display("served here soon")]
     ServedHere,
     /// No other data centre is known to have room.
     #[display("no other data centre has room")]
@@ -101,6 +107,7 @@
 /// use beryltray_lib::process::spill::ServiceSummary;
 /// use beryltray_lib::process::spill::Spill;
 /// use beryltray_lib::process::spill::SpillQuery;
+/// use beryltray_lib::units::RequestRate;
 ///
 /// let now = Instant::now();
 /// let mut spill = Spill::new(Default::default());
@@ -109,6 +116,7 @@
 ///     serving_targets: 12,
 ///     spare_requests: 40,
 ///     queue_wait: Duration::ZERO,
+///     finish_rate: RequestRate(12.0),
 /// };
 /// spill.on_summary(summary, now);
 /// let query = SpillQuery {
@@ -157,6 +165,7 @@
     pub fn on_refused(&mut self, data_centre: &DataCentreId) {
         if let Some(heard) = self.heard.get_mut(data_centre) {
             heard.summary.spare_requests = 0;
+            heard.summary.finish_rate = RequestRate(0.0);
         }
     }
 
@@ -165,7 +174,8 @@
         if query.was_relayed {
             return Err(NoSpillReason::AlreadyRelayed);
         }
-        let is_served_here = |wait: Duration| wait <= query.allowed_wait;
+        let soon = self.settings.relay_above.min(query.allowed_wait);
+        let is_served_here = |wait: Duration| wait <= soon;
         if query.own_wait.is_some_and(is_served_here) {
             return Err(NoSpillReason::ServedHere);
         }
@@ -177,7 +187,9 @@
         if fit.is_empty() {
             return Err(NoSpillReason::NoRoom);
         }
-        Ok(weighted_choice(&fit, query.draw, |heard| self.room(heard)))
+        Ok(weighted_choice(&fit, query.draw, |heard| {
+            self.room(heard, query)
+        }))
     }
 
     fn fits(&self, heard: &Heard, query: SpillQuery, now: Instant) -> bool {
@@ -187,14 +199,21 @@
         let wait = summary.queue_wait + self.settings.gain_min;
         let is_quicker = query.own_wait.is_none_or(|own_wait| wait <= own_wait);
         let is_in_time = summary.queue_wait <= query.allowed_wait;
-        let has_room = summary.serving_targets > 0 && self.room(heard) > 0;
+        let has_room = summary.serving_targets > 0 && self.room(heard, query) > 0;
         is_fresh && is_quicker && is_in_time && has_room
     }
 
-    /// Returns how many more requests this entry may relay before the next summary.
-    fn room(&self, heard: &Heard) -> u32 {
-        let spare = f64::from(heard.summary.spare_requests) * self.settings.spare_share;
-        (spare.ceil() as u32).saturating_sub(heard.relayed_requests)
+    /// Returns how many more requests this entry may relay before the next summary: its share of
+    /// the free places there and of what may queue there until the wait is as long as here.
+    fn room(&self, heard: &Heard, query: SpillQuery) -> u32 {
+        let summary = &heard.summary;
+        let own_wait = query.own_wait.unwrap_or(query.allowed_wait);
+        let worse_wait = summary.queue_wait + self.settings.gain_min;
+        let slack = own_wait.min(query.allowed_wait).saturating_sub(worse_wait);
+        let queue_room = slack.as_secs_f64() * summary.finish_rate.0.max(0.0);
+        let room = f64::from(summary.spare_requests) + queue_room;
+        let own_room = (room * self.settings.spare_share).ceil() as u32;
+        own_room.saturating_sub(heard.relayed_requests)
     }
 }
 
--- a/lib/src/process/stragglers.rs
+++ b/lib/src/process/stragglers.rs
@@ -1,4 +1,5 @@
-//! Ejection of stragglers: targets much slower per token than the median of their service.
+//! Ejection of stragglers: targets much slower per token than the median of their service, and
+//! targets whose answers often break off.
 //!
 //! A straggler is not dead, so health checks pass it. It is taken out of the choice for a while,
 //! then gets single probes, and comes back after several good ones. The share of targets that are
@@ -13,7 +14,7 @@
 use crate::sorted::SortedVec;
 use crate::units::Share;
 
-/// The weight of a new sample in the moving mean of the time per token.
+/// The weight of a new answer in the moving means.
 const SAMPLE_WEIGHT: f64 = 0.2;
 
 /// How stragglers are found and probed.
@@ -23,6 +24,8 @@
     pub ejected_limit: Share,
     /// How many times the median's time per token makes a straggler.
     pub slowness_ratio: f64,
+    /// The share of failed answers that makes a straggler.
+    pub failed_share: Share,
     /// The samples that a target must have before it is judged.
     pub samples_min: u32,
     /// How long a target stays out before the first probe; doubles with each failed probe.
@@ -40,6 +43,7 @@
         Self {
             ejected_limit: Share::from_percent(20),
             slowness_ratio: 2.0,
+            failed_share: Share::from_percent(25),
             samples_min: 5,
             ejection: Duration::from_secs(10),
             ejection_max: Duration::from_secs(120),
@@ -74,11 +78,21 @@
 #[derive(Clone, Debug)]
 struct Pace {
     target: TargetId,
+    /// The mean time per token, 0 before the first sample.
     mean_ms: f64,
+    failed_share: f64,
     samples: u32,
     state: State,
 }
 
+impl Pace {
+    /// Takes in an answer that is failed (1) or whole (0).
+    fn on_answer(&mut self, failed: f64) {
+        self.samples = self.samples.saturating_add(1);
+        self.failed_share += SAMPLE_WEIGHT * (failed - self.failed_share);
+    }
+}
+
 impl Keyed for Pace {
     type Key = TargetId;
 
@@ -87,12 +101,11 @@
     }
 }
 
-/// A sample beside the median of the service.
+/// A sample, and whether it speaks against the target.
 #[derive(Clone, Copy, Debug)]
 struct Verdict {
     sample_ms: f64,
-    sample_is_slow: bool,
-    mean_is_slow: bool,
+    is_bad: bool,
 }
 
 /// The paces of a service's targets, and which of them are out.
@@ -136,24 +149,30 @@
     /// Takes in the time per token of an answer, without the wait for its first token.
     pub fn on_sample(&mut self, target: &TargetId, time_per_token: Duration, now: Instant) {
         let sample_ms = time_per_token.as_secs_f64() * 1e3;
-        let pace = self.paces.get_or_insert_with(target, || Pace {
-            target: target.clone(),
-            mean_ms: sample_ms,
-            samples: 0,
-            state: State::InUse,
-        });
-        pace.samples = pace.samples.saturating_add(1);
+        let pace = self.pace_mut(target);
+        if pace.mean_ms == 0.0 {
+            pace.mean_ms = sample_ms;
+        }
         pace.mean_ms += SAMPLE_WEIGHT * (sample_ms - pace.mean_ms);
-        let median_ms = self.median_ms();
-        let is_slow = |ms: f64| ms > self.settings.slowness_ratio * median_ms;
-        let sample_is_slow = is_slow(sample_ms);
-        let mean_is_slow = self.paces.get(target).is_some_and(|p| is_slow(p.mean_ms));
+        pace.on_answer(0.0);
+        let slow_ms = self.settings.slowness_ratio * self.median_ms();
         let verdict = Verdict {
             sample_ms,
-            sample_is_slow,
-            mean_is_slow,
+            is_bad: sample_ms > slow_ms,
+        };
+        self.judge(target, verdict, slow_ms, now);
+    }
+
+    /// Takes in that an answer broke off, or never began, through the target's fault.
+    pub fn on_failure(&mut self, target: &TargetId, now: Instant) {
+        let pace = self.pace_mut(target);
+        pace.on_answer(1.0);
+        let verdict = Verdict {
+            sample_ms: pace.mean_ms,
+            is_bad: true,
         };
-        self.judge(target, verdict, now);
+        let slow_ms = self.settings.slowness_ratio * self.median_ms();
+        self.judge(target, verdict, slow_ms, now);
     }
 
     /// Takes in that a probe was sent, so that the next one waits its turn.
@@ -193,7 +212,7 @@
 
     /// Returns the mean time per token of `target`, once it has a sample.
     pub fn mean_time_per_token(&self, target: &TargetId) -> Option<Duration> {
-        let pace = self.paces.get(target)?;
+        let pace = self.paces.get(target).filter(|pace| pace.mean_ms > 0.0)?;
         Some(Duration::from_secs_f64(pace.mean_ms / 1e3))
     }
 
@@ -203,7 +222,7 @@
         self.paces.iter().filter(is_ejected).count()
     }
 
-    fn judge(&mut self, target: &TargetId, verdict: Verdict, now: Instant) {
+    fn judge(&mut self, target: &TargetId, verdict: Verdict, slow_ms: f64, now: Instant) {
         let has_room = self.has_room();
         let settings = &self.settings;
         let Some(pace) = self.paces.get_mut(target) else {
@@ -212,7 +231,9 @@
         match &mut pace.state {
             State::InUse => {
                 let is_judged = pace.samples >= settings.samples_min;
-                if is_judged && verdict.mean_is_slow && has_room {
+                let is_slow = slow_ms > 0.0 && pace.mean_ms > slow_ms;
+                let is_failing = pace.failed_share > settings.failed_share.as_fraction();
+                if is_judged && (is_slow || is_failing) && has_room {
                     pace.state = State::Ejected {
                         probe_at: now + settings.ejection,
                         wait: settings.ejection,
@@ -231,7 +252,7 @@
                 if !std::mem::take(is_probing) {
                     return;
                 }
-                if verdict.sample_is_slow {
+                if verdict.is_bad {
                     *good_probes = 0;
                     *wait = (*wait * 2).min(settings.ejection_max);
                     *probe_at = now + *wait;
@@ -244,11 +265,22 @@
                     pace.state = State::InUse;
                     pace.samples = 0;
                     pace.mean_ms = verdict.sample_ms;
+                    pace.failed_share = 0.0;
                 }
             }
         }
     }
 
+    fn pace_mut(&mut self, target: &TargetId) -> &mut Pace {
+        self.paces.get_or_insert_with(target, || Pace {
+            target: target.clone(),
+            mean_ms: 0.0,
+            failed_share: 0.0,
+            samples: 0,
+            state: State::InUse,
+        })
+    }
+
     /// Returns whether one more target may be out.
     fn has_room(&self) -> bool {
         let limit = self.settings.ejected_limit.as_fraction() * self.paces.len() as f64;
@@ -257,7 +289,8 @@
 
     /// Returns the median of the targets' times per token, in milliseconds; 0 without samples.
     pub fn median_ms(&self) -> f64 {
-        let mut means: Vec<f64> = self.paces.iter().map(|pace| pace.mean_ms).collect();
+        let means = self.paces.iter().map(|pace| pace.mean_ms);
+        let mut means: Vec<f64> = means.filter(|mean_ms| *mean_ms > 0.0).collect();
         means.sort_by(f64::total_cmp);
         means.get(means.len() / 2).copied().unwrap_or_default()
     }
--- a/lib/src/request/routing.rs
+++ b/lib/src/request/routing.rs
@@ -141,7 +141,8 @@
         }
     }
 
-    /// Takes in that a request to `target` ended, with its answer if it came whole.
+    /// Takes in that a request to `target` ended, with its answer if it came whole; without one
+    /// if it was given up on for no fault of the target.
     pub fn on_finished(&mut self, target: &TargetId, answer: Option<FinishedAnswer>, now: Instant) {
         self.load_mut(target).on_finished(now);
         let Some(answer) = answer else {
@@ -155,6 +156,12 @@
         }
     }
 
+    /// Takes in that a request to `target` failed through the target's fault.
+    pub fn on_failed(&mut self, target: &TargetId, now: Instant) {
+        self.load_mut(target).on_finished(now);
+        self.stragglers.on_failure(target, now);
+    }
+
     /// Takes in a load report that was taken from the target at `sampled_at`.
     pub fn on_report(&mut self, target: &TargetId, load: LoadReport, sampled_at: Instant) {
         let lag = self.settings.report_lag;
--- a/lib/tests/test_stragglers.rs
+++ b/lib/tests/test_stragglers.rs
@@ -91,3 +91,32 @@
     }
     quickcheck_with_seed(21, 300).quickcheck(is_capped as fn(Vec<u16>) -> bool);
 }
+
+#[test]
+fn straggler_failing_target_is_ejected() {
+    let now = Instant::now();
+    let mut stragglers = Stragglers::new(StragglerSettings::default());
+    for turn in 0..10 {
+        for index in 0..10 {
+            if index == 0 && turn % 2 == 1 {
+                stragglers.on_failure(&target(index), now);
+            } else {
+                stragglers.on_sample(&target(index), FAST, now);
+            }
+        }
+    }
+    assert_eq!(stragglers.standing(&target(0), now), Standing::Ejected);
+    assert_eq!(stragglers.ejected_count(), 1);
+}
+
+#[test]
+fn straggler_outage_of_all_ejects_no_more_than_the_cap() {
+    let now = Instant::now();
+    let mut stragglers = Stragglers::new(StragglerSettings::default());
+    for _ in 0..20 {
+        for index in 0..10 {
+            stragglers.on_failure(&target(index), now);
+        }
+    }
+    assert_eq!(stragglers.ejected_count(), 2);
+}
