config: help in full, and a test that waits for running entries

The one-line docs of the subcommands hid the help of the argument types, exit codes included; they are gone. A test applies two versions to two running entries of two data centres and waits until both have them.

--- a/cli/src/commands/config/mod.rs
+++ b/cli/src/commands/config/mod.rs
@@ -33,17 +33,11 @@
 /// but not every entry was heard to have it in force.
 #[derive(Debug, Subcommand)]
 pub(crate) enum ConfigCommand {
-    /// Checks documents without changing anything.
     Check(check::CheckArgs),
-    /// Prints a version of the document.
     Show(show::ShowArgs),
-    /// Compares a file or a version with another version.
     Diff(diff::DiffArgs),
-    /// Makes a document the next version of an environment.
     Apply(apply::ApplyArgs),
-    /// Makes another environment's document the next version of an environment.
     Promote(promote::PromoteArgs),
-    /// Lists the versions of an environment.
     History(history::HistoryArgs),
 }
 
--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -1,7 +1,7 @@
 //! The commands, one file each.
 
-mod config;
 mod check_history;
+mod config;
 mod entry;
 mod load;
 mod stand_in;
@@ -19,7 +19,6 @@
 /// What `beryltray` is asked to do.
 #[derive(Debug, Subcommand)]
 pub(crate) enum Command {
-    /// Reads, checks and changes an environment's document.
     #[command(subcommand)]
     Config(config::ConfigCommand),
     /// Checks the promises over what a trial recorded.
--- a/cli/tests/runner.rs
+++ b/cli/tests/runner.rs
@@ -1,5 +1,5 @@
 //! Runner of the integration tests.
-mod test_config_command;
 mod test_check_history_command;
+mod test_config_command;
 mod test_load_command;
 mod test_stand_in_command;
--- a/cli/tests/test_config_command.rs
+++ b/cli/tests/test_config_command.rs
@@ -241,6 +241,58 @@
     assert!(row.contains("not heard"), "{said}");
 }
 
+/// Returns addresses on which nothing listens.
+fn free_addresses(count: usize) -> Vec<String> {
+    let bind = |_| std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let listeners = (0..count).map(bind).collect::<Vec<_>>();
+    let addresses = listeners
+        .iter()
+        .map(|listener| listener.local_addr().unwrap());
+    addresses.map(|address| address.to_string()).collect()
+}
+
+/// Starts an entry in a data centre of its own and returns its operators' address.
+fn start_entry(trial: &Trial, name: &str, addresses: &[String], seed: &str) -> Child {
+    let settings = format!(
+        "[entry]\nname = {name}\nenvironment = trial\ndata-centre = lakes-{name}\n\
+         [listen]\ncallers = {}\noperators = {}\npeers = {}\nrelay = {}\n\
+         [platform]\naddress = {}\n[peers]\nseeds = {seed}\n",
+        addresses[0], addresses[1], addresses[2], addresses[3], trial.platform
+    );
+    let file = trial.file(&format!("{name}.ini"), &settings);
+    let mut command = Command::new(env!("CARGO_BIN_EXE_beryltray"));
+    command
+        .args(["entry", "--settings", &file])
+        .kill_on_drop(true);
+    command.stderr(Stdio::null()).spawn().unwrap()
+}
+
+#[tokio::test]
+async fn config_apply_waits_until_in_force_on_known_entries() {
+    let trial = start_trial("config_apply_waits", &host_args()).await;
+    let addresses = free_addresses(8);
+    let (first, second) = addresses.split_at(4);
+    let _first = start_entry(&trial, "a", first, &second[2]);
+    let _second = start_entry(&trial, "b", second, &first[2]);
+    let entries = [
+        "--entry", &first[1], "--entry", &second[1], "--within", "60s",
+    ];
+    let output = trial.apply(&example("commons.ini"), "0", &entries).await;
+    assert_eq!(output.status.code(), Some(0), "{}", stdout(&output));
+    let changed = trial.file(
+        "changed.ini",
+        &COMMONS.replace("budget = 10%", "budget = 20%"),
+    );
+    let output = trial.apply(&changed, "1", &entries).await;
+    assert_eq!(output.status.code(), Some(0), "{}", stdout(&output));
+    let said = stdout(&output);
+    assert!(said.contains("in force everywhere"), "{said}");
+    let wrong = ["apply", &changed, "--base", "0", "--entry", &first[1]];
+    let wrong = trial.config("production", &wrong).await;
+    assert_eq!(wrong.status.code(), Some(2));
+    assert!(stderr(&wrong).contains("serves environment trial, not production"));
+}
+
 #[tokio::test]
 async fn config_platform_unreachable_is_failure() {
     let args = [
