--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -2,9 +2,12 @@
 
 mod check_history;
 mod config;
+mod demo;
 mod entry;
+mod experiment;
 mod load;
 mod stand_in;
+mod status;
 
 use std::process::ExitCode;
 
@@ -23,13 +26,20 @@
     Config(config::ConfigCommand),
     /// Checks the promises over what a trial recorded.
     CheckHistory(check_history::CheckHistoryArgs),
+    /// Runs the whole path in one process and sends requests through it.
+    Demo(demo::DemoArgs),
     /// Runs an entry: the daemon that answers callers and routes their requests.
     Entry(entry::EntryArgs),
     /// Sends requests at a given rate and counts what becomes of them.
     Load(load::LoadArgs),
+    /// Measures a policy beside its plain baselines.
+    #[command(subcommand)]
+    Experiment(experiment::ExperimentCommand),
     /// Runs a small stand-in for an outer service, for trials and tests.
     #[command(subcommand)]
     StandIn(stand_in::StandInCommand),
+    /// Shows the entries, their versions, their groups, and why a gate is closed.
+    Status(status::StatusArgs),
 }
 
 /// Why a command failed.
@@ -39,12 +49,16 @@
     Config(config::ConfigError),
     /// A history was not checked.
     CheckHistory(check_history::CheckHistoryError),
+    /// The demo did not run.
+    Demo(demo::DemoError),
     /// An entry did not run.
     Entry(entry::EntryCommandError),
     /// The load was not sent.
     Load(load::LoadError),
     /// A stand-in did not run.
     StandIn(stand_in::StandInError),
+    /// The statuses were not shown.
+    Status(status::StatusCommandError),
 }
 
 impl CommandError {
@@ -63,9 +77,12 @@
         match self {
             Self::Config(command) => Ok(command.run().await?),
             Self::CheckHistory(args) => Ok(args.run()?),
+            Self::Demo(args) => Ok(args.run().await?),
             Self::Entry(args) => Ok(args.run().await?),
             Self::Load(args) => Ok(args.run().await?),
+            Self::Experiment(command) => Ok(command.run()),
             Self::StandIn(command) => Ok(command.run().await?),
+            Self::Status(args) => Ok(args.run().await?),
         }
     }
 }
