--- a/lib/src/version/head/driver.rs
+++ b/lib/src/version/head/driver.rs
@@ -6,7 +6,7 @@
 
 use derive_more::Display;
 use derive_more::Error;
-use log::info;
+use log::debug;
 use log::warn;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
@@ -204,8 +204,7 @@
                 HeadAction::ReadHead => self.read_head(),
                 HeadAction::Fetch { mark, source } => self.fetch(mark, source),
                 HeadAction::PutInForce(version) => {
-                    info!(version:% = version.row.version, digest:% = version.row.digest;
-                        "document in force");
+                    debug!(digest:% = version.row.digest; "version {} is newest", version.row.version);
                 }
                 HeadAction::WriteBack { version, observed } => self.write_back(version, observed),
             }
