--- a/lib/src/connection/peer/client.rs
+++ b/lib/src/connection/peer/client.rs
@@ -15,8 +15,12 @@
 use super::PeerServiceClient;
 use super::PeerSettings;
 use super::metered::TrafficMeter;
+use super::table::TableFailure;
 use super::transport;
 use crate::clock::Clock;
+use crate::platform::CommitOutcome;
+use crate::platform::Row;
+use crate::platform::Transaction;
 use crate::process::exchange::wire::Frame;
 use crate::process::status::EntryStatus;
 use crate::version::head::FetchedVersion;
@@ -107,6 +111,27 @@
         self.call(call).await
     }
 
+    /// Reads rows of claims by way of the peer.
+    pub async fn read_claims(
+        &self,
+        keys: Vec<String>,
+    ) -> Result<Result<Vec<Option<Row>>, TableFailure>, PeerError> {
+        let call =
+            async |client: PeerServiceClient, context| client.read_claims(context, keys).await;
+        self.call(call).await
+    }
+
+    /// Commits a transaction on claims by way of the peer.
+    pub async fn commit_claims(
+        &self,
+        transaction: Transaction,
+    ) -> Result<Result<CommitOutcome, TableFailure>, PeerError> {
+        let call = async |client: PeerServiceClient, context| {
+            client.commit_claims(context, transaction).await
+        };
+        self.call(call).await
+    }
+
     async fn call<F, R, A>(&self, call: F) -> Result<A, PeerError>
     where
         F: FnOnce(PeerServiceClient, context::Context) -> R,
--- a/lib/src/connection/peer/mod.rs
+++ b/lib/src/connection/peer/mod.rs
@@ -1,11 +1,13 @@
 //! Unary calls between entries, over `tarpc`.
 //!
-//! Three calls are enough: the state exchange, the pull of a version of the document, and the
-//! status for operators. Each may be repeated without harm. Streams go over [`super::relay`].
+//! Few calls are enough: the state exchange, the pull of a version of the document, the status for
+//! operators, and the table for an entry that the platform does not reach. All but the commit of a
+//! transaction may be repeated without harm. Streams go over [`super::relay`].
 
 pub mod client;
 pub mod metered;
 pub mod server;
+pub mod table;
 
 use std::future::Future;
 use std::time::Duration;
@@ -17,6 +19,10 @@
 
 use self::metered::Metered;
 use self::metered::TrafficMeter;
+use self::table::TableFailure;
+use crate::platform::CommitOutcome;
+use crate::platform::Row;
+use crate::platform::Transaction;
 use crate::process::exchange::wire::Frame;
 use crate::process::status::EntryStatus;
 use crate::version::head::FetchedVersion;
@@ -31,6 +37,10 @@
     async fn version(mark: HeadMark) -> Option<FetchedVersion>;
     /// Returns the status of the entry.
     async fn status() -> EntryStatus;
+    /// Reads rows of claims from the platform's table.
+    async fn read_claims(keys: Vec<String>) -> Result<Vec<Option<Row>>, TableFailure>;
+    /// Commits a transaction on claims in the platform's table.
+    async fn commit_claims(transaction: Transaction) -> Result<CommitOutcome, TableFailure>;
 }
 
 /// What answers the calls of peers.
@@ -43,6 +53,24 @@
 
     /// Returns the status of this entry.
     fn status(&self) -> impl Future<Output = EntryStatus> + Send;
+
+    /// Reads rows of claims from the platform's table in a peer's stead; never by another peer.
+    ///
+    /// An entry that does not do so says that the table is not reached.
+    fn read_claims(
+        &self,
+        _keys: Vec<String>,
+    ) -> impl Future<Output = Result<Vec<Option<Row>>, TableFailure>> + Send {
+        std::future::ready(Err(TableFailure::not_served()))
+    }
+
+    /// Commits a transaction on claims in a peer's stead; never by another peer.
+    fn commit_claims(
+        &self,
+        _transaction: Transaction,
+    ) -> impl Future<Output = Result<CommitOutcome, TableFailure>> + Send {
+        std::future::ready(Err(TableFailure::not_served()))
+    }
 }
 
 /// Bounds on the calls between entries.
--- a/lib/src/connection/peer/server.rs
+++ b/lib/src/connection/peer/server.rs
@@ -13,8 +13,12 @@
 use super::PeerService;
 use super::PeerSettings;
 use super::metered::TrafficMeter;
+use super::table::TableFailure;
 use super::transport;
 use crate::connection::server::ACCEPT_RETRY_DELAY;
+use crate::platform::CommitOutcome;
+use crate::platform::Row;
+use crate::platform::Transaction;
 use crate::process::exchange::wire::Frame;
 use crate::process::status::EntryStatus;
 use crate::version::head::FetchedVersion;
@@ -38,6 +42,22 @@
     async fn status(self, _: Context) -> EntryStatus {
         self.0.status().await
     }
+
+    async fn read_claims(
+        self,
+        _: Context,
+        keys: Vec<String>,
+    ) -> Result<Vec<Option<Row>>, TableFailure> {
+        self.0.read_claims(keys).await
+    }
+
+    async fn commit_claims(
+        self,
+        _: Context,
+        transaction: Transaction,
+    ) -> Result<CommitOutcome, TableFailure> {
+        self.0.commit_claims(transaction).await
+    }
 }
 
 /// Answers the calls of peers until `stop` is cancelled.
--- a/lib/src/platform/rows.rs
+++ b/lib/src/platform/rows.rs
@@ -73,6 +73,11 @@
     format!("assignment/{environment}/{data_centre}/{host}")
 }
 
+/// Returns the prefix of the keys of an environment's claims.
+pub fn claim_prefix(environment: &EnvironmentId) -> String {
+    format!("claim/{environment}/")
+}
+
 /// Returns the key of a claim on non-idempotent work.
 pub fn claim_key(environment: &EnvironmentId, account: &AccountId, key: &IdempotencyKey) -> String {
     format!("claim/{environment}/{account}/{key}")
