--- a/cli/src/commands/load.rs
+++ b/cli/src/commands/load.rs
@@ -7,6 +7,7 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
+use beryltray_lib::ids::AccountId;
 use beryltray_lib::units::RequestRate;
 use beryltray_lib::units::Share;
 use beryltray_lib::units::parse_duration;
@@ -87,9 +88,9 @@
     /// An account; may be repeated.
     #[arg(long, value_name = "NAME=CREDENTIAL[*WEIGHT]", required = true)]
     account: Vec<AccountSpec>,
-    /// The share of the requests that are emergencies.
-    #[arg(long, default_value = "0%")]
-    emergency_share: Share,
+    /// An account whose requests are emergencies; may be repeated.
+    #[arg(long, value_name = "NAME")]
+    emergency_account: Vec<AccountId>,
     /// The deadline of each request.
     #[arg(long, value_parser = parse_duration, default_value = "10s")]
     deadline: Duration,
@@ -146,8 +147,8 @@
             keyed_work: self.keyed.clone(),
             keyed_share: self.keyed_share,
             twin_share: self.twin_share,
-            emergency_share: self.emergency_share,
             accounts: self.account.clone(),
+            emergency_accounts: self.emergency_account.clone(),
             prefixes: self.prefixes,
             seed: self.seed,
         };
--- a/cli/src/load/arrivals.rs
+++ b/cli/src/load/arrivals.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use beryltray_lib::ids::AccountId;
 use beryltray_lib::units::RequestRate;
 use beryltray_lib::units::Share;
 use beryltray_lib::version::document::Priority;
@@ -28,10 +29,10 @@
     pub(crate) keyed_share: Share,
     /// The share of the keyed requests that two callers send at once.
     pub(crate) twin_share: Share,
-    /// The share of the requests that are emergencies.
-    pub(crate) emergency_share: Share,
     /// The accounts.
     pub(crate) accounts: Vec<AccountSpec>,
+    /// The accounts whose requests are emergencies.
+    pub(crate) emergency_accounts: Vec<AccountId>,
     /// The number of prompt prefixes that the requests share.
     pub(crate) prefixes: u32,
     /// The seed.
@@ -121,7 +122,8 @@
         let is_keyed = self.draw_is_keyed();
         let work = self.draw_work(is_keyed)?;
         let account = self.draw_account()?;
-        let is_emergency = draw_share(&mut self.rng, self.settings.emergency_share);
+        let emergency_accounts = &self.settings.emergency_accounts;
+        let is_emergency = emergency_accounts.contains(&account.account);
         let is_twin_drawn = draw_share(&mut self.rng, self.settings.twin_share);
         let number = self.number;
         self.number += 1;
