request: 'not run' is said only of what certainly was not run

Two causes, read off the recorded histories: a chat request was sent, fell silent with its paused member, and its further try found no open group, whose 'not run' then spoke for the first try too; and a keyed request that could not read its claim in an outage was told 'not run' although an earlier one under the key had run. Ruled out: a send after the answer; no target's record is later than the answer's. Change: a last try that was not run ends the request as unknown once an attempt was sent; a keyed request refused before its claim was read is unknown with a time to come back, unless the caller says by X-First-Try that nothing came under the key before.

--- a/cli/src/commands/demo.rs
+++ b/cli/src/commands/demo.rs
@@ -224,6 +224,7 @@
                     .is_keyed
                     .then(|| new_key(arrival.number))
                     .transpose()?,
+                is_first_try: true,
                 arrival,
             };
             tokio::time::sleep_until((started_at + call.arrival.at).into()).await;
--- a/cli/src/load/caller.rs
+++ b/cli/src/load/caller.rs
@@ -12,6 +12,7 @@
 use beryltray_lib::ids::IdempotencyKey;
 use beryltray_lib::request::caller::CHAT_PATH;
 use beryltray_lib::request::caller::DEADLINE_HEADER;
+use beryltray_lib::request::caller::FIRST_TRY_HEADER;
 use beryltray_lib::request::caller::IDEMPOTENCY_KEY_HEADER;
 use beryltray_lib::request::caller::OUTCOME_HEADER;
 use beryltray_lib::request::caller::PRIORITY_HEADER;
@@ -85,6 +86,8 @@
     pub(crate) marker: String,
     /// The key of non-idempotent work.
     pub(crate) key: Option<IdempotencyKey>,
+    /// Whether nothing was sent under the key before.
+    pub(crate) is_first_try: bool,
 }
 
 impl Call {
@@ -136,7 +139,9 @@
             .header(DEADLINE_HEADER, deadline_ms)
             .header(PRIORITY_HEADER, arrival.priority.to_string());
         if let Some(key) = &self.key {
-            request = request.header(IDEMPOTENCY_KEY_HEADER, key.as_str());
+            request = request
+                .header(IDEMPOTENCY_KEY_HEADER, key.as_str())
+                .header(FIRST_TRY_HEADER, self.is_first_try.to_string());
         }
         request.body(RequestBody::new(self.body(settings).to_string().into()))
     }
--- a/cli/src/load/runner.rs
+++ b/cli/src/load/runner.rs
@@ -86,6 +86,8 @@
             .then(|| marker.parse::<IdempotencyKey>().ok());
         let has_twin = arrival.has_twin;
         let call = Call {
+            // Of two callers with one key, neither knows whether it is the first.
+            is_first_try: !has_twin,
             arrival,
             marker,
             key: key.flatten(),
@@ -99,7 +101,7 @@
     }
 
     /// Sends a call, and again while it is keyed and has no result.
-    async fn call(self, call: Call, intended_at: Instant, entry_offset: usize) {
+    async fn call(self, mut call: Call, intended_at: Instant, entry_offset: usize) {
         let first_entry = call.arrival.number as usize + entry_offset;
         let retries = if call.key.is_some() {
             self.settings.keyed_retries
@@ -113,6 +115,7 @@
             if !may_come_back(observation.outcome) {
                 return;
             }
+            call.is_first_try = false;
             let delay = observation.retry_after.unwrap_or(DEFAULT_RETRY_DELAY);
             tokio::time::sleep(delay.min(RETRY_DELAY_MAX)).await;
             intended_at = SystemClock.now();
--- a/lib/src/request/caller.rs
+++ b/lib/src/request/caller.rs
@@ -38,6 +38,8 @@
 pub const PRIORITY_HEADER: &str = "x-priority";
 /// Header of a request: the key that marks repetitions of one piece of non-idempotent work.
 pub const IDEMPOTENCY_KEY_HEADER: &str = "idempotency-key";
+/// Header of a request: `true` says that no request came under its idempotency key before.
+pub const FIRST_TRY_HEADER: &str = "x-first-try";
 /// Header of a request and of its answer: the request's identifier.
 pub const REQUEST_ID_HEADER: &str = "x-request-id";
 /// Header of an answer: how the request ended.
@@ -174,6 +176,8 @@
     pub priority: Priority,
     /// The key that marks repetitions.
     pub key: Option<IdempotencyKey>,
+    /// Whether the caller says that no request came under the key before.
+    pub is_first_try: bool,
     /// The shape of the answer.
     pub shape: AnswerShape,
     /// The media type of the body.
@@ -233,6 +237,7 @@
     deadline: Option<Duration>,
     priority: Priority,
     key: Option<IdempotencyKey>,
+    is_first_try: bool,
     content_type: String,
 }
 
@@ -252,6 +257,7 @@
                 IDEMPOTENCY_KEY_HEADER,
                 "1 to 128 letters, digits, -_.:",
             )?,
+            is_first_try: header(headers, FIRST_TRY_HEADER, "true or false")?.unwrap_or_default(),
             content_type: content_type(headers),
         })
     }
@@ -274,6 +280,7 @@
             deadline: self.deadline,
             priority: self.priority,
             key: self.key,
+            is_first_try: self.is_first_try,
             shape,
             content_type: self.content_type,
             body,
--- a/lib/src/request/context.rs
+++ b/lib/src/request/context.rs
@@ -7,6 +7,8 @@
 use super::caller::AnswerShape;
 use super::caller::CallerError;
 use super::caller::CallerRequest;
+use super::outcome::NotRunReason;
+use super::outcome::Outcome;
 use crate::version::document::Account;
 use crate::version::document::Service;
 use crate::version::document::ServiceKind;
@@ -57,6 +59,23 @@
         })
     }
 
+    /// Returns how a request ends that was not run and whose claim was not read.
+    ///
+    /// What came of earlier requests under its key is not known then. A caller that hears "not run"
+    /// may do the work by other means, so the word is kept for a key that was never used.
+    pub fn unclaimed(&self, reason: NotRunReason, retry_after: Duration) -> Outcome {
+        if self.is_idempotent || self.request.is_first_try {
+            return Outcome::NotRun {
+                reason,
+                retry_after,
+            };
+        }
+        Outcome::KeyUnread {
+            reason,
+            retry_after,
+        }
+    }
+
     /// Returns the time left until the deadline.
     pub fn remaining(&self, now: Instant) -> Duration {
         self.deadline_at.saturating_duration_since(now)
--- a/lib/src/request/dispatch.rs
+++ b/lib/src/request/dispatch.rs
@@ -86,6 +86,8 @@
     pub state: TryState,
     /// The attempt to send next.
     pub attempt: AttemptId,
+    /// Whether an attempt was sent that may have run.
+    may_have_run: bool,
     avoid: Option<TargetId>,
 }
 
@@ -101,6 +103,7 @@
                 expected_time,
             },
             attempt,
+            may_have_run: false,
             avoid: None,
         }
     }
@@ -111,9 +114,20 @@
     pub fn move_on(&mut self, failed: TargetId, was_sent: bool) {
         self.avoid = Some(failed);
         if was_sent {
+            self.may_have_run = true;
             self.attempt = new_attempt_id();
         }
     }
+
+    /// Returns how the request ends, given how its last try did.
+    ///
+    /// A last try that was not run says nothing of those before it.
+    fn ending(&self, last: Ending) -> Ending {
+        match last.outcome {
+            Outcome::NotRun { .. } if self.may_have_run => UnknownReason::ConnectionLost.into(),
+            _ => last,
+        }
+    }
 }
 
 /// An attempt whose answer has begun.
@@ -140,7 +154,8 @@
 {
     loop {
         tries.state.tries += 1;
-        let target = choose(state, context, tries.avoid.as_ref())?;
+        let target = choose(state, context, tries.avoid.as_ref());
+        let target = target.map_err(|ending| tries.ending(ending))?;
         let plan = plan(state, context, tries.attempt.clone(), target.clone());
         let started = start_attempt(
             &state.clock,
@@ -162,7 +177,7 @@
         note_failure(state, context, &target, &failure);
         if let Err(reason) = may_try_again(state, context, tries, &failure) {
             log::debug!(request:% = context.request.id; "no further try: {reason}");
-            return Err(failure_ending(state, context, failure));
+            return Err(tries.ending(failure_ending(state, context, failure)));
         }
         tries.move_on(target.choice.target, !failure.is_not_run());
     }
--- a/lib/src/request/handler.rs
+++ b/lib/src/request/handler.rs
@@ -116,6 +116,10 @@
         let in_flight = InFlight::new(&self.state.metrics.in_flight);
         let permit = match self.admit(&context).await {
             Ok(permit) => permit,
+            Err(Outcome::NotRun {
+                reason,
+                retry_after,
+            }) => return self.end(&context, context.unclaimed(reason, retry_after).into()),
             Err(outcome) => return self.end(&context, outcome.into()),
         };
         if context.request.shape == AnswerShape::Stream && context.is_idempotent {
--- a/lib/src/request/keyed.rs
+++ b/lib/src/request/keyed.rs
@@ -86,13 +86,10 @@
         Claimed::InProgress { retry_after } => KeyedEnding::InProgress { retry_after },
         Claimed::OtherBody => KeyedEnding::KeyReused,
         Claimed::Abandoned => KeyedEnding::Ended(UnknownReason::ClaimAbandoned.into()),
-        Claimed::NotRun { retry_after } => KeyedEnding::Ended(
-            Outcome::NotRun {
-                reason: NotRunReason::ClaimUnavailable,
-                retry_after,
-            }
-            .into(),
-        ),
+        Claimed::NotRun { retry_after } => {
+            let outcome = context.unclaimed(NotRunReason::ClaimUnavailable, retry_after);
+            KeyedEnding::Ended(outcome.into())
+        }
     }
 }
 
--- a/lib/src/request/outcome.rs
+++ b/lib/src/request/outcome.rs
@@ -61,6 +61,14 @@
         /// When the caller should come back.
         retry_after: Duration,
     },
+    /// The request was certainly not run, but an earlier one under its key may have been.
+    #[display("unknown: not run now, {reason}, but an earlier request under the key may have run")]
+    KeyUnread {
+        /// Why the request was not run.
+        reason: NotRunReason,
+        /// When the caller should come back.
+        retry_after: Duration,
+    },
     /// The request may have run.
     #[display("unknown: {reason}")]
     Unknown {
