admission, limits: the wait of a flooding account and grants without headroom

The estimated wait counted only the requests ahead, but those of accounts that ask for less than their part still go before a flooding account's.

An entry kept a fifth above its demand before it granted the rest.

--- a/lib/src/process/limit_shares.rs
+++ b/lib/src/process/limit_shares.rs
@@ -16,8 +16,6 @@
 use crate::sorted::Keyed;
 use crate::sorted::SortedVec;
 
-/// What an entry needs above its demand, so that a rise is not refused before the next exchange.
-const HEADROOM: f64 = 1.2;
 /// The change of a grant, as a share of the entry's own part, below which it is left as it is.
 const GRANT_STEP: f64 = 0.05;
 
@@ -156,8 +154,8 @@
     /// Decides the grants anew; those that shrink do so in message `sequence`.
     pub fn rebalance(&mut self, demand_per_s: f64, sequence: u64) {
         let part = self.own_part_per_s();
-        let surplus = |demand: f64| (part - demand * HEADROOM).max(0.0);
-        let deficit = |demand: f64| (demand * HEADROOM - part).max(0.0);
+        let surplus = |demand: f64| (part - demand).max(0.0);
+        let deficit = |demand: f64| (demand - part).max(0.0);
         let deficits: f64 = self.heard.iter().map(|h| deficit(h.demand_per_s)).sum();
         let others: f64 = self.heard.iter().map(|h| surplus(h.demand_per_s)).sum();
         let own = surplus(demand_per_s);
--- a/lib/src/request/admission.rs
+++ b/lib/src/request/admission.rs
@@ -230,7 +230,7 @@
 
     /// Returns the wait that a new request of ordinary priority would have.
     pub fn estimated_wait(&self) -> Duration {
-        self.wait_behind(self.queue.len())
+        self.wait_behind(self.queue.len() as f64)
     }
 
     /// Returns the number of waiting requests.
@@ -258,7 +258,8 @@
 
     fn enqueue(&mut self, request: AdmissionRequest, now: Instant) -> Vec<AdmissionAction> {
         let ticket = request.ticket;
-        let estimated_wait = self.wait_behind(self.queue.ahead_of(&request.key));
+        let ahead = self.queue.ahead_of(&request.key) as f64;
+        let estimated_wait = self.wait_behind(ahead.max(self.queue.turns_before(&request.key)));
         let spare = request.deadline.saturating_duration_since(now);
         let in_time = spare.saturating_sub(self.reserved_time());
         let allowed_wait = match request.key.priority {
@@ -302,10 +303,10 @@
     }
 
     /// Returns the wait until `ahead` requests and one more got a place.
-    fn wait_behind(&self, ahead: usize) -> Duration {
+    fn wait_behind(&self, ahead: f64) -> Duration {
         let places = self.capacity_requests.max(1);
         let is_full = self.in_flight_requests >= places;
-        let turns = ahead as f64 + if is_full { 1.0 } else { 0.0 };
+        let turns = ahead + if is_full { 1.0 } else { 0.0 };
         self.mean_service_time.mul_f64(turns / f64::from(places))
     }
 
--- a/lib/src/request/fair_queue.rs
+++ b/lib/src/request/fair_queue.rs
@@ -103,6 +103,22 @@
         self.position(order)
     }
 
+    /// Returns the number of equal requests that are served until a new one with `key` gets its
+    /// turn, if all accounts that wait in its class go on asking.
+    ///
+    /// Requests that come later may still go before it, so [`FairQueue::ahead_of`] is too few for
+    /// an account that asks for more than its part.
+    pub fn turns_before(&self, key: &QueueKey) -> f64 {
+        let is_higher = |queued: &&Queued<T>| queued.key.priority < key.priority;
+        let higher = self.queued.iter().filter(is_higher).count() as f64;
+        let is_own = |queued: &&Queued<T>| {
+            queued.key.priority == key.priority && queued.key.account == key.account
+        };
+        let own = self.queued.iter().filter(is_own).count() as f64;
+        let weight = f64::from(key.weight.max(1));
+        higher + own * self.waiting_weight(key) / weight
+    }
+
     /// Puts a request in its place.
     pub fn push(&mut self, key: QueueKey, item: T) {
         let start_tag = self.start_tag(&key);
@@ -177,6 +193,19 @@
         self.queued.iter()
     }
 
+    /// Returns the sum of the weights of the accounts that wait in the class of `key`, its own
+    /// included.
+    fn waiting_weight(&self, key: &QueueKey) -> f64 {
+        let mut accounts: Vec<(&AccountId, u32)> = vec![(&key.account, key.weight.max(1))];
+        let class = self.queued.iter().map(|queued| &queued.key);
+        for other in class.filter(|other| other.priority == key.priority) {
+            accounts.push((&other.account, other.weight.max(1)));
+        }
+        accounts.sort();
+        accounts.dedup_by_key(|(account, _)| *account);
+        accounts.iter().map(|(_, weight)| f64::from(*weight)).sum()
+    }
+
     fn start_tag(&self, key: &QueueKey) -> f64 {
         let class = class_of(key.priority);
         let tags = self.accounts.get(&key.account);
