claim: tests of claims by way of a peer

A data centre cut from the platform claims by entries of other data centres, at most two of them in turn, and the second only after the first certainly did not carry the transaction out. A lost answer is settled by reading back the same way.

Relaying whole requests to the other data centre was the other way; it would move the work away from its targets.

--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -14,6 +14,7 @@
 mod test_limits;
 mod test_membership;
 mod test_peer;
+mod test_peer_table;
 mod test_presence;
 mod test_relay;
 mod test_retry;
