--- a/lib/src/process/entry/mod.rs
+++ b/lib/src/process/entry/mod.rs
@@ -3,6 +3,7 @@
 mod configuration;
 mod operators;
 mod peers;
+mod placement;
 mod poll;
 mod run;
 mod state;
