config: history lists the latest versions by their keys

The versions are numbered without gaps, so the latest ones are read by key, 20 unless asked otherwise.

--- a/cli/src/commands/config/history.rs
+++ b/cli/src/commands/config/history.rs
@@ -17,7 +17,7 @@
 /// The digits of a digest that are enough to tell versions apart by eye.
 const DIGEST_SHOWN_DIGITS: usize = 12;
 
-/// Lists the versions of an environment, the latest one last.
+/// Lists the latest versions of an environment, the newest one last.
 ///
 /// A version never comes back by itself. To undo a change, apply the text of an earlier version:
 /// `config apply --earlier NUMBER`.
@@ -27,6 +27,9 @@
 pub(crate) struct HistoryArgs {
     #[command(flatten)]
     environment: EnvironmentOptions,
+    /// The most versions to list.
+    #[arg(long, value_name = "NUMBER", default_value_t = 20, value_parser = clap::value_parser!(u64).range(1..=1000))]
+    last: u64,
     /// The form of the result.
     #[arg(long, value_enum, default_value_t)]
     format: Format,
@@ -35,7 +38,7 @@
 impl HistoryArgs {
     /// Prints the list.
     pub(crate) async fn run(self) -> Result<ExitCode, ConfigError> {
-        let past = self.environment.versions().history().await?;
+        let past = self.environment.versions().recent(self.last).await?;
         let rows = past.into_iter().map(|past| past.row).collect::<Vec<_>>();
         match self.format {
             Format::Json => print_json(&rows)?,
--- a/lib/src/platform/rows.rs
+++ b/lib/src/platform/rows.rs
@@ -25,11 +25,6 @@
     format!("head/{environment}")
 }
 
-/// Returns the prefix of the keys of an environment's versions.
-pub fn history_prefix(environment: &EnvironmentId) -> String {
-    format!("history/{environment}/")
-}
-
 /// Returns the key of a past version of an environment.
 pub fn history_key(environment: &EnvironmentId, version: DocumentVersion) -> String {
     format!("history/{environment}/{:020}", version.0)
--- a/lib/src/version/store.rs
+++ b/lib/src/version/store.rs
@@ -22,7 +22,6 @@
 use crate::platform::rows::document_key;
 use crate::platform::rows::head_key;
 use crate::platform::rows::history_key;
-use crate::platform::rows::history_prefix;
 
 use super::head::FetchedVersion;
 use super::head::HeadMark;
@@ -92,10 +91,19 @@
         row.map(|row| read_past(&row)).transpose()
     }
 
-    /// Lists the versions in ascending order.
-    pub async fn history(&self) -> Result<Vec<PastVersion>, VersionStoreError> {
-        let rows = self.platform.scan(history_prefix(&self.environment));
-        rows.await?.iter().map(read_past).collect()
+    /// Lists the latest versions, at most `limit` of them, in ascending order.
+    ///
+    /// The rows are read by their keys, so that a long history costs no more than a short one.
+    pub async fn recent(&self, limit: u64) -> Result<Vec<PastVersion>, VersionStoreError> {
+        let Some(head) = self.head().await? else {
+            return Ok(Vec::new());
+        };
+        let last = head.row.version.0;
+        let first = last.saturating_sub(limit.max(1) - 1).max(1);
+        let versions = (first..=last).map(DocumentVersion);
+        let keys = versions.map(|version| history_key(&self.environment, version));
+        let rows = self.platform.read(keys.collect()).await?;
+        rows.iter().flatten().map(read_past).collect()
     }
 
     /// Reads a document's text.
--- a/lib/tests/test_change.rs
+++ b/lib/tests/test_change.rs
@@ -107,6 +107,19 @@
     assert!(matches!(again, ChangeOutcome::Unchanged { .. }));
 }
 
+#[tokio::test]
+async fn change_recent_versions_are_the_latest() {
+    let table = MemoryTable::new();
+    let driver = driver(&table, Duration::from_secs(5));
+    for version in 0..5 {
+        apply(&driver, version, &format!("# {version}\n")).await;
+    }
+    let recent = store(&table).recent(2).await.unwrap();
+    let versions = recent.iter().map(|past| past.row.version.0);
+    assert_eq!(versions.collect::<Vec<_>>(), [4, 5]);
+    assert_eq!(store(&table).recent(100).await.unwrap().len(), 5);
+}
+
 #[tokio::test]
 async fn change_lost_answer_is_accepted_once() {
     let (outcome, table) = apply_with_fault(TableFault::LostAnswer).await;
@@ -127,7 +140,7 @@
     assert_eq!(accepted_version(&outcome), Some(1));
     table.release_late();
     assert_eq!(table.committed().len(), 1);
-    assert_eq!(store(&table).history().await.unwrap().len(), 1);
+    assert_eq!(store(&table).recent(10).await.unwrap().len(), 1);
 }
 
 #[tokio::test]
