exchange: measure a node's bytes, processor time and state; tell less

beryltray experiment exchange drives the machine with the transport's own encoding. A demand is told again only after a change that can matter to the division of the limit, a count of sends after three requests.

--- /dev/null
+++ b/cli/src/commands/experiment/exchange.rs
@@ -0,0 +1,180 @@
+//! `beryltray experiment exchange`: what the state exchange costs a node.
+//!
+//! A data centre's entries run the library's exchange on a clock that moves in rounds, with two
+//! entries for each other data centre at the far ends of its links. The bytes are those of the
+//! transport's own encoding, with the headers of TCP and IP for each packet; the processor time is
+//! that of the machine, the encoding and the decoding on this machine.
+
+mod fleet;
+mod interest;
+mod load;
+
+use self::fleet::Cost;
+use self::fleet::Encoding;
+use self::fleet::FleetSettings;
+use self::fleet::measure_fleet;
+use super::report::Report;
+use super::report::Row;
+use super::report::Section;
+
+/// The entries of a data centre at the target size: 350 nodes in 26 data centres.
+const TARGET_ENTRIES: usize = 14;
+/// The hosts of a data centre at the target size: 2,100 workers in 26 data centres.
+const TARGET_HOSTS: usize = 81;
+/// The data centres at the target size.
+const TARGET_DATA_CENTRES: usize = 26;
+/// The client accounts that are taken for the target size, which names none.
+const TARGET_ACCOUNTS: usize = 100;
+/// The requests at one entry at the target size: 10,000 a second at 350 nodes.
+const TARGET_REQUESTS_PER_S: f64 = 10_000.0 / 350.0;
+/// The bound on a node's control traffic.
+const BOUND_BYTES_PER_S: f64 = 12_000.0;
+
+/// Measures the exchange.
+pub(crate) fn measure(seed: u64) -> Report {
+    let target = FleetSettings {
+        entries: TARGET_ENTRIES,
+        hosts: TARGET_HOSTS,
+        accounts: TARGET_ACCOUNTS,
+        data_centres: TARGET_DATA_CENTRES,
+        requests_per_s: TARGET_REQUESTS_PER_S,
+        round_ms: 1000,
+        encoding: Encoding::Compact,
+        sends_full_state: false,
+        seed,
+    };
+    let mut sections = vec![steps(target)];
+    sections.push(slope(
+        "entries",
+        &[4, 8, 14, 20, 28],
+        target,
+        |settings, value| {
+            settings.entries = value;
+        },
+    ));
+    sections.push(slope(
+        "hosts",
+        &[20, 40, 81, 120, 162],
+        target,
+        |settings, value| {
+            settings.hosts = value;
+        },
+    ));
+    sections.push(slope(
+        "accounts",
+        &[10, 50, 100, 200],
+        target,
+        |settings, value| {
+            settings.accounts = value;
+        },
+    ));
+    sections.push(slope(
+        "data centres",
+        &[3, 9, 18, 26, 40],
+        target,
+        |settings, value| {
+            settings.data_centres = value;
+        },
+    ));
+    sections.push(slope(
+        "requests/s",
+        &[10, 29, 60, 120],
+        target,
+        |settings, value| {
+            settings.requests_per_s = value as f64;
+        },
+    ));
+    sections.push(interest::compare(seed));
+    Report {
+        experiment: String::from("exchange"),
+        seed,
+        sections,
+    }
+}
+
+/// The steps from the plainest exchange to the present one, all at the target size.
+fn steps(target: FleetSettings) -> Section {
+    let plain = FleetSettings {
+        round_ms: 500,
+        encoding: Encoding::Json,
+        sends_full_state: true,
+        ..target
+    };
+    let compact = FleetSettings {
+        encoding: Encoding::Compact,
+        ..plain
+    };
+    let deltas = FleetSettings {
+        sends_full_state: false,
+        ..compact
+    };
+    let json_deltas = FleetSettings {
+        encoding: Encoding::Json,
+        ..target
+    };
+    let rows = [
+        ("JSON, whole state, 0.5 s", plain),
+        ("compact, whole state, 0.5 s", compact),
+        ("compact, deltas, 0.5 s", deltas),
+        ("JSON, deltas, 1 s", json_deltas),
+        ("compact, deltas, 1 s (in use)", target),
+    ];
+    let rows = rows.map(|(case, settings)| cost_row(case, measure_fleet(settings)));
+    Section {
+        title: String::from("a node at the target size, step by step"),
+        rows: rows.into(),
+    }
+}
+
+fn slope<F>(name: &str, values: &[usize], target: FleetSettings, set: F) -> Section
+where
+    F: Fn(&mut FleetSettings, usize),
+{
+    let measured: Vec<(usize, Cost)> = values
+        .iter()
+        .map(|&value| {
+            let mut settings = target;
+            set(&mut settings, value);
+            (value, measure_fleet(settings))
+        })
+        .collect();
+    let mut rows: Vec<Row> = measured
+        .iter()
+        .map(|(value, cost)| cost_row(&format!("{value} {name}"), *cost))
+        .collect();
+    let points = |figure: fn(&Cost) -> f64| {
+        let points = measured.iter().map(|(x, cost)| (*x as f64, figure(cost)));
+        least_squares_slope(&points.collect::<Vec<_>>())
+    };
+    let each = Cost {
+        bytes_per_s: points(|cost| cost.bytes_per_s),
+        calls_per_s: points(|cost| cost.calls_per_s),
+        cpu_us_per_s: points(|cost| cost.cpu_us_per_s),
+        state_bytes: points(|cost| cost.state_bytes),
+    };
+    rows.push(cost_row(&format!("slope: one more of {name}"), each));
+    let title = format!("a node against {name}, all else at the target size");
+    Section { title, rows }
+}
+
+fn cost_row(case: &str, cost: Cost) -> Row {
+    Row::new(case)
+        .with("bytes/s", cost.bytes_per_s)
+        .with(
+            "of 12 KB/s, %",
+            100.0 * cost.bytes_per_s / BOUND_BYTES_PER_S,
+        )
+        .with("calls/s", cost.calls_per_s)
+        .with("processor, us/s", cost.cpu_us_per_s)
+        .with("state, KB", cost.state_bytes / 1000.0)
+}
+
+/// Returns the slope of the line that fits the points best.
+fn least_squares_slope(points: &[(f64, f64)]) -> f64 {
+    let count = points.len() as f64;
+    let mean_x = points.iter().map(|(x, _)| x).sum::<f64>() / count;
+    let mean_y = points.iter().map(|(_, y)| y).sum::<f64>() / count;
+    let covariance = points.iter().map(|(x, y)| (x - mean_x) * (y - mean_y));
+    let variance = points.iter().map(|(x, _)| (x - mean_x).powi(2));
+    covariance.sum::<f64>() / variance.sum::<f64>()
+}
--- /dev/null
+++ b/cli/src/commands/experiment/exchange/fleet.rs
@@ -0,0 +1,302 @@
+//! A data centre's entries and the far ends of their links, and what they send.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use beryltray_lib::clock::Clock as _;
+use beryltray_lib::clock::SystemClock;
+use beryltray_lib::connection::peer::codec::LENGTH_PREFIX_BYTES;
+use beryltray_lib::connection::peer::codec::decode_answer;
+use beryltray_lib::connection::peer::codec::decode_call;
+use beryltray_lib::connection::peer::codec::encode_answer;
+use beryltray_lib::connection::peer::codec::encode_call;
+use beryltray_lib::ids::Incarnation;
+use beryltray_lib::ids::ParseIdError;
+use beryltray_lib::process::exchange::ExchangeAction;
+use beryltray_lib::process::exchange::ExchangeSettings;
+use beryltray_lib::process::exchange::StateExchange;
+use beryltray_lib::process::exchange::wire::Frame;
+use beryltray_lib::process::exchange::wire::StateVersion;
+use beryltray_lib::process::membership::member::MemberIdentity;
+use rand::SeedableRng as _;
+use rand::rngs::StdRng;
+
+use super::load::EntryLoad;
+use super::load::head;
+
+/// The headers of TCP (with timestamps) and IP on each packet.
+const PACKET_HEADER_BYTES: f64 = 52.0;
+/// A call, its answer and the acknowledgement of the answer; the answer acknowledges the call.
+const PACKETS_PER_CALL: f64 = 3.0;
+/// The entries at the far end of a link, as many as keep a link at the near end.
+const FAR_ENTRIES: usize = 2;
+/// Rounds before the measurement.
+const WARM_UP_ROUNDS: u32 = 20;
+/// Rounds that are measured.
+const MEASURED_ROUNDS: u32 = 60;
+/// The time between two changes of configuration: 9,100 a day.
+const CHANGE_INTERVAL: Duration = Duration::from_millis(9_495);
+/// The first port of the entries' addresses, which nothing listens on.
+const PORT_BASE: usize = 10_000;
+
+/// How frames are encoded.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Encoding {
+    /// The transport's own: `bincode` with variable-length integers, inside `tarpc` messages.
+    Compact,
+    /// The same frames as JSON, without a `tarpc` message around them.
+    Json,
+}
+
+/// What is measured.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct FleetSettings {
+    pub(super) entries: usize,
+    pub(super) hosts: usize,
+    pub(super) accounts: usize,
+    pub(super) data_centres: usize,
+    pub(super) requests_per_s: f64,
+    pub(super) round_ms: u64,
+    pub(super) encoding: Encoding,
+    pub(super) sends_full_state: bool,
+    pub(super) seed: u64,
+}
+
+/// What an entry of the data centre spends, on average.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Cost {
+    /// Bytes sent and received, with the packets' headers.
+    pub(super) bytes_per_s: f64,
+    /// Calls made and answered.
+    pub(super) calls_per_s: f64,
+    /// Processor time of the exchange and of the encoding.
+    pub(super) cpu_us_per_s: f64,
+    /// The encoded size of all state that the entry holds.
+    pub(super) state_bytes: f64,
+}
+
+#[derive(Debug)]
+struct Node {
+    exchange: StateExchange,
+    load: EntryLoad,
+}
+
+#[derive(Debug)]
+struct Fleet {
+    settings: FleetSettings,
+    nodes: Vec<Node>,
+    rng: StdRng,
+    calls: u64,
+    bytes: f64,
+    near_ends: u64,
+    busy: Duration,
+}
+
+/// Returns the cost of an entry under `settings`; nothing if a name can't be made.
+pub(super) fn measure_fleet(settings: FleetSettings) -> Cost {
+    run(settings).unwrap_or_default()
+}
+
+fn run(settings: FleetSettings) -> Result<Cost, ParseIdError> {
+    let start = SystemClock.now();
+    let mut fleet = Fleet::new(settings, start)?;
+    let round = Duration::from_millis(settings.round_ms);
+    let mut version = 1;
+    for number in 0..WARM_UP_ROUNDS + MEASURED_ROUNDS {
+        if number == WARM_UP_ROUNDS {
+            fleet.reset();
+        }
+        let now = start + round * number;
+        let changes = (round * number).as_millis() / CHANGE_INTERVAL.as_millis();
+        if changes as u64 >= version {
+            version += 1;
+            let node = version as usize % fleet.nodes.len();
+            fleet.nodes[node].exchange.set_head(&head(version));
+        }
+        fleet.run_round(round, now);
+    }
+    let end = start + round * (WARM_UP_ROUNDS + MEASURED_ROUNDS);
+    Ok(fleet.cost(round * MEASURED_ROUNDS, end))
+}
+
+impl Fleet {
+    fn new(settings: FleetSettings, now: Instant) -> Result<Self, ParseIdError> {
+        let near = (0..settings.entries).map(|_| 0);
+        let far = (1..settings.data_centres).flat_map(|far| [far; FAR_ENTRIES]);
+        let mut nodes = Vec::new();
+        for (index, data_centre) in near.chain(far).enumerate() {
+            nodes.push(new_node(settings, index, data_centre, now)?);
+        }
+        Ok(Self {
+            settings,
+            nodes,
+            rng: StdRng::seed_from_u64(settings.seed),
+            calls: 0,
+            bytes: 0.0,
+            near_ends: 0,
+            busy: Duration::ZERO,
+        })
+    }
+
+    fn reset(&mut self) {
+        self.calls = 0;
+        self.bytes = 0.0;
+        self.near_ends = 0;
+        self.busy = Duration::ZERO;
+    }
+
+    fn run_round(&mut self, round: Duration, now: Instant) {
+        for index in 0..self.nodes.len() {
+            let node = &mut self.nodes[index];
+            node.load
+                .change(&mut node.exchange, &mut self.rng, round, now);
+            let begun = SystemClock.now();
+            let actions = self.nodes[index].exchange.on_round(now);
+            self.count_time(index, begun);
+            for action in actions {
+                self.carry_out(index, action, now);
+            }
+        }
+    }
+
+    fn carry_out(&mut self, index: usize, action: ExchangeAction, now: Instant) {
+        match action {
+            ExchangeAction::Call { address, peer } => {
+                let callee = usize::from(address.port()) - PORT_BASE;
+                let is_near = index.min(callee) < self.settings.entries;
+                if is_near {
+                    let begun = SystemClock.now();
+                    let frame = self.nodes[index].exchange.compose(peer.as_ref(), now);
+                    self.count_time(index, begun);
+                    self.call(index, callee, frame, now);
+                }
+            }
+            ExchangeAction::PeerNews { peer, .. } => {
+                let node = &mut self.nodes[index];
+                node.load.on_peer_news(&node.exchange, &peer, now);
+            }
+            _ => (),
+        }
+    }
+
+    fn call(&mut self, caller: usize, callee: usize, frame: Frame, now: Instant) {
+        self.calls += 1;
+        let Some(frame) = self.transfer(caller, callee, frame, true) else {
+            return;
+        };
+        let begun = SystemClock.now();
+        let (answer, actions) = self.nodes[callee].exchange.on_call(&frame, now);
+        self.count_time(callee, begun);
+        for action in actions {
+            self.carry_out(callee, action, now);
+        }
+        let Some(answer) = self.transfer(callee, caller, answer, false) else {
+            return;
+        };
+        let begun = SystemClock.now();
+        let actions = self.nodes[caller].exchange.on_answer(&answer, now);
+        self.count_time(caller, begun);
+        let near_ends = [caller, callee].map(|end| u64::from(end < self.settings.entries));
+        let near_ends = near_ends.iter().sum::<u64>();
+        self.near_ends += near_ends;
+        self.bytes += near_ends as f64 * PACKETS_PER_CALL * PACKET_HEADER_BYTES;
+        let is_repeated = |action: &ExchangeAction| {
+            self.settings.sends_full_state && matches!(action, ExchangeAction::Call { .. })
+        };
+        let actions: Vec<_> = actions.into_iter().filter(|a| !is_repeated(a)).collect();
+        for action in actions {
+            self.carry_out(caller, action, now);
+        }
+    }
+
+    /// Encodes and decodes a frame, and counts its bytes at the ends in the data centre.
+    fn transfer(&mut self, from: usize, to: usize, frame: Frame, is_call: bool) -> Option<Frame> {
+        let begun = SystemClock.now();
+        let call = self.calls;
+        let encoded = match self.settings.encoding {
+            Encoding::Json => serde_json::to_vec(&frame).ok()?.into(),
+            Encoding::Compact if is_call => encode_call(frame, call).ok()?,
+            Encoding::Compact => encode_answer(frame, call).ok()?,
+        };
+        self.count_time(from, begun);
+        let ends = [from, to].map(|end| u64::from(end < self.settings.entries));
+        let bytes = encoded.len() + LENGTH_PREFIX_BYTES;
+        self.bytes += ends.iter().sum::<u64>() as f64 * bytes as f64;
+        let begun = SystemClock.now();
+        let decoded = match self.settings.encoding {
+            Encoding::Json => serde_json::from_slice(&encoded).ok(),
+            Encoding::Compact if is_call => decode_call(encoded).ok().flatten(),
+            Encoding::Compact => decode_answer(encoded).ok().flatten(),
+        };
+        self.count_time(to, begun);
+        let mut frame = decoded?;
+        if self.settings.sends_full_state {
+            frame.ack = StateVersion::default();
+        }
+        Some(frame)
+    }
+
+    fn count_time(&mut self, index: usize, begun: Instant) {
+        if index < self.settings.entries {
+            self.busy += SystemClock.now().saturating_duration_since(begun);
+        }
+    }
+
+    fn cost(&self, elapsed: Duration, now: Instant) -> Cost {
+        let node_seconds = elapsed.as_secs_f64() * self.settings.entries as f64;
+        let held = self.nodes[0].exchange.whole_state(now);
+        let held = held
+            .iter()
+            .filter_map(|block| serde_json::to_vec(block).ok());
+        Cost {
+            bytes_per_s: self.bytes / node_seconds,
+            calls_per_s: self.near_ends as f64 / node_seconds,
+            cpu_us_per_s: self.busy.as_secs_f64() * 1e6 / node_seconds,
+            state_bytes: held.map(|block| block.len() as f64).sum(),
+        }
+    }
+}
+
+fn new_node(
+    settings: FleetSettings,
+    index: usize,
+    data_centre: usize,
+    now: Instant,
+) -> Result<Node, ParseIdError> {
+    let address = |index: usize| ([127, 0, 0, 1], (PORT_BASE + index) as u16).into();
+    let is_far = data_centre > 0;
+    let identity = MemberIdentity {
+        entry: format!("lakes-{data_centre}-entry-{index:02}").parse()?,
+        incarnation: Incarnation(1_700_000_000_000),
+        data_centre: format!("lakes-{data_centre}").parse()?,
+        address: address(index),
+    };
+    // The far ends keep only their links to this data centre.
+    let far = settings.entries..settings.entries + FAR_ENTRIES * (settings.data_centres - 1);
+    let near_seeds = (0..settings.entries).map(address);
+    let seeds = if is_far {
+        near_seeds.collect()
+    } else {
+        near_seeds.chain(far.map(address)).collect()
+    };
+    let exchange_settings = ExchangeSettings {
+        seeds,
+        near_interval: Duration::from_millis(settings.round_ms),
+        ..ExchangeSettings::default()
+    };
+    let exchange = StateExchange::new(identity, exchange_settings, now);
+    let (hosts, accounts, requests_per_s) = if is_far {
+        (0, 0, 0.0)
+    } else {
+        (settings.hosts, settings.accounts, settings.requests_per_s)
+    };
+    let load = EntryLoad::new(
+        &exchange,
+        hosts,
+        settings.entries,
+        accounts,
+        requests_per_s,
+        now,
+    )?;
+    Ok(Node { exchange, load })
+}
--- /dev/null
+++ b/cli/src/commands/experiment/exchange/load.rs
@@ -0,0 +1,186 @@
+//! The changes of an entry's own state from round to round.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use beryltray_lib::ids::AccountId;
+use beryltray_lib::ids::DocumentVersion;
+use beryltray_lib::ids::Epoch;
+use beryltray_lib::ids::Generation;
+use beryltray_lib::ids::HostId;
+use beryltray_lib::ids::Incarnation;
+use beryltray_lib::ids::ParseIdError;
+use beryltray_lib::ids::TargetId;
+use beryltray_lib::ids::digest_of;
+use beryltray_lib::process::exchange::StateExchange;
+use beryltray_lib::process::exchange::value::LogLevel;
+use beryltray_lib::process::exchange::value::QuantisedSummary;
+use beryltray_lib::process::limits::AccountLimits;
+use beryltray_lib::process::limits::LimitSettings;
+use beryltray_lib::request::target_load::SendTotals;
+use beryltray_lib::target::wire::GroupMembership;
+use beryltray_lib::target::wire::HostReport;
+use beryltray_lib::target::wire::LoadReport;
+use beryltray_lib::units::RequestRate;
+use beryltray_lib::units::Share;
+use beryltray_lib::version::document::Priority;
+use beryltray_lib::version::head::HeadMark;
+use rand::RngExt as _;
+use rand::rngs::StdRng;
+
+/// The hosts of a replica group.
+const HOSTS_PER_GROUP: usize = 4;
+/// The services of an environment.
+const SERVICES: usize = 4;
+/// The seconds of a request at its target.
+const REQUEST_TIME_S: f64 = 8.0;
+/// The limit of an account; enough that grants are needed.
+const ACCOUNT_LIMIT_PER_S: f64 = 60.0;
+
+/// What an entry changes in its state.
+#[derive(Debug)]
+pub(super) struct EntryLoad {
+    hosts: Vec<HostId>,
+    targets: Vec<(TargetId, SendTotals)>,
+    accounts: Vec<AccountId>,
+    limits: AccountLimits,
+    requests_per_s: f64,
+}
+
+impl EntryLoad {
+    pub(super) fn new(
+        exchange: &StateExchange,
+        hosts: usize,
+        entries: usize,
+        accounts: usize,
+        requests_per_s: f64,
+        now: Instant,
+    ) -> Result<Self, ParseIdError> {
+        let own = &exchange.own().identity;
+        let hosts: Result<Vec<HostId>, _> =
+            (0..hosts).map(|i| format!("host-{i:04}").parse()).collect();
+        let hosts = hosts?;
+        let groups = hosts.len() / HOSTS_PER_GROUP;
+        let targets: Result<Vec<_>, ParseIdError> = (0..groups)
+            .map(|i| Ok((format!("writers-{i:03}").parse()?, SendTotals::default())))
+            .collect();
+        let accounts: Result<Vec<AccountId>, _> = (0..accounts)
+            .map(|i| format!("account-{i:03}").parse())
+            .collect();
+        let accounts = accounts?;
+        let settings = LimitSettings::default();
+        let mut limits = AccountLimits::new(own.entry.clone(), own.incarnation, settings, now);
+        limits.set_entries(entries, now);
+        for account in &accounts {
+            limits.set_limit(account, RequestRate(ACCOUNT_LIMIT_PER_S), now);
+        }
+        Ok(Self {
+            hosts,
+            targets: targets?,
+            accounts,
+            limits,
+            requests_per_s,
+        })
+    }
+
+    /// Changes the state as a round's polls and requests do.
+    pub(super) fn change(
+        &mut self,
+        exchange: &mut StateExchange,
+        rng: &mut StdRng,
+        round: Duration,
+        now: Instant,
+    ) {
+        let polled: Vec<HostId> = {
+            let polled = exchange.polled_hosts(&self.hosts, now);
+            polled.into_iter().cloned().collect()
+        };
+        for host in &polled {
+            exchange.set_report(&report(host, rng), now);
+        }
+        self.send_requests(exchange, rng, round, now);
+        let message = self.limits.next_message(now);
+        exchange.set_limits(&message);
+        for service in 0..SERVICES {
+            let summary = QuantisedSummary {
+                serving_targets: 20,
+                spare_requests: LogLevel::nearest(rng.random_range(10.0..200.0)),
+                queue_wait_ms: LogLevel::nearest(rng.random_range(1.0..40.0)),
+            };
+            if let Ok(service) = format!("service-{service}").parse() {
+                exchange.set_summary(&service, summary);
+            }
+        }
+    }
+
+    /// Takes a peer's limits in.
+    pub(super) fn on_peer_news(
+        &mut self,
+        exchange: &StateExchange,
+        peer: &beryltray_lib::ids::EntryId,
+        now: Instant,
+    ) {
+        if let Some(message) = exchange.limit_message(peer) {
+            self.limits.on_message(peer, &message, now);
+        }
+    }
+
+    fn send_requests(
+        &mut self,
+        exchange: &mut StateExchange,
+        rng: &mut StdRng,
+        round: Duration,
+        now: Instant,
+    ) {
+        let requests = self.requests_per_s * round.as_secs_f64() * rng.random_range(0.8..1.2);
+        let groups = self.targets.len();
+        for _ in 0..requests.round() as u64 {
+            let account = rng.random_range(0..self.accounts.len());
+            let is_admitted = self
+                .limits
+                .take(&self.accounts[account], Priority::Normal, now);
+            if is_admitted.is_ok() {
+                self.targets[rng.random_range(0..groups)].1.sent_requests += 1;
+            }
+        }
+        let finish_share = (round.as_secs_f64() / REQUEST_TIME_S).min(1.0);
+        for (target, totals) in &mut self.targets {
+            let in_flight = totals.in_flight_requests() as f64;
+            totals.finished_requests += (in_flight * finish_share).round() as u64;
+            exchange.set_sends(target, *totals);
+        }
+    }
+}
+
+/// Returns the mark of a document's version.
+pub(super) fn head(version: u64) -> HeadMark {
+    HeadMark {
+        version: DocumentVersion(version),
+        digest: digest_of(&version.to_le_bytes()),
+    }
+}
+
+fn report(host: &HostId, rng: &mut StdRng) -> HostReport {
+    let membership = "writers-000".parse().ok().map(|group| GroupMembership {
+        group,
+        generation: Generation(7),
+        rank: 1,
+        is_ready: true,
+    });
+    HostReport {
+        host: host.clone(),
+        incarnation: Incarnation(1_700_000_000_000),
+        membership,
+        loaded_weights: "beryl-70b-v3".parse().into_iter().collect(),
+        is_leaving: false,
+        load: LoadReport {
+            queued_requests: rng.random_range(0..6),
+            running_requests: rng.random_range(10..48),
+            batch_limit_requests: 64,
+            generated_tokens_per_s: rng.random_range(500.0..2500.0),
+            time_per_token_ms: rng.random_range(18.0..45.0),
+            cache_used: Share::from_percent(rng.random_range(30..95)),
+        },
+        highest_epoch: Epoch(12),
+    }
+}
--- /dev/null
+++ b/cli/src/commands/experiment/mod.rs
@@ -0,0 +1,43 @@
+//! `beryltray experiment`: measures a policy beside its plain baselines, from a seed.
+//!
+//! The experiments drive the library's own machines on a clock that the event loop moves.
+
+mod exchange;
+mod report;
+
+use std::process::ExitCode;
+
+use clap::Args;
+use clap::Subcommand;
+
+use self::report::Format;
+use self::report::Report;
+
+/// Which policy to measure.
+#[derive(Clone, Debug, Subcommand)]
+pub(crate) enum ExperimentCommand {
+    /// The state exchange between entries: bytes, processor time and memory of a node.
+    Exchange(ExperimentArgs),
+}
+
+/// Options of every experiment.
+#[derive(Args, Clone, Debug)]
+pub(crate) struct ExperimentArgs {
+    /// The seed of the generated load.
+    #[arg(long, default_value_t = 1)]
+    pub(crate) seed: u64,
+    /// How the result is printed.
+    #[arg(long, value_enum, default_value_t)]
+    pub(crate) format: Format,
+}
+
+impl ExperimentCommand {
+    /// Runs the experiment and prints its report.
+    pub(crate) fn run(&self) -> ExitCode {
+        let (args, measure): (&ExperimentArgs, fn(u64) -> Report) = match self {
+            Self::Exchange(args) => (args, exchange::measure),
+        };
+        println!("{}", measure(args.seed).render(args.format));
+        ExitCode::SUCCESS
+    }
+}
--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -2,6 +2,7 @@
 
 mod check_history;
 mod entry;
+mod experiment;
 mod load;
 mod stand_in;
 
@@ -22,6 +23,9 @@
     CheckHistory(check_history::CheckHistoryArgs),
     /// Runs an entry: the daemon that answers callers and routes their requests.
     Entry(entry::EntryArgs),
+    /// Measures a policy beside its plain baselines.
+    #[command(subcommand)]
+    Experiment(experiment::ExperimentCommand),
     /// Sends requests at a given rate and counts what becomes of them.
     Load(load::LoadArgs),
     /// Runs a small stand-in for an outer service, for trials and tests.
@@ -55,6 +59,7 @@
         match self {
             Self::CheckHistory(args) => Ok(args.run()?),
             Self::Entry(args) => Ok(args.run().await?),
+            Self::Experiment(command) => Ok(command.run()),
             Self::Load(args) => Ok(args.run().await?),
             Self::StandIn(command) => Ok(command.run().await?),
         }
--- a/lib/src/connection/peer/mod.rs
+++ b/lib/src/connection/peer/mod.rs
@@ -4,6 +4,7 @@
 //! status for operators. Each may be repeated without harm. Streams go over [`super::relay`].
 
 pub mod client;
+pub mod codec;
 pub mod metered;
 pub mod server;
 
--- a/lib/src/process/exchange/compose.rs
+++ b/lib/src/process/exchange/compose.rs
@@ -21,6 +21,8 @@
 
 /// The rounds after the start in which every frame asks for what this entry lacks.
 const NEWCOMER_ROUNDS: u64 = 3;
+/// The rounds in which frames within a data centre may name entries of others.
+const CONTACT_ROUNDS: u64 = 4;
 /// The far intervals within which a link was in use.
 const FRESH_LINK_INTERVALS: u32 = 3;
 
@@ -81,6 +83,7 @@
         let tells_vector = self.tells_vector(link, now);
         if let Some(link) = self.links.get_mut(&link.entry) {
             link.vector = None;
+            link.frames += 1;
         }
         Frame {
             from: self.own.stream,
@@ -90,7 +93,7 @@
             ack: self.held_version(link),
             vector: (is_near && tells_vector).then(|| self.vector()),
             blocks,
-            contacts: self.contacts(audience, tells_vector, now),
+            contacts: self.contacts(audience, self.tells_contacts(audience, tells_vector), now),
         }
     }
 
@@ -136,17 +139,26 @@
 
     /// Returns whether the peer of `link` is asked this time for what this entry lacks.
     ///
-    /// Each peer hears the vector once in a number of rounds. While some member is not heard
+    /// Each peer hears the vector once in a number of frames. While some member is not heard
     /// directly, one peer after the other is asked in each round.
     fn tells_vector(&self, link: &Link, now: Instant) -> bool {
         if self.round <= NEWCOMER_ROUNDS {
             return true;
         }
         let hash = rendezvous_weight(self.own.identity.entry.as_str(), link.entry.as_str());
-        let turn = hash.wrapping_add(self.round);
-        let is_regular = turn.is_multiple_of(self.settings.vector_rounds.max(1));
+        let frame = hash.wrapping_add(link.frames);
+        let is_regular = frame.is_multiple_of(self.settings.vector_frames.max(1));
         let helpers = self.links.len().div_ceil(2).max(1) as u64;
-        is_regular || (turn.is_multiple_of(helpers) && self.is_missing_someone(now))
+        let is_helper = hash.wrapping_add(self.round).is_multiple_of(helpers);
+        is_regular || (is_helper && self.is_missing_someone(now))
+    }
+
+    /// Returns whether the frame names entries that the peer may need to call.
+    ///
+    /// Within a data centre they serve only to take a link over, so they are named more rarely.
+    fn tells_contacts(&self, audience: Audience, tells_vector: bool) -> bool {
+        let is_turn = self.round <= NEWCOMER_ROUNDS || self.round.is_multiple_of(CONTACT_ROUNDS);
+        tells_vector && (audience == Audience::Far || is_turn)
     }
 
     fn is_missing_someone(&self, now: Instant) -> bool {
--- a/lib/src/process/exchange/limits.rs
+++ b/lib/src/process/exchange/limits.rs
@@ -40,7 +40,13 @@
             }
         }
         for account in &message.accounts {
-            let share = self.quantised_share(&account.share);
+            let mut share = self.quantised_share(&account.share);
+            let told = self.own.limits.get(&account.account);
+            if let Some(told) = told.map(|told| told.value.demand)
+                && !share.demand.is_news_after(told)
+            {
+                share.demand = told;
+            }
             self.own.limits.set(&account.account, share, version);
         }
         let sequence = message.sequence;
--- a/lib/src/process/exchange/link.rs
+++ b/lib/src/process/exchange/link.rs
@@ -24,6 +24,8 @@
     /// The latest frame that came from the peer, and when.
     pub(super) received: Option<(FrameSequence, Instant)>,
     pub(super) called_at: Option<Instant>,
+    /// The frames that were composed for the peer.
+    pub(super) frames: u64,
     /// The peer's version vector, until it is answered.
     pub(super) vector: Option<Vec<Position>>,
     /// Whether the latest call had no answer.
@@ -40,6 +42,7 @@
             acked: StateVersion::default(),
             received: None,
             called_at: None,
+            frames: 0,
             vector: None,
             has_failed: false,
             has_followed_up: false,
--- a/lib/src/process/exchange/own.rs
+++ b/lib/src/process/exchange/own.rs
@@ -8,6 +8,7 @@
 use super::value::HostDescription;
 use super::value::HostLoad;
 use super::value::QuantisedSummary;
+use super::value::SendCount;
 use crate::ids::DocumentVersion;
 use crate::ids::HostId;
 use crate::ids::Incarnation;
@@ -39,9 +40,17 @@
     }
 
     /// Publishes how many requests this entry sent to a target and how many of them ended.
+    ///
+    /// A change of one or two requests waits for the next: it moves a batch of dozens by less
+    /// than the lag of the reports does, and would be most of the exchange's bytes.
     pub fn set_sends(&mut self, target: &TargetId, totals: SendTotals) {
+        let count = SendCount::from(totals);
+        let known = self.own.sends.get(target).map(|entry| *entry.value);
+        if known.is_some_and(|known| !count.is_news_after(known)) {
+            return;
+        }
         let version = self.own.next_version();
-        self.own.sends.set(target, totals.into(), version);
+        self.own.sends.set(target, count, version);
     }
 
     /// Marks a host as about to go away, in its lives up to `incarnation`.
--- a/lib/src/process/exchange/settings.rs
+++ b/lib/src/process/exchange/settings.rs
@@ -16,8 +16,8 @@
     pub far_interval: Duration,
     /// The entries of this data centre that keep a link to each other one.
     pub links_per_data_centre: usize,
-    /// The number of rounds between two that tell a peer the whole version vector.
-    pub vector_rounds: u64,
+    /// The number of frames to a peer of which one tells the whole version vector.
+    pub vector_frames: u64,
     /// How long a peer may lack a version that this entry has before the version is passed on.
     pub forward_delay: Duration,
     /// The age at which a peer's report on a host no longer spares polling it.
@@ -33,7 +33,7 @@
             near_interval: Duration::from_secs(1),
             far_interval: Duration::from_secs(5),
             links_per_data_centre: 2,
-            vector_rounds: 8,
+            vector_frames: 16,
             forward_delay: Duration::from_millis(2500),
             learned_age_limit: Duration::from_millis(1600),
             membership: MembershipSettings::default(),
--- a/lib/src/process/exchange/value.rs
+++ b/lib/src/process/exchange/value.rs
@@ -57,12 +57,25 @@
     }
 }
 
+/// The change of a demand that is told, as a share of what was told last.
+const DEMAND_STEP_SHARE: f64 = 0.25;
+/// The least change of a demand that is told, in requests per second.
+const DEMAND_STEP_PER_S: f64 = 0.5;
+
 /// A rate, in requests per second.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(transparent)]
 pub struct RateLevel(LogLevel);
 
 impl RateLevel {
+    /// Returns whether the demand differs enough from `last` to be told: by a quarter, and by
+    /// enough requests that it can matter to the division of a limit.
+    pub fn is_news_after(self, last: Self) -> bool {
+        let change = (self.per_s() - last.per_s()).abs();
+        let has_ended = self.per_s() == 0.0 && change > 0.0;
+        has_ended || change > (last.per_s() * DEMAND_STEP_SHARE).max(DEMAND_STEP_PER_S)
+    }
+
     /// Returns the level that is nearest to a rate.
     pub fn nearest(rate_per_s: f64) -> Self {
         Self(LogLevel::nearest(rate_per_s))
@@ -99,6 +112,8 @@
     pub grants: Vec<GrantedRate>,
 }
 
+/// The change of a count of requests that is told at once.
+const SEND_STEP_REQUESTS: u16 = 3;
 /// The length of [`SendCount::sent_tail`].
 const SENT_TAIL_BYTES: usize = 2;
 
@@ -126,6 +141,15 @@
 }
 
 impl SendCount {
+    /// Returns whether the count differs enough from `last` to be told.
+    pub fn is_news_after(self, last: Self) -> bool {
+        let sent = u16::from_le_bytes(self.sent_tail);
+        let new_requests = sent.wrapping_sub(u16::from_le_bytes(last.sent_tail));
+        let moved = self.in_flight_requests.abs_diff(last.in_flight_requests);
+        let has_emptied = self.in_flight_requests == 0 && moved > 0;
+        has_emptied || new_requests >= SEND_STEP_REQUESTS || moved >= SEND_STEP_REQUESTS.into()
+    }
+
     /// Returns the totals, given those that were last known.
     pub fn totals_after(self, last: SendTotals) -> SendTotals {
         let new_requests =
--- a/lib/src/process/exchange/view.rs
+++ b/lib/src/process/exchange/view.rs
@@ -4,9 +4,12 @@
 use std::time::Instant;
 
 use super::StateExchange;
+use super::record::Audience;
 use super::record::OwnerRecord;
 use super::value::FarService;
 use super::value::QuantisedSummary;
+use super::wire::Block;
+use super::wire::StateVersion;
 use crate::ids::HostId;
 use crate::ids::Incarnation;
 use crate::process::membership::links::poller;
@@ -75,6 +78,14 @@
         summaries
     }
 
+    /// Returns all state that this entry holds, as whole blocks, for measurements.
+    pub fn whole_state(&self, now: Instant) -> Vec<Block> {
+        let records = self.records.iter().chain([&self.own]);
+        let whole =
+            |record: &OwnerRecord| record.block_since(StateVersion::default(), Audience::Near, now);
+        records.map(whole).collect()
+    }
+
     /// Returns the state of the members of this data centre that are present.
     fn present_records(&self) -> impl Iterator<Item = &OwnerRecord> {
         self.records.iter().filter(|record| {
