--- a/cli/src/commands/experiment/mod.rs
+++ b/cli/src/commands/experiment/mod.rs
@@ -4,6 +4,15 @@
 
 mod exchange;
 mod report;
+mod admission;
+mod engine;
+mod limits;
+mod report;
+mod retries;
+mod routing;
+mod routing_entry;
+mod simulation;
+mod spill;
 
 use std::process::ExitCode;
 
@@ -18,6 +27,16 @@
 pub(crate) enum ExperimentCommand {
     /// The state exchange between entries: bytes, processor time and memory of a node.
     Exchange(ExperimentArgs),
+    /// The admission at one entry: shares of accounts and wait by class.
+    Admission(ExperimentArgs),
+    /// The accounts' limits across entries: what is admitted above and below them.
+    Limits(ExperimentArgs),
+    /// Further tries: goodput and amplification through a brown-out and an outage.
+    Retries(ExperimentArgs),
+    /// The choice of targets: time to first token, cache hits and late answers.
+    Routing(ExperimentArgs),
+    /// The relay to other data centres while one is short of targets.
+    Spill(ExperimentArgs),
 }
 
 /// Options of every experiment.
@@ -36,6 +55,11 @@
     pub(crate) fn run(&self) -> ExitCode {
         let (args, measure): (&ExperimentArgs, fn(u64) -> Report) = match self {
             Self::Exchange(args) => (args, exchange::measure),
+            Self::Admission(args) => (args, admission::measure),
+            Self::Limits(args) => (args, limits::measure),
+            Self::Retries(args) => (args, retries::measure),
+            Self::Routing(args) => (args, routing::measure),
+            Self::Spill(args) => (args, spill::measure),
         };
         println!("{}", measure(args.seed).render(args.format));
         ExitCode::SUCCESS
--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -1,10 +1,13 @@
 //! The commands, one file each.
 
 mod check_history;
+mod config;
+mod demo;
 mod entry;
 mod experiment;
 mod load;
 mod stand_in;
+mod status;
 
 use std::process::ExitCode;
 
@@ -19,8 +22,12 @@
 /// What `beryltray` is asked to do.
 #[derive(Debug, Subcommand)]
 pub(crate) enum Command {
+    #[command(subcommand)]
+    Config(config::ConfigCommand),
     /// Checks the promises over what a trial recorded.
     CheckHistory(check_history::CheckHistoryArgs),
+    /// Runs the whole path in one process and sends requests through it.
+    Demo(demo::DemoArgs),
     /// Runs an entry: the daemon that answers callers and routes their requests.
     Entry(entry::EntryArgs),
     /// Measures a policy beside its plain baselines.
@@ -28,28 +35,42 @@
     Experiment(experiment::ExperimentCommand),
     /// Sends requests at a given rate and counts what becomes of them.
     Load(load::LoadArgs),
+    /// Measures a policy beside its plain baselines.
+    #[command(subcommand)]
+    Experiment(experiment::ExperimentCommand),
     /// Runs a small stand-in for an outer service, for trials and tests.
     #[command(subcommand)]
     StandIn(stand_in::StandInCommand),
+    /// Shows the entries, their versions, their groups, and why a gate is closed.
+    Status(status::StatusArgs),
 }
 
 /// Why a command failed.
 #[derive(Debug, Display, Error, From)]
 pub(crate) enum CommandError {
+    /// A command on documents failed.
+    Config(config::ConfigError),
     /// A history was not checked.
     CheckHistory(check_history::CheckHistoryError),
+    /// The demo did not run.
+    Demo(demo::DemoError),
     /// An entry did not run.
     Entry(entry::EntryCommandError),
     /// The load was not sent.
     Load(load::LoadError),
     /// A stand-in did not run.
     StandIn(stand_in::StandInError),
+    /// The statuses were not shown.
+    Status(status::StatusCommandError),
 }
 
 impl CommandError {
     /// Returns the exit code that the command ends with.
     pub(crate) fn exit_code(&self) -> ExitCode {
-        ExitCode::from(EXIT_CODE_USAGE)
+        match self {
+            Self::Config(error) => error.exit_code(),
+            _ => ExitCode::from(EXIT_CODE_USAGE),
+        }
     }
 }
 
@@ -57,11 +78,15 @@
     /// Runs the command to its end.
     pub(crate) async fn run(self) -> Result<ExitCode, CommandError> {
         match self {
+            Self::Config(command) => Ok(command.run().await?),
             Self::CheckHistory(args) => Ok(args.run()?),
+            Self::Demo(args) => Ok(args.run().await?),
             Self::Entry(args) => Ok(args.run().await?),
             Self::Experiment(command) => Ok(command.run()),
             Self::Load(args) => Ok(args.run().await?),
+            Self::Experiment(command) => Ok(command.run()),
             Self::StandIn(command) => Ok(command.run().await?),
+            Self::Status(args) => Ok(args.run().await?),
         }
     }
 }
--- a/lib/src/process/entry/operators.rs
+++ b/lib/src/process/entry/operators.rs
@@ -132,7 +132,7 @@
                 .map(|in_force| in_force.row.digest.clone()),
             in_flight_requests: state.metrics.in_flight.get(),
             is_platform_reached: state.is_platform_reached(),
-            lease: None,
+            lease: state.lease(),
             services,
             members: Vec::new(),
         }
--- a/lib/src/process/entry/state.rs
+++ b/lib/src/process/entry/state.rs
@@ -6,6 +6,9 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 
+use tokio_util::task::TaskTracker;
+
+use crate::attempts::RandomAttempts;
 use crate::clock::Clock;
 use crate::platform::HostList;
 use crate::platform::ObjectStore;
@@ -19,6 +22,14 @@
 use crate::process::metrics::Metrics;
 use crate::process::services::ServiceShards;
 use crate::process::settings::EntrySettings;
+use crate::process::status::LeaseStatus;
+use crate::request::claim::ClaimBook;
+use crate::request::claim::ClaimOwner;
+use crate::request::claim::ClaimSettings;
+use crate::request::claim::store::ClaimStore;
+use crate::request::claim::store::ClaimTask;
+use crate::request::claim::store::NoPeerTable;
+use crate::request::claim::store::claim_task;
 use crate::target::Targets;
 use crate::version::head::HeadReadiness;
 
@@ -27,6 +38,9 @@
 
 impl<P> Platform for P where P: Table + ObjectStore + HostList {}
 
+/// The task of an entry's claims.
+pub type EntryClaimTask<C, P> = ClaimTask<P, NoPeerTable, RandomAttempts, C>;
+
 /// What all tasks of an entry share.
 #[derive(Debug)]
 pub struct EntryState<C, P, T> {
@@ -48,8 +62,13 @@
     pub lifecycle: Lifecycle,
     /// The metrics.
     pub metrics: Metrics,
+    /// The claims on non-idempotent work.
+    pub claims: ClaimStore,
+    /// Non-idempotent work in flight, which goes on when its callers go away.
+    pub keyed_work: TaskTracker,
     limits: Mutex<AccountLimits>,
     head_readiness: Mutex<Option<HeadReadiness>>,
+    lease: Mutex<Option<LeaseStatus>>,
     is_platform_reached: AtomicBool,
     has_host_list: AtomicBool,
 }
@@ -60,13 +79,13 @@
     P: Platform,
     T: Targets,
 {
-    /// Creates the state of a process that knows nothing yet.
+    /// Creates the state of a process that knows nothing yet, and the task of its claims.
     pub fn new(
         settings: EntrySettings,
         clock: C,
         platform: P,
         targets: T,
-    ) -> Result<Self, prometheus::Error> {
+    ) -> Result<(Self, EntryClaimTask<C, P>), prometheus::Error> {
         let identity = EntryIdentity {
             entry: settings.entry.clone(),
             incarnation: incarnation_from(&clock),
@@ -79,9 +98,19 @@
             LimitSettings::default(),
             clock.now(),
         );
-        Ok(Self {
+        let owner = ClaimOwner {
+            environment: identity.environment.clone(),
+            entry: identity.entry.clone(),
+            incarnation: identity.incarnation,
+        };
+        let book = ClaimBook::new(ClaimSettings::default(), owner, RandomAttempts);
+        let (claims, claim_task) = claim_task(book, platform.clone(), NoPeerTable, clock.clone());
+        let state = Self {
+            claims,
+            keyed_work: TaskTracker::new(),
             limits: Mutex::new(limits),
             head_readiness: Mutex::default(),
+            lease: Mutex::default(),
             clock,
             platform,
             targets,
@@ -93,7 +122,8 @@
             metrics: Metrics::new()?,
             is_platform_reached: AtomicBool::new(false),
             has_host_list: AtomicBool::new(false),
-        })
+        };
+        Ok((state, claim_task))
     }
 
     /// Returns the limits of the client accounts, locked.
@@ -101,6 +131,17 @@
         self.limits.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Records the placement lease as this entry last saw it.
+    pub fn show_lease(&self, status: Option<LeaseStatus>) {
+        *self.lease.lock().unwrap_or_else(PoisonError::into_inner) = status;
+    }
+
+    /// Returns the placement lease as this entry last saw it.
+    pub fn lease(&self) -> Option<LeaseStatus> {
+        let lease = self.lease.lock();
+        lease.unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
     /// Records whether the platform answered, and counts a failure.
     pub fn note_platform(&self, call: &str, is_reached: bool) {
         let was_reached = self.is_platform_reached.swap(is_reached, Ordering::Relaxed);
