--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -30,6 +30,9 @@
     Demo(demo::DemoArgs),
     /// Runs an entry: the daemon that answers callers and routes their requests.
     Entry(entry::EntryArgs),
+    /// Measures a policy beside its plain baselines.
+    #[command(subcommand)]
+    Experiment(experiment::ExperimentCommand),
     /// Sends requests at a given rate and counts what becomes of them.
     Load(load::LoadArgs),
     /// Measures a policy beside its plain baselines.
@@ -79,6 +82,7 @@
             Self::CheckHistory(args) => Ok(args.run()?),
             Self::Demo(args) => Ok(args.run().await?),
             Self::Entry(args) => Ok(args.run().await?),
+            Self::Experiment(command) => Ok(command.run()),
             Self::Load(args) => Ok(args.run().await?),
             Self::Experiment(command) => Ok(command.run()),
             Self::StandIn(command) => Ok(command.run().await?),
--- a/lib/src/connection/peer/mod.rs
+++ b/lib/src/connection/peer/mod.rs
@@ -5,6 +5,7 @@
 //! transaction may be repeated without harm. Streams go over [`super::relay`].
 
 pub mod client;
+pub mod codec;
 pub mod metered;
 pub mod server;
 pub mod table;
