--- a/cli/src/commands/demo.rs
+++ b/cli/src/commands/demo.rs
@@ -277,7 +277,7 @@
         keyed_work: vec![KEYED_WORK.parse()?],
         keyed_share: Share::from_percent(20),
         twin_share: Share::default(),
-        emergency_share: Share::default(),
+        emergency_accounts: Vec::new(),
         accounts: accounts?,
         prefixes: 4,
         seed: 1,
