--- a/lib/src/process/entry/state.rs
+++ b/lib/src/process/entry/state.rs
@@ -22,6 +22,7 @@
 use crate::process::metrics::Metrics;
 use crate::process::services::ServiceShards;
 use crate::process::settings::EntrySettings;
+use crate::process::status::LeaseStatus;
 use crate::request::claim::ClaimBook;
 use crate::request::claim::ClaimOwner;
 use crate::request::claim::ClaimSettings;
@@ -67,6 +68,7 @@
     pub keyed_work: TaskTracker,
     limits: Mutex<AccountLimits>,
     head_readiness: Mutex<Option<HeadReadiness>>,
+    lease: Mutex<Option<LeaseStatus>>,
     is_platform_reached: AtomicBool,
     has_host_list: AtomicBool,
 }
@@ -108,6 +110,7 @@
             keyed_work: TaskTracker::new(),
             limits: Mutex::new(limits),
             head_readiness: Mutex::default(),
+            lease: Mutex::default(),
             clock,
             platform,
             targets,
@@ -128,6 +131,17 @@
         self.limits.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Records the placement lease as this entry last saw it.
+    pub fn show_lease(&self, status: Option<LeaseStatus>) {
+        *self.lease.lock().unwrap_or_else(PoisonError::into_inner) = status;
+    }
+
+    /// Returns the placement lease as this entry last saw it.
+    pub fn lease(&self) -> Option<LeaseStatus> {
+        let lease = self.lease.lock();
+        lease.unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
     /// Records whether the platform answered, and counts a failure.
     pub fn note_platform(&self, call: &str, is_reached: bool) {
         let was_reached = self.is_platform_reached.swap(is_reached, Ordering::Relaxed);
