request: a try that was sent makes a later "not run" unknown

After a first try had been sent and had fallen silent, a further try that found no open target ended the request as "not run", though the first one may have run. A request that has sent an attempt now ends as unknown.

Tests of the promises with entries as real processes: same key at two entries, lost answers of target and platform, outage, graceful end, leaving.

--- a/cli/tests/runner.rs
+++ b/cli/tests/runner.rs
@@ -1,5 +1,8 @@
 //! Runner of the integration tests.
+
 mod test_check_history_command;
 mod test_config_command;
 mod test_load_command;
+mod test_promises;
 mod test_stand_in_command;
+mod trial;
--- /dev/null
+++ b/cli/tests/test_promises.rs
@@ -0,0 +1,147 @@
+//! Tests of the promises with entries as real processes, where real sockets matter.
+
+use crate::trial::Trial;
+use crate::trial::eventually;
+use crate::trial::set_faults;
+
+const BOOK: &str = "book-slot";
+const LIST: &str = "list-slots";
+/// Enough successes for the retry budget to allow a further try.
+const SUCCESSES: usize = 30;
+
+#[tokio::test]
+async fn booking_same_key_at_two_entries_runs_once() {
+    let trial = Trial::start().await;
+    let first = trial.start_entry("entry-1").await;
+    let second = trial.start_entry("entry-2").await;
+    for number in 0..5 {
+        let marker = format!("m{number}");
+        let sent = [&first, &second, &first, &second];
+        let sent = sent.map(|entry| entry.send(BOOK, &marker, Some(&marker)));
+        let [a, b, c, d] = sent;
+        let answers = tokio::join!(a, b, c, d);
+        let outcomes = [answers.0, answers.1, answers.2, answers.3].map(|answer| answer.outcome);
+        assert!(outcomes.contains(&String::from("complete")), "{outcomes:?}");
+        let is_known = |outcome: &String| ["complete", "in-progress"].contains(&outcome.as_str());
+        assert!(outcomes.iter().all(is_known), "{outcomes:?}");
+        assert_eq!(trial.run_count(&marker).await, 1);
+    }
+}
+
+#[tokio::test]
+async fn booking_lost_answer_is_unknown_and_never_repeated() {
+    let trial = Trial::start().await;
+    let entry = trial.start_entry("entry-1").await;
+    set_faults(trial.plain.address(), r#"{"lost_answers": 1}"#).await;
+    let answer = entry.send(BOOK, "m1", Some("k1")).await;
+    assert_eq!(answer.outcome, "unknown");
+    let again = entry.send(BOOK, "m1", Some("k1")).await;
+    assert_eq!(again.outcome, "unknown");
+    assert_eq!(trial.run_count("m1").await, 1);
+}
+
+#[tokio::test]
+async fn booking_same_key_gets_recorded_answer() {
+    let trial = Trial::start().await;
+    let first = trial.start_entry("entry-1").await;
+    let second = trial.start_entry("entry-2").await;
+    let answer = first.send(BOOK, "m1", Some("k1")).await;
+    let replayed = second.send(BOOK, "m1", Some("k1")).await;
+    assert_eq!(replayed.outcome, "complete");
+    assert_eq!(replayed.body, answer.body);
+    let other_body = second.send(BOOK, "m2", Some("k1")).await;
+    assert_eq!(other_body.outcome, "invalid");
+    assert_eq!(trial.truth().await.works.len(), 1);
+}
+
+#[tokio::test]
+async fn booking_platform_out_is_not_run() {
+    let trial = Trial::start().await;
+    let entry = trial.start_entry("entry-1").await;
+    for outage in ["silent", "refusing"] {
+        let change = format!(r#"{{"outage": "{outage}"}}"#);
+        set_faults(trial.platform.address(), &change).await;
+        let answer = entry.send(BOOK, "m1", Some("k1")).await;
+        assert_eq!(answer.outcome, "not-run");
+        assert!(answer.has_retry_after);
+        let idempotent = entry.send(LIST, "m2", None).await;
+        assert_eq!(idempotent.outcome, "complete");
+    }
+    set_faults(trial.platform.address(), r#"{"outage": "none"}"#).await;
+    assert_eq!(trial.run_count("m1").await, 0);
+    eventually(async || {
+        let answer = entry.send(BOOK, "m1", Some("k1")).await;
+        answer.outcome == "complete"
+    })
+    .await;
+    assert_eq!(trial.run_count("m1").await, 1);
+}
+
+#[tokio::test]
+async fn booking_lost_commit_answers_run_once() {
+    let trial = Trial::start().await;
+    let entry = trial.start_entry("entry-1").await;
+    set_faults(trial.platform.address(), r#"{"lost_answers": 4}"#).await;
+    eventually(async || {
+        let answer = entry.send(BOOK, "m1", Some("k1")).await;
+        answer.outcome == "complete"
+    })
+    .await;
+    assert_eq!(trial.run_count("m1").await, 1);
+}
+
+#[tokio::test]
+async fn idempotent_target_dies_after_start_is_not_called_not_run() {
+    let trial = Trial::start().await;
+    let entry = trial.start_entry("entry-1").await;
+    for number in 0..SUCCESSES {
+        let answer = entry.send(LIST, &format!("s{number}"), None).await;
+        assert_eq!(answer.outcome, "complete");
+    }
+    set_faults(trial.plain.address(), r#"{"delay_ms": 60000}"#).await;
+    let (answer, ()) = tokio::join!(entry.send(LIST, "m1", None), async {
+        eventually(async || trial.run_count("m1").await == 1).await;
+        trial.plain.stop();
+    });
+    assert_eq!(answer.outcome, "unknown");
+}
+
+#[tokio::test]
+async fn shutdown_graceful_cuts_off_no_request() {
+    let trial = Trial::start().await;
+    let mut entry = trial.start_entry("entry-1").await;
+    set_faults(trial.plain.address(), r#"{"delay_ms": 2000}"#).await;
+    let in_flight = entry.send(BOOK, "m1", Some("k1"));
+    let (answer, ()) = tokio::join!(in_flight, async {
+        eventually(async || trial.run_count("m1").await == 1).await;
+        set_faults(trial.plain.address(), r#"{"is_paused": true}"#).await;
+        entry.terminate().await;
+        eventually(async || {
+            let connected = tokio::net::TcpStream::connect(entry.callers).await;
+            connected.is_err()
+        })
+        .await;
+        set_faults(trial.plain.address(), r#"{"is_paused": false}"#).await;
+    });
+    assert_eq!(answer.outcome, "complete");
+    let status = entry.process.wait().await.unwrap();
+    assert!(status.success());
+    assert_eq!(trial.run_count("m1").await, 1);
+}
+
+#[tokio::test]
+async fn leaving_target_gets_no_new_work() {
+    let trial = Trial::start().await;
+    let entry = trial.start_entry("entry-1").await;
+    set_faults(trial.plain.address(), r#"{"is_leaving": true}"#).await;
+    eventually(async || {
+        let answer = entry.send(LIST, "m1", None).await;
+        answer.outcome == "not-run"
+    })
+    .await;
+    let before = trial.truth().await.works.len();
+    let answer = entry.send(LIST, "m1", None).await;
+    assert_eq!(answer.outcome, "not-run");
+    assert!(answer.has_retry_after);
+    assert_eq!(trial.truth().await.works.len(), before);
+}
--- a/lib/src/request/dispatch.rs
+++ b/lib/src/request/dispatch.rs
@@ -87,6 +87,7 @@
     /// The attempt to send next.
     pub attempt: AttemptId,
     avoid: Option<TargetId>,
+    has_sent: bool,
 }
 
 impl Tries {
@@ -102,6 +103,7 @@
             },
             attempt,
             avoid: None,
+            has_sent: false,
         }
     }
 
@@ -112,8 +114,20 @@
         self.avoid = Some(failed);
         if was_sent {
             self.attempt = new_attempt_id();
+            self.has_sent = true;
         }
     }
+
+    /// Returns how the request ends, in the light of its earlier tries.
+    ///
+    /// Once an attempt was sent, it may have run, whatever became of the tries after it.
+    fn settle(&self, ending: Ending) -> Ending {
+        let is_not_run = matches!(ending.outcome, Outcome::NotRun { .. });
+        if self.has_sent && is_not_run {
+            return UnknownReason::ConnectionLost.into();
+        }
+        ending
+    }
 }
 
 /// An attempt whose answer has begun.
@@ -133,6 +147,20 @@
     context: &RequestContext,
     tries: &mut Tries,
 ) -> Result<Dispatched<T::Answer>, Ending>
+where
+    C: Clock,
+    P: Platform,
+    T: Targets,
+{
+    let dispatched = try_targets(state, context, tries).await;
+    dispatched.map_err(|ending| tries.settle(ending))
+}
+
+async fn try_targets<C, P, T>(
+    state: &EntryState<C, P, T>,
+    context: &RequestContext,
+    tries: &mut Tries,
+) -> Result<Dispatched<T::Answer>, Ending>
 where
     C: Clock,
     P: Platform,
