--- a/lib/src/request/dispatch.rs
+++ b/lib/src/request/dispatch.rs
@@ -86,9 +86,8 @@
     pub state: TryState,
     /// The attempt to send next.
     pub attempt: AttemptId,
-    /// Whether an attempt was sent that may have run.
-    may_have_run: bool,
     avoid: Option<TargetId>,
+    has_sent: bool,
 }
 
 impl Tries {
@@ -103,8 +102,8 @@
                 expected_time,
             },
             attempt,
-            may_have_run: false,
             avoid: None,
+            has_sent: false,
         }
     }
 
@@ -114,19 +113,20 @@
     pub fn move_on(&mut self, failed: TargetId, was_sent: bool) {
         self.avoid = Some(failed);
         if was_sent {
-            self.may_have_run = true;
             self.attempt = new_attempt_id();
+            self.has_sent = true;
         }
     }
 
-    /// Returns how the request ends, given how its last try did.
+    /// Returns how the request ends, in the light of its earlier tries.
     ///
-    /// A last try that was not run says nothing of those before it.
-    fn ending(&self, last: Ending) -> Ending {
-        match last.outcome {
-            Outcome::NotRun { .. } if self.may_have_run => UnknownReason::ConnectionLost.into(),
-            _ => last,
+    /// Once an attempt was sent, it may have run, whatever became of the tries after it.
+    fn settle(&self, ending: Ending) -> Ending {
+        let is_not_run = matches!(ending.outcome, Outcome::NotRun { .. });
+        if self.has_sent && is_not_run {
+            return UnknownReason::ConnectionLost.into();
         }
+        ending
     }
 }
 
@@ -147,6 +147,20 @@
     context: &RequestContext,
     tries: &mut Tries,
 ) -> Result<Dispatched<T::Answer>, Ending>
+where
+    C: Clock,
+    P: Platform,
+    T: Targets,
+{
+    let dispatched = try_targets(state, context, tries).await;
+    dispatched.map_err(|ending| tries.settle(ending))
+}
+
+async fn try_targets<C, P, T>(
+    state: &EntryState<C, P, T>,
+    context: &RequestContext,
+    tries: &mut Tries,
+) -> Result<Dispatched<T::Answer>, Ending>
 where
     C: Clock,
     P: Platform,
@@ -154,8 +168,7 @@
 {
     loop {
         tries.state.tries += 1;
-        let target = choose(state, context, tries.avoid.as_ref());
-        let target = target.map_err(|ending| tries.ending(ending))?;
+        let target = choose(state, context, tries.avoid.as_ref())?;
         let plan = plan(state, context, tries.attempt.clone(), target.clone());
         let started = start_attempt(
             &state.clock,
@@ -177,7 +190,7 @@
         note_failure(state, context, &target, &failure);
         if let Err(reason) = may_try_again(state, context, tries, &failure) {
             log::debug!(request:% = context.request.id; "no further try: {reason}");
-            return Err(tries.ending(failure_ending(state, context, failure)));
+            return Err(failure_ending(state, context, failure));
         }
         tries.move_on(target.choice.target, !failure.is_not_run());
     }
