--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -35,9 +35,6 @@
     Experiment(experiment::ExperimentCommand),
     /// Sends requests at a given rate and counts what becomes of them.
     Load(load::LoadArgs),
-    /// Measures a policy beside its plain baselines.
-    #[command(subcommand)]
-    Experiment(experiment::ExperimentCommand),
     /// Runs a small stand-in for an outer service, for trials and tests.
     #[command(subcommand)]
     StandIn(stand_in::StandInCommand),
@@ -84,7 +81,6 @@
             Self::Entry(args) => Ok(args.run().await?),
             Self::Experiment(command) => Ok(command.run()),
             Self::Load(args) => Ok(args.run().await?),
-            Self::Experiment(command) => Ok(command.run()),
             Self::StandIn(command) => Ok(command.run().await?),
             Self::Status(args) => Ok(args.run().await?),
         }
