entry: exchange state with the other entries

The daemon listens at its peers address, runs a round a second and feeds what peers tell into the gate, the limits, the routing and the watcher of the head; the status names the members. An entry polls the hosts that the rendezvous hash gives to it and those that no peer told of lately. After its last request it tells its peers that it leaves.

--- a/cli/src/commands/experiment/exchange/interest.rs
+++ b/cli/src/commands/experiment/exchange/interest.rs
@@ -18,6 +18,7 @@
 use beryltray_lib::process::spill::Spill;
 use beryltray_lib::process::spill::SpillQuery;
 use beryltray_lib::process::spill::SpillSettings;
+use beryltray_lib::units::RequestRate;
 use rand::RngExt as _;
 use rand::SeedableRng as _;
 use rand::rngs::StdRng;
@@ -276,6 +277,7 @@
             serving_targets: 20,
             spare_requests: spare as u32,
             queue_wait: Duration::ZERO,
+            finish_rate: RequestRate(CAPACITY_REQUESTS / REQUEST_TIME_S),
         };
         let reader = &mut centres[reader];
         reader.spill.on_summary(summary, now);
--- a/cli/src/commands/experiment/exchange/load.rs
+++ b/cli/src/commands/experiment/exchange/load.rs
@@ -15,6 +15,7 @@
 use beryltray_lib::process::exchange::StateExchange;
 use beryltray_lib::process::exchange::value::LogLevel;
 use beryltray_lib::process::exchange::value::QuantisedSummary;
+use beryltray_lib::process::exchange::value::RateLevel;
 use beryltray_lib::process::limits::AccountLimits;
 use beryltray_lib::process::limits::LimitSettings;
 use beryltray_lib::request::target_load::SendTotals;
@@ -106,6 +107,7 @@
                 serving_targets: 20,
                 spare_requests: LogLevel::nearest(rng.random_range(10.0..200.0)),
                 queue_wait_ms: LogLevel::nearest(rng.random_range(1.0..40.0)),
+                finish_rate: RateLevel::nearest(12.0),
             };
             if let Ok(service) = format!("service-{service}").parse() {
                 exchange.set_summary(&service, summary);
--- a/cli/src/commands/experiment/mod.rs
+++ b/cli/src/commands/experiment/mod.rs
@@ -2,10 +2,9 @@
 //!
 //! The experiments drive the library's own machines on a clock that the event loop moves.
 
-mod exchange;
-mod report;
 mod admission;
 mod engine;
+mod exchange;
 mod limits;
 mod report;
 mod retries;
--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -22,6 +22,7 @@
 /// What `beryltray` is asked to do.
 #[derive(Debug, Subcommand)]
 pub(crate) enum Command {
+    /// Checks, compares and changes an environment's document.
     #[command(subcommand)]
     Config(config::ConfigCommand),
     /// Checks the promises over what a trial recorded.
@@ -35,9 +36,6 @@
     Experiment(experiment::ExperimentCommand),
     /// Sends requests at a given rate and counts what becomes of them.
     Load(load::LoadArgs),
-    /// Measures a policy beside its plain baselines.
-    #[command(subcommand)]
-    Experiment(experiment::ExperimentCommand),
     /// Runs a small stand-in for an outer service, for trials and tests.
     #[command(subcommand)]
     StandIn(stand_in::StandInCommand),
@@ -84,7 +82,6 @@
             Self::Entry(args) => Ok(args.run().await?),
             Self::Experiment(command) => Ok(command.run()),
             Self::Load(args) => Ok(args.run().await?),
-            Self::Experiment(command) => Ok(command.run()),
             Self::StandIn(command) => Ok(command.run().await?),
             Self::Status(args) => Ok(args.run().await?),
         }
--- /dev/null
+++ b/lib/src/process/entry/exchange.rs
@@ -0,0 +1,319 @@
+//! The task that exchanges state with the other entries.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::mpsc;
+use tokio::task::JoinSet;
+
+use super::operators::entry_status;
+use super::peers::EntryPeers;
+use super::state::EntryState;
+use super::state::Platform;
+use crate::clock::Clock;
+use crate::connection::peer::PeerHandler;
+use crate::connection::peer::PeerSettings;
+use crate::connection::peer::client::PeerClient;
+use crate::connection::peer::metered::TrafficMeter;
+use crate::ids::EntryId;
+use crate::process::exchange::ExchangeAction;
+use crate::process::exchange::wire::Frame;
+use crate::process::membership::MembershipAction;
+use crate::process::presence::ReportSource;
+use crate::process::status::EntryStatus;
+use crate::sorted::Keyed as _;
+use crate::target::Targets;
+use crate::version::head::FetchedVersion;
+use crate::version::head::HeadMark;
+use crate::version::head::driver::PeerEvent;
+
+/// The calls that wait to be made.
+const CALL_BUFFER: usize = 1024;
+/// The longest time that the announcement of a leave takes.
+const LEAVE_LIMIT: Duration = Duration::from_secs(1);
+
+/// A call that the exchange asked for.
+#[derive(Clone, Debug)]
+struct PeerCall {
+    address: SocketAddr,
+    peer: Option<EntryId>,
+}
+
+/// What the exchange's task and the server of its calls share.
+#[derive(Debug)]
+pub struct EntryExchange<C, P, T> {
+    state: Arc<EntryState<C, P, T>>,
+    peers: EntryPeers<C>,
+    events: mpsc::Sender<PeerEvent>,
+    calls: mpsc::Sender<PeerCall>,
+    meter: TrafficMeter,
+}
+
+/// The calls that [`EntryExchange::run`] makes.
+#[derive(Debug)]
+pub struct PeerCalls(mpsc::Receiver<PeerCall>);
+
+impl<C, P, T> Clone for EntryExchange<C, P, T> {
+    fn clone(&self) -> Self {
+        Self {
+            state: Arc::clone(&self.state),
+            peers: self.peers.clone(),
+            events: self.events.clone(),
+            calls: self.calls.clone(),
+            meter: self.meter.clone(),
+        }
+    }
+}
+
+impl<C, P, T> EntryExchange<C, P, T>
+where
+    C: Clock,
+    P: Platform,
+    T: Targets,
+{
+    /// Creates the exchange's driver; `events` tells the watcher of the head what peers know.
+    pub fn new(
+        state: Arc<EntryState<C, P, T>>,
+        peers: EntryPeers<C>,
+        events: mpsc::Sender<PeerEvent>,
+    ) -> (Self, PeerCalls) {
+        let (calls, waiting) = mpsc::channel(CALL_BUFFER);
+        let exchange = Self {
+            state,
+            peers,
+            events,
+            calls,
+            meter: TrafficMeter::default(),
+        };
+        (exchange, PeerCalls(waiting))
+    }
+
+    /// Returns the meter of the traffic between entries.
+    pub fn meter(&self) -> TrafficMeter {
+        self.meter.clone()
+    }
+
+    /// Exchanges state until the task is dropped.
+    pub async fn run(self, mut calls: PeerCalls) {
+        let interval = self.state.exchange().settings().near_interval;
+        let mut rounds = tokio::time::interval(interval);
+        let mut running = JoinSet::new();
+        loop {
+            tokio::select! {
+                _ = rounds.tick() => self.run_round(),
+                Some(call) = calls.0.recv() => {
+                    running.spawn(self.clone().call(call));
+                }
+                Some(_) = running.join_next(), if !running.is_empty() => {}
+            }
+        }
+    }
+
+    /// Tells the peers that this entry leaves.
+    pub async fn leave(&self) {
+        let actions = self.state.exchange().on_leave();
+        let mut running = JoinSet::new();
+        for action in actions {
+            if let ExchangeAction::Call { address, peer } = action {
+                running.spawn(self.clone().call(PeerCall { address, peer }));
+            }
+        }
+        let told = async { while running.join_next().await.is_some() {} };
+        if tokio::time::timeout(LEAVE_LIMIT, told).await.is_err() {
+            log::warn!("not all peers were told of the leave");
+        }
+    }
+
+    fn run_round(&self) {
+        let now = self.state.clock.now();
+        self.publish();
+        let actions = self.state.exchange().on_round(now);
+        self.carry_out(actions);
+    }
+
+    /// Puts what this entry knows into its own state.
+    fn publish(&self) {
+        let now = self.state.clock.now();
+        let message = self.state.limits().next_message(now);
+        let mut totals = Vec::new();
+        self.state.shards.for_each(|_, targets| {
+            let loads = targets.router.loads().iter();
+            totals.extend(loads.map(|load| (load.key().clone(), load.own_totals())));
+        });
+        let in_force = self.state.in_force.get();
+        let mut exchange = self.state.exchange();
+        exchange.set_limits(&message);
+        for (target, totals) in totals {
+            exchange.set_sends(&target, totals);
+        }
+        if let Some(in_force) = in_force {
+            exchange.set_head(&in_force.mark());
+            exchange.set_in_force(in_force.row.version);
+        }
+    }
+
+    async fn call(self, call: PeerCall) {
+        let client = self.client(&call);
+        let now = self.state.clock.now();
+        let frame = self.state.exchange().compose(call.peer.as_ref(), now);
+        match client.exchange(frame).await {
+            Ok(answer) => {
+                let now = self.state.clock.now();
+                let actions = self.state.exchange().on_answer(&answer, now);
+                self.carry_out(actions);
+            }
+            Err(error) => {
+                log::debug!("state not exchanged: {error}");
+                if let Some(peer) = &call.peer {
+                    self.state.exchange().on_call_failed(peer);
+                }
+            }
+        }
+    }
+
+    fn client(&self, call: &PeerCall) -> Arc<PeerClient<C>> {
+        let known = call.peer.as_ref().and_then(|peer| self.peers.client(peer));
+        let known = known.filter(|client| client.address() == call.address);
+        known.unwrap_or_else(|| self.new_client(call.address))
+    }
+
+    fn new_client(&self, address: SocketAddr) -> Arc<PeerClient<C>> {
+        let clock = self.state.clock.clone();
+        let settings = PeerSettings::default();
+        Arc::new(PeerClient::new(address, settings, clock, self.meter()))
+    }
+
+    /// Carries out what the exchange asked for; calls are queued.
+    fn carry_out(&self, actions: Vec<ExchangeAction>) {
+        let now = self.state.clock.now();
+        for action in actions {
+            match action {
+                ExchangeAction::Call { address, peer } => {
+                    self.queue(PeerCall { address, peer });
+                }
+                ExchangeAction::Member(action) => self.on_member(action),
+                ExchangeAction::Report { report, age } => {
+                    let source = ReportSource::Peer;
+                    self.state.shards.on_report(report, age, source, now);
+                }
+                ExchangeAction::Leaving { host } => self.state.shards.on_leaving(&host, now),
+                ExchangeAction::Head { peer, mark } => self.tell(PeerEvent::Head { peer, mark }),
+                ExchangeAction::PeerNews { peer, age } => self.on_peer_news(&peer, age),
+            }
+        }
+    }
+
+    fn queue(&self, call: PeerCall) {
+        if let Err(error) = self.calls.try_send(call) {
+            log::warn!("a call to a peer was dropped: {error}");
+        }
+    }
+
+    fn tell(&self, event: PeerEvent) {
+        if let Err(error) = self.events.try_send(event) {
+            log::warn!("the watcher of the head was not told: {error}");
+        }
+    }
+
+    fn on_member(&self, action: MembershipAction) {
+        match &action {
+            MembershipAction::OwnNameTaken { .. } => {
+                log::error!("{action}. Hint: does another host use this entry's name?");
+            }
+            _ => log::info!("{action}"),
+        }
+        match action {
+            MembershipAction::Joined { entry, .. } => {
+                self.forget(&entry);
+                let exchange = self.state.exchange();
+                let member = exchange.membership().get(&entry);
+                if let Some(address) = member.map(|member| member.identity.address) {
+                    self.peers.insert(entry, self.new_client(address));
+                }
+            }
+            MembershipAction::Removed { entry } | MembershipAction::Left { entry } => {
+                self.forget(&entry);
+                self.peers.remove(&entry);
+                self.tell(PeerEvent::Gone { peer: entry });
+            }
+            MembershipAction::Suspected { .. }
+            | MembershipAction::Recovered { .. }
+            | MembershipAction::OwnNameTaken { .. } => {}
+        }
+        let entries = self.present_entries();
+        self.state
+            .limits()
+            .set_entries(entries, self.state.clock.now());
+    }
+
+    /// Forgets what an earlier life of a peer sent and was granted.
+    fn forget(&self, peer: &EntryId) {
+        let now = self.state.clock.now();
+        self.state.limits().on_peer_gone(peer, now);
+        self.state
+            .shards
+            .for_each(|_, targets| targets.router.on_peer_gone(peer));
+    }
+
+    fn present_entries(&self) -> usize {
+        let exchange = self.state.exchange();
+        let membership = exchange.membership();
+        membership
+            .present_in(&self.state.identity.data_centre)
+            .count()
+            + 1
+    }
+
+    fn on_peer_news(&self, peer: &EntryId, age: Duration) {
+        let now = self.state.clock.now();
+        let as_of = now.checked_sub(age).unwrap_or(now);
+        let (message, totals) = {
+            let exchange = self.state.exchange();
+            let record = exchange.record(peer);
+            let totals = record.into_iter().flat_map(|r| r.all_send_totals());
+            let totals: Vec<_> = totals
+                .map(|(target, sent)| (target.clone(), sent))
+                .collect();
+            (exchange.limit_message(peer), totals)
+        };
+        if let Some(message) = message {
+            self.state.limits().on_message(peer, &message, now);
+        }
+        self.state.shards.for_each(|_, targets| {
+            for (target, totals) in &totals {
+                if targets.router.load(target).is_some() {
+                    targets.router.on_peer_sends(peer, target, *totals, as_of);
+                }
+            }
+        });
+    }
+}
+
+impl<C, P, T> PeerHandler for EntryExchange<C, P, T>
+where
+    C: Clock,
+    P: Platform,
+    T: Targets,
+{
+    async fn exchange(&self, frame: Frame) -> Frame {
+        let now = self.state.clock.now();
+        let (answer, actions) = self.state.exchange().on_call(&frame, now);
+        // The answer acknowledges the news, so they take effect first.
+        self.carry_out(actions);
+        answer
+    }
+
+    async fn version(&self, mark: HeadMark) -> Option<FetchedVersion> {
+        let in_force = self.state.in_force.get()?;
+        let is_held = in_force.mark() >= mark;
+        is_held.then(|| FetchedVersion {
+            row: in_force.row.clone(),
+            text: in_force.text.clone(),
+        })
+    }
+
+    async fn status(&self) -> EntryStatus {
+        entry_status(&self.state)
+    }
+}
--- a/lib/src/process/entry/mod.rs
+++ b/lib/src/process/entry/mod.rs
@@ -1,6 +1,7 @@
 //! The daemon on an entry host: it joins the decisions with sockets, tasks and the clock.
 
 mod configuration;
+mod exchange;
 mod operators;
 mod peers;
 mod placement;
--- a/lib/src/process/entry/operators.rs
+++ b/lib/src/process/entry/operators.rs
@@ -19,12 +19,14 @@
 use crate::ids::ServiceId;
 use crate::platform::rows::GroupRow;
 use crate::process::lifecycle::Stage;
+use crate::process::membership::member::Member;
 use crate::process::presence::GateVerdict;
 use crate::process::presence::HostPresence;
 use crate::process::services::ServiceTargets;
 use crate::process::status::EntryStatus;
 use crate::process::status::GroupStatus;
 use crate::process::status::HostStatus;
+use crate::process::status::MemberStatus;
 use crate::process::status::ServiceStatus;
 use crate::target::Targets;
 
@@ -105,40 +107,67 @@
     }
 
     fn status(&self) -> Response<ResponseBody> {
-        match serde_json::to_vec(&self.entry_status()) {
+        match serde_json::to_vec(&entry_status(&self.state)) {
             Ok(body) => json(body),
             Err(error) => text(StatusCode::INTERNAL_SERVER_ERROR, &format!("{error}\n")),
         }
     }
+}
 
-    fn entry_status(&self) -> EntryStatus {
-        let state = &self.state;
-        let in_force = state.in_force.get();
-        let mut services = Vec::new();
-        let now = state.clock.now();
-        state.shards.for_each(|service, targets| {
-            services.push(service_status(service, targets, now));
-        });
-        EntryStatus {
-            entry: state.identity.entry.clone(),
-            incarnation: state.identity.incarnation,
-            data_centre: state.identity.data_centre.clone(),
-            environment: state.identity.environment.clone(),
-            stage: state.lifecycle.stage(),
-            not_ready_because: state.not_ready_because(),
-            document_version: in_force.as_ref().map(|in_force| in_force.row.version),
-            document_digest: in_force
-                .as_ref()
-                .map(|in_force| in_force.row.digest.clone()),
-            in_flight_requests: state.metrics.in_flight.get(),
-            is_platform_reached: state.is_platform_reached(),
-            lease: state.lease(),
-            services,
-            members: Vec::new(),
-        }
+/// Returns the status of an entry.
+pub(super) fn entry_status<C, P, T>(state: &EntryState<C, P, T>) -> EntryStatus
+where
+    C: Clock,
+    P: Platform,
+    T: Targets,
+{
+    let in_force = state.in_force.get();
+    let mut services = Vec::new();
+    let now = state.clock.now();
+    state.shards.for_each(|service, targets| {
+        services.push(service_status(service, targets, now));
+    });
+    EntryStatus {
+        entry: state.identity.entry.clone(),
+        incarnation: state.identity.incarnation,
+        data_centre: state.identity.data_centre.clone(),
+        environment: state.identity.environment.clone(),
+        stage: state.lifecycle.stage(),
+        not_ready_because: state.not_ready_because(),
+        document_version: in_force.as_ref().map(|in_force| in_force.row.version),
+        document_digest: in_force
+            .as_ref()
+            .map(|in_force| in_force.row.digest.clone()),
+        in_flight_requests: state.metrics.in_flight.get(),
+        is_platform_reached: state.is_platform_reached(),
+        lease: state.lease(),
+        services,
+        members: member_statuses(state),
     }
 }
 
+fn member_statuses<C, P, T>(state: &EntryState<C, P, T>) -> Vec<MemberStatus>
+where
+    C: Clock,
+    P: Platform,
+    T: Targets,
+{
+    let now = state.clock.now();
+    let exchange = state.exchange();
+    let status = |member: &Member| {
+        let identity = &member.identity;
+        let record = exchange.record(&identity.entry);
+        MemberStatus {
+            entry: identity.entry.clone(),
+            data_centre: identity.data_centre.clone(),
+            state: member.state.to_string(),
+            silence_ms: member.silence(now).as_millis() as u64,
+            document_version: record.and_then(|record| record.in_force),
+        }
+    };
+    exchange.membership().members().map(status).collect()
+}
+
 fn service_status(service: &ServiceId, targets: &ServiceTargets, now: Instant) -> ServiceStatus {
     let gate = &targets.gate;
     let group_status = |group| group_status(group, gate, now);
--- a/lib/src/process/entry/poll.rs
+++ b/lib/src/process/entry/poll.rs
@@ -8,6 +8,7 @@
 use super::state::EntryState;
 use super::state::Platform;
 use crate::clock::Clock;
+use crate::ids::HostId;
 use crate::platform::ListedHost;
 use crate::platform::PlatformError;
 use crate::platform::Row;
@@ -105,7 +106,9 @@
     }
 }
 
-/// Asks the hosts for their reports until the task is dropped.
+/// Asks hosts for their reports until the task is dropped.
+///
+/// Each host is this entry's to poll, or no peer has told of it lately.
 pub async fn follow_reports<C, P, T>(state: Arc<EntryState<C, P, T>>)
 where
     C: Clock,
@@ -116,13 +119,29 @@
     loop {
         ticks.tick().await;
         let mut polls = JoinSet::new();
-        for host in state.shards.listed_hosts() {
+        for host in polled_hosts(&state) {
             polls.spawn(poll_host(Arc::clone(&state), host));
         }
         while polls.join_next().await.is_some() {}
     }
 }
 
+fn polled_hosts<C, P, T>(state: &EntryState<C, P, T>) -> Vec<ListedHost>
+where
+    C: Clock,
+    P: Platform,
+    T: Targets,
+{
+    let mut listed = state.shards.listed_hosts();
+    let names: Vec<HostId> = listed.iter().map(|listed| listed.host.clone()).collect();
+    let mut exchange = state.exchange();
+    let polled = exchange.polled_hosts(&names, state.clock.now());
+    let polled: Vec<HostId> = polled.into_iter().cloned().collect();
+    exchange.retain_reports(&polled);
+    listed.retain(|listed| polled.contains(&listed.host));
+    listed
+}
+
 async fn poll_host<C, P, T>(state: Arc<EntryState<C, P, T>>, host: ListedHost)
 where
     C: Clock,
@@ -136,6 +155,7 @@
     let age = now.saturating_duration_since(asked_at);
     match report {
         Ok(report) if report.host == host.host => {
+            state.exchange().set_report(&report, asked_at);
             state
                 .shards
                 .on_report(report, age, ReportSource::Direct, now);
--- a/lib/src/process/entry/run.rs
+++ b/lib/src/process/entry/run.rs
@@ -14,6 +14,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::configuration::follow_head;
+use super::exchange::EntryExchange;
 use super::operators::OperatorHandler;
 use super::peers::EntryPeers;
 use super::placement::follow_placement;
@@ -23,6 +24,8 @@
 use super::state::EntryState;
 use super::state::Platform;
 use crate::clock::Clock;
+use crate::connection::peer::PeerSettings;
+use crate::connection::peer::server::serve_peers;
 use crate::connection::server::ServerSettings;
 use crate::connection::server::serve;
 use crate::process::lifecycle::Stage;
@@ -61,7 +64,7 @@
 
 /// Runs an entry until it is told to end and its requests are done.
 pub async fn run_entry<C, P, T>(
-    settings: EntrySettings,
+    mut settings: EntrySettings,
     clock: C,
     platform: P,
     targets: T,
@@ -75,6 +78,8 @@
     let listen = settings.listen;
     let caller_listener = bind(listen.callers).await?;
     let operator_listener = bind(listen.operators).await?;
+    let peer_listener = bind(listen.peers).await?;
+    settings.listen.peers = bound_address(&peer_listener, listen.peers)?;
     let (state, claim_task) = EntryState::new(settings, clock, platform, targets)?;
     let state = Arc::new(state);
 
@@ -82,6 +87,15 @@
     let (peer_events, heard) = mpsc::channel(PEER_EVENT_BUFFER);
     let peers = EntryPeers::default();
     background.spawn(follow_head(Arc::clone(&state), peers.clone(), heard));
+    let (exchange, peer_calls) = EntryExchange::new(Arc::clone(&state), peers, peer_events);
+    background.spawn(exchange.clone().run(peer_calls));
+    background.spawn(serve_peers(
+        peer_listener,
+        exchange.clone(),
+        PeerSettings::default(),
+        exchange.meter(),
+        CancellationToken::new(),
+    ));
     background.spawn(claim_task.run());
     background.spawn(follow_lists(Arc::clone(&state)));
     background.spawn(follow_capacity(Arc::clone(&state)));
@@ -111,8 +125,8 @@
         () = drained => log::info!("all requests are done"),
         () = shutdown.quick.cancelled() => log::warn!("ended at once; requests were cut off"),
     }
+    exchange.leave().await;
     background.shutdown().await;
-    drop(peer_events);
     Ok(())
 }
 
@@ -159,6 +173,11 @@
     duration.as_millis() as u64
 }
 
+fn bound_address(listener: &TcpListener, address: SocketAddr) -> Result<SocketAddr, EntryError> {
+    let bound = listener.local_addr();
+    bound.map_err(|source| EntryError::Listen { address, source })
+}
+
 async fn bind(address: SocketAddr) -> Result<TcpListener, EntryError> {
     let bound = TcpListener::bind(address).await;
     bound.map_err(|source| EntryError::Listen { address, source })
--- a/lib/src/process/entry/state.rs
+++ b/lib/src/process/entry/state.rs
@@ -13,12 +13,15 @@
 use crate::platform::HostList;
 use crate::platform::ObjectStore;
 use crate::platform::Table;
+use crate::process::exchange::ExchangeSettings;
+use crate::process::exchange::StateExchange;
 use crate::process::identity::EntryIdentity;
 use crate::process::identity::incarnation_from;
 use crate::process::in_force::InForceCell;
 use crate::process::lifecycle::Lifecycle;
 use crate::process::limits::AccountLimits;
 use crate::process::limits::LimitSettings;
+use crate::process::membership::member::MemberIdentity;
 use crate::process::metrics::Metrics;
 use crate::process::services::ServiceShards;
 use crate::process::settings::EntrySettings;
@@ -67,6 +70,7 @@
     /// Non-idempotent work in flight, which goes on when its callers go away.
     pub keyed_work: TaskTracker,
     limits: Mutex<AccountLimits>,
+    exchange: Mutex<StateExchange>,
     head_readiness: Mutex<Option<HeadReadiness>>,
     lease: Mutex<Option<LeaseStatus>>,
     is_platform_reached: AtomicBool,
@@ -98,6 +102,17 @@
             LimitSettings::default(),
             clock.now(),
         );
+        let member = MemberIdentity {
+            entry: identity.entry.clone(),
+            incarnation: identity.incarnation,
+            data_centre: identity.data_centre.clone(),
+            address: settings.listen.peers,
+        };
+        let exchange_settings = ExchangeSettings {
+            seeds: settings.peers.seeds.clone(),
+            ..ExchangeSettings::default()
+        };
+        let exchange = StateExchange::new(member, exchange_settings, clock.now());
         let owner = ClaimOwner {
             environment: identity.environment.clone(),
             entry: identity.entry.clone(),
@@ -109,6 +124,7 @@
             claims,
             keyed_work: TaskTracker::new(),
             limits: Mutex::new(limits),
+            exchange: Mutex::new(exchange),
             head_readiness: Mutex::default(),
             lease: Mutex::default(),
             clock,
@@ -131,6 +147,11 @@
         self.limits.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the state exchange with the other entries, locked.
+    pub fn exchange(&self) -> MutexGuard<'_, StateExchange> {
+        self.exchange.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Records the placement lease as this entry last saw it.
     pub fn show_lease(&self, status: Option<LeaseStatus>) {
         *self.lease.lock().unwrap_or_else(PoisonError::into_inner) = status;
--- a/lib/src/process/exchange/own.rs
+++ b/lib/src/process/exchange/own.rs
@@ -32,11 +32,14 @@
         self.own.loads.set(host, load, version);
     }
 
-    /// Withdraws the report of a host that this entry no longer polls.
-    pub fn drop_report(&mut self, host: &HostId) {
-        let version = self.own.next_version();
-        self.own.hosts.drop_value(host, version);
-        self.own.loads.drop_value(host, version);
+    /// Withdraws the reports of all hosts but those that this entry still polls.
+    pub fn retain_reports(&mut self, polled: &[HostId]) {
+        let told: Vec<HostId> = self.own.hosts.entries().map(|e| e.key.clone()).collect();
+        for host in told.iter().filter(|host| !polled.contains(host)) {
+            let version = self.own.next_version();
+            self.own.hosts.drop_value(host, version);
+            self.own.loads.drop_value(host, version);
+        }
     }
 
     /// Publishes how many requests this entry sent to a target and how many of them ended.
--- a/lib/src/process/exchange/value.rs
+++ b/lib/src/process/exchange/value.rs
@@ -251,6 +251,8 @@
     pub spare_requests: LogLevel,
     /// The wait of a new request, in milliseconds.
     pub queue_wait_ms: LogLevel,
+    /// The requests that end in a second.
+    pub finish_rate: RateLevel,
 }
 
 /// A service in another data centre.
--- a/lib/src/process/status.rs
+++ b/lib/src/process/status.rs
@@ -111,7 +111,7 @@
     pub entry: EntryId,
     /// Its data centre.
     pub data_centre: DataCentreId,
-    /// What this entry takes it for: `alive`, `suspect`, `gone` or `left`.
+    /// What this entry takes it for: `alive`, `suspect`, `removed` or `left`.
     pub state: String,
     /// The time since it was last heard, in milliseconds.
     pub silence_ms: u64,
--- a/lib/tests/test_exchange.rs
+++ b/lib/tests/test_exchange.rs
@@ -8,6 +8,7 @@
 use beryltray_lib::ids::digest_of;
 use beryltray_lib::process::exchange::value::LogLevel;
 use beryltray_lib::process::exchange::value::QuantisedSummary;
+use beryltray_lib::process::exchange::value::RateLevel;
 use beryltray_lib::process::limits::AccountLimits;
 use beryltray_lib::process::limits::LimitSettings;
 use beryltray_lib::request::target_load::SendTotals;
@@ -226,6 +227,7 @@
         serving_targets,
         spare_requests: LogLevel::nearest(40.0),
         queue_wait_ms: LogLevel::nearest(20.0),
+        finish_rate: RateLevel::nearest(12.0),
     };
     for index in 0..3 {
         mesh.exchange(index).set_summary(&service, summary);
