--- a/cli/src/commands/experiment/exchange/interest.rs
+++ b/cli/src/commands/experiment/exchange/interest.rs
@@ -277,7 +277,7 @@
             serving_targets: 20,
             spare_requests: spare as u32,
             queue_wait: Duration::ZERO,
-            finish_rate: RequestRate(0.0),
+            finish_rate: RequestRate(CAPACITY_REQUESTS / REQUEST_TIME_S),
         };
         let reader = &mut centres[reader];
         reader.spill.on_summary(summary, now);
