experiment: measure placement over generated failures beside two plain baselines

beryltray experiment placement drives the daemon's placement machine over a fleet in memory: deaths, restarts with and without notice, pauses, a cut domain and platform outages, at today's size and at a data centre of the target's. It prints first-fit without spares, one spare a domain, ours, and ours without one part each, with missing groups, the worst run, placed groups that are down, stranded hosts and loads.

A cut host no longer counts as serving.

--- a/cli/src/commands/experiment/mod.rs
+++ b/cli/src/commands/experiment/mod.rs
@@ -3,6 +3,8 @@
 //! The experiments drive the library's own machines on a clock that the event loop moves.
 
 mod engine;
+mod placement;
+mod placement_trace;
 mod report;
 mod routing;
 mod routing_entry;
@@ -19,6 +21,8 @@
 /// Which policy to measure.
 #[derive(Clone, Debug, Subcommand)]
 pub(crate) enum ExperimentCommand {
+    /// The placement of groups: group downtime and stranded hosts over generated failures.
+    Placement(ExperimentArgs),
     /// The choice of targets: time to first token, cache hits and late answers.
     Routing(ExperimentArgs),
 }
@@ -38,6 +42,7 @@
     /// Runs the experiment and prints its report.
     pub(crate) fn run(&self) -> ExitCode {
         let (args, measure): (&ExperimentArgs, fn(u64) -> Report) = match self {
+            Self::Placement(args) => (args, placement::measure),
             Self::Routing(args) => (args, routing::measure),
         };
         println!("{}", measure(args.seed).render(args.format));
--- /dev/null
+++ b/cli/src/commands/experiment/placement_trace.rs
@@ -0,0 +1,183 @@
+//! Generated failures of one data centre's hosts.
+
+use std::time::Duration;
+
+use beryltray_lib::ids::FabricDomainId;
+use beryltray_lib::ids::HostId;
+use beryltray_lib::platform::ListedState;
+use beryltray_stand_ins::fleet::Fleet;
+
+use super::simulation::Random;
+
+const DAY: Duration = Duration::from_secs(24 * 3600);
+/// Hosts that fail for hours, out of 2,450 on an ordinary day.
+const FAILURES_PER_HOST_DAY: f64 = 26.0 / 2450.0;
+/// Hosts that are restarted or replaced, out of 2,450 on an ordinary day.
+const RESTARTS_PER_HOST_DAY: f64 = 120.0 / 2450.0;
+/// Hosts that fall silent for less than a minute and go on as if nothing had happened.
+const PAUSES_PER_HOST_DAY: f64 = 0.02;
+/// How long before a restart its host is marked as leaving.
+const LEAVING_NOTICE: Duration = Duration::from_secs(60);
+const RESTART_MEAN: Duration = Duration::from_secs(300);
+const REPAIR_MEAN: Duration = Duration::from_secs(6 * 3600);
+const PAUSE_MEAN: Duration = Duration::from_secs(12);
+const DARK_TIME: Duration = Duration::from_secs(1800);
+const OUTAGE_TIME: Duration = Duration::from_secs(1800);
+
+/// What happens to the fleet.
+#[derive(Clone, Debug)]
+pub(super) enum Event {
+    /// A host is marked as leaving.
+    Leaving(HostId),
+    /// A host stops.
+    Kill(HostId),
+    /// A host starts with nothing in memory.
+    Restart(HostId),
+    /// A host is no longer heard.
+    Mute(HostId),
+    /// A host is heard again.
+    Unmute(HostId),
+    /// The switch of a domain fails: its hosts run on, and nobody hears them.
+    Cut(FabricDomainId),
+    /// The switch works again.
+    Join(FabricDomainId),
+    /// The table can't be reached.
+    OutageStart,
+    /// The table can be reached again.
+    OutageEnd,
+}
+
+/// How much fails.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Rates {
+    /// The length of the trace, in days.
+    pub(super) days: u32,
+    /// The multiple of an ordinary day's failures.
+    pub(super) multiple: f64,
+    /// The number of domains that go dark.
+    pub(super) dark_domains: usize,
+    /// The number of platform outages of half an hour.
+    pub(super) outages: usize,
+}
+
+impl Rates {
+    /// Returns the length of the trace.
+    pub(super) fn length(&self) -> Duration {
+        DAY * self.days
+    }
+}
+
+/// Events and their times from the start, in order.
+pub(super) type Trace = Vec<(Duration, Event)>;
+
+/// Generates the failures of a fleet.
+pub(super) fn generate(fleet: &Fleet, rates: &Rates, seed: u64) -> Trace {
+    let mut random = Random::new(seed);
+    let mut trace = Trace::new();
+    for host in fleet.hosts() {
+        failures(&mut trace, host.name(), rates, &mut random);
+        restarts(&mut trace, host.name(), rates, &mut random);
+        pauses(&mut trace, host.name(), rates, &mut random);
+    }
+    for _ in 0..rates.dark_domains {
+        let host = &fleet.hosts()[random.below(fleet.hosts().len())];
+        let domain = host.listed.domain.clone();
+        let at = rates.length().mul_f64(random.fraction());
+        trace.push((at, Event::Cut(domain.clone())));
+        trace.push((at + DARK_TIME, Event::Join(domain)));
+    }
+    for outage in 0..rates.outages {
+        let share = (outage as f64 + random.fraction() / 2.0) / rates.outages as f64;
+        let at = rates.length().mul_f64(share);
+        trace.push((at, Event::OutageStart));
+        trace.push((at + OUTAGE_TIME, Event::OutageEnd));
+    }
+    trace.sort_by_key(|(at, _)| *at);
+    trace
+}
+
+fn times(per_day: f64, rates: &Rates, random: &mut Random) -> Vec<Duration> {
+    let rate_per_s = per_day * rates.multiple / DAY.as_secs_f64();
+    let mut times = Vec::new();
+    let mut at = random.gap(rate_per_s);
+    while at < rates.length() {
+        times.push(at);
+        at += random.gap(rate_per_s);
+    }
+    times
+}
+
+fn lasting(mean: Duration, random: &mut Random) -> Duration {
+    Duration::from_secs_f64(random.exponential(mean.as_secs_f64()).max(1.0))
+}
+
+fn failures(trace: &mut Trace, host: &HostId, rates: &Rates, random: &mut Random) {
+    for at in times(FAILURES_PER_HOST_DAY, rates, random) {
+        trace.push((at, Event::Kill(host.clone())));
+        let end = at + lasting(REPAIR_MEAN, random);
+        trace.push((end, Event::Restart(host.clone())));
+    }
+}
+
+/// Half of the restarts are announced.
+fn restarts(trace: &mut Trace, host: &HostId, rates: &Rates, random: &mut Random) {
+    for at in times(RESTARTS_PER_HOST_DAY, rates, random) {
+        if random.below(2) == 0 {
+            trace.push((at, Event::Leaving(host.clone())));
+        }
+        let at = at + LEAVING_NOTICE;
+        trace.push((at, Event::Kill(host.clone())));
+        let end = at + lasting(RESTART_MEAN, random);
+        trace.push((end, Event::Restart(host.clone())));
+    }
+}
+
+fn pauses(trace: &mut Trace, host: &HostId, rates: &Rates, random: &mut Random) {
+    for at in times(PAUSES_PER_HOST_DAY, rates, random) {
+        trace.push((at, Event::Mute(host.clone())));
+        let end = at + lasting(PAUSE_MEAN, random);
+        trace.push((end, Event::Unmute(host.clone())));
+    }
+}
+
+/// Lets an event happen to the fleet.
+pub(super) fn apply(fleet: &mut Fleet, event: &Event) {
+    match event {
+        Event::Leaving(host) => {
+            if let Some(host) = fleet.host_mut(host).filter(|host| host.is_up()) {
+                host.is_leaving = true;
+                host.listed.state = ListedState::Leaving;
+            }
+        }
+        Event::Kill(host) => {
+            if let Some(host) = fleet.host_mut(host) {
+                host.kill();
+            }
+        }
+        Event::Restart(host) => {
+            if let Some(host) = fleet.host_mut(host).filter(|host| !host.is_up()) {
+                host.restart();
+            }
+        }
+        Event::Mute(host) => set_muted(fleet, host, true),
+        Event::Unmute(host) => set_muted(fleet, host, false),
+        Event::Cut(domain) => set_domain_muted(fleet, domain, true),
+        Event::Join(domain) => set_domain_muted(fleet, domain, false),
+        Event::OutageStart | Event::OutageEnd => {}
+    }
+}
+
+fn set_muted(fleet: &mut Fleet, host: &HostId, is_muted: bool) {
+    if let Some(host) = fleet.host_mut(host) {
+        host.is_muted = is_muted;
+    }
+}
+
+fn set_domain_muted(fleet: &mut Fleet, domain: &FabricDomainId, is_muted: bool) {
+    let hosts = fleet.hosts().iter();
+    let members = hosts.filter(|host| &host.listed.domain == domain);
+    let members: Vec<HostId> = members.map(|host| host.name().clone()).collect();
+    for host in members {
+        set_muted(fleet, &host, is_muted);
+    }
+}
--- a/stand-ins/src/fleet/host.rs
+++ b/stand-ins/src/fleet/host.rs
@@ -10,6 +10,7 @@
 use beryltray_lib::ids::Incarnation;
 use beryltray_lib::ids::WeightsId;
 use beryltray_lib::platform::ListedHost;
+use beryltray_lib::platform::ListedState;
 use beryltray_lib::target::wire::GroupMembership;
 use beryltray_lib::target::wire::HostReport;
 use beryltray_lib::target::wire::LoadReport;
@@ -98,6 +99,7 @@
     pub fn restart(&mut self) {
         self.is_up = true;
         self.is_leaving = false;
+        self.listed.state = ListedState::Live;
         self.incarnation = self.incarnation.next();
         self.joined = None;
         self.loaded = None;
@@ -116,7 +118,8 @@
         let is_placed = joined.is_some_and(|joined| {
             &joined.group == group && joined.generation == generation && joined.rank == rank
         });
-        is_placed && self.is_up && !self.is_leaving && self.is_ready()
+        let is_reached = self.is_up && !self.is_muted;
+        is_placed && is_reached && !self.is_leaving && self.is_ready()
     }
 
     /// Returns the generation of `group` that the host is in, if it runs and is in the group.
--- a/stand-ins/src/fleet/mod.rs
+++ b/stand-ins/src/fleet/mod.rs
@@ -74,6 +74,8 @@
     settings: FleetSettings,
     hosts: Vec<FleetHost>,
     table: TableState,
+    groups: SortedVec<Versioned<GroupRow>>,
+    assignments: SortedVec<Versioned<AssignmentRow>>,
     now: Instant,
     epoch: Epoch,
     last_attempt: u64,
@@ -102,6 +104,8 @@
             settings,
             hosts,
             table: TableState::default(),
+            groups: SortedVec::new(),
+            assignments: SortedVec::new(),
             now,
             epoch: Epoch::default(),
             last_attempt: 0,
@@ -164,26 +168,26 @@
 
     /// Returns what placement decides from now.
     pub fn input(&self, document: &Document) -> PlacementInput {
-        let (environment, data_centre) = (&self.settings.environment, &self.settings.data_centre);
-        let groups = self.table.scan(&group_prefix(environment, data_centre));
-        let assignments = self
-            .table
-            .scan(&assignment_prefix(environment, data_centre));
         let views = self.hosts.iter().map(|host| self.view(host));
         PlacementInput {
             document: document.clone(),
             hosts: views.collect(),
-            groups: groups.iter().filter_map(parse::<GroupRow>).collect(),
-            assignments: assignments
-                .iter()
-                .filter_map(parse::<AssignmentRow>)
-                .collect(),
+            groups: self.groups.clone(),
+            assignments: self.assignments.clone(),
         }
     }
 
     /// Carries out a transaction.
     pub fn commit(&mut self, transaction: &Transaction) -> CommitOutcome {
-        self.table.commit(transaction)
+        let outcome = self.table.commit(transaction);
+        let (environment, data_centre) = (&self.settings.environment, &self.settings.data_centre);
+        let groups = self.table.scan(&group_prefix(environment, data_centre));
+        let assignments = self
+            .table
+            .scan(&assignment_prefix(environment, data_centre));
+        self.groups = groups.iter().filter_map(parse).collect();
+        self.assignments = assignments.iter().filter_map(parse).collect();
+        outcome
     }
 
     /// Gives an order to its host.
@@ -205,17 +209,24 @@
 
     /// Returns the groups that have members, as the table has them.
     pub fn groups(&self) -> Vec<GroupRow> {
-        let (environment, data_centre) = (&self.settings.environment, &self.settings.data_centre);
-        let rows = self.table.scan(&group_prefix(environment, data_centre));
-        let rows = rows.iter().filter_map(parse::<GroupRow>);
-        let rows = rows.map(|row| row.value);
-        rows.filter(|row| !row.members.is_empty()).collect()
+        self.live_groups().cloned().collect()
+    }
+
+    /// Returns the number of groups that have members.
+    pub fn placed_groups(&self) -> usize {
+        self.live_groups().count()
     }
 
     /// Returns the number of groups whose members all serve together, by the hosts' own truth.
     pub fn serving_groups(&self) -> usize {
-        let groups = self.groups();
-        groups.iter().filter(|row| self.is_serving(row)).count()
+        self.live_groups()
+            .filter(|row| self.is_serving(row))
+            .count()
+    }
+
+    fn live_groups(&self) -> impl Iterator<Item = &GroupRow> {
+        let rows = self.groups.iter().map(|group| &group.value);
+        rows.filter(|row| !row.members.is_empty())
     }
 
     /// Returns the number of hosts that load weights.
