--- a/cli/src/commands/experiment/mod.rs
+++ b/cli/src/commands/experiment/mod.rs
@@ -6,6 +6,8 @@
 mod engine;
 mod exchange;
 mod limits;
+mod placement;
+mod placement_trace;
 mod report;
 mod retries;
 mod routing;
@@ -32,6 +34,8 @@
     Limits(ExperimentArgs),
     /// Further tries: goodput and amplification through a brown-out and an outage.
     Retries(ExperimentArgs),
+    /// The placement of groups: group downtime and stranded hosts over generated failures.
+    Placement(ExperimentArgs),
     /// The choice of targets: time to first token, cache hits and late answers.
     Routing(ExperimentArgs),
     /// The relay to other data centres while one is short of targets.
@@ -57,6 +61,7 @@
             Self::Admission(args) => (args, admission::measure),
             Self::Limits(args) => (args, limits::measure),
             Self::Retries(args) => (args, retries::measure),
+            Self::Placement(args) => (args, placement::measure),
             Self::Routing(args) => (args, routing::measure),
             Self::Spill(args) => (args, spill::measure),
         };
