--- /dev/null
+++ b/cli/src/commands/experiment/asking.rs
@@ -0,0 +1,24 @@
+//! The request for admission that the experiments with one account share.
+
+use std::time::Instant;
+
+use beryltray_lib::request::admission::AdmissionRequest;
+use beryltray_lib::request::admission::Ticket;
+use beryltray_lib::request::fair_queue::QueueKey;
+use beryltray_lib::version::document::Priority;
+
+use super::routing_entry::id;
+
+/// Returns the request for admission of normal work of the only account.
+pub(super) fn normal_request(number: usize, deadline: Instant) -> Option<AdmissionRequest> {
+    Some(AdmissionRequest {
+        ticket: Ticket(number as u64),
+        key: QueueKey {
+            account: id("account", 0)?,
+            weight: 1,
+            priority: Priority::Normal,
+            cost: 1.0,
+        },
+        deadline,
+    })
+}
--- a/cli/src/commands/experiment/mod.rs
+++ b/cli/src/commands/experiment/mod.rs
@@ -3,10 +3,13 @@
 //! The experiments drive the library's own machines on a clock that the event loop moves.
 
 mod admission;
+mod asking;
 mod engine;
 mod limits;
 mod report;
 mod retries;
+mod retry_model;
+mod retry_policy;
 mod routing;
 mod routing_entry;
 mod simulation;
--- a/cli/src/commands/experiment/retries.rs
+++ b/cli/src/commands/experiment/retries.rs
@@ -6,23 +6,15 @@
 
 use beryltray_lib::clock::Clock as _;
 use beryltray_lib::clock::SystemClock;
-use beryltray_lib::ids::TargetId;
-use beryltray_lib::process::stragglers::Standing;
-use beryltray_lib::process::stragglers::StragglerSettings;
-use beryltray_lib::process::stragglers::Stragglers;
 use beryltray_lib::request::admission::Admission;
 use beryltray_lib::request::admission::AdmissionAction;
-use beryltray_lib::request::admission::AdmissionRequest;
 use beryltray_lib::request::admission::AdmissionSettings;
 use beryltray_lib::request::admission::Ticket;
-use beryltray_lib::request::fair_queue::QueueKey;
 use beryltray_lib::request::retry::RetryBudget;
 use beryltray_lib::request::retry::RetryBudgetSettings;
 use beryltray_lib::request::retry::TryState;
-use beryltray_lib::request::retry::decide_hedge;
-use beryltray_lib::request::retry::decide_retry;
-use beryltray_lib::version::document::Priority;
 
+use super::asking::normal_request;
 use super::engine::Engine;
 use super::engine::EngineModel;
 use super::engine::EngineRequest;
@@ -30,7 +22,15 @@
 use super::report::Report;
 use super::report::Row;
 use super::report::Section;
-use super::routing_entry::id;
+use super::retry_model::Attempt;
+use super::retry_model::Event;
+use super::retry_model::FAULTS;
+use super::retry_model::Fault;
+use super::retry_model::Phase;
+use super::retry_model::Request;
+use super::retry_policy::Groups;
+use super::retry_policy::POLICIES;
+use super::retry_policy::Policy;
 use super::simulation::EventQueue;
 use super::simulation::Random;
 
@@ -38,11 +38,6 @@
 const LOAD: f64 = 0.8;
 const MEAN_TOKENS: f64 = 100.0;
 const DEADLINE: Duration = Duration::from_secs(15);
-const NAIVE_TRIES_MAX: u32 = 4;
-/// The wait for the first token after which a naive caller tries again.
-const NAIVE_TIMEOUT: Duration = Duration::from_secs(3);
-/// The wait for the first token after which a hedge is sent.
-const HEDGE_AFTER: Duration = Duration::from_secs(3);
 const FAULT_FROM: Duration = Duration::from_secs(60);
 const FAULT_UNTIL: Duration = Duration::from_secs(120);
 const RUN: Duration = Duration::from_secs(240);
@@ -57,91 +52,6 @@
     cached_prefixes: 1,
 };
 
-/// What fails between the two moments.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Fault {
-    /// Half of the answers of four groups break off.
-    BrownOut,
-    /// All groups are four times slower.
-    SlowDown,
-    /// All groups refuse every request.
-    Outage,
-}
-
-const FAULTS: [(&str, Fault); 3] = [
-    (
-        "half of the answers of 4 of 16 groups break off",
-        Fault::BrownOut,
-    ),
-    ("all groups 4 times slower", Fault::SlowDown),
-    ("all groups refuse", Fault::Outage),
-];
-
-/// Who tries again, and when.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Policy {
-    Never,
-    Naive,
-    Budget,
-    BudgetAndHedges,
-    BudgetAndEjection,
-}
-
-const POLICIES: [(&str, Policy); 5] = [
-    ("no further tries", Policy::Never),
-    ("naive, up to 4 tries", Policy::Naive),
-    ("budget", Policy::Budget),
-    ("budget and hedges", Policy::BudgetAndHedges),
-    ("budget and ejection", Policy::BudgetAndEjection),
-];
-
-#[derive(Clone, Copy, Debug)]
-enum Event {
-    Arrival,
-    FirstToken {
-        attempt: usize,
-    },
-    Deadline {
-        request: usize,
-    },
-    Ended {
-        attempt: usize,
-        is_whole: bool,
-        holds_place: bool,
-    },
-    Slow {
-        attempt: usize,
-    },
-    FaultBegins,
-    FaultEnds,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Request {
-    tokens: u64,
-    arrived_at: Instant,
-    tries: u32,
-    running_tries: u32,
-    has_first_token: bool,
-    is_done: bool,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Attempt {
-    request: usize,
-    group: usize,
-    first_token_at: Instant,
-    is_over: bool,
-}
-
-/// Counts of one phase of the run.
-#[derive(Clone, Copy, Debug, Default)]
-struct Phase {
-    requests: usize,
-    sends: usize,
-    good: usize,
-}
-
 struct Run {
     policy: Policy,
     fault: Fault,
@@ -152,8 +62,7 @@
     engines: Vec<Engine>,
     budget: RetryBudget,
     admission: Admission,
-    targets: Vec<TargetId>,
-    stragglers: Stragglers,
+    groups: Groups,
     requests: Vec<Request>,
     attempts: Vec<Attempt>,
     phases: [Phase; 3],
@@ -211,8 +120,7 @@
             engines: (0..GROUPS).map(|_| Engine::new(MODEL, start)).collect(),
             budget: RetryBudget::new(RetryBudgetSettings::default(), start),
             admission,
-            targets: (0..GROUPS).filter_map(|index| id("group", index)).collect(),
-            stragglers: Stragglers::new(StragglerSettings::default()),
+            groups: Groups::new(GROUPS, policy),
             requests: Vec::new(),
             attempts: Vec::new(),
             phases: [Phase::default(); 3],
@@ -296,19 +204,9 @@
         }
         self.events
             .push(now + DEADLINE, Event::Deadline { request: number });
-        let Some(account) = id("account", 0) else {
+        let Some(asked) = normal_request(number, now + DEADLINE) else {
             return;
         };
-        let asked = AdmissionRequest {
-            ticket: Ticket(number as u64),
-            key: QueueKey {
-                account,
-                weight: 1,
-                priority: Priority::Normal,
-                cost: 1.0,
-            },
-            deadline: now + DEADLINE,
-        };
         let actions = self.admission.on_request(asked, now);
         self.carry_out(actions, now);
     }
@@ -333,7 +231,9 @@
         if let Some(phase) = self.phase_of(request) {
             phase.sends += 1;
         }
-        let group = self.less_loaded(avoid, now);
+        let group = self
+            .groups
+            .choose(&self.engines, avoid, &mut self.random, now);
         let attempt = self.attempts.len();
         self.attempts.push(Attempt {
             request,
@@ -341,12 +241,7 @@
             first_token_at: now,
             is_over: false,
         });
-        let slow_after = match self.policy {
-            Policy::Naive => Some(NAIVE_TIMEOUT),
-            Policy::BudgetAndHedges => Some(HEDGE_AFTER),
-            Policy::Never | Policy::Budget | Policy::BudgetAndEjection => None,
-        };
-        if let Some(slow_after) = slow_after {
+        if let Some(slow_after) = self.policy.slow_after() {
             self.events.push(now + slow_after, Event::Slow { attempt });
         }
         if self.is_faulty && self.fault == Fault::Outage {
@@ -367,39 +262,6 @@
         self.on_started(started);
     }
 
-    /// Returns the less loaded of two groups; only one policy passes stragglers over.
-    fn less_loaded(&mut self, avoid: Option<usize>, now: Instant) -> usize {
-        if self.policy == Policy::BudgetAndEjection
-            && let Some(probe) = self.due_probe(now)
-        {
-            self.stragglers.on_probe_sent(&self.targets[probe], now);
-            return probe;
-        }
-        let is_open = |group: &usize| {
-            let standing = self.stragglers.standing(&self.targets[*group], now);
-            let is_in_use = standing == Standing::InUse || self.policy != Policy::BudgetAndEjection;
-            Some(*group) != avoid && is_in_use
-        };
-        let open: Vec<usize> = (0..GROUPS).filter(is_open).collect();
-        let first = open[self.random.below(open.len())];
-        let second = open[self.random.below(open.len())];
-        let requests = |group: usize| {
-            let load = self.engines[group].load();
-            load.queued_requests + load.running_requests
-        };
-        if requests(second) < requests(first) {
-            second
-        } else {
-            first
-        }
-    }
-
-    fn due_probe(&self, now: Instant) -> Option<usize> {
-        let is_due =
-            |target: &TargetId| self.stragglers.standing(target, now) == Standing::ProbeDue;
-        self.targets.iter().position(is_due)
-    }
-
     fn on_started(&mut self, started: Option<Started>) {
         let Some(started) = started else {
             return;
@@ -435,7 +297,14 @@
             self.on_started(started);
         }
         self.requests[attempt.request].running_tries -= 1;
-        self.judge(number, is_whole, now);
+        if is_whole {
+            let tokens = self.requests[attempt.request].tokens as f64;
+            let generation = now.duration_since(attempt.first_token_at);
+            self.groups
+                .on_whole(attempt.group, generation.div_f64(tokens), now);
+        } else {
+            self.groups.on_failure(attempt.group, now);
+        }
         if self.requests[attempt.request].is_done {
             return;
         }
@@ -446,19 +315,6 @@
         }
     }
 
-    fn judge(&mut self, number: usize, is_whole: bool, now: Instant) {
-        let attempt = self.attempts[number];
-        let target = &self.targets[attempt.group];
-        if is_whole {
-            let tokens = self.requests[attempt.request].tokens as f64;
-            let generation = now.duration_since(attempt.first_token_at);
-            self.stragglers
-                .on_sample(target, generation.div_f64(tokens), now);
-        } else {
-            self.stragglers.on_failure(target, now);
-        }
-    }
-
     fn on_whole(&mut self, number: usize, now: Instant) {
         let request = self.requests[number];
         if now <= request.arrived_at + DEADLINE
@@ -510,13 +366,7 @@
     fn on_failed(&mut self, number: usize, now: Instant) {
         let attempt = self.attempts[number];
         let state = self.try_state(attempt.request);
-        let tries_again = match self.policy {
-            Policy::Never => false,
-            Policy::Naive => state.tries < NAIVE_TRIES_MAX,
-            Policy::Budget | Policy::BudgetAndHedges | Policy::BudgetAndEjection => {
-                decide_retry(&state, &mut self.budget, now).is_ok()
-            }
-        };
+        let tries_again = self.policy.retries(&state, &mut self.budget, now);
         if tries_again {
             self.send(attempt.request, Some(attempt.group), now);
         } else if self.requests[attempt.request].running_tries == 0 {
@@ -531,11 +381,7 @@
             return;
         }
         let state = self.try_state(attempt.request);
-        let tries_again = match self.policy {
-            Policy::Naive => state.tries < NAIVE_TRIES_MAX,
-            Policy::BudgetAndHedges => decide_hedge(&state, &mut self.budget, now).is_ok(),
-            Policy::Never | Policy::Budget | Policy::BudgetAndEjection => false,
-        };
+        let tries_again = self.policy.hedges(&state, &mut self.budget, now);
         if tries_again {
             self.send(attempt.request, Some(attempt.group), now);
         }
--- /dev/null
+++ b/cli/src/commands/experiment/retry_policy.rs
@@ -0,0 +1,140 @@
+//! Who tries again in the experiment with further tries, and on which group.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use beryltray_lib::ids::TargetId;
+use beryltray_lib::process::stragglers::Standing;
+use beryltray_lib::process::stragglers::StragglerSettings;
+use beryltray_lib::process::stragglers::Stragglers;
+use beryltray_lib::request::retry::RetryBudget;
+use beryltray_lib::request::retry::TryState;
+use beryltray_lib::request::retry::decide_hedge;
+use beryltray_lib::request::retry::decide_retry;
+
+use super::engine::Engine;
+use super::routing_entry::id;
+use super::simulation::Random;
+
+const NAIVE_TRIES_MAX: u32 = 4;
+/// The wait for the first token after which a naive caller tries again.
+const NAIVE_TIMEOUT: Duration = Duration::from_secs(3);
+/// The wait for the first token after which a hedge is sent.
+const HEDGE_AFTER: Duration = Duration::from_secs(3);
+
+/// Who tries again, and when.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Policy {
+    Never,
+    Naive,
+    Budget,
+    BudgetAndHedges,
+    BudgetAndEjection,
+}
+
+/// The policies with their names.
+pub(super) const POLICIES: [(&str, Policy); 5] = [
+    ("no further tries", Policy::Never),
+    ("naive, up to 4 tries", Policy::Naive),
+    ("budget", Policy::Budget),
+    ("budget and hedges", Policy::BudgetAndHedges),
+    ("budget and ejection", Policy::BudgetAndEjection),
+];
+
+impl Policy {
+    /// Returns the wait for the first token after which the policy may send once more.
+    pub(super) fn slow_after(self) -> Option<Duration> {
+        match self {
+            Self::Naive => Some(NAIVE_TIMEOUT),
+            Self::BudgetAndHedges => Some(HEDGE_AFTER),
+            Self::Never | Self::Budget | Self::BudgetAndEjection => None,
+        }
+    }
+
+    /// Returns whether a failed try is followed by another.
+    pub(super) fn retries(self, state: &TryState, budget: &mut RetryBudget, now: Instant) -> bool {
+        match self {
+            Self::Never => false,
+            Self::Naive => state.tries < NAIVE_TRIES_MAX,
+            Self::Budget | Self::BudgetAndHedges | Self::BudgetAndEjection => {
+                decide_retry(state, budget, now).is_ok()
+            }
+        }
+    }
+
+    /// Returns whether a slow try gets another beside it.
+    pub(super) fn hedges(self, state: &TryState, budget: &mut RetryBudget, now: Instant) -> bool {
+        match self {
+            Self::Naive => state.tries < NAIVE_TRIES_MAX,
+            Self::BudgetAndHedges => decide_hedge(state, budget, now).is_ok(),
+            Self::Never | Self::Budget | Self::BudgetAndEjection => false,
+        }
+    }
+}
+
+/// The choice of groups, which passes stragglers over if the policy says so.
+pub(super) struct Groups {
+    has_ejection: bool,
+    targets: Vec<TargetId>,
+    stragglers: Stragglers,
+}
+
+impl Groups {
+    /// Creates the choice among `count` groups.
+    pub(super) fn new(count: usize, policy: Policy) -> Self {
+        Self {
+            has_ejection: policy == Policy::BudgetAndEjection,
+            targets: (0..count).filter_map(|index| id("group", index)).collect(),
+            stragglers: Stragglers::new(StragglerSettings::default()),
+        }
+    }
+
+    /// Returns the less loaded of two groups, or one that is due for a probe.
+    pub(super) fn choose(
+        &mut self,
+        engines: &[Engine],
+        avoid: Option<usize>,
+        random: &mut Random,
+        now: Instant,
+    ) -> usize {
+        if self.has_ejection
+            && let Some(probe) = self.due_probe(now)
+        {
+            self.stragglers.on_probe_sent(&self.targets[probe], now);
+            return probe;
+        }
+        let is_open = |group: &usize| {
+            let standing = self.stragglers.standing(&self.targets[*group], now);
+            Some(*group) != avoid && (standing == Standing::InUse || !self.has_ejection)
+        };
+        let open: Vec<usize> = (0..self.targets.len()).filter(is_open).collect();
+        let first = open[random.below(open.len())];
+        let second = open[random.below(open.len())];
+        let requests = |group: usize| {
+            let load = engines[group].load();
+            load.queued_requests + load.running_requests
+        };
+        if requests(second) < requests(first) {
+            second
+        } else {
+            first
+        }
+    }
+
+    /// Takes in a whole answer of a group.
+    pub(super) fn on_whole(&mut self, group: usize, time_per_token: Duration, now: Instant) {
+        self.stragglers
+            .on_sample(&self.targets[group], time_per_token, now);
+    }
+
+    /// Takes in a failure of a group.
+    pub(super) fn on_failure(&mut self, group: usize, now: Instant) {
+        self.stragglers.on_failure(&self.targets[group], now);
+    }
+
+    fn due_probe(&self, now: Instant) -> Option<usize> {
+        let is_due =
+            |target: &TargetId| self.stragglers.standing(target, now) == Standing::ProbeDue;
+        self.targets.iter().position(is_due)
+    }
+}
--- a/cli/src/commands/experiment/routing.rs
+++ b/cli/src/commands/experiment/routing.rs
@@ -9,25 +9,26 @@
 use beryltray_lib::ids::TargetId;
 use beryltray_lib::request::admission::AdmissionAction;
 use beryltray_lib::request::admission::AdmissionRequest;
-use beryltray_lib::request::admission::Ticket;
-use beryltray_lib::request::fair_queue::QueueKey;
 use beryltray_lib::request::route::FinishedAnswer;
 use beryltray_lib::target::wire::LoadReport;
 use beryltray_lib::units::TokenCount;
-use beryltray_lib::version::document::Priority;
 
+use super::asking::normal_request;
 use super::engine::Engine;
-use super::engine::EngineModel;
 use super::engine::EngineRequest;
 use super::engine::Started;
 use super::report::Report;
 use super::report::Row;
 use super::report::Section;
 use super::routing_entry::Entry;
+use super::routing_entry::GROUPS;
+use super::routing_entry::MEAN_TOKENS;
 use super::routing_entry::POLICIES;
 use super::routing_entry::Policy;
 use super::routing_entry::RouterVariant;
+use super::routing_entry::capacity_per_s;
 use super::routing_entry::id;
+use super::routing_entry::model_of;
 use super::simulation::EventQueue;
 use super::simulation::Random;
 use super::simulation::Samples;
@@ -35,11 +36,7 @@
 /// The runs with successive seeds whose requests are put together.
 const RUNS: u64 = 4;
 const ENTRIES: usize = 8;
-/// The groups of the data centre.
-pub(super) const GROUPS: usize = 16;
-const SMALL_GROUPS: usize = 4;
 const PREFIXES: usize = 400;
-const MEAN_TOKENS: f64 = 150.0;
 const STRAGGLER_SLOWNESS: f64 = 4.0;
 const RUN: Duration = Duration::from_secs(300);
 const WARM_UP: Duration = Duration::from_secs(30);
@@ -51,21 +48,6 @@
 const DEADLINE: Duration = Duration::from_secs(30);
 const LOADS: [f64; 3] = [0.5, 0.9, 1.3];
 
-/// The engines of most groups.
-pub(super) const LARGE: EngineModel = EngineModel {
-    batch_limit_requests: 16,
-    time_per_token: Duration::from_millis(30),
-    prefill_miss: Duration::from_millis(200),
-    prefill_hit: Duration::from_millis(40),
-    cached_prefixes: 32,
-};
-
-const SMALL: EngineModel = EngineModel {
-    batch_limit_requests: 8,
-    time_per_token: Duration::from_millis(40),
-    ..LARGE
-};
-
 #[derive(Clone, Copy, Debug)]
 enum Event {
     Arrival,
@@ -144,22 +126,6 @@
         .with("refused %", percent(measured.refused, measured.arrived))
 }
 
-fn model_of(group: usize) -> EngineModel {
-    if group < SMALL_GROUPS { SMALL } else { LARGE }
-}
-
-/// Returns the requests per second that all groups serve when their batches are full and half of
-/// the prefixes are cached.
-fn capacity_per_s() -> f64 {
-    let rates = (0..GROUPS).map(|group| {
-        let model = model_of(group);
-        let prefill = (model.prefill_hit + model.prefill_miss) / 2;
-        let time = model.full_batch_time(MEAN_TOKENS) + prefill;
-        model.batch_limit_requests as f64 / time.as_secs_f64()
-    });
-    rates.sum()
-}
-
 impl Run {
     fn new(policy: Policy, load: f64, seed: u64, measured: Measured) -> Self {
         let start = SystemClock.now();
@@ -263,16 +229,7 @@
     }
 
     fn admission_request(&self, number: usize) -> Option<AdmissionRequest> {
-        Some(AdmissionRequest {
-            ticket: Ticket(number as u64),
-            key: QueueKey {
-                account: id("account", 0)?,
-                weight: 1,
-                priority: Priority::Normal,
-                cost: 1.0,
-            },
-            deadline: self.requests[number].arrived_at + DEADLINE,
-        })
+        normal_request(number, self.requests[number].arrived_at + DEADLINE)
     }
 
     fn carry_out(&mut self, actions: Vec<AdmissionAction>, now: Instant) {
--- a/cli/src/commands/experiment/routing_entry.rs
+++ b/cli/src/commands/experiment/routing_entry.rs
@@ -14,12 +14,32 @@
 use beryltray_lib::target::wire::LoadReport;
 use beryltray_lib::units::Share;
 
-use super::routing::GROUPS;
-use super::routing::LARGE;
+use super::engine::EngineModel;
 
+/// The groups of the data centre.
+pub(super) const GROUPS: usize = 16;
+/// The groups that are smaller and slower.
+const SMALL_GROUPS: usize = 4;
+/// The mean length of an answer.
+pub(super) const MEAN_TOKENS: f64 = 150.0;
 /// The most requests in flight at a group.
 const IN_FLIGHT_LIMIT_REQUESTS: u32 = 20;
 
+/// The engines of most groups.
+const LARGE: EngineModel = EngineModel {
+    batch_limit_requests: 16,
+    time_per_token: Duration::from_millis(30),
+    prefill_miss: Duration::from_millis(200),
+    prefill_hit: Duration::from_millis(40),
+    cached_prefixes: 32,
+};
+
+const SMALL: EngineModel = EngineModel {
+    batch_limit_requests: 8,
+    time_per_token: Duration::from_millis(40),
+    ..LARGE
+};
+
 /// A way to choose a target.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Policy {
@@ -159,3 +179,20 @@
 {
     format!("{prefix}-{index:02}").parse().ok()
 }
+
+/// Returns what a group's engine can do.
+pub(super) fn model_of(group: usize) -> EngineModel {
+    if group < SMALL_GROUPS { SMALL } else { LARGE }
+}
+
+/// Returns the requests per second that all groups serve when their batches are full and half of
+/// the prefixes are cached.
+pub(super) fn capacity_per_s() -> f64 {
+    let rates = (0..GROUPS).map(|group| {
+        let model = model_of(group);
+        let prefill = (model.prefill_hit + model.prefill_miss) / 2;
+        let time = model.full_batch_time(MEAN_TOKENS) + prefill;
+        model.batch_limit_requests as f64 / time.as_secs_f64()
+    });
+    rates.sum()
+}
--- a/cli/src/commands/experiment/spill.rs
+++ b/cli/src/commands/experiment/spill.rs
@@ -12,13 +12,10 @@
 use beryltray_lib::process::spill::SpillSettings;
 use beryltray_lib::request::admission::Admission;
 use beryltray_lib::request::admission::AdmissionAction;
-use beryltray_lib::request::admission::AdmissionRequest;
 use beryltray_lib::request::admission::AdmissionSettings;
-use beryltray_lib::request::admission::Ticket;
-use beryltray_lib::request::fair_queue::QueueKey;
 use beryltray_lib::units::RequestRate;
-use beryltray_lib::version::document::Priority;
 
+use super::asking::normal_request;
 use super::report::Report;
 use super::report::Row;
 use super::report::Section;
@@ -274,19 +271,9 @@
 
     fn ask(&mut self, number: usize, now: Instant) {
         let request = &self.requests[number];
-        let Some(account) = id("account", 0) else {
+        let Some(asked) = normal_request(number, request.arrived_at + DEADLINE) else {
             return;
         };
-        let asked = AdmissionRequest {
-            ticket: Ticket(number as u64),
-            key: QueueKey {
-                account,
-                weight: 1,
-                priority: Priority::Normal,
-                cost: 1.0,
-            },
-            deadline: request.arrived_at + DEADLINE,
-        };
         let actions = self.entries[request.site].admission.on_request(asked, now);
         self.carry_out(actions, now);
     }
--- a/cli/tests/runner.rs
+++ b/cli/tests/runner.rs
@@ -1,5 +1,6 @@
 //! Runner of the integration tests.
 mod test_check_history_command;
 mod test_config_command;
+mod test_experiment_command;
 mod test_load_command;
 mod test_stand_in_command;
