--- a/cli/src/commands/experiment/mod.rs
+++ b/cli/src/commands/experiment/mod.rs
@@ -5,6 +5,7 @@
 mod admission;
 mod asking;
 mod engine;
+mod exchange;
 mod limits;
 mod report;
 mod retries;
@@ -26,6 +27,8 @@
 /// Which policy to measure.
 #[derive(Clone, Debug, Subcommand)]
 pub(crate) enum ExperimentCommand {
+    /// The state exchange between entries: bytes, processor time and memory of a node.
+    Exchange(ExperimentArgs),
     /// The admission at one entry: shares of accounts and wait by class.
     Admission(ExperimentArgs),
     /// The accounts' limits across entries: what is admitted above and below them.
@@ -53,6 +56,7 @@
     /// Runs the experiment and prints its report.
     pub(crate) fn run(&self) -> ExitCode {
         let (args, measure): (&ExperimentArgs, fn(u64) -> Report) = match self {
+            Self::Exchange(args) => (args, exchange::measure),
             Self::Admission(args) => (args, admission::measure),
             Self::Limits(args) => (args, limits::measure),
             Self::Retries(args) => (args, retries::measure),
--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -30,11 +30,11 @@
     Demo(demo::DemoArgs),
     /// Runs an entry: the daemon that answers callers and routes their requests.
     Entry(entry::EntryArgs),
-    /// Sends requests at a given rate and counts what becomes of them.
-    Load(load::LoadArgs),
     /// Measures a policy beside its plain baselines.
     #[command(subcommand)]
     Experiment(experiment::ExperimentCommand),
+    /// Sends requests at a given rate and counts what becomes of them.
+    Load(load::LoadArgs),
     /// Runs a small stand-in for an outer service, for trials and tests.
     #[command(subcommand)]
     StandIn(stand_in::StandInCommand),
@@ -79,8 +79,8 @@
             Self::CheckHistory(args) => Ok(args.run()?),
             Self::Demo(args) => Ok(args.run().await?),
             Self::Entry(args) => Ok(args.run().await?),
-            Self::Load(args) => Ok(args.run().await?),
             Self::Experiment(command) => Ok(command.run()),
+            Self::Load(args) => Ok(args.run().await?),
             Self::StandIn(command) => Ok(command.run().await?),
             Self::Status(args) => Ok(args.run().await?),
         }
