request: service time from the admission, failures told to the router, echoes always taken in

Found by reading how the daemon drives the machines: - the service time counted from the arrival, so the wait in the queue lengthened the next estimates of the wait; it now counts from the admission; - a plain service's expected time came from the assumed length of a model's answer, 8 s, so with a deadline of 5 s its idempotent work was never tried again; it is now the mean service time; - a plain service's successes earned no retry budget, and its whole answers told the router nothing; - failures reached the router as if the request had been given up on, so none ejected a target; - a limit message that is not newer was ignored with its echo, which may have come on, so a grant could stay reserved until the peer's next change.

--- a/lib/src/process/admitter.rs
+++ b/lib/src/process/admitter.rs
@@ -106,6 +106,11 @@
         self.machine.queued_requests()
     }
 
+    /// Returns the time that a request takes at a target, as a moving mean.
+    pub fn mean_service_time(&self) -> Duration {
+        self.machine.mean_service_time()
+    }
+
     /// Returns the wait that a new request of ordinary priority would have.
     pub fn estimated_wait(&self) -> Duration {
         self.machine.estimated_wait()
--- a/lib/src/process/limits.rs
+++ b/lib/src/process/limits.rs
@@ -219,8 +219,10 @@
         }
     }
 
-    /// Takes in a peer's message; one that is older than the last is ignored.
+    /// Takes in a peer's message; of one that is not newer than the last only the echo counts,
+    /// which may have come on since and is never taken back.
     pub fn on_message(&mut self, peer: &EntryId, message: &LimitMessage, now: Instant) {
+        self.on_echo(peer, message, now);
         let number = (message.incarnation, message.sequence);
         let last = self.echoes.get(peer);
         if last.is_some_and(|last| (last.incarnation, last.sequence) >= number) {
@@ -231,17 +233,23 @@
             incarnation: message.incarnation,
             sequence: message.sequence,
         });
-        let echo = message.echoes.get(&self.own);
-        let echo = echo.filter(|echo| echo.incarnation == self.incarnation);
         for limit in self.limits.iter_mut() {
             let share = message.accounts.get(&limit.account).map(|a| &a.share);
             let demand_per_s = share.map_or(0.0, |share| share.demand_per_s);
             let grant = share.and_then(|share| share.grants.get(&self.own));
             let grant_per_s = grant.map_or(0.0, |grant| grant.rate_per_s);
             limit.shares.on_heard(peer, demand_per_s, grant_per_s, now);
-            if let Some(echo) = echo {
-                limit.shares.on_echo(peer, echo.sequence);
-            }
+            limit.apply(now);
+        }
+    }
+
+    fn on_echo(&mut self, peer: &EntryId, message: &LimitMessage, now: Instant) {
+        let echo = message.echoes.get(&self.own);
+        let Some(echo) = echo.filter(|echo| echo.incarnation == self.incarnation) else {
+            return;
+        };
+        for limit in self.limits.iter_mut() {
+            limit.shares.on_echo(peer, echo.sequence);
             limit.apply(now);
         }
     }
--- a/lib/src/process/services.rs
+++ b/lib/src/process/services.rs
@@ -324,6 +324,13 @@
         }
     }
 
+    /// Takes in that an attempt failed through the target's fault.
+    pub fn on_failed(&self, service: &ServiceId, target: &TargetId, now: Instant) {
+        if let Some(shard) = self.shard(service) {
+            lock(&shard.targets).router.on_failed(target, now);
+        }
+    }
+
     /// Asks for a place among the requests in flight; `None` without such a service.
     pub fn request_admission(
         &self,
@@ -366,7 +373,7 @@
     pub fn expected_time(&self, service: &ServiceId) -> Duration {
         let shard = self.shard(service);
         shard.map_or(Duration::ZERO, |shard| {
-            lock(&shard.targets).router.mean_answer_time()
+            lock(&shard.targets).admitter.mean_service_time()
         })
     }
 
--- a/lib/src/process/stragglers.rs
+++ b/lib/src/process/stragglers.rs
@@ -163,6 +163,18 @@
         self.judge(target, verdict, slow_ms, now);
     }
 
+    /// Takes in a whole answer that tells nothing of the time per token.
+    pub fn on_success(&mut self, target: &TargetId, now: Instant) {
+        let pace = self.pace_mut(target);
+        pace.on_answer(0.0);
+        let verdict = Verdict {
+            sample_ms: pace.mean_ms,
+            is_bad: false,
+        };
+        let slow_ms = self.settings.slowness_ratio * self.median_ms();
+        self.judge(target, verdict, slow_ms, now);
+    }
+
     /// Takes in that an answer broke off, or never began, through the target's fault.
     pub fn on_failure(&mut self, target: &TargetId, now: Instant) {
         let pace = self.pace_mut(target);
--- a/lib/src/request/admission.rs
+++ b/lib/src/request/admission.rs
@@ -233,6 +233,11 @@
         self.wait_behind(self.queue.len() as f64)
     }
 
+    /// Returns the time that a request takes at a target, as a moving mean.
+    pub fn mean_service_time(&self) -> Duration {
+        self.mean_service_time
+    }
+
     /// Returns the number of waiting requests.
     pub fn queued_requests(&self) -> usize {
         self.queue.len()
--- a/lib/src/request/attempt.rs
+++ b/lib/src/request/attempt.rs
@@ -80,6 +80,16 @@
         }
     }
 
+    /// Returns whether the failure speaks against the target, so that it counts in its ejection.
+    pub fn is_target_fault(&self) -> bool {
+        match self {
+            Self::NotSent { .. } | Self::Silent => true,
+            Self::GateClosed | Self::Refused { .. } => false,
+            Self::Failed { answer, is_refusal } => !is_refusal && answer.status >= 500,
+            Self::Unknown { reason } => *reason != UnknownReason::DeadlinePassed,
+        }
+    }
+
     /// Returns the failure's word in metrics.
     pub fn word(&self) -> &'static str {
         match self {
--- a/lib/src/request/dispatch.rs
+++ b/lib/src/request/dispatch.rs
@@ -333,7 +333,11 @@
     let service = &context.request.service;
     let now = state.clock.now();
     let target = &target.choice.target;
-    state.shards.on_finished(service, target, None, now);
+    if failure.is_target_fault() {
+        state.shards.on_failed(service, target, now);
+    } else {
+        state.shards.on_finished(service, target, None, now);
+    }
     state.metrics.count_attempt(service, failure.word());
     log::debug!(
         request:% = context.request.id, target:% = target;
--- a/lib/src/request/handler.rs
+++ b/lib/src/request/handler.rs
@@ -182,8 +182,7 @@
         permit: AdmissionPermit<C>,
         answer: WholeAnswer,
     ) -> Response<ResponseBody> {
-        let now = self.state.clock.now();
-        permit.finish(now.saturating_duration_since(context.received_at));
+        permit.finish();
         self.note_outcome(context, &Outcome::Complete);
         whole_answer(&context.request.id, &Outcome::Complete, answer)
     }
@@ -297,8 +296,7 @@
                 if sender.send(end_event()).await.is_ok() {
                     sender.finish();
                 }
-                let now = self.state.clock.now();
-                permit.finish(now.saturating_duration_since(context.received_at));
+                permit.finish();
                 stream.finish(&self.state, &context, true).await;
                 self.note_outcome(&context, &Outcome::Complete);
             }
--- a/lib/src/request/permit.rs
+++ b/lib/src/request/permit.rs
@@ -1,6 +1,7 @@
 //! The place of one request among those that its service has in flight.
 
 use std::time::Duration;
+use std::time::Instant;
 
 use tokio::sync::oneshot;
 
@@ -26,7 +27,7 @@
     service: ServiceId,
     ticket: Ticket,
     verdict: Option<oneshot::Receiver<AdmissionVerdict>>,
-    is_admitted: bool,
+    admitted_at: Option<Instant>,
 }
 
 impl<C> AdmissionPermit<C>
@@ -47,7 +48,7 @@
             service,
             ticket,
             verdict: Some(verdict),
-            is_admitted: false,
+            admitted_at: None,
         }
     }
 
@@ -63,15 +64,20 @@
             retry_after: SERVICE_GONE_RETRY_AFTER,
         };
         let verdict = verdict.unwrap_or(Err(gone));
-        self.is_admitted = verdict.is_ok();
+        if verdict.is_ok() {
+            self.admitted_at = Some(self.clock.now());
+        }
         verdict
     }
 
-    /// Gives the place back after a whole answer that took `service_time`.
-    pub fn finish(mut self, service_time: Duration) {
-        if self.is_admitted {
-            self.is_admitted = false;
+    /// Gives the place back after a whole answer.
+    ///
+    /// The time since the admission counts as the service time: the wait before it would make
+    /// the next estimates of the wait longer without end.
+    pub fn finish(mut self) {
+        if let Some(admitted_at) = self.admitted_at.take() {
             let now = self.clock.now();
+            let service_time = now.saturating_duration_since(admitted_at);
             self.shards.release(&self.service, Some(service_time), now);
         }
     }
@@ -86,12 +92,12 @@
         let verdict = self.verdict.take();
         if let Some(mut verdict) = verdict {
             match verdict.try_recv() {
-                Ok(Ok(())) => self.is_admitted = true,
+                Ok(Ok(())) => self.admitted_at = Some(now),
                 Ok(Err(_)) => {}
                 Err(_) => self.shards.cancel(&self.service, self.ticket),
             }
         }
-        if self.is_admitted {
+        if self.admitted_at.is_some() {
             self.shards.release(&self.service, None, now);
         }
     }
--- a/lib/src/request/plain.rs
+++ b/lib/src/request/plain.rs
@@ -1,5 +1,7 @@
 //! A plain service's request: one whole answer, from one try or a further one.
 
+use std::time::Duration;
+
 use super::answer::WholeAnswer;
 use super::attempt::AttemptFailure;
 use super::attempt::read_plain;
@@ -11,11 +13,13 @@
 use super::dispatch::may_try_again;
 use super::dispatch::note_failure;
 use super::outcome::UnknownReason;
+use super::route::FinishedAnswer;
 use crate::clock::Clock;
 use crate::process::entry::EntryState;
 use crate::process::entry::Platform;
 use crate::target::TargetAnswer;
 use crate::target::Targets;
+use crate::units::TokenCount;
 
 /// Runs a plain service's request until its answer is whole or it is given up on.
 pub async fn run_plain<C, P, T>(
@@ -36,7 +40,18 @@
                 let now = state.clock.now();
                 let service = &context.request.service;
                 let target = &target.choice.target;
-                state.shards.on_finished(service, target, None, now);
+                let finished = FinishedAnswer {
+                    tokens: TokenCount(0),
+                    generation_time: Duration::ZERO,
+                };
+                state
+                    .shards
+                    .on_finished(service, target, Some(finished), now);
+                if tries.state.tries == 1 {
+                    state
+                        .shards
+                        .with_retry_budget(service, |budget| budget.on_success(now));
+                }
                 state.metrics.count_attempt(service, "complete");
                 return Ok(whole);
             }
--- a/lib/src/request/route.rs
+++ b/lib/src/request/route.rs
@@ -116,7 +116,7 @@
 /// How an answer went, for the pace of its target.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct FinishedAnswer {
-    /// The tokens that came.
+    /// The tokens that came; none in the answer of a plain service.
     pub tokens: TokenCount,
     /// The time from the first token to the last.
     pub generation_time: Duration,
--- a/lib/src/request/routing.rs
+++ b/lib/src/request/routing.rs
@@ -149,10 +149,14 @@
             return;
         };
         let tokens = answer.tokens.0 as f64;
-        self.mean_answer_tokens += ANSWER_WEIGHT * (tokens - self.mean_answer_tokens);
+        if answer.tokens.0 > 0 {
+            self.mean_answer_tokens += ANSWER_WEIGHT * (tokens - self.mean_answer_tokens);
+        }
         if answer.tokens.0 > 1 {
             let time_per_token = answer.generation_time.div_f64(tokens - 1.0);
             self.stragglers.on_sample(target, time_per_token, now);
+        } else {
+            self.stragglers.on_success(target, now);
         }
     }
 
--- a/lib/src/request/token_stream.rs
+++ b/lib/src/request/token_stream.rs
@@ -17,6 +17,8 @@
 use super::stream::StreamFailure;
 use super::stream::StreamRecovery;
 use crate::clock::Clock;
+use crate::ids::ServiceId;
+use crate::ids::TargetId;
 use crate::process::entry::EntryState;
 use crate::process::entry::Platform;
 use crate::target::AnswerError;
@@ -158,17 +160,13 @@
                 self.resume(state, context, plan).await
             }
             Some(StreamRecovery::Retry) => {
-                state
-                    .shards
-                    .on_finished(service, &target.choice.target, None, now);
+                note_break(state, service, &target.choice.target, failure, now);
                 self.tries.move_on(target.choice.target, true);
                 self.current = Some(dispatch(state, context, &mut self.tries).await?);
                 Ok(())
             }
             Some(StreamRecovery::EndBroken { .. }) | None => {
-                state
-                    .shards
-                    .on_finished(service, &target.choice.target, None, now);
+                note_break(state, service, &target.choice.target, failure, now);
                 Err(reason.into())
             }
         }
@@ -306,3 +304,23 @@
         StreamFailure::TargetLost
     }
 }
+
+/// Tells the router of a broken stream; a lost connection doesn't speak against its target.
+fn note_break<C, P, T>(
+    state: &EntryState<C, P, T>,
+    service: &ServiceId,
+    target: &TargetId,
+    failure: StreamFailure,
+    now: Instant,
+) where
+    C: Clock,
+    P: Platform,
+    T: Targets,
+{
+    match failure {
+        StreamFailure::ConnectionLost => state.shards.on_finished(service, target, None, now),
+        StreamFailure::TargetLost | StreamFailure::WrongAnswer => {
+            state.shards.on_failed(service, target, now);
+        }
+    }
+}
--- a/lib/tests/test_limits.rs
+++ b/lib/tests/test_limits.rs
@@ -269,3 +269,29 @@
     assert_eq!(passed(&mut limits, Priority::Emergency), part);
     assert!(limits.take(&account(), Priority::Normal, now).is_err());
 }
+
+#[test]
+fn limit_echo_counts_in_a_repeated_message() {
+    let mut now = Instant::now();
+    let mut first = limits(0, settings(NEVER_SILENT), now);
+    let mut second = limits(1, settings(NEVER_SILENT), now);
+    now += ROUND;
+    second.ask(200, now);
+    let busy = second.next_message(now);
+    first.on_message(&entry(1), &busy, now);
+    let granting = first.next_message(now);
+    assert!(first.usable_per_s() < LIMIT_PER_S / ENTRIES as f64);
+    second.on_message(&entry(0), &granting, now);
+    now += 100 * ROUND;
+    let idle = second.next_message(now);
+    first.on_message(&entry(1), &idle, now);
+    let taking_back = first.next_message(now);
+    let reserved = first.usable_per_s();
+    second.on_message(&entry(0), &taking_back, now);
+    // The same state of the second entry, with a newer echo.
+    let mut repeated = idle.clone();
+    repeated.echoes = second.next_message(now).echoes;
+    first.on_message(&entry(1), &repeated, now);
+    assert!(first.usable_per_s() > reserved);
+    assert_eq!(first.usable_per_s(), LIMIT_PER_S / ENTRIES as f64);
+}
--- a/lib/tests/test_stragglers.rs
+++ b/lib/tests/test_stragglers.rs
@@ -120,3 +120,19 @@
     }
     assert_eq!(stragglers.ejected_count(), 2);
 }
+
+#[test]
+fn straggler_rare_failures_without_pace_are_no_fault() {
+    let now = Instant::now();
+    let mut stragglers = Stragglers::new(StragglerSettings::default());
+    for turn in 0..100 {
+        for index in 0..10 {
+            if index == 0 && turn % 20 == 10 {
+                stragglers.on_failure(&target(index), now);
+            } else {
+                stragglers.on_success(&target(index), now);
+            }
+        }
+    }
+    assert_eq!(stragglers.ejected_count(), 0);
+}
