--- a/cli/src/commands/experiment/mod.rs
+++ b/cli/src/commands/experiment/mod.rs
@@ -3,6 +3,7 @@
 //! The experiments drive the library's own machines on a clock that the event loop moves.
 
 mod admission;
+mod asking;
 mod engine;
 mod exchange;
 mod limits;
@@ -10,6 +11,8 @@
 mod placement_trace;
 mod report;
 mod retries;
+mod retry_model;
+mod retry_policy;
 mod routing;
 mod routing_entry;
 mod simulation;
