head: a version that is lost for good does not block the ones below it

A generated schedule of four entries found it: an entry read a head, the platform was restored before the text was fetched, and the entry then waited for that version for ever, with nothing in force if it was new. The watcher now keeps the versions above its own, tries those that were tried least first, and the highest among these. Dropping a version after some failures was ruled out: a slow store would look like a lost one.

--- a/lib/src/version/head/mod.rs
+++ b/lib/src/version/head/mod.rs
@@ -69,8 +69,10 @@
 pub struct HeadSettings {
     /// How often the head is read from the table.
     pub read_period: Duration,
-    /// How long to wait after a failed fetch.
+    /// How long to wait after a first failed fetch; each further one doubles it.
     pub fetch_retry_delay: Duration,
+    /// The longest wait after a failed fetch.
+    pub fetch_retry_limit: Duration,
     /// How long to wait before a document that can't be read is fetched again.
     pub refusal_delay: Duration,
 }
@@ -80,6 +82,7 @@
         Self {
             read_period: Duration::from_secs(1),
             fetch_retry_delay: Duration::from_millis(250),
+            fetch_retry_limit: Duration::from_secs(2),
             refusal_delay: Duration::from_secs(30),
         }
     }
@@ -99,22 +102,38 @@
     }
 }
 
+/// The most versions above the one in force that are tried to be fetched.
+const WANTED_LIMIT: usize = 16;
+
+/// The most fetches at once: a new version need not wait for one whose answer hangs.
+const FETCHES_LIMIT: usize = 2;
+
 /// The state of the fetch of a version that is above the one in force.
 #[derive(Clone, Debug)]
 struct Wanted {
     mark: HeadMark,
     is_fetching: bool,
-    tries: usize,
+    tries: u32,
     next_try_at: Instant,
     refusal: Option<Refusal>,
 }
 
+impl Keyed for Wanted {
+    type Key = HeadMark;
+
+    fn key(&self) -> &HeadMark {
+        &self.mark
+    }
+}
+
 /// The pure watcher of an environment's head.
 #[derive(Clone, Debug)]
 pub struct HeadWatcher {
     settings: HeadSettings,
     current: Option<Arc<HeadVersion>>,
-    wanted: Option<Wanted>,
+    /// The versions above the one in force, the highest last. A lower one is tried as well, since
+    /// the highest may be lost for good with a platform that was restored.
+    wanted: SortedVec<Wanted>,
     peers: SortedVec<PeerHead>,
     is_table_heard: bool,
     is_reading: bool,
@@ -127,7 +146,7 @@
         Self {
             settings,
             current: None,
-            wanted: None,
+            wanted: SortedVec::new(),
             peers: SortedVec::new(),
             is_table_heard: false,
             is_reading: false,
@@ -146,7 +165,7 @@
             let version = current.row.version;
             return HeadReadiness::InForce { version };
         }
-        match &self.wanted {
+        match self.wanted.iter().next_back() {
             Some(wanted) => HeadReadiness::Waiting {
                 mark: wanted.mark.clone(),
                 refusal: wanted.refusal.clone(),
@@ -158,16 +177,19 @@
         }
     }
 
-    /// Returns the version above the one in force that is still to come, and what is wrong with it.
+    /// Returns the highest version that was heard of and is not in force yet, and what is wrong with
+    /// it.
     pub fn pending(&self) -> Option<(&HeadMark, Option<&Refusal>)> {
-        let wanted = self.wanted.as_ref()?;
+        let wanted = self.wanted.iter().next_back()?;
         Some((&wanted.mark, wanted.refusal.as_ref()))
     }
 
     /// Returns when [`HeadWatcher::on_tick`] has something to do next.
     pub fn next_tick_at(&self) -> Option<Instant> {
         let read_at = self.next_read_at.filter(|_| !self.is_reading);
-        let waiting = self.wanted.as_ref().filter(|wanted| !wanted.is_fetching);
+        let may_fetch = self.may_fetch();
+        let is_waiting = |wanted: &&Wanted| may_fetch && !wanted.is_fetching;
+        let waiting = self.wanted.iter().filter(is_waiting);
         let fetch_at = waiting.map(|wanted| wanted.next_try_at);
         read_at.into_iter().chain(fetch_at).min()
     }
@@ -227,7 +249,7 @@
         fetched: FetchedVersion,
         now: Instant,
     ) -> Vec<HeadAction> {
-        self.end_fetch(asked, now + self.settings.fetch_retry_delay);
+        self.end_fetch(asked, now);
         let mark = HeadMark::from(&fetched.row);
         match fetched.check(source) {
             Ok(version) => self.put_in_force(mark, version),
@@ -240,8 +262,7 @@
 
     /// Takes in that a version could not be fetched.
     pub fn on_fetch_failed(&mut self, mark: &HeadMark, now: Instant) {
-        let next_try_at = now + self.settings.fetch_retry_delay;
-        self.end_fetch(mark, next_try_at);
+        self.end_fetch(mark, now);
     }
 
     fn put_in_force(&mut self, mark: HeadMark, version: HeadVersion) -> Vec<HeadAction> {
@@ -250,28 +271,31 @@
         }
         let version = Arc::new(version);
         self.current = Some(version.clone());
-        self.wanted.take_if(|wanted| wanted.mark <= mark);
+        self.wanted.retain(|wanted| wanted.mark > mark);
         vec![HeadAction::PutInForce(version)]
     }
 
     fn refuse(&mut self, mark: &HeadMark, refusal: Refusal, now: Instant) {
-        let delay = match refusal {
-            Refusal::Digest { .. } => self.settings.fetch_retry_delay,
-            Refusal::Document { .. } => self.settings.refusal_delay,
+        let refusal_delay = self.settings.refusal_delay;
+        let Some(wanted) = self.wanted.get_mut(mark) else {
+            return;
         };
-        let wanted = self.wanted.as_mut().filter(|wanted| wanted.mark == *mark);
-        if let Some(wanted) = wanted {
-            wanted.next_try_at = now + delay;
-            wanted.refusal = Some(refusal);
+        if matches!(refusal, Refusal::Document { .. }) {
+            wanted.next_try_at = now + refusal_delay;
         }
+        wanted.refusal = Some(refusal);
     }
 
-    fn end_fetch(&mut self, mark: &HeadMark, next_try_at: Instant) {
-        let wanted = self.wanted.as_mut().filter(|wanted| wanted.mark == *mark);
-        if let Some(wanted) = wanted {
+    fn end_fetch(&mut self, mark: &HeadMark, now: Instant) {
+        let (delay, limit) = (
+            self.settings.fetch_retry_delay,
+            self.settings.fetch_retry_limit,
+        );
+        if let Some(wanted) = self.wanted.get_mut(mark) {
+            let factor = 1_u32.checked_shl(wanted.tries).unwrap_or(u32::MAX);
             wanted.is_fetching = false;
-            wanted.tries += 1;
-            wanted.next_try_at = next_try_at;
+            wanted.tries = wanted.tries.saturating_add(1);
+            wanted.next_try_at = now + delay.saturating_mul(factor).min(limit);
         }
     }
 
@@ -281,49 +305,66 @@
     }
 
     fn want(&mut self, mark: &HeadMark, now: Instant) {
-        let is_above_wanted = self
-            .wanted
-            .as_ref()
-            .is_none_or(|wanted| *mark > wanted.mark);
-        if is_above_wanted && self.is_above_current(mark) {
-            self.wanted = Some(Wanted {
-                mark: mark.clone(),
-                is_fetching: false,
-                tries: 0,
-                next_try_at: now,
-                refusal: None,
-            });
+        if !self.is_above_current(mark) || self.wanted.contains_key(mark) {
+            return;
+        }
+        self.wanted.insert(Wanted {
+            mark: mark.clone(),
+            is_fetching: false,
+            tries: 0,
+            next_try_at: now,
+            refusal: None,
+        });
+        if self.wanted.len() > WANTED_LIMIT {
+            self.drop_lowest();
         }
     }
 
+    fn drop_lowest(&mut self) {
+        let lowest = self.wanted.iter().next().map(|wanted| wanted.mark.clone());
+        if let Some(lowest) = lowest {
+            self.wanted.remove(&lowest);
+        }
+    }
+
+    fn may_fetch(&self) -> bool {
+        let fetching = self.wanted.iter().filter(|wanted| wanted.is_fetching);
+        fetching.count() < FETCHES_LIMIT
+    }
+
+    /// Starts the fetch of the highest version that is due, of those that were tried least.
+    ///
+    /// Trying the least tried ones first keeps versions that are lost for good from taking all the
+    /// turns of one that can be had.
     fn due_fetch(&mut self, now: Instant) -> Vec<HeadAction> {
-        let sources = self.sources();
-        let wanted = self.wanted.as_mut();
-        let due = wanted.filter(|wanted| !wanted.is_fetching && wanted.next_try_at <= now);
-        let Some(wanted) = due else {
+        if !self.may_fetch() {
             return Vec::new();
-        };
-        let source = sources.get(wanted.tries % sources.len());
-        let Some(source) = source.cloned() else {
+        }
+        let is_due = |wanted: &&Wanted| !wanted.is_fetching && wanted.next_try_at <= now;
+        let highest_first = self.wanted.iter().rev().filter(is_due);
+        let due = highest_first.min_by_key(|wanted| wanted.tries);
+        let Some((mark, tries)) = due.map(|wanted| (wanted.mark.clone(), wanted.tries)) else {
             return Vec::new();
         };
-        wanted.is_fetching = true;
-        let mark = wanted.mark.clone();
+        let source = self.source(&mark, tries);
+        if let Some(wanted) = self.wanted.get_mut(&mark) {
+            wanted.is_fetching = true;
+        }
         vec![HeadAction::Fetch { mark, source }]
     }
 
-    /// Returns the sources of the wanted version in the order in which they are tried.
-    fn sources(&self) -> Vec<TextSource> {
-        let holders = self.peers.iter().filter(|peer| self.is_wanted(&peer.mark));
+    /// Returns the source of a version for a try: the platform and the peers that hold the version
+    /// take turns.
+    fn source(&self, mark: &HeadMark, tries: u32) -> TextSource {
+        let holders = self.peers.iter().filter(|peer| peer.mark >= *mark);
         let holders = holders.map(|peer| TextSource::Peer(peer.peer.clone()));
-        std::iter::once(TextSource::Platform)
-            .chain(holders)
-            .collect()
-    }
-
-    fn is_wanted(&self, mark: &HeadMark) -> bool {
-        let wanted = self.wanted.as_ref();
-        wanted.is_some_and(|wanted| wanted.mark == *mark)
+        let sources = std::iter::once(TextSource::Platform).chain(holders);
+        let sources = sources.collect::<Vec<_>>();
+        let turn = tries as usize % sources.len();
+        sources
+            .into_iter()
+            .nth(turn)
+            .unwrap_or(TextSource::Platform)
     }
 }
 
--- /dev/null
+++ b/lib/tests/test_head_world.rs
@@ -0,0 +1,46 @@
+//! Tests of several entries that follow one head through cuts, restarts and a restored platform.
+
+use beryltray_testutils::heads::HeadStep;
+use beryltray_testutils::heads::HeadWorld;
+use beryltray_testutils::seeds::quickcheck_with_seed;
+use quickcheck::Arbitrary;
+use quickcheck::Gen;
+
+const SEED: u64 = 0x574f_524c;
+const SCHEDULES: u64 = 1000;
+const SCHEDULE_SIZE: usize = 64;
+
+fn holds(is_writing_back: bool, steps: &[HeadStep]) -> bool {
+    let mut world = HeadWorld::new(is_writing_back);
+    world.run(steps);
+    world.ends_at_highest() && !world.has_reverted
+}
+
+#[test]
+fn head_world_any_schedule_converges_and_never_reverts() {
+    fn property(steps: Vec<HeadStep>) -> bool {
+        holds(true, &steps)
+    }
+    quickcheck_with_seed(SEED, SCHEDULES).quickcheck(property as fn(Vec<HeadStep>) -> bool);
+}
+
+#[test]
+fn head_world_without_restore_last_accepted_is_in_force() {
+    fn property(steps: Vec<HeadStep>) -> bool {
+        let is_kept = |step: &HeadStep| !matches!(step, HeadStep::Restore(_));
+        let steps = steps.into_iter().filter(is_kept).collect::<Vec<_>>();
+        let mut world = HeadWorld::new(true);
+        world.run(&steps);
+        world.heal();
+        let last = world.accepted.last().cloned();
+        world.marks().into_iter().all(|mark| mark == last)
+    }
+    quickcheck_with_seed(SEED, SCHEDULES).quickcheck(property as fn(Vec<HeadStep>) -> bool);
+}
+
+#[test]
+fn head_world_without_write_back_is_caught() {
+    let mut generator = Gen::from_size_and_seed(SCHEDULE_SIZE, SEED);
+    let mut schedules = (0..SCHEDULES).map(|_| Vec::<HeadStep>::arbitrary(&mut generator));
+    assert!(schedules.any(|steps| !holds(false, &steps)));
+}
--- /dev/null
+++ b/lib/testutils/src/heads.rs
@@ -0,0 +1,342 @@
+//! Entries that follow one head through cuts, restarts and a platform that is restored.
+//!
+//! The schedule decides who is told what and when; answers may be older than what was told before.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use beryltray_lib::ids::DocumentVersion;
+use beryltray_lib::ids::EntryId;
+use beryltray_lib::ids::Revision;
+use beryltray_lib::ids::digest_of;
+use beryltray_lib::platform::rows::HeadRow;
+use beryltray_lib::version::head::FetchedVersion;
+use beryltray_lib::version::head::HeadAction;
+use beryltray_lib::version::head::HeadMark;
+use beryltray_lib::version::head::HeadSettings;
+use beryltray_lib::version::head::HeadVersion;
+use beryltray_lib::version::head::HeadWatcher;
+use beryltray_lib::version::head::StoredHead;
+use beryltray_lib::version::head::TextSource;
+use quickcheck::Arbitrary;
+use quickcheck::Gen;
+
+/// Entries 0 and 1 are in one data centre, 2 and 3 in another.
+const ENTRIES: usize = 4;
+
+/// One step of a schedule.
+#[derive(Clone, Debug)]
+pub enum HeadStep {
+    /// An operator applies a change.
+    Apply,
+    /// An entry's read of the head is answered; what it read may be old by now.
+    AnswerRead(usize),
+    /// An entry's fetch of a version is answered.
+    AnswerFetch(usize),
+    /// The first entry tells the second one what it has in force.
+    Gossip(usize, usize),
+    /// The data centres are cut off from each other, or joined again.
+    CutCentres(bool),
+    /// A data centre is cut off from the platform, or joined again.
+    CutPlatform(usize, bool),
+    /// The platform is restored to an older state.
+    Restore(usize),
+    /// An entry is replaced by a new one.
+    Restart(usize),
+    /// Time passes, in milliseconds.
+    Wait(u64),
+}
+
+impl Arbitrary for HeadStep {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let entry = usize::arbitrary(g) % ENTRIES;
+        match u8::arbitrary(g) % 20 {
+            0..=2 => Self::Apply,
+            3..=7 => Self::AnswerRead(entry),
+            8..=11 => Self::AnswerFetch(entry),
+            12..=14 => Self::Gossip(entry, usize::arbitrary(g) % ENTRIES),
+            15 => Self::CutCentres(bool::arbitrary(g)),
+            16 => Self::CutPlatform(entry / 2, bool::arbitrary(g)),
+            17 => Self::Restore(usize::arbitrary(g)),
+            18 if bool::arbitrary(g) => Self::Restart(entry),
+            _ => Self::Wait(u64::arbitrary(g) % 1500),
+        }
+    }
+}
+
+#[derive(Clone, Debug, Default)]
+struct PlatformState {
+    head: Option<StoredHead>,
+    texts: Vec<String>,
+}
+
+#[derive(Clone)]
+struct Entry {
+    watcher: HeadWatcher,
+    reads: Vec<Option<StoredHead>>,
+    fetches: Vec<(HeadMark, TextSource)>,
+    in_force: Vec<Arc<HeadVersion>>,
+}
+
+/// The entries, their platform and what they put in force.
+pub struct HeadWorld {
+    now: Instant,
+    platform: PlatformState,
+    revision: u64,
+    backups: Vec<PlatformState>,
+    entries: Vec<Entry>,
+    are_centres_cut: bool,
+    is_platform_cut: [bool; 2],
+    is_writing_back: bool,
+    /// The changes that operators were told are accepted, in order.
+    pub accepted: Vec<HeadMark>,
+    /// Whether an entry ever went back.
+    pub has_reverted: bool,
+}
+
+fn open_entry() -> Entry {
+    Entry {
+        watcher: HeadWatcher::new(HeadSettings::default()),
+        reads: Vec::new(),
+        fetches: Vec::new(),
+        in_force: Vec::new(),
+    }
+}
+
+fn name(entry: usize) -> EntryId {
+    format!("entry-{entry}").parse().expect("a name")
+}
+
+fn index(entry: &EntryId) -> usize {
+    entry.as_str()["entry-".len()..].parse().expect("a name")
+}
+
+impl HeadWorld {
+    /// Creates entries; one of the faulty kind never writes a version back to the platform.
+    pub fn new(is_writing_back: bool) -> Self {
+        Self {
+            now: Instant::now(),
+            platform: PlatformState::default(),
+            revision: 0,
+            backups: vec![PlatformState::default()],
+            entries: vec![open_entry(); ENTRIES],
+            are_centres_cut: false,
+            is_platform_cut: [false; 2],
+            is_writing_back,
+            accepted: Vec::new(),
+            has_reverted: false,
+        }
+    }
+
+    /// Takes the steps of a schedule.
+    pub fn run(&mut self, steps: &[HeadStep]) {
+        for step in steps {
+            self.step(step);
+            self.tick();
+        }
+    }
+
+    fn step(&mut self, step: &HeadStep) {
+        match step {
+            HeadStep::Apply => self.apply(),
+            HeadStep::AnswerRead(entry) => self.answer_read(*entry),
+            HeadStep::AnswerFetch(entry) => self.answer_fetch(*entry),
+            HeadStep::Gossip(from, to) => self.gossip(*from, *to),
+            HeadStep::CutCentres(is_cut) => self.are_centres_cut = *is_cut,
+            HeadStep::CutPlatform(centre, is_cut) => self.is_platform_cut[*centre] = *is_cut,
+            HeadStep::Restore(pick) => {
+                self.platform = self.backups[pick % self.backups.len()].clone();
+            }
+            HeadStep::Restart(entry) => self.entries[*entry] = open_entry(),
+            HeadStep::Wait(delay_ms) => self.now += Duration::from_millis(*delay_ms),
+        }
+    }
+
+    /// An operator applies a change on what the entries have in force, as `--entry` does.
+    fn apply(&mut self) {
+        let currents = self
+            .entries
+            .iter()
+            .filter_map(|entry| entry.watcher.current());
+        let in_force = currents.map(|current| current.mark()).max();
+        let stored = self.platform.head.as_ref();
+        let head = stored.map(|stored| HeadMark::from(&stored.row));
+        if in_force.is_some() && head < in_force {
+            return;
+        }
+        let version = head.map_or(DocumentVersion(1), |head| head.version.next());
+        let text = format!("# change {}\n", self.accepted.len());
+        let row = HeadRow {
+            version,
+            digest: digest_of(text.as_bytes()),
+            base: DocumentVersion(version.0 - 1),
+            author: String::from("maud"),
+            accepted_unix_s: 0,
+        };
+        self.accepted.push(HeadMark::from(&row));
+        self.write_head(row, text);
+    }
+
+    fn write_head(&mut self, row: HeadRow, text: String) {
+        self.revision += 1;
+        let revision = Revision(self.revision);
+        self.platform.head = Some(StoredHead { row, revision });
+        self.platform.texts.push(text);
+        self.backups.push(self.platform.clone());
+    }
+
+    fn is_platform_reached(&self, entry: usize) -> bool {
+        !self.is_platform_cut[entry / 2]
+    }
+
+    fn is_peer_reached(&self, from: usize, to: usize) -> bool {
+        from != to && (!self.are_centres_cut || from / 2 == to / 2)
+    }
+
+    fn answer_read(&mut self, entry: usize) {
+        let is_reached = self.is_platform_reached(entry);
+        let Some(read) = self.entries[entry].reads.pop() else {
+            return;
+        };
+        let watcher = &mut self.entries[entry].watcher;
+        if is_reached {
+            let actions = watcher.on_table_head(read, self.now);
+            self.carry_out(entry, actions);
+        } else {
+            watcher.on_table_failed();
+        }
+    }
+
+    fn answer_fetch(&mut self, entry: usize) {
+        let Some((mark, source)) = self.entries[entry].fetches.pop() else {
+            return;
+        };
+        let fetched = self.fetched(entry, &mark, &source);
+        let watcher = &mut self.entries[entry].watcher;
+        let Some(fetched) = fetched else {
+            watcher.on_fetch_failed(&mark, self.now);
+            return;
+        };
+        let actions = watcher.on_fetched(&mark, &source, fetched, self.now);
+        self.carry_out(entry, actions);
+    }
+
+    fn fetched(
+        &self,
+        entry: usize,
+        mark: &HeadMark,
+        source: &TextSource,
+    ) -> Option<FetchedVersion> {
+        match source {
+            TextSource::Platform if self.is_platform_reached(entry) => {
+                let mut texts = self.platform.texts.iter();
+                let text = texts.find(|text| digest_of(text.as_bytes()) == mark.digest)?;
+                let row = HeadRow {
+                    version: mark.version,
+                    digest: mark.digest.clone(),
+                    base: DocumentVersion(0),
+                    author: String::from("maud"),
+                    accepted_unix_s: 0,
+                };
+                let text = text.clone();
+                Some(FetchedVersion { row, text })
+            }
+            TextSource::Peer(peer) if self.is_peer_reached(entry, index(peer)) => {
+                let version = self.entries[index(peer)].watcher.current()?;
+                Some(FetchedVersion {
+                    row: version.row.clone(),
+                    text: version.text.clone(),
+                })
+            }
+            _ => None,
+        }
+    }
+
+    fn gossip(&mut self, from: usize, to: usize) {
+        if !self.is_peer_reached(from, to) {
+            return;
+        }
+        let Some(current) = self.entries[from].watcher.current() else {
+            return;
+        };
+        let mark = current.mark();
+        let actions = self.entries[to]
+            .watcher
+            .on_peer_head(name(from), mark, self.now);
+        self.carry_out(to, actions);
+    }
+
+    fn tick(&mut self) {
+        for entry in 0..ENTRIES {
+            let actions = self.entries[entry].watcher.on_tick(self.now);
+            self.carry_out(entry, actions);
+        }
+    }
+
+    fn carry_out(&mut self, entry: usize, actions: Vec<HeadAction>) {
+        for action in actions {
+            match action {
+                HeadAction::ReadHead => {
+                    let read = self.platform.head.clone();
+                    self.entries[entry].reads.push(read);
+                }
+                HeadAction::Fetch { mark, source } => {
+                    self.entries[entry].fetches.push((mark, source));
+                }
+                HeadAction::PutInForce(version) => self.put_in_force(entry, version),
+                HeadAction::WriteBack { version, observed } => {
+                    let head = self.platform.head.as_ref().map(|head| head.revision);
+                    let may_write = self.is_writing_back && self.is_platform_reached(entry);
+                    if may_write && head == observed {
+                        self.write_head(version.row.clone(), version.text.clone());
+                    }
+                }
+            }
+        }
+    }
+
+    fn put_in_force(&mut self, entry: usize, version: Arc<HeadVersion>) {
+        let in_force = &mut self.entries[entry].in_force;
+        let last = in_force.last().map(|last| last.mark());
+        self.has_reverted |= last.is_some_and(|last| last >= version.mark());
+        in_force.push(version);
+    }
+
+    /// Heals all cuts and lets everyone hear everyone.
+    pub fn heal(&mut self) {
+        const ROUNDS: usize = 20;
+        self.are_centres_cut = false;
+        self.is_platform_cut = [false; 2];
+        for _ in 0..ROUNDS {
+            self.now += HeadSettings::default().read_period;
+            self.tick();
+            for entry in 0..ENTRIES {
+                while !self.entries[entry].reads.is_empty() {
+                    self.answer_read(entry);
+                }
+                while !self.entries[entry].fetches.is_empty() {
+                    self.answer_fetch(entry);
+                }
+                for other in 0..ENTRIES {
+                    self.gossip(other, entry);
+                }
+            }
+        }
+    }
+
+    /// Returns what each entry has in force.
+    pub fn marks(&self) -> Vec<Option<HeadMark>> {
+        let currents = self.entries.iter().map(|entry| entry.watcher.current());
+        currents.map(|current| Some(current?.mark())).collect()
+    }
+
+    /// Returns whether everyone, the table included, is at the highest version that was in force.
+    pub fn ends_at_highest(&mut self) -> bool {
+        let before = self.marks().into_iter().max().flatten();
+        self.heal();
+        let head = self.platform.head.as_ref();
+        let head = head.map(|head| HeadMark::from(&head.row));
+        head >= before && self.marks().into_iter().all(|mark| mark == head)
+    }
+}
