--- a/cli/src/commands/config/apply.rs
+++ b/cli/src/commands/config/apply.rs
@@ -183,8 +183,10 @@
         if !self.entries.is_waiting() {
             return None;
         }
+        let started_at = SystemClock.now();
         let progress = self.entries.wait(HeadMark::from(row)).await;
-        Some(ForceReport::from(&progress))
+        let waited = SystemClock.now().duration_since(started_at);
+        Some(ForceReport::new(&progress, waited))
     }
 }
 
--- a/cli/src/commands/config/entries.rs
+++ b/cli/src/commands/config/entries.rs
@@ -22,7 +22,7 @@
 /// How long one entry may take to answer.
 const STATUS_TIMEOUT: Duration = Duration::from_secs(1);
 /// The pause between two rounds of questions.
-const ROUND_DELAY: Duration = Duration::from_millis(200);
+const ROUND_DELAY: Duration = Duration::from_millis(50);
 /// What an entry calls a member that it does not hear, or that has left.
 const ABSENT_STATES: [&str; 2] = ["gone", "left"];
 
--- a/cli/src/commands/config/report.rs
+++ b/cli/src/commands/config/report.rs
@@ -1,5 +1,7 @@
 //! What the commands on documents print.
 
+use std::time::Duration;
+
 use beryltray_lib::ids::DocumentVersion;
 use beryltray_lib::platform::rows::HeadRow;
 use beryltray_lib::version::change::conflict::ConflictReport;
@@ -88,6 +90,8 @@
 #[derive(Debug, Serialize)]
 pub(crate) struct ForceReport {
     is_everywhere: bool,
+    /// How long the entries were asked after the change was accepted, in milliseconds.
+    waited_ms: u128,
     entries: Vec<EntryReport>,
 }
 
@@ -100,6 +104,23 @@
 }
 
 impl ForceReport {
+    /// Creates the report of entries that were asked for some time.
+    pub(crate) fn new(progress: &ForceProgress, waited: Duration) -> Self {
+        let asked = progress.entries().iter().map(EntryReport::from);
+        let behind = progress.members_behind().into_iter();
+        let behind = behind.map(|member| EntryReport {
+            address: None,
+            entry: Some(member.entry.to_string()),
+            state: String::from("not in force yet, by the word of another entry"),
+            version: member.version,
+        });
+        Self {
+            is_everywhere: progress.is_everywhere(),
+            waited_ms: waited.as_millis(),
+            entries: asked.chain(behind).collect(),
+        }
+    }
+
     /// Returns whether every entry has the version.
     pub(crate) fn is_everywhere(&self) -> bool {
         self.is_everywhere
@@ -123,23 +144,6 @@
     }
 }
 
-impl From<&ForceProgress> for ForceReport {
-    fn from(progress: &ForceProgress) -> Self {
-        let asked = progress.entries().iter().map(EntryReport::from);
-        let behind = progress.members_behind().into_iter();
-        let behind = behind.map(|member| EntryReport {
-            address: None,
-            entry: Some(member.entry.to_string()),
-            state: String::from("not in force yet, by the word of another entry"),
-            version: member.version,
-        });
-        Self {
-            is_everywhere: progress.is_everywhere(),
-            entries: asked.chain(behind).collect(),
-        }
-    }
-}
-
 impl From<&AddressProgress> for EntryReport {
     fn from(progress: &AddressProgress) -> Self {
         let (entry, version) = match &progress.progress {
