--- a/lib/src/process/entry/exchange.rs
+++ b/lib/src/process/entry/exchange.rs
@@ -11,6 +11,7 @@
 use super::peers::EntryPeers;
 use super::state::EntryState;
 use super::state::Platform;
+use super::traffic::TrafficMetrics;
 use crate::clock::Clock;
 use crate::connection::peer::PeerHandler;
 use crate::connection::peer::PeerSettings;
@@ -20,6 +21,7 @@
 use crate::process::exchange::ExchangeAction;
 use crate::process::exchange::wire::Frame;
 use crate::process::membership::MembershipAction;
+use crate::process::membership::member::MemberState;
 use crate::process::presence::ReportSource;
 use crate::process::status::EntryStatus;
 use crate::sorted::Keyed as _;
@@ -48,6 +50,7 @@
     events: mpsc::Sender<PeerEvent>,
     calls: mpsc::Sender<PeerCall>,
     meter: TrafficMeter,
+    metrics: TrafficMetrics,
 }
 
 /// The calls that [`EntryExchange::run`] makes.
@@ -62,6 +65,7 @@
             events: self.events.clone(),
             calls: self.calls.clone(),
             meter: self.meter.clone(),
+            metrics: self.metrics.clone(),
         }
     }
 }
@@ -77,7 +81,8 @@
         state: Arc<EntryState<C, P, T>>,
         peers: EntryPeers<C>,
         events: mpsc::Sender<PeerEvent>,
-    ) -> (Self, PeerCalls) {
+    ) -> Result<(Self, PeerCalls), prometheus::Error> {
+        let metrics = TrafficMetrics::new(state.metrics.registry())?;
         let (calls, waiting) = mpsc::channel(CALL_BUFFER);
         let exchange = Self {
             state,
@@ -85,8 +90,9 @@
             events,
             calls,
             meter: TrafficMeter::default(),
+            metrics,
         };
-        (exchange, PeerCalls(waiting))
+        Ok((exchange, PeerCalls(waiting)))
     }
 
     /// Returns the meter of the traffic between entries.
@@ -130,6 +136,23 @@
         self.publish();
         let actions = self.state.exchange().on_round(now);
         self.carry_out(actions);
+        self.count();
+    }
+
+    fn count(&self) {
+        self.metrics.set_traffic(&self.meter);
+        let exchange = self.state.exchange();
+        let states = [
+            MemberState::Alive,
+            MemberState::Suspect,
+            MemberState::Removed,
+            MemberState::Left,
+        ];
+        for state in states {
+            let members = exchange.membership().members();
+            let count = members.filter(|member| member.state == state).count();
+            self.metrics.set_members(&state.to_string(), count);
+        }
     }
 
     /// Puts what this entry knows into its own state.
--- a/lib/src/process/entry/mod.rs
+++ b/lib/src/process/entry/mod.rs
@@ -8,6 +8,7 @@
 mod poll;
 mod run;
 mod state;
+mod traffic;
 
 pub use operators::LIVE_PATH;
 pub use operators::METRICS_PATH;
--- a/lib/src/process/entry/run.rs
+++ b/lib/src/process/entry/run.rs
@@ -87,7 +87,7 @@
     let (peer_events, heard) = mpsc::channel(PEER_EVENT_BUFFER);
     let peers = EntryPeers::default();
     background.spawn(follow_head(Arc::clone(&state), peers.clone(), heard));
-    let (exchange, peer_calls) = EntryExchange::new(Arc::clone(&state), peers, peer_events);
+    let (exchange, peer_calls) = EntryExchange::new(Arc::clone(&state), peers, peer_events)?;
     background.spawn(exchange.clone().run(peer_calls));
     background.spawn(serve_peers(
         peer_listener,
