--- a/lib/src/process/entry/poll.rs
+++ b/lib/src/process/entry/poll.rs
@@ -115,11 +115,15 @@
     let mut ticks = tokio::time::interval(state.settings.targets.poll_interval);
     loop {
         ticks.tick().await;
+        let has_host_list = state.has_host_list();
         let mut polls = JoinSet::new();
         for host in state.shards.listed_hosts() {
             polls.spawn(poll_host(Arc::clone(&state), host));
         }
         while polls.join_next().await.is_some() {}
+        if has_host_list {
+            state.note_reports();
+        }
     }
 }
 
@@ -146,6 +150,8 @@
         }
         Err(error) => {
             log::debug!(host:% = host.host; "no report: {error}");
+            // Open connections may have gone silent for good; the next poll takes a new one.
+            state.targets.drop_idle(host.address);
             state.shards.on_unreachable(&host.host, now);
         }
     }
--- a/lib/src/process/entry/state.rs
+++ b/lib/src/process/entry/state.rs
@@ -71,6 +71,7 @@
     lease: Mutex<Option<LeaseStatus>>,
     is_platform_reached: AtomicBool,
     has_host_list: AtomicBool,
+    has_reports: AtomicBool,
 }
 
 impl<C, P, T> EntryState<C, P, T>
@@ -122,6 +123,7 @@
             metrics: Metrics::new()?,
             is_platform_reached: AtomicBool::new(false),
             has_host_list: AtomicBool::new(false),
+            has_reports: AtomicBool::new(false),
         };
         Ok((state, claim_task))
     }
@@ -161,11 +163,21 @@
         self.is_platform_reached.load(Ordering::Relaxed)
     }
 
-    /// Records that the entry has a view of its targets.
+    /// Records that the entry knows which hosts there are.
     pub fn note_host_list(&self) {
         self.has_host_list.store(true, Ordering::Relaxed);
     }
 
+    /// Returns whether the entry knows which hosts there are.
+    pub fn has_host_list(&self) -> bool {
+        self.has_host_list.load(Ordering::Relaxed)
+    }
+
+    /// Records that every listed host was asked for its report.
+    pub fn note_reports(&self) {
+        self.has_reports.store(true, Ordering::Relaxed);
+    }
+
     /// Records whether a document is in force, and why not.
     pub fn set_head_readiness(&self, readiness: HeadReadiness) {
         let mut current = self
@@ -185,9 +197,14 @@
             let reason = readiness.as_ref().map(ToString::to_string);
             return Some(reason.unwrap_or_else(|| String::from("the head was not asked for yet")));
         }
-        if !self.has_host_list.load(Ordering::Relaxed) {
+        if !self.has_host_list() {
             return Some(String::from("no list of hosts was read"));
         }
+        if !self.has_reports.load(Ordering::Relaxed) {
+            return Some(String::from(
+                "the hosts were not asked for their reports yet",
+            ));
+        }
         None
     }
 }
