--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -22,6 +22,7 @@
 /// What `beryltray` is asked to do.
 #[derive(Debug, Subcommand)]
 pub(crate) enum Command {
+    /// Checks, compares and changes an environment's document.
     #[command(subcommand)]
     Config(config::ConfigCommand),
     /// Checks the promises over what a trial recorded.
