testutils: a head written back unchanged is no step back

Entries write their newer head back after the platform returned to an older state. The checker took the second writing for a step back.

--- a/lib/tests/test_history.rs
+++ b/lib/tests/test_history.rs
@@ -407,6 +407,16 @@
     assert_eq!(violations(&history, Promise::HeadOnlyGrows).len(), 1);
 }
 
+#[test]
+fn head_written_back_is_the_same_and_another_one_is_caught() {
+    let written_back = platform(vec![head(1), head(2), head(2)]);
+    assert_eq!(violations(&written_back, Promise::HeadOnlyGrows), []);
+    let mut other = head(2);
+    other.value = other.value.replace("abc", "def");
+    let replaced = platform(vec![head(1), head(2), other]);
+    assert_eq!(violations(&replaced, Promise::HeadOnlyGrows).len(), 1);
+}
+
 #[test]
 fn in_force_going_back_is_caught() {
     let observe = |at_unix_us, version| VersionObservation {
--- a/lib/testutils/src/history/versions.rs
+++ b/lib/testutils/src/history/versions.rs
@@ -38,7 +38,7 @@
         let earlier = heads[..index].iter().rev();
         let mut same = earlier.filter(|(other, _)| other == key);
         if let Some((_, before)) = same.next()
-            && head.version <= before.version
+            && goes_back(before, head)
         {
             violations.push(Violation::HeadWentBack {
                 key: (*key).clone(),
@@ -50,6 +50,14 @@
     violations
 }
 
+/// Returns whether `after` undoes `before`, under a smaller number or under the same one.
+///
+/// Entries write the same head back after the platform returned to an older state.
+fn goes_back(before: &HeadRow, after: &HeadRow) -> bool {
+    let is_other = after.digest != before.digest;
+    after.version < before.version || (after.version == before.version && is_other)
+}
+
 fn in_force_breaches(observations: &[VersionObservation]) -> Vec<Violation> {
     let mut sorted = observations.iter().collect::<Vec<_>>();
     sorted.sort_by_key(|observation| (&observation.entry, observation.at_unix_us));
