entry: claims go by another data centre when the platform is cut off

The daemon now has the peer way of the claims: the membership tells which entries of other data centres live, the claims use at most two of them, and every entry carries out claims of its environment for others. The claims also learn which entries live, so that work of a dead one is not called in progress.

--- a/cli/tests/test_promises.rs
+++ b/cli/tests/test_promises.rs
@@ -1,5 +1,8 @@
 //! Tests of the promises with entries as real processes, where real sockets matter.
 
+use beryltray_stand_ins::relay;
+use beryltray_stand_ins::relay::RelaySettings;
+
 use crate::trial::Trial;
 use crate::trial::eventually;
 use crate::trial::set_faults;
@@ -77,6 +80,27 @@
     assert_eq!(trial.run_count("m1").await, 1);
 }
 
+#[tokio::test]
+async fn booking_cut_off_from_platform_is_claimed_by_another_data_centre() {
+    let trial = Trial::start().await;
+    let any_port = ([127, 0, 0, 1], 0).into();
+    let settings = RelaySettings {
+        listen: any_port,
+        control: any_port,
+        target: trial.platform.address(),
+    };
+    let relay = relay::start(settings).await.unwrap();
+    let other = trial.start_entry_elsewhere("entry-b1").await;
+    let address = relay.relay.address();
+    let entry = trial.start_entry_behind(address, "entry-a1", &other).await;
+    set_faults(relay.control_address, r#"{"mode": "cut"}"#).await;
+    let answer = entry.send(BOOK, "m1", Some("k1")).await;
+    assert_eq!(answer.outcome, "complete");
+    let replayed = entry.send(BOOK, "m1", Some("k1")).await;
+    assert_eq!(replayed.body, answer.body);
+    assert_eq!(trial.run_count("m1").await, 1);
+}
+
 #[tokio::test]
 async fn booking_lost_commit_answers_run_once() {
     let trial = Trial::start().await;
--- a/cli/tests/trial.rs
+++ b/cli/tests/trial.rs
@@ -47,6 +47,7 @@
     pub(crate) process: Child,
     pub(crate) callers: SocketAddr,
     operators: SocketAddr,
+    peers: SocketAddr,
     settings: PathBuf,
 }
 
@@ -94,40 +95,28 @@
 
     /// Starts an entry and waits until it serves the plain service.
     pub(crate) async fn start_entry(&self, name: &str) -> Entry {
-        let mut addresses = Vec::new();
-        for _ in 0..4 {
-            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-            addresses.push(listener.local_addr().unwrap());
-        }
-        let [callers, operators, peers, relay] = addresses[..] else {
-            unreachable!("four addresses were bound");
-        };
-        let platform = self.platform.address();
-        let text = format!(
-            "[entry]\nname = {name}\nenvironment = trial\ndata-centre = lakes-a\n\
-             [listen]\ncallers = {callers}\noperators = {operators}\n\
-             peers = {peers}\nrelay = {relay}\n\
-             [platform]\naddress = {platform}\n[shutdown]\nnotice = 0s\n"
-        );
-        let settings = std::env::temp_dir().join(format!("entry-{}.ini", new_attempt_id()));
-        std::fs::write(&settings, text).unwrap();
-        let process = Command::new(env!("CARGO_BIN_EXE_beryltray"))
-            .arg("entry")
-            .arg("--settings")
-            .arg(&settings)
-            .env("RUST_LOG", "error")
-            .kill_on_drop(true)
-            .spawn()
-            .unwrap();
-        let entry = Entry {
-            process,
-            callers,
-            operators,
-            settings,
-        };
+        let entry = start_process(name, "lakes-a", self.platform.address(), &[]).await;
+        entry.serves().await;
+        entry
+    }
+
+    /// Starts an entry of another data centre, which has no targets of its own.
+    pub(crate) async fn start_entry_elsewhere(&self, name: &str) -> Entry {
+        start_process(name, "lakes-b", self.platform.address(), &[]).await
+    }
+
+    /// Starts an entry that reaches the platform by a relay and knows another entry.
+    pub(crate) async fn start_entry_behind(
+        &self,
+        relay: SocketAddr,
+        name: &str,
+        other: &Entry,
+    ) -> Entry {
+        let entry = start_process(name, "lakes-a", relay, &[other.peers]).await;
+        entry.serves().await;
         eventually(async || {
-            let metrics = call(entry.operators, Method::GET, "/metrics", "", &[]).await;
-            metrics.is_some_and(|(_, text)| text.contains(OPEN_TARGET))
+            let status = call(entry.operators, Method::GET, "/status", "", &[]).await;
+            status.is_some_and(|(_, text)| text.contains(r#""state":"alive""#))
         })
         .await;
         entry
@@ -149,7 +138,59 @@
 
 const OPEN_TARGET: &str = "beryltray_open_targets{service=\"slot-ledger\"} 1";
 
+/// Starts the process of an entry.
+async fn start_process(
+    name: &str,
+    data_centre: &str,
+    platform: SocketAddr,
+    seeds: &[SocketAddr],
+) -> Entry {
+    let mut addresses = Vec::new();
+    for _ in 0..4 {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        addresses.push(listener.local_addr().unwrap());
+    }
+    let [callers, operators, peers, relay] = addresses[..] else {
+        unreachable!("four addresses were bound");
+    };
+    let seeds = seeds.iter().map(SocketAddr::to_string).collect::<Vec<_>>();
+    let seeds = seeds.join(", ");
+    let text = format!(
+        "[entry]\nname = {name}\nenvironment = trial\ndata-centre = {data_centre}\n\
+         [listen]\ncallers = {callers}\noperators = {operators}\n\
+         peers = {peers}\nrelay = {relay}\n\
+         [platform]\naddress = {platform}\n[peers]\nseeds = {seeds}\n\
+         [shutdown]\nnotice = 0s\n"
+    );
+    let settings = std::env::temp_dir().join(format!("entry-{}.ini", new_attempt_id()));
+    std::fs::write(&settings, text).unwrap();
+    let process = Command::new(env!("CARGO_BIN_EXE_beryltray"))
+        .arg("entry")
+        .arg("--settings")
+        .arg(&settings)
+        .env("RUST_LOG", "error")
+        .kill_on_drop(true)
+        .spawn()
+        .unwrap();
+    Entry {
+        process,
+        callers,
+        operators,
+        peers,
+        settings,
+    }
+}
+
 impl Entry {
+    /// Waits until the entry serves the plain service.
+    async fn serves(&self) {
+        eventually(async || {
+            let metrics = call(self.operators, Method::GET, "/metrics", "", &[]).await;
+            metrics.is_some_and(|(_, text)| text.contains(OPEN_TARGET))
+        })
+        .await;
+    }
+
     /// Sends an operation of the plain service.
     pub(crate) async fn send(&self, operation: &str, marker: &str, key: Option<&str>) -> Answer {
         let path = format!("/v1/services/slot-ledger/{operation}");
--- a/lib/src/process/entry/exchange.rs
+++ b/lib/src/process/entry/exchange.rs
@@ -16,12 +16,18 @@
 use crate::connection::peer::PeerSettings;
 use crate::connection::peer::client::PeerClient;
 use crate::connection::peer::metered::TrafficMeter;
+use crate::connection::peer::table::ClaimProxy;
+use crate::connection::peer::table::TableFailure;
 use crate::ids::EntryId;
+use crate::platform::CommitOutcome;
+use crate::platform::Row;
+use crate::platform::Transaction;
 use crate::process::exchange::ExchangeAction;
 use crate::process::exchange::wire::Frame;
 use crate::process::membership::MembershipAction;
 use crate::process::presence::ReportSource;
 use crate::process::status::EntryStatus;
+use crate::request::claim::LiveEntry;
 use crate::sorted::Keyed as _;
 use crate::target::Targets;
 use crate::version::head::FetchedVersion;
@@ -245,6 +251,35 @@
         self.state
             .limits()
             .set_entries(entries, self.state.clock.now());
+        self.tell_claims();
+    }
+
+    /// Tells the claims which entries live, and by which ones the table may be reached.
+    fn tell_claims(&self) {
+        let mut live = Vec::new();
+        let mut others = Vec::new();
+        {
+            let exchange = self.state.exchange();
+            let members = exchange.membership().members();
+            for member in members.filter(|member| member.is_present()) {
+                let identity = &member.identity;
+                live.push(LiveEntry {
+                    entry: identity.entry.clone(),
+                    incarnation: identity.incarnation,
+                });
+                if identity.data_centre != self.state.identity.data_centre {
+                    others.push(identity.entry.clone());
+                }
+            }
+        }
+        let clients = others.iter().filter_map(|entry| self.peers.client(entry));
+        self.state.peer_table.set_peers(clients.collect());
+        self.state.claims.set_live_entries(live);
+    }
+
+    fn claim_proxy(&self) -> ClaimProxy<P> {
+        let table = self.state.platform.clone();
+        ClaimProxy::new(table, &self.state.identity.environment)
     }
 
     /// Forgets what an earlier life of a peer sent and was granted.
@@ -316,4 +351,12 @@
     async fn status(&self) -> EntryStatus {
         entry_status(&self.state)
     }
+
+    async fn read_claims(&self, keys: Vec<String>) -> Result<Vec<Option<Row>>, TableFailure> {
+        self.claim_proxy().read(keys).await
+    }
+
+    async fn commit_claims(&self, transaction: Transaction) -> Result<CommitOutcome, TableFailure> {
+        self.claim_proxy().commit(transaction).await
+    }
 }
--- a/lib/src/process/entry/state.rs
+++ b/lib/src/process/entry/state.rs
@@ -10,6 +10,7 @@
 
 use crate::attempts::RandomAttempts;
 use crate::clock::Clock;
+use crate::connection::peer::table::PeerTable;
 use crate::platform::HostList;
 use crate::platform::ObjectStore;
 use crate::platform::Table;
@@ -31,7 +32,6 @@
 use crate::request::claim::ClaimSettings;
 use crate::request::claim::store::ClaimStore;
 use crate::request::claim::store::ClaimTask;
-use crate::request::claim::store::NoPeerTable;
 use crate::request::claim::store::claim_task;
 use crate::target::Targets;
 use crate::version::head::HeadReadiness;
@@ -42,7 +42,7 @@
 impl<P> Platform for P where P: Table + ObjectStore + HostList {}
 
 /// The task of an entry's claims.
-pub type EntryClaimTask<C, P> = ClaimTask<P, NoPeerTable, RandomAttempts, C>;
+pub type EntryClaimTask<C, P> = ClaimTask<P, PeerTable<C>, RandomAttempts, C>;
 
 /// What all tasks of an entry share.
 #[derive(Debug)]
@@ -67,6 +67,8 @@
     pub metrics: Metrics,
     /// The claims on non-idempotent work.
     pub claims: ClaimStore,
+    /// The way to the table by entries of other data centres, for claims.
+    pub peer_table: PeerTable<C>,
     /// Non-idempotent work in flight, which goes on when its callers go away.
     pub keyed_work: TaskTracker,
     limits: Mutex<AccountLimits>,
@@ -118,10 +120,17 @@
             entry: identity.entry.clone(),
             incarnation: identity.incarnation,
         };
-        let book = ClaimBook::new(ClaimSettings::default(), owner, RandomAttempts);
-        let (claims, claim_task) = claim_task(book, platform.clone(), NoPeerTable, clock.clone());
+        let claim_settings = ClaimSettings {
+            has_peer_route: true,
+            ..ClaimSettings::default()
+        };
+        let book = ClaimBook::new(claim_settings, owner, RandomAttempts);
+        let peer_table = PeerTable::default();
+        let (claims, claim_task) =
+            claim_task(book, platform.clone(), peer_table.clone(), clock.clone());
         let state = Self {
             claims,
+            peer_table,
             keyed_work: TaskTracker::new(),
             limits: Mutex::new(limits),
             exchange: Mutex::new(exchange),
