--- a/cli/tests/trial.rs
+++ b/cli/tests/trial.rs
@@ -51,6 +51,7 @@
     pub(crate) process: Child,
     pub(crate) callers: SocketAddr,
     operators: SocketAddr,
+    peers: SocketAddr,
     settings: PathBuf,
 }
 
@@ -126,37 +127,29 @@
 
     /// Starts an entry.
     pub(crate) async fn start_process(&self, name: &str) -> Entry {
-        let mut addresses = Vec::new();
-        for _ in 0..4 {
-            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-            addresses.push(listener.local_addr().unwrap());
-        }
-        let [callers, operators, peers, relay] = addresses[..] else {
-            unreachable!("four addresses were bound");
-        };
-        let platform = self.platform.address();
-        let text = format!(
-            "[entry]\nname = {name}\nenvironment = trial\ndata-centre = lakes-a\n\
-             [listen]\ncallers = {callers}\noperators = {operators}\n\
-             peers = {peers}\nrelay = {relay}\n\
-             [platform]\naddress = {platform}\n[shutdown]\nnotice = 0s\n"
-        );
-        let settings = std::env::temp_dir().join(format!("entry-{}.ini", new_attempt_id()));
-        std::fs::write(&settings, text).unwrap();
-        let process = Command::new(env!("CARGO_BIN_EXE_beryltray"))
-            .arg("entry")
-            .arg("--settings")
-            .arg(&settings)
-            .env("RUST_LOG", "error")
-            .kill_on_drop(true)
-            .spawn()
-            .unwrap();
-        Entry {
-            process,
-            callers,
-            operators,
-            settings,
-        }
+        spawn_entry(name, "lakes-a", self.platform.address(), &[]).await
+    }
+
+    /// Starts an entry of another data centre, which has no targets of its own.
+    pub(crate) async fn start_entry_elsewhere(&self, name: &str) -> Entry {
+        spawn_entry(name, "lakes-b", self.platform.address(), &[]).await
+    }
+
+    /// Starts an entry that reaches the platform by a relay and knows another entry.
+    pub(crate) async fn start_entry_behind(
+        &self,
+        relay: SocketAddr,
+        name: &str,
+        other: &Entry,
+    ) -> Entry {
+        let entry = spawn_entry(name, "lakes-a", relay, &[other.peers]).await;
+        eventually(async || entry.is_serving().await).await;
+        eventually(async || {
+            let status = call(entry.operators, Method::GET, "/status", "", &[]).await;
+            status.is_some_and(|(_, text)| text.contains(r#""state":"alive""#))
+        })
+        .await;
+        entry
     }
 
     pub(crate) async fn truth(&self) -> PlainTruth {
@@ -182,6 +175,49 @@
 
 const OPEN_TARGET: &str = "beryltray_open_targets{service=\"slot-ledger\"} 1";
 
+/// Starts the process of an entry.
+async fn spawn_entry(
+    name: &str,
+    data_centre: &str,
+    platform: SocketAddr,
+    seeds: &[SocketAddr],
+) -> Entry {
+    let mut addresses = Vec::new();
+    for _ in 0..4 {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        addresses.push(listener.local_addr().unwrap());
+    }
+    let [callers, operators, peers, relay] = addresses[..] else {
+        unreachable!("four addresses were bound");
+    };
+    let seeds = seeds.iter().map(SocketAddr::to_string).collect::<Vec<_>>();
+    let seeds = seeds.join(", ");
+    let text = format!(
+        "[entry]\nname = {name}\nenvironment = trial\ndata-centre = {data_centre}\n\
+         [listen]\ncallers = {callers}\noperators = {operators}\n\
+         peers = {peers}\nrelay = {relay}\n\
+         [platform]\naddress = {platform}\n[peers]\nseeds = {seeds}\n\
+         [shutdown]\nnotice = 0s\n"
+    );
+    let settings = std::env::temp_dir().join(format!("entry-{}.ini", new_attempt_id()));
+    std::fs::write(&settings, text).unwrap();
+    let process = Command::new(env!("CARGO_BIN_EXE_beryltray"))
+        .arg("entry")
+        .arg("--settings")
+        .arg(&settings)
+        .env("RUST_LOG", "error")
+        .kill_on_drop(true)
+        .spawn()
+        .unwrap();
+    Entry {
+        process,
+        callers,
+        operators,
+        peers,
+        settings,
+    }
+}
+
 impl Entry {
     /// Returns whether the balancer may send to the entry.
     pub(crate) async fn is_ready(&self) -> bool {
