--- a/cli/src/commands/demo.rs
+++ b/cli/src/commands/demo.rs
@@ -53,9 +53,11 @@
 use crate::entry_client::read_status;
 use crate::load::arrivals::ArrivalSettings;
 use crate::load::arrivals::Arrivals;
+use crate::load::balancer::Balancer;
 use crate::load::caller::Call;
 use crate::load::caller::CallSettings;
 use crate::load::report::OutcomeCounts;
+use crate::load::spec::EntrySpec;
 use crate::load::spec::ParseSpecError;
 
 /// The document that the demo runs.
@@ -209,8 +211,12 @@
 
     async fn send_requests(&self, count: usize) -> Result<OutcomeCounts, DemoError> {
         let arrivals = Arrivals::new(arrival_settings()?).take(count);
+        let entry = EntrySpec {
+            callers: self.listen.callers,
+            operators: None,
+        };
         let settings = CallSettings {
-            entries: vec![self.listen.callers],
+            entries: Balancer::new(vec![entry]),
             deadline: DEADLINE,
             tokens: ANSWER_TOKENS,
         };
--- a/cli/src/commands/load.rs
+++ b/cli/src/commands/load.rs
@@ -2,7 +2,6 @@
 
 use std::io::BufWriter;
 use std::io::Write as _;
-use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
@@ -20,10 +19,12 @@
 use tokio::sync::mpsc;
 
 use crate::load::arrivals::ArrivalSettings;
+use crate::load::balancer::Balancer;
 use crate::load::caller::CallSettings;
 use crate::load::runner::LoadSettings;
 use crate::load::runner::run_load;
 use crate::load::spec::AccountSpec;
+use crate::load::spec::EntrySpec;
 use crate::load::spec::WorkSpec;
 
 /// Why the load was not sent.
@@ -61,9 +62,10 @@
 /// Options of `load`.
 #[derive(Args, Debug)]
 pub(crate) struct LoadArgs {
-    /// An entry's address; may be repeated, and requests go round.
-    #[arg(long, value_name = "IP:PORT", required = true)]
-    entry: Vec<SocketAddr>,
+    /// An entry's address for callers; may be repeated, and requests go round. With the address
+    /// for operators too, only an entry that is ready gets requests, as behind a balancer.
+    #[arg(long, value_name = "IP:PORT[,IP:PORT]", required = true)]
+    entry: Vec<EntrySpec>,
     /// The mean rate of arrivals, which do not wait for answers.
     #[arg(long, default_value = "20/s")]
     rate: RequestRate,
@@ -153,7 +155,7 @@
             seed: self.seed,
         };
         let call = CallSettings {
-            entries: self.entry.clone(),
+            entries: Balancer::new(self.entry.clone()),
             deadline: self.deadline,
             tokens: self.tokens,
         };
--- a/cli/src/load/caller.rs
+++ b/cli/src/load/caller.rs
@@ -32,6 +32,7 @@
 use sse_stream::SseStream;
 
 use super::arrivals::Arrival;
+use super::balancer::Balancer;
 
 /// The longest wait for a connection to an entry.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
@@ -46,7 +47,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct CallSettings {
     /// The entries; a request goes to the next one while no connection is taken.
-    pub(crate) entries: Vec<SocketAddr>,
+    pub(crate) entries: Balancer,
     /// The deadline.
     pub(crate) deadline: Duration,
     /// The length of a model's answer.
@@ -161,12 +162,8 @@
     }
 }
 
-async fn connect(
-    entries: &[SocketAddr],
-    first_entry: usize,
-) -> Option<(SocketAddr, ClientConnection)> {
-    for offset in 0..entries.len() {
-        let address = entries[(first_entry + offset) % entries.len()];
+async fn connect(entries: &Balancer, first_entry: usize) -> Option<(SocketAddr, ClientConnection)> {
+    for address in entries.candidates(first_entry) {
         if let Ok(connection) = ClientConnection::open(address, CONNECT_TIMEOUT).await {
             return Some((address, connection));
         }
--- a/cli/src/load/runner.rs
+++ b/cli/src/load/runner.rs
@@ -65,8 +65,10 @@
         history,
         tracker: TaskTracker::new(),
     };
+    run.settings.call.entries.ask_all().await;
     let started_at = SystemClock.now();
     let progress = tokio::spawn(run.clone().show_progress(started_at));
+    let balancer = tokio::spawn(run.settings.call.entries.clone().watch());
     for arrival in Arrivals::new(run.settings.arrivals.clone()) {
         let intended_at = started_at + arrival.at;
         tokio::time::sleep_until(intended_at.into()).await;
@@ -75,6 +77,7 @@
     run.tracker.close();
     run.tracker.wait().await;
     progress.abort();
+    balancer.abort();
     std::mem::take(&mut *run.lock_stats())
 }
 
--- a/cli/src/load/spec.rs
+++ b/cli/src/load/spec.rs
@@ -1,5 +1,6 @@
 //! What to send, as the command line gives it.
 
+use std::net::SocketAddr;
 use std::str::FromStr;
 
 use beryltray_lib::ids::AccountId;
@@ -24,6 +25,12 @@
         /// The text.
         text: String,
     },
+    /// An entry's address is not one.
+    #[display("{text:?} is not an entry. Hint: write IP:PORT or IP:PORT,IP:PORT")]
+    Entry {
+        /// The text.
+        text: String,
+    },
     /// A part is not an identifier.
     #[display("{source}")]
     Id {
@@ -54,6 +61,34 @@
     pub(crate) weight: u32,
 }
 
+/// An entry's address for callers and, to ask whether it is ready, for operators.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct EntrySpec {
+    /// The address for callers.
+    pub(crate) callers: SocketAddr,
+    /// The address for operators.
+    pub(crate) operators: Option<SocketAddr>,
+}
+
+impl FromStr for EntrySpec {
+    type Err = ParseSpecError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let error = |_| ParseSpecError::Entry {
+            text: text.to_owned(),
+        };
+        let (callers, operators) = match text.split_once(',') {
+            None => (text, None),
+            Some((callers, operators)) => (callers, Some(operators)),
+        };
+        let operators = operators.map(str::parse).transpose();
+        Ok(Self {
+            callers: callers.parse().map_err(error)?,
+            operators: operators.map_err(error)?,
+        })
+    }
+}
+
 impl FromStr for WorkSpec {
     type Err = ParseSpecError;
 
--- a/cli/tests/test_load_command.rs
+++ b/cli/tests/test_load_command.rs
@@ -3,6 +3,9 @@
 use std::process::Output;
 
 use beryltray_lib::clock::SystemClock;
+use beryltray_lib::connection::body::RequestBody;
+use beryltray_lib::connection::body::read_body;
+use beryltray_lib::connection::client::ClientConnection;
 use beryltray_lib::connection::pool::ConnectionPool;
 use beryltray_lib::connection::pool::PoolSettings;
 use beryltray_lib::ids::Epoch;
@@ -14,13 +17,18 @@
 use beryltray_lib::target::wire::OrderAction;
 use beryltray_lib::target::wire::OrderMember;
 use beryltray_stand_ins::answer::whole_text;
+use beryltray_stand_ins::control::TRUTH_PATH;
 use beryltray_stand_ins::engine;
 use beryltray_stand_ins::engine::EngineSettings;
 use beryltray_stand_ins::invocation::CallerOutcome;
 use beryltray_stand_ins::invocation::Invocation;
 use beryltray_stand_ins::server::Running;
+use beryltray_stand_ins::truth::EngineTruth;
+use http::Request;
+use http::header::HOST;
 use serde_json::Value;
 
+const LIMIT_BYTES: usize = 1 << 20;
 const CONTROL_TIMEOUT: std::time::Duration = std::time::Duration::from_secs(20);
 
 async fn start_engine() -> Running {
@@ -120,3 +128,38 @@
     let text = String::from_utf8(output.stderr).unwrap();
     assert!(text.contains("Hint:"));
 }
+
+#[tokio::test]
+async fn load_unready_entry_gets_no_request() {
+    let ready = start_engine().await;
+    let unready = start_engine().await;
+    let stopped = start_engine().await;
+    stopped.stop();
+    let ready_entry = ready.address().to_string();
+    let unready_entry = format!("{},{}", unready.address(), stopped.address());
+    let arguments = [
+        ["--entry", &ready_entry],
+        ["--entry", &unready_entry],
+        ["--account", "harbour=secret"],
+        ["--work", "beryl-writers"],
+        ["--duration", "300ms"],
+        ["--rate", "50/s"],
+    ];
+    let output = load(&arguments.concat()).await;
+    assert!(output.status.success());
+    assert!(!engine_truth(&ready).await.works.is_empty());
+    assert!(engine_truth(&unready).await.works.is_empty());
+}
+
+async fn engine_truth(running: &Running) -> EngineTruth {
+    let address = running.address();
+    let mut connection = ClientConnection::open(address, CONTROL_TIMEOUT)
+        .await
+        .unwrap();
+    let request = Request::get(TRUTH_PATH)
+        .header(HOST, address.to_string())
+        .body(RequestBody::default());
+    let response = connection.send(request.unwrap()).await.unwrap();
+    let body = read_body(response.into_body(), LIMIT_BYTES, CONTROL_TIMEOUT).await;
+    serde_json::from_slice(&body.unwrap()).unwrap()
+}
