--- a/cli/tests/runner.rs
+++ b/cli/tests/runner.rs
@@ -2,6 +2,7 @@
 
 mod test_check_history_command;
 mod test_config_command;
+mod test_experiment_command;
 mod test_load_command;
 mod test_promises;
 mod test_stand_in_command;
