entry: idempotent requests without a place here are relayed to another data centre

Why: a data centre short of targets must use the room of others; the relay and the choice existed as parts of the library, but nothing joined them. Result: idempotent_request_without_targets_here_is_relayed passes with two real processes; a booking is not relayed and did not run. Before, such a request was 'not run: no target can serve'.

--- a/cli/tests/test_promises.rs
+++ b/cli/tests/test_promises.rs
@@ -206,3 +206,16 @@
     let answer = entry.send(BOOK, "booking", Some("k1")).await;
     assert_eq!(answer.outcome, "complete");
 }
+
+#[tokio::test]
+async fn idempotent_request_without_targets_here_is_relayed() {
+    let trial = Trial::start().await;
+    let near = trial.start_entry("entry-a1").await;
+    let far = trial.start_entry_beside("entry-b1", &near).await;
+    eventually(async || far.is_ready().await).await;
+    eventually(async || far.send(LIST, "m1", None).await.outcome == "complete").await;
+    assert!(trial.run_count("m1").await >= 1);
+    let booking = far.send(BOOK, "m2", Some("k2")).await;
+    assert_ne!(booking.outcome, "complete");
+    assert_eq!(trial.run_count("m2").await, 0);
+}
--- a/cli/tests/trial.rs
+++ b/cli/tests/trial.rs
@@ -135,6 +135,11 @@
         spawn_entry(name, "lakes-b", self.platform.address(), &[]).await
     }
 
+    /// Starts an entry of another data centre, without targets of its own, that knows another one.
+    pub(crate) async fn start_entry_beside(&self, name: &str, other: &Entry) -> Entry {
+        spawn_entry(name, "lakes-b", self.platform.address(), &[other.peers]).await
+    }
+
     /// Starts an entry that reaches the platform by a relay and knows another entry.
     pub(crate) async fn start_entry_behind(
         &self,
--- a/lib/src/process/admitter.rs
+++ b/lib/src/process/admitter.rs
@@ -106,6 +106,11 @@
         self.machine.queued_requests()
     }
 
+    /// Returns the number of admitted requests that have not ended.
+    pub fn in_flight_requests(&self) -> u32 {
+        self.machine.in_flight_requests()
+    }
+
     /// Returns the time that a request takes at a target, as a moving mean.
     pub fn mean_service_time(&self) -> Duration {
         self.machine.mean_service_time()
--- a/lib/src/process/entry/exchange.rs
+++ b/lib/src/process/entry/exchange.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
@@ -28,10 +29,12 @@
 use crate::process::membership::MembershipAction;
 use crate::process::membership::member::MemberState;
 use crate::process::presence::ReportSource;
+use crate::process::spill::ServiceSummary;
 use crate::process::status::EntryStatus;
 use crate::request::claim::LiveEntry;
 use crate::sorted::Keyed as _;
 use crate::target::Targets;
+use crate::units::RequestRate;
 use crate::version::head::FetchedVersion;
 use crate::version::head::HeadMark;
 use crate::version::head::driver::PeerEvent;
@@ -142,6 +145,7 @@
         self.publish();
         let actions = self.state.exchange().on_round(now);
         self.carry_out(actions);
+        self.read_summaries(now);
         self.count();
     }
 
@@ -161,9 +165,30 @@
         }
     }
 
+    /// Takes in what other data centres tell of their services.
+    fn read_summaries(&self, now: Instant) {
+        let summaries = self.state.exchange().far_summaries(now);
+        for far in summaries {
+            let summary = ServiceSummary {
+                data_centre: far.service.data_centre,
+                serving_targets: far.summary.serving_targets,
+                spare_requests: far.summary.spare_requests.value() as u32,
+                queue_wait: Duration::from_secs_f64(far.summary.queue_wait_ms.value() / 1e3),
+                finish_rate: RequestRate(far.summary.finish_rate.per_s()),
+            };
+            let as_of = now.checked_sub(far.age).unwrap_or(now);
+            let service = &far.service.service;
+            self.state.shards.on_far_summary(service, summary, as_of);
+        }
+    }
+
     /// Puts what this entry knows into its own state.
     fn publish(&self) {
         let now = self.state.clock.now();
+        let mut summaries = Vec::new();
+        self.state.shards.for_each(|service, targets| {
+            summaries.push((service.clone(), targets.summary(service, now)));
+        });
         let message = self.state.limits().next_message(now);
         let mut totals = Vec::new();
         self.state.shards.for_each(|_, targets| {
@@ -172,6 +197,9 @@
         });
         let in_force = self.state.in_force.get();
         let mut exchange = self.state.exchange();
+        for (service, summary) in summaries {
+            exchange.set_summary(&service, summary);
+        }
         exchange.set_limits(&message);
         for (target, totals) in totals {
             exchange.set_sends(&target, totals);
--- a/lib/src/process/entry/operators.rs
+++ b/lib/src/process/entry/operators.rs
@@ -138,6 +138,7 @@
         document_digest: in_force
             .as_ref()
             .map(|in_force| in_force.row.digest.clone()),
+        relay_address: Some(state.settings.listen.relay),
         in_flight_requests: state.metrics.in_flight.get(),
         is_platform_reached: state.is_platform_reached(),
         lease: state.lease(),
--- a/lib/src/process/entry/run.rs
+++ b/lib/src/process/entry/run.rs
@@ -16,7 +16,6 @@
 use super::configuration::follow_head;
 use super::exchange::EntryExchange;
 use super::operators::OperatorHandler;
-use super::peers::EntryPeers;
 use super::placement::follow_placement;
 use super::poll::follow_capacity;
 use super::poll::follow_lists;
@@ -26,6 +25,8 @@
 use crate::clock::Clock;
 use crate::connection::peer::PeerSettings;
 use crate::connection::peer::server::serve_peers;
+use crate::connection::relay::client::RelaySettings;
+use crate::connection::relay::server::serve_relays;
 use crate::connection::server::ServerSettings;
 use crate::connection::server::serve;
 use crate::process::lifecycle::Stage;
@@ -79,13 +80,15 @@
     let caller_listener = bind(listen.callers).await?;
     let operator_listener = bind(listen.operators).await?;
     let peer_listener = bind(listen.peers).await?;
+    let relay_listener = bind(listen.relay).await?;
+    settings.listen.relay = bound_address(&relay_listener, listen.relay)?;
     settings.listen.peers = bound_address(&peer_listener, listen.peers)?;
     let (state, claim_task) = EntryState::new(settings, clock, platform, targets)?;
     let state = Arc::new(state);
 
     let mut background = JoinSet::new();
     let (peer_events, heard) = mpsc::channel(PEER_EVENT_BUFFER);
-    let peers = EntryPeers::default();
+    let peers = state.peers.clone();
     background.spawn(follow_head(Arc::clone(&state), peers.clone(), heard));
     let (exchange, peer_calls) = EntryExchange::new(Arc::clone(&state), peers, peer_events)?;
     background.spawn(exchange.clone().run(peer_calls));
@@ -120,7 +123,19 @@
         state.settings.callers.server,
         close_listener.clone(),
     ));
-    let drained = drain(&state, &shutdown, close_listener, callers);
+    let relays = serve_relays(
+        relay_listener,
+        CallerHandler::new(Arc::clone(&state)),
+        RelaySettings::default(),
+        close_listener.clone(),
+    );
+    let relays = tokio::spawn(async move {
+        if let Err(error) = relays.await {
+            log::error!("{error}");
+        }
+    });
+    let listeners = Listeners { callers, relays };
+    let drained = drain(&state, &shutdown, close_listener, listeners);
     tokio::select! {
         () = drained => log::info!("all requests are done"),
         () = shutdown.quick.cancelled() => log::warn!("ended at once; requests were cut off"),
@@ -130,12 +145,18 @@
     Ok(())
 }
 
+/// The tasks that take requests in; each ends when its requests are done.
+struct Listeners {
+    callers: JoinHandle<()>,
+    relays: JoinHandle<()>,
+}
+
 /// Waits for the end, gives the balancer its notice, and lets the requests in flight finish.
 async fn drain<C, P, T>(
     state: &EntryState<C, P, T>,
     shutdown: &ShutdownTokens,
     close_listener: CancellationToken,
-    callers: JoinHandle<()>,
+    listeners: Listeners,
 ) where
     C: Clock,
     P: Platform,
@@ -148,22 +169,25 @@
     tokio::time::sleep(settings.notice).await;
     state.lifecycle.advance(Stage::Stopping);
     close_listener.cancel();
-    let finished = tokio::time::timeout(settings.drain_limit, finish(state, callers)).await;
+    let finished = tokio::time::timeout(settings.drain_limit, finish(state, listeners)).await;
     if finished.is_err() {
         log::error!(limit_ms = millis(settings.drain_limit); "requests were cut off at the limit");
     }
 }
 
 /// Waits for the requests in flight, for the work that goes on without a caller, and for its record.
-async fn finish<C, P, T>(state: &EntryState<C, P, T>, callers: JoinHandle<()>)
+async fn finish<C, P, T>(state: &EntryState<C, P, T>, listeners: Listeners)
 where
     C: Clock,
     P: Platform,
     T: Targets,
 {
-    if let Err(error) = callers.await {
+    if let Err(error) = listeners.callers.await {
         log::error!("the callers' listener failed: {error}");
     }
+    if let Err(error) = listeners.relays.await {
+        log::error!("the relays' listener failed: {error}");
+    }
     state.keyed_work.close();
     state.keyed_work.wait().await;
     state.claims.flush().await;
--- a/lib/src/process/entry/state.rs
+++ b/lib/src/process/entry/state.rs
@@ -8,6 +8,8 @@
 
 use tokio_util::task::TaskTracker;
 
+use super::peers::EntryPeers;
+use super::relays::RelayConnections;
 use crate::attempts::RandomAttempts;
 use crate::clock::Clock;
 use crate::connection::peer::table::PeerTable;
@@ -65,6 +67,10 @@
     pub lifecycle: Lifecycle,
     /// The metrics.
     pub metrics: Metrics,
+    /// The other entries.
+    pub peers: EntryPeers<C>,
+    /// The open connections for relayed requests.
+    pub relays: RelayConnections,
     /// The claims on non-idempotent work.
     pub claims: ClaimStore,
     /// The way to the table by entries of other data centres, for claims.
@@ -130,6 +136,8 @@
         let (claims, claim_task) =
             claim_task(book, platform.clone(), peer_table.clone(), clock.clone());
         let state = Self {
+            peers: EntryPeers::default(),
+            relays: RelayConnections::default(),
             claims,
             peer_table,
             keyed_work: TaskTracker::new(),
--- a/lib/src/process/services.rs
+++ b/lib/src/process/services.rs
@@ -13,6 +13,7 @@
 
 use tokio::sync::oneshot;
 
+use crate::ids::DataCentreId;
 use crate::ids::HostId;
 use crate::ids::ServiceId;
 use crate::ids::TargetId;
@@ -20,9 +21,17 @@
 use crate::platform::rows::GroupRow;
 use crate::process::admitter::AdmissionVerdict;
 use crate::process::admitter::Admitter;
+use crate::process::exchange::value::LogLevel;
+use crate::process::exchange::value::QuantisedSummary;
+use crate::process::exchange::value::RateLevel;
 use crate::process::presence::GateVerdict;
 use crate::process::presence::PresenceGate;
 use crate::process::presence::ReportSource;
+use crate::process::spill::NoSpillReason;
+use crate::process::spill::ServiceSummary;
+use crate::process::spill::Spill;
+use crate::process::spill::SpillQuery;
+use crate::process::spill::SpillSettings;
 use crate::request::admission::Ticket;
 use crate::request::fair_queue::QueueKey;
 use crate::request::retry::RetryBudget;
@@ -55,6 +64,8 @@
     pub admitter: Admitter,
     /// What may be spent on further tries.
     pub retry_budget: RetryBudget,
+    /// What other data centres tell of the service.
+    pub spill: Spill,
 }
 
 /// A target that may be sent work now.
@@ -98,6 +109,7 @@
             router: Router::new(RouterSettings::from_document(service, routing)),
             admitter: Admitter::default(),
             retry_budget: RetryBudget::new(budget_settings(document), now),
+            spill: Spill::new(SpillSettings::default()),
         }
     }
 
@@ -147,6 +159,24 @@
             .collect()
     }
 
+    /// Returns what other data centres are told of the service.
+    pub fn summary(&self, service: &ServiceId, now: Instant) -> QuantisedSummary {
+        let open = self.open_targets(service, now);
+        let names: Vec<TargetId> = open.into_iter().map(|open| open.target).collect();
+        let own_requests = self.admitter.in_flight_requests();
+        let spare_requests = self.router.capacity(&names, 1, now);
+        let spare_requests = spare_requests.saturating_sub(own_requests);
+        let queue_wait_ms = self.admitter.estimated_wait().as_secs_f64() * 1e3;
+        let service_time_s = self.admitter.mean_service_time().as_secs_f64();
+        let finish_rate_per_s = f64::from(own_requests) / service_time_s.max(f64::MIN_POSITIVE);
+        QuantisedSummary {
+            serving_targets: names.len() as u32,
+            spare_requests: LogLevel::nearest(f64::from(spare_requests)),
+            queue_wait_ms: LogLevel::nearest(queue_wait_ms),
+            finish_rate: RateLevel::nearest(finish_rate_per_s),
+        }
+    }
+
     /// Returns the number of targets that may be sent work.
     pub fn open_count(&self, service: &ServiceId, now: Instant) -> usize {
         self.open_targets(service, now).len()
@@ -377,6 +407,42 @@
         })
     }
 
+    /// Returns the wait of a new request here; `None` if no target can serve.
+    pub fn own_wait(&self, service: &ServiceId, now: Instant) -> Option<Duration> {
+        let shard = self.shard(service)?;
+        let targets = lock(&shard.targets);
+        let can_serve = targets.open_count(service, now) > 0;
+        can_serve.then(|| targets.admitter.estimated_wait())
+    }
+
+    /// Takes in what another data centre tells of a service.
+    pub fn on_far_summary(&self, service: &ServiceId, summary: ServiceSummary, as_of: Instant) {
+        if let Some(shard) = self.shard(service) {
+            lock(&shard.targets).spill.on_summary(summary, as_of);
+        }
+    }
+
+    /// Chooses the data centre to relay a request to and counts it as relayed.
+    pub fn choose_spill(
+        &self,
+        service: &ServiceId,
+        query: SpillQuery,
+        now: Instant,
+    ) -> Result<DataCentreId, NoSpillReason> {
+        let shard = self.shard(service).ok_or(NoSpillReason::NoRoom)?;
+        let mut targets = lock(&shard.targets);
+        let chosen = targets.spill.choose(query, now)?;
+        targets.spill.on_relayed(&chosen);
+        Ok(chosen)
+    }
+
+    /// Takes in that a data centre refused a request or was not reached.
+    pub fn on_spill_refused(&self, service: &ServiceId, data_centre: &DataCentreId) {
+        if let Some(shard) = self.shard(service) {
+            lock(&shard.targets).spill.on_refused(data_centre);
+        }
+    }
+
     /// Follows the targets' state and gives up on requests that wait in vain.
     pub fn tick(&self, now: Instant) {
         let entries = self.entry_count();
--- a/lib/src/process/status.rs
+++ b/lib/src/process/status.rs
@@ -1,5 +1,7 @@
 //! What an entry tells operators of itself, as JSON.
 
+use std::net::SocketAddr;
+
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -36,6 +38,8 @@
     pub document_version: Option<DocumentVersion>,
     /// The digest of that document.
     pub document_digest: Option<Digest>,
+    /// The address for requests that other data centres relay.
+    pub relay_address: Option<SocketAddr>,
     /// Requests in flight.
     pub in_flight_requests: i64,
     /// Whether the platform answered the last call.
--- a/lib/src/request/answer.rs
+++ b/lib/src/request/answer.rs
@@ -149,6 +149,30 @@
     answer
 }
 
+/// Returns the answer to a request that another data centre serves.
+///
+/// The head comes before the end, so the header of the outcome is there only for a failure.
+pub fn relayed_answer(
+    id: &RequestId,
+    status: u16,
+    content_type: &str,
+    body: ResponseBody,
+) -> Response<ResponseBody> {
+    let mut answer = Response::new(body);
+    set_status(&mut answer, status);
+    set_header(&mut answer, CONTENT_TYPE.as_str(), content_type);
+    set_header(&mut answer, REQUEST_ID_HEADER, id.as_str());
+    let is_stream = content_type.starts_with(MEDIA_TYPE_EVENTS);
+    let outcome = match status {
+        400.. => Outcome::Failed { status },
+        _ => Outcome::Complete,
+    };
+    if !is_stream {
+        set_header(&mut answer, OUTCOME_HEADER, outcome.word());
+    }
+    answer
+}
+
 /// Returns the last event of a streamed answer that broke, before the connection is cut.
 pub fn broken_stream_event(outcome: &Outcome) -> Bytes {
     let detail = ErrorDetail {
--- a/lib/src/request/caller.rs
+++ b/lib/src/request/caller.rs
@@ -16,6 +16,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::connection::body::ReadBodyError;
+use crate::connection::relay::OutboundRequest;
 use crate::ids::Digest;
 use crate::ids::IdempotencyKey;
 use crate::ids::OperationId;
@@ -184,6 +185,8 @@
     pub content_type: String,
     /// The body, as it goes to the target.
     pub body: Bytes,
+    /// The body, as it came.
+    pub original_body: Bytes,
     /// The digest of service, operation and body.
     pub digest: Digest,
     /// A text that requests with the same prompt prefix share.
@@ -262,8 +265,31 @@
         })
     }
 
+    /// Returns the head of a request that another data centre relayed, whose account is known.
+    pub fn from_relay(relayed: &OutboundRequest) -> Self {
+        let path = if relayed.operation.as_str() == CHAT_OPERATION {
+            CallerPath::Chat
+        } else {
+            CallerPath::Plain {
+                service: relayed.service.clone(),
+                operation: relayed.operation.clone(),
+            }
+        };
+        Self {
+            id: relayed.request.clone(),
+            path,
+            credential_digest: digest_of(&[]),
+            deadline: Some(relayed.time_left),
+            priority: relayed.priority,
+            key: relayed.idempotency_key.clone(),
+            is_first_try: false,
+            content_type: relayed.content_type.clone(),
+        }
+    }
+
     /// Adds the body.
     pub fn with_body(self, body: Bytes) -> Result<CallerRequest, CallerError> {
+        let original_body = body.clone();
         let (service, operation, shape, body) = match self.path {
             CallerPath::Plain { service, operation } => {
                 (service, operation, AnswerShape::Plain, body)
@@ -284,6 +310,7 @@
             shape,
             content_type: self.content_type,
             body,
+            original_body,
             digest,
             prefix,
         })
--- a/lib/src/request/context.rs
+++ b/lib/src/request/context.rs
@@ -9,6 +9,7 @@
 use super::caller::CallerRequest;
 use super::outcome::NotRunReason;
 use super::outcome::Outcome;
+use crate::ids::AccountId;
 use crate::version::document::Account;
 use crate::version::document::Service;
 use crate::version::document::ServiceKind;
@@ -31,6 +32,8 @@
     pub deadline_at: Instant,
     /// Whether running it twice does no harm.
     pub is_idempotent: bool,
+    /// Whether another data centre relayed it here.
+    pub was_relayed: bool,
 }
 
 impl RequestContext {
@@ -41,6 +44,31 @@
         received_at: Instant,
     ) -> Result<Self, CallerError> {
         let account = find_account(&request, &in_force)?;
+        Self::with_account(request, account, in_force, received_at)
+    }
+
+    /// Checks a request that another data centre relayed for the account with `name`.
+    pub fn from_relay(
+        request: CallerRequest,
+        name: &AccountId,
+        in_force: Arc<HeadVersion>,
+        received_at: Instant,
+    ) -> Result<Self, CallerError> {
+        let account = in_force.document.accounts.get(name).cloned();
+        let account = account.ok_or(CallerError::UnknownCredential)?;
+        let context = Self::with_account(request, account, in_force, received_at)?;
+        Ok(Self {
+            was_relayed: true,
+            ..context
+        })
+    }
+
+    fn with_account(
+        request: CallerRequest,
+        account: Account,
+        in_force: Arc<HeadVersion>,
+        received_at: Instant,
+    ) -> Result<Self, CallerError> {
         let service = find_service(&request, &in_force)?;
         check_priority(&request, &account)?;
         let is_idempotent = service.is_idempotent(&request.operation);
@@ -56,6 +84,7 @@
             received_at,
             deadline_at: received_at + deadline,
             is_idempotent,
+            was_relayed: false,
         })
     }
 
--- a/lib/src/request/handler.rs
+++ b/lib/src/request/handler.rs
@@ -28,7 +28,12 @@
 use super::keyed::run_keyed;
 use super::outcome::NotRunReason;
 use super::outcome::Outcome;
+use super::outcome::UnknownReason;
 use super::permit::AdmissionPermit;
+use super::relay::RelayOutcome;
+use super::relay::answer_from_relay;
+use super::relay::relay_choice;
+use super::relay::relay_out;
 use super::token_stream::StreamPart;
 use super::token_stream::TokenStream;
 use super::whole::run_whole;
@@ -37,6 +42,7 @@
 use crate::connection::body::ResponseBody;
 use crate::connection::body::read_body;
 use crate::connection::body::streamed_body;
+use crate::connection::relay::OutboundRequest;
 use crate::connection::server::HttpHandler;
 use crate::ids::IdempotencyKey;
 use crate::ids::new_attempt_id;
@@ -112,8 +118,50 @@
         RequestContext::new(request, in_force, received_at).map_err(refuse)
     }
 
+    /// Answers a request that another data centre relayed.
+    pub(super) async fn answer_relayed(&self, relayed: OutboundRequest) -> Response<ResponseBody> {
+        let received_at = self.state.clock.now();
+        let Some(in_force) = self.state.in_force.get() else {
+            let outcome = Outcome::NotRun {
+                reason: NotRunReason::NotReady,
+                retry_after: NOT_READY_RETRY_AFTER,
+            };
+            return outcome_answer(&relayed.request, &outcome);
+        };
+        let head = CallerHead::from_relay(&relayed);
+        let request = head.with_body(relayed.body);
+        let account = &relayed.account;
+        let context = request.and_then(|request| {
+            RequestContext::from_relay(request, account, in_force, received_at)
+        });
+        match context {
+            Ok(context) => self.answer(context).await,
+            Err(error) => refusal_answer(&error),
+        }
+    }
+
+    /// Lets another data centre answer, if it does so sooner; `None` if the request stays here.
+    async fn answer_elsewhere(&self, context: &RequestContext) -> Option<Response<ResponseBody>> {
+        let data_centre = relay_choice(&self.state, context)?;
+        match relay_out(&self.state, context, &data_centre).await {
+            RelayOutcome::Answered { head, answer } => {
+                let service = &context.request.service;
+                self.state.metrics.count_attempt(service, "relayed");
+                Some(answer_from_relay(context, head, answer))
+            }
+            RelayOutcome::NotRun => None,
+            RelayOutcome::Unknown => {
+                let reason = UnknownReason::ConnectionLost;
+                Some(self.end(context, reason.into()))
+            }
+        }
+    }
+
     async fn answer(&self, context: RequestContext) -> Response<ResponseBody> {
         let in_flight = InFlight::new(&self.state.metrics.in_flight);
+        if let Some(answer) = self.answer_elsewhere(&context).await {
+            return answer;
+        }
         let permit = match self.admit(&context).await {
             Ok(permit) => permit,
             Err(Outcome::NotRun {
--- a/lib/src/request/mod.rs
+++ b/lib/src/request/mod.rs
@@ -14,6 +14,7 @@
 pub mod outcome;
 pub mod permit;
 pub mod plain;
+pub mod relay;
 pub mod retry;
 pub mod route;
 pub mod routing;
--- /dev/null
+++ b/lib/src/request/relay.rs
@@ -0,0 +1,268 @@
+//! Requests that leave their data centre, and those that come from another one.
+//!
+//! A request is relayed at most once and by one hop, which never retries. The other data centre
+//! applies its own limits and routing.
+
+use std::time::Duration;
+
+use http::Response;
+use http_body_util::BodyExt as _;
+use tokio::sync::mpsc;
+
+use super::answer::broken_stream_event;
+use super::answer::relayed_answer;
+use super::caller::AnswerShape;
+use super::caller::OUTCOME_HEADER;
+use super::context::RequestContext;
+use super::handler::CallerHandler;
+use super::outcome::Outcome;
+use super::outcome::UnknownReason;
+use crate::clock::Clock;
+use crate::connection::body::BodySender;
+use crate::connection::body::ResponseBody;
+use crate::connection::body::streamed_body;
+use crate::connection::relay::AnswerPart;
+use crate::connection::relay::OutboundRequest;
+use crate::connection::relay::RelayHandler;
+use crate::connection::relay::RelayedRequest;
+use crate::connection::relay::client::RelayError;
+use crate::connection::relay::client::RelayedAnswer;
+use crate::ids::DataCentreId;
+use crate::process::entry::EntryState;
+use crate::process::entry::Platform;
+use crate::process::entry::connect_relay;
+use crate::process::spill::SpillQuery;
+use crate::target::Targets;
+
+/// When a caller should come back whose relayed request was refused for its form.
+const REFUSED_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// How a try to relay a request ended.
+#[derive(Debug)]
+pub enum RelayOutcome {
+    /// The other data centre answers.
+    Answered {
+        /// The head of the answer.
+        head: RelayHead,
+        /// The rest of the answer.
+        answer: Box<RelayedAnswer>,
+    },
+    /// It was certainly not run there; it can still be served here.
+    NotRun,
+    /// It may have run there.
+    Unknown,
+}
+
+/// The head of a relayed answer.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct RelayHead {
+    /// The HTTP status.
+    pub status: u16,
+    /// The media type of the body.
+    pub content_type: String,
+}
+
+/// Returns the data centre to relay a request to, if that is better than serving it here.
+pub fn relay_choice<C, P, T>(
+    state: &EntryState<C, P, T>,
+    context: &RequestContext,
+) -> Option<DataCentreId>
+where
+    C: Clock,
+    P: Platform,
+    T: Targets,
+{
+    if !context.is_idempotent {
+        return None;
+    }
+    let now = state.clock.now();
+    let service = &context.request.service;
+    let expected_time = state.shards.expected_time(service);
+    let query = SpillQuery {
+        was_relayed: context.was_relayed,
+        own_wait: state.shards.own_wait(service, now),
+        allowed_wait: context.remaining(now).saturating_sub(expected_time),
+        draw: rand::random(),
+    };
+    match state.shards.choose_spill(service, query, now) {
+        Ok(data_centre) => {
+            log::info!(
+                request:% = context.request.id, service:% = service, chosen:% = data_centre;
+                "relay"
+            );
+            Some(data_centre)
+        }
+        Err(reason) => {
+            log::trace!(request:% = context.request.id; "not relayed: {reason}");
+            None
+        }
+    }
+}
+
+/// Hands a request over to another data centre, once.
+pub async fn relay_out<C, P, T>(
+    state: &EntryState<C, P, T>,
+    context: &RequestContext,
+    data_centre: &DataCentreId,
+) -> RelayOutcome
+where
+    C: Clock,
+    P: Platform,
+    T: Targets,
+{
+    let service = &context.request.service;
+    let connected = connect_relay(state, data_centre, rand::random()).await;
+    let Some((entry, mut connection)) = connected else {
+        state.shards.on_spill_refused(service, data_centre);
+        return RelayOutcome::NotRun;
+    };
+    let remaining = context.remaining(state.clock.now());
+    let submitted = connection.submit(outbound(context, remaining));
+    let first = async { first_part(submitted.await?).await };
+    let first = tokio::time::timeout(remaining, first).await;
+    match first {
+        Ok(Ok((
+            Some(AnswerPart::Head {
+                status,
+                content_type,
+            }),
+            answer,
+        ))) => {
+            let head = RelayHead {
+                status,
+                content_type,
+            };
+            let answer = Box::new(answer);
+            RelayOutcome::Answered { head, answer }
+        }
+        Ok(Ok((Some(AnswerPart::NotRun { .. }), _)))
+        | Ok(Err(RelayError::NotSent { .. } | RelayError::Refused { .. })) => {
+            state.shards.on_spill_refused(service, data_centre);
+            state.relays.remove(&entry);
+            RelayOutcome::NotRun
+        }
+        Ok(Ok(_)) | Ok(Err(RelayError::BrokenOff { .. })) | Err(_) => {
+            state.shards.on_spill_refused(service, data_centre);
+            state.relays.remove(&entry);
+            RelayOutcome::Unknown
+        }
+    }
+}
+
+async fn first_part(
+    mut answer: RelayedAnswer,
+) -> Result<(Option<AnswerPart>, RelayedAnswer), RelayError> {
+    let first = answer.next().await?;
+    Ok((first, answer))
+}
+
+fn outbound(context: &RequestContext, time_left: Duration) -> OutboundRequest {
+    let request = &context.request;
+    OutboundRequest {
+        request: request.id.clone(),
+        account: context.account.name.clone(),
+        service: request.service.clone(),
+        operation: request.operation.clone(),
+        priority: request.priority,
+        time_left,
+        idempotency_key: request.key.clone(),
+        content_type: request.content_type.clone(),
+        body: request.original_body.clone(),
+    }
+}
+
+/// Returns the caller's answer, whose body follows the relayed one.
+pub fn answer_from_relay(
+    context: &RequestContext,
+    head: RelayHead,
+    answer: Box<RelayedAnswer>,
+) -> Response<ResponseBody> {
+    let (sender, body) = streamed_body();
+    let is_stream = context.request.shape == AnswerShape::Stream;
+    tokio::spawn(forward(answer, sender, is_stream));
+    relayed_answer(&context.request.id, head.status, &head.content_type, body)
+}
+
+/// Passes the parts on; an answer without its end breaks off for the caller too.
+async fn forward(mut answer: Box<RelayedAnswer>, sender: BodySender, is_stream: bool) {
+    loop {
+        let part = tokio::select! {
+            part = answer.next() => part,
+            () = sender.closed() => return,
+        };
+        match part {
+            Ok(Some(AnswerPart::Data(data))) => {
+                if sender.send(data).await.is_err() {
+                    return;
+                }
+            }
+            Ok(Some(AnswerPart::End)) => return sender.finish(),
+            _ => break,
+        }
+    }
+    if is_stream {
+        let reason = UnknownReason::ConnectionLost;
+        let event = broken_stream_event(&Outcome::Unknown { reason });
+        // A reader that is gone needs no word of the break.
+        let _ = sender.send(event).await;
+    }
+}
+
+impl<C, P, T> RelayHandler for CallerHandler<C, P, T>
+where
+    C: Clock,
+    P: Platform,
+    T: Targets,
+{
+    async fn relay(&self, request: RelayedRequest, parts: mpsc::Sender<AnswerPart>) {
+        let response = self.answer_relayed(request.request().clone()).await;
+        if send_parts(response, &parts).await.is_err() {
+            log::debug!("the entry that relayed a request went away");
+        }
+    }
+}
+
+/// The other entry went away.
+#[derive(Clone, Copy, Debug)]
+struct EntryGone;
+
+async fn send_parts(
+    response: Response<ResponseBody>,
+    parts: &mpsc::Sender<AnswerPart>,
+) -> Result<(), EntryGone> {
+    let (head, mut body) = response.into_parts();
+    let outcome = head.headers.get(OUTCOME_HEADER);
+    let outcome = outcome.and_then(|outcome| outcome.to_str().ok());
+    let reason = head.status.to_string();
+    match outcome {
+        Some("not-run" | "invalid") => {
+            let retry_after = REFUSED_RETRY_AFTER;
+            let part = AnswerPart::NotRun {
+                reason,
+                retry_after,
+            };
+            return send(parts, part).await;
+        }
+        Some("unknown") => return send(parts, AnswerPart::Unknown { reason }).await,
+        _ => {}
+    }
+    let content_type = head.headers.get(http::header::CONTENT_TYPE);
+    let content_type = content_type.and_then(|value| value.to_str().ok());
+    let part = AnswerPart::Head {
+        status: head.status.as_u16(),
+        content_type: content_type.unwrap_or_default().to_owned(),
+    };
+    send(parts, part).await?;
+    while let Some(frame) = body.frame().await {
+        // A body that breaks off ends the parts without their end.
+        let frame = frame.map_err(|_| EntryGone)?;
+        if let Ok(data) = frame.into_data() {
+            send(parts, AnswerPart::Data(data)).await?;
+        }
+    }
+    send(parts, AnswerPart::End).await
+}
+
+async fn send(parts: &mpsc::Sender<AnswerPart>, part: AnswerPart) -> Result<(), EntryGone> {
+    parts.send(part).await.map_err(|_| EntryGone)
+}
--- a/lib/tests/test_peer.rs
+++ b/lib/tests/test_peer.rs
@@ -82,6 +82,7 @@
             not_ready_because: None,
             document_version: None,
             document_digest: None,
+            relay_address: None,
             in_flight_requests: 3,
             is_platform_reached: true,
             lease: None,
