experiment: tell avoidable group downtime from what no placement could serve

A full domain that lost a host can't serve all its groups whatever is decided, and that part hid the difference between the policies. The new column takes it away: the wanted groups beyond what the reachable hosts of each domain allow.

--- a/cli/src/commands/experiment/placement.rs
+++ b/cli/src/commands/experiment/placement.rs
@@ -243,6 +243,8 @@
     measured_s: f64,
     /// Groups that are wanted and do not serve.
     missing_group_s: f64,
+    /// Wanted groups for which the domains lack hosts that can be reached and stay.
+    unavoidable_group_s: f64,
     /// Groups that the table has and that do not serve.
     down_group_s: f64,
     stranded_host_s: f64,
@@ -254,6 +256,7 @@
     fn add(&mut self, other: &Totals) {
         self.measured_s += other.measured_s;
         self.missing_group_s += other.missing_group_s;
+        self.unavoidable_group_s += other.unavoidable_group_s;
         self.down_group_s += other.down_group_s;
         self.stranded_host_s += other.stranded_host_s;
         self.powered_host_s += other.powered_host_s;
@@ -374,11 +377,15 @@
         let step_s = step.as_secs_f64();
         let serving = self.fleet.serving_groups();
         let placed = self.fleet.placed_groups();
-        let members = serving * usize::try_from(HOSTS_PER_REPLICA).unwrap_or_default();
+        let members_per_group = usize::try_from(HOSTS_PER_REPLICA).unwrap_or(1);
+        let members = serving * members_per_group;
         let powered = self.fleet.powered_hosts();
         let missing = self.scenario.wanted_groups.saturating_sub(serving);
         self.totals.measured_s += step_s;
+        let possible = self.fleet.possible_groups(members_per_group);
+        let unavoidable = self.scenario.wanted_groups.saturating_sub(possible);
         self.totals.missing_group_s += missing as f64 * step_s;
+        self.totals.unavoidable_group_s += unavoidable as f64 * step_s;
         self.totals.down_group_s += placed.saturating_sub(serving) as f64 * step_s;
         self.totals.stranded_host_s += powered.saturating_sub(members) as f64 * step_s;
         self.totals.powered_host_s += powered as f64 * step_s;
@@ -441,8 +448,10 @@
     let mut total = Totals::default();
     runs.iter().for_each(|run| total.add(run));
     let days = total.measured_s / DAY_S;
+    let avoidable_group_s = total.missing_group_s - total.unavoidable_group_s;
     Row::new(name)
         .with("missing groups, min/day", per_day(&total))
+        .with("avoidable", avoidable_group_s / MINUTE_S / days)
         .with("worst run", worst)
         .with(
             "placed groups down, min/day",
--- a/stand-ins/src/fleet/host.rs
+++ b/stand-ins/src/fleet/host.rs
@@ -90,6 +90,11 @@
         self.is_up && self.loading.is_some()
     }
 
+    /// Returns whether the host can be reached and stays.
+    pub fn is_fit(&self) -> bool {
+        self.is_up && !self.is_muted && !self.is_leaving
+    }
+
     /// Stops the host.
     pub fn kill(&mut self) {
         self.is_up = false;
@@ -118,8 +123,7 @@
         let is_placed = joined.is_some_and(|joined| {
             &joined.group == group && joined.generation == generation && joined.rank == rank
         });
-        let is_reached = self.is_up && !self.is_muted;
-        is_placed && is_reached && !self.is_leaving && self.is_ready()
+        is_placed && self.is_fit() && self.is_ready()
     }
 
     /// Returns the generation of `group` that the host is in, if it runs and is in the group.
--- a/stand-ins/src/fleet/mod.rs
+++ b/stand-ins/src/fleet/mod.rs
@@ -224,6 +224,15 @@
             .count()
     }
 
+    /// Returns the number of groups that could be made of the hosts that can be reached and stay.
+    pub fn possible_groups(&self, hosts_per_group: usize) -> usize {
+        let fit = self.hosts.iter().filter(|host| host.is_fit());
+        let mut domains: Vec<&FabricDomainId> = fit.map(|host| &host.listed.domain).collect();
+        domains.sort();
+        let domains = domains.chunk_by(|a, b| a == b);
+        domains.map(|hosts| hosts.len() / hosts_per_group).sum()
+    }
+
     fn live_groups(&self) -> impl Iterator<Item = &GroupRow> {
         let rows = self.groups.iter().map(|group| &group.value);
         rows.filter(|row| !row.members.is_empty())
