--- a/cli/src/commands/load.rs
+++ b/cli/src/commands/load.rs
@@ -2,11 +2,11 @@
 
 use std::io::BufWriter;
 use std::io::Write as _;
-use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
 
+use beryltray_lib::ids::AccountId;
 use beryltray_lib::units::RequestRate;
 use beryltray_lib::units::Share;
 use beryltray_lib::units::parse_duration;
@@ -19,10 +19,12 @@
 use tokio::sync::mpsc;
 
 use crate::load::arrivals::ArrivalSettings;
+use crate::load::balancer::Balancer;
 use crate::load::caller::CallSettings;
 use crate::load::runner::LoadSettings;
 use crate::load::runner::run_load;
 use crate::load::spec::AccountSpec;
+use crate::load::spec::EntrySpec;
 use crate::load::spec::WorkSpec;
 
 /// Why the load was not sent.
@@ -60,9 +62,10 @@
 /// Options of `load`.
 #[derive(Args, Debug)]
 pub(crate) struct LoadArgs {
-    /// An entry's address; may be repeated, and requests go round.
-    #[arg(long, value_name = "IP:PORT", required = true)]
-    entry: Vec<SocketAddr>,
+    /// An entry's address for callers; may be repeated, and requests go round. With the address
+    /// for operators too, only an entry that is ready gets requests, as behind a balancer.
+    #[arg(long, value_name = "IP:PORT[,IP:PORT]", required = true)]
+    entry: Vec<EntrySpec>,
     /// The mean rate of arrivals, which do not wait for answers.
     #[arg(long, default_value = "20/s")]
     rate: RequestRate,
@@ -87,9 +90,9 @@
     /// An account; may be repeated.
     #[arg(long, value_name = "NAME=CREDENTIAL[*WEIGHT]", required = true)]
     account: Vec<AccountSpec>,
-    /// The share of the requests that are emergencies.
-    #[arg(long, default_value = "0%")]
-    emergency_share: Share,
+    /// An account whose requests are emergencies; may be repeated.
+    #[arg(long, value_name = "NAME")]
+    emergency_account: Vec<AccountId>,
     /// The deadline of each request.
     #[arg(long, value_parser = parse_duration, default_value = "10s")]
     deadline: Duration,
@@ -146,13 +149,13 @@
             keyed_work: self.keyed.clone(),
             keyed_share: self.keyed_share,
             twin_share: self.twin_share,
-            emergency_share: self.emergency_share,
             accounts: self.account.clone(),
+            emergency_accounts: self.emergency_account.clone(),
             prefixes: self.prefixes,
             seed: self.seed,
         };
         let call = CallSettings {
-            entries: self.entry.clone(),
+            entries: Balancer::new(self.entry.clone()),
             deadline: self.deadline,
             tokens: self.tokens,
         };
--- a/cli/src/load/caller.rs
+++ b/cli/src/load/caller.rs
@@ -12,6 +12,7 @@
 use beryltray_lib::ids::IdempotencyKey;
 use beryltray_lib::request::caller::CHAT_PATH;
 use beryltray_lib::request::caller::DEADLINE_HEADER;
+use beryltray_lib::request::caller::FIRST_TRY_HEADER;
 use beryltray_lib::request::caller::IDEMPOTENCY_KEY_HEADER;
 use beryltray_lib::request::caller::OUTCOME_HEADER;
 use beryltray_lib::request::caller::PRIORITY_HEADER;
@@ -31,6 +32,7 @@
 use sse_stream::SseStream;
 
 use super::arrivals::Arrival;
+use super::balancer::Balancer;
 
 /// The longest wait for a connection to an entry.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
@@ -45,7 +47,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct CallSettings {
     /// The entries; a request goes to the next one while no connection is taken.
-    pub(crate) entries: Vec<SocketAddr>,
+    pub(crate) entries: Balancer,
     /// The deadline.
     pub(crate) deadline: Duration,
     /// The length of a model's answer.
@@ -85,6 +87,8 @@
     pub(crate) marker: String,
     /// The key of non-idempotent work.
     pub(crate) key: Option<IdempotencyKey>,
+    /// Whether nothing was sent under the key before.
+    pub(crate) is_first_try: bool,
 }
 
 impl Call {
@@ -136,7 +140,9 @@
             .header(DEADLINE_HEADER, deadline_ms)
             .header(PRIORITY_HEADER, arrival.priority.to_string());
         if let Some(key) = &self.key {
-            request = request.header(IDEMPOTENCY_KEY_HEADER, key.as_str());
+            request = request
+                .header(IDEMPOTENCY_KEY_HEADER, key.as_str())
+                .header(FIRST_TRY_HEADER, self.is_first_try.to_string());
         }
         request.body(RequestBody::new(self.body(settings).to_string().into()))
     }
@@ -156,12 +162,8 @@
     }
 }
 
-async fn connect(
-    entries: &[SocketAddr],
-    first_entry: usize,
-) -> Option<(SocketAddr, ClientConnection)> {
-    for offset in 0..entries.len() {
-        let address = entries[(first_entry + offset) % entries.len()];
+async fn connect(entries: &Balancer, first_entry: usize) -> Option<(SocketAddr, ClientConnection)> {
+    for address in entries.candidates(first_entry) {
         if let Ok(connection) = ClientConnection::open(address, CONNECT_TIMEOUT).await {
             return Some((address, connection));
         }
--- a/cli/src/load/runner.rs
+++ b/cli/src/load/runner.rs
@@ -65,8 +65,10 @@
         history,
         tracker: TaskTracker::new(),
     };
+    run.settings.call.entries.ask_all().await;
     let started_at = SystemClock.now();
     let progress = tokio::spawn(run.clone().show_progress(started_at));
+    let balancer = tokio::spawn(run.settings.call.entries.clone().watch());
     for arrival in Arrivals::new(run.settings.arrivals.clone()) {
         let intended_at = started_at + arrival.at;
         tokio::time::sleep_until(intended_at.into()).await;
@@ -75,6 +77,7 @@
     run.tracker.close();
     run.tracker.wait().await;
     progress.abort();
+    balancer.abort();
     std::mem::take(&mut *run.lock_stats())
 }
 
@@ -86,6 +89,8 @@
             .then(|| marker.parse::<IdempotencyKey>().ok());
         let has_twin = arrival.has_twin;
         let call = Call {
+            // Of two callers with one key, neither knows whether it is the first.
+            is_first_try: !has_twin,
             arrival,
             marker,
             key: key.flatten(),
@@ -99,7 +104,7 @@
     }
 
     /// Sends a call, and again while it is keyed and has no result.
-    async fn call(self, call: Call, intended_at: Instant, entry_offset: usize) {
+    async fn call(self, mut call: Call, intended_at: Instant, entry_offset: usize) {
         let first_entry = call.arrival.number as usize + entry_offset;
         let retries = if call.key.is_some() {
             self.settings.keyed_retries
@@ -113,6 +118,7 @@
             if !may_come_back(observation.outcome) {
                 return;
             }
+            call.is_first_try = false;
             let delay = observation.retry_after.unwrap_or(DEFAULT_RETRY_DELAY);
             tokio::time::sleep(delay.min(RETRY_DELAY_MAX)).await;
             intended_at = SystemClock.now();
--- a/lib/src/platform/rows.rs
+++ b/lib/src/platform/rows.rs
@@ -25,11 +25,6 @@
     format!("head/{environment}")
 }
 
-/// Returns the prefix of the keys of an environment's versions.
-pub fn history_prefix(environment: &EnvironmentId) -> String {
-    format!("history/{environment}/")
-}
-
 /// Returns the key of a past version of an environment.
 pub fn history_key(environment: &EnvironmentId, version: DocumentVersion) -> String {
     format!("history/{environment}/{:020}", version.0)
@@ -73,6 +68,11 @@
     format!("assignment/{environment}/{data_centre}/{host}")
 }
 
+/// Returns the prefix of the keys of an environment's claims.
+pub fn claim_prefix(environment: &EnvironmentId) -> String {
+    format!("claim/{environment}/")
+}
+
 /// Returns the key of a claim on non-idempotent work.
 pub fn claim_key(environment: &EnvironmentId, account: &AccountId, key: &IdempotencyKey) -> String {
     format!("claim/{environment}/{account}/{key}")
--- a/lib/src/process/entry/mod.rs
+++ b/lib/src/process/entry/mod.rs
@@ -1,12 +1,14 @@
 //! The daemon on an entry host: it joins the decisions with sockets, tasks and the clock.
 
 mod configuration;
+mod exchange;
 mod operators;
 mod peers;
 mod placement;
 mod poll;
 mod run;
 mod state;
+mod traffic;
 
 pub use operators::LIVE_PATH;
 pub use operators::METRICS_PATH;
--- a/lib/src/process/entry/state.rs
+++ b/lib/src/process/entry/state.rs
@@ -10,15 +10,19 @@
 
 use crate::attempts::RandomAttempts;
 use crate::clock::Clock;
+use crate::connection::peer::table::PeerTable;
 use crate::platform::HostList;
 use crate::platform::ObjectStore;
 use crate::platform::Table;
+use crate::process::exchange::ExchangeSettings;
+use crate::process::exchange::StateExchange;
 use crate::process::identity::EntryIdentity;
 use crate::process::identity::incarnation_from;
 use crate::process::in_force::InForceCell;
 use crate::process::lifecycle::Lifecycle;
 use crate::process::limits::AccountLimits;
 use crate::process::limits::LimitSettings;
+use crate::process::membership::member::MemberIdentity;
 use crate::process::metrics::Metrics;
 use crate::process::services::ServiceShards;
 use crate::process::settings::EntrySettings;
@@ -28,7 +32,6 @@
 use crate::request::claim::ClaimSettings;
 use crate::request::claim::store::ClaimStore;
 use crate::request::claim::store::ClaimTask;
-use crate::request::claim::store::NoPeerTable;
 use crate::request::claim::store::claim_task;
 use crate::target::Targets;
 use crate::version::head::HeadReadiness;
@@ -39,7 +42,7 @@
 impl<P> Platform for P where P: Table + ObjectStore + HostList {}
 
 /// The task of an entry's claims.
-pub type EntryClaimTask<C, P> = ClaimTask<P, NoPeerTable, RandomAttempts, C>;
+pub type EntryClaimTask<C, P> = ClaimTask<P, PeerTable<C>, RandomAttempts, C>;
 
 /// What all tasks of an entry share.
 #[derive(Debug)]
@@ -64,13 +67,17 @@
     pub metrics: Metrics,
     /// The claims on non-idempotent work.
     pub claims: ClaimStore,
+    /// The way to the table by entries of other data centres, for claims.
+    pub peer_table: PeerTable<C>,
     /// Non-idempotent work in flight, which goes on when its callers go away.
     pub keyed_work: TaskTracker,
     limits: Mutex<AccountLimits>,
-    lease: Mutex<Option<LeaseStatus>>,
+    exchange: Mutex<StateExchange>,
     head_readiness: Mutex<Option<HeadReadiness>>,
+    lease: Mutex<Option<LeaseStatus>>,
     is_platform_reached: AtomicBool,
     has_host_list: AtomicBool,
+    has_reports: AtomicBool,
 }
 
 impl<C, P, T> EntryState<C, P, T>
@@ -98,19 +105,38 @@
             LimitSettings::default(),
             clock.now(),
         );
+        let member = MemberIdentity {
+            entry: identity.entry.clone(),
+            incarnation: identity.incarnation,
+            data_centre: identity.data_centre.clone(),
+            address: settings.listen.peers,
+        };
+        let exchange_settings = ExchangeSettings {
+            seeds: settings.peers.seeds.clone(),
+            ..ExchangeSettings::default()
+        };
+        let exchange = StateExchange::new(member, exchange_settings, clock.now());
         let owner = ClaimOwner {
             environment: identity.environment.clone(),
             entry: identity.entry.clone(),
             incarnation: identity.incarnation,
         };
-        let book = ClaimBook::new(ClaimSettings::default(), owner, RandomAttempts);
-        let (claims, claim_task) = claim_task(book, platform.clone(), NoPeerTable, clock.clone());
+        let claim_settings = ClaimSettings {
+            has_peer_route: true,
+            ..ClaimSettings::default()
+        };
+        let book = ClaimBook::new(claim_settings, owner, RandomAttempts);
+        let peer_table = PeerTable::default();
+        let (claims, claim_task) =
+            claim_task(book, platform.clone(), peer_table.clone(), clock.clone());
         let state = Self {
             claims,
+            peer_table,
             keyed_work: TaskTracker::new(),
             limits: Mutex::new(limits),
-            lease: Mutex::default(),
+            exchange: Mutex::new(exchange),
             head_readiness: Mutex::default(),
+            lease: Mutex::default(),
             clock,
             platform,
             targets,
@@ -122,6 +148,7 @@
             metrics: Metrics::new()?,
             is_platform_reached: AtomicBool::new(false),
             has_host_list: AtomicBool::new(false),
+            has_reports: AtomicBool::new(false),
         };
         Ok((state, claim_task))
     }
@@ -131,6 +158,11 @@
         self.limits.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the state exchange with the other entries, locked.
+    pub fn exchange(&self) -> MutexGuard<'_, StateExchange> {
+        self.exchange.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Records the placement lease as this entry last saw it.
     pub fn show_lease(&self, status: Option<LeaseStatus>) {
         *self.lease.lock().unwrap_or_else(PoisonError::into_inner) = status;
@@ -161,11 +193,21 @@
         self.is_platform_reached.load(Ordering::Relaxed)
     }
 
-    /// Records that the entry has a view of its targets.
+    /// Records that the entry knows which hosts there are.
     pub fn note_host_list(&self) {
         self.has_host_list.store(true, Ordering::Relaxed);
     }
 
+    /// Returns whether the entry knows which hosts there are.
+    pub fn has_host_list(&self) -> bool {
+        self.has_host_list.load(Ordering::Relaxed)
+    }
+
+    /// Records that every listed host was asked for its report.
+    pub fn note_reports(&self) {
+        self.has_reports.store(true, Ordering::Relaxed);
+    }
+
     /// Records whether a document is in force, and why not.
     pub fn set_head_readiness(&self, readiness: HeadReadiness) {
         let mut current = self
@@ -185,9 +227,14 @@
             let reason = readiness.as_ref().map(ToString::to_string);
             return Some(reason.unwrap_or_else(|| String::from("the head was not asked for yet")));
         }
-        if !self.has_host_list.load(Ordering::Relaxed) {
+        if !self.has_host_list() {
             return Some(String::from("no list of hosts was read"));
         }
+        if !self.has_reports.load(Ordering::Relaxed) {
+            return Some(String::from(
+                "the hosts were not asked for their reports yet",
+            ));
+        }
         None
     }
 }
--- a/lib/src/request/handler.rs
+++ b/lib/src/request/handler.rs
@@ -116,6 +116,10 @@
         let in_flight = InFlight::new(&self.state.metrics.in_flight);
         let permit = match self.admit(&context).await {
             Ok(permit) => permit,
+            Err(Outcome::NotRun {
+                reason,
+                retry_after,
+            }) => return self.end(&context, context.unclaimed(reason, retry_after).into()),
             Err(outcome) => return self.end(&context, outcome.into()),
         };
         if context.request.shape == AnswerShape::Stream && context.is_idempotent {
@@ -178,8 +182,7 @@
         permit: AdmissionPermit<C>,
         answer: WholeAnswer,
     ) -> Response<ResponseBody> {
-        let now = self.state.clock.now();
-        permit.finish(now.saturating_duration_since(context.received_at));
+        permit.finish();
         self.note_outcome(context, &Outcome::Complete);
         whole_answer(&context.request.id, &Outcome::Complete, answer)
     }
@@ -293,8 +296,7 @@
                 if sender.send(end_event()).await.is_ok() {
                     sender.finish();
                 }
-                let now = self.state.clock.now();
-                permit.finish(now.saturating_duration_since(context.received_at));
+                permit.finish();
                 stream.finish(&self.state, &context, true).await;
                 self.note_outcome(&context, &Outcome::Complete);
             }
--- a/lib/src/request/routing.rs
+++ b/lib/src/request/routing.rs
@@ -141,20 +141,31 @@
         }
     }
 
-    /// Takes in that a request to `target` ended, with its answer if it came whole.
+    /// Takes in that a request to `target` ended, with its answer if it came whole; without one
+    /// if it was given up on for no fault of the target.
     pub fn on_finished(&mut self, target: &TargetId, answer: Option<FinishedAnswer>, now: Instant) {
         self.load_mut(target).on_finished(now);
         let Some(answer) = answer else {
             return;
         };
         let tokens = answer.tokens.0 as f64;
-        self.mean_answer_tokens += ANSWER_WEIGHT * (tokens - self.mean_answer_tokens);
+        if answer.tokens.0 > 0 {
+            self.mean_answer_tokens += ANSWER_WEIGHT * (tokens - self.mean_answer_tokens);
+        }
         if answer.tokens.0 > 1 {
             let time_per_token = answer.generation_time.div_f64(tokens - 1.0);
             self.stragglers.on_sample(target, time_per_token, now);
+        } else {
+            self.stragglers.on_success(target, now);
         }
     }
 
+    /// Takes in that a request to `target` failed through the target's fault.
+    pub fn on_failed(&mut self, target: &TargetId, now: Instant) {
+        self.load_mut(target).on_finished(now);
+        self.stragglers.on_failure(target, now);
+    }
+
     /// Takes in a load report that was taken from the target at `sampled_at`.
     pub fn on_report(&mut self, target: &TargetId, load: LoadReport, sampled_at: Instant) {
         let lag = self.settings.report_lag;
