entry: hosts that the platform lists as leaving are told to the peers

The list lags differently at each entry. A mark that a peer took over stays there; one that is withdrawn and set again is told again.

--- a/lib/src/process/entry/poll.rs
+++ b/lib/src/process/entry/poll.rs
@@ -10,6 +10,7 @@
 use crate::clock::Clock;
 use crate::ids::HostId;
 use crate::platform::ListedHost;
+use crate::platform::ListedState;
 use crate::platform::PlatformError;
 use crate::platform::Row;
 use crate::platform::rows::GroupRow;
@@ -64,7 +65,11 @@
 {
     let listed = state.platform.hosts().await?;
     let is_near = |host: &ListedHost| host.data_centre == state.identity.data_centre;
-    let near = listed.into_iter().filter(is_near).collect();
+    let near: Vec<ListedHost> = listed.into_iter().filter(is_near).collect();
+    // The lists that other entries read may lag behind this one.
+    let is_leaving = |host: &&ListedHost| host.state == ListedState::Leaving;
+    let leaving = near.iter().filter(is_leaving).map(|host| host.host.clone());
+    state.exchange().set_leaving(&leaving.collect::<Vec<_>>());
     state.shards.on_listed_hosts(near, state.clock.now());
     state.note_host_list();
     Ok(())
--- a/lib/src/process/exchange/own.rs
+++ b/lib/src/process/exchange/own.rs
@@ -62,6 +62,21 @@
         self.own.leaving.set(host, incarnation, version);
     }
 
+    /// Marks the hosts that the platform lists as leaving, and withdraws the marks of all others.
+    ///
+    /// The marks that peers took over stay: only they decide when a host has come back. A host
+    /// that leaves a second time is told again.
+    pub fn set_leaving(&mut self, leaving: &[HostId]) {
+        let told: Vec<HostId> = self.own.leaving.entries().map(|e| e.key.clone()).collect();
+        for host in told.iter().filter(|host| !leaving.contains(host)) {
+            let version = self.own.next_version();
+            self.own.leaving.drop_value(host, version);
+        }
+        for host in leaving {
+            self.mark_leaving(host, Incarnation::default());
+        }
+    }
+
     /// Publishes a document head and returns whether it is the latest that was ever known here.
     ///
     /// The head is passed on before the document is in force here, because the way through the
--- a/lib/tests/test_exchange.rs
+++ b/lib/tests/test_exchange.rs
@@ -338,3 +338,16 @@
     assert!(exchange.is_marked_leaving(&host(9), Incarnation(2)));
     assert!(!exchange.is_marked_leaving(&host(9), Incarnation(3)));
 }
+
+#[test]
+fn leaving_second_time_is_told_again() {
+    let mut mesh = Mesh::new(&ONE_DATA_CENTRE, Fault::None, 14);
+    mesh.settle(3);
+    for leaving in [vec![host(9)], Vec::new(), vec![host(9)]] {
+        mesh.exchange(0).set_leaving(&leaving);
+        mesh.settle(3);
+        let exchange = mesh.exchange(1);
+        let is_marked = exchange.is_marked_leaving(&host(9), Incarnation(0));
+        assert_eq!(is_marked, !leaving.is_empty());
+    }
+}
