--- a/cli/src/commands/check_history.rs
+++ b/cli/src/commands/check_history.rs
@@ -44,7 +44,13 @@
     },
 }
 
-/// Options of `check-history`.
+/// Checks the promises over what a trial recorded.
+///
+/// The callers' history is held against the truths that the stand-ins kept: what ran, in which group
+/// and generation, and what the table committed. Each promise is printed with the number of checked
+/// operations and its violations.
+///
+/// Exit codes: 0 without a violation, 1 with one, 2 if a file can't be read.
 #[derive(Args, Debug)]
 pub(crate) struct CheckHistoryArgs {
     /// A history that `load` wrote; may be repeated.
--- a/cli/src/commands/load.rs
+++ b/cli/src/commands/load.rs
@@ -59,7 +59,13 @@
     Json,
 }
 
-/// Options of `load`.
+/// Sends requests at a given rate and counts what becomes of them.
+///
+/// Arrivals do not wait for answers, and a latency counts from the moment at which its request was
+/// due, so that a stall shows in the percentiles. A progress line goes to standard error.
+///
+/// Exit codes: 0 after the load was sent; 1 if --require-complete is given and an answer was not
+/// whole; 2 if nothing can be sent.
 #[derive(Args, Debug)]
 pub(crate) struct LoadArgs {
     /// An entry's address for callers; may be repeated, and requests go round. With the address
--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -19,27 +19,22 @@
 /// The exit code of a command that was asked for something that can't be done.
 const EXIT_CODE_USAGE: u8 = 2;
 
-/// What `beryltray` is asked to do.
+/// What `beryltray` is asked to do; a command's help is the doc comment of its arguments.
 #[derive(Debug, Subcommand)]
 pub(crate) enum Command {
     /// Checks, compares and changes an environment's document.
     #[command(subcommand)]
     Config(config::ConfigCommand),
-    /// Checks the promises over what a trial recorded.
     CheckHistory(check_history::CheckHistoryArgs),
-    /// Runs the whole path in one process and sends requests through it.
     Demo(demo::DemoArgs),
-    /// Runs an entry: the daemon that answers callers and routes their requests.
     Entry(entry::EntryArgs),
     /// Measures a policy beside its plain baselines.
     #[command(subcommand)]
     Experiment(experiment::ExperimentCommand),
-    /// Sends requests at a given rate and counts what becomes of them.
     Load(load::LoadArgs),
     /// Runs a small stand-in for an outer service, for trials and tests.
     #[command(subcommand)]
     StandIn(stand_in::StandInCommand),
-    /// Shows the entries, their versions, their groups, and why a gate is closed.
     Status(status::StatusArgs),
 }
 
