entry: a host that is slow to answer holds up no other's report

Cause: each round of polls waited for the slowest host, so one silent host (800 ms) stretched every other's report age towards the presence bound of 2 s. Change: polls run on their own; a host that has not answered yet is passed over.

--- a/lib/src/process/entry/poll.rs
+++ b/lib/src/process/entry/poll.rs
@@ -113,7 +113,8 @@
 
 /// Asks hosts for their reports until the task is dropped.
 ///
-/// Each host is this entry's to poll, or no peer has told of it lately.
+/// Each host is this entry's to poll, or no peer has told of it lately. A host that is slow to
+/// answer holds up no other: it is passed over until its answer or its time limit has come.
 pub async fn follow_reports<C, P, T>(state: Arc<EntryState<C, P, T>>)
 where
     C: Clock,
@@ -121,16 +122,27 @@
     T: Targets,
 {
     let mut ticks = tokio::time::interval(state.settings.targets.poll_interval);
+    let mut polls = JoinSet::new();
+    let mut asked: Vec<HostId> = Vec::new();
     loop {
-        ticks.tick().await;
-        let has_host_list = state.has_host_list();
-        let mut polls = JoinSet::new();
-        for host in polled_hosts(&state) {
-            polls.spawn(poll_host(Arc::clone(&state), host));
-        }
-        while polls.join_next().await.is_some() {}
-        if has_host_list {
-            state.note_reports();
+        tokio::select! {
+            _ = ticks.tick() => {
+                for host in polled_hosts(&state) {
+                    if let Err(index) = asked.binary_search(&host.host) {
+                        asked.insert(index, host.host.clone());
+                        polls.spawn(poll_host(Arc::clone(&state), host));
+                    }
+                }
+                if asked.is_empty() && state.has_host_list() {
+                    state.note_reports();
+                }
+            }
+            Some(Ok(host)) = polls.join_next(), if !polls.is_empty() => {
+                asked.retain(|other| *other != host);
+                if asked.is_empty() && state.has_host_list() {
+                    state.note_reports();
+                }
+            }
         }
     }
 }
@@ -151,7 +163,7 @@
     listed
 }
 
-async fn poll_host<C, P, T>(state: Arc<EntryState<C, P, T>>, host: ListedHost)
+async fn poll_host<C, P, T>(state: Arc<EntryState<C, P, T>>, host: ListedHost) -> HostId
 where
     C: Clock,
     P: Platform,
@@ -180,4 +192,5 @@
             state.shards.on_unreachable(&host.host, now);
         }
     }
+    host.host
 }
