--- a/lib/src/process/entry/exchange.rs
+++ b/lib/src/process/entry/exchange.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
@@ -11,19 +12,29 @@
 use super::peers::EntryPeers;
 use super::state::EntryState;
 use super::state::Platform;
+use super::traffic::TrafficMetrics;
 use crate::clock::Clock;
 use crate::connection::peer::PeerHandler;
 use crate::connection::peer::PeerSettings;
 use crate::connection::peer::client::PeerClient;
 use crate::connection::peer::metered::TrafficMeter;
+use crate::connection::peer::table::ClaimProxy;
+use crate::connection::peer::table::TableFailure;
 use crate::ids::EntryId;
+use crate::platform::CommitOutcome;
+use crate::platform::Row;
+use crate::platform::Transaction;
 use crate::process::exchange::ExchangeAction;
 use crate::process::exchange::wire::Frame;
 use crate::process::membership::MembershipAction;
+use crate::process::membership::member::MemberState;
 use crate::process::presence::ReportSource;
+use crate::process::spill::ServiceSummary;
 use crate::process::status::EntryStatus;
+use crate::request::claim::LiveEntry;
 use crate::sorted::Keyed as _;
 use crate::target::Targets;
+use crate::units::RequestRate;
 use crate::version::head::FetchedVersion;
 use crate::version::head::HeadMark;
 use crate::version::head::driver::PeerEvent;
@@ -48,6 +59,7 @@
     events: mpsc::Sender<PeerEvent>,
     calls: mpsc::Sender<PeerCall>,
     meter: TrafficMeter,
+    metrics: TrafficMetrics,
 }
 
 /// The calls that [`EntryExchange::run`] makes.
@@ -62,6 +74,7 @@
             events: self.events.clone(),
             calls: self.calls.clone(),
             meter: self.meter.clone(),
+            metrics: self.metrics.clone(),
         }
     }
 }
@@ -77,7 +90,8 @@
         state: Arc<EntryState<C, P, T>>,
         peers: EntryPeers<C>,
         events: mpsc::Sender<PeerEvent>,
-    ) -> (Self, PeerCalls) {
+    ) -> Result<(Self, PeerCalls), prometheus::Error> {
+        let metrics = TrafficMetrics::new(state.metrics.registry())?;
         let (calls, waiting) = mpsc::channel(CALL_BUFFER);
         let exchange = Self {
             state,
@@ -85,8 +99,9 @@
             events,
             calls,
             meter: TrafficMeter::default(),
+            metrics,
         };
-        (exchange, PeerCalls(waiting))
+        Ok((exchange, PeerCalls(waiting)))
     }
 
     /// Returns the meter of the traffic between entries.
@@ -130,11 +145,50 @@
         self.publish();
         let actions = self.state.exchange().on_round(now);
         self.carry_out(actions);
+        self.read_summaries(now);
+        self.count();
+    }
+
+    fn count(&self) {
+        self.metrics.set_traffic(&self.meter);
+        let exchange = self.state.exchange();
+        let states = [
+            MemberState::Alive,
+            MemberState::Suspect,
+            MemberState::Removed,
+            MemberState::Left,
+        ];
+        for state in states {
+            let members = exchange.membership().members();
+            let count = members.filter(|member| member.state == state).count();
+            self.metrics.set_members(&state.to_string(), count);
+        }
+    }
+
+    /// Takes in what other data centres tell of their services.
+    fn read_summaries(&self, now: Instant) {
+        let summaries = self.state.exchange().far_summaries(now);
+        for far in summaries {
+            let summary = ServiceSummary {
+                data_centre: far.service.data_centre,
+                serving_targets: far.summary.serving_targets,
+                spare_requests: far.summary.spare_requests.value() as u32,
+                queue_wait: Duration::from_secs_f64(far.summary.queue_wait_ms.value() / 1e3),
+                finish_rate: RequestRate(far.summary.finish_rate.per_s()),
+            };
+            let as_of = now.checked_sub(far.age).unwrap_or(now);
+            let service = &far.service.service;
+            self.state.shards.on_far_summary(service, summary, as_of);
+        }
     }
 
     /// Puts what this entry knows into its own state.
     fn publish(&self) {
         let now = self.state.clock.now();
+        let mut summaries = Vec::new();
+        self.state.shards.for_each(|service, targets| {
+            summaries.push((service.clone(), targets.summary(service, now)));
+        });
         let message = self.state.limits().next_message(now);
         let mut totals = Vec::new();
         self.state.shards.for_each(|_, targets| {
@@ -143,6 +197,9 @@
         });
         let in_force = self.state.in_force.get();
         let mut exchange = self.state.exchange();
+        for (service, summary) in summaries {
+            exchange.set_summary(&service, summary);
+        }
         exchange.set_limits(&message);
         for (target, totals) in totals {
             exchange.set_sends(&target, totals);
@@ -247,6 +304,35 @@
             .set_entries(entries, self.state.clock.now());
         let peer_count = u32::try_from(entries - 1).unwrap_or(u32::MAX);
         self.state.shards.set_peer_count(peer_count);
+        self.tell_claims();
+    }
+
+    /// Tells the claims which entries live, and by which ones the table may be reached.
+    fn tell_claims(&self) {
+        let mut live = Vec::new();
+        let mut others = Vec::new();
+        {
+            let exchange = self.state.exchange();
+            let members = exchange.membership().members();
+            for member in members.filter(|member| member.is_present()) {
+                let identity = &member.identity;
+                live.push(LiveEntry {
+                    entry: identity.entry.clone(),
+                    incarnation: identity.incarnation,
+                });
+                if identity.data_centre != self.state.identity.data_centre {
+                    others.push(identity.entry.clone());
+                }
+            }
+        }
+        let clients = others.iter().filter_map(|entry| self.peers.client(entry));
+        self.state.peer_table.set_peers(clients.collect());
+        self.state.claims.set_live_entries(live);
+    }
+
+    fn claim_proxy(&self) -> ClaimProxy<P> {
+        let table = self.state.platform.clone();
+        ClaimProxy::new(table, &self.state.identity.environment)
     }
 
     /// Forgets what an earlier life of a peer sent and was granted.
@@ -318,4 +404,12 @@
     async fn status(&self) -> EntryStatus {
         entry_status(&self.state)
     }
+
+    async fn read_claims(&self, keys: Vec<String>) -> Result<Vec<Option<Row>>, TableFailure> {
+        self.claim_proxy().read(keys).await
+    }
+
+    async fn commit_claims(&self, transaction: Transaction) -> Result<CommitOutcome, TableFailure> {
+        self.claim_proxy().commit(transaction).await
+    }
 }
--- a/lib/src/process/entry/mod.rs
+++ b/lib/src/process/entry/mod.rs
@@ -6,14 +6,18 @@
 mod peers;
 mod placement;
 mod poll;
+mod relays;
 mod run;
 mod state;
+mod traffic;
 
 pub use operators::LIVE_PATH;
 pub use operators::METRICS_PATH;
 pub use operators::READY_PATH;
 pub use operators::STATUS_PATH;
 pub use peers::EntryPeers;
+pub use relays::RelayConnections;
+pub use relays::connect_relay;
 pub use run::EntryError;
 pub use run::ShutdownTokens;
 pub use run::run_entry;
--- a/lib/src/process/entry/poll.rs
+++ b/lib/src/process/entry/poll.rs
@@ -10,6 +10,7 @@
 use crate::clock::Clock;
 use crate::ids::HostId;
 use crate::platform::ListedHost;
+use crate::platform::ListedState;
 use crate::platform::PlatformError;
 use crate::platform::Row;
 use crate::platform::rows::GroupRow;
@@ -64,7 +65,11 @@
 {
     let listed = state.platform.hosts().await?;
     let is_near = |host: &ListedHost| host.data_centre == state.identity.data_centre;
-    let near = listed.into_iter().filter(is_near).collect();
+    let near: Vec<ListedHost> = listed.into_iter().filter(is_near).collect();
+    // The lists that other entries read may lag behind this one.
+    let is_leaving = |host: &&ListedHost| host.state == ListedState::Leaving;
+    let leaving = near.iter().filter(is_leaving).map(|host| host.host.clone());
+    state.exchange().set_leaving(&leaving.collect::<Vec<_>>());
     state.shards.on_listed_hosts(near, state.clock.now());
     state.note_host_list();
     Ok(())
@@ -118,11 +123,15 @@
     let mut ticks = tokio::time::interval(state.settings.targets.poll_interval);
     loop {
         ticks.tick().await;
+        let has_host_list = state.has_host_list();
         let mut polls = JoinSet::new();
         for host in polled_hosts(&state) {
             polls.spawn(poll_host(Arc::clone(&state), host));
         }
         while polls.join_next().await.is_some() {}
+        if has_host_list {
+            state.note_reports();
+        }
     }
 }
 
@@ -166,6 +175,8 @@
         }
         Err(error) => {
             log::debug!(host:% = host.host; "no report: {error}");
+            // Open connections may have gone silent for good; the next poll takes a new one.
+            state.targets.drop_idle(host.address);
             state.shards.on_unreachable(&host.host, now);
         }
     }
--- a/stand-ins/src/fleet/host.rs
+++ b/stand-ins/src/fleet/host.rs
@@ -10,6 +10,7 @@
 use beryltray_lib::ids::Incarnation;
 use beryltray_lib::ids::WeightsId;
 use beryltray_lib::platform::ListedHost;
+use beryltray_lib::platform::ListedState;
 use beryltray_lib::target::wire::GroupMembership;
 use beryltray_lib::target::wire::HostReport;
 use beryltray_lib::target::wire::LoadReport;
@@ -89,6 +90,11 @@
         self.is_up && self.loading.is_some()
     }
 
+    /// Returns whether the host can be reached and stays.
+    pub fn is_fit(&self) -> bool {
+        self.is_up && !self.is_muted && !self.is_leaving
+    }
+
     /// Stops the host.
     pub fn kill(&mut self) {
         self.is_up = false;
@@ -98,6 +104,7 @@
     pub fn restart(&mut self) {
         self.is_up = true;
         self.is_leaving = false;
+        self.listed.state = ListedState::Live;
         self.incarnation = self.incarnation.next();
         self.joined = None;
         self.loaded = None;
@@ -116,7 +123,7 @@
         let is_placed = joined.is_some_and(|joined| {
             &joined.group == group && joined.generation == generation && joined.rank == rank
         });
-        is_placed && self.is_up && !self.is_leaving && self.is_ready()
+        is_placed && self.is_fit() && self.is_ready()
     }
 
     /// Returns the generation of `group` that the host is in, if it runs and is in the group.
