--- a/cli/src/load/runner.rs
+++ b/cli/src/load/runner.rs
@@ -180,7 +180,8 @@
         let mut ticks = tokio::time::interval(PROGRESS_INTERVAL);
         loop {
             ticks.tick().await;
-            let elapsed_s = started_at.elapsed().as_secs();
+            let elapsed = SystemClock.now().saturating_duration_since(started_at);
+            let elapsed_s = elapsed.as_secs();
             let in_flight = self.tracker.len();
             let outcomes = self.lock_stats().outcomes.line();
             eprintln!("{elapsed_s:>4} s  in flight {in_flight:>4}  {outcomes}");
