cli: tests of the callers' interface and of an entry's settings; entries in tests take other ports

Why: bad requests and bad settings had no test, and a port that another process took in between would have failed a test for no fault of the code.

--- a/cli/tests/runner.rs
+++ b/cli/tests/runner.rs
@@ -1,7 +1,9 @@
 //! Runner of the integration tests.
 
+mod test_callers;
 mod test_check_history_command;
 mod test_config_command;
+mod test_entry_command;
 mod test_experiment_command;
 mod test_load_command;
 mod test_promises;
--- a/cli/tests/trial.rs
+++ b/cli/tests/trial.rs
@@ -180,18 +180,34 @@
 
 const OPEN_TARGET: &str = "beryltray_open_targets{service=\"slot-ledger\"} 1";
 
-/// Starts the process of an entry.
+/// Starts the process of an entry, on other ports if some were taken meanwhile.
 async fn spawn_entry(
     name: &str,
     data_centre: &str,
     platform: SocketAddr,
     seeds: &[SocketAddr],
 ) -> Entry {
-    let mut addresses = Vec::new();
+    loop {
+        let mut entry = try_spawn_entry(name, data_centre, platform, seeds).await;
+        if entry.listens().await {
+            return entry;
+        }
+    }
+}
+
+async fn try_spawn_entry(
+    name: &str,
+    data_centre: &str,
+    platform: SocketAddr,
+    seeds: &[SocketAddr],
+) -> Entry {
+    let mut listeners = Vec::new();
     for _ in 0..4 {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        addresses.push(listener.local_addr().unwrap());
+        listeners.push(TcpListener::bind("127.0.0.1:0").await.unwrap());
     }
+    let addresses = listeners.iter().map(|listener| listener.local_addr());
+    let addresses = addresses.map(Result::unwrap).collect::<Vec<_>>();
+    drop(listeners);
     let [callers, operators, peers, relay] = addresses[..] else {
         unreachable!("four addresses were bound");
     };
@@ -202,6 +218,7 @@
          [listen]\ncallers = {callers}\noperators = {operators}\n\
          peers = {peers}\nrelay = {relay}\n\
          [platform]\naddress = {platform}\n[peers]\nseeds = {seeds}\n\
+         [callers]\nbody-limit = 64 KiB\nbody-timeout = 2s\n\
          [shutdown]\nnotice = 0s\n"
     );
     let settings = std::env::temp_dir().join(format!("entry-{}.ini", new_attempt_id()));
@@ -224,6 +241,31 @@
 }
 
 impl Entry {
+    /// Waits until the process listens; false if it ended instead.
+    async fn listens(&mut self) -> bool {
+        loop {
+            if self.process.try_wait().unwrap().is_some() {
+                return false;
+            }
+            let live = call(self.operators, Method::GET, "/live", "", &[]).await;
+            if live.is_some() && self.process.try_wait().unwrap().is_none() {
+                return true;
+            }
+            tokio::time::sleep(POLL).await;
+        }
+    }
+
+    /// Sends any request to the callers' interface.
+    pub(crate) async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: &str,
+        headers: &[(&str, &str)],
+    ) -> Option<(Response<()>, String)> {
+        call(self.callers, method, path, body, headers).await
+    }
+
     /// Returns whether the balancer may send to the entry.
     pub(crate) async fn is_ready(&self) -> bool {
         let answer = call(self.operators, Method::GET, "/ready", "", &[]).await;
