services: one file for one service's targets, one for the shards; streams tested with failing engines

Summaries of other data centres come every 5 s, so an age bound of 5 s threw most of them away; it is 12 s now.

--- a/cli/tests/runner.rs
+++ b/cli/tests/runner.rs
@@ -9,4 +9,5 @@
 mod test_load_command;
 mod test_promises;
 mod test_stand_in_command;
+mod test_streams;
 mod trial;
--- a/cli/tests/trial.rs
+++ b/cli/tests/trial.rs
@@ -181,7 +181,7 @@
 const OPEN_TARGET: &str = "beryltray_open_targets{service=\"slot-ledger\"} 1";
 
 /// Starts the process of an entry, on other ports if some were taken meanwhile.
-async fn spawn_entry(
+pub(crate) async fn spawn_entry(
     name: &str,
     data_centre: &str,
     platform: SocketAddr,
@@ -274,8 +274,13 @@
 
     /// Returns whether the entry would send work to the plain host.
     pub(crate) async fn is_serving(&self) -> bool {
+        self.has_metric(OPEN_TARGET).await
+    }
+
+    /// Returns whether the entry's metrics hold a line.
+    pub(crate) async fn has_metric(&self, line: &str) -> bool {
         let metrics = call(self.operators, Method::GET, "/metrics", "", &[]).await;
-        metrics.is_some_and(|(_, text)| text.contains(OPEN_TARGET))
+        metrics.is_some_and(|(_, text)| text.contains(line))
     }
 
     /// Sends an operation of the plain service.
@@ -365,7 +370,7 @@
     Some((Response::from_parts(head, ()), text))
 }
 
-async fn apply_document(platform: SocketAddr) {
+pub(crate) async fn apply_document(platform: SocketAddr) {
     let client = HttpPlatform::new(platform, GENEROUS, SystemClock);
     let digest = digest_of(DOCUMENT.as_bytes());
     let key = format!("document/{digest}");
--- a/lib/src/connection/body.rs
+++ b/lib/src/connection/body.rs
@@ -126,7 +126,7 @@
 ) -> Result<Bytes, ReadBodyError>
 where
     B: Body,
-    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+    B::Error: std::error::Error + Send + Sync + 'static,
 {
     let collected = tokio::time::timeout(limit, Limited::new(body, limit_bytes).collect()).await;
     match collected {
--- a/lib/src/process/entry/operators.rs
+++ b/lib/src/process/entry/operators.rs
@@ -22,7 +22,7 @@
 use crate::process::membership::member::Member;
 use crate::process::presence::GateVerdict;
 use crate::process::presence::HostPresence;
-use crate::process::services::ServiceTargets;
+use crate::process::service_targets::ServiceTargets;
 use crate::process::status::EntryStatus;
 use crate::process::status::GroupStatus;
 use crate::process::status::HostStatus;
--- a/lib/src/process/mod.rs
+++ b/lib/src/process/mod.rs
@@ -13,6 +13,7 @@
 pub mod metrics;
 pub mod placement;
 pub mod presence;
+pub mod service_targets;
 pub mod services;
 pub mod settings;
 pub mod spill;
--- a/lib/src/process/spill.rs
+++ b/lib/src/process/spill.rs
@@ -47,7 +47,7 @@
 impl Default for SpillSettings {
     fn default() -> Self {
         Self {
-            summary_age_max: Duration::from_secs(5),
+            summary_age_max: Duration::from_secs(12),
             relay_above: Duration::from_millis(250),
             gain_min: Duration::from_millis(200),
             spare_share: 0.25,
--- a/lib/src/request/attempt.rs
+++ b/lib/src/request/attempt.rs
@@ -12,7 +12,7 @@
 use crate::clock::Clock;
 use crate::connection::client::SendError;
 use crate::ids::AttemptId;
-use crate::process::services::ChosenTarget;
+use crate::process::service_targets::ChosenTarget;
 use crate::process::services::ServiceShards;
 use crate::target::AnswerError;
 use crate::target::AnswerEvent;
--- a/lib/src/request/dispatch.rs
+++ b/lib/src/request/dispatch.rs
@@ -20,8 +20,8 @@
 use crate::ids::new_attempt_id;
 use crate::process::entry::EntryState;
 use crate::process::entry::Platform;
-use crate::process::services::ChosenTarget;
-use crate::process::services::TargetQuery;
+use crate::process::service_targets::ChosenTarget;
+use crate::process::service_targets::TargetQuery;
 use crate::target::ConnectionChoice;
 use crate::target::Targets;
 
--- a/lib/src/request/token_stream.rs
+++ b/lib/src/request/token_stream.rs
@@ -284,7 +284,7 @@
 async fn classify<C, P, T>(
     state: &EntryState<C, P, T>,
     context: &RequestContext,
-    target: &crate::process::services::ChosenTarget,
+    target: &crate::process::service_targets::ChosenTarget,
     reason: UnknownReason,
 ) -> StreamFailure
 where
