--- a/lib/src/connection/silence.rs
+++ b/lib/src/connection/silence.rs
@@ -145,9 +145,9 @@
         if !self.has_silent(now) {
             return None;
         }
-        let is_mute = |w: &&Watched| w.opened_at <= probe_since && !w.spoke_after(probe_since);
-        let mute = self.connections.iter().filter(is_mute);
-        let (movable, kept): (Vec<&Watched>, Vec<&Watched>) = mute.partition(|w| w.is_movable);
+        let is_silent = |w: &&Watched| w.opened_at <= probe_since && !w.spoke_after(probe_since);
+        let silent = self.connections.iter().filter(is_silent);
+        let (movable, kept): (Vec<&Watched>, Vec<&Watched>) = silent.partition(|w| w.is_movable);
         let connections = numbers(&movable);
         let retired = numbers(&kept);
         for number in connections.iter().chain(&retired) {
