spill: the test of stale summaries follows the bound and checks both sides of it

Change: the test takes the bound from the settings and also asserts that a summary just below it is used.

--- a/lib/tests/test_spill.rs
+++ b/lib/tests/test_spill.rs
@@ -7,6 +7,7 @@
 use beryltray_lib::process::spill::ServiceSummary;
 use beryltray_lib::process::spill::Spill;
 use beryltray_lib::process::spill::SpillQuery;
+use beryltray_lib::process::spill::SpillSettings;
 use beryltray_lib::units::RequestRate;
 use beryltray_testutils::seeds::quickcheck_with_seed;
 
@@ -59,10 +60,13 @@
 #[test]
 fn spill_stale_summary_is_not_used() {
     let now = Instant::now();
+    let bound = SpillSettings::default().summary_age_max;
     let mut spill = Spill::new(Default::default());
     spill.on_summary(summary("b", 100, 0), now);
-    let later = now + Duration::from_secs(5);
-    assert_eq!(spill.choose(query(0), later), Err(NoSpillReason::NoRoom));
+    let just_fresh = now + bound - Duration::from_millis(1);
+    assert!(spill.choose(query(0), just_fresh).is_ok());
+    let stale = spill.choose(query(0), now + bound);
+    assert_eq!(stale, Err(NoSpillReason::NoRoom));
 }
 
 #[test]
