--- a/cli/tests/test_config_command.rs
+++ b/cli/tests/test_config_command.rs
@@ -123,6 +123,17 @@
     );
 }
 
+#[tokio::test]
+async fn config_check_goes_on_after_a_faulty_document() {
+    let trial = start_trial("config_check_goes_on", &[]).await;
+    let faulty = COMMONS.replace("presence-bound", "presense-bound");
+    let faulty = trial.file("faulty.ini", &faulty);
+    let output = beryltray(&["config", "check", &faulty, &example("pritchard.ini")]).await;
+    assert_eq!(output.status.code(), Some(2));
+    assert!(stderr(&output).contains("presense-bound"));
+    assert!(stdout(&output).contains("pritchard.ini: no fault"));
+}
+
 #[tokio::test]
 async fn config_check_too_few_hosts_is_refused() {
     let hosts = host_args();
