--- a/cli/src/commands/entry.rs
+++ b/cli/src/commands/entry.rs
@@ -3,6 +3,7 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
+use beryltray_lib::clock::BootTimeClock;
 use beryltray_lib::clock::SystemClock;
 use beryltray_lib::connection::pool::ConnectionPool;
 use beryltray_lib::connection::pool::PoolSettings;
@@ -11,8 +12,14 @@
 use beryltray_lib::process::entry::EntryError;
 use beryltray_lib::process::entry::ShutdownTokens;
 use beryltray_lib::process::entry::run_entry;
+use beryltray_lib::process::gateway::GatewayError;
+use beryltray_lib::process::gateway::GatewaySettings;
+use beryltray_lib::process::gateway::run_gateway;
 use beryltray_lib::process::settings::EntrySettings;
 use beryltray_lib::target::http::HttpTargets;
+use beryltray_platform::callers::Callers;
+use beryltray_platform::store::Store;
+use beryltray_platform::targets::Targets;
 use clap::Args;
 use derive_more::Display;
 use derive_more::Error;
@@ -37,9 +44,11 @@
     Settings(IniErrors),
     /// The entry failed.
     Entry(EntryError),
-    /// A signal can't be waited for.
-    #[display("can't wait for signals: {_0}. Hint: this is a fault of the system")]
-    Signal(std::io::Error),
+    /// The gateway failed.
+    Gateway(GatewayError),
+    /// The system's clocks or signals can't be used.
+    #[display("the system refuses a clock or signal: {_0}. Hint: this is a fault of the system")]
+    System(std::io::Error),
 }
 
 /// Runs an entry: it answers callers, routes their requests to targets, and takes its share of the
@@ -57,34 +66,75 @@
     settings: PathBuf,
 }
 
+/// The section and key by which a settings file says what the platform speaks.
+const INTERFACE_SECTION: &str = "[platform]";
+const INTERFACE_KEY: &str = "interface";
+/// The value of an entry on the users' common platform, whose tables hold routes and targets.
+const INTERFACE_TABLES: &str = "tables";
+
 impl EntryArgs {
-    fn read_settings(&self) -> Result<EntrySettings, EntryCommandError> {
+    fn read_settings(&self) -> Result<String, EntryCommandError> {
         let text = std::fs::read_to_string(&self.settings);
-        let text = text.map_err(|source| EntryCommandError::SettingsFile {
+        text.map_err(|source| EntryCommandError::SettingsFile {
             path: self.settings.clone(),
             source,
-        })?;
-        let file = self.settings.display().to_string();
-        Ok(EntrySettings::parse(&file, &text)?)
+        })
     }
 
     /// Runs the entry until a signal ends it.
     pub(crate) async fn run(self) -> Result<ExitCode, EntryCommandError> {
-        let settings = self.read_settings()?;
-        if std::env::var_os(env_logger::DEFAULT_FILTER_ENV).is_none() {
-            log::set_max_level(settings.log_level);
-        }
+        let text = self.read_settings()?;
+        let file = self.settings.display().to_string();
         let shutdown = ShutdownTokens::default();
         let signals = (
             signal(SignalKind::terminate())?,
             signal(SignalKind::interrupt())?,
         );
         tokio::spawn(forward_signals(signals, shutdown.clone()));
-        run_with_system(settings, shutdown).await?;
+        if is_tables_interface(&text) {
+            let settings = GatewaySettings::parse(&file, &text)?;
+            limit_log_level(settings.log_level);
+            run_on_tables(settings, shutdown).await?;
+        } else {
+            let settings = EntrySettings::parse(&file, &text)?;
+            limit_log_level(settings.log_level);
+            run_with_system(settings, shutdown).await?;
+        }
         Ok(ExitCode::SUCCESS)
     }
 }
 
+/// Returns whether the settings name the interface of the users' common platform.
+fn is_tables_interface(text: &str) -> bool {
+    let mut section = "";
+    text.lines().map(str::trim).any(|line| {
+        if line.starts_with('[') {
+            section = line;
+        }
+        let value = line
+            .split_once('=')
+            .filter(|(key, _)| key.trim() == INTERFACE_KEY);
+        section == INTERFACE_SECTION && value.is_some_and(|(_, v)| v.trim() == INTERFACE_TABLES)
+    })
+}
+
+fn limit_log_level(level: log::LevelFilter) {
+    if std::env::var_os(env_logger::DEFAULT_FILTER_ENV).is_none() {
+        log::set_max_level(level);
+    }
+}
+
+/// Runs an entry on the users' common platform.
+async fn run_on_tables(
+    settings: GatewaySettings,
+    shutdown: ShutdownTokens,
+) -> Result<(), EntryCommandError> {
+    let clock = BootTimeClock::new()?;
+    let store = Store::new(settings.platform);
+    run_gateway(settings, clock, store, Targets, Callers, shutdown).await?;
+    Ok(())
+}
+
 /// Runs an entry with the system's clock and the HTTP adapters.
 pub(crate) async fn run_with_system(
     settings: EntrySettings,
--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -68,6 +68,11 @@
 }
 
 impl Command {
+    /// Returns whether the command serves until it is told to end.
+    pub(crate) fn is_daemon(&self) -> bool {
+        matches!(self, Self::Entry(_))
+    }
+
     /// Runs the command to its end.
     pub(crate) async fn run(self) -> Result<ExitCode, CommandError> {
         match self {
--- /dev/null
+++ b/cli/src/logging.rs
@@ -0,0 +1,72 @@
+//! Where log lines go: JSON on standard output for daemons, text on standard error otherwise.
+
+use std::io::Write as _;
+
+use env_logger::Builder;
+use env_logger::Env;
+use env_logger::Target;
+use env_logger::fmt::Formatter;
+use log::Record;
+use log::kv::Key;
+use log::kv::Value;
+use log::kv::VisitSource;
+use tracing_appender::non_blocking::NonBlockingBuilder;
+use tracing_appender::non_blocking::WorkerGuard;
+
+/// What is logged without `RUST_LOG`; the level that the settings name bounds it further.
+const DEFAULT_FILTER: &str = "warn,beryltray=trace,beryltray_lib=trace,beryltray_platform=trace,\
+                              beryltray_stand_ins=trace";
+/// The lines that wait for a slow reader of standard output before further ones are dropped.
+const BUFFER_LINES: usize = 8 * 1024;
+
+/// Starts logging; the guard writes the last lines out when it is dropped.
+pub(crate) fn start(is_daemon: bool) -> Option<WorkerGuard> {
+    let mut builder = Builder::from_env(Env::default().default_filter_or(DEFAULT_FILTER));
+    let guard = is_daemon.then(|| {
+        // Requests never wait for a reader of the log: lines beyond the buffer are dropped.
+        let (writer, guard) = NonBlockingBuilder::default()
+            .lossy(true)
+            .buffered_lines_limit(BUFFER_LINES)
+            .finish(std::io::stdout());
+        builder.target(Target::Pipe(Box::new(writer)));
+        builder.format(write_json);
+        guard
+    });
+    builder.init();
+    if std::env::var_os(env_logger::DEFAULT_FILTER_ENV).is_none() {
+        log::set_max_level(log::LevelFilter::Info);
+    }
+    guard
+}
+
+struct Fields(serde_json::Map<String, serde_json::Value>);
+
+impl<'kvs> VisitSource<'kvs> for Fields {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), log::kv::Error> {
+        let value = match (value.to_u64(), value.to_bool()) {
+            (Some(number), _) => number.into(),
+            (None, Some(is_true)) => is_true.into(),
+            (None, None) => value.to_string().into(),
+        };
+        self.0.insert(key.as_str().to_owned(), value);
+        Ok(())
+    }
+}
+
+fn write_json(formatter: &mut Formatter, record: &Record<'_>) -> std::io::Result<()> {
+    let mut fields = Fields(serde_json::Map::new());
+    let time = formatter.timestamp_millis().to_string();
+    fields.0.insert(String::from("time"), time.into());
+    fields
+        .0
+        .insert(String::from("level"), record.level().as_str().into());
+    fields
+        .0
+        .insert(String::from("message"), record.args().to_string().into());
+    record
+        .key_values()
+        .visit(&mut fields)
+        .map_err(std::io::Error::other)?;
+    serde_json::to_writer(&mut *formatter, &fields.0)?;
+    writeln!(formatter)
+}
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -3,17 +3,16 @@
 mod commands;
 mod entry_client;
 mod load;
+mod logging;
 
 use std::process::ExitCode;
 
 use clap::Parser;
+use tokio::runtime::Builder;
+use tokio::runtime::Runtime;
 
 use self::commands::Command;
 
-/// What is logged without `RUST_LOG`; the level that the settings name bounds it further.
-const DEFAULT_LOG_FILTER: &str =
-    "warn,beryltray=trace,beryltray_lib=trace,beryltray_stand_ins=trace";
-
 /// Serves language models whose replicas span several hosts.
 #[derive(Debug, Parser)]
 #[command(name = "beryltray", version)]
@@ -22,14 +21,17 @@
     command: Command,
 }
 
-#[tokio::main]
-async fn main() -> ExitCode {
-    let environment = env_logger::Env::default().default_filter_or(DEFAULT_LOG_FILTER);
-    env_logger::Builder::from_env(environment).init();
-    if std::env::var_os(env_logger::DEFAULT_FILTER_ENV).is_none() {
-        log::set_max_level(log::LevelFilter::Info);
-    }
-    match Cli::parse().command.run().await {
+fn main() -> ExitCode {
+    let cli = Cli::parse();
+    let _flush_at_end = logging::start(cli.command.is_daemon());
+    let runtime = match build_runtime(cli.command.is_daemon()) {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("beryltray: can't start: {error}. Hint: check the limits on threads");
+            return ExitCode::FAILURE;
+        }
+    };
+    match runtime.block_on(cli.command.run()) {
         Ok(code) => code,
         Err(error) => {
             eprintln!("beryltray: {error}");
@@ -37,3 +39,14 @@
         }
     }
 }
+
+/// Returns the runtime of a command; entry hosts have a fraction of a core, which one thread uses
+/// with the least switching.
+fn build_runtime(is_daemon: bool) -> std::io::Result<Runtime> {
+    let mut builder = if is_daemon {
+        Builder::new_current_thread()
+    } else {
+        Builder::new_multi_thread()
+    };
+    builder.enable_all().build()
+}
--- a/lib/src/connection/client.rs
+++ b/lib/src/connection/client.rs
@@ -27,6 +27,8 @@
     NotSent {
         /// The address.
         address: SocketAddr,
+        /// Whether the system at the address said that nothing listens there.
+        is_refused: bool,
         /// What the connection said.
         reason: String,
     },
@@ -65,14 +67,27 @@
         let opened = tokio::time::timeout(limit, Self::open_unbounded(address)).await;
         opened.unwrap_or_else(|_| {
             let reason = format!("no answer within {limit:?}");
-            Err(SendError::NotSent { address, reason })
+            let is_refused = false;
+            Err(SendError::NotSent {
+                address,
+                is_refused,
+                reason,
+            })
         })
     }
 
     async fn open_unbounded(address: SocketAddr) -> Result<Self, SendError> {
-        let not_sent = |reason: String| SendError::NotSent { address, reason };
+        let not_sent = |reason: String| SendError::NotSent {
+            address,
+            is_refused: false,
+            reason,
+        };
         let stream = TcpStream::connect(address).await;
-        let stream = stream.map_err(|error| not_sent(error.to_string()))?;
+        let stream = stream.map_err(|error| SendError::NotSent {
+            address,
+            is_refused: error.kind() == std::io::ErrorKind::ConnectionRefused,
+            reason: error.to_string(),
+        })?;
         let nodelay = stream.set_nodelay(true);
         nodelay.map_err(|error| not_sent(error.to_string()))?;
         let handshake = http1::handshake(TokioIo::new(stream)).await;
@@ -119,7 +134,11 @@
             let is_unsent = error.take_message().is_some();
             let reason = error.error().to_string();
             if is_unsent {
-                SendError::NotSent { address, reason }
+                SendError::NotSent {
+                    address,
+                    is_refused: false,
+                    reason,
+                }
             } else {
                 SendError::MaybeSent { address, reason }
             }
--- a/lib/src/ids.rs
+++ b/lib/src/ids.rs
@@ -220,6 +220,12 @@
     }
 }
 
+impl From<ServiceId> for WeightsId {
+    fn from(service: ServiceId) -> Self {
+        Self(service.0)
+    }
+}
+
 impl From<HostId> for TargetId {
     fn from(host: HostId) -> Self {
         Self(host.0)
--- a/lib/src/platform/mod.rs
+++ b/lib/src/platform/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! The traits are what the rest of the library uses; [`http`] is their only adapter.
 
+pub mod feed;
 pub mod http;
 pub mod rows;
 pub mod wire;
--- /dev/null
+++ b/lib/src/process/formation/board.rs
@@ -0,0 +1,218 @@
+//! What is known of the hosts: the registry's records and the hosts' own answers.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::ids::HostId;
+use crate::sorted::Keyed;
+use crate::sorted::SortedVec;
+use crate::target::record::Availability;
+use crate::target::record::CallError;
+use crate::target::record::Membership;
+use crate::target::record::TargetRecord;
+use crate::target::record::TargetReport;
+
+/// How long a departed host is remembered, so that a head that is cut off from the registry can
+/// still be ordered to close.
+const DEPARTED_MEMORY: Duration = Duration::from_secs(60);
+
+/// Whether a host answers.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Liveness {
+    /// Nothing speaks against it.
+    Assumed,
+    /// It left calls unanswered since the moment.
+    Silent {
+        /// When the first unanswered call was sent.
+        since: Instant,
+        /// The unanswered calls.
+        misses: u32,
+    },
+    /// Nothing listens at its address any more.
+    Ended,
+}
+
+/// A host as it is known here.
+#[derive(Clone, Debug)]
+pub struct HostEntry {
+    /// The registry's last record.
+    pub record: TargetRecord,
+    /// From when the registry counts the host as gone; `None` while it is listed.
+    pub departs_at: Option<Instant>,
+    /// Whether the host answers.
+    pub liveness: Liveness,
+    /// The last membership that the host reported itself, and when.
+    pub reported: Option<(Option<Membership>, Instant)>,
+    record_at: Instant,
+}
+
+impl Keyed for HostEntry {
+    type Key = HostId;
+
+    fn key(&self) -> &HostId {
+        &self.record.host
+    }
+}
+
+impl HostEntry {
+    /// Returns whether the registry lists the host.
+    pub fn is_listed(&self, now: Instant) -> bool {
+        self.departs_at.is_none_or(|at| now < at)
+    }
+
+    /// Returns whether the host may get new work.
+    pub fn is_usable(&self, now: Instant) -> bool {
+        self.is_listed(now)
+            && self.record.availability == Availability::Ready
+            && self.liveness != Liveness::Ended
+    }
+
+    /// Returns whether the host left at least `misses` calls unanswered, or ended.
+    pub fn is_lost(&self, misses: u32) -> bool {
+        match self.liveness {
+            Liveness::Assumed => false,
+            Liveness::Silent { misses: seen, .. } => seen >= misses,
+            Liveness::Ended => true,
+        }
+    }
+
+    /// Returns the host's place as last heard, from the registry or from itself.
+    pub fn membership(&self) -> Option<&Membership> {
+        match &self.reported {
+            Some((membership, at)) if *at > self.record_at => membership.as_ref(),
+            _ => self.record.membership.as_ref(),
+        }
+    }
+}
+
+/// The hosts of all services, as the registry and the hosts tell.
+#[derive(Clone, Debug, Default)]
+pub struct HostBoard {
+    hosts: SortedVec<HostEntry>,
+    /// Until then removals are not believed yet.
+    removals_from: Option<Instant>,
+}
+
+impl HostBoard {
+    /// Creates an empty board.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes note that the registry is back after an outage: records that lapsed meanwhile may
+    /// return, so removals count only after `grace`.
+    pub fn on_outage_ended(&mut self, now: Instant, grace: Duration) {
+        self.removals_from = Some(now + grace);
+    }
+
+    /// Takes a whole list of records.
+    pub fn on_snapshot(&mut self, records: Vec<TargetRecord>, now: Instant) {
+        let listed: SortedVec<Listed> = records.iter().map(|r| Listed(r.host.clone())).collect();
+        let absent = |entry: &&HostEntry| !listed.contains_key(entry.key());
+        let gone: Vec<HostId> = self
+            .hosts
+            .iter()
+            .filter(absent)
+            .map(|e| e.key().clone())
+            .collect();
+        for host in gone {
+            self.on_removed(&host, now);
+        }
+        for record in records {
+            self.on_record(record, now);
+        }
+    }
+
+    /// Takes a new or changed record.
+    pub fn on_record(&mut self, record: TargetRecord, now: Instant) {
+        let known = self.hosts.get(&record.host);
+        let is_same_life = known.is_some_and(|e| e.record.incarnation == record.incarnation);
+        let was_departed = known.is_some_and(|e| e.departs_at.is_some());
+        let liveness = match known {
+            Some(entry) if is_same_life && !was_departed => entry.liveness,
+            _ => Liveness::Assumed,
+        };
+        self.hosts.insert(HostEntry {
+            record,
+            departs_at: None,
+            liveness,
+            reported: None,
+            record_at: now,
+        });
+    }
+
+    /// Takes note that a record was removed.
+    pub fn on_removed(&mut self, host: &HostId, now: Instant) {
+        let from = self.removals_from.filter(|from| *from > now).unwrap_or(now);
+        if let Some(entry) = self.hosts.get_mut(host)
+            && entry.departs_at.is_none()
+        {
+            entry.departs_at = Some(from);
+        }
+        self.hosts.retain(|entry| {
+            let departed = entry.departs_at;
+            departed.is_none_or(|at| now.saturating_duration_since(at) < DEPARTED_MEMORY)
+        });
+    }
+
+    /// Takes a host's answer to a report; `sent_at` is when it was asked for.
+    pub fn on_report(
+        &mut self,
+        host: &HostId,
+        report: Result<TargetReport, CallError>,
+        sent_at: Instant,
+        now: Instant,
+    ) {
+        let Some(entry) = self.hosts.get_mut(host) else {
+            return;
+        };
+        match report {
+            Ok(report) => {
+                let known = entry.record.incarnation;
+                let is_other_life = report.incarnation.is_some_and(|life| life != known);
+                if is_other_life {
+                    entry.liveness = Liveness::Ended;
+                    return;
+                }
+                entry.liveness = Liveness::Assumed;
+                entry.reported = Some((report.membership, now));
+            }
+            Err(CallError::Refused { .. }) => entry.liveness = Liveness::Ended,
+            Err(CallError::NotSent { .. } | CallError::InDoubt { .. }) => {
+                entry.liveness = match entry.liveness {
+                    Liveness::Assumed => Liveness::Silent {
+                        since: sent_at,
+                        misses: 1,
+                    },
+                    Liveness::Silent { since, misses } => Liveness::Silent {
+                        since,
+                        misses: misses.saturating_add(1),
+                    },
+                    Liveness::Ended => Liveness::Ended,
+                };
+            }
+            // A host that answers something else is up.
+            Err(CallError::Protocol { .. }) => entry.liveness = Liveness::Assumed,
+        }
+    }
+
+    /// Returns a host.
+    pub fn get(&self, host: &HostId) -> Option<&HostEntry> {
+        self.hosts.get(host)
+    }
+
+    /// Returns the hosts in the order of their names, departed ones included.
+    pub fn iter(&self) -> std::slice::Iter<'_, HostEntry> {
+        self.hosts.iter()
+    }
+}
+
+struct Listed(HostId);
+
+impl Keyed for Listed {
+    type Key = HostId;
+
+    fn key(&self) -> &HostId {
+        &self.0
+    }
+}
--- /dev/null
+++ b/lib/src/process/formation/group.rs
@@ -0,0 +1,128 @@
+//! A group from its first order to its end.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use derive_more::Display;
+
+use crate::ids::Epoch;
+use crate::ids::FabricDomainId;
+use crate::ids::GroupId;
+use crate::ids::HostId;
+use crate::ids::Incarnation;
+use crate::ids::ServiceId;
+use crate::ids::WeightsId;
+use crate::sorted::Keyed;
+use crate::target::record::CloseMode;
+
+/// How far a group has come.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub enum GroupPhase {
+    /// The members are ordered to join.
+    #[display("forming")]
+    Forming {
+        /// When the group is given up if it is not ready by then.
+        until: Instant,
+    },
+    /// All members are ready and the head is ordered to open.
+    #[display("opening")]
+    Opening,
+    /// The head serves.
+    #[display("open")]
+    Open,
+    /// The head is ordered to close.
+    #[display("closing")]
+    Closing(CloseMode),
+    /// The head is closed and is ordered to leave, since an order to open it may still come.
+    #[display("releasing")]
+    Releasing,
+    /// The members are free.
+    #[display("ended")]
+    Ended,
+}
+
+/// A member of a group.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct GroupMember {
+    /// The host.
+    pub host: HostId,
+    /// The life of the host's process that was ordered to join.
+    pub incarnation: Incarnation,
+    /// The address for orders.
+    pub address: SocketAddr,
+    /// Whether the host has taken the order to join.
+    pub has_joined: bool,
+}
+
+/// A group.
+#[derive(Clone, Debug)]
+pub struct Group {
+    /// The name, which is used for one list of members only.
+    pub id: GroupId,
+    /// The number of the join.
+    pub epoch: Epoch,
+    /// The service.
+    pub service: ServiceId,
+    /// The weights.
+    pub weights: WeightsId,
+    /// The domain whose plan the group belongs to.
+    pub domain: Option<FabricDomainId>,
+    /// The members; the first one is the head.
+    pub members: Vec<GroupMember>,
+    /// Whether the members are in more than one domain.
+    pub is_cross_domain: bool,
+    /// Whether the group only keeps its member's weights at hand and is never opened.
+    pub is_warming: bool,
+    /// How far the group has come.
+    pub phase: GroupPhase,
+    /// When the group came to that phase.
+    pub phase_since: Instant,
+    /// Whether an order to open was sent that was not answered with a refusal.
+    pub may_open: bool,
+    /// When the next order of the phase is due.
+    pub order_due_at: Option<Instant>,
+    /// The time in which the group was expected to be ready.
+    pub expected_ready_in: Duration,
+}
+
+impl Keyed for Group {
+    type Key = GroupId;
+
+    fn key(&self) -> &GroupId {
+        &self.id
+    }
+}
+
+impl Group {
+    /// Returns the head.
+    pub fn head(&self) -> Option<&GroupMember> {
+        self.members.first()
+    }
+
+    /// Returns whether a host is a member.
+    pub fn has_member(&self, host: &HostId) -> bool {
+        self.members.iter().any(|member| member.host == *host)
+    }
+
+    /// Returns whether the group serves or is on its way to.
+    pub fn is_rising(&self) -> bool {
+        matches!(
+            self.phase,
+            GroupPhase::Forming { .. } | GroupPhase::Opening | GroupPhase::Open
+        )
+    }
+
+    /// Moves on to a phase.
+    pub fn enter(&mut self, phase: GroupPhase, now: Instant) {
+        log::info!(
+            group:% = self.id, epoch:% = self.epoch, weights:% = self.weights,
+            from:% = self.phase, to:% = phase, members = self.members.len(),
+            in_phase_ms = now.saturating_duration_since(self.phase_since).as_millis() as u64;
+            "group changes phase"
+        );
+        self.phase = phase;
+        self.phase_since = now;
+        self.order_due_at = Some(now);
+    }
+}
--- /dev/null
+++ b/lib/src/process/formation/machine.rs
@@ -0,0 +1,1004 @@
+//! The machine that compares the groups that there are with those that are wanted.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use super::board::HostBoard;
+use super::board::HostEntry;
+use super::choice::Candidate;
+use super::choice::Choice;
+use super::choice::choose_members;
+use super::choice::choose_members_across;
+use super::group::Group;
+use super::group::GroupMember;
+use super::group::GroupPhase;
+use super::loads::LoadWindow;
+use super::packing::Packing;
+use super::packing::pack_domains;
+use super::settings::FormationSettings;
+use crate::ids::Epoch;
+use crate::ids::FabricDomainId;
+use crate::ids::GroupId;
+use crate::ids::HostId;
+use crate::ids::Incarnation;
+use crate::ids::ServiceId;
+use crate::ids::WeightsId;
+use crate::sorted::Keyed;
+use crate::sorted::SortedVec;
+use crate::target::record::Availability;
+use crate::target::record::CallError;
+use crate::target::record::CloseMode;
+use crate::target::record::GroupOrder;
+use crate::target::record::MemberState;
+use crate::target::record::OrderAnswer;
+use crate::version::routes::EngineSheet;
+use crate::version::routes::ModelSheet;
+
+/// How many joins one term of the lease can number.
+const JOINS_PER_TERM: u64 = 1_000_000;
+/// How long a host takes to join a group with the weights of its last group.
+const REJOIN_TIME: Duration = Duration::from_millis(200);
+/// How long a wanted group may be missing before hosts of several domains form it.
+const CROSS_DOMAIN_WAIT: Duration = Duration::from_millis(600);
+/// How long a member that left the registry may go without an own report before it counts as lost.
+const UNLISTED_REPORT_WAIT: Duration = Duration::from_millis(900);
+/// How long work may finish in a group that closes before it is cut off; a member that leaves
+/// stays about as long.
+const FINISH_LIMIT: Duration = Duration::from_secs(8);
+/// How long a silent host must have been silent before its group counts as ended, if the registry
+/// has dropped it too.
+const SILENT_HEAD_WAIT: Duration = Duration::from_millis(600);
+/// How long a group whose stall was reported is watched.
+const STALL_WATCH_TIME: Duration = Duration::from_millis(1_500);
+
+/// What the machine asks its driver to do.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum FormationAction {
+    /// Give a host an order and call [`Formation::on_answer`].
+    Order {
+        /// The host.
+        host: HostId,
+        /// Its address.
+        address: std::net::SocketAddr,
+        /// The order.
+        order: GroupOrder,
+    },
+    /// Ask a host for its report and give the answer to the board.
+    Report {
+        /// The host.
+        host: HostId,
+        /// Its address.
+        address: std::net::SocketAddr,
+    },
+}
+
+/// The weights that a host's last group had.
+#[derive(Clone, Debug)]
+pub(super) struct LastWeights {
+    pub(super) host: HostId,
+    pub(super) incarnation: Incarnation,
+    pub(super) weights: WeightsId,
+}
+
+impl Keyed for LastWeights {
+    type Key = HostId;
+
+    fn key(&self) -> &HostId {
+        &self.host
+    }
+}
+
+/// A call to a host that was not answered yet, or that may not be repeated before `until`.
+#[derive(Clone, Debug)]
+struct Outstanding {
+    host: HostId,
+    until: Option<Instant>,
+}
+
+impl Keyed for Outstanding {
+    type Key = HostId;
+
+    fn key(&self) -> &HostId {
+        &self.host
+    }
+}
+
+/// A name in a sorted vector.
+#[derive(Clone, Debug)]
+struct Name<T>(T);
+
+impl<T> Keyed for Name<T>
+where
+    T: Ord,
+{
+    type Key = T;
+
+    fn key(&self) -> &T {
+        &self.0
+    }
+}
+
+/// A domain and the most hosts that it was seen with.
+#[derive(Clone, Debug)]
+struct DomainSize {
+    domain: FabricDomainId,
+    hosts: usize,
+}
+
+impl Keyed for DomainSize {
+    type Key = FabricDomainId;
+
+    fn key(&self) -> &FabricDomainId {
+        &self.domain
+    }
+}
+
+/// What is wanted for one service.
+#[derive(Clone, Debug)]
+pub(super) struct ServicePlan {
+    service: ServiceId,
+    pub(super) sheet: EngineSheet,
+    shares: Vec<f64>,
+    sizes: SortedVec<DomainSize>,
+    pub(super) packing: Packing,
+    pub(super) loads: LoadWindow,
+    missing_since: Vec<Option<Instant>>,
+}
+
+impl Keyed for ServicePlan {
+    type Key = ServiceId;
+
+    fn key(&self) -> &ServiceId {
+        &self.service
+    }
+}
+
+/// Forms, opens, closes and repairs the groups of all services while this entry holds the lease.
+#[derive(Clone, Debug)]
+pub struct Formation {
+    pub(super) settings: FormationSettings,
+    term: Epoch,
+    joins: u64,
+    pub(super) started_at: Instant,
+    pub(super) groups: SortedVec<Group>,
+    ended: SortedVec<Name<GroupId>>,
+    plans: SortedVec<ServicePlan>,
+    last_weights: SortedVec<LastWeights>,
+    outstanding: SortedVec<Outstanding>,
+    reports: SortedVec<Outstanding>,
+    stalled: Vec<(HostId, Instant)>,
+    /// Whether loads are not counted by the weight store yet.
+    is_before_traffic: bool,
+}
+
+/// How a member stands to its group.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Standing {
+    /// The host has not taken the order yet.
+    Pending,
+    /// The host has its place, in this state.
+    In(MemberState),
+    /// The host has its place and is leaving the service.
+    Leaving(MemberState),
+    /// The host was in place and is in no group or another one.
+    Elsewhere,
+    /// The host's process ended, or it answers nothing.
+    Lost,
+}
+
+impl Formation {
+    /// Creates the machine of an entry that has just taken the lease with `term`.
+    pub fn new(settings: FormationSettings, term: Epoch, now: Instant) -> Self {
+        Self {
+            settings,
+            term,
+            joins: 0,
+            started_at: now,
+            groups: SortedVec::new(),
+            ended: SortedVec::new(),
+            plans: SortedVec::new(),
+            last_weights: SortedVec::new(),
+            outstanding: SortedVec::new(),
+            reports: SortedVec::new(),
+            stalled: Vec::new(),
+            is_before_traffic: false,
+        }
+    }
+
+    /// Says whether requests have begun; until then the weight store does not count loads.
+    pub fn set_before_traffic(&mut self, is_before_traffic: bool) {
+        self.is_before_traffic = is_before_traffic;
+    }
+
+    /// Takes a service's sheet; `shares` are the models' shares of the work.
+    pub fn on_sheet(&mut self, service: &ServiceId, sheet: &EngineSheet, now: Instant) {
+        let window = self.settings.load_window;
+        let plan = self.plans.get_or_insert_with(service, || ServicePlan {
+            service: service.clone(),
+            sheet: sheet.clone(),
+            shares: Vec::new(),
+            sizes: SortedVec::new(),
+            packing: Packing::default(),
+            loads: LoadWindow::new_full(window, sheet.loads_per_s, now),
+            missing_since: Vec::new(),
+        });
+        if plan.sheet != *sheet {
+            plan.sheet = sheet.clone();
+            plan.sizes = SortedVec::new();
+        }
+        if plan.shares.len() != sheet.models.len() {
+            plan.shares = sheet.models.iter().map(|m| m.expected_share).collect();
+        }
+    }
+
+    /// Takes note that a head's streams have stopped, as those who read them see it.
+    pub fn on_stall(&mut self, head: &HostId, now: Instant) {
+        self.stalled.retain(|(host, _)| host != head);
+        self.stalled.push((head.clone(), now + STALL_WATCH_TIME));
+    }
+
+    /// Returns the groups, in the order of their names.
+    pub fn groups(&self) -> std::slice::Iter<'_, Group> {
+        self.groups.iter()
+    }
+
+    /// Takes the answer to an order.
+    pub fn on_answer(
+        &mut self,
+        host: &HostId,
+        order: &GroupOrder,
+        answer: &Result<OrderAnswer, CallError>,
+        now: Instant,
+    ) {
+        let retry = match answer {
+            Ok(OrderAnswer::Accepted) => self.settings.order_retry,
+            Ok(_) => self.settings.conflict_retry,
+            Err(_) => Duration::ZERO,
+        };
+        self.outstanding.insert(Outstanding {
+            host: host.clone(),
+            until: Some(now + retry),
+        });
+        let group = match order {
+            GroupOrder::Join { group, .. }
+            | GroupOrder::Open { group, .. }
+            | GroupOrder::Close { group, .. }
+            | GroupOrder::Leave { group, .. } => group,
+            GroupOrder::Stage { .. } => return,
+        };
+        let Some(group) = self.groups.get_mut(group) else {
+            return;
+        };
+        match (order, answer) {
+            (GroupOrder::Join { .. }, Ok(OrderAnswer::Accepted)) => {
+                if let Some(member) = group.members.iter_mut().find(|m| m.host == *host) {
+                    member.has_joined = true;
+                }
+            }
+            (
+                GroupOrder::Join { .. },
+                Ok(OrderAnswer::Superseded | OrderAnswer::WrongTarget | OrderAnswer::Invalid),
+            ) => group.enter(GroupPhase::Ended, now),
+            (GroupOrder::Open { .. }, Err(CallError::InDoubt { .. })) => group.may_open = true,
+            (GroupOrder::Leave { .. }, Ok(_)) if group.phase == GroupPhase::Releasing => {
+                group.enter(GroupPhase::Ended, now);
+            }
+            _ => {}
+        }
+    }
+
+    /// Takes note that a report was answered or given up, and is known to the board.
+    pub fn on_report_done(&mut self, host: &HostId, now: Instant) {
+        self.reports.insert(Outstanding {
+            host: host.clone(),
+            until: Some(now + self.settings.report_interval),
+        });
+    }
+
+    /// Returns what is to be done now.
+    pub fn poll(&mut self, board: &HostBoard, now: Instant) -> Vec<FormationAction> {
+        let mut actions = Vec::new();
+        self.adopt_groups(board, now);
+        self.note_weights(board);
+        let mut groups = std::mem::take(&mut self.groups);
+        for group in groups.iter_mut() {
+            self.advance(group, board, now, &mut actions);
+        }
+        self.groups = groups;
+        self.remove_ended();
+        self.form_wanted(board, now);
+        let mut groups = std::mem::take(&mut self.groups);
+        for group in groups.iter_mut() {
+            if matches!(group.phase, GroupPhase::Forming { .. }) {
+                self.advance(group, board, now, &mut actions);
+            }
+        }
+        self.groups = groups;
+        actions
+    }
+
+    fn adopt_groups(&mut self, board: &HostBoard, now: Instant) {
+        let unknown = super::takeover::unknown_groups(board, |id| {
+            self.groups.contains_key(id) || self.ended.contains_key(id)
+        });
+        for seen in unknown {
+            let group = seen.into_group(&self.plans, now);
+            log::info!(
+                group:% = group.id, epoch:% = group.epoch, phase:% = group.phase,
+                members = group.members.len();
+                "group of an earlier lease holder is taken over"
+            );
+            self.groups.insert(group);
+        }
+    }
+
+    /// Remembers which weights each host's last group had.
+    fn note_weights(&mut self, board: &HostBoard) {
+        for group in self.groups.iter() {
+            for member in &group.members {
+                let entry = board.get(&member.host);
+                let is_in_place = entry
+                    .and_then(HostEntry::membership)
+                    .is_some_and(|m| m.group == group.id && m.state != MemberState::Joining);
+                if is_in_place {
+                    self.last_weights.insert(LastWeights {
+                        host: member.host.clone(),
+                        incarnation: member.incarnation,
+                        weights: group.weights.clone(),
+                    });
+                }
+            }
+        }
+    }
+
+    fn remove_ended(&mut self) {
+        for group in self.groups.iter() {
+            if group.phase == GroupPhase::Ended {
+                self.ended.insert(Name(group.id.clone()));
+            }
+        }
+        self.groups.retain(|group| group.phase != GroupPhase::Ended);
+    }
+
+    fn advance(
+        &mut self,
+        group: &mut Group,
+        board: &HostBoard,
+        now: Instant,
+        actions: &mut Vec<FormationAction>,
+    ) {
+        for member in &mut group.members {
+            let membership = board.get(&member.host).and_then(HostEntry::membership);
+            if membership.is_some_and(|m| m.group == group.id) {
+                member.has_joined = true;
+            }
+        }
+        let standings: Vec<Standing> = group
+            .members
+            .iter()
+            .map(|member| self.standing(group, member, board, now))
+            .collect();
+        let head = standings.first().copied().unwrap_or(Standing::Lost);
+        let is_lost = |s: &Standing| {
+            matches!(
+                s,
+                Standing::Lost | Standing::Elsewhere | Standing::In(MemberState::Broken)
+            )
+        };
+        let any_lost = standings.iter().any(is_lost);
+        let any_leaving = standings.iter().any(|s| matches!(s, Standing::Leaving(_)));
+        match group.phase {
+            GroupPhase::Forming { until } => {
+                let all_ready = standings
+                    .iter()
+                    .all(|s| *s == Standing::In(MemberState::Ready));
+                if any_lost || any_leaving || now > until {
+                    group.enter(GroupPhase::Ended, now);
+                } else if all_ready && group.is_warming {
+                    group.enter(GroupPhase::Ended, now);
+                } else if all_ready {
+                    group.enter(GroupPhase::Opening, now);
+                    self.advance_opening(group, now, actions);
+                } else {
+                    self.order_joins(group, &standings, board, now, actions);
+                }
+            }
+            GroupPhase::Opening => {
+                if head == Standing::In(MemberState::Open) {
+                    group.enter(GroupPhase::Open, now);
+                } else if any_lost || any_leaving {
+                    self.start_closing(group, CloseMode::Cut, board, now, actions);
+                } else {
+                    self.advance_opening(group, now, actions);
+                }
+            }
+            GroupPhase::Open => {
+                let is_open = matches!(
+                    head,
+                    Standing::In(MemberState::Open) | Standing::Leaving(MemberState::Open)
+                );
+                if any_lost || !is_open {
+                    self.start_closing(group, CloseMode::Cut, board, now, actions);
+                } else if any_leaving {
+                    self.start_closing(group, CloseMode::Finish, board, now, actions);
+                } else {
+                    self.watch_members(group, board, now, actions);
+                }
+            }
+            GroupPhase::Closing(mode) => {
+                self.advance_closing(group, mode, head, board, now, actions);
+            }
+            GroupPhase::Releasing => {
+                if matches!(head, Standing::Lost | Standing::Elsewhere) {
+                    group.enter(GroupPhase::Ended, now);
+                } else {
+                    let order = GroupOrder::Leave {
+                        group: group.id.clone(),
+                        epoch: group.epoch,
+                    };
+                    self.order_head(group, order, now, actions);
+                }
+            }
+            GroupPhase::Ended => {}
+        }
+    }
+
+    fn advance_opening(
+        &mut self,
+        group: &mut Group,
+        now: Instant,
+        actions: &mut Vec<FormationAction>,
+    ) {
+        let order = GroupOrder::Open {
+            group: group.id.clone(),
+            epoch: group.epoch,
+        };
+        self.order_head(group, order, now, actions);
+    }
+
+    fn start_closing(
+        &mut self,
+        group: &mut Group,
+        mode: CloseMode,
+        board: &HostBoard,
+        now: Instant,
+        actions: &mut Vec<FormationAction>,
+    ) {
+        group.enter(GroupPhase::Closing(mode), now);
+        let head = group.head().cloned();
+        let standing = head.map(|head| self.standing(group, &head, board, now));
+        let standing = standing.unwrap_or(Standing::Lost);
+        self.advance_closing(group, mode, standing, board, now, actions);
+    }
+
+    fn advance_closing(
+        &mut self,
+        group: &mut Group,
+        mode: CloseMode,
+        head: Standing,
+        board: &HostBoard,
+        now: Instant,
+        actions: &mut Vec<FormationAction>,
+    ) {
+        let Some(member) = group.head().cloned() else {
+            group.enter(GroupPhase::Ended, now);
+            return;
+        };
+        match head {
+            Standing::In(MemberState::Ready) | Standing::Leaving(MemberState::Ready) => {
+                let next = if group.may_open {
+                    GroupPhase::Releasing
+                } else {
+                    GroupPhase::Ended
+                };
+                group.enter(next, now);
+                return;
+            }
+            Standing::In(MemberState::Broken)
+            | Standing::Leaving(MemberState::Broken)
+            | Standing::Elsewhere => {
+                group.enter(GroupPhase::Ended, now);
+                return;
+            }
+            Standing::Lost if self.is_head_ended(&member, board, now) => {
+                group.enter(GroupPhase::Ended, now);
+                return;
+            }
+            _ => {}
+        }
+        let is_overdue = now.saturating_duration_since(group.phase_since) > FINISH_LIMIT;
+        let mode = match mode {
+            CloseMode::Finish if is_overdue => CloseMode::Cut,
+            mode => mode,
+        };
+        let order = GroupOrder::Close {
+            group: group.id.clone(),
+            epoch: group.epoch,
+            mode,
+        };
+        self.order_head(group, order, now, actions);
+        self.ask_report(&member, now, actions);
+    }
+
+    /// Returns whether the head of a group can serve no more: its process ended, or it is silent
+    /// and the registry has dropped it.
+    fn is_head_ended(&self, head: &GroupMember, board: &HostBoard, now: Instant) -> bool {
+        let Some(entry) = board.get(&head.host) else {
+            return true;
+        };
+        if entry.record.incarnation != head.incarnation {
+            return true;
+        }
+        match entry.liveness {
+            super::board::Liveness::Ended => true,
+            super::board::Liveness::Assumed => false,
+            super::board::Liveness::Silent { since, misses } => {
+                let silent_for = now.saturating_duration_since(since);
+                misses >= self.settings.report_misses
+                    && silent_for >= SILENT_HEAD_WAIT
+                    && (!entry.is_listed(now) || silent_for >= self.settings.stall_time * 2)
+            }
+        }
+    }
+
+    fn standing(
+        &self,
+        group: &Group,
+        member: &GroupMember,
+        board: &HostBoard,
+        now: Instant,
+    ) -> Standing {
+        let Some(entry) = board.get(&member.host) else {
+            return Standing::Lost;
+        };
+        if entry.record.incarnation != member.incarnation {
+            return Standing::Lost;
+        }
+        if entry.is_lost(self.settings.report_misses) {
+            return Standing::Lost;
+        }
+        let is_head = group.head().is_some_and(|head| head.host == member.host);
+        if !entry.is_listed(now) && !self.is_held_by_report(entry, is_head, now) {
+            return Standing::Lost;
+        }
+        match entry.membership() {
+            Some(membership) if membership.group == group.id => match entry.record.availability {
+                Availability::Ready => Standing::In(membership.state),
+                Availability::Draining => Standing::Leaving(membership.state),
+            },
+            _ if member.has_joined => self.standing_after_join(group, now),
+            _ => Standing::Pending,
+        }
+    }
+
+    /// An accepted join shows in the host's record a moment later.
+    fn standing_after_join(&self, group: &Group, now: Instant) -> Standing {
+        let is_forming = matches!(group.phase, GroupPhase::Forming { .. });
+        let is_recent =
+            now.saturating_duration_since(group.phase_since) < self.settings.forming_slack;
+        if is_forming && is_recent {
+            Standing::Pending
+        } else {
+            Standing::Elsewhere
+        }
+    }
+
+    /// A member that the registry dropped may be cut off from the registry only. Its group goes on
+    /// while the member says so itself; a head gets no new work and is not kept.
+    fn is_held_by_report(&self, entry: &HostEntry, is_head: bool, now: Instant) -> bool {
+        if is_head {
+            return false;
+        }
+        let heard_at = entry.reported.as_ref().map(|(_, at)| *at);
+        let heard_at = heard_at.max(entry.departs_at);
+        heard_at.is_some_and(|at| now.saturating_duration_since(at) < UNLISTED_REPORT_WAIT)
+    }
+
+    /// Asks for the reports of members that are in doubt.
+    fn watch_members(
+        &mut self,
+        group: &Group,
+        board: &HostBoard,
+        now: Instant,
+        actions: &mut Vec<FormationAction>,
+    ) {
+        self.stalled.retain(|(_, until)| now < *until);
+        let head = group.head().map(|head| &head.host);
+        let is_stalled = self.stalled.iter().any(|(host, _)| Some(host) == head);
+        for member in &group.members {
+            let entry = board.get(&member.host);
+            let is_in_doubt = entry.is_some_and(|entry| {
+                !entry.is_listed(now) || entry.liveness != super::board::Liveness::Assumed
+            });
+            if is_stalled || is_in_doubt {
+                self.ask_report(member, now, actions);
+            }
+        }
+    }
+
+    fn ask_report(
+        &mut self,
+        member: &GroupMember,
+        now: Instant,
+        actions: &mut Vec<FormationAction>,
+    ) {
+        let last = self.reports.get(&member.host);
+        let is_due = last.is_none_or(|last| last.until.is_some_and(|until| now >= until));
+        if is_due {
+            self.reports.insert(Outstanding {
+                host: member.host.clone(),
+                until: None,
+            });
+            actions.push(FormationAction::Report {
+                host: member.host.clone(),
+                address: member.address,
+            });
+        }
+    }
+
+    fn order_joins(
+        &mut self,
+        group: &Group,
+        standings: &[Standing],
+        board: &HostBoard,
+        now: Instant,
+        actions: &mut Vec<FormationAction>,
+    ) {
+        // A late order to open an old group can't take effect once its head has joined this one,
+        // so old heads go first.
+        let is_old_head = |member: &GroupMember| {
+            let membership = board.get(&member.host).and_then(HostEntry::membership);
+            membership.is_some_and(|m| m.rank == 0 && m.group != group.id)
+        };
+        let waiting = || group.members.iter().zip(standings);
+        let pending = waiting().filter(|(_, s)| **s == Standing::Pending);
+        let heads_wait = pending
+            .clone()
+            .any(|(m, _)| !m.has_joined && is_old_head(m));
+        for (member, _) in pending {
+            if heads_wait && !is_old_head(member) {
+                continue;
+            }
+            let order = GroupOrder::Join {
+                group: group.id.clone(),
+                epoch: group.epoch,
+                weights: group.weights.clone(),
+                members: group.members.iter().map(|m| m.host.clone()).collect(),
+            };
+            self.push_order(member, order, now, actions);
+        }
+    }
+
+    fn order_head(
+        &mut self,
+        group: &Group,
+        order: GroupOrder,
+        now: Instant,
+        actions: &mut Vec<FormationAction>,
+    ) {
+        if let Some(head) = group.head() {
+            self.push_order(head, order, now, actions);
+        }
+    }
+
+    fn push_order(
+        &mut self,
+        member: &GroupMember,
+        order: GroupOrder,
+        now: Instant,
+        actions: &mut Vec<FormationAction>,
+    ) {
+        let last = self.outstanding.get(&member.host);
+        let is_due = last.is_none_or(|last| last.until.is_some_and(|until| now >= until));
+        if is_due {
+            self.outstanding.insert(Outstanding {
+                host: member.host.clone(),
+                until: None,
+            });
+            actions.push(FormationAction::Order {
+                host: member.host.clone(),
+                address: member.address,
+                order,
+            });
+        }
+    }
+
+    fn form_wanted(&mut self, board: &HostBoard, now: Instant) {
+        let mut plans = std::mem::take(&mut self.plans);
+        for plan in plans.iter_mut() {
+            self.update_packing(plan, board, now);
+            self.form_service(plan, board, now);
+            self.warm_spares(plan, board, now);
+        }
+        self.plans = plans;
+    }
+
+    /// Divides the domains anew when one was seen with more hosts than before.
+    fn update_packing(&self, plan: &mut ServicePlan, board: &HostBoard, now: Instant) {
+        let mut sizes: SortedVec<DomainSize> = SortedVec::new();
+        for entry in board.iter() {
+            let is_counted = entry.record.service == plan.service && entry.is_listed(now);
+            if let Some(domain) = entry.record.domain.as_ref().filter(|_| is_counted) {
+                let create = || DomainSize {
+                    domain: domain.clone(),
+                    hosts: 0,
+                };
+                sizes.get_or_insert_with(domain, create).hosts += 1;
+            }
+        }
+        let mut has_grown = false;
+        for seen in sizes.iter() {
+            let known = plan.sizes.get(&seen.domain).map_or(0, |known| known.hosts);
+            if seen.hosts > known {
+                plan.sizes.insert(seen.clone());
+                has_grown = true;
+            }
+        }
+        if has_grown {
+            let sizes = plan.sizes.iter().map(|s| (s.domain.clone(), s.hosts));
+            let sizes: Vec<_> = sizes.collect();
+            plan.packing = pack_domains(&plan.sheet.models, &plan.shares, &sizes);
+        }
+    }
+
+    fn form_service(&mut self, plan: &mut ServicePlan, board: &HostBoard, now: Instant) {
+        let models = plan.sheet.models.clone();
+        plan.missing_since.resize(models.len(), None);
+        let domains: Vec<FabricDomainId> = plan
+            .packing
+            .domains
+            .iter()
+            .map(|d| d.domain.clone())
+            .collect();
+        loop {
+            let mut has_formed = false;
+            for domain in &domains {
+                // The larger groups go first: the smaller ones fit in what is left.
+                let mut order: Vec<usize> = (0..models.len()).collect();
+                order.sort_by_key(|model| std::cmp::Reverse(models[*model].group_size));
+                for model in order {
+                    if self.is_satisfied(plan, domain, model) {
+                        continue;
+                    }
+                    has_formed |= self.form_in_domain(plan, domain, &models[model], board, now);
+                }
+            }
+            if !has_formed {
+                break;
+            }
+        }
+        for (model, sheet) in models.iter().enumerate() {
+            self.form_across(plan, model, sheet, board, now);
+        }
+    }
+
+    fn is_satisfied(&self, plan: &ServicePlan, domain: &FabricDomainId, model: usize) -> bool {
+        let wanted = plan.packing.domains.get(domain);
+        let wanted = wanted
+            .and_then(|d| d.counts.get(model))
+            .copied()
+            .unwrap_or_default();
+        let weights = &plan.sheet.models[model].weights;
+        let there = self.groups.iter().filter(|group| {
+            group.service == plan.service
+                && group.weights == *weights
+                && group.domain.as_ref() == Some(domain)
+                && !group.is_warming
+                && group.is_rising()
+        });
+        there.count() >= wanted
+    }
+
+    fn form_in_domain(
+        &mut self,
+        plan: &mut ServicePlan,
+        domain: &FabricDomainId,
+        model: &ModelSheet,
+        board: &HostBoard,
+        now: Instant,
+    ) -> bool {
+        let candidates = self.candidates(plan, model, board, now);
+        let loads_max = self.loads_available(plan, now);
+        let chosen = choose_members(&candidates, domain, model.group_size, loads_max);
+        let Some(choice) = chosen else {
+            return false;
+        };
+        // Hosts of other domains that hold the weights are ready long before a load is done.
+        let is_slow = choice.ready_in > model.warm_time;
+        let mut warm = candidates.iter().filter(|c| !c.needs_load);
+        if is_slow && warm.clone().count() >= model.group_size && warm.any(|c| c.domain == *domain)
+        {
+            return false;
+        }
+        self.form(plan, Some(domain.clone()), model, choice, board, now);
+        true
+    }
+
+    /// Forms a group over several domains when one has been missing for a while.
+    fn form_across(
+        &mut self,
+        plan: &mut ServicePlan,
+        model: usize,
+        sheet: &ModelSheet,
+        board: &HostBoard,
+        now: Instant,
+    ) {
+        let domains = plan.packing.domains.iter().map(|d| d.domain.clone());
+        let unsatisfied = domains.filter(|d| !self.is_satisfied(plan, d, model));
+        let unsatisfied: Vec<FabricDomainId> = unsatisfied.collect();
+        if unsatisfied.is_empty() {
+            plan.missing_since[model] = None;
+            return;
+        }
+        let missing_since = *plan.missing_since[model].get_or_insert(now);
+        if now.saturating_duration_since(missing_since) < CROSS_DOMAIN_WAIT {
+            return;
+        }
+        let candidates = self.candidates(plan, sheet, board, now);
+        let Some(choice) = choose_members_across(&candidates, sheet.group_size) else {
+            return;
+        };
+        let counted = |domain: &&FabricDomainId| {
+            let is_of = |host: &HostId| {
+                board.get(host).and_then(|e| e.record.domain.as_ref()) == Some(domain)
+            };
+            choice.members.iter().filter(|host| is_of(host)).count()
+        };
+        let domain = unsatisfied.iter().max_by_key(counted).cloned();
+        self.form(plan, domain, sheet, choice, board, now);
+    }
+
+    pub(super) fn loads_available(&self, plan: &mut ServicePlan, now: Instant) -> usize {
+        if self.is_before_traffic {
+            usize::MAX
+        } else {
+            plan.loads.available(now)
+        }
+    }
+
+    /// Returns the hosts that are free to join a group of a model.
+    pub(super) fn candidates(
+        &self,
+        plan: &ServicePlan,
+        model: &ModelSheet,
+        board: &HostBoard,
+        now: Instant,
+    ) -> Vec<Candidate> {
+        let free = board
+            .iter()
+            .filter(|entry| self.is_free(plan, entry, board, now));
+        let candidate = |entry: &HostEntry| {
+            let domain = entry.record.domain.clone()?;
+            let (ready_in, needs_load) = self.time_to_join(entry, model);
+            Some(Candidate {
+                host: entry.record.host.clone(),
+                domain,
+                ready_in,
+                needs_load,
+            })
+        };
+        free.filter_map(candidate).collect()
+    }
+
+    pub(super) fn time_to_join(&self, entry: &HostEntry, model: &ModelSheet) -> (Duration, bool) {
+        let record = &entry.record;
+        let last = self.last_weights.get(&record.host);
+        let last = last.filter(|last| last.incarnation == record.incarnation);
+        if last.is_some_and(|last| last.weights == model.weights) {
+            (REJOIN_TIME, false)
+        } else if record.staged.contains(&model.weights) {
+            (model.warm_time, false)
+        } else {
+            (model.load_time, true)
+        }
+    }
+
+    /// Returns whether a host can be ordered into a group without harm to the one that it is in.
+    fn is_free(
+        &self,
+        plan: &ServicePlan,
+        entry: &HostEntry,
+        board: &HostBoard,
+        now: Instant,
+    ) -> bool {
+        let record = &entry.record;
+        if record.service != plan.service
+            || !entry.is_usable(now)
+            || entry.is_lost(1)
+            || self
+                .groups
+                .iter()
+                .any(|group| group.has_member(&record.host))
+        {
+            return false;
+        }
+        let Some(membership) = entry.membership() else {
+            return true;
+        };
+        if self.ended.contains_key(&membership.group) || is_warming_id(&membership.group) {
+            return true;
+        }
+        // The head of this host's group is not known. It may be cut off from the registry and
+        // serve on, until it misses its member.
+        let has_known_head = board.iter().any(|other| {
+            other
+                .membership()
+                .is_some_and(|m| m.group == membership.group && m.rank == 0)
+        });
+        let waited = now.saturating_duration_since(self.started_at);
+        !has_known_head && waited > self.settings.stall_time * 3
+    }
+
+    pub(super) fn form(
+        &mut self,
+        plan: &mut ServicePlan,
+        domain: Option<FabricDomainId>,
+        model: &ModelSheet,
+        choice: Choice,
+        board: &HostBoard,
+        now: Instant,
+    ) {
+        let is_warming = choice.members.len() < model.group_size;
+        self.joins += 1;
+        let epoch = Epoch(self.term.0.saturating_mul(JOINS_PER_TERM) + self.joins);
+        let Some(id) = group_id(epoch, is_warming) else {
+            return;
+        };
+        if !self.is_before_traffic {
+            plan.loads.on_started(choice.loads, now);
+        }
+        let member = |host: &HostId| {
+            let entry = board.get(host)?;
+            Some(GroupMember {
+                host: host.clone(),
+                incarnation: entry.record.incarnation,
+                address: entry.record.address,
+                has_joined: false,
+            })
+        };
+        let members: Vec<GroupMember> = choice.members.iter().filter_map(member).collect();
+        log::info!(
+            group:% = id, epoch:% = epoch, service:% = plan.service, weights:% = model.weights,
+            domain:? = domain.as_ref().map(FabricDomainId::as_str),
+            is_cross_domain = choice.is_cross_domain, loads = choice.loads,
+            ready_in_ms = choice.ready_in.as_millis() as u64,
+            members:% = member_list(&choice.members);
+            "group is formed"
+        );
+        let until = now + choice.ready_in + self.settings.forming_slack;
+        self.groups.insert(Group {
+            id,
+            epoch,
+            service: plan.service.clone(),
+            weights: model.weights.clone(),
+            domain,
+            members,
+            is_cross_domain: choice.is_cross_domain,
+            is_warming,
+            phase: GroupPhase::Forming { until },
+            phase_since: now,
+            may_open: false,
+            order_due_at: Some(now),
+            expected_ready_in: choice.ready_in,
+        });
+    }
+}
+
+/// The first letter of the names of groups that only keep weights at hand.
+const WARMING_PREFIX: char = 'w';
+
+/// Returns whether a group only keeps weights at hand and is never opened.
+pub(super) fn is_warming_id(group: &GroupId) -> bool {
+    group.as_str().starts_with(WARMING_PREFIX)
+}
+
+fn group_id(epoch: Epoch, is_warming: bool) -> Option<GroupId> {
+    let prefix = if is_warming { WARMING_PREFIX } else { 'g' };
+    // Letters and digits always make an identifier.
+    format!("{prefix}{}", epoch.0).parse().ok()
+}
+
+fn member_list(members: &[HostId]) -> String {
+    let names: Vec<&str> = members.iter().map(HostId::as_str).collect();
+    names.join(",")
+}
--- /dev/null
+++ b/lib/src/process/gateway/follow.rs
@@ -0,0 +1,167 @@
+//! Tasks that keep records of the platform up to date here.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use super::state::GatewayState;
+use crate::clock::Clock;
+use crate::platform::feed::Changes;
+use crate::platform::feed::Feed;
+use crate::platform::feed::FeedError;
+use crate::platform::feed::Snapshot;
+use crate::target::record::TargetRecord;
+use crate::version::routes::RouteDocument;
+
+/// How long the platform holds a call while nothing changes. A call costs as much as a change, and
+/// a silent connection is found only when its call is overdue.
+const WAIT: Duration = Duration::from_millis(2_500);
+/// The first pause after a failed call; it doubles up to the longest.
+const RETRY_PAUSE_MIN: Duration = Duration::from_millis(100);
+const RETRY_PAUSE_MAX: Duration = Duration::from_millis(800);
+/// The pause between two calls for targets, so that changes that come together cost one call.
+const TARGETS_GATHER: Duration = Duration::from_millis(60);
+/// How long calls must have failed to count as an outage of the platform.
+const OUTAGE_MIN: Duration = Duration::from_millis(1_000);
+/// How long after an outage lapsed records may come back.
+const RETURN_GRACE: Duration = Duration::from_millis(2_300);
+
+/// What records are kept in.
+trait Sink<T> {
+    fn on_snapshot(&self, snapshot: Vec<T>);
+    fn on_changes(&self, changed: Vec<T>, removed: Vec<String>);
+    fn on_outage_ended(&self);
+}
+
+struct Documents<C>(Arc<GatewayState<C>>);
+
+impl<C> Sink<RouteDocument> for Documents<C>
+where
+    C: Clock,
+{
+    fn on_snapshot(&self, documents: Vec<RouteDocument>) {
+        for document in documents {
+            self.0.offer_document(document);
+        }
+    }
+
+    fn on_changes(&self, changed: Vec<RouteDocument>, _removed: Vec<String>) {
+        self.on_snapshot(changed);
+    }
+
+    fn on_outage_ended(&self) {}
+}
+
+struct Targets<C>(Arc<GatewayState<C>>);
+
+impl<C> Sink<TargetRecord> for Targets<C>
+where
+    C: Clock,
+{
+    fn on_snapshot(&self, records: Vec<TargetRecord>) {
+        self.0
+            .change_board(|board, now| board.on_snapshot(records, now));
+        self.0.note_targets_read();
+    }
+
+    fn on_changes(&self, changed: Vec<TargetRecord>, removed: Vec<String>) {
+        self.0.change_board(|board, now| {
+            for host in removed.iter().filter_map(|host| host.parse().ok()) {
+                board.on_removed(&host, now);
+            }
+            for record in changed {
+                board.on_record(record, now);
+            }
+        });
+    }
+
+    fn on_outage_ended(&self) {
+        self.0
+            .change_board(|board, now| board.on_outage_ended(now, RETURN_GRACE));
+    }
+}
+
+/// Follows the configuration.
+pub(super) async fn follow_documents<C, P>(state: Arc<GatewayState<C>>, platform: P)
+where
+    C: Clock,
+    P: Feed<RouteDocument>,
+{
+    let sink = Documents(Arc::clone(&state));
+    follow("configuration", state, platform, sink, Duration::ZERO).await;
+}
+
+/// Follows the targets.
+pub(super) async fn follow_targets<C, P>(state: Arc<GatewayState<C>>, platform: P)
+where
+    C: Clock,
+    P: Feed<TargetRecord>,
+{
+    let sink = Targets(Arc::clone(&state));
+    follow("targets", state, platform, sink, TARGETS_GATHER).await;
+}
+
+async fn follow<C, P, T, S>(
+    what: &'static str,
+    state: Arc<GatewayState<C>>,
+    platform: P,
+    sink: S,
+    gather: Duration,
+) where
+    C: Clock,
+    P: Feed<T>,
+    S: Sink<T>,
+{
+    let mut revision = None;
+    let mut pause = RETRY_PAUSE_MIN;
+    let mut failing_since: Option<Instant> = None;
+    loop {
+        let answer = match revision {
+            None => platform.snapshot().await.map(Answer::Snapshot),
+            Some(since) => platform.changes(since, WAIT).await.map(Answer::Changes),
+        };
+        let now = state.clock.now();
+        if answer.is_ok()
+            && let Some(since) = failing_since.take()
+        {
+            let failed_for = now.saturating_duration_since(since);
+            log::info!(what = what, failed_ms = failed_for.as_millis() as u64; "platform is back");
+            if failed_for >= OUTAGE_MIN {
+                sink.on_outage_ended();
+            }
+        }
+        match answer {
+            Ok(Answer::Snapshot(snapshot)) => {
+                revision = Some(snapshot.revision);
+                sink.on_snapshot(snapshot.records);
+            }
+            Ok(Answer::Changes(changes)) => {
+                revision = Some(changes.revision);
+                if !changes.changed.is_empty() || !changes.removed.is_empty() {
+                    sink.on_changes(changes.changed, changes.removed);
+                }
+            }
+            Err(FeedError::HistoryLost { since }) => {
+                log::info!(what = what, since = since.0; "history is lost; all is read again");
+                revision = None;
+                continue;
+            }
+            Err(FeedError::Platform(error)) => {
+                if failing_since.is_none() {
+                    log::warn!(what = what; "platform can't be read: {error}");
+                    failing_since = Some(now);
+                }
+                tokio::time::sleep(pause).await;
+                pause = (pause * 2).min(RETRY_PAUSE_MAX);
+                continue;
+            }
+        }
+        pause = RETRY_PAUSE_MIN;
+        tokio::time::sleep(gather).await;
+    }
+}
+
+enum Answer<T> {
+    Snapshot(Snapshot<T>),
+    Changes(Changes<T>),
+}
--- /dev/null
+++ b/lib/src/process/gateway/mod.rs
@@ -0,0 +1,26 @@
+//! An entry that passes callers' requests on by routes, and forms the replica groups behind them.
+//!
+//! It follows the configuration and the targets in the platform's tables, serves callers through
+//! [`crate::request::forward`], and forms groups by [`crate::process::formation`] while it holds
+//! the lease. All that it keeps is rebuilt from the platform after a restart.
+
+mod coordinate;
+mod follow;
+mod ready;
+mod run;
+mod serving;
+mod settings;
+mod state;
+mod usage;
+
+pub use self::run::GatewayError;
+pub use self::run::run_gateway;
+pub use self::serving::ServingTarget;
+pub use self::serving::serving_targets;
+pub use self::settings::GatewayListen;
+pub use self::settings::GatewaySettings;
+pub use self::settings::RetrySlack;
+pub use self::state::GatewayPlatform;
+pub use self::state::GatewayState;
+pub use self::usage::TargetUsage;
+pub use self::usage::UsageBoard;
--- /dev/null
+++ b/lib/src/process/gateway/state.rs
@@ -0,0 +1,448 @@
+//! What a gateway knows, and the places that its requests take at targets.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use tokio::sync::Notify;
+
+use super::serving::ServingTarget;
+use super::serving::serving_targets;
+use super::settings::GatewaySettings;
+use super::usage::UsageBoard;
+use crate::clock::Clock;
+use crate::ids::HostId;
+use crate::ids::ServiceId;
+use crate::ids::WeightsId;
+use crate::platform::Table;
+use crate::platform::feed::Feed;
+use crate::process::formation::HostBoard;
+use crate::process::lifecycle::Lifecycle;
+use crate::process::lifecycle::Stage;
+use crate::request::forward::choose::TargetOption;
+use crate::request::forward::choose::choose_target;
+use crate::request::forward::context::ForwardContext;
+use crate::request::forward::context::NoTarget;
+use crate::request::forward::context::TargetNeed;
+use crate::request::forward::context::TargetUse;
+use crate::request::forward::plan::SendEnd;
+use crate::request::forward::protocol::AnswerLoad;
+use crate::request::forward::protocol::CallerProtocol;
+use crate::request::retry::RetryBudget;
+use crate::request::retry::RetryBudgetSettings;
+use crate::sorted::Keyed;
+use crate::sorted::SortedVec;
+use crate::target::record::TargetRecord;
+use crate::version::routes::RouteDocument;
+
+/// The entries that the free further sends are divided among; more than any site has, so that the
+/// shares are safe without knowing the others.
+const BUDGET_ENTRIES: u32 = 12;
+
+/// The platform as a gateway uses it.
+pub trait GatewayPlatform: Table + Feed<RouteDocument> + Feed<TargetRecord> {}
+
+impl<P> GatewayPlatform for P where P: Table + Feed<RouteDocument> + Feed<TargetRecord> {}
+
+struct ServiceBudget {
+    service: ServiceId,
+    budget: RetryBudget,
+}
+
+impl Keyed for ServiceBudget {
+    type Key = ServiceId;
+
+    fn key(&self) -> &ServiceId {
+        &self.service
+    }
+}
+
+struct Inner {
+    document: Option<Arc<RouteDocument>>,
+    board: HostBoard,
+    serving: Vec<ServingTarget>,
+    usage: UsageBoard,
+    budgets: SortedVec<ServiceBudget>,
+    stalled: Vec<HostId>,
+    requests: u64,
+    choices: usize,
+    has_targets: bool,
+}
+
+/// The state that a gateway's tasks share.
+pub struct GatewayState<C> {
+    /// The process's settings.
+    pub settings: GatewaySettings,
+    /// The clock.
+    pub clock: C,
+    /// The stage of the process's life.
+    pub lifecycle: Lifecycle,
+    /// When the process started.
+    pub started_at: Instant,
+    /// Woken when the targets have changed.
+    pub targets_changed: Notify,
+    inner: Mutex<Inner>,
+}
+
+impl<C> std::fmt::Debug for GatewayState<C> {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter
+            .debug_struct("GatewayState")
+            .finish_non_exhaustive()
+    }
+}
+
+impl<C> GatewayState<C>
+where
+    C: Clock,
+{
+    /// Creates the state of a process that knows nothing yet.
+    pub fn new(settings: GatewaySettings, clock: C) -> Self {
+        Self {
+            settings,
+            started_at: clock.now(),
+            clock,
+            lifecycle: Lifecycle::default(),
+            targets_changed: Notify::new(),
+            inner: Mutex::new(Inner {
+                document: None,
+                board: HostBoard::new(),
+                serving: Vec::new(),
+                usage: UsageBoard::new(),
+                budgets: SortedVec::new(),
+                stalled: Vec::new(),
+                requests: 0,
+                choices: 0,
+                has_targets: false,
+            }),
+        }
+    }
+
+    fn inner(&self) -> MutexGuard<'_, Inner> {
+        // The state is whole between any two statements, so a panic elsewhere leaves it usable.
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the configuration in force.
+    pub fn document(&self) -> Option<Arc<RouteDocument>> {
+        self.inner().document.clone()
+    }
+
+    /// Puts a configuration in force unless one as new is.
+    pub fn offer_document(&self, document: RouteDocument) {
+        let now = self.clock.now();
+        let mut inner = self.inner();
+        let known = inner.document.as_ref().map(|d| d.version);
+        if known.is_some_and(|known| known >= document.version) {
+            return;
+        }
+        log::info!(
+            version = document.version.0, replaced:? = known.map(|v| v.0),
+            routes = document.route_count();
+            "configuration is in force"
+        );
+        inner.document = Some(Arc::new(document));
+        inner.update_serving(now);
+        drop(inner);
+        self.note_ready();
+        self.targets_changed.notify_waiters();
+    }
+
+    /// Changes the board of hosts and what follows from it.
+    pub fn change_board<F>(&self, change: F)
+    where
+        F: FnOnce(&mut HostBoard, Instant),
+    {
+        let now = self.clock.now();
+        let mut inner = self.inner();
+        change(&mut inner.board, now);
+        inner.update_serving(now);
+        drop(inner);
+        self.targets_changed.notify_waiters();
+    }
+
+    /// Takes note that the list of targets was read.
+    pub fn note_targets_read(&self) {
+        self.inner().has_targets = true;
+        self.note_ready();
+    }
+
+    /// Looks at the board of hosts.
+    pub fn with_board<F, T>(&self, look: F) -> T
+    where
+        F: FnOnce(&HostBoard) -> T,
+    {
+        look(&self.inner().board)
+    }
+
+    /// Returns the heads whose streams stopped since the last call.
+    pub fn take_stalled(&self) -> Vec<HostId> {
+        std::mem::take(&mut self.inner().stalled)
+    }
+
+    /// Returns how many requests have come.
+    pub fn request_count(&self) -> u64 {
+        self.inner().requests
+    }
+
+    fn note_ready(&self) {
+        let inner = self.inner();
+        let is_ready = inner.document.is_some() && inner.has_targets;
+        drop(inner);
+        if is_ready && self.lifecycle.advance(Stage::Ready) {
+            log::info!("ready for callers");
+        }
+    }
+}
+
+impl Inner {
+    fn update_serving(&mut self, now: Instant) {
+        let Some(document) = &self.document else {
+            return;
+        };
+        self.serving = serving_targets(&self.board, document, now);
+        let board = &self.board;
+        self.usage.forget_unknown(|host| board.get(host).is_some());
+    }
+
+    fn is_usable(&self, host: &HostId) -> bool {
+        self.serving.iter().any(|target| target.host == *host)
+    }
+
+    fn take_place(
+        &mut self,
+        need: &TargetNeed,
+        settings: &GatewaySettings,
+        now: Instant,
+    ) -> Result<(ServingTarget, Duration), NoTarget> {
+        let serves = |target: &&ServingTarget| {
+            target.service == need.service
+                && !need.excluded.contains(&target.host)
+                && (target.pace.is_none()
+                    || need
+                        .weights
+                        .as_ref()
+                        .is_none_or(|w| target.weights.contains(w)))
+        };
+        let candidates: Vec<&ServingTarget> = self.serving.iter().filter(serves).collect();
+        let option = |target: &&ServingTarget| {
+            let usage = self.usage.get(&target.host);
+            TargetOption {
+                host: target.host.clone(),
+                is_local: target.data_centre == settings.data_centre,
+                slots: target.slots,
+                in_flight: usage.map_or(0.0, |u| u.in_flight(now)),
+                unread_prompt_tokens: usage.map_or(0.0, |u| u.unread_tokens() as f64),
+                pace: target.pace,
+                failure_share: usage.map_or(0.0, |u| u.failure_share()),
+                is_suspect: usage.is_some_and(|u| u.is_suspect(now)),
+            }
+        };
+        let options: Vec<TargetOption> = candidates.iter().map(option).collect();
+        self.choices = self.choices.wrapping_add(1);
+        let chosen = choose_target(&options, need.prompt_tokens, self.choices);
+        let index = chosen.ok_or(NoTarget::Absent)?;
+        let expected = options[index].expected_wait(need.prompt_tokens);
+        if expected > need.time_left {
+            let room_in = expected - need.time_left;
+            return Err(NoTarget::Busy { room_in });
+        }
+        let target = candidates[index].clone();
+        self.usage.on_start(&target.host, need.prompt_tokens, now);
+        Ok((target, expected))
+    }
+}
+
+/// The face of the state towards requests.
+#[derive(Debug)]
+pub struct GatewayContext<C, W> {
+    pub(super) state: Arc<GatewayState<C>>,
+    pub(super) protocol: W,
+}
+
+impl<C, W> Clone for GatewayContext<C, W>
+where
+    W: Clone,
+{
+    fn clone(&self) -> Self {
+        Self {
+            state: Arc::clone(&self.state),
+            protocol: self.protocol.clone(),
+        }
+    }
+}
+
+/// A request's place at a target.
+#[derive(Debug)]
+pub struct TargetPlace<C>
+where
+    C: Clock,
+{
+    state: Arc<GatewayState<C>>,
+    host: HostId,
+    address: SocketAddr,
+    expected_wait: Duration,
+    unread_tokens: u32,
+    started_at: Instant,
+    has_ended: bool,
+}
+
+impl<C> Drop for TargetPlace<C>
+where
+    C: Clock,
+{
+    fn drop(&mut self) {
+        let now = self.state.clock.now();
+        let mut inner = self.state.inner();
+        inner.usage.on_finish(&self.host, self.unread_tokens, now);
+    }
+}
+
+impl<C> TargetUse for TargetPlace<C>
+where
+    C: Clock,
+{
+    fn host(&self) -> &HostId {
+        &self.host
+    }
+
+    fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    fn expected_wait(&self) -> Duration {
+        self.expected_wait
+    }
+
+    fn is_still_usable(&self) -> bool {
+        self.state.inner().is_usable(&self.host)
+    }
+
+    fn on_first_answer(&mut self, load: Option<AnswerLoad>) {
+        let now = self.state.clock.now();
+        let mut inner = self.state.inner();
+        if let Some(load) = load {
+            inner.usage.on_load(&self.host, load, now);
+        }
+    }
+
+    fn on_progress(&mut self) {
+        let now = self.state.clock.now();
+        let unread = std::mem::take(&mut self.unread_tokens);
+        self.state.inner().usage.on_read(&self.host, unread, now);
+    }
+
+    fn silent_for(&self) -> Duration {
+        let now = self.state.clock.now();
+        let inner = self.state.inner();
+        let target = inner
+            .usage
+            .get(&self.host)
+            .map_or(Duration::ZERO, |u| u.silent_for(now));
+        target.min(now.saturating_duration_since(self.started_at))
+    }
+
+    fn on_end(&mut self, end: Option<SendEnd>) {
+        if std::mem::replace(&mut self.has_ended, true) {
+            return;
+        }
+        let now = self.state.clock.now();
+        let mut inner = self.state.inner();
+        inner.usage.on_result(&self.host, end, now);
+        if matches!(
+            end,
+            Some(SendEnd::Silent | SendEnd::NotSent | SendEnd::Broken)
+        ) {
+            inner.stalled.push(self.host.clone());
+        }
+    }
+}
+
+impl<C, W> ForwardContext for GatewayContext<C, W>
+where
+    C: Clock,
+    W: CallerProtocol,
+{
+    type Protocol = W;
+    type Use = TargetPlace<C>;
+
+    fn protocol(&self) -> &W {
+        &self.protocol
+    }
+
+    fn now(&self) -> Instant {
+        self.state.clock.now()
+    }
+
+    fn document(&self) -> Option<Arc<RouteDocument>> {
+        self.state.document()
+    }
+
+    fn is_draining(&self) -> bool {
+        self.state.lifecycle.stage() >= Stage::Draining
+    }
+
+    fn on_request(&self, service: &ServiceId, _weights: Option<&WeightsId>) {
+        let now = self.now();
+        let retry = &self.state.settings.retry;
+        let mut inner = self.state.inner();
+        inner.requests += 1;
+        inner.budget(service, retry, now).on_success(now);
+    }
+
+    fn take_target(&self, need: &TargetNeed) -> Result<TargetPlace<C>, NoTarget> {
+        let now = self.now();
+        let taken = self
+            .state
+            .inner()
+            .take_place(need, &self.state.settings, now);
+        let (target, expected_wait) = taken?;
+        Ok(TargetPlace {
+            state: Arc::clone(&self.state),
+            host: target.host,
+            address: target.address,
+            expected_wait,
+            unread_tokens: need.prompt_tokens,
+            started_at: now,
+            has_ended: false,
+        })
+    }
+
+    async fn targets_changed(&self) {
+        self.state.targets_changed.notified().await;
+    }
+
+    fn spend_further_send(&self, service: &ServiceId) -> bool {
+        let now = self.now();
+        let retry = &self.state.settings.retry;
+        self.state.inner().budget(service, retry, now).spend(now)
+    }
+
+    fn on_outcome(&self, _service: &ServiceId, _outcome: &'static str, _waited: Duration) {}
+}
+
+impl Inner {
+    fn budget(
+        &mut self,
+        service: &ServiceId,
+        retry: &super::settings::RetrySlack,
+        now: Instant,
+    ) -> &mut RetryBudget {
+        let create = || ServiceBudget {
+            service: service.clone(),
+            budget: RetryBudget::new(
+                RetryBudgetSettings {
+                    share: retry.share,
+                    window: retry.window,
+                    free_tries: retry.free_sends / BUDGET_ENTRIES,
+                },
+                now,
+            ),
+        };
+        &mut self.budgets.get_or_insert_with(service, create).budget
+    }
+}
--- /dev/null
+++ b/lib/src/process/gateway/usage.rs
@@ -0,0 +1,191 @@
+//! How this process uses the targets, and how they do.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::ids::HostId;
+use crate::request::forward::plan::SendEnd;
+use crate::request::forward::protocol::AnswerLoad;
+use crate::sorted::Keyed;
+use crate::sorted::SortedVec;
+
+/// How long a target without a connection is passed over: a crashed process restarts no sooner.
+const UNCONNECTED_PAUSE: Duration = Duration::from_millis(700);
+/// How long a silent target is passed over; its group breaks or is closed in about this time.
+const SILENT_PAUSE: Duration = Duration::from_millis(1_500);
+/// How long a target that refused a request is passed over: some requests end meanwhile.
+const REFUSED_PAUSE: Duration = Duration::from_millis(100);
+/// The weight of the latest request in the share of failed requests.
+const FAILURE_WEIGHT: f64 = 0.15;
+/// The age after which a load that a target told says nothing any more.
+const LOAD_AGE_MAX: Duration = Duration::from_millis(1_500);
+
+/// A load that a target told.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct ToldLoad {
+    load: AnswerLoad,
+    own_in_flight: u32,
+    at: Instant,
+}
+
+/// What this process knows of a target from its own requests.
+#[derive(Clone, Debug)]
+pub struct TargetUsage {
+    host: HostId,
+    in_flight: u32,
+    unread_tokens: u64,
+    told: Option<ToldLoad>,
+    failure_share: f64,
+    suspect_until: Option<Instant>,
+    progress_at: Instant,
+}
+
+impl Keyed for TargetUsage {
+    type Key = HostId;
+
+    fn key(&self) -> &HostId {
+        &self.host
+    }
+}
+
+impl TargetUsage {
+    fn new(host: HostId, now: Instant) -> Self {
+        Self {
+            host,
+            in_flight: 0,
+            unread_tokens: 0,
+            told: None,
+            failure_share: 0.0,
+            suspect_until: None,
+            progress_at: now,
+        }
+    }
+
+    /// Returns the requests of this process that run or wait at the target.
+    pub fn own_in_flight(&self) -> u32 {
+        self.in_flight
+    }
+
+    /// Returns how many requests are believed to run or wait at the target, of all entries.
+    pub fn in_flight(&self, now: Instant) -> f64 {
+        let own = f64::from(self.in_flight);
+        let told = self
+            .told
+            .filter(|told| now.saturating_duration_since(told.at) < LOAD_AGE_MAX);
+        told.map_or(own, |told| {
+            let there = f64::from(told.load.running + told.load.waiting);
+            let since = own - f64::from(told.own_in_flight);
+            own.max(there + since)
+        })
+    }
+
+    /// Returns the prompt tokens of this process's requests that the target has not read.
+    pub fn unread_tokens(&self) -> u64 {
+        self.unread_tokens
+    }
+
+    /// Returns the share of the recent requests that failed.
+    pub fn failure_share(&self) -> f64 {
+        self.failure_share
+    }
+
+    /// Returns whether the target is passed over for now.
+    pub fn is_suspect(&self, now: Instant) -> bool {
+        self.suspect_until.is_some_and(|until| now < until)
+    }
+
+    /// Returns for how long no stream of this process has moved at the target.
+    pub fn silent_for(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.progress_at)
+    }
+}
+
+/// The usage of all targets.
+#[derive(Clone, Debug, Default)]
+pub struct UsageBoard {
+    targets: SortedVec<TargetUsage>,
+}
+
+impl UsageBoard {
+    /// Creates an empty board.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns the usage of a target.
+    pub fn get(&self, host: &HostId) -> Option<&TargetUsage> {
+        self.targets.get(host)
+    }
+
+    /// Takes note that a request is sent to a target.
+    pub fn on_start(&mut self, host: &HostId, prompt_tokens: u32, now: Instant) {
+        let usage = self.usage(host, now);
+        if usage.in_flight == 0 {
+            usage.progress_at = now;
+        }
+        usage.in_flight += 1;
+        usage.unread_tokens += u64::from(prompt_tokens);
+    }
+
+    /// Takes note that a target has read a prompt.
+    pub fn on_read(&mut self, host: &HostId, prompt_tokens: u32, now: Instant) {
+        let usage = self.usage(host, now);
+        usage.unread_tokens = usage.unread_tokens.saturating_sub(u64::from(prompt_tokens));
+        usage.progress_at = now;
+    }
+
+    /// Takes a load that a target told.
+    pub fn on_load(&mut self, host: &HostId, load: AnswerLoad, now: Instant) {
+        let usage = self.usage(host, now);
+        usage.told = Some(ToldLoad {
+            load,
+            own_in_flight: usage.in_flight,
+            at: now,
+        });
+    }
+
+    /// Takes note that a stream of the target moves.
+    pub fn on_progress(&mut self, host: &HostId, now: Instant) {
+        self.usage(host, now).progress_at = now;
+    }
+
+    /// Takes note of how a send ended; `None` is a whole answer.
+    pub fn on_result(&mut self, host: &HostId, end: Option<SendEnd>, now: Instant) {
+        let usage = self.usage(host, now);
+        let failed = match end {
+            None => 0.0,
+            // A full target has not failed.
+            Some(SendEnd::NotRun) => usage.failure_share,
+            Some(_) => 1.0,
+        };
+        usage.failure_share += FAILURE_WEIGHT * (failed - usage.failure_share);
+        let pause = match end {
+            Some(SendEnd::NotSent) => UNCONNECTED_PAUSE,
+            Some(SendEnd::Silent) => SILENT_PAUSE,
+            Some(SendEnd::NotRun) => REFUSED_PAUSE,
+            Some(SendEnd::TargetFailed | SendEnd::Broken) | None => return,
+        };
+        usage.suspect_until = usage.suspect_until.max(Some(now + pause));
+    }
+
+    /// Takes note that a request has left a target.
+    pub fn on_finish(&mut self, host: &HostId, unread_tokens: u32, now: Instant) {
+        let usage = self.usage(host, now);
+        usage.in_flight = usage.in_flight.saturating_sub(1);
+        usage.unread_tokens = usage.unread_tokens.saturating_sub(u64::from(unread_tokens));
+    }
+
+    /// Forgets targets for which `is_known` is false and that have no request.
+    pub fn forget_unknown<F>(&mut self, is_known: F)
+    where
+        F: Fn(&HostId) -> bool,
+    {
+        self.targets
+            .retain(|usage| usage.in_flight > 0 || is_known(&usage.host));
+    }
+
+    fn usage(&mut self, host: &HostId, now: Instant) -> &mut TargetUsage {
+        self.targets
+            .get_or_insert_with(host, || TargetUsage::new(host.clone(), now))
+    }
+}
--- a/lib/src/process/mod.rs
+++ b/lib/src/process/mod.rs
@@ -3,6 +3,8 @@
 pub mod admitter;
 pub mod entry;
 pub mod exchange;
+pub mod formation;
+pub mod gateway;
 pub mod identity;
 pub mod in_force;
 pub mod lease;
--- /dev/null
+++ b/lib/src/request/forward/context.rs
@@ -0,0 +1,105 @@
+//! What a forwarded request needs from the process that it runs in.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use super::plan::SendEnd;
+use super::protocol::AnswerLoad;
+use super::protocol::CallerProtocol;
+use crate::ids::HostId;
+use crate::ids::ServiceId;
+use crate::ids::WeightsId;
+use crate::version::routes::RouteDocument;
+
+/// What a request asks of a target.
+#[derive(Clone, Debug, PartialEq)]
+pub struct TargetNeed {
+    /// The service.
+    pub service: ServiceId,
+    /// The weights, for services that run models.
+    pub weights: Option<WeightsId>,
+    /// The tokens of the prompt.
+    pub prompt_tokens: u32,
+    /// Targets that the request was sent to before.
+    pub excluded: Vec<HostId>,
+    /// The time within which the first answer is worth most.
+    pub latency_target: Duration,
+    /// The time that is left for the answer.
+    pub time_left: Duration,
+}
+
+/// Why no target was found.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum NoTarget {
+    /// There is none that serves, for the time being.
+    Absent,
+    /// All are so busy that the answer would come too late.
+    Busy {
+        /// When there will be room.
+        room_in: Duration,
+    },
+}
+
+/// A request's place at a target, given back when it is dropped.
+pub trait TargetUse: Send + Sync + 'static {
+    /// Returns the target.
+    fn host(&self) -> &HostId;
+
+    /// Returns the target's address.
+    fn address(&self) -> SocketAddr;
+
+    /// Returns how long the first answer was expected to take when the target was chosen.
+    fn expected_wait(&self) -> Duration;
+
+    /// Returns whether the target may still be sent new work.
+    fn is_still_usable(&self) -> bool;
+
+    /// Takes note that the target's answer has begun.
+    fn on_first_answer(&mut self, load: Option<AnswerLoad>);
+
+    /// Takes note of an event of the target's stream.
+    fn on_progress(&mut self);
+
+    /// Returns for how long none of this process's streams at the target has moved.
+    fn silent_for(&self) -> Duration;
+
+    /// Takes note of how the send ended; `None` is a whole answer.
+    fn on_end(&mut self, end: Option<SendEnd>);
+}
+
+/// The process's side of forwarded requests.
+pub trait ForwardContext: Clone + Send + Sync + 'static {
+    /// The wire format of requests.
+    type Protocol: CallerProtocol;
+    /// A place at a target.
+    type Use: TargetUse;
+
+    /// Returns the wire format.
+    fn protocol(&self) -> &Self::Protocol;
+
+    /// Returns the current time.
+    fn now(&self) -> Instant;
+
+    /// Returns the configuration in force, if there is one.
+    fn document(&self) -> Option<Arc<RouteDocument>>;
+
+    /// Returns whether callers are told to close their connections.
+    fn is_draining(&self) -> bool;
+
+    /// Counts a request of a service.
+    fn on_request(&self, service: &ServiceId, weights: Option<&WeightsId>);
+
+    /// Takes a place at the best target.
+    fn take_target(&self, need: &TargetNeed) -> Result<Self::Use, NoTarget>;
+
+    /// Waits until a target may have come or become free.
+    fn targets_changed(&self) -> impl Future<Output = ()> + Send;
+
+    /// Takes one further send out of a service's budget.
+    fn spend_further_send(&self, service: &ServiceId) -> bool;
+
+    /// Counts how a request ended, for the metrics.
+    fn on_outcome(&self, service: &ServiceId, outcome: &'static str, waited: Duration);
+}
--- /dev/null
+++ b/lib/src/request/forward/handler.rs
@@ -0,0 +1,203 @@
+//! The way of a forwarded request from its arrival to its answer.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use http::header::CONNECTION;
+use hyper::body::Incoming;
+
+use super::context::ForwardContext;
+use super::context::TargetNeed;
+use super::plan::SendPlan;
+use super::protocol::CallerProtocol as _;
+use super::protocol::CallerRequest;
+use super::protocol::Failure;
+use super::send::Passage;
+use super::stream::forward_stream;
+use super::whole::forward_whole;
+use crate::connection::body::ReadBodyError;
+use crate::connection::body::ResponseBody;
+use crate::connection::body::read_body;
+use crate::connection::server::HttpHandler;
+use crate::request::outcome::NotRunReason;
+use crate::request::outcome::UnknownReason;
+use crate::version::routes::Denial;
+use crate::version::routes::RouteDocument;
+
+/// When callers are told to come back while there is no configuration or no target: groups form
+/// anew in about this time.
+const RETRY_AFTER: Duration = Duration::from_millis(700);
+/// The part of a request's time that its body may take to arrive.
+const BODY_TIME_DIVISOR: u32 = 2;
+/// The longest wait of a caller that says no time of its own.
+const PATIENCE_DEFAULT: Duration = Duration::from_secs(30);
+
+/// Answers callers' requests by passing them on to targets.
+#[derive(Clone, Debug)]
+pub struct ForwardHandler<X> {
+    context: X,
+}
+
+impl<X> ForwardHandler<X>
+where
+    X: ForwardContext,
+{
+    /// Creates the handler.
+    pub fn new(context: X) -> Self {
+        Self { context }
+    }
+
+    async fn answer(
+        &self,
+        request: Request<Incoming>,
+        started_at: Instant,
+    ) -> (CallerRequest, Result<Response<ResponseBody>, Failure>) {
+        let (head, body) = request.into_parts();
+        let call = match self.context.protocol().read_request(&head) {
+            Ok(call) => call,
+            Err(error) => {
+                log::info!(path = head.uri.path(); "request can't be read: {error}");
+                return (CallerRequest::default(), Err(Failure::Malformed));
+            }
+        };
+        let Some(document) = self.context.document() else {
+            return (call, Err(not_run(NotRunReason::NotReady)));
+        };
+        let limit_bytes = document.limits.body_limit_bytes;
+        let patience = call.patience.unwrap_or(PATIENCE_DEFAULT);
+        let read = read_body(body, limit_bytes, patience / BODY_TIME_DIVISOR).await;
+        let body = match read {
+            Ok(body) => body,
+            Err(ReadBodyError::TooLong { .. }) => return (call, Err(Failure::TooLong)),
+            Err(ReadBodyError::Broken { .. } | ReadBodyError::TooSlow { .. }) => {
+                return (call, Err(not_run(NotRunReason::Overloaded)));
+            }
+        };
+        let answer = match self.passage(&document, head, body, &call, started_at) {
+            Ok(passage) => forward(passage).await,
+            Err(failure) => Err(failure),
+        };
+        (call, answer)
+    }
+
+    fn passage(
+        &self,
+        document: &RouteDocument,
+        head: http::request::Parts,
+        body: Bytes,
+        call: &CallerRequest,
+        started_at: Instant,
+    ) -> Result<Passage<X>, Failure> {
+        let admitted = document.admit(&call.host, head.uri.path(), call.api_key.as_deref());
+        let admitted = admitted.map_err(|denial| {
+            log::info!(
+                request = call.request_id.as_str(), host = call.host.as_str(),
+                path = head.uri.path(), version = document.version.0;
+                "request is not allowed: {denial}"
+            );
+            match denial {
+                Denial::NoRoute => Failure::NoRoute,
+                Denial::UnknownKey => Failure::UnknownKey,
+            }
+        })?;
+        let route = admitted.route.clone();
+        let service = route.pick_service(&call.request_id).cloned();
+        let service = service.ok_or(not_run(NotRunReason::NoTarget))?;
+        let patience = call.patience.unwrap_or(PATIENCE_DEFAULT).min(route.timeout);
+        let deadline = started_at + patience;
+        self.context.on_request(&service, call.weights.as_ref());
+        let need = TargetNeed {
+            service: service.clone(),
+            weights: call.weights.clone(),
+            prompt_tokens: call.prompt_tokens,
+            excluded: Vec::new(),
+            latency_target: route.latency_target,
+            time_left: patience,
+        };
+        Ok(Passage {
+            context: self.context.clone(),
+            head,
+            body,
+            call: call.clone(),
+            account: admitted.account.map(|account| account.account.clone()),
+            plan: SendPlan::new(route.kind, route.attempts_max, deadline, RETRY_AFTER),
+            route,
+            service,
+            need,
+            started_at,
+        })
+    }
+}
+
+async fn forward<X>(passage: Passage<X>) -> Result<Response<ResponseBody>, Failure>
+where
+    X: ForwardContext,
+{
+    let context = passage.context.clone();
+    let service = passage.service.clone();
+    let request_id = passage.call.request_id.clone();
+    let route = passage.route.name.clone();
+    let is_stream = passage.route.kind.is_stream();
+    let started_at = passage.started_at;
+    let left = passage.time_left();
+    let answered = if is_stream {
+        tokio::time::timeout(left, forward_stream(passage)).await
+    } else {
+        tokio::time::timeout(left, forward_whole(passage)).await
+    };
+    // A request whose time is up may be at a target.
+    let answered = answered.unwrap_or(Err(Failure::Unknown(UnknownReason::DeadlinePassed)));
+    let waited = context.now().saturating_duration_since(started_at);
+    let outcome = match &answered {
+        Ok(_) if is_stream => return answered,
+        Ok(_) => "answered",
+        Err(Failure::NotRun { .. }) => "not run",
+        Err(_) => "failed",
+    };
+    context.on_outcome(&service, outcome, waited);
+    let status = answered
+        .as_ref()
+        .map_or(0, |response| response.status().as_u16());
+    let failure = answered
+        .as_ref()
+        .err()
+        .map(ToString::to_string)
+        .unwrap_or_default();
+    log::info!(
+        request = request_id.as_str(), route = route.as_str(), status = status,
+        failure = failure.as_str(), elapsed_ms = waited.as_millis() as u64, outcome = outcome;
+        "request ended"
+    );
+    answered
+}
+
+fn not_run(reason: NotRunReason) -> Failure {
+    Failure::NotRun {
+        reason,
+        retry_after: RETRY_AFTER,
+    }
+}
+
+impl<X> HttpHandler for ForwardHandler<X>
+where
+    X: ForwardContext,
+{
+    async fn handle(&self, request: Request<Incoming>) -> Response<ResponseBody> {
+        let started_at = self.context.now();
+        let (call, answer) = self.answer(request, started_at).await;
+        let protocol = self.context.protocol();
+        let mut response = match answer {
+            Ok(response) => response,
+            Err(failure) => protocol.failure_answer(&call.request_id, failure),
+        };
+        if self.context.is_draining() {
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(CONNECTION, close);
+        }
+        response
+    }
+}
--- /dev/null
+++ b/lib/src/request/forward/send.rs
@@ -0,0 +1,236 @@
+//! One send of a request to a target.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http::request;
+use http::response;
+use hyper::body::Incoming;
+
+use super::context::ForwardContext;
+use super::context::NoTarget;
+use super::context::TargetNeed;
+use super::context::TargetUse;
+use super::plan::SendEnd;
+use super::plan::SendPlan;
+use super::protocol::AnswerHead;
+use super::protocol::CallerProtocol as _;
+use super::protocol::CallerRequest;
+use super::protocol::Failure;
+use super::protocol::SendFields;
+use crate::connection::body::RequestBody;
+use crate::connection::client::ClientConnection;
+use crate::connection::client::SendError;
+use crate::ids::AccountId;
+use crate::ids::ServiceId;
+use crate::request::outcome::NotRunReason;
+use crate::version::routes::Route;
+
+/// The longest wait for a connection: several round trips between data centres, and less than the
+/// time after which a lost opening packet is sent again.
+const CONNECT_LIMIT: Duration = Duration::from_millis(250);
+/// The part of the latency target for which a request waits for a target to come.
+const HOLD_DIVISOR: u32 = 9;
+
+/// A request on its way, with all that decides about its sends.
+#[derive(Debug)]
+pub(super) struct Passage<X> {
+    pub(super) context: X,
+    pub(super) head: request::Parts,
+    pub(super) body: Bytes,
+    pub(super) call: CallerRequest,
+    pub(super) route: Route,
+    pub(super) service: ServiceId,
+    pub(super) account: Option<AccountId>,
+    pub(super) plan: SendPlan,
+    pub(super) need: TargetNeed,
+    pub(super) started_at: std::time::Instant,
+}
+
+/// A target's answer of which the head has arrived.
+#[derive(Debug)]
+pub(super) struct Arrived<U> {
+    pub(super) target: U,
+    /// Kept while the body is read; dropping it tells the target that nobody reads any more.
+    pub(super) connection: ClientConnection,
+    pub(super) head: response::Parts,
+    pub(super) answer: AnswerHead,
+    pub(super) body: Incoming,
+}
+
+impl<X> Passage<X>
+where
+    X: ForwardContext,
+{
+    /// Returns the time that is left until the request must be answered.
+    pub(super) fn time_left(&self) -> Duration {
+        let now = self.context.now();
+        self.plan.deadline().saturating_duration_since(now)
+    }
+
+    /// Takes a place at a target, and waits a little if there is none.
+    pub(super) async fn take_target(&mut self) -> Result<X::Use, Failure> {
+        let hold = self.need.latency_target / HOLD_DIVISOR;
+        let hold_until = tokio::time::Instant::now() + hold;
+        loop {
+            self.need.time_left = self.time_left();
+            let changed = self.context.targets_changed();
+            let missing = match self.context.take_target(&self.need) {
+                Ok(target) => return Ok(target),
+                Err(missing) => missing,
+            };
+            match missing {
+                NoTarget::Busy { room_in } => {
+                    let reason = NotRunReason::Overloaded;
+                    return Err(with_retry_after(self.plan.failure(reason), room_in));
+                }
+                NoTarget::Absent => {
+                    let waited = tokio::time::timeout_at(hold_until, changed).await;
+                    if waited.is_err() {
+                        return Err(self.plan.failure(NotRunReason::NoTarget));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Sends the request once and returns the answer's head.
+    pub(super) async fn send_once(
+        &mut self,
+        mut target: X::Use,
+        last_event: Option<u64>,
+        limit: Duration,
+    ) -> Result<Arrived<X::Use>, SendEnd> {
+        self.plan.on_send();
+        let sent = self.exchange_heads(&target, last_event, limit).await;
+        match sent {
+            Ok((connection, head, body)) => {
+                let answer = self.context.protocol().read_answer(&head);
+                if answer.is_not_run {
+                    target.on_end(Some(SendEnd::NotRun));
+                    self.log_send(&target, "refused by the target", head.status.as_u16());
+                    return Err(SendEnd::NotRun);
+                }
+                let is_own = answer.request_id.as_ref() == Some(&self.call.request_id);
+                if !is_own || answer.is_encoded {
+                    target.on_end(Some(SendEnd::Broken));
+                    self.log_send(
+                        &target,
+                        "answer is not of this request",
+                        head.status.as_u16(),
+                    );
+                    return Err(SendEnd::Broken);
+                }
+                target.on_first_answer(answer.load);
+                Ok(Arrived {
+                    target,
+                    connection,
+                    head,
+                    answer,
+                    body,
+                })
+            }
+            Err(end) => {
+                target.on_end(Some(end));
+                Err(end)
+            }
+        }
+    }
+
+    async fn exchange_heads(
+        &self,
+        target: &X::Use,
+        last_event: Option<u64>,
+        limit: Duration,
+    ) -> Result<(ClientConnection, response::Parts, Incoming), SendEnd> {
+        let connect_limit = CONNECT_LIMIT.min(self.time_left());
+        let opened = ClientConnection::open(target.address(), connect_limit).await;
+        let mut connection = opened.map_err(|error| {
+            self.log_error(target, &error);
+            SendEnd::NotSent
+        })?;
+        // The target may have begun to leave while the connection was opened.
+        if !target.is_still_usable() {
+            return Err(SendEnd::NotSent);
+        }
+        let request = self.target_request(target, last_event);
+        let sent = tokio::time::timeout(limit, connection.send(request)).await;
+        let sent = sent.map_err(|_| {
+            self.log_send(target, "no answer in time", 0);
+            SendEnd::Silent
+        })?;
+        let response = sent.map_err(|error| {
+            self.log_error(target, &error);
+            match error {
+                SendError::NotSent { .. } => SendEnd::NotSent,
+                SendError::MaybeSent { .. } => SendEnd::Broken,
+            }
+        })?;
+        let (head, body) = response.into_parts();
+        Ok((connection, head, body))
+    }
+
+    fn target_request(&self, target: &X::Use, last_event: Option<u64>) -> Request<RequestBody> {
+        let fields = SendFields {
+            target: target.host().clone(),
+            account: self.account.clone(),
+            time_left: self.time_left(),
+            last_event,
+        };
+        let protocol = self.context.protocol();
+        let mut request = Request::new(RequestBody::new(self.body.clone()));
+        *request.method_mut() = self.head.method.clone();
+        *request.uri_mut() = self.head.uri.clone();
+        *request.headers_mut() = protocol.target_headers(&self.head.headers, &fields);
+        request
+    }
+
+    pub(super) fn log_send(&self, target: &X::Use, what: &str, status: u16) {
+        log::info!(
+            request = self.call.request_id.as_str(), route = self.route.name.as_str(),
+            target:% = target.host(), send = self.plan.sends(), status = status,
+            elapsed_ms = self.elapsed_ms(), time_left_ms = self.time_left().as_millis() as u64;
+            "{what}"
+        );
+    }
+
+    fn log_error(&self, target: &X::Use, error: &SendError) {
+        log::info!(
+            request = self.call.request_id.as_str(), route = self.route.name.as_str(),
+            target:% = target.host(), send = self.plan.sends(), elapsed_ms = self.elapsed_ms();
+            "send failed: {error}"
+        );
+    }
+
+    pub(super) fn elapsed_ms(&self) -> u64 {
+        let now = self.context.now();
+        now.saturating_duration_since(self.started_at).as_millis() as u64
+    }
+
+    /// Excludes a target from the further sends of the request.
+    pub(super) fn exclude(&mut self, target: &crate::ids::HostId) {
+        if !self.need.excluded.contains(target) {
+            self.need.excluded.push(target.clone());
+        }
+    }
+
+    /// Decides what follows a failed send.
+    pub(super) fn next_step(&mut self, end: SendEnd) -> super::plan::NextStep {
+        let now = self.context.now();
+        let context = self.context.clone();
+        let service = self.service.clone();
+        self.plan
+            .on_end(end, now, || context.spend_further_send(&service))
+    }
+}
+
+fn with_retry_after(failure: Failure, retry_after: Duration) -> Failure {
+    match failure {
+        Failure::NotRun { reason, .. } => Failure::NotRun {
+            reason,
+            retry_after,
+        },
+        other => other,
+    }
+}
--- a/lib/src/request/mod.rs
+++ b/lib/src/request/mod.rs
@@ -9,6 +9,7 @@
 pub mod context;
 pub mod dispatch;
 pub mod fair_queue;
+pub mod forward;
 pub mod handler;
 pub mod keyed;
 pub mod outcome;
--- a/lib/src/target/http.rs
+++ b/lib/src/target/http.rs
@@ -363,6 +363,7 @@
     }
     let request = request.body(RequestBody::new(submission.body));
     request.map_err(|error| SendError::NotSent {
+        is_refused: false,
         address,
         reason: error.to_string(),
     })
--- a/lib/src/target/mod.rs
+++ b/lib/src/target/mod.rs
@@ -4,6 +4,7 @@
 //! only adapter, so that a target with another wire format means one more file.
 
 pub mod http;
+pub mod record;
 pub mod wire;
 
 use std::future::Future;
--- a/lib/src/version/mod.rs
+++ b/lib/src/version/mod.rs
@@ -6,6 +6,7 @@
 pub mod head;
 pub mod parse;
 pub mod placeable;
+pub mod routes;
 pub mod store;
 pub mod write;
 
