formation: members are used again only after their head has left its group

A member of an open group was ordered into another one while its head was about to open: a report that lags by some hundred milliseconds passed for newer than the head's record. Now reports count as of their lag, and a group ends only once its head has accepted the order to leave, has ended, or is broken.

Ruled out: a late order of an earlier holder; the log shows one holder only.

--- a/lib/src/process/formation/board.rs
+++ b/lib/src/process/formation/board.rs
@@ -16,6 +16,9 @@
 /// still be ordered to close.
 const DEPARTED_MEMORY: Duration = Duration::from_secs(60);
 
+/// How old what a host reports may be; some hundred milliseconds.
+const REPORT_LAG: Duration = Duration::from_millis(400);
+
 /// Whether a host answers.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Liveness {
@@ -41,8 +44,10 @@
     pub departs_at: Option<Instant>,
     /// Whether the host answers.
     pub liveness: Liveness,
-    /// The last membership that the host reported itself, and when.
+    /// The last membership that the host reported itself, and as of when.
     pub reported: Option<(Option<Membership>, Instant)>,
+    /// When the registry first listed the host's present life.
+    pub first_listed_at: Instant,
     record_at: Instant,
 }
 
@@ -76,6 +81,11 @@
         }
     }
 
+    /// Returns when the registry's record came.
+    pub fn record_at(&self) -> Instant {
+        self.record_at
+    }
+
     /// Returns the host's place as last heard, from the registry or from itself.
     pub fn membership(&self) -> Option<&Membership> {
         match &self.reported {
@@ -132,11 +142,16 @@
             Some(entry) if is_same_life && !was_departed => entry.liveness,
             _ => Liveness::Assumed,
         };
+        let first_listed_at = match known {
+            Some(entry) if is_same_life => entry.first_listed_at,
+            _ => now,
+        };
         self.hosts.insert(HostEntry {
             record,
             departs_at: None,
             liveness,
             reported: None,
+            first_listed_at,
             record_at: now,
         });
     }
@@ -161,7 +176,6 @@
         host: &HostId,
         report: Result<TargetReport, CallError>,
         sent_at: Instant,
-        now: Instant,
     ) {
         let Some(entry) = self.hosts.get_mut(host) else {
             return;
@@ -175,7 +189,8 @@
                     return;
                 }
                 entry.liveness = Liveness::Assumed;
-                entry.reported = Some((report.membership, now));
+                let as_of = sent_at.checked_sub(REPORT_LAG).unwrap_or(sent_at);
+                entry.reported = Some((report.membership, as_of));
             }
             Err(CallError::Refused { .. }) => entry.liveness = Liveness::Ended,
             Err(CallError::NotSent { .. } | CallError::InDoubt { .. }) => {
--- a/lib/src/process/formation/group.rs
+++ b/lib/src/process/formation/group.rs
@@ -14,7 +14,6 @@
 use crate::ids::ServiceId;
 use crate::ids::WeightsId;
 use crate::sorted::Keyed;
-use crate::target::record::CloseMode;
 
 /// How far a group has come.
 #[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
@@ -31,10 +30,11 @@
     /// The head serves.
     #[display("open")]
     Open,
-    /// The head is ordered to close.
-    #[display("closing")]
-    Closing(CloseMode),
-    /// The head is closed and is ordered to leave, since an order to open it may still come.
+    /// The head is ordered to close once its work is done.
+    #[display("finishing")]
+    Finishing,
+    /// The head is ordered to leave: the members are free once it serves no more and no late order
+    /// can open it.
     #[display("releasing")]
     Releasing,
     /// The members are free.
@@ -78,10 +78,8 @@
     pub phase: GroupPhase,
     /// When the group came to that phase.
     pub phase_since: Instant,
-    /// Whether an order to open was sent that was not answered with a refusal.
-    pub may_open: bool,
-    /// When the next order of the phase is due.
-    pub order_due_at: Option<Instant>,
+    /// When the head accepted the order to close.
+    pub close_accepted_at: Option<Instant>,
     /// The time in which the group was expected to be ready.
     pub expected_ready_in: Duration,
 }
@@ -123,6 +121,5 @@
         );
         self.phase = phase;
         self.phase_since = now;
-        self.order_due_at = Some(now);
     }
 }
--- a/lib/src/process/formation/machine.rs
+++ b/lib/src/process/formation/machine.rs
@@ -38,6 +38,9 @@
 const JOINS_PER_TERM: u64 = 1_000_000;
 /// How long a host takes to join a group with the weights of its last group.
 const REJOIN_TIME: Duration = Duration::from_millis(200);
+/// How long no domain must have grown before hosts are divided into groups: targets that start
+/// together register within some seconds.
+const SETTLE_TIME: Duration = Duration::from_millis(600);
 /// How long a wanted group may be missing before hosts of several domains form it.
 const CROSS_DOMAIN_WAIT: Duration = Duration::from_millis(600);
 /// How long a member that left the registry may go without an own report before it counts as lost.
@@ -143,6 +146,8 @@
     pub(super) packing: Packing,
     pub(super) loads: LoadWindow,
     missing_since: Vec<Option<Instant>>,
+    /// When a domain was last seen with more hosts than before.
+    grown_at: Option<Instant>,
 }
 
 impl Keyed for ServicePlan {
@@ -221,6 +226,7 @@
             packing: Packing::default(),
             loads: LoadWindow::new_full(window, sheet.loads_per_s, now),
             missing_since: Vec::new(),
+            grown_at: None,
         });
         if plan.sheet != *sheet {
             plan.sheet = sheet.clone();
@@ -279,8 +285,14 @@
                 GroupOrder::Join { .. },
                 Ok(OrderAnswer::Superseded | OrderAnswer::WrongTarget | OrderAnswer::Invalid),
             ) => group.enter(GroupPhase::Ended, now),
-            (GroupOrder::Open { .. }, Err(CallError::InDoubt { .. })) => group.may_open = true,
-            (GroupOrder::Leave { .. }, Ok(_)) if group.phase == GroupPhase::Releasing => {
+            (GroupOrder::Close { .. }, Ok(OrderAnswer::Accepted)) => {
+                group.close_accepted_at = Some(now);
+            }
+            // A head that is ordered elsewhere, or another process, does not serve this group.
+            (
+                GroupOrder::Leave { .. },
+                Ok(OrderAnswer::Accepted | OrderAnswer::Superseded | OrderAnswer::WrongTarget),
+            ) if group.phase == GroupPhase::Releasing => {
                 group.enter(GroupPhase::Ended, now);
             }
             _ => {}
@@ -404,10 +416,10 @@
                 }
             }
             GroupPhase::Opening => {
-                if head == Standing::In(MemberState::Open) {
+                if any_lost || any_leaving {
+                    self.release(group, board, now, actions);
+                } else if head == Standing::In(MemberState::Open) {
                     group.enter(GroupPhase::Open, now);
-                } else if any_lost || any_leaving {
-                    self.start_closing(group, CloseMode::Cut, board, now, actions);
                 } else {
                     self.advance_opening(group, now, actions);
                 }
@@ -418,106 +430,104 @@
                     Standing::In(MemberState::Open) | Standing::Leaving(MemberState::Open)
                 );
                 if any_lost || !is_open {
-                    self.start_closing(group, CloseMode::Cut, board, now, actions);
+                    self.release(group, board, now, actions);
                 } else if any_leaving {
-                    self.start_closing(group, CloseMode::Finish, board, now, actions);
+                    group.enter(GroupPhase::Finishing, now);
+                    self.finish(group, board, now, actions);
                 } else {
                     self.watch_members(group, board, now, actions);
                 }
             }
-            GroupPhase::Closing(mode) => {
-                self.advance_closing(group, mode, head, board, now, actions);
-            }
-            GroupPhase::Releasing => {
-                if matches!(head, Standing::Lost | Standing::Elsewhere) {
-                    group.enter(GroupPhase::Ended, now);
+            GroupPhase::Finishing => {
+                let is_overdue = now.saturating_duration_since(group.phase_since) > FINISH_LIMIT;
+                if any_lost || is_overdue || self.has_finished(group, head, board) {
+                    self.release(group, board, now, actions);
                 } else {
-                    let order = GroupOrder::Leave {
-                        group: group.id.clone(),
-                        epoch: group.epoch,
-                    };
-                    self.order_head(group, order, now, actions);
+                    self.finish(group, board, now, actions);
                 }
             }
+            GroupPhase::Releasing => self.release(group, board, now, actions),
             GroupPhase::Ended => {}
         }
     }
 
-    fn advance_opening(
+    fn finish(
         &mut self,
-        group: &mut Group,
+        group: &Group,
+        board: &HostBoard,
         now: Instant,
         actions: &mut Vec<FormationAction>,
     ) {
-        let order = GroupOrder::Open {
-            group: group.id.clone(),
-            epoch: group.epoch,
-        };
-        self.order_head(group, order, now, actions);
+        if group.close_accepted_at.is_none() {
+            let order = GroupOrder::Close {
+                group: group.id.clone(),
+                epoch: group.epoch,
+                mode: CloseMode::Finish,
+            };
+            self.order_head(group, order, now, actions);
+        }
+        self.watch_members(group, board, now, actions);
     }
 
-    fn start_closing(
-        &mut self,
-        group: &mut Group,
-        mode: CloseMode,
-        board: &HostBoard,
-        now: Instant,
-        actions: &mut Vec<FormationAction>,
-    ) {
-        group.enter(GroupPhase::Closing(mode), now);
-        let head = group.head().cloned();
-        let standing = head.map(|head| self.standing(group, &head, board, now));
-        let standing = standing.unwrap_or(Standing::Lost);
-        self.advance_closing(group, mode, standing, board, now, actions);
+    /// Returns whether the head has closed since it was ordered to.
+    fn has_finished(&self, group: &Group, head: Standing, board: &HostBoard) -> bool {
+        let is_closed = matches!(
+            head,
+            Standing::In(MemberState::Ready) | Standing::Leaving(MemberState::Ready)
+        );
+        let record_at = group
+            .head()
+            .and_then(|head| board.get(&head.host))
+            .map(HostEntry::record_at);
+        let is_newer = group
+            .close_accepted_at
+            .is_some_and(|at| record_at.is_some_and(|r| r > at));
+        is_closed && is_newer
     }
 
-    fn advance_closing(
+    /// Orders the head to leave, until it has or its process has ended.
+    fn release(
         &mut self,
         group: &mut Group,
-        mode: CloseMode,
-        head: Standing,
         board: &HostBoard,
         now: Instant,
         actions: &mut Vec<FormationAction>,
     ) {
-        let Some(member) = group.head().cloned() else {
+        if group.phase != GroupPhase::Releasing {
+            group.enter(GroupPhase::Releasing, now);
+        }
+        let Some(head) = group.head().cloned() else {
             group.enter(GroupPhase::Ended, now);
             return;
         };
-        match head {
-            Standing::In(MemberState::Ready) | Standing::Leaving(MemberState::Ready) => {
-                let next = if group.may_open {
-                    GroupPhase::Releasing
-                } else {
-                    GroupPhase::Ended
-                };
-                group.enter(next, now);
-                return;
-            }
-            Standing::In(MemberState::Broken)
-            | Standing::Leaving(MemberState::Broken)
-            | Standing::Elsewhere => {
-                group.enter(GroupPhase::Ended, now);
-                return;
-            }
-            Standing::Lost if self.is_head_ended(&member, board, now) => {
-                group.enter(GroupPhase::Ended, now);
-                return;
-            }
-            _ => {}
+        let is_released = match self.standing(group, &head, board, now) {
+            Standing::In(MemberState::Broken) | Standing::Elsewhere => true,
+            Standing::Lost => self.is_head_ended(&head, board, now),
+            _ => false,
+        };
+        if is_released {
+            group.enter(GroupPhase::Ended, now);
+            return;
         }
-        let is_overdue = now.saturating_duration_since(group.phase_since) > FINISH_LIMIT;
-        let mode = match mode {
-            CloseMode::Finish if is_overdue => CloseMode::Cut,
-            mode => mode,
+        let order = GroupOrder::Leave {
+            group: group.id.clone(),
+            epoch: group.epoch,
         };
-        let order = GroupOrder::Close {
+        self.order_head(group, order, now, actions);
+        self.ask_report(&head, now, actions);
+    }
+
+    fn advance_opening(
+        &mut self,
+        group: &mut Group,
+        now: Instant,
+        actions: &mut Vec<FormationAction>,
+    ) {
+        let order = GroupOrder::Open {
             group: group.id.clone(),
             epoch: group.epoch,
-            mode,
         };
         self.order_head(group, order, now, actions);
-        self.ask_report(&member, now, actions);
     }
 
     /// Returns whether the head of a group can serve no more: its process ended, or it is silent
@@ -707,6 +717,10 @@
         let mut plans = std::mem::take(&mut self.plans);
         for plan in plans.iter_mut() {
             self.update_packing(plan, board, now);
+            let is_settled = |at: Instant| now.saturating_duration_since(at) >= SETTLE_TIME;
+            if !plan.grown_at.is_some_and(is_settled) {
+                continue;
+            }
             self.form_service(plan, board, now);
             self.warm_spares(plan, board, now);
         }
@@ -716,6 +730,7 @@
     /// Divides the domains anew when one was seen with more hosts than before.
     fn update_packing(&self, plan: &mut ServicePlan, board: &HostBoard, now: Instant) {
         let mut sizes: SortedVec<DomainSize> = SortedVec::new();
+        let mut newest = None;
         for entry in board.iter() {
             let is_counted = entry.record.service == plan.service && entry.is_listed(now);
             if let Some(domain) = entry.record.domain.as_ref().filter(|_| is_counted) {
@@ -724,6 +739,7 @@
                     hosts: 0,
                 };
                 sizes.get_or_insert_with(domain, create).hosts += 1;
+                newest = newest.max(Some(entry.first_listed_at));
             }
         }
         let mut has_grown = false;
@@ -735,6 +751,7 @@
             }
         }
         if has_grown {
+            plan.grown_at = newest;
             let sizes = plan.sizes.iter().map(|s| (s.domain.clone(), s.hosts));
             let sizes: Vec<_> = sizes.collect();
             plan.packing = pack_domains(&plan.sheet.models, &plan.shares, &sizes);
@@ -772,7 +789,12 @@
         }
     }
 
-    fn is_satisfied(&self, plan: &ServicePlan, domain: &FabricDomainId, model: usize) -> bool {
+    pub(super) fn is_satisfied(
+        &self,
+        plan: &ServicePlan,
+        domain: &FabricDomainId,
+        model: usize,
+    ) -> bool {
         let wanted = plan.packing.domains.get(domain);
         let wanted = wanted
             .and_then(|d| d.counts.get(model))
@@ -977,8 +999,7 @@
             is_warming,
             phase: GroupPhase::Forming { until },
             phase_since: now,
-            may_open: false,
-            order_due_at: Some(now),
+            close_accepted_at: None,
             expected_ready_in: choice.ready_in,
         });
     }
--- a/lib/src/process/formation/spares.rs
+++ b/lib/src/process/formation/spares.rs
@@ -61,6 +61,13 @@
             members as f64 / (1 + board.iter().filter(is_spare).count()) as f64
         };
         let indexed = models.iter().enumerate();
+        let missing = indexed
+            .clone()
+            .filter(|(index, _)| !self.is_satisfied(plan, domain, *index));
+        let largest = missing.max_by_key(|(_, model)| model.group_size);
+        if let Some((_, model)) = largest {
+            return Some(model);
+        }
         let best = indexed.max_by(|(i, a), (j, b)| exposure(*i, a).total_cmp(&exposure(*j, b)));
         best.map(|(_, model)| model)
     }
--- a/lib/src/process/formation/takeover.rs
+++ b/lib/src/process/formation/takeover.rs
@@ -13,7 +13,6 @@
 use crate::ids::FabricDomainId;
 use crate::ids::GroupId;
 use crate::sorted::SortedVec;
-use crate::target::record::CloseMode;
 use crate::target::record::MemberState;
 use crate::target::record::Membership;
 
@@ -68,9 +67,9 @@
         let is_whole = model.is_some_and(|model| model.group_size == member_count);
         let phase = match self.head_membership.state {
             MemberState::Open if is_whole => GroupPhase::Open,
-            MemberState::Joining | MemberState::Ready => GroupPhase::Releasing,
-            MemberState::Open | MemberState::Closing | MemberState::Broken => {
-                GroupPhase::Closing(CloseMode::Cut)
+            MemberState::Closing => GroupPhase::Finishing,
+            MemberState::Open | MemberState::Joining | MemberState::Ready | MemberState::Broken => {
+                GroupPhase::Releasing
             }
         };
         let entries = std::iter::once(self.head).chain(self.others);
@@ -98,8 +97,7 @@
             is_warming: false,
             phase,
             phase_since: now,
-            may_open: true,
-            order_due_at: Some(now),
+            close_accepted_at: None,
             expected_ready_in: Duration::ZERO,
         }
     }
--- a/lib/src/process/gateway/coordinate.rs
+++ b/lib/src/process/gateway/coordinate.rs
@@ -244,7 +244,7 @@
                 sent_at,
             } => {
                 self.state
-                    .change_board(|board, now| board.on_report(&host, report, sent_at, now));
+                    .change_board(|board, _| board.on_report(&host, report, sent_at));
                 if let Some((_, formation)) = &mut self.formation {
                     formation.on_report_done(&host, now);
                 }
