formation: domains are packed tightly and hosts hold a second model's weights

Small groups took the roomiest domain, so one of six had no room for a large group. Now the tightest domain that fits is used. Before the first request, while loads are quick, each host also stages the weights of another model, so that survivors and spares can serve either within the time of a warm start.

--- a/lib/src/process/formation/machine.rs
+++ b/lib/src/process/formation/machine.rs
@@ -48,9 +48,9 @@
 /// How long work may finish in a group that closes before it is cut off; a member that leaves
 /// stays about as long.
 const FINISH_LIMIT: Duration = Duration::from_secs(8);
-/// How long a silent host must have been silent before its group counts as ended, if the registry
-/// has dropped it too.
-const SILENT_HEAD_WAIT: Duration = Duration::from_millis(600);
+/// How much longer than the time after which a head without its members breaks a silent head must
+/// have been silent to count as ended: it may serve those that it still reaches.
+const SILENT_HEAD_SLACK: Duration = Duration::from_millis(700);
 /// How long a group whose stall was reported is watched.
 const STALL_WATCH_TIME: Duration = Duration::from_millis(1_500);
 
@@ -139,7 +139,7 @@
 /// What is wanted for one service.
 #[derive(Clone, Debug)]
 pub(super) struct ServicePlan {
-    service: ServiceId,
+    pub(super) service: ServiceId,
     pub(super) sheet: EngineSheet,
     shares: Vec<f64>,
     sizes: SortedVec<DomainSize>,
@@ -167,13 +167,29 @@
     pub(super) started_at: Instant,
     pub(super) groups: SortedVec<Group>,
     ended: SortedVec<Name<GroupId>>,
-    plans: SortedVec<ServicePlan>,
-    last_weights: SortedVec<LastWeights>,
+    pub(super) plans: SortedVec<ServicePlan>,
+    pub(super) last_weights: SortedVec<LastWeights>,
     outstanding: SortedVec<Outstanding>,
     reports: SortedVec<Outstanding>,
     stalled: Vec<(HostId, Instant)>,
     /// Whether loads are not counted by the weight store yet.
-    is_before_traffic: bool,
+    pub(super) is_before_traffic: bool,
+    pub(super) staging: SortedVec<StagedOrder>,
+}
+
+/// Weights that a host was ordered to stage.
+#[derive(Clone, Debug)]
+pub(super) struct StagedOrder {
+    pub(super) host: HostId,
+    pub(super) incarnation: Incarnation,
+}
+
+impl Keyed for StagedOrder {
+    type Key = HostId;
+
+    fn key(&self) -> &HostId {
+        &self.host
+    }
 }
 
 /// How a member stands to its group.
@@ -207,6 +223,7 @@
             reports: SortedVec::new(),
             stalled: Vec::new(),
             is_before_traffic: false,
+            staging: SortedVec::new(),
         }
     }
 
@@ -326,6 +343,7 @@
             }
         }
         self.groups = groups;
+        self.stage_others(board, now, &mut actions);
         actions
     }
 
@@ -544,9 +562,8 @@
             super::board::Liveness::Assumed => false,
             super::board::Liveness::Silent { since, misses } => {
                 let silent_for = now.saturating_duration_since(since);
-                misses >= self.settings.report_misses
-                    && silent_for >= SILENT_HEAD_WAIT
-                    && (!entry.is_listed(now) || silent_for >= self.settings.stall_time * 2)
+                let breaks_after = self.settings.stall_time + SILENT_HEAD_SLACK;
+                misses >= self.settings.report_misses && silent_for >= breaks_after
             }
         }
     }
@@ -691,7 +708,7 @@
         }
     }
 
-    fn push_order(
+    pub(super) fn push_order(
         &mut self,
         member: &GroupMember,
         order: GroupOrder,
@@ -770,10 +787,8 @@
         loop {
             let mut has_formed = false;
             for domain in &domains {
-                // The larger groups go first: the smaller ones fit in what is left.
-                let mut order: Vec<usize> = (0..models.len()).collect();
-                order.sort_by_key(|model| std::cmp::Reverse(models[*model].group_size));
-                for model in order {
+                // The smaller groups fit in what is left.
+                for model in largest_first(&models) {
                     if self.is_satisfied(plan, domain, model) {
                         continue;
                     }
@@ -784,8 +799,8 @@
                 break;
             }
         }
-        for (model, sheet) in models.iter().enumerate() {
-            self.form_across(plan, model, sheet, board, now);
+        for model in largest_first(&models) {
+            self.form_across(plan, model, &models[model], board, now);
         }
     }
 
@@ -1005,6 +1020,12 @@
     }
 }
 
+fn largest_first(models: &[ModelSheet]) -> Vec<usize> {
+    let mut order: Vec<usize> = (0..models.len()).collect();
+    order.sort_by_key(|model| std::cmp::Reverse(models[*model].group_size));
+    order
+}
+
 /// The first letter of the names of groups that only keep weights at hand.
 const WARMING_PREFIX: char = 'w';
 
--- a/lib/src/process/formation/packing.rs
+++ b/lib/src/process/formation/packing.rs
@@ -87,11 +87,12 @@
                 SPARES_BESIDE_EXTRA_GROUP
             };
             let needed = models[model].group_size + spares;
-            let roomiest = domains
+            // The tightest fit leaves room for larger groups elsewhere.
+            let tightest = domains
                 .iter_mut()
                 .filter(|domain| domain.hosts_left >= needed && models[model].group_size > 0)
-                .max_by_key(|domain| domain.hosts_left);
-            if let Some(domain) = roomiest {
+                .min_by_key(|domain| domain.hosts_left);
+            if let Some(domain) = tightest {
                 domain.hosts_left -= models[model].group_size;
                 domain.counts[model] += 1;
                 placed = Some(model);
--- a/lib/src/process/formation/spares.rs
+++ b/lib/src/process/formation/spares.rs
@@ -4,13 +4,22 @@
 
 use super::board::HostBoard;
 use super::board::HostEntry;
+use super::board::Liveness;
 use super::choice::Choice;
+use super::group::GroupMember;
 use super::machine::Formation;
+use super::machine::FormationAction;
 use super::machine::ServicePlan;
+use super::machine::StagedOrder;
 use super::machine::is_warming_id;
 use crate::ids::FabricDomainId;
+use crate::ids::WeightsId;
+use crate::target::record::GroupOrder;
 use crate::version::routes::ModelSheet;
 
+/// The loads that staging leaves free, for the members of a group.
+const STAGING_RESERVE_LOADS: usize = 12;
+
 impl Formation {
     /// Has each spare join a group of its own, so that it holds the weights that the groups of its
     /// domain are most likely to need next.
@@ -41,6 +50,93 @@
         }
     }
 
+    /// Has hosts keep a second model's weights beside those of their last group, so that they can
+    /// serve either within the time of a warm start.
+    ///
+    /// Before the first request, loads are quick and free, and all hosts are prepared; later only
+    /// hosts without a group.
+    pub(super) fn stage_others(
+        &mut self,
+        board: &HostBoard,
+        now: Instant,
+        actions: &mut Vec<FormationAction>,
+    ) {
+        let mut plans = std::mem::take(&mut self.plans);
+        for plan in plans.iter_mut() {
+            let service = plan.service.clone();
+            let entries = board.iter().filter(|entry| {
+                entry.record.service == service
+                    && entry.is_usable(now)
+                    && entry.liveness == Liveness::Assumed
+            });
+            for entry in entries {
+                if let Some(weights) = self.weights_to_stage(plan, entry) {
+                    self.stage(plan, entry, weights, now, actions);
+                }
+            }
+        }
+        self.plans = plans;
+    }
+
+    fn weights_to_stage(&self, plan: &ServicePlan, entry: &HostEntry) -> Option<WeightsId> {
+        let record = &entry.record;
+        let last = self.last_weights.get(&record.host)?;
+        let was_ordered = self
+            .staging
+            .get(&record.host)
+            .is_some_and(|order| order.incarnation == record.incarnation);
+        let is_in_group = self
+            .groups
+            .iter()
+            .any(|group| group.has_member(&record.host));
+        if was_ordered
+            || last.incarnation != record.incarnation
+            || (is_in_group && !self.is_before_traffic)
+            || record.staged.iter().any(|staged| *staged != last.weights)
+        {
+            return None;
+        }
+        let others = plan
+            .sheet
+            .models
+            .iter()
+            .filter(|model| model.weights != last.weights);
+        let largest = others.max_by_key(|model| model.group_size)?;
+        Some(largest.weights.clone())
+    }
+
+    fn stage(
+        &mut self,
+        plan: &mut ServicePlan,
+        entry: &HostEntry,
+        weights: WeightsId,
+        now: Instant,
+        actions: &mut Vec<FormationAction>,
+    ) {
+        // Loads that groups wait for go first.
+        if self.loads_available(plan, now) <= STAGING_RESERVE_LOADS {
+            return;
+        }
+        let record = &entry.record;
+        let member = GroupMember {
+            host: record.host.clone(),
+            incarnation: record.incarnation,
+            address: record.address,
+            has_joined: false,
+        };
+        let known_actions = actions.len();
+        self.push_order(&member, GroupOrder::Stage { weights }, now, actions);
+        if actions.len() > known_actions {
+            if !self.is_before_traffic {
+                plan.loads.on_started(1, now);
+            }
+            self.staging.insert(StagedOrder {
+                host: record.host.clone(),
+                incarnation: record.incarnation,
+            });
+        }
+    }
+
     /// Returns the model with the most members in a domain for each of its spares.
     fn most_exposed<'a>(
         &self,
