formation: groups of silent heads wait for them, joins are never numbered anew

When a cut healed, a head that had counted as ended was listed again and served on while its members were ordered elsewhere: such a group is now orphaned, goes on if nothing was changed, and hosts that are listed again rest for 2.5 s before they are used. And when a lapsed lease was renewed, a new machine numbered joins from one again, so that two lists of members shared a name: the machine now stays for as long as its epoch.

--- a/lib/src/process/formation/board.rs
+++ b/lib/src/process/formation/board.rs
@@ -48,6 +48,8 @@
     pub reported: Option<(Option<Membership>, Instant)>,
     /// When the registry first listed the host's present life.
     pub first_listed_at: Instant,
+    /// When the registry listed the host's present life again after it had dropped it.
+    pub relisted_at: Option<Instant>,
     record_at: Instant,
 }
 
@@ -146,12 +148,18 @@
             Some(entry) if is_same_life => entry.first_listed_at,
             _ => now,
         };
+        let relisted_at = match known {
+            Some(_) if is_same_life && was_departed => Some(now),
+            Some(entry) if is_same_life => entry.relisted_at,
+            _ => None,
+        };
         self.hosts.insert(HostEntry {
             record,
             departs_at: None,
             liveness,
             reported: None,
             first_listed_at,
+            relisted_at,
             record_at: now,
         });
     }
--- a/lib/src/process/formation/group.rs
+++ b/lib/src/process/formation/group.rs
@@ -37,6 +37,10 @@
     /// can open it.
     #[display("releasing")]
     Releasing,
+    /// The head has been silent for so long that its group must have broken. Its members are free,
+    /// unless the head is heard of again.
+    #[display("orphaned")]
+    Orphaned,
     /// The members are free.
     #[display("ended")]
     Ended,
@@ -78,6 +82,8 @@
     pub phase: GroupPhase,
     /// When the group came to that phase.
     pub phase_since: Instant,
+    /// Whether an order to leave was sent to the head that may have arrived.
+    pub may_have_left: bool,
     /// When the head accepted the order to close.
     pub close_accepted_at: Option<Instant>,
     /// The time in which the group was expected to be ready.
@@ -103,6 +109,11 @@
         self.members.iter().any(|member| member.host == *host)
     }
 
+    /// Returns whether members of the group may not be ordered elsewhere.
+    pub fn holds_members(&self) -> bool {
+        !matches!(self.phase, GroupPhase::Orphaned | GroupPhase::Ended)
+    }
+
     /// Returns whether the group serves or is on its way to.
     pub fn is_rising(&self) -> bool {
         matches!(
--- a/lib/src/process/formation/machine.rs
+++ b/lib/src/process/formation/machine.rs
@@ -51,6 +51,9 @@
 /// How much longer than the time after which a head without its members breaks a silent head must
 /// have been silent to count as ended: it may serve those that it still reaches.
 const SILENT_HEAD_SLACK: Duration = Duration::from_millis(700);
+/// How long a host that the registry dropped and lists again is not ordered elsewhere: the head of
+/// its group may be listed again a moment later.
+const RELISTED_WAIT: Duration = Duration::from_millis(2_500);
 /// How long a group whose stall was reported is watched.
 const STALL_WATCH_TIME: Duration = Duration::from_millis(1_500);
 
@@ -192,6 +195,17 @@
     }
 }
 
+/// What has become of a head that counts as lost.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum HeadFate {
+    /// It may serve.
+    Open,
+    /// It has been silent for so long that its group must have broken.
+    LongSilent,
+    /// Its process has ended.
+    Ended,
+}
+
 /// How a member stands to its group.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Standing {
@@ -305,6 +319,9 @@
             (GroupOrder::Close { .. }, Ok(OrderAnswer::Accepted)) => {
                 group.close_accepted_at = Some(now);
             }
+            (GroupOrder::Leave { .. }, Err(CallError::InDoubt { .. })) => {
+                group.may_have_left = true;
+            }
             // A head that is ordered elsewhere, or another process, does not serve this group.
             (
                 GroupOrder::Leave { .. },
@@ -464,7 +481,16 @@
                     self.finish(group, board, now, actions);
                 }
             }
-            GroupPhase::Releasing => self.release(group, board, now, actions),
+            GroupPhase::Releasing => {
+                let is_whole = !any_lost && head == Standing::In(MemberState::Open);
+                if is_whole && !group.may_have_left && group.close_accepted_at.is_none() {
+                    // What seemed lost was cut off for a while.
+                    group.enter(GroupPhase::Open, now);
+                } else {
+                    self.release(group, board, now, actions);
+                }
+            }
+            GroupPhase::Orphaned => self.watch_orphaned(group, head, board, now, actions),
             GroupPhase::Ended => {}
         }
     }
@@ -518,14 +544,23 @@
             group.enter(GroupPhase::Ended, now);
             return;
         };
-        let is_released = match self.standing(group, &head, board, now) {
-            Standing::In(MemberState::Broken) | Standing::Elsewhere => true,
-            Standing::Lost => self.is_head_ended(&head, board, now),
-            _ => false,
-        };
-        if is_released {
-            group.enter(GroupPhase::Ended, now);
-            return;
+        match self.standing(group, &head, board, now) {
+            Standing::In(MemberState::Broken) | Standing::Elsewhere => {
+                group.enter(GroupPhase::Ended, now);
+                return;
+            }
+            Standing::Lost => match self.fate_of_head(&head, board, now) {
+                HeadFate::Ended => {
+                    group.enter(GroupPhase::Ended, now);
+                    return;
+                }
+                HeadFate::LongSilent => {
+                    group.enter(GroupPhase::Orphaned, now);
+                    return;
+                }
+                HeadFate::Open => {}
+            },
+            _ => {}
         }
         let order = GroupOrder::Leave {
             group: group.id.clone(),
@@ -548,22 +583,51 @@
         self.order_head(group, order, now, actions);
     }
 
-    /// Returns whether the head of a group can serve no more: its process ended, or it is silent
-    /// and the registry has dropped it.
-    fn is_head_ended(&self, head: &GroupMember, board: &HostBoard, now: Instant) -> bool {
+    /// Looks for a head that was silent and is heard of again.
+    fn watch_orphaned(
+        &mut self,
+        group: &mut Group,
+        head: Standing,
+        board: &HostBoard,
+        now: Instant,
+        actions: &mut Vec<FormationAction>,
+    ) {
+        let Some(member) = group.head().cloned() else {
+            group.enter(GroupPhase::Ended, now);
+            return;
+        };
+        match head {
+            Standing::Lost => {
+                let is_departed = board.get(&member.host).is_none();
+                if is_departed || self.fate_of_head(&member, board, now) == HeadFate::Ended {
+                    group.enter(GroupPhase::Ended, now);
+                } else {
+                    self.ask_report(&member, now, actions);
+                }
+            }
+            _ => group.enter(GroupPhase::Releasing, now),
+        }
+    }
+
+    /// Returns what has become of a head that counts as lost.
+    fn fate_of_head(&self, head: &GroupMember, board: &HostBoard, now: Instant) -> HeadFate {
         let Some(entry) = board.get(&head.host) else {
-            return true;
+            return HeadFate::Ended;
         };
         if entry.record.incarnation != head.incarnation {
-            return true;
+            return HeadFate::Ended;
         }
         match entry.liveness {
-            super::board::Liveness::Ended => true,
-            super::board::Liveness::Assumed => false,
+            super::board::Liveness::Ended => HeadFate::Ended,
+            super::board::Liveness::Assumed => HeadFate::Open,
             super::board::Liveness::Silent { since, misses } => {
                 let silent_for = now.saturating_duration_since(since);
                 let breaks_after = self.settings.stall_time + SILENT_HEAD_SLACK;
-                misses >= self.settings.report_misses && silent_for >= breaks_after
+                if misses >= self.settings.report_misses && silent_for >= breaks_after {
+                    HeadFate::LongSilent
+                } else {
+                    HeadFate::Open
+                }
             }
         }
     }
@@ -930,6 +994,12 @@
         }
     }
 
+    /// Returns the group that a host may not be ordered out of.
+    pub(super) fn group_of(&self, host: &HostId) -> Option<&Group> {
+        let mut holding = self.groups.iter().filter(|group| group.holds_members());
+        holding.find(|group| group.has_member(host))
+    }
+
     /// Returns whether a host can be ordered into a group without harm to the one that it is in.
     fn is_free(
         &self,
@@ -942,17 +1012,21 @@
         if record.service != plan.service
             || !entry.is_usable(now)
             || entry.is_lost(1)
-            || self
-                .groups
-                .iter()
-                .any(|group| group.has_member(&record.host))
+            || entry
+                .relisted_at
+                .is_some_and(|at| now.saturating_duration_since(at) < RELISTED_WAIT)
+            || self.group_of(&record.host).is_some()
         {
             return false;
         }
         let Some(membership) = entry.membership() else {
             return true;
         };
-        if self.ended.contains_key(&membership.group) || is_warming_id(&membership.group) {
+        let is_orphaned = self.groups.get(&membership.group).is_some();
+        if is_orphaned
+            || self.ended.contains_key(&membership.group)
+            || is_warming_id(&membership.group)
+        {
             return true;
         }
         // The head of this host's group is not known. It may be cut off from the registry and
@@ -1014,6 +1088,7 @@
             is_warming,
             phase: GroupPhase::Forming { until },
             phase_since: now,
+            may_have_left: false,
             close_accepted_at: None,
             expected_ready_in: choice.ready_in,
         });
--- a/lib/src/process/formation/spares.rs
+++ b/lib/src/process/formation/spares.rs
@@ -85,10 +85,7 @@
             .staging
             .get(&record.host)
             .is_some_and(|order| order.incarnation == record.incarnation);
-        let is_in_group = self
-            .groups
-            .iter()
-            .any(|group| group.has_member(&record.host));
+        let is_in_group = self.group_of(&record.host).is_some();
         if was_ordered
             || last.incarnation != record.incarnation
             || (is_in_group && !self.is_before_traffic)
@@ -171,8 +168,7 @@
     /// Returns whether a host is outside of serving groups and holds, or is loading, the weights.
     fn is_spare_of(&self, entry: &HostEntry, model: &ModelSheet) -> bool {
         let host = &entry.record.host;
-        let own = self.groups.iter().find(|group| group.has_member(host));
-        match own {
+        match self.group_of(host) {
             Some(group) => group.is_warming && group.weights == model.weights,
             None => {
                 let in_warming = entry.membership().is_none_or(|m| is_warming_id(&m.group));
--- a/lib/src/process/formation/takeover.rs
+++ b/lib/src/process/formation/takeover.rs
@@ -97,6 +97,7 @@
             is_warming: false,
             phase,
             phase_since: now,
+            may_have_left: false,
             close_accepted_at: None,
             expected_ready_in: Duration::ZERO,
         }
--- a/lib/src/process/gateway/coordinate.rs
+++ b/lib/src/process/gateway/coordinate.rs
@@ -103,6 +103,8 @@
     platform: P,
     targets: T,
     lease: LeaseMachine,
+    /// The epoch under which orders may be given now.
+    fence: Option<Epoch>,
     formation: Option<(Epoch, Formation)>,
     answers: mpsc::Sender<Answer>,
     lease_sender: mpsc::Sender<LeaseCall>,
@@ -130,6 +132,7 @@
             platform,
             targets,
             lease: LeaseMachine::new(settings.with_term(LEASE_TERM)),
+            fence: None,
             formation: None,
             answers,
             lease_sender,
@@ -143,14 +146,24 @@
             self.call_platform(action);
         }
         let epoch = self.lease.fence(now).map(|fence| fence.epoch);
-        let held = self.formation.as_ref().map(|(epoch, _)| *epoch);
-        if epoch != held {
+        if epoch != self.fence {
             match epoch {
                 Some(epoch) => log::info!(epoch:% = epoch; "lease is held; groups are formed here"),
                 None => log::warn!("lease is lost; no more orders are given"),
             }
+            self.fence = epoch;
+        }
+        let Some(epoch) = epoch else {
+            return;
+        };
+        // The numbers of joins must not start anew when a lapsed lease is renewed.
+        if self
+            .formation
+            .as_ref()
+            .is_none_or(|(held, _)| *held != epoch)
+        {
             let settings = self.state.settings.formation;
-            self.formation = epoch.map(|epoch| (epoch, Formation::new(settings, epoch, now)));
+            self.formation = Some((epoch, Formation::new(settings, epoch, now)));
         }
         self.form(now);
     }
