formation: a refused connection is no proof that a process ended

A cut link may refuse connections, so the heads behind it counted as ended while they served on. A refusal now only counts for two unanswered calls. The share of further sends is used to 0.85, as its windows and those of the check differ.

--- a/lib/src/process/formation/board.rs
+++ b/lib/src/process/formation/board.rs
@@ -19,6 +19,9 @@
 /// How old what a host reports may be; some hundred milliseconds.
 const REPORT_LAG: Duration = Duration::from_millis(400);
 
+/// What a refused connection counts for: it needs no second look, as silence does.
+const REFUSED_MISSES: u32 = 2;
+
 /// Whether a host answers.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Liveness {
@@ -31,7 +34,7 @@
         /// The unanswered calls.
         misses: u32,
     },
-    /// Nothing listens at its address any more.
+    /// Another process answers at its address.
     Ended,
 }
 
@@ -62,6 +65,20 @@
 }
 
 impl HostEntry {
+    fn on_miss(&mut self, sent_at: Instant, count: u32) {
+        self.liveness = match self.liveness {
+            Liveness::Assumed => Liveness::Silent {
+                since: sent_at,
+                misses: count,
+            },
+            Liveness::Silent { since, misses } => Liveness::Silent {
+                since,
+                misses: misses.saturating_add(count),
+            },
+            Liveness::Ended => Liveness::Ended,
+        };
+    }
+
     /// Returns whether the registry lists the host.
     pub fn is_listed(&self, now: Instant) -> bool {
         self.departs_at.is_none_or(|at| now < at)
@@ -200,19 +217,10 @@
                 let as_of = sent_at.checked_sub(REPORT_LAG).unwrap_or(sent_at);
                 entry.reported = Some((report.membership, as_of));
             }
-            Err(CallError::Refused { .. }) => entry.liveness = Liveness::Ended,
+            // A cut link may refuse connections too, so a refusal is no proof of an end.
+            Err(CallError::Refused { .. }) => entry.on_miss(sent_at, REFUSED_MISSES),
             Err(CallError::NotSent { .. } | CallError::InDoubt { .. }) => {
-                entry.liveness = match entry.liveness {
-                    Liveness::Assumed => Liveness::Silent {
-                        since: sent_at,
-                        misses: 1,
-                    },
-                    Liveness::Silent { since, misses } => Liveness::Silent {
-                        since,
-                        misses: misses.saturating_add(1),
-                    },
-                    Liveness::Ended => Liveness::Ended,
-                };
+                entry.on_miss(sent_at, 1);
             }
             // A host that answers something else is up.
             Err(CallError::Protocol { .. }) => entry.liveness = Liveness::Assumed,
--- a/lib/src/process/formation/takeover.rs
+++ b/lib/src/process/formation/takeover.rs
@@ -97,7 +97,8 @@
             is_warming: false,
             phase,
             phase_since: now,
-            may_have_left: false,
+            // Members may be missing, or an order of the earlier holder may be on its way.
+            may_have_left: phase != GroupPhase::Open,
             close_accepted_at: None,
             expected_ready_in: Duration::ZERO,
         }
--- a/lib/src/process/gateway/state.rs
+++ b/lib/src/process/gateway/state.rs
@@ -43,6 +43,10 @@
 /// shares are safe without knowing the others.
 const BUDGET_ENTRIES: u32 = 12;
 
+/// The part of the allowed share that is used: requests and further sends are counted here in
+/// windows that do not begin with those in which they are judged.
+const BUDGET_USE: f64 = 0.85;
+
 /// The platform as a gateway uses it.
 pub trait GatewayPlatform: Table + Feed<RouteDocument> + Feed<TargetRecord> {}
 
@@ -436,7 +440,7 @@
             service: service.clone(),
             budget: RetryBudget::new(
                 RetryBudgetSettings {
-                    share: retry.share,
+                    share: retry.share.scaled(BUDGET_USE),
                     window: retry.window,
                     free_tries: retry.free_sends / BUDGET_ENTRIES,
                 },
--- a/lib/src/units.rs
+++ b/lib/src/units.rs
@@ -130,6 +130,15 @@
         Self { thousandths }
     }
 
+    /// Returns the share times `factor`, at most the whole.
+    #[must_use]
+    pub fn scaled(self, factor: f64) -> Self {
+        let thousandths = (f64::from(self.thousandths) * factor).clamp(0.0, 1_000.0);
+        Self {
+            thousandths: thousandths as u16,
+        }
+    }
+
     /// Returns the share as a number from 0 to 1.
     pub fn as_fraction(self) -> f64 {
         f64::from(self.thousandths) / f64::from(WHOLE_THOUSANDTHS)
