formation: members leave for themselves where their head can't be reached

A group whose head was silent held its members for 5 s, and meanwhile spares of other domains formed a group that is two and a half times slower. Now each member that can be reached is ordered to leave, and is free when it has. A missing group of a scarce model is completed by ending one of a model that is better supplied; groups over domains come last. Hosts that must load do so as spares, not inside a group that waits for them.

--- a/lib/src/process/formation/group.rs
+++ b/lib/src/process/formation/group.rs
@@ -33,14 +33,10 @@
     /// The head is ordered to close once its work is done.
     #[display("finishing")]
     Finishing,
-    /// The head is ordered to leave: the members are free once it serves no more and no late order
-    /// can open it.
+    /// The head is ordered to leave, or each member if the head can't be reached. A host is free
+    /// once it or its head has left.
     #[display("releasing")]
     Releasing,
-    /// The head has been silent for so long that its group must have broken. Its members are free,
-    /// unless the head is heard of again.
-    #[display("orphaned")]
-    Orphaned,
     /// The members are free.
     #[display("ended")]
     Ended,
@@ -57,6 +53,8 @@
     pub address: SocketAddr,
     /// Whether the host has taken the order to join.
     pub has_joined: bool,
+    /// Whether the host has taken an order to leave.
+    pub has_left: bool,
 }
 
 /// A group.
@@ -72,8 +70,12 @@
     pub weights: WeightsId,
     /// The domain whose plan the group belongs to.
     pub domain: Option<FabricDomainId>,
-    /// The members; the first one is the head.
+    /// The members; the first one is the head, if it is known.
     pub members: Vec<GroupMember>,
+    /// Whether the head is known.
+    pub has_head: bool,
+    /// Whether the head is known to serve no more.
+    pub is_head_gone: bool,
     /// Whether the members are in more than one domain.
     pub is_cross_domain: bool,
     /// Whether the group only keeps its member's weights at hand and is never opened.
@@ -101,7 +103,7 @@
 impl Group {
     /// Returns the head.
     pub fn head(&self) -> Option<&GroupMember> {
-        self.members.first()
+        self.members.first().filter(|_| self.has_head)
     }
 
     /// Returns whether a host is a member.
@@ -109,11 +111,6 @@
         self.members.iter().any(|member| member.host == *host)
     }
 
-    /// Returns whether members of the group may not be ordered elsewhere.
-    pub fn holds_members(&self) -> bool {
-        !matches!(self.phase, GroupPhase::Orphaned | GroupPhase::Ended)
-    }
-
     /// Returns whether the group serves or is on its way to.
     pub fn is_rising(&self) -> bool {
         matches!(
--- a/lib/src/process/formation/machine.rs
+++ b/lib/src/process/formation/machine.rs
@@ -5,6 +5,7 @@
 
 use super::board::HostBoard;
 use super::board::HostEntry;
+use super::board::Liveness;
 use super::choice::Candidate;
 use super::choice::Choice;
 use super::choice::choose_members;
@@ -41,16 +42,16 @@
 /// How long no domain must have grown before hosts are divided into groups: targets that start
 /// together register within some seconds.
 const SETTLE_TIME: Duration = Duration::from_millis(600);
-/// How long a wanted group may be missing before hosts of several domains form it.
-const CROSS_DOMAIN_WAIT: Duration = Duration::from_millis(600);
+/// How long a wanted group may be missing before a group of another model is ended for it.
+const SACRIFICE_WAIT: Duration = Duration::from_millis(500);
+/// How long a wanted group may be missing before hosts of several domains form it. Such a group is
+/// several times slower.
+const CROSS_DOMAIN_WAIT: Duration = Duration::from_millis(2_000);
 /// How long a member that left the registry may go without an own report before it counts as lost.
 const UNLISTED_REPORT_WAIT: Duration = Duration::from_millis(900);
 /// How long work may finish in a group that closes before it is cut off; a member that leaves
 /// stays about as long.
 const FINISH_LIMIT: Duration = Duration::from_secs(8);
-/// How much longer than the time after which a head without its members breaks a silent head must
-/// have been silent to count as ended: it may serve those that it still reaches.
-const SILENT_HEAD_SLACK: Duration = Duration::from_millis(700);
 /// How long a host that the registry dropped and lists again is not ordered elsewhere: the head of
 /// its group may be listed again a moment later.
 const RELISTED_WAIT: Duration = Duration::from_millis(2_500);
@@ -109,18 +110,18 @@
     }
 }
 
-/// A name in a sorted vector.
+/// A group that was given up.
 #[derive(Clone, Debug)]
-struct Name<T>(T);
+struct EndedGroup {
+    group: GroupId,
+    is_head_gone: bool,
+}
 
-impl<T> Keyed for Name<T>
-where
-    T: Ord,
-{
-    type Key = T;
+impl Keyed for EndedGroup {
+    type Key = GroupId;
 
-    fn key(&self) -> &T {
-        &self.0
+    fn key(&self) -> &GroupId {
+        &self.group
     }
 }
 
@@ -167,9 +168,8 @@
     pub(super) settings: FormationSettings,
     term: Epoch,
     joins: u64,
-    pub(super) started_at: Instant,
     pub(super) groups: SortedVec<Group>,
-    ended: SortedVec<Name<GroupId>>,
+    ended: SortedVec<EndedGroup>,
     pub(super) plans: SortedVec<ServicePlan>,
     pub(super) last_weights: SortedVec<LastWeights>,
     outstanding: SortedVec<Outstanding>,
@@ -195,17 +195,6 @@
     }
 }
 
-/// What has become of a head that counts as lost.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum HeadFate {
-    /// It may serve.
-    Open,
-    /// It has been silent for so long that its group must have broken.
-    LongSilent,
-    /// Its process has ended.
-    Ended,
-}
-
 /// How a member stands to its group.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Standing {
@@ -223,12 +212,11 @@
 
 impl Formation {
     /// Creates the machine of an entry that has just taken the lease with `term`.
-    pub fn new(settings: FormationSettings, term: Epoch, now: Instant) -> Self {
+    pub fn new(settings: FormationSettings, term: Epoch) -> Self {
         Self {
             settings,
             term,
             joins: 0,
-            started_at: now,
             groups: SortedVec::new(),
             ended: SortedVec::new(),
             plans: SortedVec::new(),
@@ -315,19 +303,30 @@
             (
                 GroupOrder::Join { .. },
                 Ok(OrderAnswer::Superseded | OrderAnswer::WrongTarget | OrderAnswer::Invalid),
-            ) => group.enter(GroupPhase::Ended, now),
+            ) if matches!(group.phase, GroupPhase::Forming { .. }) => {
+                group.is_head_gone = true;
+                group.enter(GroupPhase::Ended, now);
+            }
             (GroupOrder::Close { .. }, Ok(OrderAnswer::Accepted)) => {
                 group.close_accepted_at = Some(now);
             }
             (GroupOrder::Leave { .. }, Err(CallError::InDoubt { .. })) => {
                 group.may_have_left = true;
             }
-            // A head that is ordered elsewhere, or another process, does not serve this group.
+            // A host that is ordered elsewhere, or another process, is not in this group.
             (
                 GroupOrder::Leave { .. },
                 Ok(OrderAnswer::Accepted | OrderAnswer::Superseded | OrderAnswer::WrongTarget),
-            ) if group.phase == GroupPhase::Releasing => {
-                group.enter(GroupPhase::Ended, now);
+            ) => {
+                group.may_have_left = true;
+                let is_head = group.head().is_some_and(|head| head.host == *host);
+                if let Some(member) = group.members.iter_mut().find(|m| m.host == *host) {
+                    member.has_left = true;
+                }
+                if is_head && group.phase == GroupPhase::Releasing {
+                    group.is_head_gone = true;
+                    group.enter(GroupPhase::Ended, now);
+                }
             }
             _ => {}
         }
@@ -365,9 +364,12 @@
     }
 
     fn adopt_groups(&mut self, board: &HostBoard, now: Instant) {
-        let unknown = super::takeover::unknown_groups(board, |id| {
-            self.groups.contains_key(id) || self.ended.contains_key(id)
-        });
+        let is_known = |id: &GroupId| {
+            let is_gone = self.ended.get(id).is_some_and(|ended| ended.is_head_gone);
+            is_gone || self.groups.contains_key(id)
+        };
+        let is_resting = |entry: &HostEntry| self.is_resting(entry, now);
+        let unknown = super::takeover::unknown_groups(board, now, is_known, is_resting);
         for seen in unknown {
             let group = seen.into_group(&self.plans, now);
             log::info!(
@@ -381,19 +383,22 @@
 
     /// Remembers which weights each host's last group had.
     fn note_weights(&mut self, board: &HostBoard) {
-        for group in self.groups.iter() {
-            for member in &group.members {
-                let entry = board.get(&member.host);
-                let is_in_place = entry
-                    .and_then(HostEntry::membership)
-                    .is_some_and(|m| m.group == group.id && m.state != MemberState::Joining);
-                if is_in_place {
-                    self.last_weights.insert(LastWeights {
-                        host: member.host.clone(),
-                        incarnation: member.incarnation,
-                        weights: group.weights.clone(),
-                    });
-                }
+        for entry in board.iter() {
+            let record = &entry.record;
+            let membership = record.membership.as_ref();
+            let is_in_place = membership.is_some_and(|m| m.state != MemberState::Joining);
+            let [weights] = record.weights.as_slice() else {
+                continue;
+            };
+            let is_known = self.last_weights.get(&record.host).is_some_and(|last| {
+                last.incarnation == record.incarnation && last.weights == *weights
+            });
+            if is_in_place && !is_known {
+                self.last_weights.insert(LastWeights {
+                    host: record.host.clone(),
+                    incarnation: record.incarnation,
+                    weights: weights.clone(),
+                });
             }
         }
     }
@@ -401,7 +406,10 @@
     fn remove_ended(&mut self) {
         for group in self.groups.iter() {
             if group.phase == GroupPhase::Ended {
-                self.ended.insert(Name(group.id.clone()));
+                self.ended.insert(EndedGroup {
+                    group: group.id.clone(),
+                    is_head_gone: group.is_head_gone,
+                });
             }
         }
         self.groups.retain(|group| group.phase != GroupPhase::Ended);
@@ -439,9 +447,9 @@
                 let all_ready = standings
                     .iter()
                     .all(|s| *s == Standing::In(MemberState::Ready));
-                if any_lost || any_leaving || now > until {
-                    group.enter(GroupPhase::Ended, now);
-                } else if all_ready && group.is_warming {
+                if any_lost || any_leaving || now > until || (all_ready && group.is_warming) {
+                    // A group that was never ordered to open has no head that serves.
+                    group.is_head_gone = true;
                     group.enter(GroupPhase::Ended, now);
                 } else if all_ready {
                     group.enter(GroupPhase::Opening, now);
@@ -490,7 +498,6 @@
                     self.release(group, board, now, actions);
                 }
             }
-            GroupPhase::Orphaned => self.watch_orphaned(group, head, board, now, actions),
             GroupPhase::Ended => {}
         }
     }
@@ -529,107 +536,97 @@
         is_closed && is_newer
     }
 
-    /// Orders the head to leave, until it has or its process has ended.
-    fn release(
+    fn advance_opening(
         &mut self,
         group: &mut Group,
-        board: &HostBoard,
         now: Instant,
         actions: &mut Vec<FormationAction>,
     ) {
-        if group.phase != GroupPhase::Releasing {
-            group.enter(GroupPhase::Releasing, now);
-        }
-        let Some(head) = group.head().cloned() else {
-            group.enter(GroupPhase::Ended, now);
-            return;
-        };
-        match self.standing(group, &head, board, now) {
-            Standing::In(MemberState::Broken) | Standing::Elsewhere => {
-                group.enter(GroupPhase::Ended, now);
-                return;
-            }
-            Standing::Lost => match self.fate_of_head(&head, board, now) {
-                HeadFate::Ended => {
-                    group.enter(GroupPhase::Ended, now);
-                    return;
-                }
-                HeadFate::LongSilent => {
-                    group.enter(GroupPhase::Orphaned, now);
-                    return;
-                }
-                HeadFate::Open => {}
-            },
-            _ => {}
-        }
-        let order = GroupOrder::Leave {
+        let order = GroupOrder::Open {
             group: group.id.clone(),
             epoch: group.epoch,
         };
         self.order_head(group, order, now, actions);
-        self.ask_report(&head, now, actions);
     }
 
-    fn advance_opening(
+    /// Orders the head to leave, until it has or its process has ended. While the head can't be
+    /// reached it may serve on, so each other member is ordered to leave for itself.
+    fn release(
         &mut self,
         group: &mut Group,
+        board: &HostBoard,
         now: Instant,
         actions: &mut Vec<FormationAction>,
     ) {
-        let order = GroupOrder::Open {
-            group: group.id.clone(),
-            epoch: group.epoch,
+        if group.phase != GroupPhase::Releasing {
+            group.enter(GroupPhase::Releasing, now);
+        }
+        let Some(head) = group.head().cloned() else {
+            self.release_members(group, board, now, actions);
+            return;
         };
-        self.order_head(group, order, now, actions);
+        let standing = self.standing(group, &head, board, now);
+        let has_new_life = board.get(&head.host).is_some_and(|entry| {
+            entry.record.incarnation != head.incarnation || entry.liveness == Liveness::Ended
+        });
+        let is_gone = has_new_life
+            || matches!(
+                standing,
+                Standing::In(MemberState::Broken) | Standing::Elsewhere
+            );
+        if is_gone {
+            group.is_head_gone = true;
+            group.enter(GroupPhase::Ended, now);
+            return;
+        }
+        if standing == Standing::Lost {
+            self.release_members(group, board, now, actions);
+        }
+        self.push_leave(group, &head, now, actions);
+        self.ask_report(&head, now, actions);
     }
 
-    /// Looks for a head that was silent and is heard of again.
-    fn watch_orphaned(
+    fn release_members(
         &mut self,
         group: &mut Group,
-        head: Standing,
         board: &HostBoard,
         now: Instant,
         actions: &mut Vec<FormationAction>,
     ) {
-        let Some(member) = group.head().cloned() else {
-            group.enter(GroupPhase::Ended, now);
-            return;
-        };
-        match head {
-            Standing::Lost => {
-                let is_departed = board.get(&member.host).is_none();
-                if is_departed || self.fate_of_head(&member, board, now) == HeadFate::Ended {
-                    group.enter(GroupPhase::Ended, now);
-                } else {
-                    self.ask_report(&member, now, actions);
+        let mut all_left = true;
+        let head = group.head().map(|head| head.host.clone());
+        for index in 0..group.members.len() {
+            let member = group.members[index].clone();
+            if Some(&member.host) == head.as_ref() || member.has_left {
+                continue;
+            }
+            match self.standing(group, &member, board, now) {
+                Standing::Lost => {}
+                Standing::Elsewhere => group.members[index].has_left = true,
+                _ => {
+                    all_left = false;
+                    group.may_have_left = true;
+                    self.push_leave(group, &member, now, actions);
                 }
             }
-            _ => group.enter(GroupPhase::Releasing, now),
+        }
+        if all_left {
+            group.enter(GroupPhase::Ended, now);
         }
     }
 
-    /// Returns what has become of a head that counts as lost.
-    fn fate_of_head(&self, head: &GroupMember, board: &HostBoard, now: Instant) -> HeadFate {
-        let Some(entry) = board.get(&head.host) else {
-            return HeadFate::Ended;
+    fn push_leave(
+        &mut self,
+        group: &Group,
+        member: &GroupMember,
+        now: Instant,
+        actions: &mut Vec<FormationAction>,
+    ) {
+        let order = GroupOrder::Leave {
+            group: group.id.clone(),
+            epoch: group.epoch,
         };
-        if entry.record.incarnation != head.incarnation {
-            return HeadFate::Ended;
-        }
-        match entry.liveness {
-            super::board::Liveness::Ended => HeadFate::Ended,
-            super::board::Liveness::Assumed => HeadFate::Open,
-            super::board::Liveness::Silent { since, misses } => {
-                let silent_for = now.saturating_duration_since(since);
-                let breaks_after = self.settings.stall_time + SILENT_HEAD_SLACK;
-                if misses >= self.settings.report_misses && silent_for >= breaks_after {
-                    HeadFate::LongSilent
-                } else {
-                    HeadFate::Open
-                }
-            }
-        }
+        self.push_order(member, order, now, actions);
     }
 
     fn standing(
@@ -698,9 +695,8 @@
         let is_stalled = self.stalled.iter().any(|(host, _)| Some(host) == head);
         for member in &group.members {
             let entry = board.get(&member.host);
-            let is_in_doubt = entry.is_some_and(|entry| {
-                !entry.is_listed(now) || entry.liveness != super::board::Liveness::Assumed
-            });
+            let is_in_doubt = entry
+                .is_some_and(|entry| !entry.is_listed(now) || entry.liveness != Liveness::Assumed);
             if is_stalled || is_in_doubt {
                 self.ask_report(member, now, actions);
             }
@@ -904,11 +900,9 @@
         let Some(choice) = chosen else {
             return false;
         };
-        // Hosts of other domains that hold the weights are ready long before a load is done.
-        let is_slow = choice.ready_in > model.warm_time;
-        let mut warm = candidates.iter().filter(|c| !c.needs_load);
-        if is_slow && warm.clone().count() >= model.group_size && warm.any(|c| c.domain == *domain)
-        {
+        // A host that loads would keep the others idle; it loads as a spare and joins later.
+        let is_mixed = choice.loads > 0 && choice.loads < choice.members.len();
+        if is_mixed && !self.is_before_traffic {
             return false;
         }
         self.form(plan, Some(domain.clone()), model, choice, board, now);
@@ -927,12 +921,29 @@
         let domains = plan.packing.domains.iter().map(|d| d.domain.clone());
         let unsatisfied = domains.filter(|d| !self.is_satisfied(plan, d, model));
         let unsatisfied: Vec<FabricDomainId> = unsatisfied.collect();
-        if unsatisfied.is_empty() {
+        let is_changing = self.groups.iter().any(|group| {
+            group.weights == sheet.weights
+                && matches!(group.phase, GroupPhase::Releasing | GroupPhase::Finishing)
+        });
+        if unsatisfied.is_empty() || is_changing {
             plan.missing_since[model] = None;
             return;
         }
         let missing_since = *plan.missing_since[model].get_or_insert(now);
-        if now.saturating_duration_since(missing_since) < CROSS_DOMAIN_WAIT {
+        let missing_for = now.saturating_duration_since(missing_since);
+        if missing_for < SACRIFICE_WAIT {
+            return;
+        }
+        if let Some(group) = self.group_to_sacrifice(plan, model, &unsatisfied, board, now) {
+            if let Some(group) = self.groups.get_mut(&group) {
+                group.enter(GroupPhase::Finishing, now);
+            }
+            plan.missing_since[model] = None;
+            return;
+        }
+        let serving = self.serving_count(plan, &sheet.weights);
+        let is_scarce = serving * 2 <= plan.packing.total(model);
+        if missing_for < CROSS_DOMAIN_WAIT || !is_scarce {
             return;
         }
         let candidates = self.candidates(plan, sheet, board, now);
@@ -949,6 +960,71 @@
         self.form(plan, domain, sheet, choice, board, now);
     }
 
+    fn serving_count(&self, plan: &ServicePlan, weights: &WeightsId) -> usize {
+        let serving = self.groups.iter().filter(|group| {
+            group.service == plan.service
+                && group.weights == *weights
+                && !group.is_warming
+                && !group.is_cross_domain
+                && group.is_rising()
+        });
+        serving.count()
+    }
+
+    /// Returns an open group whose hosts would complete a missing group of `model` in their
+    /// domain, if the model that is worst supplied is better supplied then.
+    fn group_to_sacrifice(
+        &self,
+        plan: &ServicePlan,
+        model: usize,
+        domains: &[FabricDomainId],
+        board: &HostBoard,
+        now: Instant,
+    ) -> Option<GroupId> {
+        let models = &plan.sheet.models;
+        let wanted = &models[model];
+        let supply = |index: usize, groups: usize| {
+            let hosts = (groups * models[index].group_size) as f64;
+            hosts
+                / plan
+                    .shares
+                    .get(index)
+                    .copied()
+                    .unwrap_or_default()
+                    .max(f64::MIN_POSITIVE)
+        };
+        let own = self.serving_count(plan, &wanted.weights);
+        let candidates = self.candidates(plan, wanted, board, now);
+        let is_useful = |group: &&Group| {
+            let domain = group.domain.as_ref().filter(|d| domains.contains(d));
+            let other = models.iter().position(|m| m.weights == group.weights);
+            let (Some(domain), Some(other)) = (domain, other) else {
+                return false;
+            };
+            let free = candidates
+                .iter()
+                .filter(|c| !c.needs_load && c.domain == *domain)
+                .count();
+            let is_warm = |member: &&GroupMember| {
+                let entry = board.get(&member.host);
+                entry.is_some_and(|entry| !self.time_to_join(entry, wanted).1)
+            };
+            let gained = group.members.iter().filter(is_warm).count();
+            let others = self.serving_count(plan, &group.weights);
+            let before = supply(model, own).min(supply(other, others));
+            let after = supply(model, own + 1).min(supply(other, others.saturating_sub(1)));
+            other != model
+                && group.phase == GroupPhase::Open
+                && !group.is_cross_domain
+                && free + gained >= wanted.group_size
+                && after > before
+        };
+        self.groups
+            .iter()
+            .find(is_useful)
+            .map(|group| group.id.clone())
+    }
+
     pub(super) fn loads_available(&self, plan: &mut ServicePlan, now: Instant) -> usize {
         if self.is_before_traffic {
             usize::MAX
@@ -965,9 +1041,7 @@
         board: &HostBoard,
         now: Instant,
     ) -> Vec<Candidate> {
-        let free = board
-            .iter()
-            .filter(|entry| self.is_free(plan, entry, board, now));
+        let free = board.iter().filter(|entry| self.is_free(plan, entry, now));
         let candidate = |entry: &HostEntry| {
             let domain = entry.record.domain.clone()?;
             let (ready_in, needs_load) = self.time_to_join(entry, model);
@@ -996,25 +1070,16 @@
 
     /// Returns the group that a host may not be ordered out of.
     pub(super) fn group_of(&self, host: &HostId) -> Option<&Group> {
-        let mut holding = self.groups.iter().filter(|group| group.holds_members());
-        holding.find(|group| group.has_member(host))
+        self.groups.iter().find(|group| group.has_member(host))
     }
 
     /// Returns whether a host can be ordered into a group without harm to the one that it is in.
-    fn is_free(
-        &self,
-        plan: &ServicePlan,
-        entry: &HostEntry,
-        board: &HostBoard,
-        now: Instant,
-    ) -> bool {
+    fn is_free(&self, plan: &ServicePlan, entry: &HostEntry, now: Instant) -> bool {
         let record = &entry.record;
         if record.service != plan.service
             || !entry.is_usable(now)
             || entry.is_lost(1)
-            || entry
-                .relisted_at
-                .is_some_and(|at| now.saturating_duration_since(at) < RELISTED_WAIT)
+            || self.is_resting(entry, now)
             || self.group_of(&record.host).is_some()
         {
             return false;
@@ -1022,22 +1087,18 @@
         let Some(membership) = entry.membership() else {
             return true;
         };
-        let is_orphaned = self.groups.get(&membership.group).is_some();
-        if is_orphaned
-            || self.ended.contains_key(&membership.group)
-            || is_warming_id(&membership.group)
-        {
-            return true;
-        }
-        // The head of this host's group is not known. It may be cut off from the registry and
-        // serve on, until it misses its member.
-        let has_known_head = board.iter().any(|other| {
-            other
-                .membership()
-                .is_some_and(|m| m.group == membership.group && m.rank == 0)
-        });
-        let waited = now.saturating_duration_since(self.started_at);
-        !has_known_head && waited > self.settings.stall_time * 3
+        // Groups that were never opened end without an order to leave.
+        is_warming_id(&membership.group)
+            || self
+                .ended
+                .get(&membership.group)
+                .is_some_and(|ended| ended.is_head_gone)
+    }
+
+    /// Returns whether a host was listed again only now, so that others may not have been.
+    fn is_resting(&self, entry: &HostEntry, now: Instant) -> bool {
+        let relisted_at = entry.relisted_at;
+        relisted_at.is_some_and(|at| now.saturating_duration_since(at) < RELISTED_WAIT)
     }
 
     pub(super) fn form(
@@ -1065,6 +1126,7 @@
                 incarnation: entry.record.incarnation,
                 address: entry.record.address,
                 has_joined: false,
+                has_left: false,
             })
         };
         let members: Vec<GroupMember> = choice.members.iter().filter_map(member).collect();
@@ -1084,6 +1146,8 @@
             weights: model.weights.clone(),
             domain,
             members,
+            has_head: true,
+            is_head_gone: false,
             is_cross_domain: choice.is_cross_domain,
             is_warming,
             phase: GroupPhase::Forming { until },
--- a/lib/src/process/formation/spares.rs
+++ b/lib/src/process/formation/spares.rs
@@ -120,6 +120,7 @@
             incarnation: record.incarnation,
             address: record.address,
             has_joined: false,
+            has_left: false,
         };
         let known_actions = actions.len();
         self.push_order(&member, GroupOrder::Stage { weights }, now, actions);
--- a/lib/src/process/formation/takeover.rs
+++ b/lib/src/process/formation/takeover.rs
@@ -12,43 +12,59 @@
 use super::machine::is_warming_id;
 use crate::ids::FabricDomainId;
 use crate::ids::GroupId;
+use crate::ids::WeightsId;
 use crate::sorted::SortedVec;
 use crate::target::record::MemberState;
 use crate::target::record::Membership;
 
-/// A group whose head is known.
+/// A group that at least one host reports to be in.
 pub(super) struct SeenGroup<'a> {
-    head: &'a HostEntry,
-    head_membership: &'a Membership,
-    others: Vec<&'a HostEntry>,
+    membership: &'a Membership,
+    first: &'a HostEntry,
+    /// The members in the order of their ranks.
+    members: Vec<&'a HostEntry>,
+    has_head: bool,
 }
 
-/// Returns the groups whose head is on the board and of which `is_known` is false.
-pub(super) fn unknown_groups<'a, F>(board: &'a HostBoard, is_known: F) -> Vec<SeenGroup<'a>>
+/// Returns the groups of which `is_known` is false.
+///
+/// A group whose head is not on the board is returned only if none of its members `is_resting`.
+pub(super) fn unknown_groups<'a, F, G>(
+    board: &'a HostBoard,
+    now: Instant,
+    is_known: F,
+    is_resting: G,
+) -> Vec<SeenGroup<'a>>
 where
     F: Fn(&GroupId) -> bool,
+    G: Fn(&HostEntry) -> bool,
 {
-    let head = |entry: &'a HostEntry| {
-        let membership = entry.membership()?;
-        let is_head = membership.rank == 0 && !is_warming_id(&membership.group);
-        (is_head && !is_known(&membership.group)).then_some((entry, membership))
-    };
-    let heads = board.iter().filter_map(head);
-    heads
-        .map(|(head, head_membership)| {
-            let is_other = |entry: &&HostEntry| {
-                let membership = entry.membership();
-                membership.is_some_and(|m| m.group == head_membership.group && m.rank > 0)
-            };
-            let mut others: Vec<&HostEntry> = board.iter().filter(is_other).collect();
-            others.sort_by_key(|entry| entry.membership().map(|m| m.rank));
-            SeenGroup {
-                head,
-                head_membership,
-                others,
-            }
-        })
-        .collect()
+    let mut seen: Vec<SeenGroup<'a>> = Vec::new();
+    for entry in board.iter() {
+        let Some(membership) = entry.membership() else {
+            continue;
+        };
+        let id = &membership.group;
+        if is_warming_id(id) || is_known(id) || seen.iter().any(|s| s.membership.group == *id) {
+            continue;
+        }
+        let is_member = |other: &&HostEntry| other.membership().is_some_and(|m| m.group == *id);
+        let mut members: Vec<&HostEntry> = board.iter().filter(is_member).collect();
+        members.sort_by_key(|entry| entry.membership().map(|m| m.rank));
+        let first_rank = members.first().and_then(|e| e.membership()).map(|m| m.rank);
+        let is_any_listed = members.iter().any(|entry| entry.is_listed(now));
+        let is_any_resting = members.iter().any(|entry| is_resting(entry));
+        let has_head = first_rank == Some(0);
+        if is_any_listed && (has_head || !is_any_resting) {
+            seen.push(SeenGroup {
+                membership,
+                first: members.first().copied().unwrap_or(entry),
+                members,
+                has_head,
+            });
+        }
+    }
+    seen
 }
 
 impl SeenGroup<'_> {
@@ -57,42 +73,46 @@
     /// Only a whole group that serves is kept. One that was never opened is released: its former
     /// owner's order to open it, or to move its members, may still be on its way.
     pub(super) fn into_group(self, plans: &SortedVec<ServicePlan>, now: Instant) -> Group {
-        let record = &self.head.record;
-        let plan = plans.get(&record.service);
+        let entries = &self.members;
+        let service = self.first.record.service.clone();
+        let served = &self.first.record.weights;
+        let plan = plans.get(&service);
         let models = plan
             .map(|plan| plan.sheet.models.as_slice())
             .unwrap_or_default();
-        let model = models.iter().find(|m| record.weights.contains(&m.weights));
-        let member_count = 1 + self.others.len();
-        let is_whole = model.is_some_and(|model| model.group_size == member_count);
-        let phase = match self.head_membership.state {
-            MemberState::Open if is_whole => GroupPhase::Open,
-            MemberState::Closing => GroupPhase::Finishing,
-            MemberState::Open | MemberState::Joining | MemberState::Ready | MemberState::Broken => {
-                GroupPhase::Releasing
-            }
+        let model = models.iter().find(|m| served.contains(&m.weights));
+        let is_whole = model.is_some_and(|model| model.group_size == entries.len());
+        let head_state = entries
+            .first()
+            .and_then(|e| e.membership())
+            .map(|m| m.state);
+        let phase = match head_state {
+            Some(MemberState::Open) if is_whole && self.has_head => GroupPhase::Open,
+            Some(MemberState::Closing) if self.has_head => GroupPhase::Finishing,
+            _ => GroupPhase::Releasing,
         };
-        let entries = std::iter::once(self.head).chain(self.others);
-        let entries: Vec<&HostEntry> = entries.collect();
         let domains = entries.iter().filter_map(|e| e.record.domain.as_ref());
         let domain = most_frequent(domains.clone());
         let is_cross_domain = domains.clone().any(|d| Some(d) != domain.as_ref());
         let weights = model.map(|model| model.weights.clone());
-        let weights = weights.or_else(|| record.weights.first().cloned());
+        let weights = weights.or_else(|| served.first().cloned());
         let member = |entry: &&HostEntry| GroupMember {
             host: entry.record.host.clone(),
             incarnation: entry.record.incarnation,
             address: entry.record.address,
             has_joined: true,
+            has_left: false,
         };
         Group {
-            id: self.head_membership.group.clone(),
-            epoch: self.head_membership.epoch,
-            service: record.service.clone(),
+            id: self.membership.group.clone(),
+            epoch: self.membership.epoch,
             // A head without weights serves nothing; its group ends, and the name is for logs.
-            weights: weights.unwrap_or_else(|| unknown_weights(&record.service)),
+            weights: weights.unwrap_or_else(|| WeightsId::from(service.clone())),
+            service,
             domain,
             members: entries.iter().map(member).collect(),
+            has_head: self.has_head,
+            is_head_gone: false,
             is_cross_domain,
             is_warming: false,
             phase,
@@ -105,10 +125,6 @@
     }
 }
 
-fn unknown_weights(service: &crate::ids::ServiceId) -> crate::ids::WeightsId {
-    crate::ids::WeightsId::from(service.clone())
-}
-
 fn most_frequent<'a, I>(domains: I) -> Option<FabricDomainId>
 where
     I: Iterator<Item = &'a FabricDomainId> + Clone,
--- a/lib/src/process/gateway/coordinate.rs
+++ b/lib/src/process/gateway/coordinate.rs
@@ -163,7 +163,7 @@
             .is_none_or(|(held, _)| *held != epoch)
         {
             let settings = self.state.settings.formation;
-            self.formation = Some((epoch, Formation::new(settings, epoch, now)));
+            self.formation = Some((epoch, Formation::new(settings, epoch)));
         }
         self.form(now);
     }
