--- /dev/null
+++ b/lib/tests/test_formation.rs
@@ -0,0 +1,551 @@
+//! Tests of group formation against a fleet that keeps the truth: focused cases, and generated
+//! schedules of losses, cuts, late orders and changes of the lease's holder.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use beryltray_lib::ids::Epoch;
+use beryltray_lib::ids::HostId;
+use beryltray_lib::ids::WeightsId;
+use beryltray_lib::process::formation::Formation;
+use beryltray_lib::process::formation::FormationAction;
+use beryltray_lib::process::formation::FormationSettings;
+use beryltray_lib::process::formation::GroupPhase;
+use beryltray_lib::process::formation::HostBoard;
+use beryltray_lib::process::formation::LoadWindow;
+use beryltray_lib::process::formation::pack_domains;
+use beryltray_lib::target::record::MemberState;
+use beryltray_lib::version::routes::EngineSheet;
+use beryltray_lib::version::routes::ModelSheet;
+use beryltray_testutils::fleet::Cut;
+use beryltray_testutils::fleet::Fleet;
+use beryltray_testutils::seeds::quickcheck_with_seed;
+
+/// The time between two steps of the world.
+const STEP: Duration = Duration::from_millis(20);
+/// How long a change takes to reach the entry.
+const REGISTRY_GRACE: Duration = Duration::from_millis(2_300);
+const SERVICE: &str = "writers";
+const LOADS_PER_S: f64 = 5.5;
+
+fn model(name: &str, size: usize, share: f64, load_s: u64, warm_ms: u64) -> ModelSheet {
+    ModelSheet {
+        weights: name.parse().unwrap(),
+        group_size: size,
+        expected_share: share,
+        pace: 1.0,
+        load_time: Duration::from_secs(load_s),
+        warm_time: Duration::from_millis(warm_ms),
+    }
+}
+
+fn sheet() -> EngineSheet {
+    EngineSheet {
+        models: vec![
+            model("large", 6, 0.67, 16, 1_600),
+            model("small", 3, 0.33, 12, 1_100),
+        ],
+        slots: 26,
+        step_time: Duration::from_micros(6_450),
+        step_time_per_request: Duration::from_micros(97),
+        prompt_tokens_per_s: 56_100.0,
+        steps_per_event: 6,
+        usual_answer_tokens: 150.0,
+        loads_per_s: LOADS_PER_S,
+        cross_domain_factor: 2.5,
+    }
+}
+
+fn large() -> WeightsId {
+    "large".parse().unwrap()
+}
+
+fn small() -> WeightsId {
+    "small".parse().unwrap()
+}
+
+/// A fleet, and an entry that forms its groups.
+struct World {
+    now: Instant,
+    fleet: Fleet,
+    board: HostBoard,
+    formation: Formation,
+    term: u64,
+    /// Whether orders reach their hosts late and are not answered.
+    lateness: Option<Duration>,
+    /// Orders of which every so many is late.
+    late_every: u64,
+    orders: u64,
+    /// Whether the registry answers the entry.
+    has_registry: bool,
+}
+
+impl World {
+    fn new(domains: &[usize]) -> Self {
+        let now = Instant::now();
+        Self {
+            now,
+            fleet: Fleet::new(SERVICE, sheet(), domains, now),
+            board: HostBoard::new(),
+            formation: Formation::new(FormationSettings::default(), Epoch(1)),
+            term: 1,
+            lateness: None,
+            late_every: 1,
+            orders: 0,
+            has_registry: true,
+        }
+    }
+
+    /// Returns a world in which all groups are open and requests have begun.
+    fn open(domains: &[usize]) -> Self {
+        let mut world = Self::new(domains);
+        world.formation.set_before_traffic(true);
+        world.run(Duration::from_secs(22));
+        world.formation.set_before_traffic(false);
+        world.fleet.loads.clear();
+        world
+    }
+
+    fn run(&mut self, span: Duration) {
+        let end = self.now + span;
+        while self.now < end {
+            self.step();
+        }
+    }
+
+    fn step(&mut self) {
+        self.now += STEP;
+        self.fleet.advance(self.now);
+        if self.has_registry {
+            let (records, removed) = self.fleet.take_changes();
+            for host in removed {
+                self.board.on_removed(&host, self.now);
+            }
+            for record in records {
+                self.board.on_record(record, self.now);
+            }
+        }
+        let service = SERVICE.parse().unwrap();
+        self.formation.on_sheet(&service, &sheet(), self.now);
+        for action in self.formation.poll(&self.board, self.now) {
+            self.carry_out(action);
+        }
+    }
+
+    fn carry_out(&mut self, action: FormationAction) {
+        match action {
+            FormationAction::Order { host, order, .. } => {
+                self.orders += 1;
+                let is_late = self.orders.is_multiple_of(self.late_every);
+                let late = self.lateness.filter(|_| is_late);
+                let answer = self.fleet.order(&host, &order, late, self.now);
+                self.formation.on_answer(&host, &order, &answer, self.now);
+            }
+            FormationAction::Report { host, .. } => {
+                let report = self.fleet.report(&host);
+                self.board.on_report(&host, report, self.now);
+                self.formation.on_report_done(&host, self.now);
+            }
+        }
+    }
+
+    /// Another entry takes the lease, with what it has heard itself.
+    fn change_holder(&mut self) {
+        self.term += 1;
+        self.formation = Formation::new(FormationSettings::default(), Epoch(self.term));
+    }
+
+    fn restore_registry(&mut self) {
+        self.has_registry = true;
+        self.board.on_outage_ended(self.now, REGISTRY_GRACE);
+        self.board.on_snapshot(self.fleet.snapshot(), self.now);
+    }
+
+    fn serving(&self) -> (usize, usize) {
+        (self.fleet.serving(&large()), self.fleet.serving(&small()))
+    }
+
+    /// Returns a host that is in an open group of these weights, as its head or not.
+    fn member(&self, weights: &WeightsId, is_head: bool) -> HostId {
+        let group = self
+            .formation
+            .groups()
+            .find(|group| group.weights == *weights && group.phase == GroupPhase::Open);
+        let members = &group.expect("an open group").members;
+        let index = if is_head { 0 } else { members.len() - 1 };
+        members[index].host.clone()
+    }
+
+    fn assert_promises_kept(&self) {
+        assert_eq!(self.fleet.violations, Vec::<String>::new());
+    }
+}
+
+#[test]
+fn formation_first_start_opens_groups_of_each_model_in_each_domain() {
+    let world = World::open(&[11, 11, 11]);
+    assert_eq!(world.serving(), (3, 3));
+    world.assert_promises_kept();
+}
+
+#[test]
+fn formation_first_start_waits_until_all_hosts_are_listed() {
+    let mut world = World::new(&[3]);
+    world.formation.set_before_traffic(true);
+    world.run(Duration::from_millis(200));
+    for host in 3..11 {
+        world
+            .fleet
+            .add(&format!("host-0-{host:02}"), "domain-0", world.now);
+        world.run(Duration::from_millis(200));
+    }
+    world.run(Duration::from_secs(25));
+    assert_eq!(world.serving(), (1, 1));
+    world.assert_promises_kept();
+}
+
+#[test]
+fn formation_member_lost_is_repaired_from_its_domain_in_seconds() {
+    let mut world = World::open(&[11, 11, 11]);
+    let member = world.member(&large(), false);
+    world.fleet.lose(&member);
+    world.run(Duration::from_millis(200));
+    let head = world.member(&large(), true);
+    world.formation.on_stall(&head, world.now);
+    world.run(Duration::from_secs(6));
+    assert_eq!(world.serving(), (3, 3));
+    assert!(world.formation.groups().all(|group| !group.is_cross_domain));
+    world.assert_promises_kept();
+}
+
+#[test]
+fn formation_head_lost_frees_members_without_waiting_for_its_end() {
+    let mut world = World::open(&[11, 11]);
+    let head = world.member(&large(), true);
+    world.fleet.lose(&head);
+    world.formation.on_stall(&head, world.now);
+    world.run(Duration::from_secs(4));
+    assert_eq!(world.serving(), (2, 2));
+    world.assert_promises_kept();
+}
+
+#[test]
+fn formation_head_behind_refusing_cut_loses_no_member_to_another_group() {
+    // A cut link that refuses connections was taken for the end of the process behind it.
+    let mut world = World::open(&[11, 11]);
+    let head = world.member(&large(), true);
+    let cut = Cut {
+        from_registry: true,
+        from_entry: true,
+        refuses: true,
+    };
+    world.fleet.change(&head, |host| host.cut = cut);
+    world.formation.on_stall(&head, world.now);
+    world.run(Duration::from_secs(8));
+    world.assert_promises_kept();
+    assert_eq!(world.serving().0, 2);
+}
+
+#[test]
+fn formation_domain_cut_and_healed_goes_on_with_its_groups() {
+    // Hosts that were listed again were ordered elsewhere while their heads still served.
+    let mut world = World::open(&[11, 11]);
+    let cut = Cut {
+        from_registry: true,
+        from_entry: true,
+        refuses: false,
+    };
+    let hosts: Vec<HostId> = world
+        .fleet
+        .hosts
+        .iter()
+        .map(|host| host.id.clone())
+        .collect();
+    for host in hosts
+        .iter()
+        .filter(|host| host.as_str().starts_with("host-1"))
+    {
+        world.fleet.change(host, |host| host.cut = cut);
+    }
+    world.run(Duration::from_secs(7));
+    for host in &hosts {
+        world.fleet.change(host, |host| host.cut = Cut::default());
+    }
+    world.run(Duration::from_secs(6));
+    assert_eq!(world.serving(), (2, 2));
+    world.assert_promises_kept();
+}
+
+#[test]
+fn formation_late_orders_never_split_a_serving_group() {
+    let mut world = World::open(&[11, 11, 11]);
+    world.lateness = Some(Duration::from_secs(5));
+    world.late_every = 3;
+    for round in 0..6 {
+        let member = world.member(&large(), round % 2 == 0);
+        world.fleet.lose(&member);
+        world.run(Duration::from_secs(4));
+        let now = world.now;
+        world.fleet.restart(&member, now);
+    }
+    world.lateness = None;
+    world.run(Duration::from_secs(30));
+    world.assert_promises_kept();
+    assert_eq!(world.serving().0, 3);
+}
+
+#[test]
+fn formation_new_holder_keeps_open_groups_and_forms_the_rest_anew() {
+    let mut world = World::open(&[11, 11, 11]);
+    let joins_before = world.fleet.joins_taken;
+    world.change_holder();
+    world.run(Duration::from_secs(3));
+    assert_eq!(world.fleet.joins_taken, joins_before);
+    assert_eq!(world.serving(), (3, 3));
+    world.assert_promises_kept();
+}
+
+#[test]
+fn formation_new_holder_releases_groups_that_were_never_opened() {
+    let mut world = World::new(&[11]);
+    world.formation.set_before_traffic(true);
+    let is_all_ready = |world: &World| {
+        let ready = |host: &&beryltray_testutils::fleet::FleetHost| {
+            host.membership
+                .as_ref()
+                .is_some_and(|m| m.state == MemberState::Ready)
+        };
+        world.fleet.hosts.iter().filter(ready).count() >= 3
+    };
+    while !is_all_ready(&world) {
+        world.step();
+    }
+    world.change_holder();
+    world.formation.set_before_traffic(true);
+    world.run(Duration::from_secs(25));
+    assert_eq!(world.serving(), (1, 1));
+    world.assert_promises_kept();
+}
+
+#[test]
+fn formation_draining_member_lets_work_finish_before_its_group_ends() {
+    let mut world = World::open(&[11]);
+    let member = world.member(&small(), false);
+    world.fleet.change(&member, |host| host.is_draining = true);
+    world.run(Duration::from_millis(60));
+    let group = world
+        .formation
+        .groups()
+        .find(|group| group.has_member(&member));
+    assert_eq!(group.map(|group| group.phase), Some(GroupPhase::Finishing));
+    world.run(Duration::from_secs(5));
+    assert_eq!(world.serving(), (1, 1));
+    world.assert_promises_kept();
+}
+
+#[test]
+fn formation_host_restarted_under_its_name_holds_no_group() {
+    let mut world = World::open(&[11]);
+    let member = world.member(&large(), false);
+    let now = world.now;
+    world.fleet.restart(&member, now);
+    world.run(Duration::from_secs(4));
+    assert_eq!(world.serving(), (1, 1));
+    world.assert_promises_kept();
+}
+
+#[test]
+fn formation_scarce_model_gets_hosts_of_one_that_is_better_supplied() {
+    // Losses in the domains of large groups left six small ones and four large ones.
+    let mut world = World::open(&[9, 9, 9, 9]);
+    assert_eq!(world.serving(), (4, 4));
+    for _ in 0..2 {
+        let member = world.member(&large(), false);
+        world.fleet.lose(&member);
+        world.run(Duration::from_secs(12));
+    }
+    let (large, small) = world.serving();
+    assert!(
+        large >= 3,
+        "{large} large groups and {small} small ones serve"
+    );
+    world.assert_promises_kept();
+}
+
+#[test]
+fn formation_empty_list_after_an_outage_drops_no_group() {
+    let mut world = World::open(&[11]);
+    world.has_registry = false;
+    world.run(Duration::from_secs(5));
+    world.has_registry = true;
+    let now = world.now;
+    world.board.on_outage_ended(now, REGISTRY_GRACE);
+    world.board.on_snapshot(Vec::new(), now);
+    world.run(Duration::from_secs(1));
+    world.board.on_snapshot(world.fleet.snapshot(), world.now);
+    world.run(Duration::from_secs(5));
+    assert_eq!(world.serving(), (1, 1));
+    world.assert_promises_kept();
+}
+
+#[test]
+fn formation_loads_stay_under_the_rate_over_two_holders() {
+    let mut world = World::open(&[11, 11, 11, 11, 11, 11]);
+    let hosts: Vec<HostId> = world
+        .fleet
+        .hosts
+        .iter()
+        .map(|host| host.id.clone())
+        .collect();
+    for host in &hosts {
+        world.fleet.lose(host);
+    }
+    world.run(Duration::from_secs(4));
+    for (index, host) in hosts.iter().enumerate() {
+        let now = world.now;
+        world.fleet.restart(host, now);
+        world.fleet.change(host, |host| host.forget_weights());
+        if index == hosts.len() / 2 {
+            world.run(Duration::from_secs(1));
+        }
+    }
+    world.run(Duration::from_secs(3));
+    world.change_holder();
+    world.run(Duration::from_secs(40));
+    let window = FormationSettings::default().load_window;
+    let limit = (LOADS_PER_S * window.as_secs_f64() * 1.1) as usize + 3;
+    for (index, first) in world.fleet.loads.iter().enumerate() {
+        let within = world.fleet.loads[index..]
+            .iter()
+            .filter(|at| **at <= *first + window);
+        assert!(within.count() <= limit, "loads from {first:?} on");
+    }
+    world.assert_promises_kept();
+}
+
+#[test]
+fn load_window_of_a_new_holder_starts_full() {
+    let now = Instant::now();
+    let window = Duration::from_secs(5);
+    let mut loads = LoadWindow::new_full(window, LOADS_PER_S, now);
+    assert_eq!(loads.available(now + window), 0);
+    assert_eq!(loads.available(now + window + STEP), 27);
+}
+
+#[test]
+fn packing_gives_every_domain_a_group_of_each_model() {
+    let sheet = sheet();
+    let domains: Vec<_> = (0..6)
+        .map(|i| (format!("d{i}").parse().unwrap(), 11))
+        .collect();
+    let packing = pack_domains(&sheet.models, &[0.67, 0.33], &domains);
+    assert!(packing.domains.iter().all(|domain| domain.counts == [1, 1]));
+}
+
+#[test]
+fn packing_uses_hosts_left_over_and_keeps_spares() {
+    let models = vec![
+        model("large", 12, 0.67, 16, 1_600),
+        model("small", 6, 0.33, 12, 1_100),
+    ];
+    let domains: Vec<_> = (0..6)
+        .map(|i| (format!("d{i}").parse().unwrap(), 27))
+        .collect();
+    let packing = pack_domains(&models, &[0.67, 0.33], &domains);
+    assert_eq!((packing.total(0), packing.total(1)), (6, 12));
+}
+
+/// What happens to the world at a generated moment.
+fn disturb(world: &mut World, kind: u8, pick: u8) {
+    let index = usize::from(pick) % world.fleet.hosts.len();
+    let host = world.fleet.hosts[index].id.clone();
+    let now = world.now;
+    match kind % 10 {
+        0 | 1 => world.fleet.lose(&host),
+        2 => world.fleet.restart(&host, now),
+        3 => {
+            let cut = Cut {
+                from_registry: pick.is_multiple_of(2),
+                from_entry: pick.is_multiple_of(3),
+                refuses: pick.is_multiple_of(5),
+            };
+            world.fleet.change(&host, |host| host.cut = cut);
+        }
+        4 => {
+            let domain = world.fleet.hosts[index].domain.clone();
+            let cut = Cut {
+                from_registry: true,
+                from_entry: true,
+                refuses: pick.is_multiple_of(2),
+            };
+            let of_domain = world
+                .fleet
+                .hosts
+                .iter()
+                .filter(|host| host.domain == domain);
+            let hosts: Vec<HostId> = of_domain.map(|host| host.id.clone()).collect();
+            for host in hosts {
+                world.fleet.change(&host, |host| host.cut = cut);
+            }
+        }
+        5 => {
+            let hosts: Vec<HostId> = world.fleet.hosts.iter().map(|h| h.id.clone()).collect();
+            for host in hosts {
+                world.fleet.change(&host, |host| host.cut = Cut::default());
+            }
+        }
+        6 => world.change_holder(),
+        7 => {
+            world.lateness = Some(Duration::from_millis(2_000 + u64::from(pick) * 30));
+            world.late_every = 2 + u64::from(pick % 3);
+        }
+        8 => world.lateness = None,
+        _ if world.has_registry => world.has_registry = false,
+        _ => world.restore_registry(),
+    }
+}
+
+/// Runs a schedule of disturbances, each with its pick and the time after it.
+fn keeps_promises_under(schedule: Vec<(u8, u8, u8)>) -> bool {
+    let mut world = World::open(&[11, 11]);
+    for (kind, pick, wait) in schedule.into_iter().take(24) {
+        disturb(&mut world, kind, pick);
+        world.run(Duration::from_millis(50 + u64::from(wait) * 12));
+    }
+    if !world.fleet.violations.is_empty() {
+        eprintln!("{:?}", world.fleet.violations);
+    }
+    world.fleet.violations.is_empty()
+}
+
+#[test]
+fn formation_generated_schedules_keep_hosts_in_one_group_and_groups_whole() {
+    quickcheck_with_seed(0x0f0e, 60)
+        .quickcheck(keeps_promises_under as fn(Vec<(u8, u8, u8)>) -> bool);
+}
+
+#[test]
+fn formation_generated_schedules_are_followed_by_recovery() {
+    fn recovers(schedule: Vec<(u8, u8, u8)>) -> bool {
+        let mut world = World::open(&[11, 11]);
+        for (kind, pick, wait) in schedule.into_iter().take(12) {
+            disturb(&mut world, kind, pick);
+            world.run(Duration::from_millis(50 + u64::from(wait) * 12));
+        }
+        world.lateness = None;
+        if !world.has_registry {
+            world.restore_registry();
+        }
+        let hosts: Vec<HostId> = world.fleet.hosts.iter().map(|h| h.id.clone()).collect();
+        for host in &hosts {
+            world.fleet.change(host, |host| host.cut = Cut::default());
+            if !world.fleet.host(host).expect("a host").is_alive {
+                let now = world.now;
+                world.fleet.restart(host, now);
+            }
+        }
+        world.run(Duration::from_secs(60));
+        world.serving() == (2, 2)
+    }
+    quickcheck_with_seed(0x0f0f, 25).quickcheck(recovers as fn(Vec<(u8, u8, u8)>) -> bool);
+}
--- /dev/null
+++ b/lib/testutils/src/fleet.rs
@@ -0,0 +1,558 @@
+//! Hosts that take orders to form groups, with their faults, and the truth of what they did.
+//!
+//! The fleet stands for the hosts and the registry in tests of group formation. Every promise that
+//! is broken is recorded with its time and reason.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use beryltray_lib::ids::Epoch;
+use beryltray_lib::ids::FabricDomainId;
+use beryltray_lib::ids::GroupId;
+use beryltray_lib::ids::HostId;
+use beryltray_lib::ids::Incarnation;
+use beryltray_lib::ids::ServiceId;
+use beryltray_lib::ids::WeightsId;
+use beryltray_lib::target::record::Availability;
+use beryltray_lib::target::record::CallError;
+use beryltray_lib::target::record::GroupOrder;
+use beryltray_lib::target::record::MemberState;
+use beryltray_lib::target::record::Membership;
+use beryltray_lib::target::record::OrderAnswer;
+use beryltray_lib::target::record::TargetRecord;
+use beryltray_lib::target::record::TargetReport;
+use beryltray_lib::version::routes::EngineSheet;
+
+/// How long a silent host stays in the registry.
+const REGISTRY_LAPSE: Duration = Duration::from_millis(3_300);
+/// How long a group without one of its members stands still before it breaks.
+const STALL_TIME: Duration = Duration::from_secs(4);
+/// How long a head takes to open.
+const OPENING_TIME: Duration = Duration::from_millis(300);
+/// How long a host takes to join with the weights of its last group.
+const REJOIN_TIME: Duration = Duration::from_millis(200);
+
+/// What a host is cut off from.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Cut {
+    /// The registry hears nothing of the host.
+    pub from_registry: bool,
+    /// The entry that forms groups can't reach the host.
+    pub from_entry: bool,
+    /// Calls to the host are refused instead of unanswered.
+    pub refuses: bool,
+}
+
+/// A host of the fleet.
+#[derive(Clone, Debug)]
+pub struct FleetHost {
+    /// The host's name.
+    pub id: HostId,
+    /// The host's domain.
+    pub domain: FabricDomainId,
+    /// The life of its process.
+    pub incarnation: Incarnation,
+    /// Whether the process runs and the host has power.
+    pub is_alive: bool,
+    /// Whether the host is leaving.
+    pub is_draining: bool,
+    /// What the host is cut off from.
+    pub cut: Cut,
+    /// The host's place.
+    pub membership: Option<Membership>,
+    members: Vec<HostId>,
+    last_weights: Option<WeightsId>,
+    staged: Option<WeightsId>,
+    highest_epoch: Epoch,
+    state_due_at: Option<Instant>,
+    stalled_since: Option<Instant>,
+    heard_at: Instant,
+    is_listed: bool,
+}
+
+impl FleetHost {
+    /// Takes the weights off the host, as if it were a new one.
+    pub fn forget_weights(&mut self) {
+        self.staged = None;
+        self.last_weights = None;
+    }
+}
+
+/// An order that is carried out later than it was given.
+#[derive(Clone, Debug)]
+struct LateOrder {
+    host: HostId,
+    order: GroupOrder,
+    due_at: Instant,
+}
+
+/// The hosts of one service.
+#[derive(Clone, Debug)]
+pub struct Fleet {
+    /// The hosts in the order of their names.
+    pub hosts: Vec<FleetHost>,
+    /// The broken promises.
+    pub violations: Vec<String>,
+    /// When loads from the weight store began.
+    pub loads: Vec<Instant>,
+    /// The joins that each host has taken, over all lives.
+    pub joins_taken: usize,
+    sheet: EngineSheet,
+    service: ServiceId,
+    late: Vec<LateOrder>,
+    ready: Vec<(HostId, GroupId, Epoch)>,
+    began_at: Instant,
+    changed: Vec<HostId>,
+    removed: Vec<HostId>,
+}
+
+impl Fleet {
+    /// Creates a fleet of domains with so many hosts each.
+    pub fn new(service: &str, sheet: EngineSheet, domains: &[usize], now: Instant) -> Self {
+        let mut hosts = Vec::new();
+        for (domain, count) in domains.iter().enumerate() {
+            for host in 0..*count {
+                let id = format!("host-{domain}-{host:02}");
+                hosts.push(new_host(&id, &format!("domain-{domain}"), now));
+            }
+        }
+        let changed = hosts.iter().map(|host| host.id.clone()).collect();
+        Self {
+            hosts,
+            violations: Vec::new(),
+            loads: Vec::new(),
+            joins_taken: 0,
+            sheet,
+            service: service.parse().expect("a service's name"),
+            late: Vec::new(),
+            ready: Vec::new(),
+            began_at: now,
+            changed,
+            removed: Vec::new(),
+        }
+    }
+
+    /// Returns a host.
+    pub fn host(&self, id: &HostId) -> Option<&FleetHost> {
+        self.hosts.iter().find(|host| host.id == *id)
+    }
+
+    /// Changes a host and tells the registry.
+    pub fn change<F>(&mut self, id: &HostId, change: F)
+    where
+        F: FnOnce(&mut FleetHost),
+    {
+        if let Some(host) = self.hosts.iter_mut().find(|host| host.id == *id) {
+            change(host);
+            self.changed.push(id.clone());
+        }
+    }
+
+    /// Cuts a host's power.
+    pub fn lose(&mut self, id: &HostId) {
+        if let Some(host) = self.hosts.iter_mut().find(|host| host.id == *id) {
+            host.is_alive = false;
+        }
+    }
+
+    /// Starts a host's process anew, under the same name.
+    pub fn restart(&mut self, id: &HostId, now: Instant) {
+        if let Some(host) = self.hosts.iter_mut().find(|host| host.id == *id) {
+            host.incarnation = host.incarnation.next();
+            host.is_alive = true;
+            host.membership = None;
+            host.members.clear();
+            host.last_weights = None;
+            host.highest_epoch = Epoch(0);
+            host.state_due_at = None;
+            host.stalled_since = None;
+            host.heard_at = now;
+            host.is_listed = true;
+            self.changed.push(id.clone());
+        }
+    }
+
+    /// Adds a host without weights.
+    pub fn add(&mut self, id: &str, domain: &str, now: Instant) {
+        let host = new_host(id, domain, now);
+        self.changed.push(host.id.clone());
+        self.hosts.push(host);
+    }
+
+    /// Returns the records that changed and the hosts that the registry dropped since the last
+    /// call.
+    pub fn take_changes(&mut self) -> (Vec<TargetRecord>, Vec<HostId>) {
+        let mut changed = std::mem::take(&mut self.changed);
+        changed.sort();
+        changed.dedup();
+        let reported = |id: &HostId| {
+            let host = self.host(id)?;
+            let is_heard = host.is_alive && !host.cut.from_registry && host.is_listed;
+            is_heard.then(|| self.record(host))
+        };
+        let records = changed.iter().filter_map(reported).collect();
+        (records, std::mem::take(&mut self.removed))
+    }
+
+    /// Returns the records that the registry has.
+    pub fn snapshot(&self) -> Vec<TargetRecord> {
+        let listed = self.hosts.iter().filter(|host| host.is_listed);
+        listed.map(|host| self.record(host)).collect()
+    }
+
+    /// Returns the heads that serve with all of their members, by weights.
+    pub fn serving(&self, weights: &WeightsId) -> usize {
+        let heads = self.hosts.iter().filter(|host| self.is_open_head(host));
+        let whole =
+            heads.filter(|host| host.last_weights.as_ref() == Some(weights) && self.is_whole(host));
+        whole.count()
+    }
+
+    /// Lets time pass.
+    pub fn advance(&mut self, now: Instant) {
+        let due: Vec<LateOrder> = self
+            .late
+            .iter()
+            .filter(|l| l.due_at <= now)
+            .cloned()
+            .collect();
+        self.late.retain(|late| late.due_at > now);
+        for late in due {
+            self.carry_out(&late.host, &late.order, now);
+        }
+        self.finish_states(now);
+        self.break_stalled(now);
+        for index in 0..self.hosts.len() {
+            let host = &mut self.hosts[index];
+            if host.is_alive && !host.cut.from_registry {
+                host.heard_at = now;
+                if !host.is_listed {
+                    host.is_listed = true;
+                    self.changed.push(host.id.clone());
+                }
+            } else if host.is_listed
+                && now.saturating_duration_since(host.heard_at) >= REGISTRY_LAPSE
+            {
+                host.is_listed = false;
+                self.removed.push(host.id.clone());
+            }
+        }
+    }
+
+    /// Gives a host an order; one that is `late` is carried out then and not answered.
+    pub fn order(
+        &mut self,
+        id: &HostId,
+        order: &GroupOrder,
+        late: Option<Duration>,
+        now: Instant,
+    ) -> Result<OrderAnswer, CallError> {
+        self.reach(id)?;
+        if let Some(late) = late {
+            self.late.push(LateOrder {
+                host: id.clone(),
+                order: order.clone(),
+                due_at: now + late,
+            });
+            let reason = String::from("no answer");
+            return Err(CallError::InDoubt { reason });
+        }
+        Ok(self.carry_out(id, order, now))
+    }
+
+    /// Asks a host for its report.
+    pub fn report(&self, id: &HostId) -> Result<TargetReport, CallError> {
+        let host = self.reach(id)?;
+        Ok(TargetReport {
+            incarnation: Some(host.incarnation),
+            running: 0,
+            waiting: 0,
+            membership: host.membership.clone(),
+        })
+    }
+
+    fn reach(&self, id: &HostId) -> Result<&FleetHost, CallError> {
+        let reason = String::from("no answer within the limit");
+        let Some(host) = self.host(id) else {
+            return Err(CallError::NotSent { reason });
+        };
+        match host.cut {
+            cut if cut.from_entry && cut.refuses => Err(CallError::Refused { reason }),
+            cut if cut.from_entry || !host.is_alive => Err(CallError::NotSent { reason }),
+            _ => Ok(host),
+        }
+    }
+
+    fn carry_out(&mut self, id: &HostId, order: &GroupOrder, now: Instant) -> OrderAnswer {
+        let Some(index) = self.hosts.iter().position(|host| host.id == *id) else {
+            return OrderAnswer::WrongTarget;
+        };
+        if !self.hosts[index].is_alive {
+            return OrderAnswer::Conflict;
+        }
+        self.changed.push(id.clone());
+        match order {
+            GroupOrder::Join {
+                group,
+                epoch,
+                weights,
+                members,
+            } => self.join(index, group, *epoch, weights, members, now),
+            GroupOrder::Open { group, epoch } => self.open(index, group, *epoch, now),
+            GroupOrder::Close { group, epoch, .. } => {
+                self.set_state(index, group, *epoch, MemberState::Ready)
+            }
+            GroupOrder::Leave { group, epoch } => {
+                if self.is_in(index, group, *epoch) {
+                    self.hosts[index].membership = None;
+                    self.hosts[index].state_due_at = None;
+                }
+                OrderAnswer::Accepted
+            }
+            GroupOrder::Stage { weights } => {
+                self.hosts[index].staged = Some(weights.clone());
+                self.loads.push(now);
+                OrderAnswer::Accepted
+            }
+        }
+    }
+
+    fn join(
+        &mut self,
+        index: usize,
+        group: &GroupId,
+        epoch: Epoch,
+        weights: &WeightsId,
+        members: &[HostId],
+        now: Instant,
+    ) -> OrderAnswer {
+        let host = &self.hosts[index];
+        if epoch < host.highest_epoch {
+            return OrderAnswer::Superseded;
+        }
+        if self.is_in(index, group, epoch) {
+            let is_same = self.hosts[index].members == members;
+            return if is_same {
+                OrderAnswer::Accepted
+            } else {
+                OrderAnswer::Superseded
+            };
+        }
+        self.check_old_head(index, group, now);
+        let model = self.sheet.model(weights).cloned();
+        let host = &mut self.hosts[index];
+        let mut duration = REJOIN_TIME;
+        if host.last_weights.as_ref() != Some(weights) {
+            let warm = model.as_ref().map_or(Duration::ZERO, |m| m.warm_time);
+            duration = warm;
+            if host.staged.as_ref() != Some(weights) {
+                duration = model.map_or(Duration::ZERO, |m| m.load_time);
+                self.loads.push(now);
+            }
+        }
+        let rank = members
+            .iter()
+            .position(|member| *member == host.id)
+            .unwrap_or_default();
+        host.highest_epoch = epoch;
+        host.staged = Some(weights.clone());
+        host.last_weights = Some(weights.clone());
+        host.members = members.to_vec();
+        host.stalled_since = None;
+        host.membership = Some(Membership {
+            group: group.clone(),
+            epoch,
+            rank: rank as u32,
+            state: MemberState::Joining,
+        });
+        host.state_due_at = Some(now + duration);
+        self.joins_taken += 1;
+        OrderAnswer::Accepted
+    }
+
+    /// A host must not join another group while the head of its own serves.
+    fn check_old_head(&mut self, index: usize, next: &GroupId, now: Instant) {
+        let host = &self.hosts[index];
+        let Some(old) = host.membership.as_ref().filter(|m| m.group != *next) else {
+            return;
+        };
+        let serves = |head: &&FleetHost| {
+            let membership = head.membership.as_ref();
+            head.is_alive
+                && membership.is_some_and(|m| {
+                    m.group == old.group
+                        && m.rank == 0
+                        && matches!(m.state, MemberState::Open | MemberState::Closing)
+                })
+        };
+        if let Some(head) = self.hosts.iter().find(serves) {
+            let at_ms = now.saturating_duration_since(self.began_at).as_millis();
+            self.violations.push(format!(
+                "{at_ms} ms: {} joins {next} while {} serves {}",
+                host.id, head.id, old.group
+            ));
+        }
+    }
+
+    fn open(&mut self, index: usize, group: &GroupId, epoch: Epoch, now: Instant) -> OrderAnswer {
+        if !self.is_in(index, group, epoch) {
+            return OrderAnswer::Conflict;
+        }
+        let host = &self.hosts[index];
+        match host.membership.as_ref().map(|m| m.state) {
+            Some(MemberState::Open) => return OrderAnswer::Accepted,
+            Some(MemberState::Ready) => {}
+            _ => return OrderAnswer::Conflict,
+        }
+        let was_ready = |member: &&HostId| {
+            let key = ((*member).clone(), group.clone(), epoch);
+            self.ready.contains(&key)
+        };
+        let missing = host
+            .members
+            .iter()
+            .find(|member| !was_ready(member))
+            .cloned();
+        let size = self.sheet.model_size(host.last_weights.as_ref());
+        let at_ms = now.saturating_duration_since(self.began_at).as_millis();
+        if let Some(missing) = missing {
+            let id = &host.id;
+            self.violations
+                .push(format!("{at_ms} ms: {id} opens {group} without {missing}"));
+        } else if size != Some(host.members.len()) {
+            let id = &host.id;
+            let count = host.members.len();
+            self.violations.push(format!(
+                "{at_ms} ms: {id} opens {group} with {count} members"
+            ));
+        }
+        self.hosts[index].state_due_at = Some(now + OPENING_TIME);
+        OrderAnswer::Accepted
+    }
+
+    fn set_state(
+        &mut self,
+        index: usize,
+        group: &GroupId,
+        epoch: Epoch,
+        state: MemberState,
+    ) -> OrderAnswer {
+        if !self.is_in(index, group, epoch) {
+            return OrderAnswer::Conflict;
+        }
+        let host = &mut self.hosts[index];
+        host.state_due_at = None;
+        if let Some(membership) = &mut host.membership {
+            membership.state = state;
+        }
+        OrderAnswer::Accepted
+    }
+
+    fn is_in(&self, index: usize, group: &GroupId, epoch: Epoch) -> bool {
+        let membership = self.hosts[index].membership.as_ref();
+        membership.is_some_and(|m| m.group == *group && m.epoch == epoch)
+    }
+
+    fn finish_states(&mut self, now: Instant) {
+        for host in &mut self.hosts {
+            let is_due = host.is_alive && host.state_due_at.is_some_and(|at| at <= now);
+            let Some(membership) = host.membership.as_mut().filter(|_| is_due) else {
+                continue;
+            };
+            host.state_due_at = None;
+            membership.state = match membership.state {
+                MemberState::Joining => MemberState::Ready,
+                MemberState::Ready => MemberState::Open,
+                state => state,
+            };
+            if membership.state == MemberState::Ready {
+                let key = (host.id.clone(), membership.group.clone(), membership.epoch);
+                self.ready.push(key);
+            }
+            self.changed.push(host.id.clone());
+        }
+    }
+
+    fn break_stalled(&mut self, now: Instant) {
+        for index in 0..self.hosts.len() {
+            let host = &self.hosts[index];
+            if !self.is_open_head(host) || self.is_whole(host) {
+                self.hosts[index].stalled_since = None;
+                continue;
+            }
+            let since = *self.hosts[index].stalled_since.get_or_insert(now);
+            if now.saturating_duration_since(since) < STALL_TIME {
+                continue;
+            }
+            if let Some(membership) = &mut self.hosts[index].membership {
+                membership.state = MemberState::Broken;
+            }
+            let id = self.hosts[index].id.clone();
+            self.changed.push(id);
+        }
+    }
+
+    fn is_open_head(&self, host: &FleetHost) -> bool {
+        let membership = host.membership.as_ref();
+        host.is_alive && membership.is_some_and(|m| m.rank == 0 && m.state == MemberState::Open)
+    }
+
+    fn is_whole(&self, head: &FleetHost) -> bool {
+        let group = head.membership.as_ref().map(|m| &m.group);
+        head.members.iter().all(|member| {
+            let member = self.host(member);
+            member.is_some_and(|m| m.is_alive && m.membership.as_ref().map(|m| &m.group) == group)
+        })
+    }
+
+    fn record(&self, host: &FleetHost) -> TargetRecord {
+        TargetRecord {
+            host: host.id.clone(),
+            incarnation: host.incarnation,
+            service: self.service.clone(),
+            address: "127.0.0.1:1".parse().expect("an address"),
+            data_centre: "lakes-a".parse().expect("a data centre"),
+            availability: if host.is_draining {
+                Availability::Draining
+            } else {
+                Availability::Ready
+            },
+            slots: self.sheet.slots,
+            domain: Some(host.domain.clone()),
+            staged: host.staged.iter().cloned().collect(),
+            weights: host.last_weights.iter().cloned().collect(),
+            membership: host.membership.clone(),
+        }
+    }
+}
+
+fn new_host(id: &str, domain: &str, now: Instant) -> FleetHost {
+    FleetHost {
+        id: id.parse().expect("a host's name"),
+        domain: domain.parse().expect("a domain's name"),
+        incarnation: Incarnation(1),
+        is_alive: true,
+        is_draining: false,
+        cut: Cut::default(),
+        membership: None,
+        members: Vec::new(),
+        last_weights: None,
+        staged: None,
+        highest_epoch: Epoch(0),
+        state_due_at: None,
+        stalled_since: None,
+        heard_at: now,
+        is_listed: true,
+    }
+}
+
+/// The size of a model's groups, by its weights.
+trait ModelSize {
+    fn model_size(&self, weights: Option<&WeightsId>) -> Option<usize>;
+}
+
+impl ModelSize for EngineSheet {
+    fn model_size(&self, weights: Option<&WeightsId>) -> Option<usize> {
+        Some(self.model(weights?)?.group_size)
+    }
+}
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod claims;
 pub mod clock;
+pub mod fleet;
 pub mod heads;
 pub mod history;
 pub mod mesh;
