formation: hosts with other weights load the missing ones; groups go home

Generated schedules found two states that never ended: free hosts that held only another model's weights kept a domain short for good, and groups over several domains stayed so after their own domain had hosts again. Both have focused tests that failed first; the schedules end with all groups serving now.

The fleet in testutils keeps the truth: no host in two groups, no group opened without its members, loads under their rate.

--- a/lib/src/process/formation/machine.rs
+++ b/lib/src/process/formation/machine.rs
@@ -386,7 +386,7 @@
         for entry in board.iter() {
             let record = &entry.record;
             let membership = record.membership.as_ref();
-            let is_in_place = membership.is_some_and(|m| m.state != MemberState::Joining);
+            let is_in_place = membership.is_none_or(|m| m.state != MemberState::Joining);
             let [weights] = record.weights.as_slice() else {
                 continue;
             };
@@ -862,6 +862,7 @@
         for model in largest_first(&models) {
             self.form_across(plan, model, &models[model], board, now);
         }
+        self.rehome_group(plan, board, now);
     }
 
     pub(super) fn is_satisfied(
@@ -876,14 +877,7 @@
             .copied()
             .unwrap_or_default();
         let weights = &plan.sheet.models[model].weights;
-        let there = self.groups.iter().filter(|group| {
-            group.service == plan.service
-                && group.weights == *weights
-                && group.domain.as_ref() == Some(domain)
-                && !group.is_warming
-                && group.is_rising()
-        });
-        there.count() >= wanted
+        self.rising_count(plan, domain, weights) >= wanted
     }
 
     fn form_in_domain(
@@ -960,6 +954,90 @@
         self.form(plan, domain, sheet, choice, board, now);
     }
 
+    /// Ends one group with hosts outside of its domain, if it is one too many or if hosts of the
+    /// domain can take its place now. Such a group is slow, or keeps another domain short.
+    fn rehome_group(&mut self, plan: &mut ServicePlan, board: &HostBoard, now: Instant) {
+        let is_changing = self.groups.iter().any(|group| {
+            group.service == plan.service && !group.is_warming && group.phase != GroupPhase::Open
+        });
+        if is_changing {
+            return;
+        }
+        let misplaced = self.groups.iter().find(|group| {
+            let is_own = group.service == plan.service && group.phase == GroupPhase::Open;
+            is_own && self.is_replaceable(plan, group, board, now)
+        });
+        let Some(id) = misplaced.map(|group| group.id.clone()) else {
+            return;
+        };
+        if let Some(group) = self.groups.get_mut(&id) {
+            log::info!(group:% = id; "group outside of its domain is replaced");
+            group.enter(GroupPhase::Finishing, now);
+        }
+    }
+
+    fn is_replaceable(
+        &self,
+        plan: &ServicePlan,
+        group: &Group,
+        board: &HostBoard,
+        now: Instant,
+    ) -> bool {
+        let Some(domain) = &group.domain else {
+            return false;
+        };
+        let is_in_domain = |member: &GroupMember| {
+            let entry = board.get(&member.host);
+            entry.and_then(|entry| entry.record.domain.as_ref()) == Some(domain)
+        };
+        if group.members.iter().all(is_in_domain) {
+            return false;
+        }
+        let models = &plan.sheet.models;
+        let Some(index) = models
+            .iter()
+            .position(|model| model.weights == group.weights)
+        else {
+            return false;
+        };
+        let wanted = plan.packing.domains.get(domain);
+        let wanted = wanted
+            .and_then(|d| d.counts.get(index))
+            .copied()
+            .unwrap_or_default();
+        if self.rising_count(plan, domain, &group.weights) > wanted {
+            return true;
+        }
+        let model = &models[index];
+        let free = self.candidates(plan, model, board, now);
+        let free = free
+            .iter()
+            .filter(|c| !c.needs_load && c.domain == *domain)
+            .count();
+        let own = group
+            .members
+            .iter()
+            .filter(|member| is_in_domain(member))
+            .count();
+        free + own >= model.group_size
+    }
+
+    fn rising_count(
+        &self,
+        plan: &ServicePlan,
+        domain: &FabricDomainId,
+        weights: &WeightsId,
+    ) -> usize {
+        let there = self.groups.iter().filter(|group| {
+            group.service == plan.service
+                && group.weights == *weights
+                && group.domain.as_ref() == Some(domain)
+                && !group.is_warming
+                && group.is_rising()
+        });
+        there.count()
+    }
+
     fn serving_count(&self, plan: &ServicePlan, weights: &WeightsId) -> usize {
         let serving = self.groups.iter().filter(|group| {
             group.service == plan.service
--- a/lib/src/process/formation/spares.rs
+++ b/lib/src/process/formation/spares.rs
@@ -32,13 +32,20 @@
             let Some(entry) = board.get(&spare.host) else {
                 continue;
             };
-            let is_cold = models.iter().all(|model| self.time_to_join(entry, model).1);
-            if !is_cold || self.loads_available(plan, now) == 0 {
+            if self.loads_available(plan, now) == 0 {
                 continue;
             }
-            let Some(model) = self.most_exposed(plan, &models, &spare.domain, board, now) else {
+            let Some((model, is_missing)) =
+                self.most_exposed(plan, &models, &spare.domain, board, now)
+            else {
                 continue;
             };
+            // A spare with some weights is kept, unless its domain waits for others.
+            let is_cold = models.iter().all(|model| self.time_to_join(entry, model).1);
+            let is_wanted = is_missing && self.time_to_join(entry, model).1;
+            if !is_cold && !is_wanted {
+                continue;
+            }
             let (ready_in, needs_load) = self.time_to_join(entry, model);
             let choice = Choice {
                 members: vec![spare.host.clone()],
@@ -135,7 +142,8 @@
         }
     }
 
-    /// Returns the model with the most members in a domain for each of its spares.
+    /// Returns the model of which a domain misses a group, or else the one with the most members
+    /// for each of its spares, and whether a group is missing.
     fn most_exposed<'a>(
         &self,
         plan: &ServicePlan,
@@ -143,7 +151,7 @@
         domain: &FabricDomainId,
         board: &HostBoard,
         now: Instant,
-    ) -> Option<&'a ModelSheet> {
+    ) -> Option<(&'a ModelSheet, bool)> {
         let wanted = plan.packing.domains.get(domain)?;
         let exposure = |index: usize, model: &ModelSheet| {
             let members = wanted.counts.get(index).copied().unwrap_or_default() * model.group_size;
@@ -160,10 +168,10 @@
             .filter(|(index, _)| !self.is_satisfied(plan, domain, *index));
         let largest = missing.max_by_key(|(_, model)| model.group_size);
         if let Some((_, model)) = largest {
-            return Some(model);
+            return Some((model, true));
         }
         let best = indexed.max_by(|(i, a), (j, b)| exposure(*i, a).total_cmp(&exposure(*j, b)));
-        best.map(|(_, model)| model)
+        best.map(|(_, model)| (model, false))
     }
 
     /// Returns whether a host is outside of serving groups and holds, or is loading, the weights.
