gateway: decisions about requests are logged and counted; silent connections are found

Each choice of a target is a line with its inputs and their age; under a rush, requests are logged whole or not at all, by their ids. Counters and latency histograms are served on the metrics address. SIGHUP reads the settings again instead of ending the process. Sockets break by themselves when their peer can no longer be reached.

--- a/cli/src/commands/entry.rs
+++ b/cli/src/commands/entry.rs
@@ -94,6 +94,8 @@
         if is_tables_interface(&text) {
             let settings = GatewaySettings::parse(&file, &text)?;
             limit_log_level(settings.log_level);
+            let reloads = signal(SignalKind::hangup())?;
+            tokio::spawn(follow_settings(self.settings, settings.clone(), reloads));
             run_on_tables(settings, shutdown).await?;
         } else {
             let settings = EntrySettings::parse(&file, &text)?;
@@ -118,6 +120,32 @@
     })
 }
 
+/// Reads the settings again at each SIGHUP.
+///
+/// The log level is put in force at once. The other settings name addresses and bounds that hold
+/// for the life of a process; a change of them is logged and takes effect at the next start.
+async fn follow_settings(path: PathBuf, mut current: GatewaySettings, mut reloads: Signal) {
+    let file = path.display().to_string();
+    while reloads.recv().await.is_some() {
+        let text = match tokio::fs::read_to_string(&path).await {
+            Ok(text) => text,
+            Err(error) => {
+                log::error!(file = file.as_str(); "settings are kept, since they can't be read: {error}");
+                continue;
+            }
+        };
+        match GatewaySettings::parse(&file, &text) {
+            Ok(settings) => {
+                limit_log_level(settings.log_level);
+                current.log_level = settings.log_level;
+                let needs_restart = settings != current;
+                log::info!(needs_restart = needs_restart; "settings are read again");
+            }
+            Err(errors) => log::error!("settings are kept, since they hold faults: {errors}"),
+        }
+    }
+}
+
 fn limit_log_level(level: log::LevelFilter) {
     if std::env::var_os(env_logger::DEFAULT_FILTER_ENV).is_none() {
         log::set_max_level(level);
--- a/lib/src/connection/client.rs
+++ b/lib/src/connection/client.rs
@@ -18,6 +18,7 @@
 use tokio::task::AbortHandle;
 
 use super::body::RequestBody;
+use super::liveness::watch_for_silence;
 
 /// Why a request had no answer.
 #[derive(Clone, Debug, Display, Eq, Error, PartialEq)]
@@ -88,8 +89,7 @@
             is_refused: error.kind() == std::io::ErrorKind::ConnectionRefused,
             reason: error.to_string(),
         })?;
-        let nodelay = stream.set_nodelay(true);
-        nodelay.map_err(|error| not_sent(error.to_string()))?;
+        watch_for_silence(&stream).map_err(|error| not_sent(error.to_string()))?;
         let handshake = http1::handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(|error| not_sent(error.to_string()))?;
         let driver = tokio::spawn(async move {
--- a/lib/src/connection/mod.rs
+++ b/lib/src/connection/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod body;
 pub mod client;
+pub mod liveness;
 pub mod peer;
 pub mod pool;
 pub mod relay;
--- a/lib/src/process/gateway/coordinate.rs
+++ b/lib/src/process/gateway/coordinate.rs
@@ -152,6 +152,10 @@
                 None => log::warn!("lease is lost; no more orders are given"),
             }
             self.fence = epoch;
+            self.state
+                .metrics
+                .holds_lease
+                .set(i64::from(epoch.is_some()));
         }
         let Some(epoch) = epoch else {
             return;
@@ -195,6 +199,7 @@
         let targets = self.targets.clone();
         let answers = self.answers.clone();
         let clock = self.state.clock.clone();
+        let state = Arc::clone(&self.state);
         match action {
             FormationAction::Order {
                 host,
@@ -204,6 +209,8 @@
                 tokio::spawn(async move {
                     let sent = targets.order(address, host.clone(), order.clone(), ORDER_LIMIT);
                     let answer = sent.await;
+                    let word = answer.as_ref().map_or("no answer", OrderAnswer::word);
+                    state.metrics.count_order(order.word(), word);
                     match &answer {
                         Ok(answer) => log::info!(host:% = host, order:% = order; "order: {answer}"),
                         Err(error) => log::warn!(host:% = host, order:% = order; "order: {error}"),
--- a/lib/src/process/gateway/follow.rs
+++ b/lib/src/process/gateway/follow.rs
@@ -147,6 +147,11 @@
                 continue;
             }
             Err(FeedError::Platform(error)) => {
+                state
+                    .metrics
+                    .platform_failures
+                    .with_label_values(&[what])
+                    .inc();
                 if failing_since.is_none() {
                     log::warn!(what = what; "platform can't be read: {error}");
                     failing_since = Some(now);
--- /dev/null
+++ b/lib/src/process/gateway/metrics.rs
@@ -0,0 +1,159 @@
+//! The metrics of a gateway.
+
+use std::time::Duration;
+
+use prometheus::Encoder as _;
+use prometheus::HistogramOpts;
+use prometheus::HistogramVec;
+use prometheus::IntCounterVec;
+use prometheus::IntGauge;
+use prometheus::IntGaugeVec;
+use prometheus::Registry;
+use prometheus::TextEncoder;
+
+use crate::ids::ServiceId;
+use crate::process::metrics::counters;
+use crate::process::metrics::gauge;
+use crate::process::metrics::gauges;
+
+/// The bounds of the histogram buckets for requests, in seconds: around the users' latency targets
+/// of 0.15 to 0.5 s, and up to their longest timeouts.
+const REQUEST_BUCKETS_S: [f64; 13] = [
+    0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.4, 0.5, 0.8, 1.5, 3.0, 6.0, 8.0,
+];
+
+/// The metrics of a gateway.
+#[derive(Clone, Debug)]
+pub struct GatewayMetrics {
+    registry: Registry,
+    requests: IntCounterVec,
+    request_seconds: HistogramVec,
+    first_event_seconds: HistogramVec,
+    sends: IntCounterVec,
+    further_sends: IntCounterVec,
+    orders: IntCounterVec,
+    /// Calls to the platform that failed, by what was followed.
+    pub platform_failures: IntCounterVec,
+    /// The version of the configuration in force.
+    pub configuration_version: IntGauge,
+    /// Targets that can be sent requests, by service.
+    pub serving_targets: IntGaugeVec,
+    /// Whether this entry forms the groups.
+    pub holds_lease: IntGauge,
+}
+
+impl GatewayMetrics {
+    /// Creates the metrics and registers them.
+    pub fn new() -> Result<Self, prometheus::Error> {
+        let metrics = Self {
+            registry: Registry::new(),
+            requests: counters(
+                "requests_total",
+                "Requests by outcome.",
+                &["service", "outcome"],
+            )?,
+            request_seconds: histogram(
+                "request_seconds",
+                "Time from a request's arrival to its end.",
+                &["service", "outcome"],
+            )?,
+            first_event_seconds: histogram(
+                "first_event_seconds",
+                "Time from a request's arrival to the first event of its stream.",
+                &["service"],
+            )?,
+            sends: counters(
+                "sends_total",
+                "Sends to targets by their end.",
+                &["service", "end"],
+            )?,
+            further_sends: counters(
+                "further_sends_total",
+                "Further sends asked of the budget.",
+                &["service", "granted"],
+            )?,
+            orders: counters(
+                "orders_total",
+                "Orders to hosts by answer.",
+                &["order", "answer"],
+            )?,
+            platform_failures: counters(
+                "platform_failures_total",
+                "Calls to the platform that failed.",
+                &["call"],
+            )?,
+            configuration_version: gauge(
+                "configuration_version",
+                "Version of the configuration in force.",
+            )?,
+            serving_targets: gauges(
+                "serving_targets",
+                "Targets that can be sent requests.",
+                &["service"],
+            )?,
+            holds_lease: gauge("holds_lease", "Whether this entry forms the groups.")?,
+        };
+        metrics.register()?;
+        Ok(metrics)
+    }
+
+    fn register(&self) -> Result<(), prometheus::Error> {
+        let registry = &self.registry;
+        registry.register(Box::new(self.requests.clone()))?;
+        registry.register(Box::new(self.request_seconds.clone()))?;
+        registry.register(Box::new(self.first_event_seconds.clone()))?;
+        registry.register(Box::new(self.sends.clone()))?;
+        registry.register(Box::new(self.further_sends.clone()))?;
+        registry.register(Box::new(self.orders.clone()))?;
+        registry.register(Box::new(self.platform_failures.clone()))?;
+        registry.register(Box::new(self.configuration_version.clone()))?;
+        registry.register(Box::new(self.serving_targets.clone()))?;
+        registry.register(Box::new(self.holds_lease.clone()))
+    }
+
+    /// Counts a request that ended.
+    pub fn count_request(&self, service: &ServiceId, outcome: &str, waited: Duration) {
+        let labels = [service.as_str(), outcome];
+        self.requests.with_label_values(&labels).inc();
+        let seconds = self.request_seconds.with_label_values(&labels);
+        seconds.observe(waited.as_secs_f64());
+    }
+
+    /// Records the time to a stream's first event.
+    pub fn observe_first_event(&self, service: &ServiceId, waited: Duration) {
+        let histogram = self
+            .first_event_seconds
+            .with_label_values(&[service.as_str()]);
+        histogram.observe(waited.as_secs_f64());
+    }
+
+    /// Counts a send by how it ended.
+    pub fn count_send(&self, service: &ServiceId, end: &str) {
+        self.sends.with_label_values(&[service.as_str(), end]).inc();
+    }
+
+    /// Counts a further send that was asked for.
+    pub fn count_further_send(&self, service: &ServiceId, is_granted: bool) {
+        let granted = if is_granted { "yes" } else { "no" };
+        self.further_sends
+            .with_label_values(&[service.as_str(), granted])
+            .inc();
+    }
+
+    /// Counts an order by its answer.
+    pub fn count_order(&self, order: &str, answer: &str) {
+        self.orders.with_label_values(&[order, answer]).inc();
+    }
+
+    /// Returns the metrics in the text format of Prometheus.
+    pub fn render(&self) -> Result<Vec<u8>, prometheus::Error> {
+        let mut text = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
+        Ok(text)
+    }
+}
+
+fn histogram(text: &str, help: &str, labels: &[&str]) -> Result<HistogramVec, prometheus::Error> {
+    let options = HistogramOpts::new(crate::process::metrics::name(text), help);
+    HistogramVec::new(options.buckets(REQUEST_BUCKETS_S.to_vec()), labels)
+}
--- a/lib/src/process/gateway/mod.rs
+++ b/lib/src/process/gateway/mod.rs
@@ -6,6 +6,7 @@
 
 mod coordinate;
 mod follow;
+mod metrics;
 mod ready;
 mod run;
 mod serving;
@@ -13,6 +14,7 @@
 mod state;
 mod usage;
 
+pub use self::metrics::GatewayMetrics;
 pub use self::run::GatewayError;
 pub use self::run::run_gateway;
 pub use self::serving::ServingTarget;
--- a/lib/src/process/gateway/ready.rs
+++ b/lib/src/process/gateway/ready.rs
@@ -1,10 +1,11 @@
-//! The answers to the balancer's question whether the entry is ready.
+//! The answers to the balancer, whether the entry is ready, and to those who collect metrics.
 
 use std::sync::Arc;
 
 use http::Request;
 use http::Response;
 use http::StatusCode;
+use http::header::CONTENT_TYPE;
 use hyper::body::Incoming;
 
 use super::state::GatewayState;
@@ -41,3 +42,42 @@
         response
     }
 }
+
+/// The media type of the metrics.
+const METRICS_TYPE: &str = "text/plain; version=0.0.4";
+
+/// Answers with the process's metrics.
+#[derive(Debug)]
+pub(super) struct MetricsHandler<C> {
+    pub(super) state: Arc<GatewayState<C>>,
+}
+
+impl<C> Clone for MetricsHandler<C> {
+    fn clone(&self) -> Self {
+        Self {
+            state: Arc::clone(&self.state),
+        }
+    }
+}
+
+impl<C> HttpHandler for MetricsHandler<C>
+where
+    C: Clock,
+{
+    async fn handle(&self, _request: Request<Incoming>) -> Response<ResponseBody> {
+        match self.state.metrics.render() {
+            Ok(text) => {
+                let mut response = Response::new(full_body(text));
+                let media_type = http::HeaderValue::from_static(METRICS_TYPE);
+                response.headers_mut().insert(CONTENT_TYPE, media_type);
+                response
+            }
+            Err(error) => {
+                log::error!("metrics can't be rendered: {error}");
+                let mut response = Response::new(full_body(error.to_string()));
+                *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+                response
+            }
+        }
+    }
+}
--- a/lib/src/process/gateway/run.rs
+++ b/lib/src/process/gateway/run.rs
@@ -13,6 +13,8 @@
 use super::coordinate::coordinate;
 use super::follow::follow_documents;
 use super::follow::follow_targets;
+use super::metrics::GatewayMetrics;
+use super::ready::MetricsHandler;
 use super::ready::ReadyHandler;
 use super::settings::GatewaySettings;
 use super::state::GatewayContext;
@@ -45,6 +47,12 @@
         /// What the system said.
         source: std::io::Error,
     },
+    /// The metrics can't be set up.
+    #[display("the metrics can't be set up: {source}. Hint: this is a fault of the program")]
+    Metrics {
+        /// What the library said.
+        source: prometheus::Error,
+    },
 }
 
 /// Runs a gateway until it is told to end and its requests are done.
@@ -72,7 +80,12 @@
         version = env!("CARGO_PKG_VERSION");
         "gateway starts"
     );
-    let state = Arc::new(GatewayState::new(settings, clock));
+    let metrics_listener = match listen.metrics {
+        Some(address) => Some(bind(address).await?),
+        None => None,
+    };
+    let metrics = GatewayMetrics::new().map_err(|source| GatewayError::Metrics { source })?;
+    let state = Arc::new(GatewayState::new(settings, clock, metrics));
     let never = CancellationToken::new();
     let mut background = JoinSet::new();
     let ready = ReadyHandler {
@@ -82,7 +95,13 @@
         head_timeout: IDLE_LIMIT,
         ..ServerSettings::default()
     };
-    background.spawn(serve(readiness, ready, server, never));
+    background.spawn(serve(readiness, ready, server, never.clone()));
+    if let Some(listener) = metrics_listener {
+        let metrics = MetricsHandler {
+            state: Arc::clone(&state),
+        };
+        background.spawn(serve(listener, metrics, server, never));
+    }
     background.spawn(follow_documents(Arc::clone(&state), platform.clone()));
     background.spawn(follow_targets(Arc::clone(&state), platform.clone()));
     let stop_coordinating = shutdown.graceful.clone();
--- a/lib/src/process/gateway/state.rs
+++ b/lib/src/process/gateway/state.rs
@@ -10,6 +10,7 @@
 
 use tokio::sync::Notify;
 
+use super::metrics::GatewayMetrics;
 use super::serving::ServingTarget;
 use super::serving::serving_targets;
 use super::settings::GatewaySettings;
@@ -17,7 +18,6 @@
 use crate::clock::Clock;
 use crate::ids::HostId;
 use crate::ids::ServiceId;
-use crate::ids::WeightsId;
 use crate::platform::Table;
 use crate::platform::feed::Feed;
 use crate::process::formation::HostBoard;
@@ -25,6 +25,7 @@
 use crate::process::lifecycle::Stage;
 use crate::request::forward::choose::TargetOption;
 use crate::request::forward::choose::choose_target;
+use crate::request::forward::context::ChoiceBasis;
 use crate::request::forward::context::ForwardContext;
 use crate::request::forward::context::NoTarget;
 use crate::request::forward::context::TargetNeed;
@@ -32,6 +33,7 @@
 use crate::request::forward::plan::SendEnd;
 use crate::request::forward::protocol::AnswerLoad;
 use crate::request::forward::protocol::CallerProtocol;
+use crate::request::forward::sampling::LogSampler;
 use crate::request::retry::RetryBudget;
 use crate::request::retry::RetryBudgetSettings;
 use crate::sorted::Keyed;
@@ -75,6 +77,7 @@
     requests: u64,
     choices: usize,
     has_targets: bool,
+    sampler: LogSampler,
 }
 
 /// The state that a gateway's tasks share.
@@ -89,6 +92,8 @@
     pub started_at: Instant,
     /// Woken when the targets have changed.
     pub targets_changed: Notify,
+    /// The process's metrics.
+    pub metrics: GatewayMetrics,
     inner: Mutex<Inner>,
 }
 
@@ -105,10 +110,12 @@
     C: Clock,
 {
     /// Creates the state of a process that knows nothing yet.
-    pub fn new(settings: GatewaySettings, clock: C) -> Self {
+    pub fn new(settings: GatewaySettings, clock: C, metrics: GatewayMetrics) -> Self {
+        let now = clock.now();
         Self {
             settings,
-            started_at: clock.now(),
+            metrics,
+            started_at: now,
             clock,
             lifecycle: Lifecycle::default(),
             targets_changed: Notify::new(),
@@ -122,6 +129,7 @@
                 requests: 0,
                 choices: 0,
                 has_targets: false,
+                sampler: LogSampler::new(now),
             }),
         }
     }
@@ -149,6 +157,8 @@
             routes = document.route_count();
             "configuration is in force"
         );
+        let version = i64::try_from(document.version.0).unwrap_or(i64::MAX);
+        self.metrics.configuration_version.set(version);
         inner.document = Some(Arc::new(document));
         inner.update_serving(now);
         drop(inner);
@@ -165,6 +175,13 @@
         let mut inner = self.inner();
         change(&mut inner.board, now);
         inner.update_serving(now);
+        for (service, count) in inner.serving_counts() {
+            let labels = [service.as_str()];
+            self.metrics
+                .serving_targets
+                .with_label_values(&labels)
+                .set(count);
+        }
         drop(inner);
         self.targets_changed.notify_waiters();
     }
@@ -213,6 +230,28 @@
         self.usage.forget_unknown(|host| board.get(host).is_some());
     }
 
+    /// Returns how many targets of each service can be sent requests.
+    fn serving_counts(&self) -> Vec<(ServiceId, i64)> {
+        let mut services: Vec<ServiceId> = self
+            .board
+            .iter()
+            .map(|entry| entry.record.service.clone())
+            .collect();
+        services.sort();
+        services.dedup();
+        let count = |service: &ServiceId| {
+            let serving = self
+                .serving
+                .iter()
+                .filter(|target| target.service == *service);
+            i64::try_from(serving.count()).unwrap_or(i64::MAX)
+        };
+        services
+            .into_iter()
+            .map(|s| (s.clone(), count(&s)))
+            .collect()
+    }
+
     fn is_usable(&self, host: &HostId) -> bool {
         self.serving.iter().any(|target| target.host == *host)
     }
@@ -222,7 +261,7 @@
         need: &TargetNeed,
         settings: &GatewaySettings,
         now: Instant,
-    ) -> Result<(ServingTarget, Duration), NoTarget> {
+    ) -> Result<(ServingTarget, Duration, ChoiceBasis), NoTarget> {
         let serves = |target: &&ServingTarget| {
             target.service == need.service
                 && !need.excluded.contains(&target.host)
@@ -256,8 +295,17 @@
             return Err(NoTarget::Busy { room_in });
         }
         let target = candidates[index].clone();
+        let basis = ChoiceBasis {
+            options: options.len(),
+            suspects: options.iter().filter(|option| option.is_suspect).count(),
+            in_flight: options[index].in_flight,
+            load_age: self
+                .usage
+                .get(&target.host)
+                .and_then(|usage| usage.load_age(now)),
+        };
         self.usage.on_start(&target.host, need.prompt_tokens, now);
-        Ok((target, expected))
+        Ok((target, expected, basis))
     }
 }
 
@@ -289,7 +337,9 @@
     state: Arc<GatewayState<C>>,
     host: HostId,
     address: SocketAddr,
+    service: ServiceId,
     expected_wait: Duration,
+    basis: ChoiceBasis,
     unread_tokens: u32,
     started_at: Instant,
     has_ended: bool,
@@ -322,6 +372,10 @@
         self.expected_wait
     }
 
+    fn basis(&self) -> ChoiceBasis {
+        self.basis
+    }
+
     fn is_still_usable(&self) -> bool {
         self.state.inner().is_usable(&self.host)
     }
@@ -355,6 +409,8 @@
             return;
         }
         let now = self.state.clock.now();
+        let word = end.map_or_else(|| String::from("complete"), |end| end.to_string());
+        self.state.metrics.count_send(&self.service, &word);
         let mut inner = self.state.inner();
         inner.usage.on_result(&self.host, end, now);
         if matches!(
@@ -390,12 +446,17 @@
         self.state.lifecycle.stage() >= Stage::Draining
     }
 
-    fn on_request(&self, service: &ServiceId, _weights: Option<&WeightsId>) {
+    fn on_request(&self, service: &ServiceId, request_id: &str) -> bool {
         let now = self.now();
         let retry = &self.state.settings.retry;
         let mut inner = self.state.inner();
         inner.requests += 1;
         inner.budget(service, retry, now).on_success(now);
+        inner.sampler.on_request(request_id, now)
+    }
+
+    fn on_first_event(&self, service: &ServiceId, waited: Duration) {
+        self.state.metrics.observe_first_event(service, waited);
     }
 
     fn take_target(&self, need: &TargetNeed) -> Result<TargetPlace<C>, NoTarget> {
@@ -404,12 +465,14 @@
             .state
             .inner()
             .take_place(need, &self.state.settings, now);
-        let (target, expected_wait) = taken?;
+        let (target, expected_wait, basis) = taken?;
         Ok(TargetPlace {
             state: Arc::clone(&self.state),
             host: target.host,
             address: target.address,
+            service: target.service,
             expected_wait,
+            basis,
             unread_tokens: need.prompt_tokens,
             started_at: now,
             has_ended: false,
@@ -423,10 +486,14 @@
     fn spend_further_send(&self, service: &ServiceId) -> bool {
         let now = self.now();
         let retry = &self.state.settings.retry;
-        self.state.inner().budget(service, retry, now).spend(now)
+        let is_granted = self.state.inner().budget(service, retry, now).spend(now);
+        self.state.metrics.count_further_send(service, is_granted);
+        is_granted
     }
 
-    fn on_outcome(&self, _service: &ServiceId, _outcome: &'static str, _waited: Duration) {}
+    fn on_outcome(&self, service: &ServiceId, outcome: &'static str, waited: Duration) {
+        self.state.metrics.count_request(service, outcome, waited);
+    }
 }
 
 impl Inner {
--- a/lib/src/process/gateway/usage.rs
+++ b/lib/src/process/gateway/usage.rs
@@ -79,6 +79,12 @@
         })
     }
 
+    /// Returns the age of the load that the target told, while it counts.
+    pub fn load_age(&self, now: Instant) -> Option<Duration> {
+        let age = now.saturating_duration_since(self.told?.at);
+        (age < LOAD_AGE_MAX).then_some(age)
+    }
+
     /// Returns the prompt tokens of this process's requests that the target has not read.
     pub fn unread_tokens(&self) -> u64 {
         self.unread_tokens
--- a/lib/src/process/metrics.rs
+++ b/lib/src/process/metrics.rs
@@ -127,18 +127,26 @@
     }
 }
 
-fn name(name: &str) -> String {
+pub(crate) fn name(name: &str) -> String {
     format!("beryltray_{name}")
 }
 
-fn counters(text: &str, help: &str, labels: &[&str]) -> Result<IntCounterVec, prometheus::Error> {
+pub(crate) fn counters(
+    text: &str,
+    help: &str,
+    labels: &[&str],
+) -> Result<IntCounterVec, prometheus::Error> {
     IntCounterVec::new(Opts::new(name(text), help), labels)
 }
 
-fn gauges(text: &str, help: &str, labels: &[&str]) -> Result<IntGaugeVec, prometheus::Error> {
+pub(crate) fn gauges(
+    text: &str,
+    help: &str,
+    labels: &[&str],
+) -> Result<IntGaugeVec, prometheus::Error> {
     IntGaugeVec::new(Opts::new(name(text), help), labels)
 }
 
-fn gauge(text: &str, help: &str) -> Result<IntGauge, prometheus::Error> {
+pub(crate) fn gauge(text: &str, help: &str) -> Result<IntGauge, prometheus::Error> {
     IntGauge::new(name(text), help)
 }
--- a/lib/src/request/forward/context.rs
+++ b/lib/src/request/forward/context.rs
@@ -42,6 +42,19 @@
     },
 }
 
+/// What a target was chosen by, for the log.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ChoiceBasis {
+    /// The targets that there were to choose from.
+    pub options: usize,
+    /// Those of them under suspicion.
+    pub suspects: usize,
+    /// The requests that were believed to run or wait at the chosen one.
+    pub in_flight: f64,
+    /// The age of the load that it told itself, if that was used.
+    pub load_age: Option<Duration>,
+}
+
 /// A request's place at a target, given back when it is dropped.
 pub trait TargetUse: Send + Sync + 'static {
     /// Returns the target.
@@ -53,6 +66,9 @@
     /// Returns how long the first answer was expected to take when the target was chosen.
     fn expected_wait(&self) -> Duration;
 
+    /// Returns what the target was chosen by.
+    fn basis(&self) -> ChoiceBasis;
+
     /// Returns whether the target may still be sent new work.
     fn is_still_usable(&self) -> bool;
 
@@ -88,8 +104,11 @@
     /// Returns whether callers are told to close their connections.
     fn is_draining(&self) -> bool;
 
-    /// Counts a request of a service.
-    fn on_request(&self, service: &ServiceId, weights: Option<&WeightsId>);
+    /// Counts a request of a service and returns whether its lines are logged.
+    fn on_request(&self, service: &ServiceId, request_id: &str) -> bool;
+
+    /// Takes note of the first event of a stream.
+    fn on_first_event(&self, service: &ServiceId, waited: Duration);
 
     /// Takes a place at the best target.
     fn take_target(&self, need: &TargetNeed) -> Result<Self::Use, NoTarget>;
--- a/lib/src/request/forward/handler.rs
+++ b/lib/src/request/forward/handler.rs
@@ -109,7 +109,7 @@
         let service = service.ok_or(not_run(NotRunReason::NoTarget))?;
         let patience = call.patience.unwrap_or(PATIENCE_DEFAULT).min(route.timeout);
         let deadline = started_at + patience;
-        self.context.on_request(&service, call.weights.as_ref());
+        let is_logged = self.context.on_request(&service, &call.request_id);
         let need = TargetNeed {
             service: service.clone(),
             weights: call.weights.clone(),
@@ -129,6 +129,7 @@
             service,
             need,
             started_at,
+            is_logged,
         })
     }
 }
@@ -143,6 +144,7 @@
     let route = passage.route.name.clone();
     let is_stream = passage.route.kind.is_stream();
     let started_at = passage.started_at;
+    let is_logged = passage.is_logged;
     let left = passage.time_left();
     let answered = if is_stream {
         tokio::time::timeout(left, forward_stream(passage)).await
@@ -167,6 +169,9 @@
         .err()
         .map(ToString::to_string)
         .unwrap_or_default();
+    if !is_logged {
+        return answered;
+    }
     log::info!(
         request = request_id.as_str(), route = route.as_str(), status = status,
         failure = failure.as_str(), elapsed_ms = waited.as_millis() as u64, outcome = outcome;
--- a/lib/src/request/forward/mod.rs
+++ b/lib/src/request/forward/mod.rs
@@ -9,6 +9,7 @@
 pub mod handler;
 pub mod plan;
 pub mod protocol;
+pub mod sampling;
 mod send;
 mod stream;
 mod whole;
--- a/lib/src/request/forward/send.rs
+++ b/lib/src/request/forward/send.rs
@@ -33,6 +33,16 @@
 /// The part of the latency target for which a request waits for a target to come.
 const HOLD_DIVISOR: u32 = 9;
 
+/// Logs a line about a request, unless its lines are left out.
+macro_rules! log_request {
+    ($passage:expr, $($line:tt)+) => {
+        if $passage.is_logged {
+            log::info!(request = $passage.call.request_id.as_str(), $($line)+);
+        }
+    };
+}
+pub(super) use log_request;
+
 /// A request on its way, with all that decides about its sends.
 #[derive(Debug)]
 pub(super) struct Passage<X> {
@@ -46,6 +56,7 @@
     pub(super) plan: SendPlan,
     pub(super) need: TargetNeed,
     pub(super) started_at: std::time::Instant,
+    pub(super) is_logged: bool,
 }
 
 /// A target's answer of which the head has arrived.
@@ -77,7 +88,10 @@
             self.need.time_left = self.time_left();
             let changed = self.context.targets_changed();
             let missing = match self.context.take_target(&self.need) {
-                Ok(target) => return Ok(target),
+                Ok(target) => {
+                    self.log_choice(&target);
+                    return Ok(target);
+                }
                 Err(missing) => missing,
             };
             match missing {
@@ -95,6 +109,23 @@
         }
     }
 
+    fn log_choice(&self, target: &X::Use) {
+        let basis = target.basis();
+        let version = self.context.document().map(|document| document.version.0);
+        log_request!(
+            self, route = self.route.name.as_str(), service:% = self.service,
+            weights:? = self.need.weights.as_ref().map(crate::ids::WeightsId::as_str),
+            account:? = self.account.as_ref().map(AccountId::as_str),
+            target:% = target.host(), options = basis.options, suspects = basis.suspects,
+            in_flight = basis.in_flight,
+            load_age_ms:? = basis.load_age.map(|age| age.as_millis()),
+            expected_ms = target.expected_wait().as_millis() as u64,
+            excluded = self.need.excluded.len(), version:? = version,
+            time_left_ms = self.time_left().as_millis() as u64;
+            "target is chosen"
+        );
+    }
+
     /// Sends the request once and returns the answer's head.
     pub(super) async fn send_once(
         &mut self,
@@ -187,8 +218,7 @@
     }
 
     pub(super) fn log_send(&self, target: &X::Use, what: &str, status: u16) {
-        log::info!(
-            request = self.call.request_id.as_str(), route = self.route.name.as_str(),
+        log_request!(self, route = self.route.name.as_str(),
             target:% = target.host(), send = self.plan.sends(), status = status,
             elapsed_ms = self.elapsed_ms(), time_left_ms = self.time_left().as_millis() as u64;
             "{what}"
@@ -196,8 +226,7 @@
     }
 
     fn log_error(&self, target: &X::Use, error: &SendError) {
-        log::info!(
-            request = self.call.request_id.as_str(), route = self.route.name.as_str(),
+        log_request!(self, route = self.route.name.as_str(),
             target:% = target.host(), send = self.plan.sends(), elapsed_ms = self.elapsed_ms();
             "send failed: {error}"
         );
--- a/lib/src/request/forward/stream.rs
+++ b/lib/src/request/forward/stream.rs
@@ -18,6 +18,7 @@
 use super::protocol::Failure;
 use super::send::Arrived;
 use super::send::Passage;
+use super::send::log_request;
 use crate::connection::body::BodySender;
 use crate::connection::body::ResponseBody;
 use crate::connection::body::full_body;
@@ -60,6 +61,11 @@
         Opened::Stream(stream) => stream,
         Opened::Answer(response) => return Ok(response),
     };
+    let waited = passage
+        .context
+        .now()
+        .saturating_duration_since(passage.started_at);
+    passage.context.on_first_event(&passage.service, waited);
     let protocol = passage.context.protocol();
     let headers = protocol.caller_headers(&stream.arrived.head.headers);
     let status = stream.arrived.head.status;
@@ -214,8 +220,7 @@
         };
         stream.arrived.target.on_end(Some(failed));
         let host = stream.arrived.target.host().clone();
-        log::info!(
-            request = passage.call.request_id.as_str(), target:% = host, end:% = failed,
+        log_request!(passage, target:% = host, end:% = failed,
             events = place.passed(), last_event:? = place.last_event(),
             elapsed_ms = passage.elapsed_ms();
             "stream broke off at its target"
@@ -241,8 +246,7 @@
     passage
         .context
         .on_outcome(&passage.service, outcome, waited);
-    log::info!(
-        request = passage.call.request_id.as_str(), route = passage.route.name.as_str(),
+    log_request!(passage, route = passage.route.name.as_str(),
         target:% = stream.arrived.target.host(), sends = passage.plan.sends(),
         events = place.passed(), elapsed_ms = passage.elapsed_ms(), outcome = outcome;
         "stream ended"
@@ -324,9 +328,7 @@
                 }
             }
             Ok(Some(Err(error))) => {
-                log::debug!(
-                    request = passage.call.request_id.as_str(),
-                    target:% = stream.arrived.target.host();
+                log_request!(passage, target:% = stream.arrived.target.host();
                     "stream broke: {error}"
                 );
                 return Err(SendEnd::Broken);
--- a/lib/src/request/forward/whole.rs
+++ b/lib/src/request/forward/whole.rs
@@ -12,6 +12,7 @@
 use super::protocol::Failure;
 use super::send::Arrived;
 use super::send::Passage;
+use super::send::log_request;
 use crate::connection::body::ResponseBody;
 use crate::connection::body::full_body;
 use crate::connection::body::read_body;
@@ -97,8 +98,7 @@
     let bytes = match read {
         Ok(bytes) => bytes,
         Err(error) => {
-            log::info!(
-                request = passage.call.request_id.as_str(), target:% = target.host();
+            log_request!(passage, target:% = target.host();
                 "answer is not whole: {error}"
             );
             target.on_end(Some(SendEnd::Broken));
--- a/lib/src/target/record.rs
+++ b/lib/src/target/record.rs
@@ -189,6 +189,32 @@
     Invalid,
 }
 
+impl GroupOrder {
+    /// Returns the order's name, for metrics.
+    pub fn word(&self) -> &'static str {
+        match self {
+            Self::Join { .. } => "join",
+            Self::Open { .. } => "open",
+            Self::Close { .. } => "close",
+            Self::Leave { .. } => "leave",
+            Self::Stage { .. } => "stage",
+        }
+    }
+}
+
+impl OrderAnswer {
+    /// Returns the answer's name, for metrics.
+    pub fn word(&self) -> &'static str {
+        match self {
+            Self::Accepted => "accepted",
+            Self::Conflict => "conflict",
+            Self::Superseded => "superseded",
+            Self::WrongTarget => "wrong target",
+            Self::Invalid => "invalid",
+        }
+    }
+}
+
 /// Why a call to a target has no usable answer.
 #[derive(Clone, Debug, Display, Eq, Error, PartialEq)]
 pub enum CallError {
