gateway: entries tell each other of their requests in flight

Each entry sees an eighth of the requests and chose targets by that and by loads that targets told up to 1.5 s ago, so several entries chose the same groups. Small datagrams now carry each entry's requests in flight and the heads whose streams have stopped, which also lets the lease's holder look at a stalled group that it does not use itself. Lost datagrams don't matter; an entry that hears nobody goes by what it knew before.

--- a/lib/src/process/gateway/coordinate.rs
+++ b/lib/src/process/gateway/coordinate.rs
@@ -180,6 +180,7 @@
             return;
         };
         let is_quiet = self.state.request_count() == 0
+            && !self.state.with_peers(|peers| peers.has_requests())
             && now.saturating_duration_since(self.state.started_at) < QUIET_START;
         formation.set_before_traffic(self.state.settings.is_first_start && is_quiet);
         for (service, sheet) in document.engine_services() {
--- a/lib/src/process/gateway/mod.rs
+++ b/lib/src/process/gateway/mod.rs
@@ -7,14 +7,19 @@
 mod coordinate;
 mod follow;
 mod metrics;
+mod peers;
 mod ready;
 mod run;
 mod serving;
 mod settings;
 mod state;
+mod tell;
 mod usage;
 
 pub use self::metrics::GatewayMetrics;
+pub use self::peers::PeerMessage;
+pub use self::peers::Peers;
+pub use self::peers::ToldUse;
 pub use self::run::GatewayError;
 pub use self::run::run_gateway;
 pub use self::serving::ServingTarget;
--- /dev/null
+++ b/lib/src/process/gateway/peers.rs
@@ -0,0 +1,200 @@
+//! What the entries tell each other about their use of the targets.
+//!
+//! Each entry sends small datagrams to the others with its requests in flight. Lost ones don't
+//! matter, since the next one says all again; an entry that hears nobody goes by its own requests
+//! and by what the targets tell. Nothing that must last or be agreed is exchanged here.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::hash::rendezvous_weight;
+use crate::ids::EntryId;
+use crate::ids::HostId;
+use crate::ids::Incarnation;
+use crate::sorted::Keyed;
+use crate::sorted::SortedVec;
+
+/// The time between two datagrams to a peer: well below the time that a stream takes.
+pub(super) const TELL_INTERVAL: Duration = Duration::from_millis(150);
+/// How long what a peer told counts: some lost datagrams in a row.
+const TOLD_AGE_MAX: Duration = Duration::from_millis(700);
+/// How long a peer that is not heard of is still told.
+const PEER_MEMORY: Duration = Duration::from_secs(60);
+/// The most peers that an entry tells, so that many entries don't crowd the network.
+const FANOUT_MAX: usize = 12;
+
+/// A target's load from one entry.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ToldUse {
+    /// The target.
+    pub host: HostId,
+    /// The requests in flight.
+    pub in_flight: u32,
+    /// The prompt tokens that are not read yet.
+    pub unread_tokens: u64,
+}
+
+impl Keyed for ToldUse {
+    type Key = HostId;
+
+    fn key(&self) -> &HostId {
+        &self.host
+    }
+}
+
+/// A datagram.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PeerMessage {
+    /// The sender.
+    pub entry: EntryId,
+    /// The life of the sender's process.
+    pub incarnation: Incarnation,
+    /// The number of the datagram, which grows within a life.
+    pub number: u64,
+    /// Where the sender is told.
+    pub address: SocketAddr,
+    /// The sender's use of the targets.
+    pub uses: Vec<ToldUse>,
+    /// Heads whose streams have stopped at the sender.
+    pub stalled: Vec<HostId>,
+    /// Whether the sender has had a request.
+    pub has_requests: bool,
+}
+
+/// A peer.
+#[derive(Clone, Debug)]
+struct Peer {
+    entry: EntryId,
+    address: SocketAddr,
+    incarnation: Incarnation,
+    number: u64,
+    heard_at: Instant,
+    told: Option<SortedVec<ToldUse>>,
+}
+
+impl Keyed for Peer {
+    type Key = EntryId;
+
+    fn key(&self) -> &EntryId {
+        &self.entry
+    }
+}
+
+/// The peers of an entry and what they told.
+#[derive(Clone, Debug)]
+pub struct Peers {
+    own: EntryId,
+    peers: SortedVec<Peer>,
+    has_requests: bool,
+}
+
+impl Peers {
+    /// Creates the view of an entry that knows no peer.
+    pub fn new(own: EntryId) -> Self {
+        Self {
+            own,
+            peers: SortedVec::new(),
+            has_requests: false,
+        }
+    }
+
+    /// Takes a peer from the list of entries.
+    pub fn on_listed(&mut self, entry: EntryId, address: SocketAddr, now: Instant) {
+        if entry == self.own || self.peers.get(&entry).is_some_and(|p| p.address == address) {
+            return;
+        }
+        self.peers.insert(Peer {
+            entry,
+            address,
+            incarnation: Incarnation(0),
+            number: 0,
+            heard_at: now,
+            told: None,
+        });
+    }
+
+    /// Takes a datagram and returns whether it is news; one that was overtaken is not.
+    pub fn on_message(&mut self, message: &PeerMessage, now: Instant) -> bool {
+        if message.entry == self.own {
+            return false;
+        }
+        let order = (message.incarnation, message.number);
+        let known = self.peers.get(&message.entry);
+        let is_old = known.is_some_and(|peer| {
+            let is_recent = now.saturating_duration_since(peer.heard_at) < TOLD_AGE_MAX;
+            is_recent && (peer.incarnation, peer.number) >= order
+        });
+        if is_old {
+            return false;
+        }
+        self.has_requests |= message.has_requests;
+        self.peers.insert(Peer {
+            entry: message.entry.clone(),
+            address: message.address,
+            incarnation: message.incarnation,
+            number: message.number,
+            heard_at: now,
+            told: Some(message.uses.iter().cloned().collect()),
+        });
+        true
+    }
+
+    /// Returns whether any peer has had a request.
+    pub fn has_requests(&self) -> bool {
+        self.has_requests
+    }
+
+    /// Returns the use of a target by all peers: requests in flight and unread prompt tokens. What
+    /// those say that were heard stands for the others too.
+    pub fn use_of(&self, host: &HostId, now: Instant) -> (f64, f64) {
+        let is_fresh = |peer: &&Peer| {
+            peer.told.is_some() && now.saturating_duration_since(peer.heard_at) < TOLD_AGE_MAX
+        };
+        let fresh = self.peers.iter().filter(is_fresh);
+        let heard = fresh.clone().count();
+        if heard == 0 {
+            return (0.0, 0.0);
+        }
+        let uses = fresh.filter_map(|peer| peer.told.as_ref()?.get(host));
+        let (in_flight, unread) = uses.fold((0.0, 0.0), |(in_flight, unread), told| {
+            (
+                in_flight + f64::from(told.in_flight),
+                unread + told.unread_tokens as f64,
+            )
+        });
+        // Beyond the fanout, not all peers tell this entry.
+        let scale = if self.peers.len() > FANOUT_MAX {
+            self.peers.len() as f64 / heard as f64
+        } else {
+            1.0
+        };
+        (in_flight * scale, unread * scale)
+    }
+
+    /// Returns whether a peer was heard lately.
+    pub fn is_anyone_heard(&self, now: Instant) -> bool {
+        self.peers.iter().any(|peer| {
+            peer.told.is_some() && now.saturating_duration_since(peer.heard_at) < TOLD_AGE_MAX
+        })
+    }
+
+    /// Returns the addresses to tell, and forgets peers that were not heard of for long.
+    ///
+    /// With many peers, each entry tells those for which it has the highest weights, so that all
+    /// are told by about as many.
+    pub fn addresses(&mut self, now: Instant) -> Vec<SocketAddr> {
+        let is_kept = |peer: &Peer| now.saturating_duration_since(peer.heard_at) < PEER_MEMORY;
+        self.peers.retain(is_kept);
+        let mut peers: Vec<&Peer> = self.peers.iter().collect();
+        if peers.len() > FANOUT_MAX {
+            let weight = |peer: &&Peer| rendezvous_weight(self.own.as_str(), peer.entry.as_str());
+            peers.sort_by_key(|peer| std::cmp::Reverse(weight(peer)));
+            peers.truncate(FANOUT_MAX);
+        }
+        peers.into_iter().map(|peer| peer.address).collect()
+    }
+}
--- a/lib/src/process/gateway/run.rs
+++ b/lib/src/process/gateway/run.rs
@@ -7,6 +7,7 @@
 use derive_more::Display;
 use derive_more::Error;
 use tokio::net::TcpListener;
+use tokio::net::UdpSocket;
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 
@@ -20,10 +21,14 @@
 use super::state::GatewayContext;
 use super::state::GatewayPlatform;
 use super::state::GatewayState;
+use super::tell::follow_entries;
+use super::tell::hear_peers;
+use super::tell::tell_peers;
 use crate::clock::Clock;
 use crate::connection::server::ServerSettings;
 use crate::connection::server::serve;
 use crate::process::entry::ShutdownTokens;
+use crate::process::identity::incarnation_from;
 use crate::process::lifecycle::Stage;
 use crate::request::forward::handler::ForwardHandler;
 use crate::request::forward::protocol::CallerProtocol;
@@ -80,6 +85,12 @@
         version = env!("CARGO_PKG_VERSION");
         "gateway starts"
     );
+    let peer_socket = UdpSocket::bind(listen.peers).await;
+    let peer_socket = Arc::new(peer_socket.map_err(|source| GatewayError::Listen {
+        address: listen.peers,
+        source,
+    })?);
+    let incarnation = incarnation_from(&clock);
     let metrics_listener = match listen.metrics {
         Some(address) => Some(bind(address).await?),
         None => None,
@@ -104,6 +115,13 @@
     }
     background.spawn(follow_documents(Arc::clone(&state), platform.clone()));
     background.spawn(follow_targets(Arc::clone(&state), platform.clone()));
+    background.spawn(follow_entries(Arc::clone(&state), platform.clone()));
+    background.spawn(tell_peers(
+        Arc::clone(&state),
+        Arc::clone(&peer_socket),
+        incarnation,
+    ));
+    background.spawn(hear_peers(Arc::clone(&state), peer_socket));
     let stop_coordinating = shutdown.graceful.clone();
     let coordinator = coordinate(Arc::clone(&state), platform, targets, stop_coordinating);
     let coordinator = tokio::spawn(coordinator);
--- a/lib/src/process/gateway/state.rs
+++ b/lib/src/process/gateway/state.rs
@@ -11,6 +11,9 @@
 use tokio::sync::Notify;
 
 use super::metrics::GatewayMetrics;
+use super::peers::PeerMessage;
+use super::peers::Peers;
+use super::peers::ToldUse;
 use super::serving::ServingTarget;
 use super::serving::serving_targets;
 use super::settings::GatewaySettings;
@@ -49,6 +52,11 @@
 /// windows that do not begin with those in which they are judged.
 const BUDGET_USE: f64 = 0.85;
 
+/// How long the other entries are told of a head whose streams have stopped: some datagrams.
+const STALL_TOLD_FOR: Duration = Duration::from_millis(400);
+/// The most heads that wait to be looked at.
+const STALLED_MAX: usize = 256;
+
 /// The platform as a gateway uses it.
 pub trait GatewayPlatform: Table + Feed<RouteDocument> + Feed<TargetRecord> {}
 
@@ -78,6 +86,9 @@
     choices: usize,
     has_targets: bool,
     sampler: LogSampler,
+    peers: Peers,
+    /// Heads whose streams stopped here, and when, for the other entries.
+    stalled_to_tell: Vec<(HostId, Instant)>,
 }
 
 /// The state that a gateway's tasks share.
@@ -112,6 +123,7 @@
     /// Creates the state of a process that knows nothing yet.
     pub fn new(settings: GatewaySettings, clock: C, metrics: GatewayMetrics) -> Self {
         let now = clock.now();
+        let peers = Peers::new(settings.entry.clone());
         Self {
             settings,
             metrics,
@@ -130,6 +142,8 @@
                 choices: 0,
                 has_targets: false,
                 sampler: LogSampler::new(now),
+                peers,
+                stalled_to_tell: Vec::new(),
             }),
         }
     }
@@ -205,6 +219,42 @@
         std::mem::take(&mut self.inner().stalled)
     }
 
+    /// Changes or asks the view of the other entries.
+    pub fn with_peers<F, T>(&self, change: F) -> T
+    where
+        F: FnOnce(&mut Peers) -> T,
+    {
+        change(&mut self.inner().peers)
+    }
+
+    /// Returns what the other entries are told.
+    pub fn uses_to_tell(&self) -> (Vec<ToldUse>, Vec<HostId>) {
+        let now = self.clock.now();
+        let mut inner = self.inner();
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < STALL_TOLD_FOR;
+        inner.stalled_to_tell.retain(|(_, at)| is_recent(*at));
+        let uses = inner.usage.busy().map(|(host, usage)| ToldUse {
+            host: host.clone(),
+            in_flight: usage.own_in_flight(),
+            unread_tokens: usage.unread_tokens(),
+        });
+        let uses = uses.collect();
+        let stalled = inner.stalled_to_tell.iter().map(|(host, _)| host.clone());
+        (uses, stalled.collect())
+    }
+
+    /// Takes a datagram of another entry.
+    pub fn on_peer_message(&self, message: &PeerMessage) {
+        let now = self.clock.now();
+        let mut inner = self.inner();
+        if inner.peers.on_message(message, now) {
+            inner.stalled.extend(message.stalled.iter().cloned());
+            // Only the entry that forms groups takes them.
+            let excess = inner.stalled.len().saturating_sub(STALLED_MAX);
+            inner.stalled.drain(..excess);
+        }
+    }
+
     /// Returns how many requests have come.
     pub fn request_count(&self) -> u64 {
         self.inner().requests
@@ -230,6 +280,17 @@
         self.usage.forget_unknown(|host| board.get(host).is_some());
     }
 
+    /// Returns the requests that are believed to run or wait at a target: those of this entry and
+    /// of the peers, or what the target told while no peer is heard.
+    fn believed_in_flight(&self, host: &HostId, now: Instant) -> f64 {
+        let usage = self.usage.get(host);
+        if self.peers.is_anyone_heard(now) {
+            let own = usage.map_or(0.0, |u| f64::from(u.own_in_flight()));
+            return own + self.peers.use_of(host, now).0;
+        }
+        usage.map_or(0.0, |u| u.in_flight(now))
+    }
+
     /// Returns how many targets of each service can be sent requests.
     fn serving_counts(&self) -> Vec<(ServiceId, i64)> {
         let mut services: Vec<ServiceId> = self
@@ -278,8 +339,9 @@
                 host: target.host.clone(),
                 is_local: target.data_centre == settings.data_centre,
                 slots: target.slots,
-                in_flight: usage.map_or(0.0, |u| u.in_flight(now)),
-                unread_prompt_tokens: usage.map_or(0.0, |u| u.unread_tokens() as f64),
+                in_flight: self.believed_in_flight(&target.host, now),
+                unread_prompt_tokens: usage.map_or(0.0, |u| u.unread_tokens() as f64)
+                    + self.peers.use_of(&target.host, now).1,
                 pace: target.pace,
                 failure_share: usage.map_or(0.0, |u| u.failure_share()),
                 is_suspect: usage.is_some_and(|u| u.is_suspect(now)),
@@ -418,6 +480,7 @@
             Some(SendEnd::Silent | SendEnd::NotSent | SendEnd::Broken)
         ) {
             inner.stalled.push(self.host.clone());
+            inner.stalled_to_tell.push((self.host.clone(), now));
         }
     }
 }
--- /dev/null
+++ b/lib/src/process/gateway/tell.rs
@@ -0,0 +1,168 @@
+//! The tasks that find the other entries and exchange datagrams with them.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::net::UdpSocket;
+
+use super::peers::PeerMessage;
+use super::peers::TELL_INTERVAL;
+use super::state::GatewayState;
+use crate::clock::Clock;
+use crate::ids::EntryId;
+use crate::ids::Incarnation;
+use crate::ids::new_attempt_id;
+use crate::platform::CommitOutcome;
+use crate::platform::PlatformError;
+use crate::platform::Put;
+use crate::platform::Table;
+use crate::platform::Transaction;
+
+/// The beginning of the keys of the entries' rows.
+const ENTRY_PREFIX: &str = "entry/";
+/// The time between two reads of the list of entries. New entries tell the others of themselves.
+const LIST_INTERVAL: Duration = Duration::from_secs(20);
+/// The pause after a failed call.
+const RETRY_PAUSE: Duration = Duration::from_millis(700);
+/// The longest datagram; it fits in one packet on usual networks up to some dozens of targets.
+const MESSAGE_LIMIT_BYTES: usize = 16 * 1024;
+
+/// An entry's row.
+#[derive(Debug, Deserialize, Serialize)]
+struct EntryRow {
+    entry: EntryId,
+    address: SocketAddr,
+}
+
+/// Lists this entry in the table and takes the others from there.
+pub(super) async fn follow_entries<C, P>(state: Arc<GatewayState<C>>, platform: P)
+where
+    C: Clock,
+    P: Table,
+{
+    let mut is_listed = false;
+    loop {
+        let done = if is_listed {
+            read_entries(&state, &platform).await
+        } else {
+            let listed = list_entry(&state, &platform).await;
+            is_listed = listed.is_ok();
+            match listed {
+                Ok(()) => read_entries(&state, &platform).await,
+                Err(error) => Err(error),
+            }
+        };
+        match done {
+            Ok(()) => tokio::time::sleep(LIST_INTERVAL).await,
+            Err(error) => {
+                log::warn!("list of entries can't be used: {error}");
+                tokio::time::sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn list_entry<C, P>(state: &GatewayState<C>, platform: &P) -> Result<(), PlatformError>
+where
+    C: Clock,
+    P: Table,
+{
+    let row = EntryRow {
+        entry: state.settings.entry.clone(),
+        address: state.settings.listen.peers,
+    };
+    let value = serde_json::to_string(&row).map_err(|error| PlatformError::Protocol {
+        reason: error.to_string(),
+    })?;
+    let key = format!("{ENTRY_PREFIX}{}", row.entry);
+    // Nobody else writes this row, so it needs no condition.
+    let written = platform.commit(Transaction {
+        attempt: new_attempt_id(),
+        checks: Vec::new(),
+        puts: vec![Put { key, value }],
+        deletes: Vec::new(),
+    });
+    match written.await? {
+        CommitOutcome::Committed { .. } | CommitOutcome::Refused { .. } => Ok(()),
+    }
+}
+
+async fn read_entries<C, P>(state: &GatewayState<C>, platform: &P) -> Result<(), PlatformError>
+where
+    C: Clock,
+    P: Table,
+{
+    let now = state.clock.now();
+    for row in platform.scan(ENTRY_PREFIX.to_owned()).await? {
+        match serde_json::from_str::<EntryRow>(&row.value) {
+            Ok(row) => state.with_peers(|peers| peers.on_listed(row.entry, row.address, now)),
+            Err(error) => log::warn!(key = row.key.as_str(); "entry's row is left out: {error}"),
+        }
+    }
+    Ok(())
+}
+
+/// Tells the other entries of this one's requests.
+pub(super) async fn tell_peers<C>(
+    state: Arc<GatewayState<C>>,
+    socket: Arc<UdpSocket>,
+    incarnation: Incarnation,
+) where
+    C: Clock,
+{
+    let mut ticks = tokio::time::interval(TELL_INTERVAL);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Skip);
+    let mut number = 0;
+    loop {
+        ticks.tick().await;
+        number += 1;
+        let (uses, stalled) = state.uses_to_tell();
+        let message = PeerMessage {
+            entry: state.settings.entry.clone(),
+            incarnation,
+            number,
+            address: state.settings.listen.peers,
+            uses,
+            stalled,
+            has_requests: state.request_count() > 0,
+        };
+        let bytes = match serde_json::to_vec(&message) {
+            Ok(bytes) => bytes,
+            Err(error) => {
+                log::error!("datagram can't be written: {error}");
+                continue;
+            }
+        };
+        let now = state.clock.now();
+        for address in state.with_peers(|peers| peers.addresses(now)) {
+            if let Err(error) = socket.send_to(&bytes, address).await {
+                log::debug!(peer:% = address; "datagram is not sent: {error}");
+            }
+        }
+    }
+}
+
+/// Takes the other entries' datagrams.
+pub(super) async fn hear_peers<C>(state: Arc<GatewayState<C>>, socket: Arc<UdpSocket>)
+where
+    C: Clock,
+{
+    let mut buffer = vec![0; MESSAGE_LIMIT_BYTES];
+    loop {
+        let length = match socket.recv_from(&mut buffer).await {
+            Ok((length, _)) => length,
+            Err(error) => {
+                log::debug!("no datagram is received: {error}");
+                tokio::time::sleep(TELL_INTERVAL).await;
+                continue;
+            }
+        };
+        match serde_json::from_slice::<PeerMessage>(&buffer[..length]) {
+            Ok(message) => state.on_peer_message(&message),
+            Err(error) => log::debug!("datagram is left out: {error}"),
+        }
+    }
+}
--- a/lib/src/process/gateway/usage.rs
+++ b/lib/src/process/gateway/usage.rs
@@ -181,6 +181,12 @@
         usage.unread_tokens = usage.unread_tokens.saturating_sub(u64::from(unread_tokens));
     }
 
+    /// Returns the usage of the targets that have requests.
+    pub fn busy(&self) -> impl Iterator<Item = (&HostId, &TargetUsage)> {
+        let busy = self.targets.iter().filter(|usage| usage.in_flight > 0);
+        busy.map(|usage| (&usage.host, usage))
+    }
+
     /// Forgets targets for which `is_known` is false and that have no request.
     pub fn forget_unknown<F>(&mut self, is_known: F)
     where
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -9,6 +9,7 @@
 mod test_exchange;
 mod test_formation;
 mod test_forward;
+mod test_gateway_peers;
 mod test_head;
 mod test_head_world;
 mod test_history;
--- /dev/null
+++ b/lib/tests/test_gateway_peers.rs
@@ -0,0 +1,128 @@
+//! Tests of what entries tell each other about their use of the targets.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use beryltray_lib::ids::HostId;
+use beryltray_lib::ids::Incarnation;
+use beryltray_lib::process::gateway::PeerMessage;
+use beryltray_lib::process::gateway::Peers;
+use beryltray_lib::process::gateway::ToldUse;
+use beryltray_lib::request::forward::choose::TargetOption;
+use beryltray_lib::request::forward::choose::choose_target;
+
+fn message(entry: usize, life: u64, number: u64, uses: &[(&str, u32)]) -> PeerMessage {
+    let told = |(host, in_flight): &(&str, u32)| ToldUse {
+        host: host.parse().unwrap(),
+        in_flight: *in_flight,
+        unread_tokens: u64::from(*in_flight) * 100,
+    };
+    PeerMessage {
+        entry: format!("entry-{entry}").parse().unwrap(),
+        incarnation: Incarnation(life),
+        number,
+        address: format!("127.0.0.1:{}", 1_000 + entry).parse().unwrap(),
+        uses: uses.iter().map(told).collect(),
+        stalled: Vec::new(),
+        has_requests: true,
+    }
+}
+
+fn host(name: &str) -> HostId {
+    name.parse().unwrap()
+}
+
+#[test]
+fn peers_uses_are_summed_and_lapse_when_a_peer_falls_silent() {
+    let now = Instant::now();
+    let mut peers = Peers::new("entry-0".parse().unwrap());
+    assert!(peers.on_message(&message(1, 1, 1, &[("a", 2), ("b", 1)]), now));
+    assert!(peers.on_message(&message(2, 1, 1, &[("a", 3)]), now));
+    assert_eq!(peers.use_of(&host("a"), now), (5.0, 500.0));
+    assert_eq!(peers.use_of(&host("c"), now), (0.0, 0.0));
+    let later = now + Duration::from_secs(1);
+    assert!(!peers.is_anyone_heard(later));
+    assert_eq!(peers.use_of(&host("a"), later), (0.0, 0.0));
+}
+
+#[test]
+fn peers_overtaken_datagram_is_no_news_but_a_new_life_is() {
+    let now = Instant::now();
+    let mut peers = Peers::new("entry-0".parse().unwrap());
+    assert!(peers.on_message(&message(1, 5, 9, &[("a", 2)]), now));
+    assert!(!peers.on_message(&message(1, 5, 8, &[("a", 7)]), now));
+    assert!(!peers.on_message(&message(0, 5, 1, &[]), now));
+    assert!(peers.on_message(&message(1, 6, 1, &[("a", 1)]), now));
+    assert_eq!(peers.use_of(&host("a"), now).0, 1.0);
+}
+
+#[test]
+fn peers_life_with_a_clock_set_back_is_heard_after_a_silence() {
+    let now = Instant::now();
+    let mut peers = Peers::new("entry-0".parse().unwrap());
+    assert!(peers.on_message(&message(1, 9, 9, &[("a", 2)]), now));
+    let later = now + Duration::from_secs(1);
+    assert!(peers.on_message(&message(1, 4, 1, &[("a", 1)]), later));
+}
+
+#[test]
+fn peers_many_are_told_by_a_bounded_number_and_stand_for_the_others() {
+    let now = Instant::now();
+    let mut peers = Peers::new("entry-0".parse().unwrap());
+    for entry in 1..=76 {
+        let address = format!("127.0.0.1:{}", 1_000 + entry).parse().unwrap();
+        peers.on_listed(format!("entry-{entry}").parse().unwrap(), address, now);
+    }
+    assert_eq!(peers.addresses(now).len(), 12);
+    for entry in 1..=19 {
+        peers.on_message(&message(entry, 1, 1, &[("a", 1)]), now);
+    }
+    assert_eq!(peers.use_of(&host("a"), now).0, 76.0);
+}
+
+#[test]
+fn peers_burst_at_all_entries_spreads_over_the_targets() {
+    // The pattern: a jump of the traffic at eight entries at once, in front of six groups. Without
+    // the peers' loads, all choose the same groups by the same stale reports.
+    let now = Instant::now();
+    let names = ["a", "b", "c", "d", "e", "f"];
+    let entries: usize = 8;
+    let mut own = vec![vec![0_u32; names.len()]; entries];
+    let mut views: Vec<Peers> = (0..entries)
+        .map(|entry| Peers::new(format!("entry-{entry}").parse().unwrap()))
+        .collect();
+    for round in 0..30_u64 {
+        for entry in 0..entries {
+            let options: Vec<TargetOption> = names
+                .iter()
+                .enumerate()
+                .map(|(index, name)| TargetOption {
+                    host: host(name),
+                    is_local: true,
+                    slots: 26,
+                    in_flight: f64::from(own[entry][index])
+                        + views[entry].use_of(&host(name), now).0,
+                    unread_prompt_tokens: 0.0,
+                    pace: None,
+                    failure_share: 0.0,
+                    is_suspect: false,
+                })
+                .collect();
+            let chosen = choose_target(&options, 700, entry).unwrap();
+            own[entry][chosen] += 1;
+        }
+        for (entry, counts) in own.iter().enumerate() {
+            let uses: Vec<(&str, u32)> =
+                names.iter().copied().zip(counts.iter().copied()).collect();
+            let told = message(entry, 1, round + 1, &uses);
+            for view in &mut views {
+                view.on_message(&told, now);
+            }
+        }
+    }
+    let totals: Vec<u32> = (0..names.len())
+        .map(|index| own.iter().map(|counts| counts[index]).sum())
+        .collect();
+    let spread = totals.iter().max().unwrap() - totals.iter().min().unwrap();
+    assert!(spread <= 8, "{totals:?}");
+}
