gateway: store calls and further sends scale with the entries

Challengers now read by rank, changes of targets are gathered longer with more entries, and the free sends are divided by the entries listed.

--- a/lib/src/process/gateway/coordinate.rs
+++ b/lib/src/process/gateway/coordinate.rs
@@ -29,6 +29,9 @@
 const LEASE_KEY: &str = "formation";
 /// How long the lease stands without a renewal: some lost calls, and little time without a holder.
 const LEASE_TERM: Duration = Duration::from_millis(2_500);
+/// By how much less often than the first one each further entry reads the lease: two or three read
+/// about as often as it is renewed, however many there are.
+const PATIENCE_PER_RANK: f64 = 0.25;
 /// The time between two looks at what is due.
 const TICK_INTERVAL: Duration = Duration::from_millis(40);
 /// The longest wait for an answer to an order.
@@ -142,6 +145,9 @@
 
     fn step(&mut self) {
         let now = self.state.clock.now();
+        let rank = self.state.with_peers(|peers| peers.rank_for(LEASE_KEY));
+        self.lease
+            .set_patience(1.0 + rank as f64 * PATIENCE_PER_RANK);
         if let Some(action) = self.lease.poll(now, new_attempt_id) {
             self.call_platform(action);
         }
--- a/lib/src/process/gateway/follow.rs
+++ b/lib/src/process/gateway/follow.rs
@@ -19,8 +19,13 @@
 /// The first pause after a failed call; it doubles up to the longest.
 const RETRY_PAUSE_MIN: Duration = Duration::from_millis(100);
 const RETRY_PAUSE_MAX: Duration = Duration::from_millis(800);
-/// The pause between two calls for targets, so that changes that come together cost one call.
-const TARGETS_GATHER: Duration = Duration::from_millis(60);
+/// The pause between two calls for targets for each entry that there is, so that changes that come
+/// together cost one call and many entries make about as many calls as few.
+const TARGETS_GATHER_PER_ENTRY: Duration = Duration::from_millis(9);
+/// The longest such pause: targets that leave must be known well within their drain time.
+const TARGETS_GATHER_MAX: Duration = Duration::from_millis(700);
+/// The pause of the entry that forms groups.
+const TARGETS_GATHER_FORMING: Duration = Duration::from_millis(25);
 /// How long calls must have failed to count as an outage of the platform.
 const OUTAGE_MIN: Duration = Duration::from_millis(1_000);
 /// How long after an outage lapsed records may come back.
@@ -88,7 +93,7 @@
     P: Feed<RouteDocument>,
 {
     let sink = Documents(Arc::clone(&state));
-    follow("configuration", state, platform, sink, Duration::ZERO).await;
+    follow("configuration", state, platform, sink, |_| Duration::ZERO).await;
 }
 
 /// Follows the targets.
@@ -98,19 +103,34 @@
     P: Feed<TargetRecord>,
 {
     let sink = Targets(Arc::clone(&state));
-    follow("targets", state, platform, sink, TARGETS_GATHER).await;
+    follow("targets", state, platform, sink, targets_gather).await;
 }
 
-async fn follow<C, P, T, S>(
+fn targets_gather<C>(state: &GatewayState<C>) -> Duration
+where
+    C: Clock,
+{
+    if state.metrics.holds_lease.get() > 0 {
+        return TARGETS_GATHER_FORMING;
+    }
+    let entries = state.with_peers(|peers| peers.entry_count());
+    let entries = u32::try_from(entries).unwrap_or(u32::MAX);
+    TARGETS_GATHER_PER_ENTRY
+        .saturating_mul(entries)
+        .min(TARGETS_GATHER_MAX)
+}
+
+async fn follow<C, P, T, S, G>(
     what: &'static str,
     state: Arc<GatewayState<C>>,
     platform: P,
     sink: S,
-    gather: Duration,
+    gather: G,
 ) where
     C: Clock,
     P: Feed<T>,
     S: Sink<T>,
+    G: Fn(&GatewayState<C>) -> Duration,
 {
     let mut revision = None;
     let mut pause = RETRY_PAUSE_MIN;
@@ -162,7 +182,7 @@
             }
         }
         pause = RETRY_PAUSE_MIN;
-        tokio::time::sleep(gather).await;
+        tokio::time::sleep(gather(&state)).await;
     }
 }
 
--- a/lib/src/process/gateway/peers.rs
+++ b/lib/src/process/gateway/peers.rs
@@ -143,6 +143,22 @@
         true
     }
 
+    /// Returns how many entries there are with this one.
+    pub fn entry_count(&self) -> usize {
+        self.peers.len() + 1
+    }
+
+    /// Returns this entry's place among all for a duty that `key` names; every entry has the same
+    /// order.
+    pub fn rank_for(&self, key: &str) -> usize {
+        let own = rendezvous_weight(key, self.own.as_str());
+        let weights = self
+            .peers
+            .iter()
+            .map(|peer| rendezvous_weight(key, peer.entry.as_str()));
+        weights.filter(|weight| *weight > own).count()
+    }
+
     /// Returns whether any peer has had a request.
     pub fn has_requests(&self) -> bool {
         self.has_requests
--- a/lib/src/process/gateway/state.rs
+++ b/lib/src/process/gateway/state.rs
@@ -44,9 +44,10 @@
 use crate::target::record::TargetRecord;
 use crate::version::routes::RouteDocument;
 
-/// The entries that the free further sends are divided among; more than any site has, so that the
-/// shares are safe without knowing the others.
-const BUDGET_ENTRIES: u32 = 12;
+/// The fewest entries that the free further sends are divided among, while not all may be known.
+const BUDGET_ENTRIES_MIN: usize = 12;
+/// The part of the free further sends that is divided, since new entries are known a little later.
+const FREE_SENDS_USE: f64 = 0.8;
 
 /// The part of the allowed share that is used: requests and further sends are counted here in
 /// windows that do not begin with those in which they are judged.
@@ -566,17 +567,20 @@
         retry: &super::settings::RetrySlack,
         now: Instant,
     ) -> &mut RetryBudget {
+        let entries = self.peers.entry_count().max(BUDGET_ENTRIES_MIN);
+        let free = f64::from(retry.free_sends) * FREE_SENDS_USE / entries as f64;
+        let settings = RetryBudgetSettings {
+            share: retry.share.scaled(BUDGET_USE),
+            window: retry.window,
+            // Rounded down, so that all entries together stay under the bound.
+            free_tries: free as u32,
+        };
         let create = || ServiceBudget {
             service: service.clone(),
-            budget: RetryBudget::new(
-                RetryBudgetSettings {
-                    share: retry.share.scaled(BUDGET_USE),
-                    window: retry.window,
-                    free_tries: retry.free_sends / BUDGET_ENTRIES,
-                },
-                now,
-            ),
+            budget: RetryBudget::new(settings.clone(), now),
         };
-        &mut self.budgets.get_or_insert_with(service, create).budget
+        let budget = &mut self.budgets.get_or_insert_with(service, create).budget;
+        budget.set_settings(settings);
+        budget
     }
 }
--- a/lib/src/process/lease/machine.rs
+++ b/lib/src/process/lease/machine.rs
@@ -117,6 +117,11 @@
         self.settings.term = term;
     }
 
+    /// Changes by how much less often than usual this entry reads the row as a challenger.
+    pub fn set_patience(&mut self, patience: f64) {
+        self.settings.patience = patience;
+    }
+
     /// Takes note of an epoch that a group's row or a host has seen.
     ///
     /// The next write of the lease goes above it, also if the platform has lost the lease's row or
--- a/lib/src/process/lease/settings.rs
+++ b/lib/src/process/lease/settings.rs
@@ -21,7 +21,7 @@
 const STAGGER_DIVISOR: u32 = 64;
 
 /// The settings of a lease.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct LeaseSettings {
     /// The key of the lease's row.
     pub key: String,
@@ -31,6 +31,9 @@
     pub incarnation: Incarnation,
     /// How long the row must stay unchanged before another entry may take it over.
     pub term: Duration,
+    /// By how much less often than usual this entry reads the row as a challenger. With many
+    /// entries a few read often and the others stand behind them.
+    pub patience: f64,
 }
 
 impl LeaseSettings {
@@ -41,6 +44,7 @@
             entry,
             incarnation,
             term: PlacementSettings::default().lease_term,
+            patience: 1.0,
         }
     }
 
@@ -63,7 +67,7 @@
 
     /// Returns the time between two reads of a challenger.
     pub fn read_interval(&self) -> Duration {
-        self.term / READS_PER_TERM
+        (self.term / READS_PER_TERM).mul_f64(self.patience.max(1.0))
     }
 
     /// Returns the time after which a failed call is repeated.
