--- a/lib/src/process/formation/mod.rs
+++ b/lib/src/process/formation/mod.rs
@@ -14,15 +14,19 @@
 //! - A group that an earlier holder of the lease formed and did not open is given up, since an
 //!   order of that holder may still be on its way.
 
+mod balance;
 mod board;
 mod choice;
+mod free_hosts;
 mod group;
 mod loads;
 mod machine;
 mod packing;
+mod phases;
 mod settings;
 mod spares;
 mod takeover;
+mod wanted;
 
 pub use self::board::HostBoard;
 pub use self::board::HostEntry;
--- /dev/null
+++ b/lib/src/process/formation/phases.rs
@@ -0,0 +1,415 @@
+//! How a group goes from its first order to its end.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use super::board::HostBoard;
+use super::board::HostEntry;
+use super::board::Liveness;
+use super::group::Group;
+use super::group::GroupMember;
+use super::group::GroupPhase;
+use super::machine::Formation;
+use super::machine::FormationAction;
+use super::machine::Outstanding;
+use crate::target::record::Availability;
+use crate::target::record::CloseMode;
+use crate::target::record::GroupOrder;
+use crate::target::record::MemberState;
+
+/// How long a member that left the registry may go without an own report before it counts as lost.
+const UNLISTED_REPORT_WAIT: Duration = Duration::from_millis(900);
+/// How long work may finish in a group that closes before it is cut off; a member that leaves
+/// stays about as long.
+const FINISH_LIMIT: Duration = Duration::from_secs(8);
+
+/// How a member stands to its group.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Standing {
+    /// The host has not taken the order yet.
+    Pending,
+    /// The host has its place, in this state.
+    In(MemberState),
+    /// The host has its place and is leaving the service.
+    Leaving(MemberState),
+    /// The host was in place and is in no group or another one.
+    Elsewhere,
+    /// The host's process ended, or it answers nothing.
+    Lost,
+}
+impl Formation {
+    pub(super) fn advance(
+        &mut self,
+        group: &mut Group,
+        board: &HostBoard,
+        now: Instant,
+        actions: &mut Vec<FormationAction>,
+    ) {
+        for member in &mut group.members {
+            let membership = board.get(&member.host).and_then(HostEntry::membership);
+            if membership.is_some_and(|m| m.group == group.id) {
+                member.has_joined = true;
+            }
+        }
+        let standings: Vec<Standing> = group
+            .members
+            .iter()
+            .map(|member| self.standing(group, member, board, now))
+            .collect();
+        let head = standings.first().copied().unwrap_or(Standing::Lost);
+        let is_lost = |s: &Standing| {
+            matches!(
+                s,
+                Standing::Lost | Standing::Elsewhere | Standing::In(MemberState::Broken)
+            )
+        };
+        let any_lost = standings.iter().any(is_lost);
+        let any_leaving = standings.iter().any(|s| matches!(s, Standing::Leaving(_)));
+        match group.phase {
+            GroupPhase::Forming { until } => {
+                let all_ready = standings
+                    .iter()
+                    .all(|s| *s == Standing::In(MemberState::Ready));
+                if any_lost || any_leaving || now > until || (all_ready && group.is_warming) {
+                    // A group that was never ordered to open has no head that serves.
+                    group.is_head_gone = true;
+                    group.enter(GroupPhase::Ended, now);
+                } else if all_ready {
+                    group.enter(GroupPhase::Opening, now);
+                    self.advance_opening(group, now, actions);
+                } else {
+                    self.order_joins(group, &standings, board, now, actions);
+                }
+            }
+            GroupPhase::Opening => {
+                if any_lost || any_leaving {
+                    self.release(group, board, now, actions);
+                } else if head == Standing::In(MemberState::Open) {
+                    group.enter(GroupPhase::Open, now);
+                } else {
+                    self.advance_opening(group, now, actions);
+                }
+            }
+            GroupPhase::Open => {
+                let is_open = matches!(
+                    head,
+                    Standing::In(MemberState::Open) | Standing::Leaving(MemberState::Open)
+                );
+                if any_lost || !is_open {
+                    self.release(group, board, now, actions);
+                } else if any_leaving {
+                    group.enter(GroupPhase::Finishing, now);
+                    self.finish(group, board, now, actions);
+                } else {
+                    self.watch_members(group, board, now, actions);
+                }
+            }
+            GroupPhase::Finishing => {
+                let is_overdue = now.saturating_duration_since(group.phase_since) > FINISH_LIMIT;
+                if any_lost || is_overdue || self.has_finished(group, head, board) {
+                    self.release(group, board, now, actions);
+                } else {
+                    self.finish(group, board, now, actions);
+                }
+            }
+            GroupPhase::Releasing => {
+                let is_whole = !any_lost && head == Standing::In(MemberState::Open);
+                if is_whole && !group.may_have_left && group.close_accepted_at.is_none() {
+                    // What seemed lost was cut off for a while.
+                    group.enter(GroupPhase::Open, now);
+                } else {
+                    self.release(group, board, now, actions);
+                }
+            }
+            GroupPhase::Ended => {}
+        }
+    }
+
+    fn finish(
+        &mut self,
+        group: &Group,
+        board: &HostBoard,
+        now: Instant,
+        actions: &mut Vec<FormationAction>,
+    ) {
+        if group.close_accepted_at.is_none() {
+            let order = GroupOrder::Close {
+                group: group.id.clone(),
+                epoch: group.epoch,
+                mode: CloseMode::Finish,
+            };
+            self.order_head(group, order, now, actions);
+        }
+        self.watch_members(group, board, now, actions);
+    }
+
+    /// Returns whether the head has closed since it was ordered to.
+    fn has_finished(&self, group: &Group, head: Standing, board: &HostBoard) -> bool {
+        let is_closed = matches!(
+            head,
+            Standing::In(MemberState::Ready) | Standing::Leaving(MemberState::Ready)
+        );
+        let record_at = group
+            .head()
+            .and_then(|head| board.get(&head.host))
+            .map(HostEntry::record_at);
+        let is_newer = group
+            .close_accepted_at
+            .is_some_and(|at| record_at.is_some_and(|r| r > at));
+        is_closed && is_newer
+    }
+
+    fn advance_opening(
+        &mut self,
+        group: &mut Group,
+        now: Instant,
+        actions: &mut Vec<FormationAction>,
+    ) {
+        let order = GroupOrder::Open {
+            group: group.id.clone(),
+            epoch: group.epoch,
+        };
+        self.order_head(group, order, now, actions);
+    }
+
+    /// Orders the head to leave, until it has or its process has ended. While the head can't be
+    /// reached it may serve on, so each other member is ordered to leave for itself.
+    fn release(
+        &mut self,
+        group: &mut Group,
+        board: &HostBoard,
+        now: Instant,
+        actions: &mut Vec<FormationAction>,
+    ) {
+        if group.phase != GroupPhase::Releasing {
+            group.enter(GroupPhase::Releasing, now);
+        }
+        let Some(head) = group.head().cloned() else {
+            self.release_members(group, board, now, actions);
+            return;
+        };
+        let standing = self.standing(group, &head, board, now);
+        let has_new_life = board.get(&head.host).is_some_and(|entry| {
+            entry.record.incarnation != head.incarnation || entry.liveness == Liveness::Ended
+        });
+        let is_gone = has_new_life
+            || matches!(
+                standing,
+                Standing::In(MemberState::Broken) | Standing::Elsewhere
+            );
+        if is_gone {
+            group.is_head_gone = true;
+            group.enter(GroupPhase::Ended, now);
+            return;
+        }
+        if standing == Standing::Lost {
+            self.release_members(group, board, now, actions);
+        }
+        self.push_leave(group, &head, now, actions);
+        self.ask_report(&head, now, actions);
+    }
+
+    fn release_members(
+        &mut self,
+        group: &mut Group,
+        board: &HostBoard,
+        now: Instant,
+        actions: &mut Vec<FormationAction>,
+    ) {
+        let mut all_left = true;
+        let head = group.head().map(|head| head.host.clone());
+        for index in 0..group.members.len() {
+            let member = group.members[index].clone();
+            if Some(&member.host) == head.as_ref() || member.has_left {
+                continue;
+            }
+            match self.standing(group, &member, board, now) {
+                Standing::Lost => {}
+                Standing::Elsewhere => group.members[index].has_left = true,
+                _ => {
+                    all_left = false;
+                    group.may_have_left = true;
+                    self.push_leave(group, &member, now, actions);
+                }
+            }
+        }
+        if all_left {
+            group.enter(GroupPhase::Ended, now);
+        }
+    }
+
+    fn push_leave(
+        &mut self,
+        group: &Group,
+        member: &GroupMember,
+        now: Instant,
+        actions: &mut Vec<FormationAction>,
+    ) {
+        let order = GroupOrder::Leave {
+            group: group.id.clone(),
+            epoch: group.epoch,
+        };
+        self.push_order(member, order, now, actions);
+    }
+
+    fn standing(
+        &self,
+        group: &Group,
+        member: &GroupMember,
+        board: &HostBoard,
+        now: Instant,
+    ) -> Standing {
+        let Some(entry) = board.get(&member.host) else {
+            return Standing::Lost;
+        };
+        if entry.record.incarnation != member.incarnation {
+            return Standing::Lost;
+        }
+        if entry.is_lost(self.settings.report_misses) {
+            return Standing::Lost;
+        }
+        let is_head = group.head().is_some_and(|head| head.host == member.host);
+        if !entry.is_listed(now) && !self.is_held_by_report(entry, is_head, now) {
+            return Standing::Lost;
+        }
+        match entry.membership() {
+            Some(membership) if membership.group == group.id => match entry.record.availability {
+                Availability::Ready => Standing::In(membership.state),
+                Availability::Draining => Standing::Leaving(membership.state),
+            },
+            _ if member.has_joined => self.standing_after_join(group, now),
+            _ => Standing::Pending,
+        }
+    }
+
+    /// An accepted join shows in the host's record a moment later.
+    fn standing_after_join(&self, group: &Group, now: Instant) -> Standing {
+        let is_forming = matches!(group.phase, GroupPhase::Forming { .. });
+        let is_recent =
+            now.saturating_duration_since(group.phase_since) < self.settings.forming_slack;
+        if is_forming && is_recent {
+            Standing::Pending
+        } else {
+            Standing::Elsewhere
+        }
+    }
+
+    /// A member that the registry dropped may be cut off from the registry only. Its group goes on
+    /// while the member says so itself; a head gets no new work and is not kept.
+    fn is_held_by_report(&self, entry: &HostEntry, is_head: bool, now: Instant) -> bool {
+        if is_head {
+            return false;
+        }
+        let heard_at = entry.reported.as_ref().map(|(_, at)| *at);
+        let heard_at = heard_at.max(entry.departs_at);
+        heard_at.is_some_and(|at| now.saturating_duration_since(at) < UNLISTED_REPORT_WAIT)
+    }
+
+    /// Asks for the reports of members that are in doubt.
+    fn watch_members(
+        &mut self,
+        group: &Group,
+        board: &HostBoard,
+        now: Instant,
+        actions: &mut Vec<FormationAction>,
+    ) {
+        self.stalled.retain(|(_, until)| now < *until);
+        let head = group.head().map(|head| &head.host);
+        let is_stalled = self.stalled.iter().any(|(host, _)| Some(host) == head);
+        for member in &group.members {
+            let entry = board.get(&member.host);
+            let is_in_doubt = entry
+                .is_some_and(|entry| !entry.is_listed(now) || entry.liveness != Liveness::Assumed);
+            if is_stalled || is_in_doubt {
+                self.ask_report(member, now, actions);
+            }
+        }
+    }
+
+    fn ask_report(
+        &mut self,
+        member: &GroupMember,
+        now: Instant,
+        actions: &mut Vec<FormationAction>,
+    ) {
+        let last = self.reports.get(&member.host);
+        let is_due = last.is_none_or(|last| last.until.is_some_and(|until| now >= until));
+        if is_due {
+            self.reports.insert(Outstanding {
+                host: member.host.clone(),
+                until: None,
+            });
+            actions.push(FormationAction::Report {
+                host: member.host.clone(),
+                address: member.address,
+            });
+        }
+    }
+
+    fn order_joins(
+        &mut self,
+        group: &Group,
+        standings: &[Standing],
+        board: &HostBoard,
+        now: Instant,
+        actions: &mut Vec<FormationAction>,
+    ) {
+        // A late order to open an old group can't take effect once its head has joined this one,
+        // so old heads go first.
+        let is_old_head = |member: &GroupMember| {
+            let membership = board.get(&member.host).and_then(HostEntry::membership);
+            membership.is_some_and(|m| m.rank == 0 && m.group != group.id)
+        };
+        let waiting = || group.members.iter().zip(standings);
+        let pending = waiting().filter(|(_, s)| **s == Standing::Pending);
+        let heads_wait = pending
+            .clone()
+            .any(|(m, _)| !m.has_joined && is_old_head(m));
+        for (member, _) in pending {
+            if heads_wait && !is_old_head(member) {
+                continue;
+            }
+            let order = GroupOrder::Join {
+                group: group.id.clone(),
+                epoch: group.epoch,
+                weights: group.weights.clone(),
+                members: group.members.iter().map(|m| m.host.clone()).collect(),
+            };
+            self.push_order(member, order, now, actions);
+        }
+    }
+
+    fn order_head(
+        &mut self,
+        group: &Group,
+        order: GroupOrder,
+        now: Instant,
+        actions: &mut Vec<FormationAction>,
+    ) {
+        if let Some(head) = group.head() {
+            self.push_order(head, order, now, actions);
+        }
+    }
+
+    pub(super) fn push_order(
+        &mut self,
+        member: &GroupMember,
+        order: GroupOrder,
+        now: Instant,
+        actions: &mut Vec<FormationAction>,
+    ) {
+        let last = self.outstanding.get(&member.host);
+        let is_due = last.is_none_or(|last| last.until.is_some_and(|until| now >= until));
+        if is_due {
+            self.outstanding.insert(Outstanding {
+                host: member.host.clone(),
+                until: None,
+            });
+            actions.push(FormationAction::Order {
+                host: member.host.clone(),
+                address: member.address,
+                order,
+            });
+        }
+    }
+}
--- a/lib/src/request/forward/plan.rs
+++ b/lib/src/request/forward/plan.rs
@@ -105,13 +105,11 @@
                 self.sends = self.sends.saturating_sub(1);
                 self.unconnected += 1;
                 let is_hopeless = self.unconnected >= UNCONNECTED_MAX || !self.has_time(now);
-                return if is_hopeless {
-                    NextStep::End(self.failure(NotRunReason::NoTarget))
-                } else if self.sends > 0 && !spend() {
-                    NextStep::End(self.failure(NotRunReason::NoTarget))
-                } else {
-                    NextStep::SendAgain
-                };
+                // A first send that never left is not a further one.
+                if is_hopeless || (self.sends > 0 && !spend()) {
+                    return NextStep::End(self.failure(NotRunReason::NoTarget));
+                }
+                return NextStep::SendAgain;
             }
             SendEnd::NotRun => {}
             SendEnd::TargetFailed | SendEnd::Broken | SendEnd::Silent => self.may_have_run = true,
