gateway: one entry of a data centre follows the platform and passes records on

Each entry followed the store by itself, so that calls grew with the entries, and an entry that the store turned away heard nothing. Now the entries of a data centre follow one of them, by revisions that are the platform's everywhere; one that does not answer, or that the platform has not confirmed for 1.1 s, is passed over and the platform is asked at once. What another entry passes on confirms nothing, so two entries can't keep each other believing. An entry that the platform turns away follows any other.

--- a/lib/src/process/gateway/follow.rs
+++ b/lib/src/process/gateway/follow.rs
@@ -13,9 +13,9 @@
 use crate::target::record::TargetRecord;
 use crate::version::routes::RouteDocument;
 
-/// How long the platform holds a call while nothing changes. A call costs as much as a change, and
-/// a silent connection is found only when its call is overdue.
-const WAIT: Duration = Duration::from_millis(2_500);
+/// How long the platform holds a call while nothing changes: those that follow this entry must know
+/// soon when it no longer reaches the platform.
+const WAIT: Duration = Duration::from_millis(800);
 /// The first pause after a failed call; it doubles up to the longest.
 const RETRY_PAUSE_MIN: Duration = Duration::from_millis(100);
 const RETRY_PAUSE_MAX: Duration = Duration::from_millis(800);
@@ -33,8 +33,8 @@
 
 /// What records are kept in.
 trait Sink<T> {
-    fn on_snapshot(&self, snapshot: Vec<T>);
-    fn on_changes(&self, changed: Vec<T>, removed: Vec<String>);
+    fn on_snapshot(&self, snapshot: Snapshot<T>);
+    fn on_changes(&self, changes: Changes<T>);
     fn on_outage_ended(&self);
 }
 
@@ -44,14 +44,19 @@
 where
     C: Clock,
 {
-    fn on_snapshot(&self, documents: Vec<RouteDocument>) {
-        for document in documents {
+    fn on_snapshot(&self, snapshot: Snapshot<RouteDocument>) {
+        for document in snapshot.records {
             self.0.offer_document(document);
         }
+        let revision = snapshot.revision;
+        self.0.with_document_log(|log, _| log.on_snapshot(revision));
     }
 
-    fn on_changes(&self, changed: Vec<RouteDocument>, _removed: Vec<String>) {
-        self.on_snapshot(changed);
+    fn on_changes(&self, changes: Changes<RouteDocument>) {
+        for document in &changes.changed {
+            self.0.offer_document(document.clone());
+        }
+        self.0.with_document_log(|log, _| log.on_changes(changes));
     }
 
     fn on_outage_ended(&self) {}
@@ -63,21 +68,26 @@
 where
     C: Clock,
 {
-    fn on_snapshot(&self, records: Vec<TargetRecord>) {
+    fn on_snapshot(&self, snapshot: Snapshot<TargetRecord>) {
+        let revision = snapshot.revision;
         self.0
-            .change_board(|board, now| board.on_snapshot(records, now));
+            .change_board(|board, now| board.on_snapshot(snapshot.records, now));
+        self.0.with_target_log(|log, _| log.on_snapshot(revision));
         self.0.note_targets_read();
     }
 
-    fn on_changes(&self, changed: Vec<TargetRecord>, removed: Vec<String>) {
-        self.0.change_board(|board, now| {
-            for host in removed.iter().filter_map(|host| host.parse().ok()) {
-                board.on_removed(&host, now);
-            }
-            for record in changed {
-                board.on_record(record, now);
-            }
-        });
+    fn on_changes(&self, changes: Changes<TargetRecord>) {
+        if !changes.changed.is_empty() || !changes.removed.is_empty() {
+            self.0.change_board(|board, now| {
+                for host in changes.removed.iter().filter_map(|host| host.parse().ok()) {
+                    board.on_removed(&host, now);
+                }
+                for record in &changes.changed {
+                    board.on_record(record.clone(), now);
+                }
+            });
+        }
+        self.0.with_target_log(|log, _| log.on_changes(changes));
     }
 
     fn on_outage_ended(&self) {
@@ -153,13 +163,11 @@
         match answer {
             Ok(Answer::Snapshot(snapshot)) => {
                 revision = Some(snapshot.revision);
-                sink.on_snapshot(snapshot.records);
+                sink.on_snapshot(snapshot);
             }
             Ok(Answer::Changes(changes)) => {
                 revision = Some(changes.revision);
-                if !changes.changed.is_empty() || !changes.removed.is_empty() {
-                    sink.on_changes(changes.changed, changes.removed);
-                }
+                sink.on_changes(changes);
             }
             Err(FeedError::HistoryLost { since }) => {
                 log::info!(what = what, since = since.0; "history is lost; all is read again");
--- a/lib/src/process/gateway/mod.rs
+++ b/lib/src/process/gateway/mod.rs
@@ -4,11 +4,13 @@
 //! [`crate::request::forward`], and forms groups by [`crate::process::formation`] while it holds
 //! the lease. All that it keeps is rebuilt from the platform after a restart.
 
+mod change_log;
 mod coordinate;
 mod follow;
 mod metrics;
 mod peers;
 mod ready;
+mod relay;
 mod run;
 mod serving;
 mod settings;
@@ -16,6 +18,7 @@
 mod tell;
 mod usage;
 
+pub use self::change_log::ChangeLog;
 pub use self::metrics::GatewayMetrics;
 pub use self::peers::PeerMessage;
 pub use self::peers::Peers;
--- a/lib/src/process/gateway/peers.rs
+++ b/lib/src/process/gateway/peers.rs
@@ -12,6 +12,7 @@
 use serde::Serialize;
 
 use crate::hash::rendezvous_weight;
+use crate::ids::DataCentreId;
 use crate::ids::EntryId;
 use crate::ids::HostId;
 use crate::ids::Incarnation;
@@ -24,6 +25,10 @@
 const TOLD_AGE_MAX: Duration = Duration::from_millis(700);
 /// How long a peer that is not heard of is still told.
 const PEER_MEMORY: Duration = Duration::from_secs(60);
+/// What the choice of the entry that follows the platform is hashed with.
+const SOURCE_KEY: &str = "records";
+/// How long a peer that did not pass records on is not asked again.
+const SOURCE_PAUSE: Duration = Duration::from_secs(5);
 /// The most peers that an entry tells, so that many entries don't crowd the network.
 const FANOUT_MAX: usize = 12;
 
@@ -55,8 +60,10 @@
     pub incarnation: Incarnation,
     /// The number of the datagram, which grows within a life.
     pub number: u64,
-    /// Where the sender is told.
+    /// Where the sender is told, and passes records on.
     pub address: SocketAddr,
+    /// The sender's data centre.
+    pub data_centre: DataCentreId,
     /// The sender's use of the targets.
     pub uses: Vec<ToldUse>,
     /// Heads whose streams have stopped at the sender.
@@ -70,9 +77,12 @@
 struct Peer {
     entry: EntryId,
     address: SocketAddr,
+    data_centre: DataCentreId,
     incarnation: Incarnation,
     number: u64,
     heard_at: Instant,
+    /// Until when the peer is not asked for records, since it did not answer.
+    avoided_until: Option<Instant>,
     told: Option<SortedVec<ToldUse>>,
 }
 
@@ -88,31 +98,41 @@
 #[derive(Clone, Debug)]
 pub struct Peers {
     own: EntryId,
+    data_centre: DataCentreId,
     peers: SortedVec<Peer>,
     has_requests: bool,
 }
 
 impl Peers {
     /// Creates the view of an entry that knows no peer.
-    pub fn new(own: EntryId) -> Self {
+    pub fn new(own: EntryId, data_centre: DataCentreId) -> Self {
         Self {
             own,
+            data_centre,
             peers: SortedVec::new(),
             has_requests: false,
         }
     }
 
     /// Takes a peer from the list of entries.
-    pub fn on_listed(&mut self, entry: EntryId, address: SocketAddr, now: Instant) {
+    pub fn on_listed(
+        &mut self,
+        entry: EntryId,
+        address: SocketAddr,
+        data_centre: DataCentreId,
+        now: Instant,
+    ) {
         if entry == self.own || self.peers.get(&entry).is_some_and(|p| p.address == address) {
             return;
         }
         self.peers.insert(Peer {
             entry,
             address,
+            data_centre,
             incarnation: Incarnation(0),
             number: 0,
             heard_at: now,
+            avoided_until: None,
             told: None,
         });
     }
@@ -132,12 +152,15 @@
             return false;
         }
         self.has_requests |= message.has_requests;
+        let avoided_until = known.and_then(|peer| peer.avoided_until);
         self.peers.insert(Peer {
             entry: message.entry.clone(),
             address: message.address,
+            data_centre: message.data_centre.clone(),
             incarnation: message.incarnation,
             number: message.number,
             heard_at: now,
+            avoided_until,
             told: Some(message.uses.iter().cloned().collect()),
         });
         true
@@ -159,6 +182,38 @@
         weights.filter(|weight| *weight > own).count()
     }
 
+    /// Returns the peer of this data centre that follows the platform for it, or `None` if this
+    /// entry does so itself. Every entry has the same order.
+    pub fn source(&self, now: Instant) -> Option<SocketAddr> {
+        let own = rendezvous_weight(SOURCE_KEY, self.own.as_str());
+        let near = self
+            .usable_sources(now)
+            .filter(|peer| peer.data_centre == self.data_centre);
+        let best = near.max_by_key(|peer| rendezvous_weight(SOURCE_KEY, peer.entry.as_str()))?;
+        let is_ahead = rendezvous_weight(SOURCE_KEY, best.entry.as_str()) > own;
+        is_ahead.then_some(best.address)
+    }
+
+    /// Returns a peer of any data centre to follow while the platform turns this entry away.
+    pub fn substitute_source(&self, now: Instant) -> Option<SocketAddr> {
+        let own = self.own.as_str();
+        let usable = self.usable_sources(now);
+        let best = usable.max_by_key(|peer| rendezvous_weight(own, peer.entry.as_str()))?;
+        Some(best.address)
+    }
+
+    fn usable_sources(&self, now: Instant) -> impl Iterator<Item = &Peer> {
+        let is_usable = move |peer: &&Peer| peer.avoided_until.is_none_or(|until| now >= until);
+        self.peers.iter().filter(is_usable)
+    }
+
+    /// Takes note that a peer did not pass records on.
+    pub fn on_source_failed(&mut self, address: SocketAddr, now: Instant) {
+        for peer in self.peers.iter_mut().filter(|peer| peer.address == address) {
+            peer.avoided_until = Some(now + SOURCE_PAUSE);
+        }
+    }
+
     /// Returns whether any peer has had a request.
     pub fn has_requests(&self) -> bool {
         self.has_requests
--- a/lib/src/process/gateway/run.rs
+++ b/lib/src/process/gateway/run.rs
@@ -17,6 +17,8 @@
 use super::metrics::GatewayMetrics;
 use super::ready::MetricsHandler;
 use super::ready::ReadyHandler;
+use super::relay::RelayHandler;
+use super::relay::RelayedFeed;
 use super::settings::GatewaySettings;
 use super::state::GatewayContext;
 use super::state::GatewayPlatform;
@@ -113,8 +115,20 @@
         };
         background.spawn(serve(listener, metrics, server, never));
     }
-    background.spawn(follow_documents(Arc::clone(&state), platform.clone()));
-    background.spawn(follow_targets(Arc::clone(&state), platform.clone()));
+    let relay = RelayHandler {
+        state: Arc::clone(&state),
+    };
+    let relay_listener = bind(listen.peers).await?;
+    background.spawn(serve(
+        relay_listener,
+        relay,
+        server,
+        CancellationToken::new(),
+    ));
+    let documents = RelayedFeed::new(Arc::clone(&state), platform.clone());
+    let records = RelayedFeed::new(Arc::clone(&state), platform.clone());
+    background.spawn(follow_documents(Arc::clone(&state), documents));
+    background.spawn(follow_targets(Arc::clone(&state), records));
     background.spawn(follow_entries(Arc::clone(&state), platform.clone()));
     background.spawn(tell_peers(
         Arc::clone(&state),
--- a/lib/src/process/gateway/state.rs
+++ b/lib/src/process/gateway/state.rs
@@ -10,6 +10,7 @@
 
 use tokio::sync::Notify;
 
+use super::change_log::ChangeLog;
 use super::metrics::GatewayMetrics;
 use super::peers::PeerMessage;
 use super::peers::Peers;
@@ -20,8 +21,10 @@
 use super::usage::UsageBoard;
 use crate::clock::Clock;
 use crate::ids::HostId;
+use crate::ids::Revision;
 use crate::ids::ServiceId;
 use crate::platform::Table;
+use crate::platform::feed::Changes;
 use crate::platform::feed::Feed;
 use crate::process::formation::HostBoard;
 use crate::process::lifecycle::Lifecycle;
@@ -88,6 +91,8 @@
     has_targets: bool,
     sampler: LogSampler,
     peers: Peers,
+    target_log: ChangeLog<TargetRecord>,
+    document_log: ChangeLog<RouteDocument>,
     /// Heads whose streams stopped here, and when, for the other entries.
     stalled_to_tell: Vec<(HostId, Instant)>,
 }
@@ -104,6 +109,8 @@
     pub started_at: Instant,
     /// Woken when the targets have changed.
     pub targets_changed: Notify,
+    /// Woken when records have changed that others follow here.
+    pub records_changed: Notify,
     /// The process's metrics.
     pub metrics: GatewayMetrics,
     inner: Mutex<Inner>,
@@ -124,7 +131,7 @@
     /// Creates the state of a process that knows nothing yet.
     pub fn new(settings: GatewaySettings, clock: C, metrics: GatewayMetrics) -> Self {
         let now = clock.now();
-        let peers = Peers::new(settings.entry.clone());
+        let peers = Peers::new(settings.entry.clone(), settings.data_centre.clone());
         Self {
             settings,
             metrics,
@@ -132,6 +139,7 @@
             clock,
             lifecycle: Lifecycle::default(),
             targets_changed: Notify::new(),
+            records_changed: Notify::new(),
             inner: Mutex::new(Inner {
                 document: None,
                 board: HostBoard::new(),
@@ -144,6 +152,8 @@
                 has_targets: false,
                 sampler: LogSampler::new(now),
                 peers,
+                target_log: ChangeLog::default(),
+                document_log: ChangeLog::default(),
                 stalled_to_tell: Vec::new(),
             }),
         }
@@ -256,6 +266,94 @@
         }
     }
 
+    /// Changes the log of the targets' records.
+    pub fn with_target_log<F>(&self, change: F)
+    where
+        F: FnOnce(&mut ChangeLog<TargetRecord>, Instant),
+    {
+        let now = self.clock.now();
+        change(&mut self.inner().target_log, now);
+        self.records_changed.notify_waiters();
+    }
+
+    /// Changes the log of the configuration.
+    pub fn with_document_log<F>(&self, change: F)
+    where
+        F: FnOnce(&mut ChangeLog<RouteDocument>, Instant),
+    {
+        let now = self.clock.now();
+        change(&mut self.inner().document_log, now);
+        self.records_changed.notify_waiters();
+    }
+
+    /// Returns the targets' records after `since`, or all of them and true if they don't go back so
+    /// far; `None` if the platform has not confirmed them lately.
+    pub fn target_changes(&self, since: Option<Revision>) -> Option<(bool, Changes<TargetRecord>)> {
+        let now = self.clock.now();
+        let inner = self.inner();
+        let revision = inner.target_log.confirmed_revision(now)?;
+        if let Some(changes) = since.and_then(|since| inner.target_log.changes_since(since)) {
+            return Some((false, changes));
+        }
+        let listed = inner
+            .board
+            .iter()
+            .filter(|entry| entry.departs_at.is_none());
+        Some((
+            true,
+            Changes {
+                changed: listed.map(|entry| entry.record.clone()).collect(),
+                removed: Vec::new(),
+                revision,
+            },
+        ))
+    }
+
+    /// Returns the configuration if it is newer than `since`; `None` if the platform has not
+    /// confirmed it lately.
+    pub fn document_changes(
+        &self,
+        since: Option<Revision>,
+    ) -> Option<(bool, Changes<RouteDocument>)> {
+        let now = self.clock.now();
+        let inner = self.inner();
+        let revision = inner.document_log.confirmed_revision(now)?;
+        if let Some(changes) = since.and_then(|since| inner.document_log.changes_since(since)) {
+            return Some((false, changes));
+        }
+        let document = inner.document.as_ref()?;
+        Some((
+            true,
+            Changes {
+                changed: vec![RouteDocument::clone(document)],
+                removed: Vec::new(),
+                revision,
+            },
+        ))
+    }
+
+    /// Returns the entry to follow records at, or `None` if the platform is followed here.
+    pub fn source(&self) -> Option<SocketAddr> {
+        // The entry that forms groups hears of changes first.
+        if self.metrics.holds_lease.get() > 0 {
+            return None;
+        }
+        let now = self.clock.now();
+        self.inner().peers.source(now)
+    }
+
+    /// Returns another entry to follow records at while the platform can't be read here.
+    pub fn substitute_source(&self) -> Option<SocketAddr> {
+        let now = self.clock.now();
+        self.inner().peers.substitute_source(now)
+    }
+
+    /// Takes note that an entry did not pass records on.
+    pub fn on_source_failed(&self, address: SocketAddr) {
+        let now = self.clock.now();
+        self.inner().peers.on_source_failed(address, now);
+    }
+
     /// Returns how many requests have come.
     pub fn request_count(&self) -> u64 {
         self.inner().requests
--- a/lib/src/process/gateway/tell.rs
+++ b/lib/src/process/gateway/tell.rs
@@ -12,6 +12,7 @@
 use super::peers::TELL_INTERVAL;
 use super::state::GatewayState;
 use crate::clock::Clock;
+use crate::ids::DataCentreId;
 use crate::ids::EntryId;
 use crate::ids::Incarnation;
 use crate::ids::new_attempt_id;
@@ -35,6 +36,7 @@
 struct EntryRow {
     entry: EntryId,
     address: SocketAddr,
+    data_centre: DataCentreId,
 }
 
 /// Lists this entry in the table and takes the others from there.
@@ -73,6 +75,7 @@
     let row = EntryRow {
         entry: state.settings.entry.clone(),
         address: state.settings.listen.peers,
+        data_centre: state.settings.data_centre.clone(),
     };
     let value = serde_json::to_string(&row).map_err(|error| PlatformError::Protocol {
         reason: error.to_string(),
@@ -98,7 +101,9 @@
     let now = state.clock.now();
     for row in platform.scan(ENTRY_PREFIX.to_owned()).await? {
         match serde_json::from_str::<EntryRow>(&row.value) {
-            Ok(row) => state.with_peers(|peers| peers.on_listed(row.entry, row.address, now)),
+            Ok(row) => state.with_peers(|peers| {
+                peers.on_listed(row.entry, row.address, row.data_centre, now);
+            }),
             Err(error) => log::warn!(key = row.key.as_str(); "entry's row is left out: {error}"),
         }
     }
@@ -125,6 +130,7 @@
             incarnation,
             number,
             address: state.settings.listen.peers,
+            data_centre: state.settings.data_centre.clone(),
             uses,
             stalled,
             has_requests: state.request_count() > 0,
--- a/lib/src/target/record.rs
+++ b/lib/src/target/record.rs
@@ -6,6 +6,8 @@
 
 use derive_more::Display;
 use derive_more::Error;
+use serde::Deserialize;
+use serde::Serialize;
 
 use crate::ids::DataCentreId;
 use crate::ids::Epoch;
@@ -18,7 +20,7 @@
 use crate::sorted::Keyed;
 
 /// Whether a target takes new work.
-#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Display, Eq, PartialEq, Serialize)]
 pub enum Availability {
     /// The target takes new work.
     #[display("ready")]
@@ -29,7 +31,7 @@
 }
 
 /// How far a host has come in the group that it was ordered to join.
-#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Display, Eq, PartialEq, Serialize)]
 pub enum MemberState {
     /// The host loads the weights.
     #[display("joining")]
@@ -49,7 +51,7 @@
 }
 
 /// A host's place in a group, as the host reports it.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Membership {
     /// The group.
     pub group: GroupId,
@@ -62,7 +64,7 @@
 }
 
 /// A target as the registry lists it.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct TargetRecord {
     /// The target.
     pub host: HostId,
--- a/lib/src/version/routes.rs
+++ b/lib/src/version/routes.rs
@@ -6,6 +6,8 @@
 use std::time::Duration;
 
 use derive_more::Display;
+use serde::Deserialize;
+use serde::Serialize;
 
 use crate::hash::rendezvous_weight;
 use crate::ids::AccountId;
@@ -16,7 +18,7 @@
 use crate::sorted::SortedVec;
 
 /// What may be repeated of a route's requests.
-#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Display, Eq, PartialEq, Serialize)]
 pub enum RouteKind {
     /// A request may run more than once.
     #[display("idempotent")]
@@ -49,7 +51,7 @@
 }
 
 /// A service's share of a route's requests.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ServiceShare {
     /// The service.
     pub service: ServiceId,
@@ -58,7 +60,7 @@
 }
 
 /// How the requests of one host name and path prefix are handled.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Route {
     /// The route's name, for logs.
     pub name: String,
@@ -106,7 +108,7 @@
 }
 
 /// A model as the engines of a service run it.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct ModelSheet {
     /// The weights.
     pub weights: WeightsId,
@@ -123,7 +125,7 @@
 }
 
 /// What is known of a service's model engines.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct EngineSheet {
     /// The models, in the configuration's order.
     pub models: Vec<ModelSheet>,
@@ -153,7 +155,7 @@
 }
 
 /// A service as the configuration describes it.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct ServiceSheet {
     /// The service.
     pub service: ServiceId,
@@ -172,7 +174,7 @@
 }
 
 /// Bounds on what callers send.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct CallerLimits {
     /// The longest head of a request.
     pub head_limit_bytes: usize,
@@ -185,7 +187,7 @@
 }
 
 /// The client account that a key belongs to.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct AccountKey {
     /// The key as callers send it.
     pub api_key: String,
@@ -224,7 +226,7 @@
 }
 
 /// One version of an environment's routes, services and accounts.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct RouteDocument {
     /// The version, which only grows.
     pub version: DocumentVersion,
--- a/lib/tests/test_gateway_peers.rs
+++ b/lib/tests/test_gateway_peers.rs
@@ -3,14 +3,22 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use beryltray_lib::ids::DataCentreId;
 use beryltray_lib::ids::HostId;
 use beryltray_lib::ids::Incarnation;
+use beryltray_lib::ids::Revision;
+use beryltray_lib::platform::feed::Changes;
+use beryltray_lib::process::gateway::ChangeLog;
 use beryltray_lib::process::gateway::PeerMessage;
 use beryltray_lib::process::gateway::Peers;
 use beryltray_lib::process::gateway::ToldUse;
 use beryltray_lib::request::forward::choose::TargetOption;
 use beryltray_lib::request::forward::choose::choose_target;
 
+fn centre() -> DataCentreId {
+    "lakes-a".parse().unwrap()
+}
+
 fn message(entry: usize, life: u64, number: u64, uses: &[(&str, u32)]) -> PeerMessage {
     let told = |(host, in_flight): &(&str, u32)| ToldUse {
         host: host.parse().unwrap(),
@@ -22,6 +30,7 @@
         incarnation: Incarnation(life),
         number,
         address: format!("127.0.0.1:{}", 1_000 + entry).parse().unwrap(),
+        data_centre: centre(),
         uses: uses.iter().map(told).collect(),
         stalled: Vec::new(),
         has_requests: true,
@@ -35,7 +44,7 @@
 #[test]
 fn peers_uses_are_summed_and_lapse_when_a_peer_falls_silent() {
     let now = Instant::now();
-    let mut peers = Peers::new("entry-0".parse().unwrap());
+    let mut peers = Peers::new("entry-0".parse().unwrap(), centre());
     assert!(peers.on_message(&message(1, 1, 1, &[("a", 2), ("b", 1)]), now));
     assert!(peers.on_message(&message(2, 1, 1, &[("a", 3)]), now));
     assert_eq!(peers.use_of(&host("a"), now), (5.0, 500.0));
@@ -48,7 +57,7 @@
 #[test]
 fn peers_overtaken_datagram_is_no_news_but_a_new_life_is() {
     let now = Instant::now();
-    let mut peers = Peers::new("entry-0".parse().unwrap());
+    let mut peers = Peers::new("entry-0".parse().unwrap(), centre());
     assert!(peers.on_message(&message(1, 5, 9, &[("a", 2)]), now));
     assert!(!peers.on_message(&message(1, 5, 8, &[("a", 7)]), now));
     assert!(!peers.on_message(&message(0, 5, 1, &[]), now));
@@ -59,7 +68,7 @@
 #[test]
 fn peers_life_with_a_clock_set_back_is_heard_after_a_silence() {
     let now = Instant::now();
-    let mut peers = Peers::new("entry-0".parse().unwrap());
+    let mut peers = Peers::new("entry-0".parse().unwrap(), centre());
     assert!(peers.on_message(&message(1, 9, 9, &[("a", 2)]), now));
     let later = now + Duration::from_secs(1);
     assert!(peers.on_message(&message(1, 4, 1, &[("a", 1)]), later));
@@ -68,10 +77,15 @@
 #[test]
 fn peers_many_are_told_by_a_bounded_number_and_stand_for_the_others() {
     let now = Instant::now();
-    let mut peers = Peers::new("entry-0".parse().unwrap());
+    let mut peers = Peers::new("entry-0".parse().unwrap(), centre());
     for entry in 1..=76 {
         let address = format!("127.0.0.1:{}", 1_000 + entry).parse().unwrap();
-        peers.on_listed(format!("entry-{entry}").parse().unwrap(), address, now);
+        peers.on_listed(
+            format!("entry-{entry}").parse().unwrap(),
+            address,
+            centre(),
+            now,
+        );
     }
     assert_eq!(peers.addresses(now).len(), 12);
     for entry in 1..=19 {
@@ -89,7 +103,7 @@
     let entries: usize = 8;
     let mut own = vec![vec![0_u32; names.len()]; entries];
     let mut views: Vec<Peers> = (0..entries)
-        .map(|entry| Peers::new(format!("entry-{entry}").parse().unwrap()))
+        .map(|entry| Peers::new(format!("entry-{entry}").parse().unwrap(), centre()))
         .collect();
     for round in 0..30_u64 {
         for entry in 0..entries {
@@ -126,3 +140,91 @@
     let spread = totals.iter().max().unwrap() - totals.iter().min().unwrap();
     assert!(spread <= 8, "{totals:?}");
 }
+
+#[test]
+fn source_one_entry_of_a_data_centre_follows_the_platform() {
+    let now = Instant::now();
+    let entries = 5;
+    let views: Vec<Peers> = (0..entries)
+        .map(|entry| {
+            let mut view = Peers::new(format!("entry-{entry}").parse().unwrap(), centre());
+            for other in (0..entries).filter(|other| *other != entry) {
+                view.on_message(&message(other, 1, 1, &[]), now);
+            }
+            view
+        })
+        .collect();
+    let sources: Vec<_> = views.iter().filter_map(|view| view.source(now)).collect();
+    assert_eq!(sources.len(), entries - 1);
+    assert!(sources.iter().all(|source| *source == sources[0]));
+}
+
+#[test]
+fn source_that_fails_is_followed_by_the_next_and_tried_again_later() {
+    let now = Instant::now();
+    let mut peers = Peers::new("entry-0".parse().unwrap(), centre());
+    for other in 1..6 {
+        peers.on_message(&message(other, 1, 1, &[]), now);
+    }
+    let first = peers.substitute_source(now).unwrap();
+    peers.on_source_failed(first, now);
+    let second = peers.substitute_source(now).unwrap();
+    assert_ne!(first, second);
+    assert_ne!(peers.source(now), Some(first));
+    let later = now + Duration::from_secs(6);
+    assert_eq!(peers.substitute_source(later), Some(first));
+}
+
+fn changes(revision: u64, changed: &[u32]) -> Changes<u32> {
+    Changes {
+        changed: changed.to_vec(),
+        removed: Vec::new(),
+        revision: Revision(revision),
+    }
+}
+
+#[test]
+fn change_log_passes_on_what_came_after_a_revision() {
+    let now = Instant::now();
+    let mut log = ChangeLog::default();
+    assert_eq!(log.confirmed_revision(now), None);
+    log.on_snapshot(Revision(10));
+    log.confirm(now);
+    log.on_changes(changes(12, &[1]));
+    log.on_changes(changes(15, &[2, 3]));
+    assert_eq!(log.changes_since(Revision(12)).unwrap().changed, [2, 3]);
+    assert_eq!(log.changes_since(Revision(10)).unwrap().changed, [1, 2, 3]);
+    assert_eq!(
+        log.changes_since(Revision(15)).unwrap().changed,
+        Vec::<u32>::new()
+    );
+    assert_eq!(log.changes_since(Revision(9)), None);
+}
+
+#[test]
+fn change_log_that_the_platform_has_not_confirmed_lately_is_not_passed_on() {
+    let now = Instant::now();
+    let mut log = ChangeLog::default();
+    log.on_snapshot(Revision(10));
+    log.confirm(now);
+    assert_eq!(log.confirmed_revision(now), Some(Revision(10)));
+    let later = now + Duration::from_secs(2);
+    assert_eq!(log.confirmed_revision(later), None);
+    // What another entry passes on confirms nothing.
+    log.on_changes(changes(11, &[1]));
+    assert_eq!(log.confirmed_revision(later), None);
+    log.confirm(later);
+    assert_eq!(log.confirmed_revision(later), Some(Revision(11)));
+}
+
+#[test]
+fn change_log_caller_ahead_of_the_log_keeps_its_revision() {
+    let now = Instant::now();
+    let mut log = ChangeLog::<u32>::default();
+    log.on_snapshot(Revision(10));
+    log.confirm(now);
+    assert_eq!(
+        log.changes_since(Revision(20)).unwrap().revision,
+        Revision(20)
+    );
+}
