--- a/cli/src/logging.rs
+++ b/cli/src/logging.rs
@@ -43,10 +43,11 @@
 
 impl<'kvs> VisitSource<'kvs> for Fields {
     fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), log::kv::Error> {
-        let value = match (value.to_u64(), value.to_bool()) {
-            (Some(number), _) => number.into(),
-            (None, Some(is_true)) => is_true.into(),
-            (None, None) => value.to_string().into(),
+        let value = match (value.to_u64(), value.to_f64(), value.to_bool()) {
+            (Some(number), _, _) => number.into(),
+            (None, Some(number), _) => number.into(),
+            (None, None, Some(is_true)) => is_true.into(),
+            (None, None, None) => value.to_string().into(),
         };
         self.0.insert(key.as_str().to_owned(), value);
         Ok(())
--- a/lib/src/process/gateway/mod.rs
+++ b/lib/src/process/gateway/mod.rs
@@ -5,6 +5,7 @@
 //! the lease. All that it keeps is rebuilt from the platform after a restart.
 
 mod change_log;
+mod context;
 mod coordinate;
 mod follow;
 mod metrics;
--- a/lib/src/process/gateway/run.rs
+++ b/lib/src/process/gateway/run.rs
@@ -11,6 +11,7 @@
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 
+use super::context::GatewayContext;
 use super::coordinate::coordinate;
 use super::follow::follow_documents;
 use super::follow::follow_targets;
@@ -20,7 +21,6 @@
 use super::relay::RelayHandler;
 use super::relay::RelayedFeed;
 use super::settings::GatewaySettings;
-use super::state::GatewayContext;
 use super::state::GatewayPlatform;
 use super::state::GatewayState;
 use super::tell::follow_entries;
--- a/lib/src/request/forward/send.rs
+++ b/lib/src/request/forward/send.rs
@@ -43,6 +43,21 @@
 }
 pub(super) use log_request;
 
+/// A value in a log line, or the word "none".
+pub(super) struct OrNone<T>(pub(super) Option<T>);
+
+impl<T> std::fmt::Display for OrNone<T>
+where
+    T: std::fmt::Display,
+{
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match &self.0 {
+            Some(value) => value.fmt(formatter),
+            None => formatter.write_str("none"),
+        }
+    }
+}
+
 /// A request on its way, with all that decides about its sends.
 #[derive(Debug)]
 pub(super) struct Passage<X> {
@@ -114,13 +129,13 @@
         let version = self.context.document().map(|document| document.version.0);
         log_request!(
             self, route = self.route.name.as_str(), service:% = self.service,
-            weights:? = self.need.weights.as_ref().map(crate::ids::WeightsId::as_str),
-            account:? = self.account.as_ref().map(AccountId::as_str),
+            weights:% = OrNone(self.need.weights.as_ref()),
+            account:% = OrNone(self.account.as_ref()),
             target:% = target.host(), options = basis.options, suspects = basis.suspects,
             in_flight = basis.in_flight,
-            load_age_ms:? = basis.load_age.map(|age| age.as_millis()),
+            load_age_ms:% = OrNone(basis.load_age.map(|age| age.as_millis())),
             expected_ms = target.expected_wait().as_millis() as u64,
-            excluded = self.need.excluded.len(), version:? = version,
+            excluded = self.need.excluded.len(), version:% = OrNone(version),
             time_left_ms = self.time_left().as_millis() as u64;
             "target is chosen"
         );
--- a/lib/src/request/forward/stream.rs
+++ b/lib/src/request/forward/stream.rs
@@ -17,6 +17,7 @@
 use super::protocol::CallerProtocol as _;
 use super::protocol::Failure;
 use super::send::Arrived;
+use super::send::OrNone;
 use super::send::Passage;
 use super::send::log_request;
 use crate::connection::body::BodySender;
@@ -221,7 +222,7 @@
         stream.arrived.target.on_end(Some(failed));
         let host = stream.arrived.target.host().clone();
         log_request!(passage, target:% = host, end:% = failed,
-            events = place.passed(), last_event:? = place.last_event(),
+            events = place.passed(), last_event:% = OrNone(place.last_event()),
             elapsed_ms = passage.elapsed_ms();
             "stream broke off at its target"
         );
