--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -4,6 +4,7 @@
 mod test_change;
 mod test_claim_store;
 mod test_claims;
+mod test_clock;
 mod test_connection;
 mod test_document;
 mod test_exchange;
