formation: an order waits for the answer before it, not for its time of repetition

After each accepted order the host got no other one for 300 ms, the time after which an order without effect is repeated: a host that had left could not join, and a head that had joined could not open. Only the same order waits now; the test failed first.

--- a/lib/src/process/formation/machine.rs
+++ b/lib/src/process/formation/machine.rs
@@ -70,6 +70,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct Outstanding {
     pub(super) host: HostId,
+    /// The order, if the call was one.
+    pub(super) order: Option<GroupOrder>,
     pub(super) until: Option<Instant>,
 }
 
@@ -238,6 +240,7 @@
         };
         self.outstanding.insert(Outstanding {
             host: host.clone(),
+            order: Some(order.clone()),
             until: Some(now + retry),
         });
         let group = match order {
@@ -292,6 +295,7 @@
     pub fn on_report_done(&mut self, host: &HostId, now: Instant) {
         self.reports.insert(Outstanding {
             host: host.clone(),
+            order: None,
             until: Some(now + self.settings.report_interval),
         });
     }
--- a/lib/src/process/formation/phases.rs
+++ b/lib/src/process/formation/phases.rs
@@ -37,6 +37,7 @@
     /// The host's process ended, or it answers nothing.
     Lost,
 }
+
 impl Formation {
     pub(super) fn advance(
         &mut self,
@@ -337,6 +338,7 @@
         if is_due {
             self.reports.insert(Outstanding {
                 host: member.host.clone(),
+                order: None,
                 until: None,
             });
             actions.push(FormationAction::Report {
@@ -398,11 +400,15 @@
         now: Instant,
         actions: &mut Vec<FormationAction>,
     ) {
-        let last = self.outstanding.get(&member.host);
-        let is_due = last.is_none_or(|last| last.until.is_some_and(|until| now >= until));
+        let is_due = self.outstanding.get(&member.host).is_none_or(|last| {
+            // An order waits for the answer to the one before; only its own repetition waits on.
+            last.until
+                .is_some_and(|until| now >= until || last.order.as_ref() != Some(&order))
+        });
         if is_due {
             self.outstanding.insert(Outstanding {
                 host: member.host.clone(),
+                order: Some(order.clone()),
                 until: None,
             });
             actions.push(FormationAction::Order {
--- a/lib/tests/test_formation.rs
+++ b/lib/tests/test_formation.rs
@@ -218,6 +218,29 @@
     world.assert_promises_kept();
 }
 
+#[test]
+fn formation_repair_waits_for_no_repetition_of_an_earlier_order() {
+    // A host that had just left was not ordered to join until the order to leave could be repeated.
+    let mut world = World::open(&[11]);
+    let member = world.member(&large(), false);
+    let head = world.member(&large(), true);
+    world.fleet.lose(&member);
+    world.formation.on_stall(&head, world.now);
+    let is_released = |world: &World| {
+        world
+            .formation
+            .groups()
+            .all(|group| !group.has_member(&member))
+    };
+    while !is_released(&world) {
+        world.step();
+    }
+    // Joining takes 200 ms and opening 300 ms; the rest is some steps of the world.
+    world.run(Duration::from_millis(700));
+    assert_eq!(world.serving(), (1, 1));
+    world.assert_promises_kept();
+}
+
 #[test]
 fn formation_head_lost_frees_members_without_waiting_for_its_end() {
     let mut world = World::open(&[11, 11]);
