--- a/lib/src/process/gateway/settings.rs
+++ b/lib/src/process/gateway/settings.rs
@@ -11,6 +11,7 @@
 use crate::ini::IniReader;
 use crate::ini::SectionReader;
 use crate::process::formation::FormationSettings;
+use crate::process::settings::read_section;
 use crate::units::Share;
 
 const TIME_MIN: Duration = Duration::from_millis(1);
@@ -37,8 +38,6 @@
     pub retry: RetrySlack,
     /// How long after SIGTERM the process is killed.
     pub stop_limit: Duration,
-    /// How often targets renew their records.
-    pub heartbeat: Duration,
     /// The least severe level that is logged.
     pub log_level: LevelFilter,
 }
@@ -71,31 +70,24 @@
     /// Reads the settings; `file` names the text in messages.
     pub fn parse(file: &str, text: &str) -> Result<Self, IniErrors> {
         let mut reader = IniReader::parse(file, text);
-        let names = section(&mut reader, "entry", |s| {
+        let names = read_section(&mut reader, "entry", |s| {
             let first_start = s.optional_or("first-start", false);
             let name = s.required("name");
             let data_centre = s.required("data-centre");
             Some((name?, data_centre?, first_start))
         });
-        let listen = section(&mut reader, "listen", listen_section);
-        let platform = section(&mut reader, "platform", |s| {
+        let listen = read_section(&mut reader, "listen", listen_section);
+        let platform = read_section(&mut reader, "platform", |s| {
             // The command has chosen by it already.
             let _interface: String = s.optional_or("interface", String::new());
             s.required("address")
         });
-        let formation = section(&mut reader, "formation", formation_section);
-        let retry = section(&mut reader, "retry", retry_section);
-        let stop_limit = section(&mut reader, "shutdown", |s| {
+        let formation = read_section(&mut reader, "formation", formation_section);
+        let retry = read_section(&mut reader, "retry", retry_section);
+        let stop_limit = read_section(&mut reader, "shutdown", |s| {
             s.optional_in("limit", Duration::from_secs(8), TIME_MIN..=TIME_MAX)
         });
-        let heartbeat = section(&mut reader, "targets", |s| {
-            s.optional_in(
-                "heartbeat",
-                Duration::from_millis(1_200),
-                TIME_MIN..=TIME_MAX,
-            )
-        });
-        let log_level = section(&mut reader, "log", |s| {
+        let log_level = read_section(&mut reader, "log", |s| {
             s.optional_or("level", LevelFilter::Info)
         });
         reader.finish()?;
@@ -111,22 +103,11 @@
             formation,
             retry,
             stop_limit,
-            heartbeat,
             log_level,
         })
     }
 }
 
-fn section<F, T>(reader: &mut IniReader, name: &str, read: F) -> T
-where
-    F: FnOnce(&mut SectionReader) -> T,
-{
-    let mut section = reader.take_section(name);
-    let value = read(&mut section);
-    reader.finish_section(section);
-    value
-}
-
 fn listen_section(section: &mut SectionReader) -> Option<GatewayListen> {
     let callers = section.required("callers");
     let readiness = section.required("readiness");
--- a/lib/src/process/settings.rs
+++ b/lib/src/process/settings.rs
@@ -149,7 +149,8 @@
     data_centre: DataCentreId,
 }
 
-fn read_section<F, T>(reader: &mut IniReader, name: &str, read: F) -> T
+/// Reads one section and reports the keys in it that `read` did not ask for.
+pub(crate) fn read_section<F, T>(reader: &mut IniReader, name: &str, read: F) -> T
 where
     F: FnOnce(&mut SectionReader) -> T,
 {
--- a/lib/src/request/forward/send.rs
+++ b/lib/src/request/forward/send.rs
@@ -155,7 +155,13 @@
                 let answer = self.context.protocol().read_answer(&head);
                 if answer.is_not_run {
                     target.on_end(Some(SendEnd::NotRun));
-                    self.log_send(&target, "refused by the target", head.status.as_u16());
+                    log_request!(
+                        self, route = self.route.name.as_str(), target:% = target.host(),
+                        send = self.plan.sends(), status = head.status.as_u16(),
+                        faulty_host:% = OrNone(answer.faulty_host.as_ref()),
+                        elapsed_ms = self.elapsed_ms();
+                        "refused by the target"
+                    );
                     return Err(SendEnd::NotRun);
                 }
                 let is_own = answer.request_id.as_ref() == Some(&self.call.request_id);
