--- a/cli/src/commands/entry.rs
+++ b/cli/src/commands/entry.rs
@@ -13,6 +13,7 @@
 use beryltray_lib::process::entry::ShutdownTokens;
 use beryltray_lib::process::entry::run_entry;
 use beryltray_lib::process::gateway::GatewayError;
+use beryltray_lib::process::gateway::GatewayListeners;
 use beryltray_lib::process::gateway::GatewaySettings;
 use beryltray_lib::process::gateway::run_gateway;
 use beryltray_lib::process::settings::EntrySettings;
@@ -159,7 +160,11 @@
 ) -> Result<(), EntryCommandError> {
     let clock = BootTimeClock::new()?;
     let store = Store::new(settings.platform);
-    run_gateway(settings, clock, store, Targets, Callers, shutdown).await?;
+    let listeners = GatewayListeners::bind(settings.listen).await?;
+    run_gateway(
+        settings, listeners, clock, store, Targets, Callers, shutdown,
+    )
+    .await?;
     Ok(())
 }
 
--- a/cli/tests/test_config_command.rs
+++ b/cli/tests/test_config_command.rs
@@ -4,12 +4,15 @@
 use std::path::PathBuf;
 use std::process::Output;
 use std::process::Stdio;
+use std::time::Duration;
 
 use tokio::io::AsyncBufReadExt as _;
 use tokio::io::BufReader;
 use tokio::process::Child;
 use tokio::process::Command;
 
+/// Far longer than an entry takes from its first listener to its last.
+const ENTRY_START: Duration = Duration::from_millis(200);
 const COMMONS: &str = include_str!("../../docs/examples/commons.ini");
 
 fn example(name: &str) -> String {
@@ -262,7 +265,39 @@
     addresses.map(|address| address.to_string()).collect()
 }
 
-/// Starts an entry in a data centre of its own and returns its operators' address.
+/// Starts two entries that know each other, at ports that were free a moment before.
+///
+/// A port can be taken before the entry binds it; the entry ends then, and both start anew.
+async fn start_entry_pair(trial: &Trial) -> ([Child; 2], Vec<String>) {
+    loop {
+        let addresses = free_addresses(8);
+        let (first, second) = addresses.split_at(4);
+        let mut entries = [
+            start_entry(trial, "a", first, &second[2]),
+            start_entry(trial, "b", second, &first[2]),
+        ];
+        if listens(&mut entries[0], &first[1]).await && listens(&mut entries[1], &second[1]).await {
+            return (entries, addresses);
+        }
+    }
+}
+
+/// Waits until an entry accepts connections at its operators' address; false if it ended instead.
+async fn listens(entry: &mut Child, operators: &str) -> bool {
+    loop {
+        if entry.try_wait().unwrap().is_some() {
+            return false;
+        }
+        // The process is asked again after the connection, which another one may have accepted.
+        if tokio::net::TcpStream::connect(operators).await.is_ok() {
+            tokio::time::sleep(ENTRY_START).await;
+            return entry.try_wait().unwrap().is_none();
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+/// Starts an entry in a data centre of its own.
 fn start_entry(trial: &Trial, name: &str, addresses: &[String], seed: &str) -> Child {
     let settings = format!(
         "[entry]\nname = {name}\nenvironment = trial\ndata-centre = lakes-{name}\n\
@@ -281,10 +316,8 @@
 #[tokio::test]
 async fn config_apply_waits_until_in_force_on_known_entries() {
     let trial = start_trial("config_apply_waits", &host_args()).await;
-    let addresses = free_addresses(8);
+    let (_entries, addresses) = start_entry_pair(&trial).await;
     let (first, second) = addresses.split_at(4);
-    let _first = start_entry(&trial, "a", first, &second[2]);
-    let _second = start_entry(&trial, "b", second, &first[2]);
     let entries = [
         "--entry", &first[1], "--entry", &second[1], "--within", "60s",
     ];
--- a/lib/src/process/gateway/mod.rs
+++ b/lib/src/process/gateway/mod.rs
@@ -8,6 +8,7 @@
 mod context;
 mod coordinate;
 mod follow;
+mod listeners;
 mod metrics;
 mod peers;
 mod ready;
@@ -20,6 +21,7 @@
 mod usage;
 
 pub use self::change_log::ChangeLog;
+pub use self::listeners::GatewayListeners;
 pub use self::metrics::GatewayMetrics;
 pub use self::peers::PeerMessage;
 pub use self::peers::Peers;
--- a/lib/src/process/gateway/run.rs
+++ b/lib/src/process/gateway/run.rs
@@ -6,8 +6,6 @@
 
 use derive_more::Display;
 use derive_more::Error;
-use tokio::net::TcpListener;
-use tokio::net::UdpSocket;
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 
@@ -15,6 +13,7 @@
 use super::coordinate::coordinate;
 use super::follow::follow_documents;
 use super::follow::follow_targets;
+use super::listeners::GatewayListeners;
 use super::metrics::GatewayMetrics;
 use super::ready::MetricsHandler;
 use super::ready::ReadyHandler;
@@ -65,6 +64,7 @@
 /// Runs a gateway until it is told to end and its requests are done.
 pub async fn run_gateway<C, P, T, W>(
     settings: GatewaySettings,
+    listeners: GatewayListeners,
     clock: C,
     platform: P,
     targets: T,
@@ -77,26 +77,17 @@
     T: TargetControl,
     W: CallerProtocol,
 {
-    let listen = settings.listen;
+    let listen = listeners.bound();
+    let settings = GatewaySettings { listen, ..settings };
     let stop_limit = settings.stop_limit;
-    let callers = bind(listen.callers).await?;
-    let readiness = bind(listen.readiness).await?;
     log::info!(
         entry:% = settings.entry, data_centre:% = settings.data_centre,
         callers:% = listen.callers, platform:% = settings.platform,
         version = env!("CARGO_PKG_VERSION");
         "gateway starts"
     );
-    let peer_socket = UdpSocket::bind(listen.peers).await;
-    let peer_socket = Arc::new(peer_socket.map_err(|source| GatewayError::Listen {
-        address: listen.peers,
-        source,
-    })?);
+    let peer_socket = Arc::new(listeners.peer_datagrams);
     let incarnation = incarnation_from(&clock);
-    let metrics_listener = match listen.metrics {
-        Some(address) => Some(bind(address).await?),
-        None => None,
-    };
     let metrics = GatewayMetrics::new().map_err(|source| GatewayError::Metrics { source })?;
     let state = Arc::new(GatewayState::new(settings, clock, metrics));
     let never = CancellationToken::new();
@@ -108,8 +99,8 @@
         head_timeout: IDLE_LIMIT,
         ..ServerSettings::default()
     };
-    background.spawn(serve(readiness, ready, server, never.clone()));
-    if let Some(listener) = metrics_listener {
+    background.spawn(serve(listeners.readiness, ready, server, never.clone()));
+    if let Some(listener) = listeners.metrics {
         let metrics = MetricsHandler {
             state: Arc::clone(&state),
         };
@@ -118,9 +109,8 @@
     let relay = RelayHandler {
         state: Arc::clone(&state),
     };
-    let relay_listener = bind(listen.peers).await?;
     background.spawn(serve(
-        relay_listener,
+        listeners.peer_streams,
         relay,
         server,
         CancellationToken::new(),
@@ -145,7 +135,12 @@
     };
     let close_listener = CancellationToken::new();
     let handler = ForwardHandler::new(context);
-    let serving = tokio::spawn(serve(callers, handler, server, close_listener.clone()));
+    let serving = tokio::spawn(serve(
+        listeners.callers,
+        handler,
+        server,
+        close_listener.clone(),
+    ));
 
     let drained = async {
         shutdown.graceful.cancelled().await;
@@ -172,8 +167,3 @@
     log::info!("gateway ends");
     Ok(())
 }
-
-async fn bind(address: SocketAddr) -> Result<TcpListener, GatewayError> {
-    let bound = TcpListener::bind(address).await;
-    bound.map_err(|source| GatewayError::Listen { address, source })
-}
