--- a/cli/src/commands/experiment/retry_policy.rs
+++ b/cli/src/commands/experiment/retry_policy.rs
@@ -4,13 +4,13 @@
 use std::time::Instant;
 
 use beryltray_lib::ids::TargetId;
-use beryltray_lib::process::stragglers::Standing;
-use beryltray_lib::process::stragglers::StragglerSettings;
-use beryltray_lib::process::stragglers::Stragglers;
 use beryltray_lib::request::retry::RetryBudget;
 use beryltray_lib::request::retry::TryState;
 use beryltray_lib::request::retry::decide_hedge;
 use beryltray_lib::request::retry::decide_retry;
+use beryltray_lib::request::stragglers::Standing;
+use beryltray_lib::request::stragglers::StragglerSettings;
+use beryltray_lib::request::stragglers::Stragglers;
 
 use super::engine::Engine;
 use super::routing_entry::id;
--- a/cli/src/commands/experiment/routing_entry.rs
+++ b/cli/src/commands/experiment/routing_entry.rs
@@ -5,12 +5,12 @@
 
 use beryltray_lib::ids::EntryId;
 use beryltray_lib::ids::TargetId;
-use beryltray_lib::process::stragglers::StragglerSettings;
 use beryltray_lib::request::admission::Admission;
 use beryltray_lib::request::admission::AdmissionSettings;
 use beryltray_lib::request::route::RouteQuery;
 use beryltray_lib::request::route::RouterSettings;
 use beryltray_lib::request::routing::Router;
+use beryltray_lib::request::stragglers::StragglerSettings;
 use beryltray_lib::target::wire::LoadReport;
 use beryltray_lib::units::Share;
 
--- a/cli/src/commands/experiment/spill.rs
+++ b/cli/src/commands/experiment/spill.rs
@@ -6,13 +6,13 @@
 use beryltray_lib::clock::Clock as _;
 use beryltray_lib::clock::SystemClock;
 use beryltray_lib::ids::DataCentreId;
-use beryltray_lib::process::spill::ServiceSummary;
-use beryltray_lib::process::spill::Spill;
-use beryltray_lib::process::spill::SpillQuery;
-use beryltray_lib::process::spill::SpillSettings;
 use beryltray_lib::request::admission::Admission;
 use beryltray_lib::request::admission::AdmissionAction;
 use beryltray_lib::request::admission::AdmissionSettings;
+use beryltray_lib::request::spill::ServiceSummary;
+use beryltray_lib::request::spill::Spill;
+use beryltray_lib::request::spill::SpillQuery;
+use beryltray_lib::request::spill::SpillSettings;
 use beryltray_lib::units::RequestRate;
 
 use super::asking::normal_request;
--- a/lib/src/process/mod.rs
+++ b/lib/src/process/mod.rs
@@ -1,6 +1,5 @@
 //! What lives for the process.
 
-pub mod admitter;
 pub mod entry;
 pub mod exchange;
 pub mod formation;
@@ -18,7 +17,5 @@
 pub mod service_targets;
 pub mod services;
 pub mod settings;
-pub mod spill;
 pub mod status;
-pub mod stragglers;
 pub mod substitution;
--- a/lib/src/process/service_targets.rs
+++ b/lib/src/process/service_targets.rs
@@ -6,21 +6,22 @@
 
 use crate::ids::ServiceId;
 use crate::ids::TargetId;
-use crate::process::admitter::Admitter;
 use crate::process::exchange::value::LogLevel;
 use crate::process::exchange::value::QuantisedSummary;
 use crate::process::exchange::value::RateLevel;
 use crate::process::presence::GateVerdict;
 use crate::process::presence::PresenceGate;
-use crate::process::spill::Spill;
-use crate::process::spill::SpillSettings;
+use crate::request::admitter::Admitter;
 use crate::request::retry::RetryBudget;
 use crate::request::retry::RetryBudgetSettings;
-use crate::request::route::Choice;
+use crate::request::route::ChosenTarget;
 use crate::request::route::RouteError;
 use crate::request::route::RouteQuery;
 use crate::request::route::RouterSettings;
+use crate::request::route::TargetQuery;
 use crate::request::routing::Router;
+use crate::request::spill::Spill;
+use crate::request::spill::SpillSettings;
 use crate::target::GroupIncarnation;
 use crate::target::wire::LoadReport;
 use crate::version::document::Document;
@@ -54,28 +55,6 @@
     report_age: Duration,
 }
 
-/// A target that was chosen for an attempt.
-#[derive(Clone, Debug, PartialEq)]
-pub struct ChosenTarget {
-    /// The target and why it was chosen.
-    pub choice: Choice,
-    /// The address of its target interface.
-    pub address: SocketAddr,
-    /// The group and generation, for a model service.
-    pub group: Option<GroupIncarnation>,
-    /// The number of targets that could have been chosen.
-    pub candidate_count: usize,
-}
-
-/// What a choice of a target depends on.
-#[derive(Clone, Copy, Debug)]
-pub struct TargetQuery<'a> {
-    /// A text that requests with the same prompt prefix share.
-    pub prefix: Option<&'a str>,
-    /// A target to avoid, since an earlier try failed there.
-    pub avoid: Option<&'a TargetId>,
-}
-
 impl ServiceTargets {
     pub(super) fn new(service: &Service, document: &Document, now: Instant) -> Self {
         let routing = &document.routing;
--- a/lib/src/process/services.rs
+++ b/lib/src/process/services.rs
@@ -18,19 +18,20 @@
 use crate::ids::TargetId;
 use crate::platform::ListedHost;
 use crate::platform::rows::GroupRow;
-use crate::process::admitter::AdmissionVerdict;
 use crate::process::presence::ReportSource;
-use crate::process::service_targets::ChosenTarget;
 use crate::process::service_targets::ServiceTargets;
-use crate::process::service_targets::TargetQuery;
-use crate::process::spill::NoSpillReason;
-use crate::process::spill::ServiceSummary;
-use crate::process::spill::SpillQuery;
 use crate::request::admission::Ticket;
+use crate::request::admitter::AdmissionVerdict;
+use crate::request::entry_context::ServicePool;
 use crate::request::fair_queue::QueueKey;
 use crate::request::retry::RetryBudget;
+use crate::request::route::ChosenTarget;
 use crate::request::route::FinishedAnswer;
 use crate::request::route::RouteError;
+use crate::request::route::TargetQuery;
+use crate::request::spill::NoSpillReason;
+use crate::request::spill::ServiceSummary;
+use crate::request::spill::SpillQuery;
 use crate::sorted::Keyed;
 use crate::sorted::SortedVec;
 use crate::target::wire::HostReport;
@@ -119,8 +120,64 @@
         }
     }
 
-    /// Chooses a target for an attempt and counts the attempt as sent.
-    pub fn choose(
+    /// Takes in what another data centre tells of a service.
+    pub fn on_far_summary(&self, service: &ServiceId, summary: ServiceSummary, as_of: Instant) {
+        if let Some(shard) = self.shard(service) {
+            lock(&shard.targets).spill.on_summary(summary, as_of);
+        }
+    }
+
+    /// Follows the targets' state and gives up on requests that wait in vain.
+    pub fn tick(&self, now: Instant) {
+        let entries = self.entry_count();
+        for shard in self.all() {
+            lock(&shard.targets).tick(&shard.service, entries, now);
+        }
+    }
+
+    /// Calls `inspect` with each service's targets, one lock at a time.
+    pub fn for_each<F>(&self, mut inspect: F)
+    where
+        F: FnMut(&ServiceId, &mut ServiceTargets),
+    {
+        for shard in self.all() {
+            inspect(&shard.service, &mut lock(&shard.targets));
+        }
+    }
+
+    /// Sets how many other entries of the data centre share the targets.
+    pub fn set_peer_count(&self, peer_count: u32) {
+        self.peer_count.store(peer_count, Ordering::Relaxed);
+    }
+
+    fn entry_count(&self) -> u32 {
+        self.peer_count.load(Ordering::Relaxed).saturating_add(1)
+    }
+
+    /// Returns the known hosts of this data centre, by name.
+    pub fn listed_hosts(&self) -> Vec<ListedHost> {
+        let hosts = self.hosts.read().unwrap_or_else(PoisonError::into_inner);
+        hosts.iter().cloned().collect()
+    }
+
+    fn shard_of_host(&self, host: &HostId) -> Option<ServiceShard> {
+        let hosts = self.hosts.read().unwrap_or_else(PoisonError::into_inner);
+        self.shard(&hosts.get(host)?.service)
+    }
+
+    fn shard(&self, service: &ServiceId) -> Option<ServiceShard> {
+        let shards = self.shards.read().unwrap_or_else(PoisonError::into_inner);
+        shards.get(service).cloned()
+    }
+
+    fn all(&self) -> Vec<ServiceShard> {
+        let shards = self.shards.read().unwrap_or_else(PoisonError::into_inner);
+        shards.iter().cloned().collect()
+    }
+}
+
+impl ServicePool for ServiceShards {
+    fn choose(
         &self,
         service: &ServiceId,
         query: TargetQuery<'_>,
@@ -135,14 +192,12 @@
         targets.choose(service, query, draw, now)
     }
 
-    /// Returns whether a chosen target may still be sent work.
-    pub fn is_open(&self, service: &ServiceId, chosen: &ChosenTarget, now: Instant) -> bool {
+    fn is_open(&self, service: &ServiceId, chosen: &ChosenTarget, now: Instant) -> bool {
         let shard = self.shard(service);
         shard.is_some_and(|shard| lock(&shard.targets).is_open(chosen, now))
     }
 
-    /// Takes in that an attempt ended.
-    pub fn on_finished(
+    fn on_finished(
         &self,
         service: &ServiceId,
         target: &TargetId,
@@ -154,15 +209,13 @@
         }
     }
 
-    /// Takes in that an attempt failed through the target's fault.
-    pub fn on_failed(&self, service: &ServiceId, target: &TargetId, now: Instant) {
+    fn on_failed(&self, service: &ServiceId, target: &TargetId, now: Instant) {
         if let Some(shard) = self.shard(service) {
             lock(&shard.targets).router.on_failed(target, now);
         }
     }
 
-    /// Asks for a place among the requests in flight; `None` without such a service.
-    pub fn request_admission(
+    fn request_admission(
         &self,
         service: &ServiceId,
         key: QueueKey,
@@ -175,22 +228,19 @@
         Some(targets.admitter.request(key, deadline, now))
     }
 
-    /// Gives a place back; `service_time` is there after a whole answer.
-    pub fn release(&self, service: &ServiceId, service_time: Option<Duration>, now: Instant) {
+    fn release(&self, service: &ServiceId, service_time: Option<Duration>, now: Instant) {
         if let Some(shard) = self.shard(service) {
             lock(&shard.targets).admitter.release(service_time, now);
         }
     }
 
-    /// Takes back a request for a place.
-    pub fn cancel(&self, service: &ServiceId, ticket: Ticket) {
+    fn cancel(&self, service: &ServiceId, ticket: Ticket) {
         if let Some(shard) = self.shard(service) {
             lock(&shard.targets).admitter.cancel(ticket);
         }
     }
 
-    /// Calls `spend` with the service's retry budget; `None` without such a service.
-    pub fn with_retry_budget<F, R>(&self, service: &ServiceId, spend: F) -> Option<R>
+    fn with_retry_budget<F, R>(&self, service: &ServiceId, spend: F) -> Option<R>
     where
         F: FnOnce(&mut RetryBudget) -> R,
     {
@@ -199,31 +249,21 @@
         Some(spend(&mut targets.retry_budget))
     }
 
-    /// Returns the time that a whole answer of the service takes as a rule.
-    pub fn expected_time(&self, service: &ServiceId) -> Duration {
+    fn expected_time(&self, service: &ServiceId) -> Duration {
         let shard = self.shard(service);
         shard.map_or(Duration::ZERO, |shard| {
             lock(&shard.targets).admitter.mean_service_time()
         })
     }
 
-    /// Returns the wait of a new request here; `None` if no target can serve.
-    pub fn own_wait(&self, service: &ServiceId, now: Instant) -> Option<Duration> {
+    fn own_wait(&self, service: &ServiceId, now: Instant) -> Option<Duration> {
         let shard = self.shard(service)?;
         let targets = lock(&shard.targets);
         let can_serve = targets.open_count(service, now) > 0;
         can_serve.then(|| targets.admitter.estimated_wait())
     }
 
-    /// Takes in what another data centre tells of a service.
-    pub fn on_far_summary(&self, service: &ServiceId, summary: ServiceSummary, as_of: Instant) {
-        if let Some(shard) = self.shard(service) {
-            lock(&shard.targets).spill.on_summary(summary, as_of);
-        }
-    }
-
-    /// Chooses the data centre to relay a request to and counts it as relayed.
-    pub fn choose_spill(
+    fn choose_spill(
         &self,
         service: &ServiceId,
         query: SpillQuery,
@@ -236,60 +276,11 @@
         Ok(chosen)
     }
 
-    /// Takes in that a data centre refused a request or was not reached.
-    pub fn on_spill_refused(&self, service: &ServiceId, data_centre: &DataCentreId) {
+    fn on_spill_refused(&self, service: &ServiceId, data_centre: &DataCentreId) {
         if let Some(shard) = self.shard(service) {
             lock(&shard.targets).spill.on_refused(data_centre);
         }
     }
-
-    /// Follows the targets' state and gives up on requests that wait in vain.
-    pub fn tick(&self, now: Instant) {
-        let entries = self.entry_count();
-        for shard in self.all() {
-            lock(&shard.targets).tick(&shard.service, entries, now);
-        }
-    }
-
-    /// Calls `inspect` with each service's targets, one lock at a time.
-    pub fn for_each<F>(&self, mut inspect: F)
-    where
-        F: FnMut(&ServiceId, &mut ServiceTargets),
-    {
-        for shard in self.all() {
-            inspect(&shard.service, &mut lock(&shard.targets));
-        }
-    }
-
-    /// Sets how many other entries of the data centre share the targets.
-    pub fn set_peer_count(&self, peer_count: u32) {
-        self.peer_count.store(peer_count, Ordering::Relaxed);
-    }
-
-    fn entry_count(&self) -> u32 {
-        self.peer_count.load(Ordering::Relaxed).saturating_add(1)
-    }
-
-    /// Returns the known hosts of this data centre, by name.
-    pub fn listed_hosts(&self) -> Vec<ListedHost> {
-        let hosts = self.hosts.read().unwrap_or_else(PoisonError::into_inner);
-        hosts.iter().cloned().collect()
-    }
-
-    fn shard_of_host(&self, host: &HostId) -> Option<ServiceShard> {
-        let hosts = self.hosts.read().unwrap_or_else(PoisonError::into_inner);
-        self.shard(&hosts.get(host)?.service)
-    }
-
-    fn shard(&self, service: &ServiceId) -> Option<ServiceShard> {
-        let shards = self.shards.read().unwrap_or_else(PoisonError::into_inner);
-        shards.get(service).cloned()
-    }
-
-    fn all(&self) -> Vec<ServiceShard> {
-        let shards = self.shards.read().unwrap_or_else(PoisonError::into_inner);
-        shards.iter().cloned().collect()
-    }
 }
 
 fn lock(targets: &Mutex<ServiceTargets>) -> MutexGuard<'_, ServiceTargets> {
--- a/lib/src/request/attempt.rs
+++ b/lib/src/request/attempt.rs
@@ -8,12 +8,14 @@
 use super::answer::WholeAnswer;
 use super::caller::AnswerShape;
 use super::caller::CallerRequest;
+use super::entry_context::EntryAnswer;
+use super::entry_context::EntryContext;
+use super::entry_context::ServicePool;
 use super::outcome::UnknownReason;
 use crate::clock::Clock;
 use crate::connection::client::SendError;
 use crate::ids::AttemptId;
-use crate::process::service_targets::ChosenTarget;
-use crate::process::services::ServiceShards;
+use crate::request::route::ChosenTarget;
 use crate::target::AnswerError;
 use crate::target::AnswerEvent;
 use crate::target::AnswerHead;
@@ -121,21 +123,22 @@
 }
 
 /// Sends an attempt once, if the target's gate is still open, and checks who answers.
-pub async fn start_attempt<C, T>(
-    clock: &C,
-    targets: &T,
-    shards: &ServiceShards,
+pub async fn start_attempt<E>(
+    state: &E,
     request: &CallerRequest,
     plan: &AttemptPlan,
-) -> Result<T::Answer, AttemptFailure>
+) -> Result<EntryAnswer<E>, AttemptFailure>
 where
-    C: Clock,
-    T: Targets,
+    E: EntryContext,
 {
+    let targets = state.targets();
     let not_sent = |source| AttemptFailure::NotSent { source };
     let connected = targets.connect(plan.target.address, plan.connection).await;
     let connection = connected.map_err(not_sent)?;
-    if !shards.is_open(&request.service, &plan.target, clock.now()) {
+    if !state
+        .services()
+        .is_open(&request.service, &plan.target, state.clock().now())
+    {
         return Err(AttemptFailure::GateClosed);
     }
     let sent = targets.submit(connection, submission(request, plan));
--- a/lib/src/request/dispatch.rs
+++ b/lib/src/request/dispatch.rs
@@ -7,6 +7,9 @@
 use super::attempt::AttemptPlan;
 use super::attempt::start_attempt;
 use super::context::RequestContext;
+use super::entry_context::EntryAnswer;
+use super::entry_context::EntryContext;
+use super::entry_context::ServicePool;
 use super::outcome::NotRunReason;
 use super::outcome::Outcome;
 use super::outcome::UnknownReason;
@@ -18,12 +21,9 @@
 use crate::ids::AttemptId;
 use crate::ids::TargetId;
 use crate::ids::new_attempt_id;
-use crate::process::entry::EntryState;
-use crate::process::entry::Platform;
-use crate::process::service_targets::ChosenTarget;
-use crate::process::service_targets::TargetQuery;
+use crate::request::route::ChosenTarget;
+use crate::request::route::TargetQuery;
 use crate::target::ConnectionChoice;
-use crate::target::Targets;
 
 /// When a caller whose request found no target should come back.
 const NO_TARGET_RETRY_AFTER: Duration = Duration::from_secs(2);
@@ -142,41 +142,31 @@
 }
 
 /// Tries targets until one answers.
-pub async fn dispatch<C, P, T>(
-    state: &EntryState<C, P, T>,
+pub async fn dispatch<E>(
+    state: &E,
     context: &RequestContext,
     tries: &mut Tries,
-) -> Result<Dispatched<T::Answer>, Ending>
+) -> Result<Dispatched<EntryAnswer<E>>, Ending>
 where
-    C: Clock,
-    P: Platform,
-    T: Targets,
+    E: EntryContext,
 {
     let dispatched = try_targets(state, context, tries).await;
     dispatched.map_err(|ending| tries.settle(ending))
 }
 
-async fn try_targets<C, P, T>(
-    state: &EntryState<C, P, T>,
+async fn try_targets<E>(
+    state: &E,
     context: &RequestContext,
     tries: &mut Tries,
-) -> Result<Dispatched<T::Answer>, Ending>
+) -> Result<Dispatched<EntryAnswer<E>>, Ending>
 where
-    C: Clock,
-    P: Platform,
-    T: Targets,
+    E: EntryContext,
 {
     loop {
         tries.state.tries += 1;
         let target = choose(state, context, tries.avoid.as_ref())?;
         let plan = plan(state, context, tries.attempt.clone(), target.clone());
-        let started = start_attempt(
-            &state.clock,
-            &state.targets,
-            &state.shards,
-            &context.request,
-            &plan,
-        );
+        let started = start_attempt(state, &context.request, &plan);
         let failure = match started.await {
             Ok(answer) => {
                 return Ok(Dispatched {
@@ -197,17 +187,11 @@
 }
 
 /// Returns how a request ends; a target that fell silent until the deadline is said so.
-fn failure_ending<C, P, T>(
-    state: &EntryState<C, P, T>,
-    context: &RequestContext,
-    failure: AttemptFailure,
-) -> Ending
+fn failure_ending<E>(state: &E, context: &RequestContext, failure: AttemptFailure) -> Ending
 where
-    C: Clock,
-    P: Platform,
-    T: Targets,
+    E: EntryContext,
 {
-    let is_late = context.remaining(state.clock.now()).is_zero();
+    let is_late = context.remaining(state.clock().now()).is_zero();
     if failure == AttemptFailure::Silent && is_late {
         return UnknownReason::DeadlinePassed.into();
     }
@@ -217,18 +201,16 @@
 /// Decides on a further try after `failure`, and spends the retry budget if one is made.
 ///
 /// What was not sent has cost no target anything, so it needs no budget and is open to all work.
-pub fn may_try_again<C, P, T>(
-    state: &EntryState<C, P, T>,
+pub fn may_try_again<E>(
+    state: &E,
     context: &RequestContext,
     tries: &Tries,
     failure: &AttemptFailure,
 ) -> Result<(), NoRetryReason>
 where
-    C: Clock,
-    P: Platform,
-    T: Targets,
+    E: EntryContext,
 {
-    let now = state.clock.now();
+    let now = state.clock().now();
     if failure.is_not_run() {
         let is_left = tries.state.tries < UNSENT_TRIES_MAX && now < context.deadline_at;
         return is_left.then_some(()).ok_or(NoRetryReason::NoTryLeft);
@@ -238,20 +220,18 @@
     }
     let service = &context.request.service;
     let decided = state
-        .shards
+        .services()
         .with_retry_budget(service, |budget| decide_retry(&tries.state, budget, now));
     decided.unwrap_or(Err(NoRetryReason::BudgetSpent))
 }
 
-fn choose<C, P, T>(
-    state: &EntryState<C, P, T>,
+fn choose<E>(
+    state: &E,
     context: &RequestContext,
     avoid: Option<&TargetId>,
 ) -> Result<ChosenTarget, Ending>
 where
-    C: Clock,
-    P: Platform,
-    T: Targets,
+    E: EntryContext,
 {
     let request = &context.request;
     let query = TargetQuery {
@@ -259,8 +239,8 @@
         avoid,
     };
     let draw = rand::random();
-    let now = state.clock.now();
-    let chosen = state.shards.choose(&request.service, query, draw, now);
+    let now = state.clock().now();
+    let chosen = state.services().choose(&request.service, query, draw, now);
     match chosen {
         Ok(chosen) => {
             log::debug!(
@@ -293,16 +273,14 @@
     }
 }
 
-fn plan<C, P, T>(
-    state: &EntryState<C, P, T>,
+fn plan<E>(
+    state: &E,
     context: &RequestContext,
     attempt: AttemptId,
     target: ChosenTarget,
 ) -> AttemptPlan
 where
-    C: Clock,
-    P: Platform,
-    T: Targets,
+    E: EntryContext,
 {
     let connection = if context.is_idempotent {
         ConnectionChoice::Reused
@@ -314,31 +292,29 @@
         target,
         resume_from_tokens: 0,
         connection,
-        head_timeout: context.silence_bound(state.clock.now()),
+        head_timeout: context.silence_bound(state.clock().now()),
         has_trusted_refusals: context.service.has_trusted_refusals,
     }
 }
 
 /// Records that an attempt failed.
-pub fn note_failure<C, P, T>(
-    state: &EntryState<C, P, T>,
+pub fn note_failure<E>(
+    state: &E,
     context: &RequestContext,
     target: &ChosenTarget,
     failure: &AttemptFailure,
 ) where
-    C: Clock,
-    P: Platform,
-    T: Targets,
+    E: EntryContext,
 {
     let service = &context.request.service;
-    let now = state.clock.now();
+    let now = state.clock().now();
     let target = &target.choice.target;
     if failure.is_target_fault() {
-        state.shards.on_failed(service, target, now);
+        state.services().on_failed(service, target, now);
     } else {
-        state.shards.on_finished(service, target, None, now);
+        state.services().on_finished(service, target, None, now);
     }
-    state.metrics.count_attempt(service, failure.word());
+    state.count_attempt(service, failure.word());
     log::debug!(
         request:% = context.request.id, target:% = target;
         "attempt failed: {failure}"
--- a/lib/src/request/handler.rs
+++ b/lib/src/request/handler.rs
@@ -23,6 +23,9 @@
 use super::context::RequestContext;
 use super::dispatch::Ending;
 use super::dispatch::Tries;
+use super::entry_context::EntryAnswer;
+use super::entry_context::EntryContext;
+use super::entry_context::ServicePool;
 use super::fair_queue::QueueKey;
 use super::keyed::KeyedEnding;
 use super::keyed::run_keyed;
@@ -46,37 +49,35 @@
 use crate::connection::server::HttpHandler;
 use crate::ids::IdempotencyKey;
 use crate::ids::new_attempt_id;
-use crate::process::entry::EntryState;
-use crate::process::entry::Platform;
-use crate::target::Targets;
 
 /// When a caller of an entry that is not ready should come back.
 const NOT_READY_RETRY_AFTER: std::time::Duration = std::time::Duration::from_secs(1);
 
+/// The place of one of an entry's requests.
+type EntryPermit<E> = AdmissionPermit<<E as EntryContext>::Clock, <E as EntryContext>::Services>;
+
 /// Answers callers.
 #[derive(Debug)]
-pub struct CallerHandler<C, P, T> {
-    state: Arc<EntryState<C, P, T>>,
+pub struct CallerHandler<E> {
+    state: Arc<E>,
 }
 
-impl<C, P, T> CallerHandler<C, P, T> {
+impl<E> CallerHandler<E> {
     /// Creates a handler.
-    pub fn new(state: Arc<EntryState<C, P, T>>) -> Self {
+    pub fn new(state: Arc<E>) -> Self {
         Self { state }
     }
 }
 
-impl<C, P, T> Clone for CallerHandler<C, P, T> {
+impl<E> Clone for CallerHandler<E> {
     fn clone(&self) -> Self {
         Self::new(Arc::clone(&self.state))
     }
 }
 
-impl<C, P, T> HttpHandler for CallerHandler<C, P, T>
+impl<E> HttpHandler for CallerHandler<E>
 where
-    C: Clock,
-    P: Platform,
-    T: Targets,
+    E: EntryContext,
 {
     async fn handle(&self, request: Request<Incoming>) -> Response<ResponseBody> {
         match self.accept(request).await {
@@ -86,11 +87,9 @@
     }
 }
 
-impl<C, P, T> CallerHandler<C, P, T>
+impl<E> CallerHandler<E>
 where
-    C: Clock,
-    P: Platform,
-    T: Targets,
+    E: EntryContext,
 {
     /// Reads and checks a request, or returns the answer that refuses it.
     async fn accept(
@@ -98,21 +97,21 @@
         request: Request<Incoming>,
     ) -> Result<RequestContext, Response<ResponseBody>> {
         let refuse = |error: CallerError| {
-            self.state.metrics.count_refusal(error.status());
+            self.state.count_refusal(error.status());
             refusal_answer(&error)
         };
-        let received_at = self.state.clock.now();
+        let received_at = self.state.clock().now();
         let (parts, body) = request.into_parts();
         let head = CallerHead::parse(&parts).map_err(refuse)?;
-        let Some(in_force) = self.state.in_force.get() else {
+        let Some(in_force) = self.state.document_in_force() else {
             let outcome = Outcome::NotRun {
                 reason: NotRunReason::NotReady,
                 retry_after: NOT_READY_RETRY_AFTER,
             };
             return Err(outcome_answer(&head.id, &outcome));
         };
-        let bounds = self.state.settings.callers;
-        let body = read_body(body, bounds.body_limit.0 as usize, bounds.body_timeout).await;
+        let bounds = self.state.body_bounds();
+        let body = read_body(body, bounds.limit.0 as usize, bounds.timeout).await;
         let body = body.map_err(|source| refuse(CallerError::Body { source }))?;
         let request = head.with_body(body).map_err(refuse)?;
         RequestContext::new(request, in_force, received_at).map_err(refuse)
@@ -120,8 +119,8 @@
 
     /// Answers a request that another data centre relayed.
     pub(super) async fn answer_relayed(&self, relayed: OutboundRequest) -> Response<ResponseBody> {
-        let received_at = self.state.clock.now();
-        let Some(in_force) = self.state.in_force.get() else {
+        let received_at = self.state.clock().now();
+        let Some(in_force) = self.state.document_in_force() else {
             let outcome = Outcome::NotRun {
                 reason: NotRunReason::NotReady,
                 retry_after: NOT_READY_RETRY_AFTER,
@@ -142,11 +141,11 @@
 
     /// Lets another data centre answer, if it does so sooner; `None` if the request stays here.
     async fn answer_elsewhere(&self, context: &RequestContext) -> Option<Response<ResponseBody>> {
-        let data_centre = relay_choice(&self.state, context)?;
-        match relay_out(&self.state, context, &data_centre).await {
+        let data_centre = relay_choice(self.state.as_ref(), context)?;
+        match relay_out(self.state.as_ref(), context, &data_centre).await {
             RelayOutcome::Answered { head, answer } => {
                 let service = &context.request.service;
-                self.state.metrics.count_attempt(service, "relayed");
+                self.state.count_attempt(service, "relayed");
                 Some(answer_from_relay(context, head, answer))
             }
             RelayOutcome::NotRun => None,
@@ -158,7 +157,7 @@
     }
 
     async fn answer(&self, context: RequestContext) -> Response<ResponseBody> {
-        let in_flight = InFlight::new(&self.state.metrics.in_flight);
+        let in_flight = InFlight::new(self.state.in_flight());
         if let Some(answer) = self.answer_elsewhere(&context).await {
             return answer;
         }
@@ -187,10 +186,10 @@
     async fn answer_whole(
         &self,
         context: RequestContext,
-        permit: AdmissionPermit<C>,
+        permit: EntryPermit<E>,
     ) -> Response<ResponseBody> {
         let tries = self.tries(&context);
-        match run_whole(&self.state, &context, tries).await {
+        match run_whole(self.state.as_ref(), &context, tries).await {
             Ok(answer) => self.end_whole(&context, permit, answer),
             Err(ending) => self.end(&context, ending),
         }
@@ -200,7 +199,7 @@
         &self,
         context: RequestContext,
         key: IdempotencyKey,
-        permit: AdmissionPermit<C>,
+        permit: EntryPermit<E>,
     ) -> Response<ResponseBody> {
         let context = Arc::new(context);
         let id = &context.request.id;
@@ -218,7 +217,7 @@
             KeyedEnding::InProgress { retry_after } => in_progress_answer(id, retry_after),
             KeyedEnding::KeyReused => {
                 let error = CallerError::KeyReused;
-                self.state.metrics.count_refusal(error.status());
+                self.state.count_refusal(error.status());
                 refusal_answer(&error)
             }
         }
@@ -227,7 +226,7 @@
     fn end_whole(
         &self,
         context: &RequestContext,
-        permit: AdmissionPermit<C>,
+        permit: EntryPermit<E>,
         answer: WholeAnswer,
     ) -> Response<ResponseBody> {
         permit.finish();
@@ -236,11 +235,11 @@
     }
 
     /// Waits for a place within the account's limit and the service's queue.
-    async fn admit(&self, context: &RequestContext) -> Result<AdmissionPermit<C>, Outcome> {
+    async fn admit(&self, context: &RequestContext) -> Result<EntryPermit<E>, Outcome> {
         let state = &self.state;
-        let now = state.clock.now();
+        let now = state.clock().now();
         let priority = context.request.priority;
-        let taken = state.limits().take(&context.account.name, priority, now);
+        let taken = state.take_from_limit(&context.account.name, priority, now);
         taken.map_err(|retry_after| Outcome::NotRun {
             reason: NotRunReason::OverLimit,
             retry_after,
@@ -253,7 +252,7 @@
         };
         let service = &context.request.service;
         let asked = state
-            .shards
+            .services()
             .request_admission(service, key, context.deadline_at, now);
         let Some((ticket, verdict)) = asked else {
             return Err(Outcome::NotRun {
@@ -261,15 +260,18 @@
                 retry_after: NOT_READY_RETRY_AFTER,
             });
         };
-        let clock = state.clock.clone();
-        let shards = state.shards.clone();
+        let clock = state.clock().clone();
+        let shards = state.services().clone();
         let mut permit = AdmissionPermit::new(clock, shards, service.clone(), ticket, verdict);
         permit.admitted().await?;
         Ok(permit)
     }
 
     fn tries(&self, context: &RequestContext) -> Tries {
-        let expected_time = self.state.shards.expected_time(&context.request.service);
+        let expected_time = self
+            .state
+            .services()
+            .expected_time(&context.request.service);
         Tries::new(context, new_attempt_id(), expected_time)
     }
 
@@ -277,18 +279,18 @@
     async fn answer_stream(
         &self,
         context: RequestContext,
-        permit: AdmissionPermit<C>,
+        permit: EntryPermit<E>,
         in_flight: InFlight,
     ) -> Response<ResponseBody> {
         let tries = self.tries(&context);
-        let mut stream = match TokenStream::start(&self.state, &context, tries).await {
+        let mut stream = match TokenStream::start(self.state.as_ref(), &context, tries).await {
             Ok(stream) => stream,
             Err(ending) => return self.end(&context, ending),
         };
-        let first = match stream.next(&self.state, &context).await {
+        let first = match stream.next(self.state.as_ref(), &context).await {
             Ok(first) => first,
             Err(ending) => {
-                stream.finish(&self.state, &context, false).await;
+                stream.finish(self.state.as_ref(), &context, false).await;
                 return self.end(&context, ending);
             }
         };
@@ -318,10 +320,10 @@
     async fn forward(
         &self,
         context: RequestContext,
-        mut stream: TokenStream<T::Answer>,
+        mut stream: TokenStream<EntryAnswer<E>>,
         first: StreamPart,
         sender: BodySender,
-        permit: AdmissionPermit<C>,
+        permit: EntryPermit<E>,
     ) {
         let mut part = Ok(first);
         let ended = loop {
@@ -335,7 +337,7 @@
                 break Err(None);
             }
             part = tokio::select! {
-                part = stream.next(&self.state, &context) => part,
+                part = stream.next(self.state.as_ref(), &context) => part,
                 () = sender.closed() => break Err(None),
             };
         };
@@ -345,18 +347,18 @@
                     sender.finish();
                 }
                 permit.finish();
-                stream.finish(&self.state, &context, true).await;
+                stream.finish(self.state.as_ref(), &context, true).await;
                 self.note_outcome(&context, &Outcome::Complete);
             }
             Err(None) => {
                 log::debug!(request:% = context.request.id; "the caller went away");
-                stream.finish(&self.state, &context, false).await;
+                stream.finish(self.state.as_ref(), &context, false).await;
             }
             Err(Some(ending)) => {
                 // A reader that is gone needs no word of the break.
                 let _ = sender.send(broken_stream_event(&ending.outcome)).await;
                 drop(sender);
-                stream.finish(&self.state, &context, false).await;
+                stream.finish(self.state.as_ref(), &context, false).await;
                 self.note_outcome(&context, &ending.outcome);
             }
         }
@@ -364,7 +366,7 @@
 
     fn note_outcome(&self, context: &RequestContext, outcome: &Outcome) {
         let request = &context.request;
-        self.state.metrics.count_outcome(&request.service, outcome);
+        self.state.count_outcome(&request.service, outcome);
         log::debug!(
             request:% = request.id, service:% = request.service, outcome:% = outcome;
             "request ended"
--- a/lib/src/request/keyed.rs
+++ b/lib/src/request/keyed.rs
@@ -11,15 +11,13 @@
 use super::context::RequestContext;
 use super::dispatch::Ending;
 use super::dispatch::Tries;
+use super::entry_context::EntryContext;
+use super::entry_context::ServicePool;
 use super::outcome::NotRunReason;
 use super::outcome::Outcome;
 use super::outcome::UnknownReason;
 use super::whole::run_whole;
-use crate::clock::Clock;
 use crate::ids::IdempotencyKey;
-use crate::process::entry::EntryState;
-use crate::process::entry::Platform;
-use crate::target::Targets;
 
 /// How a request with a key ends.
 #[derive(Debug)]
@@ -40,42 +38,38 @@
 /// Claims the work and runs it, or says what became of it before.
 ///
 /// The work goes on when its caller goes away: its result is recorded, and the same key gets it.
-pub async fn run_keyed<C, P, T>(
-    state: &Arc<EntryState<C, P, T>>,
+pub async fn run_keyed<E>(
+    state: &Arc<E>,
     context: &Arc<RequestContext>,
     key: IdempotencyKey,
 ) -> KeyedEnding
 where
-    C: Clock,
-    P: Platform,
-    T: Targets,
+    E: EntryContext,
 {
     let work = state
-        .keyed_work
+        .keyed_work()
         .spawn(claim_and_run(Arc::clone(state), Arc::clone(context), key));
     let ended = work.await;
     ended.unwrap_or_else(|_| KeyedEnding::Ended(UnknownReason::ClaimAbandoned.into()))
 }
 
-async fn claim_and_run<C, P, T>(
-    state: Arc<EntryState<C, P, T>>,
+async fn claim_and_run<E>(
+    state: Arc<E>,
     context: Arc<RequestContext>,
     key: IdempotencyKey,
 ) -> KeyedEnding
 where
-    C: Clock,
-    P: Platform,
-    T: Targets,
+    E: EntryContext,
 {
     let account = context.account.name.clone();
     let work = WorkKey { account, key };
     let digest = context.request.digest.clone();
-    match state.claims.claim(work, digest).await {
+    match state.claims().claim(work, digest).await {
         Claimed::Granted(grant) => {
-            let expected_time = state.shards.expected_time(&context.request.service);
+            let expected_time = state.services().expected_time(&context.request.service);
             let tries = Tries::new(&context, grant.attempt().clone(), expected_time);
             let claim = grant.begin_send();
-            let ended = run_whole(&state, &context, tries).await;
+            let ended = run_whole(state.as_ref(), &context, tries).await;
             record(claim, &ended);
             match ended {
                 Ok(answer) => KeyedEnding::Answer(answer),
--- a/lib/src/request/mod.rs
+++ b/lib/src/request/mod.rs
@@ -1,6 +1,10 @@
 //! What lives for one request.
+//!
+//! The way of a request is one direction: what the process keeps is reached only through
+//! [`entry_context::EntryContext`] and [`forward::context::ForwardContext`].
 
 pub mod admission;
+pub mod admitter;
 pub mod answer;
 pub mod attempt;
 pub mod caller;
@@ -8,6 +12,7 @@
 pub mod claim;
 pub mod context;
 pub mod dispatch;
+pub mod entry_context;
 pub mod fair_queue;
 pub mod forward;
 pub mod handler;
@@ -19,6 +24,8 @@
 pub mod retry;
 pub mod route;
 pub mod routing;
+pub mod spill;
+pub mod stragglers;
 pub mod stream;
 pub mod target_load;
 pub mod token_bucket;
--- a/lib/src/request/permit.rs
+++ b/lib/src/request/permit.rs
@@ -6,45 +6,47 @@
 use tokio::sync::oneshot;
 
 use super::admission::Ticket;
+use super::admitter::AdmissionVerdict;
+use super::entry_context::ServicePool;
 use super::outcome::NotRunReason;
 use super::outcome::Outcome;
 use crate::clock::Clock;
 use crate::ids::ServiceId;
-use crate::process::admitter::AdmissionVerdict;
-use crate::process::services::ServiceShards;
 
 /// When a caller should come back whose service was taken out of the document meanwhile.
 const SERVICE_GONE_RETRY_AFTER: Duration = Duration::from_secs(2);
 
 /// A request's place; dropping it gives the place to the next one.
 #[derive(Debug)]
-pub struct AdmissionPermit<C>
+pub struct AdmissionPermit<C, S>
 where
     C: Clock,
+    S: ServicePool,
 {
     clock: C,
-    shards: ServiceShards,
+    services: S,
     service: ServiceId,
     ticket: Ticket,
     verdict: Option<oneshot::Receiver<AdmissionVerdict>>,
     admitted_at: Option<Instant>,
 }
 
-impl<C> AdmissionPermit<C>
+impl<C, S> AdmissionPermit<C, S>
 where
     C: Clock,
+    S: ServicePool,
 {
     /// Asks for a place; [`AdmissionPermit::admitted`] waits for it.
     pub fn new(
         clock: C,
-        shards: ServiceShards,
+        services: S,
         service: ServiceId,
         ticket: Ticket,
         verdict: oneshot::Receiver<AdmissionVerdict>,
     ) -> Self {
         Self {
             clock,
-            shards,
+            services,
             service,
             ticket,
             verdict: Some(verdict),
@@ -78,14 +80,16 @@
         if let Some(admitted_at) = self.admitted_at.take() {
             let now = self.clock.now();
             let service_time = now.saturating_duration_since(admitted_at);
-            self.shards.release(&self.service, Some(service_time), now);
+            self.services
+                .release(&self.service, Some(service_time), now);
         }
     }
 }
 
-impl<C> Drop for AdmissionPermit<C>
+impl<C, S> Drop for AdmissionPermit<C, S>
 where
     C: Clock,
+    S: ServicePool,
 {
     fn drop(&mut self) {
         let now = self.clock.now();
@@ -94,11 +98,11 @@
             match verdict.try_recv() {
                 Ok(Ok(())) => self.admitted_at = Some(now),
                 Ok(Err(_)) => {}
-                Err(_) => self.shards.cancel(&self.service, self.ticket),
+                Err(_) => self.services.cancel(&self.service, self.ticket),
             }
         }
         if self.admitted_at.is_some() {
-            self.shards.release(&self.service, None, now);
+            self.services.release(&self.service, None, now);
         }
     }
 }
--- a/lib/src/request/plain.rs
+++ b/lib/src/request/plain.rs
@@ -12,32 +12,29 @@
 use super::dispatch::dispatch;
 use super::dispatch::may_try_again;
 use super::dispatch::note_failure;
+use super::entry_context::EntryContext;
+use super::entry_context::ServicePool;
 use super::outcome::UnknownReason;
 use super::route::FinishedAnswer;
 use crate::clock::Clock;
-use crate::process::entry::EntryState;
-use crate::process::entry::Platform;
 use crate::target::TargetAnswer;
-use crate::target::Targets;
 use crate::units::TokenCount;
 
 /// Runs a plain service's request until its answer is whole or it is given up on.
-pub async fn run_plain<C, P, T>(
-    state: &EntryState<C, P, T>,
+pub async fn run_plain<E>(
+    state: &E,
     context: &RequestContext,
     mut tries: Tries,
 ) -> Result<WholeAnswer, Ending>
 where
-    C: Clock,
-    P: Platform,
-    T: Targets,
+    E: EntryContext,
 {
     loop {
         let dispatched = dispatch(state, context, &mut tries).await?;
         let Dispatched { target, answer, .. } = dispatched;
         let failure = match read_in_time(state, context, answer).await {
             Ok(whole) => {
-                let now = state.clock.now();
+                let now = state.clock().now();
                 let service = &context.request.service;
                 let target = &target.choice.target;
                 let finished = FinishedAnswer {
@@ -45,14 +42,14 @@
                     generation_time: Duration::ZERO,
                 };
                 state
-                    .shards
+                    .services()
                     .on_finished(service, target, Some(finished), now);
                 if tries.state.tries == 1 {
                     state
-                        .shards
+                        .services()
                         .with_retry_budget(service, |budget| budget.on_success(now));
                 }
-                state.metrics.count_attempt(service, "complete");
+                state.count_attempt(service, "complete");
                 return Ok(whole);
             }
             Err(failure) => failure,
@@ -66,18 +63,16 @@
     }
 }
 
-async fn read_in_time<A, C, P, T>(
-    state: &EntryState<C, P, T>,
+async fn read_in_time<A, E>(
+    state: &E,
     context: &RequestContext,
     answer: A,
 ) -> Result<WholeAnswer, AttemptFailure>
 where
     A: TargetAnswer,
-    C: Clock,
-    P: Platform,
-    T: Targets,
+    E: EntryContext,
 {
-    let remaining = context.remaining(state.clock.now());
+    let remaining = context.remaining(state.clock().now());
     let read = tokio::time::timeout(remaining, read_plain(answer)).await;
     read.unwrap_or(Err(AttemptFailure::Unknown {
         reason: UnknownReason::DeadlinePassed,
--- a/lib/src/request/relay.rs
+++ b/lib/src/request/relay.rs
@@ -14,6 +14,8 @@
 use super::caller::AnswerShape;
 use super::caller::OUTCOME_HEADER;
 use super::context::RequestContext;
+use super::entry_context::EntryContext;
+use super::entry_context::ServicePool;
 use super::handler::CallerHandler;
 use super::outcome::Outcome;
 use super::outcome::UnknownReason;
@@ -28,11 +30,7 @@
 use crate::connection::relay::client::RelayError;
 use crate::connection::relay::client::RelayedAnswer;
 use crate::ids::DataCentreId;
-use crate::process::entry::EntryState;
-use crate::process::entry::Platform;
-use crate::process::entry::connect_relay;
-use crate::process::spill::SpillQuery;
-use crate::target::Targets;
+use crate::request::spill::SpillQuery;
 
 /// When a caller should come back whose relayed request was refused for its form.
 const REFUSED_RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -63,28 +61,23 @@
 }
 
 /// Returns the data centre to relay a request to, if that is better than serving it here.
-pub fn relay_choice<C, P, T>(
-    state: &EntryState<C, P, T>,
-    context: &RequestContext,
-) -> Option<DataCentreId>
+pub fn relay_choice<E>(state: &E, context: &RequestContext) -> Option<DataCentreId>
 where
-    C: Clock,
-    P: Platform,
-    T: Targets,
+    E: EntryContext,
 {
     if !context.is_idempotent {
         return None;
     }
-    let now = state.clock.now();
+    let now = state.clock().now();
     let service = &context.request.service;
-    let expected_time = state.shards.expected_time(service);
+    let expected_time = state.services().expected_time(service);
     let query = SpillQuery {
         was_relayed: context.was_relayed,
-        own_wait: state.shards.own_wait(service, now),
+        own_wait: state.services().own_wait(service, now),
         allowed_wait: context.remaining(now).saturating_sub(expected_time),
         draw: rand::random(),
     };
-    match state.shards.choose_spill(service, query, now) {
+    match state.services().choose_spill(service, query, now) {
         Ok(data_centre) => {
             log::info!(
                 request:% = context.request.id, service:% = service, chosen:% = data_centre;
@@ -100,23 +93,21 @@
 }
 
 /// Hands a request over to another data centre, once.
-pub async fn relay_out<C, P, T>(
-    state: &EntryState<C, P, T>,
+pub async fn relay_out<E>(
+    state: &E,
     context: &RequestContext,
     data_centre: &DataCentreId,
 ) -> RelayOutcome
 where
-    C: Clock,
-    P: Platform,
-    T: Targets,
+    E: EntryContext,
 {
     let service = &context.request.service;
-    let connected = connect_relay(state, data_centre, rand::random()).await;
+    let connected = state.connect_relay(data_centre, rand::random()).await;
     let Some((entry, mut connection)) = connected else {
-        state.shards.on_spill_refused(service, data_centre);
+        state.services().on_spill_refused(service, data_centre);
         return RelayOutcome::NotRun;
     };
-    let remaining = context.remaining(state.clock.now());
+    let remaining = context.remaining(state.clock().now());
     let submitted = connection.submit(outbound(context, remaining));
     let first = async { first_part(submitted.await?).await };
     let first = tokio::time::timeout(remaining, first).await;
@@ -137,13 +128,13 @@
         }
         Ok(Ok((Some(AnswerPart::NotRun { .. }), _)))
         | Ok(Err(RelayError::NotSent { .. } | RelayError::Refused { .. })) => {
-            state.shards.on_spill_refused(service, data_centre);
-            state.relays.remove(&entry);
+            state.services().on_spill_refused(service, data_centre);
+            state.forget_relay(&entry);
             RelayOutcome::NotRun
         }
         Ok(Ok(_)) | Ok(Err(RelayError::BrokenOff { .. })) | Err(_) => {
-            state.shards.on_spill_refused(service, data_centre);
-            state.relays.remove(&entry);
+            state.services().on_spill_refused(service, data_centre);
+            state.forget_relay(&entry);
             RelayOutcome::Unknown
         }
     }
@@ -208,11 +199,9 @@
     }
 }
 
-impl<C, P, T> RelayHandler for CallerHandler<C, P, T>
+impl<E> RelayHandler for CallerHandler<E>
 where
-    C: Clock,
-    P: Platform,
-    T: Targets,
+    E: EntryContext,
 {
     async fn relay(&self, request: RelayedRequest, parts: mpsc::Sender<AnswerPart>) {
         let response = self.answer_relayed(request.request().clone()).await;
--- a/lib/src/request/route.rs
+++ b/lib/src/request/route.rs
@@ -1,5 +1,6 @@
 //! What goes into the choice of a target and what comes out of it.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use derive_more::Display;
@@ -7,7 +8,8 @@
 
 use crate::ids::ServiceId;
 use crate::ids::TargetId;
-use crate::process::stragglers::StragglerSettings;
+use crate::request::stragglers::StragglerSettings;
+use crate::target::GroupIncarnation;
 use crate::units::Share;
 use crate::units::TokenCount;
 use crate::version::document::RoutingSettings;
@@ -96,6 +98,28 @@
     pub estimated_wait: Duration,
 }
 
+/// A target that was chosen for an attempt.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ChosenTarget {
+    /// The target and why it was chosen.
+    pub choice: Choice,
+    /// The address of its target interface.
+    pub address: SocketAddr,
+    /// The group and generation, for a model service.
+    pub group: Option<GroupIncarnation>,
+    /// The number of targets that could have been chosen.
+    pub candidate_count: usize,
+}
+
+/// What a choice of a target depends on.
+#[derive(Clone, Copy, Debug)]
+pub struct TargetQuery<'a> {
+    /// A text that requests with the same prompt prefix share.
+    pub prefix: Option<&'a str>,
+    /// A target to avoid, since an earlier try failed there.
+    pub avoid: Option<&'a TargetId>,
+}
+
 /// Why no target was chosen.
 #[derive(Clone, Debug, Display, Eq, Error, PartialEq)]
 pub enum RouteError {
--- a/lib/src/request/routing.rs
+++ b/lib/src/request/routing.rs
@@ -18,8 +18,8 @@
 use crate::hash::rendezvous_weight;
 use crate::ids::EntryId;
 use crate::ids::TargetId;
-use crate::process::stragglers::Standing;
-use crate::process::stragglers::Stragglers;
+use crate::request::stragglers::Standing;
+use crate::request::stragglers::Stragglers;
 use crate::sorted::SortedVec;
 use crate::target::wire::LoadReport;
 
--- a/lib/src/process/spill.rs
+++ b/lib/src/request/spill.rs
@@ -104,9 +104,9 @@
 /// use std::time::Duration;
 /// use std::time::Instant;
 ///
-/// use beryltray_lib::process::spill::ServiceSummary;
-/// use beryltray_lib::process::spill::Spill;
-/// use beryltray_lib::process::spill::SpillQuery;
+/// use beryltray_lib::request::spill::ServiceSummary;
+/// use beryltray_lib::request::spill::Spill;
+/// use beryltray_lib::request::spill::SpillQuery;
 /// use beryltray_lib::units::RequestRate;
 ///
 /// let now = Instant::now();
--- a/lib/src/process/stragglers.rs
+++ b/lib/src/request/stragglers.rs
@@ -115,9 +115,9 @@
 /// use std::time::Duration;
 /// use std::time::Instant;
 ///
-/// use beryltray_lib::process::stragglers::Standing;
-/// use beryltray_lib::process::stragglers::StragglerSettings;
-/// use beryltray_lib::process::stragglers::Stragglers;
+/// use beryltray_lib::request::stragglers::Standing;
+/// use beryltray_lib::request::stragglers::StragglerSettings;
+/// use beryltray_lib::request::stragglers::Stragglers;
 ///
 /// let mut stragglers = Stragglers::new(StragglerSettings {
 ///     slowness_ratio: 2.0,
--- a/lib/src/request/token_stream.rs
+++ b/lib/src/request/token_stream.rs
@@ -11,7 +11,10 @@
 use super::dispatch::Ending;
 use super::dispatch::Tries;
 use super::dispatch::dispatch;
+use super::entry_context::EntryContext;
+use super::entry_context::ServicePool;
 use super::outcome::UnknownReason;
+use super::route::ChosenTarget;
 use super::route::FinishedAnswer;
 use super::stream::AnswerStream;
 use super::stream::StreamFailure;
@@ -19,8 +22,6 @@
 use crate::clock::Clock;
 use crate::ids::ServiceId;
 use crate::ids::TargetId;
-use crate::process::entry::EntryState;
-use crate::process::entry::Platform;
 use crate::target::AnswerError;
 use crate::target::ConnectionChoice;
 use crate::target::TargetAnswer;
@@ -61,15 +62,14 @@
     A: TargetAnswer,
 {
     /// Sends the request and returns its answer, still to be read.
-    pub async fn start<C, P, T>(
-        state: &EntryState<C, P, T>,
+    pub async fn start<E>(
+        state: &E,
         context: &RequestContext,
         mut tries: Tries,
     ) -> Result<Self, Ending>
     where
-        C: Clock,
-        P: Platform,
-        T: Targets<Answer = A>,
+        E: EntryContext,
+        E::Targets: Targets<Answer = A>,
     {
         let dispatched = dispatch(state, context, &mut tries).await?;
         Ok(Self {
@@ -82,18 +82,17 @@
     }
 
     /// Returns the next part, or how the request ends without one.
-    pub async fn next<C, P, T>(
+    pub async fn next<E>(
         &mut self,
-        state: &EntryState<C, P, T>,
+        state: &E,
         context: &RequestContext,
     ) -> Result<StreamPart, Ending>
     where
-        C: Clock,
-        P: Platform,
-        T: Targets<Answer = A>,
+        E: EntryContext,
+        E::Targets: Targets<Answer = A>,
     {
         loop {
-            let silence = context.silence_bound(state.clock.now());
+            let silence = context.silence_bound(state.clock().now());
             let Some(current) = self.current.as_mut() else {
                 return Err(UnknownReason::ConnectionLost.into());
             };
@@ -108,7 +107,7 @@
                     broken_reason(&source)
                 }
             };
-            if context.remaining(state.clock.now()).is_zero() {
+            if context.remaining(state.clock().now()).is_zero() {
                 return Err(UnknownReason::DeadlinePassed.into());
             }
             self.recover(state, context, failure).await?;
@@ -116,16 +115,15 @@
     }
 
     /// Resumes the answer, starts it anew, or returns how the request ends.
-    async fn recover<C, P, T>(
+    async fn recover<E>(
         &mut self,
-        state: &EntryState<C, P, T>,
+        state: &E,
         context: &RequestContext,
         reason: UnknownReason,
     ) -> Result<(), Ending>
     where
-        C: Clock,
-        P: Platform,
-        T: Targets<Answer = A>,
+        E: EntryContext,
+        E::Targets: Targets<Answer = A>,
     {
         let Some(broken) = self.current.take() else {
             return Err(reason.into());
@@ -134,11 +132,11 @@
             attempt, target, ..
         } = broken;
         let failure = classify(state, context, &target, reason).await;
-        let now = state.clock.now();
+        let now = state.clock().now();
         let service = &context.request.service;
         let recovery = &mut self.recovery;
         let decided = state
-            .shards
+            .services()
             .with_retry_budget(service, |budget| recovery.on_failure(failure, budget, now));
         log::info!(
             request:% = context.request.id,
@@ -172,24 +170,17 @@
         }
     }
 
-    async fn resume<C, P, T>(
+    async fn resume<E>(
         &mut self,
-        state: &EntryState<C, P, T>,
+        state: &E,
         context: &RequestContext,
         plan: AttemptPlan,
     ) -> Result<(), Ending>
     where
-        C: Clock,
-        P: Platform,
-        T: Targets<Answer = A>,
+        E: EntryContext,
+        E::Targets: Targets<Answer = A>,
     {
-        let started = start_attempt(
-            &state.clock,
-            &state.targets,
-            &state.shards,
-            &context.request,
-            &plan,
-        );
+        let started = start_attempt(state, &context.request, &plan);
         match started.await {
             Ok(answer) => {
                 self.current = Some(Dispatched {
@@ -206,23 +197,16 @@
         }
     }
 
-    fn on_token<C, P, T>(
-        &mut self,
-        state: &EntryState<C, P, T>,
-        context: &RequestContext,
-        data: String,
-    ) -> StreamPart
+    fn on_token<E>(&mut self, state: &E, context: &RequestContext, data: String) -> StreamPart
     where
-        C: Clock,
-        P: Platform,
-        T: Targets,
+        E: EntryContext,
     {
         if self.first_token_at.is_none() {
-            let now = state.clock.now();
+            let now = state.clock().now();
             self.first_token_at = Some(now);
             let wait = now.saturating_duration_since(context.received_at);
             let service = &context.request.service;
-            state.metrics.observe_first_token(service, wait);
+            state.observe_first_token(service, wait);
         }
         let index = self.next_index;
         self.next_index += 1;
@@ -231,20 +215,15 @@
     }
 
     /// Tells the router and the target how the answer ended.
-    pub async fn finish<C, P, T>(
-        mut self,
-        state: &EntryState<C, P, T>,
-        context: &RequestContext,
-        is_whole: bool,
-    ) where
-        C: Clock,
-        P: Platform,
-        T: Targets<Answer = A>,
+    pub async fn finish<E>(mut self, state: &E, context: &RequestContext, is_whole: bool)
+    where
+        E: EntryContext,
+        E::Targets: Targets<Answer = A>,
     {
         let Some(current) = self.current.take() else {
             return;
         };
-        let now = state.clock.now();
+        let now = state.clock().now();
         let service = &context.request.service;
         let target = &current.target.choice.target;
         let finished = self.first_token_at.filter(|_| is_whole);
@@ -252,22 +231,22 @@
             tokens: TokenCount(self.next_index),
             generation_time: now.saturating_duration_since(first_token_at),
         });
-        state.shards.on_finished(service, target, finished, now);
+        state.services().on_finished(service, target, finished, now);
         if is_whole {
-            state.metrics.count_attempt(service, "complete");
+            state.count_attempt(service, "complete");
             let is_first_try = self.tries.state.tries == 1;
             if is_first_try {
                 state
-                    .shards
+                    .services()
                     .with_retry_budget(service, |budget| budget.on_success(now));
             }
             current.answer.keep_connection().await;
             return;
         }
-        state.metrics.count_attempt(service, "broken");
+        state.count_attempt(service, "broken");
         let (address, attempt) = (current.target.address, current.attempt.clone());
         drop(current);
-        if let Err(error) = state.targets.cancel(address, attempt).await {
+        if let Err(error) = state.targets().cancel(address, attempt).await {
             log::debug!(request:% = context.request.id; "not cancelled: {error}");
         }
     }
@@ -281,24 +260,26 @@
 }
 
 /// Asks the target over a new connection, since an old one may have gone silent for good.
-async fn classify<C, P, T>(
-    state: &EntryState<C, P, T>,
+async fn classify<E>(
+    state: &E,
     context: &RequestContext,
-    target: &crate::process::service_targets::ChosenTarget,
+    target: &ChosenTarget,
     reason: UnknownReason,
 ) -> StreamFailure
 where
-    C: Clock,
-    P: Platform,
-    T: Targets,
+    E: EntryContext,
 {
     if reason == UnknownReason::WrongGeneration {
         return StreamFailure::WrongAnswer;
     }
-    state.targets.drop_idle(target.address);
-    let is_alive = state.targets.report(target.address).await.is_ok();
-    let now = state.clock.now();
-    if is_alive && state.shards.is_open(&context.request.service, target, now) {
+    state.targets().drop_idle(target.address);
+    let is_alive = state.targets().report(target.address).await.is_ok();
+    let now = state.clock().now();
+    if is_alive
+        && state
+            .services()
+            .is_open(&context.request.service, target, now)
+    {
         StreamFailure::ConnectionLost
     } else {
         StreamFailure::TargetLost
@@ -306,21 +287,19 @@
 }
 
 /// Tells the router of a broken stream; a lost connection doesn't speak against its target.
-fn note_break<C, P, T>(
-    state: &EntryState<C, P, T>,
+fn note_break<E>(
+    state: &E,
     service: &ServiceId,
     target: &TargetId,
     failure: StreamFailure,
     now: Instant,
 ) where
-    C: Clock,
-    P: Platform,
-    T: Targets,
+    E: EntryContext,
 {
     match failure {
-        StreamFailure::ConnectionLost => state.shards.on_finished(service, target, None, now),
+        StreamFailure::ConnectionLost => state.services().on_finished(service, target, None, now),
         StreamFailure::TargetLost | StreamFailure::WrongAnswer => {
-            state.shards.on_failed(service, target, now);
+            state.services().on_failed(service, target, now);
         }
     }
 }
--- a/lib/src/request/whole.rs
+++ b/lib/src/request/whole.rs
@@ -6,25 +6,20 @@
 use super::context::RequestContext;
 use super::dispatch::Ending;
 use super::dispatch::Tries;
+use super::entry_context::EntryContext;
 use super::outcome::UnknownReason;
 use super::plain::run_plain;
 use super::token_stream::StreamPart;
 use super::token_stream::TokenStream;
-use crate::clock::Clock;
-use crate::process::entry::EntryState;
-use crate::process::entry::Platform;
-use crate::target::Targets;
 
 /// Runs a request to its whole answer, in the shape that the caller asked for.
-pub async fn run_whole<C, P, T>(
-    state: &EntryState<C, P, T>,
+pub async fn run_whole<E>(
+    state: &E,
     context: &RequestContext,
     tries: Tries,
 ) -> Result<WholeAnswer, Ending>
 where
-    C: Clock,
-    P: Platform,
-    T: Targets,
+    E: EntryContext,
 {
     if context.request.shape == AnswerShape::Plain {
         return run_plain(state, context, tries).await;
@@ -37,15 +32,13 @@
     completion.map_err(|_| UnknownReason::NotWhole.into())
 }
 
-async fn gather<C, P, T>(
-    state: &EntryState<C, P, T>,
+async fn gather<E>(
+    state: &E,
     context: &RequestContext,
     tries: Tries,
 ) -> Result<GatheredChat, Ending>
 where
-    C: Clock,
-    P: Platform,
-    T: Targets,
+    E: EntryContext,
 {
     let mut stream = TokenStream::start(state, context, tries).await?;
     let mut gathered = GatheredChat::default();
--- a/lib/tests/test_spill.rs
+++ b/lib/tests/test_spill.rs
@@ -3,11 +3,11 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use beryltray_lib::process::spill::NoSpillReason;
-use beryltray_lib::process::spill::ServiceSummary;
-use beryltray_lib::process::spill::Spill;
-use beryltray_lib::process::spill::SpillQuery;
-use beryltray_lib::process::spill::SpillSettings;
+use beryltray_lib::request::spill::NoSpillReason;
+use beryltray_lib::request::spill::ServiceSummary;
+use beryltray_lib::request::spill::Spill;
+use beryltray_lib::request::spill::SpillQuery;
+use beryltray_lib::request::spill::SpillSettings;
 use beryltray_lib::units::RequestRate;
 use beryltray_testutils::seeds::quickcheck_with_seed;
 
--- a/lib/tests/test_stragglers.rs
+++ b/lib/tests/test_stragglers.rs
@@ -4,9 +4,9 @@
 use std::time::Instant;
 
 use beryltray_lib::ids::TargetId;
-use beryltray_lib::process::stragglers::Standing;
-use beryltray_lib::process::stragglers::StragglerSettings;
-use beryltray_lib::process::stragglers::Stragglers;
+use beryltray_lib::request::stragglers::Standing;
+use beryltray_lib::request::stragglers::StragglerSettings;
+use beryltray_lib::request::stragglers::Stragglers;
 use beryltray_lib::units::Share;
 use beryltray_testutils::seeds::quickcheck_with_seed;
 
