process: calls between entries stand beside the process; a test keeps the layers

Cause: connection::peer imported the exchange's frames and the entry's status from process, though only the process uses it. It moved to process::peer.

Also a broken link in the docs of the claims' store, so that rustdoc -D warnings passes.

--- a/cli/src/commands/experiment/exchange/fleet.rs
+++ b/cli/src/commands/experiment/exchange/fleet.rs
@@ -5,11 +5,6 @@
 
 use beryltray_lib::clock::Clock as _;
 use beryltray_lib::clock::SystemClock;
-use beryltray_lib::connection::peer::codec::LENGTH_PREFIX_BYTES;
-use beryltray_lib::connection::peer::codec::decode_answer;
-use beryltray_lib::connection::peer::codec::decode_call;
-use beryltray_lib::connection::peer::codec::encode_answer;
-use beryltray_lib::connection::peer::codec::encode_call;
 use beryltray_lib::ids::Incarnation;
 use beryltray_lib::ids::ParseIdError;
 use beryltray_lib::process::exchange::ExchangeAction;
@@ -18,6 +13,11 @@
 use beryltray_lib::process::exchange::wire::Frame;
 use beryltray_lib::process::exchange::wire::StateVersion;
 use beryltray_lib::process::membership::member::MemberIdentity;
+use beryltray_lib::process::peer::codec::LENGTH_PREFIX_BYTES;
+use beryltray_lib::process::peer::codec::decode_answer;
+use beryltray_lib::process::peer::codec::decode_call;
+use beryltray_lib::process::peer::codec::encode_answer;
+use beryltray_lib::process::peer::codec::encode_call;
 use rand::SeedableRng as _;
 use rand::rngs::StdRng;
 
--- a/lib/src/connection/mod.rs
+++ b/lib/src/connection/mod.rs
@@ -3,7 +3,6 @@
 pub mod body;
 pub mod client;
 pub mod liveness;
-pub mod peer;
 pub mod pool;
 pub mod relay;
 pub mod server;
--- a/lib/src/process/entry/peers.rs
+++ b/lib/src/process/entry/peers.rs
@@ -5,8 +5,8 @@
 use std::sync::RwLock;
 
 use crate::clock::Clock;
-use crate::connection::peer::client::PeerClient;
 use crate::ids::EntryId;
+use crate::process::peer::client::PeerClient;
 use crate::sorted::Keyed;
 use crate::sorted::SortedVec;
 use crate::version::head::FetchedVersion;
--- a/lib/src/process/entry/traffic.rs
+++ b/lib/src/process/entry/traffic.rs
@@ -4,7 +4,7 @@
 use prometheus::Opts;
 use prometheus::Registry;
 
-use crate::connection::peer::metered::TrafficMeter;
+use crate::process::peer::metered::TrafficMeter;
 
 /// What the calls between entries cost, as metrics.
 #[derive(Clone, Debug)]
--- a/lib/src/process/mod.rs
+++ b/lib/src/process/mod.rs
@@ -12,6 +12,7 @@
 pub mod limits;
 pub mod membership;
 pub mod metrics;
+pub mod peer;
 pub mod placement;
 pub mod presence;
 pub mod service_targets;
--- a/lib/src/connection/peer/mod.rs
+++ b/lib/src/process/peer/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! Few calls are enough: the state exchange, the pull of a version of the document, the status for
 //! operators, and the table for an entry that the platform does not reach. All but the commit of a
-//! transaction may be repeated without harm. Streams go over [`super::relay`].
+//! transaction may be repeated without harm. Streams go over [`crate::connection::relay`].
 
 pub mod client;
 pub mod codec;
--- a/lib/src/request/claim/store.rs
+++ b/lib/src/request/claim/store.rs
@@ -1,7 +1,7 @@
 //! Drives the machine of claims: one task that batches the claims and marks of all requests.
 //!
 //! What a request holds while its work is claimed is a value: dropping a [`ClaimGrant`] says that
-//! the work was not run, and dropping an [`ActiveClaim`] that its result is not known. A request
+//! the work was not run, and dropping an [`super::ActiveClaim`] that its result is not known. A request
 //! that is cancelled at any point therefore leaves an honest record.
 
 use std::time::Duration;
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -15,6 +15,7 @@
 mod test_head_world;
 mod test_history;
 mod test_ini;
+mod test_layers;
 mod test_lease;
 mod test_limits;
 mod test_membership;
