formation: lost members hold up no replacement, and hosts keep two models' weights

Causes, each in the log: - A group whose remaining members were all lost was taken over and ended again at each step while their records stayed (976 lines of takeover). While a group of a model changes, no other makes room for it, so none ever did. Now a group is taken over only if a member can be reached, and lost hosts outside of groups are asked for reports instead. - A join makes its weights the only ones a host keeps, so after its first repair a group could make no room for another model. Second weights are staged again, within half of the rate of loads. - While a group made room, its own model was short of one there and took the free hosts first. They are kept now. - Spares held the small model's weights first, though a lost member stops eleven other hosts in a large group and five in a small one.

Ruled out: slow loads (16 s as the sheet says), uneven routing (the large groups had the same in flight), the lease (one gap of 3 s).

Tried with it: ending a group whenever the worse supplied model gains. A group is ended now only if its model is as well supplied afterwards.

The five new tests: four failed on the former code; the one on equal supply stands for the trial above. Ran: lib 273 passed.

--- a/lib/src/process/formation/balance.rs
+++ b/lib/src/process/formation/balance.rs
@@ -109,7 +109,7 @@
     }
 
     /// Returns an open group whose hosts would complete a missing group of `model` in their
-    /// domain, if the model that is worst supplied is better supplied then.
+    /// domain, if its own model is then still as well supplied.
     pub(super) fn group_to_sacrifice(
         &self,
         plan: &ServicePlan,
@@ -148,13 +148,14 @@
             };
             let gained = group.members.iter().filter(is_warm).count();
             let others = self.serving_count(plan, &group.weights);
-            let before = supply(model, own).min(supply(other, others));
-            let after = supply(model, own + 1).min(supply(other, others.saturating_sub(1)));
+            // What two models want may be more than there is: a group is ended only if its model
+            // is at least as well supplied afterwards, or hosts would go from one to the other.
+            let is_fair = supply(other, others.saturating_sub(1)) >= supply(model, own + 1);
             other != model
                 && group.phase == GroupPhase::Open
                 && !group.is_cross_domain
                 && free + gained >= wanted.group_size
-                && after > before
+                && is_fair
         };
         self.groups
             .iter()
--- a/lib/src/process/formation/free_hosts.rs
+++ b/lib/src/process/formation/free_hosts.rs
@@ -142,6 +142,9 @@
             members:% = member_list(&choice.members);
             "group is formed"
         );
+        for member in &members {
+            self.staging.remove(&member.host);
+        }
         let until = now + choice.ready_in + self.settings.forming_slack;
         self.groups.insert(Group {
             id,
@@ -159,6 +162,7 @@
             may_have_left: false,
             close_accepted_at: None,
             expected_ready_in: choice.ready_in,
+            makes_room_for: None,
         });
     }
 }
--- a/lib/src/process/formation/loads.rs
+++ b/lib/src/process/formation/loads.rs
@@ -33,6 +33,11 @@
         }
     }
 
+    /// Returns how many loads may start in one span.
+    pub fn limit(&self) -> usize {
+        self.limit
+    }
+
     /// Returns how many loads may start now.
     pub fn available(&mut self, now: Instant) -> usize {
         let window = self.window;
--- a/lib/src/process/formation/machine.rs
+++ b/lib/src/process/formation/machine.rs
@@ -320,6 +320,7 @@
         }
         self.groups = groups;
         self.stage_others(board, now, &mut actions);
+        self.ask_lost_hosts(board, now, &mut actions);
         actions
     }
 
@@ -328,8 +329,10 @@
             let is_gone = self.ended.get(id).is_some_and(|ended| ended.is_head_gone);
             is_gone || self.groups.contains_key(id)
         };
+        let is_reachable =
+            |entry: &HostEntry| entry.is_listed(now) && !entry.is_lost(self.settings.report_misses);
         let is_resting = |entry: &HostEntry| self.is_resting(entry, now);
-        let unknown = super::takeover::unknown_groups(board, now, is_known, is_resting);
+        let unknown = super::takeover::unknown_groups(board, is_known, is_reachable, is_resting);
         for seen in unknown {
             let group = seen.into_group(&self.plans, now);
             log::info!(
--- a/lib/src/process/formation/phases.rs
+++ b/lib/src/process/formation/phases.rs
@@ -1,5 +1,6 @@
 //! How a group goes from its first order to its end.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -12,6 +13,7 @@
 use super::machine::Formation;
 use super::machine::FormationAction;
 use super::machine::Outstanding;
+use crate::ids::HostId;
 use crate::target::record::Availability;
 use crate::target::record::CloseMode;
 use crate::target::record::GroupOrder;
@@ -327,6 +329,30 @@
         }
     }
 
+    /// Asks for the reports of lost hosts that no group watches: one that was cut off for a while
+    /// keeps its record and its place, and nothing else tells that it can be reached again.
+    pub(super) fn ask_lost_hosts(
+        &mut self,
+        board: &HostBoard,
+        now: Instant,
+        actions: &mut Vec<FormationAction>,
+    ) {
+        for entry in board.iter() {
+            let record = &entry.record;
+            let is_lost = entry.is_usable(now) && entry.is_lost(self.settings.report_misses);
+            if !is_lost || self.group_of(&record.host).is_some() {
+                continue;
+            }
+            let last = self.reports.get(&record.host).map(|last| last.until);
+            let is_due = last.is_none_or(|until| {
+                until.is_some_and(|until| now >= until + self.settings.lost_report_pause)
+            });
+            if is_due {
+                self.push_report(&record.host, record.address, actions);
+            }
+        }
+    }
+
     fn ask_report(
         &mut self,
         member: &GroupMember,
@@ -336,18 +362,27 @@
         let last = self.reports.get(&member.host);
         let is_due = last.is_none_or(|last| last.until.is_some_and(|until| now >= until));
         if is_due {
-            self.reports.insert(Outstanding {
-                host: member.host.clone(),
-                order: None,
-                until: None,
-            });
-            actions.push(FormationAction::Report {
-                host: member.host.clone(),
-                address: member.address,
-            });
+            self.push_report(&member.host, member.address, actions);
         }
     }
 
+    fn push_report(
+        &mut self,
+        host: &HostId,
+        address: SocketAddr,
+        actions: &mut Vec<FormationAction>,
+    ) {
+        self.reports.insert(Outstanding {
+            host: host.clone(),
+            order: None,
+            until: None,
+        });
+        actions.push(FormationAction::Report {
+            host: host.clone(),
+            address,
+        });
+    }
+
     fn order_joins(
         &mut self,
         group: &Group,
--- a/lib/src/process/formation/settings.rs
+++ b/lib/src/process/formation/settings.rs
@@ -19,6 +19,8 @@
     pub report_interval: Duration,
     /// The unanswered reports after which a host counts as lost.
     pub report_misses: u32,
+    /// How much longer the time between two reports of a lost host outside of all groups is.
+    pub lost_report_pause: Duration,
 }
 
 impl Default for FormationSettings {
@@ -37,6 +39,8 @@
             // Two misses find a lost host in about half a second.
             report_interval: Duration::from_millis(200),
             report_misses: 2,
+            // A host is rarely back within a second; a dark domain's hosts are asked all at once.
+            lost_report_pause: Duration::from_millis(800),
         }
     }
 }
--- a/lib/src/process/formation/spares.rs
+++ b/lib/src/process/formation/spares.rs
@@ -7,6 +7,7 @@
 use super::board::Liveness;
 use super::choice::Choice;
 use super::group::GroupMember;
+use super::group::GroupPhase;
 use super::machine::Formation;
 use super::machine::FormationAction;
 use super::machine::ServicePlan;
@@ -17,8 +18,8 @@
 use crate::target::record::GroupOrder;
 use crate::version::routes::ModelSheet;
 
-/// The loads that staging leaves free, for the members of a group.
-const STAGING_RESERVE_LOADS: usize = 12;
+/// The part of the rate of loads that staging leaves free, for hosts that groups wait for.
+const STAGING_RESERVE_DIVISOR: usize = 2;
 
 impl Formation {
     /// Has each spare join a group of its own, so that it holds the weights that the groups of its
@@ -60,8 +61,9 @@
     /// Has hosts keep a second model's weights beside those of their last group, so that they can
     /// serve either within the time of a warm start.
     ///
-    /// Before the first request, loads are quick and free, and all hosts are prepared; later only
-    /// hosts without a group.
+    /// A join makes its own weights the last ones kept, so the others are gone then and are staged
+    /// again: without them a group could make no room for one of another model. Hosts without a
+    /// group go first; before the first request, loads are quick and free.
     pub(super) fn stage_others(
         &mut self,
         board: &HostBoard,
@@ -70,21 +72,36 @@
     ) {
         let mut plans = std::mem::take(&mut self.plans);
         for plan in plans.iter_mut() {
-            let service = plan.service.clone();
-            let entries = board.iter().filter(|entry| {
-                entry.record.service == service
-                    && entry.is_usable(now)
-                    && entry.liveness == Liveness::Assumed
+            if !self.may_stage(plan, now) {
+                continue;
+            }
+            let in_need = board.iter().filter_map(|entry| {
+                let is_own = entry.record.service == plan.service && entry.is_usable(now);
+                let is_up = is_own && entry.liveness == Liveness::Assumed;
+                let weights = self.weights_to_stage(plan, entry).filter(|_| is_up)?;
+                Some((entry, weights))
             });
-            for entry in entries {
-                if let Some(weights) = self.weights_to_stage(plan, entry) {
-                    self.stage(plan, entry, weights, now, actions);
-                }
+            let mut in_need: Vec<(&HostEntry, WeightsId)> = in_need.collect();
+            in_need.sort_by_cached_key(|(entry, _)| self.group_size_of(entry));
+            for (entry, weights) in in_need {
+                self.stage(plan, entry, weights, now, actions);
             }
         }
         self.plans = plans;
     }
 
+    /// Returns whether the rate of loads allows staging; hosts that groups wait for go first.
+    fn may_stage(&self, plan: &mut ServicePlan, now: Instant) -> bool {
+        let reserve = plan.loads.limit() / STAGING_RESERVE_DIVISOR;
+        self.loads_available(plan, now) > reserve
+    }
+
+    /// Returns how many members the group of a host has; none are in no group.
+    fn group_size_of(&self, entry: &HostEntry) -> usize {
+        let group = self.group_of(&entry.record.host);
+        group.map_or(0, |group| group.members.len())
+    }
+
     fn weights_to_stage(&self, plan: &ServicePlan, entry: &HostEntry) -> Option<WeightsId> {
         let record = &entry.record;
         let last = self.last_weights.get(&record.host)?;
@@ -92,10 +109,12 @@
             .staging
             .get(&record.host)
             .is_some_and(|order| order.incarnation == record.incarnation);
-        let is_in_group = self.group_of(&record.host).is_some();
+        let is_changing = self
+            .group_of(&record.host)
+            .is_some_and(|group| group.phase != GroupPhase::Open);
         if was_ordered
             || last.incarnation != record.incarnation
-            || (is_in_group && !self.is_before_traffic)
+            || (is_changing && !self.is_before_traffic)
             || record.staged.iter().any(|staged| *staged != last.weights)
         {
             return None;
@@ -117,8 +136,7 @@
         now: Instant,
         actions: &mut Vec<FormationAction>,
     ) {
-        // Loads that groups wait for go first.
-        if self.loads_available(plan, now) <= STAGING_RESERVE_LOADS {
+        if !self.may_stage(plan, now) {
             return;
         }
         let record = &entry.record;
@@ -142,7 +160,7 @@
         }
     }
 
-    /// Returns the model of which a domain misses a group, or else the one with the most members
+    /// Returns the model of which a domain misses a group, or else the one with the most at stake
     /// for each of its spares, and whether a group is missing.
     fn most_exposed<'a>(
         &self,
@@ -154,13 +172,15 @@
     ) -> Option<(&'a ModelSheet, bool)> {
         let wanted = plan.packing.domains.get(domain)?;
         let exposure = |index: usize, model: &ModelSheet| {
-            let members = wanted.counts.get(index).copied().unwrap_or_default() * model.group_size;
+            let groups = wanted.counts.get(index).copied().unwrap_or_default();
+            // A member that is lost takes its whole group out of service.
+            let at_stake = groups * model.group_size * model.group_size;
             let is_spare = |entry: &&HostEntry| {
                 entry.record.domain.as_ref() == Some(domain)
                     && entry.is_usable(now)
                     && self.is_spare_of(entry, model)
             };
-            members as f64 / (1 + board.iter().filter(is_spare).count()) as f64
+            at_stake as f64 / (1 + board.iter().filter(is_spare).count()) as f64
         };
         let indexed = models.iter().enumerate();
         let missing = indexed
--- a/lib/src/process/formation/takeover.rs
+++ b/lib/src/process/formation/takeover.rs
@@ -28,16 +28,19 @@
 
 /// Returns the groups of which `is_known` is false.
 ///
-/// A group whose head is not on the board is returned only if none of its members `is_resting`.
-pub(super) fn unknown_groups<'a, F, G>(
+/// A group is returned only if one of its members `is_reachable`: there is nothing to do for the
+/// others, whose records stay for a while. One whose head is not on the board is returned only if
+/// none of its members `is_resting`.
+pub(super) fn unknown_groups<'a, F, G, H>(
     board: &'a HostBoard,
-    now: Instant,
     is_known: F,
-    is_resting: G,
+    is_reachable: G,
+    is_resting: H,
 ) -> Vec<SeenGroup<'a>>
 where
     F: Fn(&GroupId) -> bool,
     G: Fn(&HostEntry) -> bool,
+    H: Fn(&HostEntry) -> bool,
 {
     let mut seen: Vec<SeenGroup<'a>> = Vec::new();
     for entry in board.iter() {
@@ -52,10 +55,10 @@
         let mut members: Vec<&HostEntry> = board.iter().filter(is_member).collect();
         members.sort_by_key(|entry| entry.membership().map(|m| m.rank));
         let first_rank = members.first().and_then(|e| e.membership()).map(|m| m.rank);
-        let is_any_listed = members.iter().any(|entry| entry.is_listed(now));
+        let is_any_reachable = members.iter().any(|entry| is_reachable(entry));
         let is_any_resting = members.iter().any(|entry| is_resting(entry));
         let has_head = first_rank == Some(0);
-        if is_any_listed && (has_head || !is_any_resting) {
+        if is_any_reachable && (has_head || !is_any_resting) {
             seen.push(SeenGroup {
                 membership,
                 first: members.first().copied().unwrap_or(entry),
@@ -121,6 +124,7 @@
             may_have_left: phase != GroupPhase::Open,
             close_accepted_at: None,
             expected_ready_in: Duration::ZERO,
+            makes_room_for: None,
         }
     }
 }
--- a/lib/src/process/formation/wanted.rs
+++ b/lib/src/process/formation/wanted.rs
@@ -14,6 +14,7 @@
 use super::packing::pack_domains;
 use crate::ids::FabricDomainId;
 use crate::ids::HostId;
+use crate::ids::WeightsId;
 use crate::sorted::SortedVec;
 use crate::version::routes::ModelSheet;
 
@@ -86,7 +87,9 @@
             for domain in &domains {
                 // The smaller groups fit in what is left.
                 for model in largest_first(&models) {
-                    if self.is_satisfied(plan, domain, model) {
+                    if self.is_satisfied(plan, domain, model)
+                        || self.is_kept_for_other(domain, &models[model].weights)
+                    {
                         continue;
                     }
                     has_formed |= self.form_in_domain(plan, domain, &models[model], board, now);
@@ -117,6 +120,15 @@
         self.rising_count(plan, domain, weights) >= wanted
     }
 
+    /// Returns whether a group of the domain is being ended for other weights than these, whose
+    /// group needs the hosts that are free there already.
+    fn is_kept_for_other(&self, domain: &FabricDomainId, weights: &WeightsId) -> bool {
+        self.groups.iter().any(|group| {
+            let room = group.makes_room_for.as_ref();
+            group.domain.as_ref() == Some(domain) && room.is_some_and(|w| w != weights)
+        })
+    }
+
     fn form_in_domain(
         &mut self,
         plan: &mut ServicePlan,
@@ -167,6 +179,7 @@
         }
         if let Some(group) = self.group_to_sacrifice(plan, model, &unsatisfied, board, now) {
             if let Some(group) = self.groups.get_mut(&group) {
+                group.makes_room_for = Some(sheet.weights.clone());
                 group.enter(GroupPhase::Finishing, now);
             }
             plan.missing_since[model] = None;
--- a/lib/tests/test_formation.rs
+++ b/lib/tests/test_formation.rs
@@ -395,6 +395,91 @@
     world.assert_promises_kept();
 }
 
+/// Returns a world without spares in which two of four large groups have lost their heads and a
+/// member, and those heads.
+fn two_large_groups_lost() -> (World, Vec<HostId>) {
+    let mut world = World::open(&[9, 9, 9, 9]);
+    let groups = world.formation.groups();
+    let large_groups = groups.filter(|group| group.weights == large()).take(2);
+    let lost: Vec<Vec<HostId>> = large_groups
+        .map(|group| vec![group.members[0].host.clone(), group.members[1].host.clone()])
+        .collect();
+    for host in lost.iter().flatten() {
+        world.fleet.lose(host);
+    }
+    let heads = lost.into_iter().map(|mut hosts| hosts.swap_remove(0));
+    (world, heads.collect())
+}
+
+#[test]
+fn formation_members_that_answer_nothing_hold_up_no_replacement() {
+    // Losses that came every few seconds: a group whose lost members stayed on the board was taken
+    // over and ended again at each step, and as long as it changed no other group made room.
+    let (mut world, heads) = two_large_groups_lost();
+    for head in &heads {
+        world.formation.on_stall(head, world.now);
+    }
+    world.run(Duration::from_secs(5));
+    assert_eq!(world.serving(), (3, 3));
+    world.assert_promises_kept();
+}
+
+#[test]
+fn formation_hosts_for_a_scarce_model_are_not_taken_while_another_group_makes_room() {
+    // Losses in domains without spares: the group that made room was of a small model, which was
+    // missing a group then and took the free hosts of the large one before its own were free.
+    let (mut world, _) = two_large_groups_lost();
+    world.run(Duration::from_secs(12));
+    assert_eq!(world.serving(), (3, 3));
+    world.assert_promises_kept();
+}
+
+#[test]
+fn formation_group_makes_no_room_for_a_model_that_is_as_well_supplied_as_its_own() {
+    // A burst with losses: groups of the model that most requests were for were ended for one that
+    // was short of as much.
+    let mut world = World::open(&[9, 9, 9, 9]);
+    for is_head in [true, false] {
+        let member = world.member(&large(), is_head);
+        world.fleet.lose(&member);
+    }
+    world.run(Duration::from_secs(12));
+    assert_eq!(world.serving(), (3, 4));
+    world.assert_promises_kept();
+}
+
+#[test]
+fn formation_second_weights_are_staged_again_after_a_repair() {
+    // Losses that came every few seconds: each repaired group kept only its own weights, so none
+    // could make room for the large one that was missing in its domain.
+    let mut world = World::open(&[11, 11]);
+    let member = world.member(&small(), false);
+    world.fleet.lose(&member);
+    world.run(Duration::from_secs(25));
+    assert_eq!(world.serving(), (2, 2));
+    let records = world.fleet.snapshot();
+    let one_sided: Vec<&HostId> = records
+        .iter()
+        .filter(|record| record.staged == record.weights)
+        .map(|record| &record.host)
+        .collect();
+    assert_eq!(one_sided, Vec::<&HostId>::new());
+    world.assert_promises_kept();
+}
+
+#[test]
+fn formation_spares_first_hold_the_weights_of_the_larger_groups() {
+    // One of twelve members lost stops the other eleven, one of six only five.
+    let world = World::open(&[11, 11]);
+    let records = world.fleet.snapshot();
+    let spares = records.iter().filter(|record| {
+        let group = record.membership.as_ref().map(|m| m.group.as_str());
+        group.is_none_or(|group| group.starts_with('w'))
+    });
+    let large_spares = spares.filter(|record| record.weights == [large()]).count();
+    assert_eq!(large_spares, 4);
+}
+
 #[test]
 fn formation_group_over_domains_is_replaced_once_its_domain_can() {
     // After a cut and some losses, hosts of one domain stayed in a group of the other one.
