forward: a request keeps its place in a queue that moves, and a head that left its group draws none

Two ways in which a shortage made itself worse, both from the logs:

An entry has about one stream at a group there, so it could not tell a queue from a stall. The datagrams now say when an event last came on a sender's streams, and a target that moves is given up 1.5 s later. Starts of requests don't count as movement: a stalled head goes on accepting them.

A target that says it serves no more is now passed over for 5 s, or until its record names another group.

Tests: limit_request_in_a_moving_queue_keeps_its_place, usage_target_moves_while_other_entries_see_events_and_not_because_requests_start, usage_target_that_stopped_serving_is_suspect_until_it_serves_in_another_group. They name what the code did not have, so none was seen failing before it.

--- a/lib/src/process/gateway/context.rs
+++ b/lib/src/process/gateway/context.rs
@@ -7,6 +7,7 @@
 
 use super::state::GatewayState;
 use crate::clock::Clock;
+use crate::ids::GroupId;
 use crate::ids::HostId;
 use crate::ids::ServiceId;
 use crate::process::lifecycle::Stage;
@@ -47,6 +48,7 @@
 {
     state: Arc<GatewayState<C>>,
     host: HostId,
+    group: Option<GroupId>,
     address: SocketAddr,
     service: ServiceId,
     expected_wait: Duration,
@@ -115,6 +117,14 @@
         target.min(now.saturating_duration_since(self.started_at))
     }
 
+    fn still_for(&self) -> Duration {
+        let now = self.state.clock.now();
+        let inner = self.state.inner();
+        let still = inner.usage.get(&self.host).and_then(|u| u.still_for(now));
+        let here_for = now.saturating_duration_since(self.started_at);
+        still.map_or(here_for, |still| still.min(here_for))
+    }
+
     fn on_end(&mut self, end: Option<SendEnd>) {
         if std::mem::replace(&mut self.has_ended, true) {
             return;
@@ -124,6 +134,10 @@
         self.state.metrics.count_send(&self.service, &word);
         let mut inner = self.state.inner();
         inner.usage.on_result(&self.host, end, now);
+        if end == Some(SendEnd::NotServing) {
+            let group = self.group.clone();
+            inner.usage.on_not_serving(&self.host, group, now);
+        }
         if matches!(
             end,
             Some(SendEnd::Silent | SendEnd::NotSent | SendEnd::Broken)
@@ -181,6 +195,7 @@
         Ok(TargetPlace {
             state: Arc::clone(&self.state),
             host: target.host,
+            group: target.group,
             address: target.address,
             service: target.service,
             expected_wait,
--- a/lib/src/process/gateway/peers.rs
+++ b/lib/src/process/gateway/peers.rs
@@ -41,6 +41,10 @@
     pub in_flight: u32,
     /// The prompt tokens that are not read yet.
     pub unread_tokens: u64,
+    /// For how long no event has come on the sender's streams there, in milliseconds, if one ever
+    /// has; an entry of an earlier version does not say.
+    #[serde(default)]
+    pub still_ms: Option<u64>,
 }
 
 impl Keyed for ToldUse {
--- a/lib/src/process/gateway/serving.rs
+++ b/lib/src/process/gateway/serving.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use crate::ids::DataCentreId;
+use crate::ids::GroupId;
 use crate::ids::HostId;
 use crate::ids::ServiceId;
 use crate::ids::WeightsId;
@@ -23,6 +24,8 @@
     pub address: SocketAddr,
     /// The service.
     pub service: ServiceId,
+    /// The group that the target heads; none for plain services.
+    pub group: Option<GroupId>,
     /// The weights that a group serves; empty for plain services.
     pub weights: Vec<WeightsId>,
     /// The data centre.
@@ -59,6 +62,11 @@
             host: record.host.clone(),
             address: record.address,
             service: record.service.clone(),
+            group: record
+                .membership
+                .as_ref()
+                .filter(|_| sheet.engine.is_some())
+                .map(|membership| membership.group.clone()),
             weights,
             data_centre: record.data_centre.clone(),
             slots,
--- a/lib/src/process/gateway/state.rs
+++ b/lib/src/process/gateway/state.rs
@@ -243,6 +243,9 @@
             host: host.clone(),
             in_flight: usage.own_in_flight(),
             unread_tokens: usage.unread_tokens(),
+            still_ms: usage
+                .own_still_for(now)
+                .map(|still| still.as_millis() as u64),
         });
         let uses = uses.collect();
         let stalled = inner.stalled_to_tell.iter().map(|(host, _)| host.clone());
@@ -254,6 +257,7 @@
         let now = self.clock.now();
         let mut inner = self.inner();
         if inner.peers.on_message(message, now) {
+            inner.on_told_uses(&message.uses, now);
             inner.stalled.extend(message.stalled.iter().cloned());
             // Only the entry that forms groups takes them.
             let excess = inner.stalled.len().saturating_sub(STALLED_MAX);
@@ -411,6 +415,15 @@
         self.serving.iter().any(|target| target.host == *host)
     }
 
+    fn on_told_uses(&mut self, uses: &[ToldUse], now: Instant) {
+        for told in uses {
+            let still = told.still_ms.map(Duration::from_millis);
+            if let Some(moved_at) = still.and_then(|still| now.checked_sub(still)) {
+                self.usage.on_others_moved(&told.host, moved_at, now);
+            }
+        }
+    }
+
     pub(super) fn take_place(
         &mut self,
         need: &TargetNeed,
@@ -438,7 +451,9 @@
                     + self.peers.use_of(&target.host, now).1,
                 pace: target.pace,
                 failure_share: usage.map_or(0.0, |u| u.failure_share()),
-                is_suspect: usage.is_some_and(|u| u.is_suspect(now)),
+                is_suspect: usage.is_some_and(|u| {
+                    u.is_suspect(now) || u.has_stopped_serving(target.group.as_ref(), now)
+                }),
             }
         };
         let options: Vec<TargetOption> = candidates.iter().map(option).collect();
--- a/lib/src/process/gateway/usage.rs
+++ b/lib/src/process/gateway/usage.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::ids::GroupId;
 use crate::ids::HostId;
 use crate::request::forward::plan::SendEnd;
 use crate::request::forward::protocol::AnswerLoad;
@@ -15,6 +16,9 @@
 const SILENT_PAUSE: Duration = Duration::from_millis(1_500);
 /// How long a target that refused a request is passed over: some requests end meanwhile.
 const REFUSED_PAUSE: Duration = Duration::from_millis(100);
+/// How long a target that serves no such requests any more is passed over at most, while its record
+/// says otherwise: records come back some seconds after an outage of the registry.
+const NOT_SERVING_PAUSE: Duration = Duration::from_secs(5);
 /// The weight of the latest request in the share of failed requests.
 const FAILURE_WEIGHT: f64 = 0.15;
 /// The age after which a load that a target told says nothing any more.
@@ -28,6 +32,13 @@
     at: Instant,
 }
 
+/// A place in which a target said that it serves no requests any more.
+#[derive(Clone, Debug, PartialEq)]
+struct NotServing {
+    group: Option<GroupId>,
+    until: Instant,
+}
+
 /// What this process knows of a target from its own requests.
 #[derive(Clone, Debug)]
 pub struct TargetUsage {
@@ -37,7 +48,12 @@
     told: Option<ToldLoad>,
     failure_share: f64,
     suspect_until: Option<Instant>,
+    not_serving: Option<NotServing>,
     progress_at: Instant,
+    /// When an event last came on a stream of this process.
+    moved_at: Option<Instant>,
+    /// When one last came on a stream of another process, as far as it was told.
+    others_moved_at: Option<Instant>,
 }
 
 impl Keyed for TargetUsage {
@@ -57,7 +73,10 @@
             told: None,
             failure_share: 0.0,
             suspect_until: None,
+            not_serving: None,
             progress_at: now,
+            moved_at: None,
+            others_moved_at: None,
         }
     }
 
@@ -100,10 +119,29 @@
         self.suspect_until.is_some_and(|until| now < until)
     }
 
+    /// Returns whether the target said that it serves no more in `group`, which its record still
+    /// names. In another group it may serve again.
+    pub fn has_stopped_serving(&self, group: Option<&GroupId>, now: Instant) -> bool {
+        let stopped = self.not_serving.as_ref();
+        stopped.is_some_and(|stopped| now < stopped.until && stopped.group.as_ref() == group)
+    }
+
     /// Returns for how long no stream of this process has moved at the target.
     pub fn silent_for(&self, now: Instant) -> Duration {
         now.saturating_duration_since(self.progress_at)
     }
+
+    /// Returns for how long no event has come on a stream of this process, if one ever has.
+    pub fn own_still_for(&self, now: Instant) -> Option<Duration> {
+        let moved_at = self.moved_at?;
+        Some(now.saturating_duration_since(moved_at))
+    }
+
+    /// Returns for how long no event has come on any stream at the target, if one ever has.
+    pub fn still_for(&self, now: Instant) -> Option<Duration> {
+        let moved_at = self.moved_at.max(self.others_moved_at)?;
+        Some(now.saturating_duration_since(moved_at))
+    }
 }
 
 /// The usage of all targets.
@@ -138,6 +176,7 @@
         let usage = self.usage(host, now);
         usage.unread_tokens = usage.unread_tokens.saturating_sub(u64::from(prompt_tokens));
         usage.progress_at = now;
+        usage.moved_at = Some(now);
     }
 
     /// Takes a load that a target told.
@@ -150,9 +189,10 @@
         });
     }
 
-    /// Takes note that a stream of the target moves.
-    pub fn on_progress(&mut self, host: &HostId, now: Instant) {
-        self.usage(host, now).progress_at = now;
+    /// Takes note that an event came on a stream of another process at `moved_at`.
+    pub fn on_others_moved(&mut self, host: &HostId, moved_at: Instant, now: Instant) {
+        let usage = self.usage(host, now);
+        usage.others_moved_at = usage.others_moved_at.max(Some(moved_at));
     }
 
     /// Takes note of how a send ended; `None` is a whole answer.
@@ -161,7 +201,7 @@
         let failed = match end {
             None => 0.0,
             // A full target has not failed.
-            Some(SendEnd::NotRun) => usage.failure_share,
+            Some(SendEnd::NotRun | SendEnd::NotServing) => usage.failure_share,
             Some(_) => 1.0,
         };
         usage.failure_share += FAILURE_WEIGHT * (failed - usage.failure_share);
@@ -169,11 +209,17 @@
             Some(SendEnd::NotSent) => UNCONNECTED_PAUSE,
             Some(SendEnd::Silent) => SILENT_PAUSE,
             Some(SendEnd::NotRun) => REFUSED_PAUSE,
-            Some(SendEnd::TargetFailed | SendEnd::Broken) | None => return,
+            Some(SendEnd::NotServing | SendEnd::TargetFailed | SendEnd::Broken) | None => return,
         };
         usage.suspect_until = usage.suspect_until.max(Some(now + pause));
     }
 
+    /// Takes note that a target serves no more in `group`.
+    pub fn on_not_serving(&mut self, host: &HostId, group: Option<GroupId>, now: Instant) {
+        let until = now + NOT_SERVING_PAUSE;
+        self.usage(host, now).not_serving = Some(NotServing { group, until });
+    }
+
     /// Takes note that a request has left a target.
     pub fn on_finish(&mut self, host: &HostId, unread_tokens: u32, now: Instant) {
         let usage = self.usage(host, now);
--- a/lib/src/request/forward/context.rs
+++ b/lib/src/request/forward/context.rs
@@ -81,6 +81,10 @@
     /// Returns for how long none of this process's streams at the target has moved.
     fn silent_for(&self) -> Duration;
 
+    /// Returns for how long no stream at the target has moved, of this process or of others that
+    /// tell it of theirs; at most the time since this place was taken.
+    fn still_for(&self) -> Duration;
+
     /// Takes note of how the send ended; `None` is a whole answer.
     fn on_end(&mut self, end: Option<SendEnd>);
 }
--- a/lib/src/request/forward/plan.rs
+++ b/lib/src/request/forward/plan.rs
@@ -10,6 +10,10 @@
 use crate::request::outcome::UnknownReason;
 use crate::version::routes::RouteKind;
 
+/// How long all streams of a target may stand still before it counts as stalled: several passes
+/// over full batches with long prompts between.
+pub(super) const STALL_LIMIT: Duration = Duration::from_millis(350);
+
 /// The connections that fail before a request is given up; none of them counts as a send.
 const UNCONNECTED_MAX: u32 = 4;
 /// The least time that makes another send worth while.
@@ -24,6 +28,9 @@
     /// The target vouches that the request was not run.
     #[display("refused by the target")]
     NotRun,
+    /// The target vouches that it was not run, since it serves no such requests any more.
+    #[display("misdirected")]
+    NotServing,
     /// The target answered with a failure of its own; the request ran.
     #[display("failed by the target")]
     TargetFailed,
@@ -111,10 +118,11 @@
                 }
                 return NextStep::SendAgain;
             }
-            SendEnd::NotRun => {}
+            SendEnd::NotRun | SendEnd::NotServing => {}
             SendEnd::TargetFailed | SendEnd::Broken | SendEnd::Silent => self.may_have_run = true,
         }
-        let is_repeatable = end == SendEnd::NotRun || self.kind.is_repeatable();
+        let was_not_run = matches!(end, SendEnd::NotRun | SendEnd::NotServing);
+        let is_repeatable = was_not_run || self.kind.is_repeatable();
         if is_repeatable && self.has_sends_left() && self.has_time(now) && spend() {
             return NextStep::SendAgain;
         }
@@ -149,3 +157,31 @@
         now + SEND_TIME_MIN < self.deadline
     }
 }
+
+/// How long a target may take until its answer begins.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct AnswerLimit {
+    /// The wait after which a target that stands still is given up.
+    pub if_still: Duration,
+    /// The wait after which any target is given up.
+    pub at_most: Duration,
+}
+
+impl AnswerLimit {
+    /// Returns a limit that is the same whether the target stands still or not.
+    pub fn fixed(limit: Duration) -> Self {
+        Self {
+            if_still: limit,
+            at_most: limit,
+        }
+    }
+
+    /// Returns whether a target is given up after `waited`, when nobody has seen it move
+    /// for `still`.
+    ///
+    /// A target that moves is busy, and so are the others as a rule: a request that leaves its
+    /// place in the queue there waits longer, and adds to the load.
+    pub fn is_over(&self, waited: Duration, still: Duration) -> bool {
+        waited >= self.at_most || (waited >= self.if_still && still >= STALL_LIMIT)
+    }
+}
--- a/lib/src/request/forward/protocol.rs
+++ b/lib/src/request/forward/protocol.rs
@@ -80,6 +80,8 @@
     pub request_id: Option<String>,
     /// Whether the target vouches that the request was not run.
     pub is_not_run: bool,
+    /// Whether the target says that it does not serve such requests, or no longer.
+    pub is_misdirected: bool,
     /// Whether the answer bears the target's signature.
     pub is_signed: bool,
     /// Whether the body is encoded, which no caller asked for.
--- a/lib/src/request/forward/send.rs
+++ b/lib/src/request/forward/send.rs
@@ -12,6 +12,7 @@
 use super::context::NoTarget;
 use super::context::TargetNeed;
 use super::context::TargetUse;
+use super::plan::AnswerLimit;
 use super::plan::SendEnd;
 use super::plan::SendPlan;
 use super::protocol::AnswerHead;
@@ -30,6 +31,8 @@
 /// The longest wait for a connection: several round trips between data centres, and less than the
 /// time after which a lost opening packet is sent again.
 const CONNECT_LIMIT: Duration = Duration::from_millis(250);
+/// The time between two looks at whether a silent target moves.
+pub(super) const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// The part of the latency target for which a request waits for a target to come.
 const HOLD_DIVISOR: u32 = 9;
 
@@ -146,7 +149,7 @@
         &mut self,
         mut target: X::Use,
         last_event: Option<u64>,
-        limit: Duration,
+        limit: AnswerLimit,
     ) -> Result<Arrived<X::Use>, SendEnd> {
         self.plan.on_send();
         let sent = self.exchange_heads(&target, last_event, limit).await;
@@ -154,7 +157,12 @@
             Ok((connection, head, body)) => {
                 let answer = self.context.protocol().read_answer(&head);
                 if answer.is_not_run {
-                    target.on_end(Some(SendEnd::NotRun));
+                    let end = if answer.is_misdirected {
+                        SendEnd::NotServing
+                    } else {
+                        SendEnd::NotRun
+                    };
+                    target.on_end(Some(end));
                     log_request!(
                         self, route = self.route.name.as_str(), target:% = target.host(),
                         send = self.plan.sends(), status = head.status.as_u16(),
@@ -162,7 +170,7 @@
                         elapsed_ms = self.elapsed_ms();
                         "refused by the target"
                     );
-                    return Err(SendEnd::NotRun);
+                    return Err(end);
                 }
                 let is_own = answer.request_id.as_ref() == Some(&self.call.request_id);
                 if !is_own || answer.is_encoded {
@@ -194,7 +202,7 @@
         &self,
         target: &X::Use,
         last_event: Option<u64>,
-        limit: Duration,
+        limit: AnswerLimit,
     ) -> Result<(ClientConnection, response::Parts, Incoming), SendEnd> {
         let connect_limit = CONNECT_LIMIT.min(self.time_left());
         let opened = ClientConnection::open(target.address(), connect_limit).await;
@@ -207,11 +215,13 @@
             return Err(SendEnd::NotSent);
         }
         let request = self.target_request(target, last_event);
-        let sent = tokio::time::timeout(limit, connection.send(request)).await;
-        let sent = sent.map_err(|_| {
-            self.log_send(target, "no answer in time", 0);
-            SendEnd::Silent
-        })?;
+        let sent = tokio::select! {
+            sent = connection.send(request) => sent,
+            () = self.given_up(target, limit) => {
+                self.log_send(target, "no answer in time", 0);
+                return Err(SendEnd::Silent);
+            }
+        };
         let response = sent.map_err(|error| {
             self.log_error(target, &error);
             match error {
@@ -223,6 +233,23 @@
         Ok((connection, head, body))
     }
 
+    /// Waits until a target that has not begun to answer is given up.
+    async fn given_up(&self, target: &X::Use, limit: AnswerLimit) {
+        let started_at = self.context.now();
+        loop {
+            let waited = self.context.now().saturating_duration_since(started_at);
+            if limit.is_over(waited, target.still_for()) {
+                return;
+            }
+            let next = if waited < limit.if_still {
+                limit.if_still - waited
+            } else {
+                SILENCE_CHECK_INTERVAL.min(limit.at_most.saturating_sub(waited))
+            };
+            tokio::time::sleep(next).await;
+        }
+    }
+
     fn target_request(&self, target: &X::Use, last_event: Option<u64>) -> Request<RequestBody> {
         let fields = SendFields {
             target: target.host().clone(),
--- a/lib/src/request/forward/stream.rs
+++ b/lib/src/request/forward/stream.rs
@@ -12,13 +12,16 @@
 use super::events::EventPlace;
 use super::events::EventSplitter;
 use super::events::StreamPlace;
+use super::plan::AnswerLimit;
 use super::plan::NextStep;
+use super::plan::STALL_LIMIT;
 use super::plan::SendEnd;
 use super::protocol::CallerProtocol as _;
 use super::protocol::Failure;
 use super::send::Arrived;
 use super::send::OrNone;
 use super::send::Passage;
+use super::send::SILENCE_CHECK_INTERVAL;
 use super::send::log_request;
 use crate::connection::body::BodySender;
 use crate::connection::body::ResponseBody;
@@ -26,11 +29,6 @@
 use crate::connection::body::read_body;
 use crate::connection::body::streamed_body;
 
-/// The time between two looks at whether a silent target's other streams move.
-const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
-/// How long all streams of a target may stand still before it counts as stalled: several passes
-/// over full batches with long prompts between.
-const STALL_LIMIT: Duration = Duration::from_millis(350);
 /// How long one stream may stand still while others of its target move.
 const LONE_SILENCE_LIMIT: Duration = Duration::from_millis(1_500);
 /// The longest failure answer that is passed on.
@@ -142,7 +140,7 @@
         pending: None,
         is_at_end: false,
     };
-    match next_part(passage, &mut stream, limit).await {
+    match next_part(passage, &mut stream, limit.if_still).await {
         Ok(NextPart::Event(event)) => stream.pending = Some(event),
         Ok(NextPart::End) => stream.is_at_end = true,
         Err(end) => {
@@ -184,16 +182,19 @@
 }
 
 /// Returns how long a target may take until its first event before the request goes elsewhere.
-fn first_answer_limit<X>(passage: &Passage<X>, target: &X::Use) -> Duration
+fn first_answer_limit<X>(passage: &Passage<X>, target: &X::Use) -> AnswerLimit
 where
     X: ForwardContext,
 {
     let left = passage.time_left();
     if passage.plan.sends() + 1 >= passage.route.attempts_max {
-        return left;
+        return AnswerLimit::fixed(left);
     }
     let patient = target.expected_wait() * 2 + passage.route.latency_target;
-    left.min(patient)
+    AnswerLimit {
+        if_still: left.min(patient),
+        at_most: left.min(patient + LONE_SILENCE_LIMIT),
+    }
 }
 
 /// Passes a stream on to its end; if its target fails, the stream goes on at another one.
--- a/lib/src/request/forward/whole.rs
+++ b/lib/src/request/forward/whole.rs
@@ -6,6 +6,7 @@
 
 use super::context::ForwardContext;
 use super::context::TargetUse as _;
+use super::plan::AnswerLimit;
 use super::plan::NextStep;
 use super::plan::SendEnd;
 use super::protocol::CallerProtocol as _;
@@ -91,7 +92,9 @@
         head,
         answer,
         body,
-    } = passage.send_once(target, None, limit).await?;
+    } = passage
+        .send_once(target, None, AnswerLimit::fixed(limit))
+        .await?;
     let spent = passage.context.now().saturating_duration_since(started);
     let read = read_body(body, ANSWER_LIMIT_BYTES, limit.saturating_sub(spent)).await;
     drop(connection);
--- a/lib/tests/test_forward.rs
+++ b/lib/tests/test_forward.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use beryltray_lib::ids::DocumentVersion;
+use beryltray_lib::ids::GroupId;
 use beryltray_lib::process::gateway::UsageBoard;
 use beryltray_lib::request::forward::choose::EnginePace;
 use beryltray_lib::request::forward::choose::TargetOption;
@@ -11,6 +12,7 @@
 use beryltray_lib::request::forward::events::EventPlace;
 use beryltray_lib::request::forward::events::EventSplitter;
 use beryltray_lib::request::forward::events::StreamPlace;
+use beryltray_lib::request::forward::plan::AnswerLimit;
 use beryltray_lib::request::forward::plan::NextStep;
 use beryltray_lib::request::forward::plan::SendEnd;
 use beryltray_lib::request::forward::plan::SendPlan;
@@ -318,6 +320,67 @@
     assert_eq!(usage.get(&host).unwrap().own_in_flight(), 0);
 }
 
+/// Requests in a queue of two seconds at groups that all have lost one of six: each left its place
+/// after the latency target, joined the end of another queue, and came too late there.
+#[test]
+fn limit_request_in_a_moving_queue_keeps_its_place() {
+    let limit = AnswerLimit {
+        if_still: Duration::from_millis(500),
+        at_most: Duration::from_millis(2_000),
+    };
+    let moved_lately = Duration::from_millis(120);
+    assert!(!limit.is_over(Duration::from_millis(1_900), moved_lately));
+    assert!(limit.is_over(Duration::from_millis(2_000), moved_lately));
+    let stalled = Duration::from_millis(500);
+    assert!(!limit.is_over(Duration::from_millis(450), stalled));
+    assert!(limit.is_over(Duration::from_millis(500), stalled));
+}
+
+#[test]
+fn usage_target_moves_while_other_entries_see_events_and_not_because_requests_start() {
+    let now = Instant::now();
+    let host = "host-1".parse().unwrap();
+    let mut usage = UsageBoard::new();
+    usage.on_start(&host, 100, now);
+    assert_eq!(usage.get(&host).unwrap().still_for(now), None);
+    assert_eq!(usage.get(&host).unwrap().own_still_for(now), None);
+    usage.on_others_moved(&host, now, now);
+    let later = now + Duration::from_millis(300);
+    usage.on_start(&host, 100, later);
+    let still = usage.get(&host).unwrap().still_for(later);
+    assert_eq!(still, Some(Duration::from_millis(300)));
+    usage.on_read(&host, 100, later);
+    assert_eq!(
+        usage.get(&host).unwrap().still_for(later),
+        Some(Duration::ZERO)
+    );
+    assert_eq!(
+        usage.get(&host).unwrap().own_still_for(later),
+        Some(Duration::ZERO)
+    );
+}
+
+/// An outage of the registry: the record of a head that had left its group still called it open.
+/// As the emptiest target it drew a third of all requests and refused each at once.
+#[test]
+fn usage_target_that_stopped_serving_is_suspect_until_it_serves_in_another_group() {
+    let now = Instant::now();
+    let host = "host-1".parse().unwrap();
+    let left: GroupId = "g1".parse().unwrap();
+    let next: GroupId = "g2".parse().unwrap();
+    let mut usage = UsageBoard::new();
+    usage.on_start(&host, 0, now);
+    usage.on_result(&host, Some(SendEnd::NotServing), now);
+    usage.on_not_serving(&host, Some(left.clone()), now);
+    usage.on_finish(&host, 0, now);
+    let later = now + Duration::from_secs(4);
+    let usage = usage.get(&host).unwrap();
+    assert!(usage.has_stopped_serving(Some(&left), later));
+    assert!(!usage.has_stopped_serving(Some(&next), later));
+    assert!(!usage.has_stopped_serving(Some(&left), now + Duration::from_secs(6)));
+    assert_eq!(usage.failure_share(), 0.0);
+}
+
 fn split(pieces: &[&str]) -> (Vec<String>, bool) {
     let mut splitter = EventSplitter::new();
     let mut events = Vec::new();
--- a/lib/tests/test_gateway_peers.rs
+++ b/lib/tests/test_gateway_peers.rs
@@ -24,6 +24,7 @@
         host: host.parse().unwrap(),
         in_flight: *in_flight,
         unread_tokens: u64::from(*in_flight) * 100,
+        still_ms: None,
     };
     PeerMessage {
         entry: format!("entry-{entry}").parse().unwrap(),
