formation: staging waits for hosts that load, and is four hosts at a time

In the former code eleven at once took their 16 s.

Now second weights are staged only while no host loads, four at a time. The test failed on the commit before (4 loads where 1 was allowed).

--- a/lib/src/process/formation/free_hosts.rs
+++ b/lib/src/process/formation/free_hosts.rs
@@ -162,6 +162,7 @@
             may_have_left: false,
             close_accepted_at: None,
             expected_ready_in: choice.ready_in,
+            loads: choice.loads,
             makes_room_for: None,
         });
     }
--- a/lib/src/process/formation/group.rs
+++ b/lib/src/process/formation/group.rs
@@ -90,6 +90,8 @@
     pub close_accepted_at: Option<Instant>,
     /// The time in which the group was expected to be ready.
     pub expected_ready_in: Duration,
+    /// The members that read the weights from the weight store.
+    pub loads: usize,
     /// The weights for whose group this one is ended; until it has, its domain's free hosts are
     /// kept for them.
     pub makes_room_for: Option<WeightsId>,
--- a/lib/src/process/formation/machine.rs
+++ b/lib/src/process/formation/machine.rs
@@ -158,6 +158,7 @@
 pub(super) struct StagedOrder {
     pub(super) host: HostId,
     pub(super) incarnation: Incarnation,
+    pub(super) weights: WeightsId,
 }
 
 impl Keyed for StagedOrder {
--- a/lib/src/process/formation/spares.rs
+++ b/lib/src/process/formation/spares.rs
@@ -20,6 +20,9 @@
 
 /// The part of the rate of loads that staging leaves free, for hosts that groups wait for.
 const STAGING_RESERVE_DIVISOR: usize = 2;
+/// The most hosts that stage at once while there are requests: the weight store slows all loads
+/// beyond a number at once that is not told, and a group may come to wait for one at any moment.
+const STAGING_AT_ONCE_MAX: usize = 4;
 
 impl Formation {
     /// Has each spare join a group of its own, so that it holds the weights that the groups of its
@@ -72,7 +75,7 @@
     ) {
         let mut plans = std::mem::take(&mut self.plans);
         for plan in plans.iter_mut() {
-            if !self.may_stage(plan, now) {
+            if !self.may_stage(plan, board, now) {
                 continue;
             }
             let in_need = board.iter().filter_map(|entry| {
@@ -84,16 +87,35 @@
             let mut in_need: Vec<(&HostEntry, WeightsId)> = in_need.collect();
             in_need.sort_by_cached_key(|(entry, _)| self.group_size_of(entry));
             for (entry, weights) in in_need {
+                if !self.may_stage(plan, board, now) {
+                    break;
+                }
                 self.stage(plan, entry, weights, now, actions);
             }
         }
         self.plans = plans;
     }
 
-    /// Returns whether the rate of loads allows staging; hosts that groups wait for go first.
-    fn may_stage(&self, plan: &mut ServicePlan, now: Instant) -> bool {
+    /// Returns whether a host may stage now. Loads that hosts without weights wait for go first:
+    /// each load at the same time may slow them.
+    fn may_stage(&self, plan: &mut ServicePlan, board: &HostBoard, now: Instant) -> bool {
+        if self.is_before_traffic {
+            return true;
+        }
+        let is_loading = self
+            .groups
+            .iter()
+            .any(|group| group.loads > 0 && matches!(group.phase, GroupPhase::Forming { .. }));
+        let is_under_way = |order: &&StagedOrder| {
+            let entry = board.get(&order.host).filter(|entry| entry.is_usable(now));
+            entry.is_some_and(|entry| {
+                entry.record.incarnation == order.incarnation
+                    && !entry.record.staged.contains(&order.weights)
+            })
+        };
+        let under_way = self.staging.iter().filter(is_under_way).count();
         let reserve = plan.loads.limit() / STAGING_RESERVE_DIVISOR;
-        self.loads_available(plan, now) > reserve
+        !is_loading && under_way < STAGING_AT_ONCE_MAX && self.loads_available(plan, now) > reserve
     }
 
     /// Returns how many members the group of a host has; none are in no group.
@@ -136,9 +158,6 @@
         now: Instant,
         actions: &mut Vec<FormationAction>,
     ) {
-        if !self.may_stage(plan, now) {
-            return;
-        }
         let record = &entry.record;
         let member = GroupMember {
             host: record.host.clone(),
@@ -148,7 +167,14 @@
             has_left: false,
         };
         let known_actions = actions.len();
-        self.push_order(&member, GroupOrder::Stage { weights }, now, actions);
+        self.push_order(
+            &member,
+            GroupOrder::Stage {
+                weights: weights.clone(),
+            },
+            now,
+            actions,
+        );
         if actions.len() > known_actions {
             if !self.is_before_traffic {
                 plan.loads.on_started(1, now);
@@ -156,6 +182,7 @@
             self.staging.insert(StagedOrder {
                 host: record.host.clone(),
                 incarnation: record.incarnation,
+                weights,
             });
         }
     }
--- a/lib/src/process/formation/takeover.rs
+++ b/lib/src/process/formation/takeover.rs
@@ -124,6 +124,7 @@
             may_have_left: phase != GroupPhase::Open,
             close_accepted_at: None,
             expected_ready_in: Duration::ZERO,
+            loads: 0,
             makes_room_for: None,
         }
     }
--- a/lib/tests/test_formation.rs
+++ b/lib/tests/test_formation.rs
@@ -467,6 +467,24 @@
     world.assert_promises_kept();
 }
 
+#[test]
+fn formation_staging_waits_for_hosts_that_load() {
+    // Losses that came every few seconds: a hundred hosts staged second weights, the weight store
+    // slowed all loads, and no host that a group waited for was ready within the day.
+    let mut world = World::open(&[11, 11]);
+    let now = world.now;
+    world.fleet.add("host-0-90", "domain-0", now);
+    world.run(Duration::from_secs(1));
+    let member = world.member(&small(), false);
+    world.fleet.lose(&member);
+    world.run(Duration::from_secs(10));
+    assert_eq!(world.serving(), (2, 2));
+    assert_eq!(world.fleet.loads.len(), 1);
+    world.run(Duration::from_secs(12));
+    assert!(world.fleet.loads.len() > 1);
+    world.assert_promises_kept();
+}
+
 #[test]
 fn formation_spares_first_hold_the_weights_of_the_larger_groups() {
     // One of twelve members lost stops the other eleven, one of six only five.
