--- a/lib/src/process/formation/spares.rs
+++ b/lib/src/process/formation/spares.rs
@@ -188,7 +188,8 @@
     }
 
     /// Returns the model of which a domain misses a group, or else the one with the most at stake
-    /// for each of its spares, and whether a group is missing.
+    /// for each of its spares, and whether a group is missing. Of several missing groups, the one
+    /// that the fewest hosts complete goes first: it serves soonest.
     fn most_exposed<'a>(
         &self,
         plan: &ServicePlan,
@@ -198,23 +199,29 @@
         now: Instant,
     ) -> Option<(&'a ModelSheet, bool)> {
         let wanted = plan.packing.domains.get(domain)?;
-        let exposure = |index: usize, model: &ModelSheet| {
-            let groups = wanted.counts.get(index).copied().unwrap_or_default();
-            // A member that is lost takes its whole group out of service.
-            let at_stake = groups * model.group_size * model.group_size;
+        let spares = |model: &ModelSheet| {
             let is_spare = |entry: &&HostEntry| {
                 entry.record.domain.as_ref() == Some(domain)
                     && entry.is_usable(now)
                     && self.is_spare_of(entry, model)
             };
-            at_stake as f64 / (1 + board.iter().filter(is_spare).count()) as f64
+            board.iter().filter(is_spare).count()
+        };
+        let exposure = |index: usize, model: &ModelSheet| {
+            let groups = wanted.counts.get(index).copied().unwrap_or_default();
+            // A member that is lost takes its whole group out of service.
+            let at_stake = groups * model.group_size * model.group_size;
+            at_stake as f64 / (1 + spares(model)) as f64
         };
         let indexed = models.iter().enumerate();
         let missing = indexed
             .clone()
             .filter(|(index, _)| !self.is_satisfied(plan, domain, *index));
-        let largest = missing.max_by_key(|(_, model)| model.group_size);
-        if let Some((_, model)) = largest {
+        let nearest = missing.min_by_key(|(_, model)| {
+            let short_hosts = model.group_size.saturating_sub(spares(model));
+            (short_hosts, std::cmp::Reverse(model.group_size))
+        });
+        if let Some((_, model)) = nearest {
             return Some((model, true));
         }
         let best = indexed.max_by(|(i, a), (j, b)| exposure(*i, a).total_cmp(&exposure(*j, b)));
--- a/lib/tests/test_formation.rs
+++ b/lib/tests/test_formation.rs
@@ -485,6 +485,38 @@
     world.assert_promises_kept();
 }
 
+#[test]
+fn formation_new_host_loads_for_the_missing_group_that_it_completes() {
+    // Losses that came every few seconds: all new hosts loaded the large model's weights, of which
+    // several were short, while small groups waited for one host each.
+    let mut world = World::open(&[9, 9]);
+    let hosts = |world: &World, weights: &WeightsId| -> Vec<HostId> {
+        let mut groups = world.formation.groups();
+        let group = groups.find(|group| {
+            let is_first = group.members[0].host.as_str().starts_with("host-0");
+            group.weights == *weights && group.phase == GroupPhase::Open && is_first
+        });
+        let members = &group.expect("an open group").members;
+        members.iter().map(|member| member.host.clone()).collect()
+    };
+    for host in hosts(&world, &small())
+        .iter()
+        .chain(&hosts(&world, &large())[..3])
+    {
+        world.fleet.lose(host);
+    }
+    world.run(Duration::from_secs(12));
+    assert_eq!(world.serving(), (1, 2));
+    world.fleet.lose(&hosts(&world, &small())[0]);
+    world.run(Duration::from_secs(6));
+    assert_eq!(world.serving(), (1, 1));
+    let now = world.now;
+    world.fleet.add("host-0-90", "domain-0", now);
+    world.run(Duration::from_secs(15));
+    assert_eq!(world.serving(), (1, 2));
+    world.assert_promises_kept();
+}
+
 #[test]
 fn formation_spares_first_hold_the_weights_of_the_larger_groups() {
     // One of twelve members lost stops the other eleven, one of six only five.
