--- a/cli/tests/test_config_command.rs
+++ b/cli/tests/test_config_command.rs
@@ -242,9 +242,10 @@
 #[tokio::test]
 async fn config_apply_unheard_entry_is_named() {
     let trial = start_trial("config_apply_unheard", &host_args()).await;
-    let closed = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    // The port is taken and nobody listens, so no parallel test can be given it.
+    let closed = tokio::net::TcpSocket::new_v4().unwrap();
+    closed.bind("127.0.0.1:0".parse().unwrap()).unwrap();
     let address: SocketAddr = closed.local_addr().unwrap();
-    drop(closed);
     let address = address.to_string();
     let more = ["--entry", &address, "--within", "300ms"];
     let output = trial.apply(&example("commons.ini"), "0", &more).await;
--- a/lib/tests/test_connection.rs
+++ b/lib/tests/test_connection.rs
@@ -3,11 +3,21 @@
 use std::time::Duration;
 
 use beryltray_lib::connection::body::RequestBody;
+use beryltray_lib::connection::body::ResponseBody;
+use beryltray_lib::connection::body::full_body;
 use beryltray_lib::connection::client::ClientConnection;
 use beryltray_lib::connection::client::SendError;
+use beryltray_lib::connection::server::HttpHandler;
+use beryltray_lib::connection::server::ServerSettings;
+use beryltray_lib::connection::server::serve;
 use http::Request;
+use http::Response;
+use hyper::body::Incoming;
 use tokio::io::AsyncReadExt as _;
+use tokio::io::AsyncWriteExt as _;
 use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio_util::sync::CancellationToken;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -41,9 +51,47 @@
 
 #[tokio::test]
 async fn open_refused_is_not_sent() {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
-    drop(listener);
+    // The port is taken and nobody listens, so no parallel test can be given it.
+    let socket = tokio::net::TcpSocket::new_v4().unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let address = socket.local_addr().unwrap();
     let opened = ClientConnection::open(address, CONNECT_TIMEOUT).await;
     assert!(matches!(opened, Err(SendError::NotSent { .. })));
 }
+
+/// Answers every request in the same way.
+#[derive(Clone, Copy, Debug)]
+struct Answering;
+
+impl HttpHandler for Answering {
+    async fn handle(&self, _request: Request<Incoming>) -> Response<ResponseBody> {
+        Response::new(full_body("good"))
+    }
+}
+
+#[tokio::test]
+async fn serve_slow_head_is_cut_off_and_others_are_served() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let settings = ServerSettings {
+        head_timeout: Duration::from_millis(150),
+        ..ServerSettings::default()
+    };
+    tokio::spawn(serve(
+        listener,
+        Answering,
+        settings,
+        CancellationToken::new(),
+    ));
+    let mut slow = TcpStream::connect(address).await.unwrap();
+    slow.write_all(b"GET / HTTP/1.1\r\nhost: a").await.unwrap();
+    let mut connection = ClientConnection::open(address, CONNECT_TIMEOUT)
+        .await
+        .unwrap();
+    assert_eq!(connection.send(request()).await.unwrap().status(), 200);
+    let mut rest = Vec::new();
+    let read = slow.read_to_end(&mut rest);
+    // A reset ends the connection as well.
+    let _ = tokio::time::timeout(CONNECT_TIMEOUT, read).await.unwrap();
+    assert!(rest.is_empty() || rest.starts_with(b"HTTP/1.1 408"));
+}
--- a/lib/tests/test_peer.rs
+++ b/lib/tests/test_peer.rs
@@ -186,9 +186,10 @@
 
 #[tokio::test]
 async fn call_refused_is_not_connected() {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
-    drop(listener);
+    // The port is taken and nobody listens, so no parallel test can be given it.
+    let socket = tokio::net::TcpSocket::new_v4().unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let address = socket.local_addr().unwrap();
     let called = client(address).status().await;
     assert!(matches!(called, Err(PeerError::NotConnected { .. })));
 }
--- a/lib/tests/test_relay.rs
+++ b/lib/tests/test_relay.rs
@@ -142,9 +142,10 @@
 
 #[tokio::test]
 async fn relay_refused_connection_is_not_sent() {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
-    drop(listener);
+    // The port is taken and nobody listens, so no parallel test can be given it.
+    let socket = tokio::net::TcpSocket::new_v4().unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let address = socket.local_addr().unwrap();
     let opened = RelayConnection::open(address, RelaySettings::default()).await;
     assert!(matches!(opened, Err(RelayError::NotSent { .. })));
 }
