--- a/lib/src/process/gateway/mod.rs
+++ b/lib/src/process/gateway/mod.rs
@@ -11,6 +11,7 @@
 mod listeners;
 mod metrics;
 mod peers;
+mod places;
 mod ready;
 mod relay;
 mod run;
--- /dev/null
+++ b/lib/src/process/gateway/places.rs
@@ -0,0 +1,144 @@
+//! The places that requests take at targets: which target, and out of which budget.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use super::peers::ToldUse;
+use super::serving::ServingTarget;
+use super::settings::GatewaySettings;
+use super::settings::RetrySlack;
+use super::state::Inner;
+use crate::ids::HostId;
+use crate::ids::ServiceId;
+use crate::request::forward::choose::TargetOption;
+use crate::request::forward::choose::choose_target;
+use crate::request::forward::context::ChoiceBasis;
+use crate::request::forward::context::NoTarget;
+use crate::request::forward::context::TargetNeed;
+use crate::request::retry::RetryBudget;
+use crate::request::retry::RetryBudgetSettings;
+use crate::sorted::Keyed;
+
+/// The fewest entries that the free further sends are divided among, while not all may be known.
+const BUDGET_ENTRIES_MIN: usize = 12;
+/// The part of the free further sends that is divided, since new entries are known a little later.
+const FREE_SENDS_USE: f64 = 0.8;
+
+/// The part of the allowed share that is used: requests and further sends are counted here in
+/// windows that do not begin with those in which they are judged.
+const BUDGET_USE: f64 = 0.85;
+
+/// What a service's requests may spend on further sends.
+pub(super) struct ServiceBudget {
+    service: ServiceId,
+    budget: RetryBudget,
+}
+
+impl Keyed for ServiceBudget {
+    type Key = ServiceId;
+
+    fn key(&self) -> &ServiceId {
+        &self.service
+    }
+}
+
+impl Inner {
+    /// Returns the requests that are believed to run or wait at a target: those of this entry and
+    /// of the peers, or what the target told while no peer is heard.
+    fn believed_in_flight(&self, host: &HostId, now: Instant) -> f64 {
+        let usage = self.usage.get(host);
+        if self.peers.is_anyone_heard(now) {
+            let own = usage.map_or(0.0, |u| f64::from(u.own_in_flight()));
+            return own + self.peers.use_of(host, now).0;
+        }
+        usage.map_or(0.0, |u| u.in_flight(now))
+    }
+
+    /// Takes what a peer told of its streams at the targets.
+    pub(super) fn on_told_uses(&mut self, uses: &[ToldUse], now: Instant) {
+        for told in uses {
+            let still = told.still_ms.map(Duration::from_millis);
+            if let Some(moved_at) = still.and_then(|still| now.checked_sub(still)) {
+                self.usage.on_others_moved(&told.host, moved_at, now);
+            }
+        }
+    }
+
+    pub(super) fn take_place(
+        &mut self,
+        need: &TargetNeed,
+        settings: &GatewaySettings,
+        now: Instant,
+    ) -> Result<(ServingTarget, Duration, ChoiceBasis), NoTarget> {
+        let serves = |target: &&ServingTarget| {
+            target.service == need.service
+                && !need.excluded.contains(&target.host)
+                && (target.pace.is_none()
+                    || need
+                        .weights
+                        .as_ref()
+                        .is_none_or(|w| target.weights.contains(w)))
+        };
+        let candidates: Vec<&ServingTarget> = self.serving.iter().filter(serves).collect();
+        let option = |target: &&ServingTarget| {
+            let usage = self.usage.get(&target.host);
+            TargetOption {
+                host: target.host.clone(),
+                is_local: target.data_centre == settings.data_centre,
+                slots: target.slots,
+                in_flight: self.believed_in_flight(&target.host, now),
+                unread_prompt_tokens: usage.map_or(0.0, |u| u.unread_tokens() as f64)
+                    + self.peers.use_of(&target.host, now).1,
+                pace: target.pace,
+                failure_share: usage.map_or(0.0, |u| u.failure_share()),
+                is_suspect: usage.is_some_and(|u| {
+                    u.is_suspect(now) || u.has_stopped_serving(target.group.as_ref(), now)
+                }),
+            }
+        };
+        let options: Vec<TargetOption> = candidates.iter().map(option).collect();
+        self.choices = self.choices.wrapping_add(1);
+        let chosen = choose_target(&options, need.prompt_tokens, self.choices);
+        let index = chosen.ok_or(NoTarget::Absent)?;
+        let expected = options[index].expected_wait(need.prompt_tokens);
+        if expected > need.time_left {
+            let room_in = expected - need.time_left;
+            return Err(NoTarget::Busy { room_in });
+        }
+        let target = candidates[index].clone();
+        let basis = ChoiceBasis {
+            options: options.len(),
+            suspects: options.iter().filter(|option| option.is_suspect).count(),
+            in_flight: options[index].in_flight,
+            load_age: self
+                .usage
+                .get(&target.host)
+                .and_then(|usage| usage.load_age(now)),
+        };
+        self.usage.on_start(&target.host, need.prompt_tokens, now);
+        Ok((target, expected, basis))
+    }
+
+    pub(super) fn budget(
+        &mut self,
+        service: &ServiceId,
+        retry: &RetrySlack,
+        now: Instant,
+    ) -> &mut RetryBudget {
+        let entries = self.peers.entry_count().max(BUDGET_ENTRIES_MIN);
+        let free = f64::from(retry.free_sends) * FREE_SENDS_USE / entries as f64;
+        let settings = RetryBudgetSettings {
+            share: retry.share.scaled(BUDGET_USE),
+            window: retry.window,
+            // Rounded down, so that all entries together stay under the bound.
+            free_tries: free as u32,
+        };
+        let create = || ServiceBudget {
+            service: service.clone(),
+            budget: RetryBudget::new(settings.clone(), now),
+        };
+        let budget = &mut self.budgets.get_or_insert_with(service, create).budget;
+        budget.set_settings(settings);
+        budget
+    }
+}
--- a/lib/src/process/gateway/state.rs
+++ b/lib/src/process/gateway/state.rs
@@ -1,4 +1,4 @@
-//! What a gateway knows, and the places that its requests take at targets.
+//! What a gateway knows, shared by its tasks.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -15,6 +15,7 @@
 use super::peers::PeerMessage;
 use super::peers::Peers;
 use super::peers::ToldUse;
+use super::places::ServiceBudget;
 use super::serving::ServingTarget;
 use super::serving::serving_targets;
 use super::settings::GatewaySettings;
@@ -29,28 +30,11 @@
 use crate::process::formation::HostBoard;
 use crate::process::lifecycle::Lifecycle;
 use crate::process::lifecycle::Stage;
-use crate::request::forward::choose::TargetOption;
-use crate::request::forward::choose::choose_target;
-use crate::request::forward::context::ChoiceBasis;
-use crate::request::forward::context::NoTarget;
-use crate::request::forward::context::TargetNeed;
 use crate::request::forward::sampling::LogSampler;
-use crate::request::retry::RetryBudget;
-use crate::request::retry::RetryBudgetSettings;
-use crate::sorted::Keyed;
 use crate::sorted::SortedVec;
 use crate::target::record::TargetRecord;
 use crate::version::routes::RouteDocument;
 
-/// The fewest entries that the free further sends are divided among, while not all may be known.
-const BUDGET_ENTRIES_MIN: usize = 12;
-/// The part of the free further sends that is divided, since new entries are known a little later.
-const FREE_SENDS_USE: f64 = 0.8;
-
-/// The part of the allowed share that is used: requests and further sends are counted here in
-/// windows that do not begin with those in which they are judged.
-const BUDGET_USE: f64 = 0.85;
-
 /// How long the other entries are told of a head whose streams have stopped: some datagrams.
 const STALL_TOLD_FOR: Duration = Duration::from_millis(400);
 /// The most heads that wait to be looked at.
@@ -61,31 +45,18 @@
 
 impl<P> GatewayPlatform for P where P: Table + Feed<RouteDocument> + Feed<TargetRecord> {}
 
-struct ServiceBudget {
-    service: ServiceId,
-    budget: RetryBudget,
-}
-
-impl Keyed for ServiceBudget {
-    type Key = ServiceId;
-
-    fn key(&self) -> &ServiceId {
-        &self.service
-    }
-}
-
 pub(super) struct Inner {
     document: Option<Arc<RouteDocument>>,
     board: HostBoard,
-    serving: Vec<ServingTarget>,
+    pub(super) serving: Vec<ServingTarget>,
     pub(super) usage: UsageBoard,
-    budgets: SortedVec<ServiceBudget>,
+    pub(super) budgets: SortedVec<ServiceBudget>,
     pub(super) stalled: Vec<HostId>,
     pub(super) requests: u64,
-    choices: usize,
+    pub(super) choices: usize,
     has_targets: bool,
     pub(super) sampler: LogSampler,
-    peers: Peers,
+    pub(super) peers: Peers,
     target_log: ChangeLog<TargetRecord>,
     document_log: ChangeLog<RouteDocument>,
     /// Heads whose streams stopped here, and when, for the other entries.
@@ -378,17 +349,6 @@
         self.usage.forget_unknown(|host| board.get(host).is_some());
     }
 
-    /// Returns the requests that are believed to run or wait at a target: those of this entry and
-    /// of the peers, or what the target told while no peer is heard.
-    fn believed_in_flight(&self, host: &HostId, now: Instant) -> f64 {
-        let usage = self.usage.get(host);
-        if self.peers.is_anyone_heard(now) {
-            let own = usage.map_or(0.0, |u| f64::from(u.own_in_flight()));
-            return own + self.peers.use_of(host, now).0;
-        }
-        usage.map_or(0.0, |u| u.in_flight(now))
-    }
-
     /// Returns how many targets of each service can be sent requests.
     fn serving_counts(&self) -> Vec<(ServiceId, i64)> {
         let mut services: Vec<ServiceId> = self
@@ -414,93 +374,4 @@
     pub(super) fn is_usable(&self, host: &HostId) -> bool {
         self.serving.iter().any(|target| target.host == *host)
     }
-
-    fn on_told_uses(&mut self, uses: &[ToldUse], now: Instant) {
-        for told in uses {
-            let still = told.still_ms.map(Duration::from_millis);
-            if let Some(moved_at) = still.and_then(|still| now.checked_sub(still)) {
-                self.usage.on_others_moved(&told.host, moved_at, now);
-            }
-        }
-    }
-
-    pub(super) fn take_place(
-        &mut self,
-        need: &TargetNeed,
-        settings: &GatewaySettings,
-        now: Instant,
-    ) -> Result<(ServingTarget, Duration, ChoiceBasis), NoTarget> {
-        let serves = |target: &&ServingTarget| {
-            target.service == need.service
-                && !need.excluded.contains(&target.host)
-                && (target.pace.is_none()
-                    || need
-                        .weights
-                        .as_ref()
-                        .is_none_or(|w| target.weights.contains(w)))
-        };
-        let candidates: Vec<&ServingTarget> = self.serving.iter().filter(serves).collect();
-        let option = |target: &&ServingTarget| {
-            let usage = self.usage.get(&target.host);
-            TargetOption {
-                host: target.host.clone(),
-                is_local: target.data_centre == settings.data_centre,
-                slots: target.slots,
-                in_flight: self.believed_in_flight(&target.host, now),
-                unread_prompt_tokens: usage.map_or(0.0, |u| u.unread_tokens() as f64)
-                    + self.peers.use_of(&target.host, now).1,
-                pace: target.pace,
-                failure_share: usage.map_or(0.0, |u| u.failure_share()),
-                is_suspect: usage.is_some_and(|u| {
-                    u.is_suspect(now) || u.has_stopped_serving(target.group.as_ref(), now)
-                }),
-            }
-        };
-        let options: Vec<TargetOption> = candidates.iter().map(option).collect();
-        self.choices = self.choices.wrapping_add(1);
-        let chosen = choose_target(&options, need.prompt_tokens, self.choices);
-        let index = chosen.ok_or(NoTarget::Absent)?;
-        let expected = options[index].expected_wait(need.prompt_tokens);
-        if expected > need.time_left {
-            let room_in = expected - need.time_left;
-            return Err(NoTarget::Busy { room_in });
-        }
-        let target = candidates[index].clone();
-        let basis = ChoiceBasis {
-            options: options.len(),
-            suspects: options.iter().filter(|option| option.is_suspect).count(),
-            in_flight: options[index].in_flight,
-            load_age: self
-                .usage
-                .get(&target.host)
-                .and_then(|usage| usage.load_age(now)),
-        };
-        self.usage.on_start(&target.host, need.prompt_tokens, now);
-        Ok((target, expected, basis))
-    }
-}
-
-impl Inner {
-    pub(super) fn budget(
-        &mut self,
-        service: &ServiceId,
-        retry: &super::settings::RetrySlack,
-        now: Instant,
-    ) -> &mut RetryBudget {
-        let entries = self.peers.entry_count().max(BUDGET_ENTRIES_MIN);
-        let free = f64::from(retry.free_sends) * FREE_SENDS_USE / entries as f64;
-        let settings = RetryBudgetSettings {
-            share: retry.share.scaled(BUDGET_USE),
-            window: retry.window,
-            // Rounded down, so that all entries together stay under the bound.
-            free_tries: free as u32,
-        };
-        let create = || ServiceBudget {
-            service: service.clone(),
-            budget: RetryBudget::new(settings.clone(), now),
-        };
-        let budget = &mut self.budgets.get_or_insert_with(service, create).budget;
-        budget.set_settings(settings);
-        budget
-    }
 }
