--- a/lib/src/process/formation/spares.rs
+++ b/lib/src/process/formation/spares.rs
@@ -20,8 +20,8 @@
 
 /// The part of the rate of loads that staging leaves free, for hosts that groups wait for.
 const STAGING_RESERVE_DIVISOR: usize = 2;
-/// The most hosts that stage at once while there are requests: the weight store slows all loads
-/// beyond a number at once that is not told, and a group may come to wait for one at any moment.
+/// The most hosts that stage at once while there are requests: half of the eight loads that the
+/// users' weight store takes at once before it slows all, since a group may need one at any moment.
 const STAGING_AT_ONCE_MAX: usize = 4;
 
 impl Formation {
--- a/lib/tests/test_connection.rs
+++ b/lib/tests/test_connection.rs
@@ -7,12 +7,14 @@
 use beryltray_lib::connection::body::full_body;
 use beryltray_lib::connection::client::ClientConnection;
 use beryltray_lib::connection::client::SendError;
+use beryltray_lib::connection::liveness::watch_for_silence;
 use beryltray_lib::connection::server::HttpHandler;
 use beryltray_lib::connection::server::ServerSettings;
 use beryltray_lib::connection::server::serve;
 use http::Request;
 use http::Response;
 use hyper::body::Incoming;
+use socket2::SockRef;
 use tokio::io::AsyncReadExt as _;
 use tokio::io::AsyncWriteExt as _;
 use tokio::net::TcpListener;
@@ -95,3 +97,16 @@
     let _ = tokio::time::timeout(CONNECT_TIMEOUT, read).await.unwrap();
     assert!(rest.is_empty() || rest.starts_with(b"HTTP/1.1 408"));
 }
+
+#[tokio::test]
+async fn connection_is_given_up_by_the_system_when_its_peer_goes_silent() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let stream = TcpStream::connect(address).await.unwrap();
+    assert!(!SockRef::from(&stream).keepalive().unwrap());
+    watch_for_silence(&stream).unwrap();
+    let socket = SockRef::from(&stream);
+    assert!(socket.keepalive().unwrap());
+    let unacknowledged_limit = socket.tcp_user_timeout().unwrap().unwrap();
+    assert!(unacknowledged_limit <= Duration::from_secs(4));
+}
--- a/lib/tests/test_formation.rs
+++ b/lib/tests/test_formation.rs
@@ -470,7 +470,7 @@
 #[test]
 fn formation_staging_waits_for_hosts_that_load() {
     // Losses that came every few seconds: a hundred hosts staged second weights, the weight store
-    // slowed all loads, and no host that a group waited for was ready within the day.
+    // slowed all loads, and no host that a group waited for was ready for long.
     let mut world = World::open(&[11, 11]);
     let now = world.now;
     world.fleet.add("host-0-90", "domain-0", now);
--- a/lib/tests/test_forward.rs
+++ b/lib/tests/test_forward.rs
@@ -361,7 +361,7 @@
 }
 
 /// An outage of the registry: the record of a head that had left its group still called it open.
-/// As the emptiest target it drew a third of all requests and refused each at once.
+/// As the emptiest target it drew a quarter of its model's choices and refused each at once.
 #[test]
 fn usage_target_that_stopped_serving_is_suspect_until_it_serves_in_another_group() {
     let now = Instant::now();
