formation: a restarted head that takes late orders is ordered to leave before its members move

Cause: the fleet of the tests now models loads (at once beyond which they share the weight store's speed, staging that takes time). With other times a generated schedule broke a promise: a head was restarted under its name while the registry was away, took the late orders to join and open the group of its former life, and counted as gone because its process was new. Its host was then ordered into another group while it served.

Ruled out: a fault of the fleet; the real hosts take late orders in a new life too, since they know nothing of earlier epochs.

Change: a new life that is in the group is ordered to leave, and a group that has ended is taken up again if its head is told to serve by anything newer than the end. The schedule is a test of its own; it failed before and passes now.

--- a/lib/src/process/formation/board.rs
+++ b/lib/src/process/formation/board.rs
@@ -107,11 +107,21 @@
 
     /// Returns the host's place as last heard, from the registry or from itself.
     pub fn membership(&self) -> Option<&Membership> {
-        match &self.reported {
-            Some((membership, at)) if *at > self.record_at => membership.as_ref(),
-            _ => self.record.membership.as_ref(),
+        match self.newer_report() {
+            Some((membership, _)) => membership.as_ref(),
+            None => self.record.membership.as_ref(),
         }
     }
+
+    /// Returns as of when [`Self::membership`] is.
+    pub fn membership_at(&self) -> Instant {
+        self.newer_report().map_or(self.record_at, |(_, at)| *at)
+    }
+
+    fn newer_report(&self) -> Option<&(Option<Membership>, Instant)> {
+        let reported = self.reported.as_ref();
+        reported.filter(|(_, at)| *at > self.record_at)
+    }
 }
 
 /// The hosts of all services, as the registry and the hosts tell.
--- a/lib/src/process/formation/free_hosts.rs
+++ b/lib/src/process/formation/free_hosts.rs
@@ -96,7 +96,7 @@
             || self
                 .ended
                 .get(&membership.group)
-                .is_some_and(|ended| ended.is_head_gone)
+                .is_some_and(|ended| ended.is_over(entry))
     }
 
     /// Returns whether a host was listed again only now, so that others may not have been.
--- a/lib/src/process/formation/machine.rs
+++ b/lib/src/process/formation/machine.rs
@@ -88,6 +88,20 @@
 pub(super) struct EndedGroup {
     pub(super) group: GroupId,
     pub(super) is_head_gone: bool,
+    pub(super) ended_at: Instant,
+}
+
+impl EndedGroup {
+    /// Returns whether the head of the group serves no more, as far as `entry`, which is a member,
+    /// tells. An order that comes late can have a host serve in a group that has ended, most of all
+    /// one that was restarted under its name and knows nothing of later groups.
+    pub(super) fn is_over(&self, entry: &HostEntry) -> bool {
+        let is_serving_head = entry.membership().is_some_and(|membership| {
+            membership.rank == 0
+                && matches!(membership.state, MemberState::Open | MemberState::Closing)
+        });
+        self.is_head_gone && !(is_serving_head && entry.membership_at() > self.ended_at)
+    }
 }
 
 impl Keyed for EndedGroup {
@@ -311,7 +325,7 @@
             self.advance(group, board, now, &mut actions);
         }
         self.groups = groups;
-        self.remove_ended();
+        self.remove_ended(now);
         self.form_wanted(board, now);
         let mut groups = std::mem::take(&mut self.groups);
         for group in groups.iter_mut() {
@@ -326,9 +340,9 @@
     }
 
     fn adopt_groups(&mut self, board: &HostBoard, now: Instant) {
-        let is_known = |id: &GroupId| {
-            let is_gone = self.ended.get(id).is_some_and(|ended| ended.is_head_gone);
-            is_gone || self.groups.contains_key(id)
+        let is_known = |entry: &HostEntry, id: &GroupId| {
+            let is_over = self.ended.get(id).is_some_and(|ended| ended.is_over(entry));
+            is_over || self.groups.contains_key(id)
         };
         let is_reachable =
             |entry: &HostEntry| entry.is_listed(now) && !entry.is_lost(self.settings.report_misses);
@@ -367,12 +381,13 @@
         }
     }
 
-    fn remove_ended(&mut self) {
+    fn remove_ended(&mut self, now: Instant) {
         for group in self.groups.iter() {
             if group.phase == GroupPhase::Ended {
                 self.ended.insert(EndedGroup {
                     group: group.id.clone(),
                     is_head_gone: group.is_head_gone,
+                    ended_at: now,
                 });
             }
         }
--- a/lib/src/process/formation/phases.rs
+++ b/lib/src/process/formation/phases.rs
@@ -192,8 +192,11 @@
             return;
         };
         let standing = self.standing(group, &head, board, now);
+        // A new life under the same name can have taken a late order to join.
         let has_new_life = board.get(&head.host).is_some_and(|entry| {
-            entry.record.incarnation != head.incarnation || entry.liveness == Liveness::Ended
+            let is_in_place = entry.membership().is_some_and(|m| m.group == group.id);
+            let is_new = entry.record.incarnation != head.incarnation;
+            (is_new && !is_in_place) || entry.liveness == Liveness::Ended
         });
         let is_gone = has_new_life
             || matches!(
--- a/lib/src/process/formation/takeover.rs
+++ b/lib/src/process/formation/takeover.rs
@@ -26,7 +26,7 @@
     has_head: bool,
 }
 
-/// Returns the groups of which `is_known` is false.
+/// Returns the groups of which `is_known` is false for one of their members.
 ///
 /// A group is returned only if one of its members `is_reachable`: there is nothing to do for the
 /// others, whose records stay for a while. One whose head is not on the board is returned only if
@@ -38,7 +38,7 @@
     is_resting: H,
 ) -> Vec<SeenGroup<'a>>
 where
-    F: Fn(&GroupId) -> bool,
+    F: Fn(&HostEntry, &GroupId) -> bool,
     G: Fn(&HostEntry) -> bool,
     H: Fn(&HostEntry) -> bool,
 {
@@ -48,7 +48,10 @@
             continue;
         };
         let id = &membership.group;
-        if is_warming_id(id) || is_known(id) || seen.iter().any(|s| s.membership.group == *id) {
+        if is_warming_id(id)
+            || is_known(entry, id)
+            || seen.iter().any(|s| s.membership.group == *id)
+        {
             continue;
         }
         let is_member = |other: &&HostEntry| other.membership().is_some_and(|m| m.group == *id);
--- a/lib/src/version/routes.rs
+++ b/lib/src/version/routes.rs
@@ -143,6 +143,8 @@
     pub usual_answer_tokens: f64,
     /// The loads that may start in a second, over all hosts.
     pub loads_per_s: f64,
+    /// The loads that the weight store serves at once at full speed; more share that speed.
+    pub loads_at_once: usize,
     /// The factor of a group's times if its hosts are in more than one fabric domain.
     pub cross_domain_factor: f64,
 }
--- a/lib/tests/test_formation.rs
+++ b/lib/tests/test_formation.rs
@@ -4,28 +4,21 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use beryltray_lib::ids::Epoch;
 use beryltray_lib::ids::HostId;
 use beryltray_lib::ids::WeightsId;
-use beryltray_lib::process::formation::Formation;
-use beryltray_lib::process::formation::FormationAction;
 use beryltray_lib::process::formation::FormationSettings;
 use beryltray_lib::process::formation::GroupPhase;
-use beryltray_lib::process::formation::HostBoard;
 use beryltray_lib::process::formation::LoadWindow;
 use beryltray_lib::process::formation::pack_domains;
 use beryltray_lib::target::record::MemberState;
 use beryltray_lib::version::routes::EngineSheet;
 use beryltray_lib::version::routes::ModelSheet;
 use beryltray_testutils::fleet::Cut;
-use beryltray_testutils::fleet::Fleet;
+use beryltray_testutils::formation::FormationWorld;
+use beryltray_testutils::formation::REGISTRY_GRACE;
+use beryltray_testutils::formation::STEP;
 use beryltray_testutils::seeds::quickcheck_with_seed;
 
-/// The time between two steps of the world.
-const STEP: Duration = Duration::from_millis(40);
-/// How long a change takes to reach the entry.
-const REGISTRY_GRACE: Duration = Duration::from_millis(2_300);
-const SERVICE: &str = "writers";
 const LOADS_PER_S: f64 = 5.5;
 
 fn model(name: &str, size: usize, share: f64, load_s: u64, warm_ms: u64) -> ModelSheet {
@@ -52,146 +45,49 @@
         steps_per_event: 6,
         usual_answer_tokens: 150.0,
         loads_per_s: LOADS_PER_S,
+        loads_at_once: 8,
         cross_domain_factor: 2.5,
     }
 }
 
-fn large() -> WeightsId {
-    "large".parse().unwrap()
-}
+type World = FormationWorld;
 
-fn small() -> WeightsId {
-    "small".parse().unwrap()
+/// Returns a world whose hosts have just come.
+fn new_world(domains: &[usize]) -> World {
+    World::new(sheet(), domains)
 }
 
-/// A fleet, and an entry that forms its groups.
-struct World {
-    now: Instant,
-    fleet: Fleet,
-    board: HostBoard,
-    formation: Formation,
-    term: u64,
-    /// Whether orders reach their hosts late and are not answered.
-    lateness: Option<Duration>,
-    /// Orders of which every so many is late.
-    late_every: u64,
-    orders: u64,
-    /// Whether the registry answers the entry.
-    has_registry: bool,
-}
-
-impl World {
-    fn new(domains: &[usize]) -> Self {
-        let now = Instant::now();
-        Self {
-            now,
-            fleet: Fleet::new(SERVICE, sheet(), domains, now),
-            board: HostBoard::new(),
-            formation: Formation::new(FormationSettings::default(), Epoch(1)),
-            term: 1,
-            lateness: None,
-            late_every: 1,
-            orders: 0,
-            has_registry: true,
-        }
-    }
-
-    /// Returns a world in which all groups are open and requests have begun.
-    fn open(domains: &[usize]) -> Self {
-        let mut world = Self::new(domains);
-        world.formation.set_before_traffic(true);
-        world.run(Duration::from_secs(22));
-        world.formation.set_before_traffic(false);
-        world.fleet.loads.clear();
-        world
-    }
-
-    fn run(&mut self, span: Duration) {
-        let end = self.now + span;
-        while self.now < end {
-            self.step();
-        }
-    }
-
-    fn step(&mut self) {
-        self.now += STEP;
-        self.fleet.advance(self.now);
-        if self.has_registry {
-            let (records, removed) = self.fleet.take_changes();
-            for host in removed {
-                self.board.on_removed(&host, self.now);
-            }
-            for record in records {
-                self.board.on_record(record, self.now);
-            }
-        }
-        let service = SERVICE.parse().unwrap();
-        self.formation.on_sheet(&service, &sheet(), self.now);
-        for action in self.formation.poll(&self.board, self.now) {
-            self.carry_out(action);
-        }
-    }
-
-    fn carry_out(&mut self, action: FormationAction) {
-        match action {
-            FormationAction::Order { host, order, .. } => {
-                self.orders += 1;
-                let is_late = self.orders.is_multiple_of(self.late_every);
-                let late = self.lateness.filter(|_| is_late);
-                let answer = self.fleet.order(&host, &order, late, self.now);
-                self.formation.on_answer(&host, &order, &answer, self.now);
-            }
-            FormationAction::Report { host, .. } => {
-                let report = self.fleet.report(&host);
-                self.board.on_report(&host, report, self.now);
-                self.formation.on_report_done(&host, self.now);
-            }
-        }
-    }
-
-    /// Another entry takes the lease, with what it has heard itself.
-    fn change_holder(&mut self) {
-        self.term += 1;
-        self.formation = Formation::new(FormationSettings::default(), Epoch(self.term));
-    }
-
-    fn restore_registry(&mut self) {
-        self.has_registry = true;
-        self.board.on_outage_ended(self.now, REGISTRY_GRACE);
-        self.board.on_snapshot(self.fleet.snapshot(), self.now);
-    }
+/// Returns a world in which all groups are open and requests have begun.
+fn open_world(domains: &[usize]) -> World {
+    let mut world = new_world(domains);
+    world.open();
+    world
+}
 
-    fn serving(&self) -> (usize, usize) {
-        (self.fleet.serving(&large()), self.fleet.serving(&small()))
-    }
+fn serving(world: &World) -> (usize, usize) {
+    let serving = |weights: &WeightsId| world.fleet.serving(weights);
+    (serving(&large()), serving(&small()))
+}
 
-    /// Returns a host that is in an open group of these weights, as its head or not.
-    fn member(&self, weights: &WeightsId, is_head: bool) -> HostId {
-        let group = self
-            .formation
-            .groups()
-            .find(|group| group.weights == *weights && group.phase == GroupPhase::Open);
-        let members = &group.expect("an open group").members;
-        let index = if is_head { 0 } else { members.len() - 1 };
-        members[index].host.clone()
-    }
+fn large() -> WeightsId {
+    "large".parse().unwrap()
+}
 
-    fn assert_promises_kept(&self) {
-        assert_eq!(self.fleet.violations, Vec::<String>::new());
-    }
+fn small() -> WeightsId {
+    "small".parse().unwrap()
 }
 
 #[test]
 fn formation_first_start_opens_groups_of_each_model_in_each_domain() {
-    let world = World::open(&[11, 11, 11]);
-    assert_eq!(world.serving(), (3, 3));
+    let world = open_world(&[11, 11, 11]);
+    assert_eq!(serving(&world), (3, 3));
     world.assert_promises_kept();
 }
 
 #[test]
 fn formation_first_start_waits_until_all_hosts_are_listed() {
-    let mut world = World::new(&[3]);
-    world.formation.set_before_traffic(true);
+    let mut world = new_world(&[3]);
+    world.set_before_traffic(true);
     world.run(Duration::from_millis(200));
     for host in 3..11 {
         world
@@ -200,20 +96,20 @@
         world.run(Duration::from_millis(200));
     }
     world.run(Duration::from_secs(25));
-    assert_eq!(world.serving(), (1, 1));
+    assert_eq!(serving(&world), (1, 1));
     world.assert_promises_kept();
 }
 
 #[test]
 fn formation_member_lost_is_repaired_from_its_domain_in_seconds() {
-    let mut world = World::open(&[11, 11, 11]);
+    let mut world = open_world(&[11, 11, 11]);
     let member = world.member(&large(), false);
     world.fleet.lose(&member);
     world.run(Duration::from_millis(200));
     let head = world.member(&large(), true);
     world.formation.on_stall(&head, world.now);
     world.run(Duration::from_secs(6));
-    assert_eq!(world.serving(), (3, 3));
+    assert_eq!(serving(&world), (3, 3));
     assert!(world.formation.groups().all(|group| !group.is_cross_domain));
     world.assert_promises_kept();
 }
@@ -221,7 +117,7 @@
 #[test]
 fn formation_repair_waits_for_no_repetition_of_an_earlier_order() {
     // A host that had just left was not ordered to join until the order to leave could be repeated.
-    let mut world = World::open(&[11]);
+    let mut world = open_world(&[11]);
     let member = world.member(&large(), false);
     let head = world.member(&large(), true);
     world.fleet.lose(&member);
@@ -237,25 +133,25 @@
     }
     // Joining takes 200 ms and opening 300 ms; the rest is some steps of the world.
     world.run(Duration::from_millis(700));
-    assert_eq!(world.serving(), (1, 1));
+    assert_eq!(serving(&world), (1, 1));
     world.assert_promises_kept();
 }
 
 #[test]
 fn formation_head_lost_frees_members_without_waiting_for_its_end() {
-    let mut world = World::open(&[11, 11]);
+    let mut world = open_world(&[11, 11]);
     let head = world.member(&large(), true);
     world.fleet.lose(&head);
     world.formation.on_stall(&head, world.now);
     world.run(Duration::from_secs(4));
-    assert_eq!(world.serving(), (2, 2));
+    assert_eq!(serving(&world), (2, 2));
     world.assert_promises_kept();
 }
 
 #[test]
 fn formation_head_behind_refusing_cut_loses_no_member_to_another_group() {
     // A cut link that refuses connections was taken for the end of the process behind it.
-    let mut world = World::open(&[11, 11]);
+    let mut world = open_world(&[11, 11]);
     let head = world.member(&large(), true);
     let cut = Cut {
         from_registry: true,
@@ -266,13 +162,13 @@
     world.formation.on_stall(&head, world.now);
     world.run(Duration::from_secs(8));
     world.assert_promises_kept();
-    assert_eq!(world.serving().0, 2);
+    assert_eq!(serving(&world).0, 2);
 }
 
 #[test]
 fn formation_domain_cut_and_healed_goes_on_with_its_groups() {
     // Hosts that were listed again were ordered elsewhere while their heads still served.
-    let mut world = World::open(&[11, 11]);
+    let mut world = open_world(&[11, 11]);
     let cut = Cut {
         from_registry: true,
         from_entry: true,
@@ -295,13 +191,13 @@
         world.fleet.change(host, |host| host.cut = Cut::default());
     }
     world.run(Duration::from_secs(6));
-    assert_eq!(world.serving(), (2, 2));
+    assert_eq!(serving(&world), (2, 2));
     world.assert_promises_kept();
 }
 
 #[test]
 fn formation_late_orders_never_split_a_serving_group() {
-    let mut world = World::open(&[11, 11, 11]);
+    let mut world = open_world(&[11, 11, 11]);
     world.lateness = Some(Duration::from_secs(5));
     world.late_every = 3;
     for round in 0..6 {
@@ -314,24 +210,24 @@
     world.lateness = None;
     world.run(Duration::from_secs(30));
     world.assert_promises_kept();
-    assert_eq!(world.serving().0, 3);
+    assert_eq!(serving(&world).0, 3);
 }
 
 #[test]
 fn formation_new_holder_keeps_open_groups_and_forms_the_rest_anew() {
-    let mut world = World::open(&[11, 11, 11]);
+    let mut world = open_world(&[11, 11, 11]);
     let joins_before = world.fleet.joins_taken;
     world.change_holder();
     world.run(Duration::from_secs(3));
     assert_eq!(world.fleet.joins_taken, joins_before);
-    assert_eq!(world.serving(), (3, 3));
+    assert_eq!(serving(&world), (3, 3));
     world.assert_promises_kept();
 }
 
 #[test]
 fn formation_new_holder_releases_groups_that_were_never_opened() {
-    let mut world = World::new(&[11]);
-    world.formation.set_before_traffic(true);
+    let mut world = new_world(&[11]);
+    world.set_before_traffic(true);
     let is_all_ready = |world: &World| {
         let ready = |host: &&beryltray_testutils::fleet::FleetHost| {
             host.membership
@@ -344,15 +240,15 @@
         world.step();
     }
     world.change_holder();
-    world.formation.set_before_traffic(true);
+    world.set_before_traffic(true);
     world.run(Duration::from_secs(25));
-    assert_eq!(world.serving(), (1, 1));
+    assert_eq!(serving(&world), (1, 1));
     world.assert_promises_kept();
 }
 
 #[test]
 fn formation_draining_member_lets_work_finish_before_its_group_ends() {
-    let mut world = World::open(&[11]);
+    let mut world = open_world(&[11]);
     let member = world.member(&small(), false);
     world.fleet.change(&member, |host| host.is_draining = true);
     world.step();
@@ -362,32 +258,32 @@
         .find(|group| group.has_member(&member));
     assert_eq!(group.map(|group| group.phase), Some(GroupPhase::Finishing));
     world.run(Duration::from_secs(5));
-    assert_eq!(world.serving(), (1, 1));
+    assert_eq!(serving(&world), (1, 1));
     world.assert_promises_kept();
 }
 
 #[test]
 fn formation_host_restarted_under_its_name_holds_no_group() {
-    let mut world = World::open(&[11]);
+    let mut world = open_world(&[11]);
     let member = world.member(&large(), false);
     let now = world.now;
     world.fleet.restart(&member, now);
     world.run(Duration::from_secs(4));
-    assert_eq!(world.serving(), (1, 1));
+    assert_eq!(serving(&world), (1, 1));
     world.assert_promises_kept();
 }
 
 #[test]
 fn formation_scarce_model_gets_hosts_of_one_that_is_better_supplied() {
     // Losses in the domains of large groups left six small ones and four large ones.
-    let mut world = World::open(&[9, 9, 9, 9]);
-    assert_eq!(world.serving(), (4, 4));
+    let mut world = open_world(&[9, 9, 9, 9]);
+    assert_eq!(serving(&world), (4, 4));
     for _ in 0..2 {
         let member = world.member(&large(), false);
         world.fleet.lose(&member);
         world.run(Duration::from_secs(12));
     }
-    let (large, small) = world.serving();
+    let (large, small) = serving(&world);
     assert!(
         large >= 3,
         "{large} large groups and {small} small ones serve"
@@ -398,7 +294,7 @@
 /// Returns a world without spares in which two of four large groups have lost their heads and a
 /// member, and those heads.
 fn two_large_groups_lost() -> (World, Vec<HostId>) {
-    let mut world = World::open(&[9, 9, 9, 9]);
+    let mut world = open_world(&[9, 9, 9, 9]);
     let groups = world.formation.groups();
     let large_groups = groups.filter(|group| group.weights == large()).take(2);
     let lost: Vec<Vec<HostId>> = large_groups
@@ -420,7 +316,7 @@
         world.formation.on_stall(head, world.now);
     }
     world.run(Duration::from_secs(5));
-    assert_eq!(world.serving(), (3, 3));
+    assert_eq!(serving(&world), (3, 3));
     world.assert_promises_kept();
 }
 
@@ -430,7 +326,7 @@
     // missing a group then and took the free hosts of the large one before its own were free.
     let (mut world, _) = two_large_groups_lost();
     world.run(Duration::from_secs(12));
-    assert_eq!(world.serving(), (3, 3));
+    assert_eq!(serving(&world), (3, 3));
     world.assert_promises_kept();
 }
 
@@ -438,13 +334,13 @@
 fn formation_group_makes_no_room_for_a_model_that_is_as_well_supplied_as_its_own() {
     // A burst with losses: groups of the model that most requests were for were ended for one that
     // was short of as much.
-    let mut world = World::open(&[9, 9, 9, 9]);
+    let mut world = open_world(&[9, 9, 9, 9]);
     for is_head in [true, false] {
         let member = world.member(&large(), is_head);
         world.fleet.lose(&member);
     }
     world.run(Duration::from_secs(12));
-    assert_eq!(world.serving(), (3, 4));
+    assert_eq!(serving(&world), (3, 4));
     world.assert_promises_kept();
 }
 
@@ -452,11 +348,11 @@
 fn formation_second_weights_are_staged_again_after_a_repair() {
     // Losses that came every few seconds: each repaired group kept only its own weights, so none
     // could make room for the large one that was missing in its domain.
-    let mut world = World::open(&[11, 11]);
+    let mut world = open_world(&[11, 11]);
     let member = world.member(&small(), false);
     world.fleet.lose(&member);
     world.run(Duration::from_secs(25));
-    assert_eq!(world.serving(), (2, 2));
+    assert_eq!(serving(&world), (2, 2));
     let records = world.fleet.snapshot();
     let one_sided: Vec<&HostId> = records
         .iter()
@@ -471,14 +367,14 @@
 fn formation_staging_waits_for_hosts_that_load() {
     // Losses that came every few seconds: a hundred hosts staged second weights, the weight store
     // slowed all loads, and no host that a group waited for was ready for long.
-    let mut world = World::open(&[11, 11]);
+    let mut world = open_world(&[11, 11]);
     let now = world.now;
     world.fleet.add("host-0-90", "domain-0", now);
     world.run(Duration::from_secs(1));
     let member = world.member(&small(), false);
     world.fleet.lose(&member);
     world.run(Duration::from_secs(10));
-    assert_eq!(world.serving(), (2, 2));
+    assert_eq!(serving(&world), (2, 2));
     assert_eq!(world.fleet.loads.len(), 1);
     world.run(Duration::from_secs(12));
     assert!(world.fleet.loads.len() > 1);
@@ -489,7 +385,7 @@
 fn formation_new_host_loads_for_the_missing_group_that_it_completes() {
     // Losses that came every few seconds: all new hosts loaded the large model's weights, of which
     // several were short, while small groups waited for one host each.
-    let mut world = World::open(&[9, 9]);
+    let mut world = open_world(&[9, 9]);
     let hosts = |world: &World, weights: &WeightsId| -> Vec<HostId> {
         let mut groups = world.formation.groups();
         let group = groups.find(|group| {
@@ -506,21 +402,21 @@
         world.fleet.lose(host);
     }
     world.run(Duration::from_secs(12));
-    assert_eq!(world.serving(), (1, 2));
+    assert_eq!(serving(&world), (1, 2));
     world.fleet.lose(&hosts(&world, &small())[0]);
     world.run(Duration::from_secs(6));
-    assert_eq!(world.serving(), (1, 1));
+    assert_eq!(serving(&world), (1, 1));
     let now = world.now;
     world.fleet.add("host-0-90", "domain-0", now);
     world.run(Duration::from_secs(15));
-    assert_eq!(world.serving(), (1, 2));
+    assert_eq!(serving(&world), (1, 2));
     world.assert_promises_kept();
 }
 
 #[test]
 fn formation_spares_first_hold_the_weights_of_the_larger_groups() {
     // One of twelve members lost stops the other eleven, one of six only five.
-    let world = World::open(&[11, 11]);
+    let world = open_world(&[11, 11]);
     let records = world.fleet.snapshot();
     let spares = records.iter().filter(|record| {
         let group = record.membership.as_ref().map(|m| m.group.as_str());
@@ -552,7 +448,7 @@
 
 #[test]
 fn formation_empty_list_after_an_outage_drops_no_group() {
-    let mut world = World::open(&[11]);
+    let mut world = open_world(&[11]);
     world.has_registry = false;
     world.run(Duration::from_secs(5));
     world.has_registry = true;
@@ -562,13 +458,13 @@
     world.run(Duration::from_secs(1));
     world.board.on_snapshot(world.fleet.snapshot(), world.now);
     world.run(Duration::from_secs(5));
-    assert_eq!(world.serving(), (1, 1));
+    assert_eq!(serving(&world), (1, 1));
     world.assert_promises_kept();
 }
 
 #[test]
 fn formation_loads_stay_under_the_rate_over_two_holders() {
-    let mut world = World::open(&[11, 11, 11, 11, 11, 11]);
+    let mut world = open_world(&[11, 11, 11, 11, 11, 11]);
     let hosts: Vec<HostId> = world
         .fleet
         .hosts
@@ -686,7 +582,7 @@
 
 /// Runs a schedule of disturbances, each with its pick and the time after it.
 fn keeps_promises_under(schedule: Vec<(u8, u8, u8)>) -> bool {
-    let mut world = World::open(&[11, 11]);
+    let mut world = open_world(&[11, 11]);
     for (kind, pick, wait) in schedule.into_iter().take(24) {
         disturb(&mut world, kind, pick);
         world.run(Duration::from_millis(50 + u64::from(wait) * 12));
@@ -705,7 +601,7 @@
 
 /// Returns whether all groups serve again some time after a schedule of disturbances.
 fn recovers(schedule: Vec<(u8, u8, u8)>) -> bool {
-    let mut world = World::open(&[11, 11]);
+    let mut world = open_world(&[11, 11]);
     for (kind, pick, wait) in schedule.into_iter().take(12) {
         disturb(&mut world, kind, pick);
         world.run(Duration::from_millis(50 + u64::from(wait) * 12));
@@ -723,10 +619,31 @@
         }
     }
     world.run(Duration::from_secs(60));
-    world.serving() == (2, 2)
+    serving(&world) == (2, 2)
 }
 
 #[test]
 fn formation_generated_schedules_are_followed_by_recovery() {
     quickcheck_with_seed(0x0f0f, 25).quickcheck(recovers as fn(Vec<(u8, u8, u8)>) -> bool);
 }
+
+#[test]
+fn formation_restarted_head_that_takes_late_orders_is_ordered_to_leave() {
+    // A head was restarted under its name while the registry was away, and then took the late orders
+    // to join and open the group of its former life. It counted as gone and was ordered elsewhere.
+    let schedule = vec![
+        (9, 0, 0),
+        (0, 0, 0),
+        (0, 122, 0),
+        (7, 0, 133),
+        (9, 0, 233),
+        (0, 0, 53),
+        (9, 0, 0),
+        (7, 5, 73),
+        (2, 165, 0),
+        (0, 0, 50),
+        (0, 0, 136),
+        (9, 0, 0),
+    ];
+    assert!(keeps_promises_under(schedule));
+}
--- a/lib/testutils/src/fleet.rs
+++ b/lib/testutils/src/fleet.rs
@@ -29,6 +29,8 @@
 const STALL_TIME: Duration = Duration::from_secs(4);
 /// How long a head takes to open.
 const OPENING_TIME: Duration = Duration::from_millis(300);
+/// How much quicker a load is before the first request.
+const QUICK_LOAD_FACTOR: f64 = 10.0;
 /// How long a host takes to join with the weights of its last group.
 const REJOIN_TIME: Duration = Duration::from_millis(200);
 
@@ -63,6 +65,10 @@
     members: Vec<HostId>,
     last_weights: Option<WeightsId>,
     staged: Option<WeightsId>,
+    /// The weights that the host reads from the weight store for a join.
+    loading: Option<Load>,
+    /// The weights that the host reads from the weight store to keep them at hand.
+    staging: Option<Load>,
     highest_epoch: Epoch,
     state_due_at: Option<Instant>,
     stalled_since: Option<Instant>,
@@ -78,6 +84,14 @@
     }
 }
 
+/// Weights on their way from the weight store.
+#[derive(Clone, Debug)]
+struct Load {
+    weights: WeightsId,
+    /// How long the rest takes at full speed.
+    remaining: Duration,
+}
+
 /// An order that is carried out later than it was given.
 #[derive(Clone, Debug)]
 struct LateOrder {
@@ -97,11 +111,14 @@
     pub loads: Vec<Instant>,
     /// The joins that each host has taken, over all lives.
     pub joins_taken: usize,
+    /// Whether no request has come yet, so that loads are quick.
+    pub is_before_traffic: bool,
     sheet: EngineSheet,
     service: ServiceId,
     late: Vec<LateOrder>,
     ready: Vec<(HostId, GroupId, Epoch)>,
     began_at: Instant,
+    advanced_at: Instant,
     changed: Vec<HostId>,
     removed: Vec<HostId>,
 }
@@ -122,11 +139,13 @@
             violations: Vec::new(),
             loads: Vec::new(),
             joins_taken: 0,
+            is_before_traffic: false,
             sheet,
             service: service.parse().expect("a service's name"),
             late: Vec::new(),
             ready: Vec::new(),
             began_at: now,
+            advanced_at: now,
             changed,
             removed: Vec::new(),
         }
@@ -163,6 +182,8 @@
             host.membership = None;
             host.members.clear();
             host.last_weights = None;
+            host.loading = None;
+            host.staging = None;
             host.highest_epoch = Epoch(0);
             host.state_due_at = None;
             host.stalled_since = None;
@@ -220,6 +241,7 @@
         for late in due {
             self.carry_out(&late.host, &late.order, now);
         }
+        self.advance_loads(now);
         self.finish_states(now);
         self.break_stalled(now);
         for index in 0..self.hosts.len() {
@@ -306,17 +328,60 @@
                 if self.is_in(index, group, *epoch) {
                     self.hosts[index].membership = None;
                     self.hosts[index].state_due_at = None;
+                    if self.hosts[index].loading.take().is_some() {
+                        self.hosts[index].last_weights = None;
+                    }
                 }
                 OrderAnswer::Accepted
             }
             GroupOrder::Stage { weights } => {
-                self.hosts[index].staged = Some(weights.clone());
-                self.loads.push(now);
+                if self.hosts[index].staged.as_ref() != Some(weights) {
+                    self.hosts[index].staging = Some(self.load(weights));
+                    self.loads.push(now);
+                }
                 OrderAnswer::Accepted
             }
         }
     }
 
+    fn load(&self, weights: &WeightsId) -> Load {
+        let time = self.sheet.model(weights).map(|model| model.load_time);
+        Load {
+            weights: weights.clone(),
+            remaining: time.unwrap_or_default(),
+        }
+    }
+
+    /// Lets the loads go on. Beyond some at once they share the weight store's speed.
+    fn advance_loads(&mut self, now: Instant) {
+        let passed = now.saturating_duration_since(self.advanced_at);
+        self.advanced_at = now;
+        let alive = self.hosts.iter().filter(|host| host.is_alive);
+        let under_way = alive
+            .map(|host| usize::from(host.loading.is_some()) + usize::from(host.staging.is_some()))
+            .sum::<usize>();
+        if under_way == 0 {
+            return;
+        }
+        let share = (self.sheet.loads_at_once as f64 / under_way as f64).min(1.0);
+        let speed = if self.is_before_traffic {
+            share * QUICK_LOAD_FACTOR
+        } else {
+            share
+        };
+        let done = passed.mul_f64(speed);
+        for host in self.hosts.iter_mut().filter(|host| host.is_alive) {
+            if let Some(weights) = advance_load(&mut host.loading, done) {
+                host.staged = Some(weights);
+                host.state_due_at = Some(now);
+            }
+            if let Some(weights) = advance_load(&mut host.staging, done) {
+                host.staged = Some(weights);
+                self.changed.push(host.id.clone());
+            }
+        }
+    }
+
     fn join(
         &mut self,
         index: usize,
@@ -339,23 +404,30 @@
             };
         }
         self.check_old_head(index, group, now);
-        let model = self.sheet.model(weights).cloned();
+        let load = self.load(weights);
+        let warm_time = self.sheet.model(weights).map(|model| model.warm_time);
+        let host = &mut self.hosts[index];
+        let has_last = host.last_weights.as_ref() == Some(weights) && host.loading.is_none();
+        let has_staged = host.staged.as_ref() == Some(weights);
+        host.loading = None;
+        let due_at = if has_last {
+            Some(now + REJOIN_TIME)
+        } else if has_staged {
+            Some(now + warm_time.unwrap_or_default())
+        } else {
+            host.loading = Some(load);
+            self.loads.push(now);
+            None
+        };
         let host = &mut self.hosts[index];
-        let mut duration = REJOIN_TIME;
-        if host.last_weights.as_ref() != Some(weights) {
-            let warm = model.as_ref().map_or(Duration::ZERO, |m| m.warm_time);
-            duration = warm;
-            if host.staged.as_ref() != Some(weights) {
-                duration = model.map_or(Duration::ZERO, |m| m.load_time);
-                self.loads.push(now);
-            }
-        }
         let rank = members
             .iter()
             .position(|member| *member == host.id)
             .unwrap_or_default();
         host.highest_epoch = epoch;
-        host.staged = Some(weights.clone());
+        if due_at.is_some() {
+            host.staged = Some(weights.clone());
+        }
         host.last_weights = Some(weights.clone());
         host.members = members.to_vec();
         host.stalled_since = None;
@@ -365,7 +437,7 @@
             rank: rank as u32,
             state: MemberState::Joining,
         });
-        host.state_due_at = Some(now + duration);
+        host.state_due_at = due_at;
         self.joins_taken += 1;
         OrderAnswer::Accepted
     }
@@ -538,6 +610,8 @@
         members: Vec::new(),
         last_weights: None,
         staged: None,
+        loading: None,
+        staging: None,
         highest_epoch: Epoch(0),
         state_due_at: None,
         stalled_since: None,
@@ -546,6 +620,16 @@
     }
 }
 
+/// Lets a load go on and returns its weights if it is done.
+fn advance_load(load: &mut Option<Load>, done: Duration) -> Option<WeightsId> {
+    let under_way = load.as_mut()?;
+    under_way.remaining = under_way.remaining.saturating_sub(done);
+    if !under_way.remaining.is_zero() {
+        return None;
+    }
+    load.take().map(|load| load.weights)
+}
+
 /// The size of a model's groups, by its weights.
 trait ModelSize {
     fn model_size(&self, weights: Option<&WeightsId>) -> Option<usize>;
--- /dev/null
+++ b/lib/testutils/src/formation.rs
@@ -0,0 +1,162 @@
+//! An entry that forms the groups of a fleet, in simulated time.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use beryltray_lib::ids::Epoch;
+use beryltray_lib::ids::HostId;
+use beryltray_lib::ids::WeightsId;
+use beryltray_lib::process::formation::Formation;
+use beryltray_lib::process::formation::FormationAction;
+use beryltray_lib::process::formation::FormationSettings;
+use beryltray_lib::process::formation::GroupPhase;
+use beryltray_lib::process::formation::HostBoard;
+use beryltray_lib::version::routes::EngineSheet;
+
+use crate::fleet::Fleet;
+
+/// The time between two steps of the world.
+pub const STEP: Duration = Duration::from_millis(40);
+
+/// The service whose groups are formed.
+const SERVICE: &str = "writers";
+/// How long after an outage of the registry removals are not believed.
+pub const REGISTRY_GRACE: Duration = Duration::from_millis(2_300);
+/// How long before the first request the fleet starts.
+const LEAD_TIME: Duration = Duration::from_secs(22);
+
+/// A fleet, and an entry that forms its groups.
+pub struct FormationWorld {
+    /// The current time.
+    pub now: Instant,
+    /// The hosts.
+    pub fleet: Fleet,
+    /// What the entry knows of the hosts.
+    pub board: HostBoard,
+    /// The entry's decisions.
+    pub formation: Formation,
+    /// Whether orders reach their hosts late and are not answered.
+    pub lateness: Option<Duration>,
+    /// Orders of which every so many is late.
+    pub late_every: u64,
+    /// Whether the registry answers the entry.
+    pub has_registry: bool,
+    sheet: EngineSheet,
+    term: u64,
+    orders: u64,
+}
+
+impl FormationWorld {
+    /// Creates a world of domains with so many hosts each, which have just come.
+    pub fn new(sheet: EngineSheet, domains: &[usize]) -> Self {
+        let now = Instant::now();
+        Self {
+            now,
+            fleet: Fleet::new(SERVICE, sheet.clone(), domains, now),
+            board: HostBoard::new(),
+            formation: Formation::new(FormationSettings::default(), Epoch(1)),
+            lateness: None,
+            late_every: 1,
+            has_registry: true,
+            sheet,
+            term: 1,
+            orders: 0,
+        }
+    }
+
+    /// Lets the time before the first request pass.
+    pub fn open(&mut self) {
+        self.set_before_traffic(true);
+        self.run(LEAD_TIME);
+        self.set_before_traffic(false);
+        self.fleet.loads.clear();
+    }
+
+    /// Says whether requests have begun.
+    pub fn set_before_traffic(&mut self, is_before_traffic: bool) {
+        self.fleet.is_before_traffic = is_before_traffic;
+        self.formation.set_before_traffic(is_before_traffic);
+    }
+
+    /// Lets time pass.
+    pub fn run(&mut self, span: Duration) {
+        let end = self.now + span;
+        while self.now < end {
+            self.step();
+        }
+    }
+
+    /// Lets the time of one step pass.
+    pub fn step(&mut self) {
+        self.now += STEP;
+        self.fleet.advance(self.now);
+        if self.has_registry {
+            let (records, removed) = self.fleet.take_changes();
+            for host in removed {
+                self.board.on_removed(&host, self.now);
+            }
+            for record in records {
+                self.board.on_record(record, self.now);
+            }
+        }
+        let service = SERVICE.parse().expect("a service's name");
+        self.formation.on_sheet(&service, &self.sheet, self.now);
+        for action in self.formation.poll(&self.board, self.now) {
+            self.carry_out(action);
+        }
+    }
+
+    fn carry_out(&mut self, action: FormationAction) {
+        match action {
+            FormationAction::Order { host, order, .. } => {
+                self.orders += 1;
+                let is_late = self.orders.is_multiple_of(self.late_every);
+                let late = self.lateness.filter(|_| is_late);
+                let answer = self.fleet.order(&host, &order, late, self.now);
+                self.formation.on_answer(&host, &order, &answer, self.now);
+            }
+            FormationAction::Report { host, .. } => {
+                let report = self.fleet.report(&host);
+                self.board.on_report(&host, report, self.now);
+                self.formation.on_report_done(&host, self.now);
+            }
+        }
+    }
+
+    /// Another entry takes the lease, with what it has heard itself.
+    pub fn change_holder(&mut self) {
+        self.term += 1;
+        self.formation = Formation::new(FormationSettings::default(), Epoch(self.term));
+    }
+
+    /// The registry answers the entry again, after an outage.
+    pub fn restore_registry(&mut self) {
+        self.has_registry = true;
+        self.board.on_outage_ended(self.now, REGISTRY_GRACE);
+        self.board.on_snapshot(self.fleet.snapshot(), self.now);
+    }
+
+    /// Returns a host that is in an open group of these weights, as its head or not.
+    ///
+    /// # Panics
+    ///
+    /// If there is no such group.
+    pub fn member(&self, weights: &WeightsId, is_head: bool) -> HostId {
+        let group = self
+            .formation
+            .groups()
+            .find(|group| group.weights == *weights && group.phase == GroupPhase::Open);
+        let members = &group.expect("an open group").members;
+        let index = if is_head { 0 } else { members.len() - 1 };
+        members[index].host.clone()
+    }
+
+    /// Checks that no promise was broken.
+    ///
+    /// # Panics
+    ///
+    /// If one was.
+    pub fn assert_promises_kept(&self) {
+        assert_eq!(self.fleet.violations, Vec::<String>::new());
+    }
+}
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod claims;
 pub mod clock;
 pub mod fleet;
+pub mod formation;
 pub mod heads;
 pub mod history;
 pub mod mesh;
