--- a/lib/src/process/formation/balance.rs
+++ b/lib/src/process/formation/balance.rs
@@ -1,20 +1,27 @@
 //! The ending of groups whose hosts are needed more elsewhere.
 
+use std::time::Duration;
 use std::time::Instant;
 
 use super::board::HostBoard;
 use super::group::Group;
-use super::group::GroupMember;
 use super::group::GroupPhase;
 use super::machine::Formation;
 use super::machine::ServicePlan;
+use super::packing::Packing;
+use super::packing::WantedGroups;
+use super::supply::Supply;
+use super::wanted::Packed;
 use crate::ids::FabricDomainId;
 use crate::ids::GroupId;
 use crate::ids::WeightsId;
 
+/// How long a better division must have been possible before groups are ended for it.
+const EXCHANGE_WAIT: Duration = Duration::from_millis(500);
+
 impl Formation {
-    /// Ends one group with hosts outside of its domain, if it is one too many or if hosts of the
-    /// domain can take its place now. Such a group is slow, or keeps another domain short.
+    /// Ends one group over several domains if these can make more groups of its hosts. Such a group
+    /// is slow, and keeps its domains short.
     pub(super) fn rehome_group(&mut self, plan: &mut ServicePlan, board: &HostBoard, now: Instant) {
         let is_changing = self.groups.iter().any(|group| {
             group.service == plan.service && !group.is_warming && group.phase != GroupPhase::Open
@@ -22,9 +29,15 @@
         if is_changing {
             return;
         }
+        let wanted = plan.packing.total_of_all();
         let misplaced = self.groups.iter().find(|group| {
             let is_own = group.service == plan.service && group.phase == GroupPhase::Open;
-            is_own && self.is_replaceable(plan, group, board, now)
+            is_own
+                && group.is_cross_domain
+                && self
+                    .pack(plan, Packed::Ready, |g| g.id == group.id, board, now)
+                    .total_of_all()
+                    > wanted
         });
         let Some(id) = misplaced.map(|group| group.id.clone()) else {
             return;
@@ -35,131 +48,121 @@
         }
     }
 
-    fn is_replaceable(
+    /// Returns the groups of a domain that serve, or will, with hosts of its own.
+    pub(super) fn rising_groups(
         &self,
         plan: &ServicePlan,
-        group: &Group,
+        domain: &FabricDomainId,
+        weights: &WeightsId,
+    ) -> impl Iterator<Item = &Group> {
+        self.groups.iter().filter(move |group| {
+            group.service == plan.service
+                && group.weights == *weights
+                && group.domain.as_ref() == Some(domain)
+                && !group.is_warming
+                && !group.is_cross_domain
+                && group.is_rising()
+        })
+    }
+
+    /// Ends groups of one domain if its hosts can be divided better.
+    ///
+    /// What counts is the least supplied model. Groups that were formed one after the other, as
+    /// hosts were lost and came, can leave it with less than the hosts allow; the exchange costs
+    /// them some seconds and their other weights, so it is made for a clear gain that lasts.
+    pub(super) fn exchange_groups(
+        &mut self,
+        plan: &mut ServicePlan,
         board: &HostBoard,
         now: Instant,
-    ) -> bool {
-        let Some(domain) = &group.domain else {
-            return false;
-        };
-        let is_in_domain = |member: &GroupMember| {
-            let entry = board.get(&member.host);
-            entry.and_then(|entry| entry.record.domain.as_ref()) == Some(domain)
-        };
-        if group.members.iter().all(is_in_domain) {
-            return false;
+    ) {
+        let is_open = |group: &Group| group.phase == GroupPhase::Open;
+        let fresh = self.pack(plan, Packed::Ready, is_open, board, now);
+        let mut present = self.split_supply(plan);
+        present.add_packing(&plan.packing);
+        let mut possible = Supply::new(&plan.sheet.models, &plan.shares);
+        possible.add_packing(&fresh);
+        if !possible.clearly_exceeds(&present) || self.is_any_making_room(plan) {
+            plan.divided_badly_since = None;
+            return;
         }
-        let models = &plan.sheet.models;
-        let Some(index) = models
-            .iter()
-            .position(|model| model.weights == group.weights)
-        else {
-            return false;
+        let since = *plan.divided_badly_since.get_or_insert(now);
+        if now.saturating_duration_since(since) < EXCHANGE_WAIT {
+            return;
+        }
+        plan.divided_badly_since = None;
+        let Some((domain, model)) = self.missing_group(plan, &fresh) else {
+            return;
         };
-        let wanted = plan.packing.domains.get(domain);
-        let wanted = wanted
-            .and_then(|d| d.counts.get(index))
-            .copied()
-            .unwrap_or_default();
-        if self.rising_count(plan, domain, &group.weights) > wanted {
-            return true;
+        let weights = &plan.sheet.models[model].weights;
+        for (other, sheet) in plan.sheet.models.iter().enumerate() {
+            let present = plan.packing.wanted(&domain, other);
+            let surplus = present.saturating_sub(fresh.wanted(&domain, other));
+            let open = self.rising_groups(plan, &domain, &sheet.weights);
+            let open = open.filter(|group| is_open(group)).take(surplus);
+            let ended: Vec<GroupId> = open.map(|group| group.id.clone()).collect();
+            for id in ended {
+                self.make_room(&id, weights, now);
+            }
         }
-        let model = &models[index];
-        let free = self.candidates(plan, model, board, now);
-        let free = free
-            .iter()
-            .filter(|c| !c.needs_load && c.domain == *domain)
-            .count();
-        let own = group
-            .members
-            .iter()
-            .filter(|member| is_in_domain(member))
-            .count();
-        free + own >= model.group_size
     }
 
-    pub(super) fn rising_count(
+    /// Returns a domain and a model of which it has fewer groups than in a better division.
+    fn missing_group(
         &self,
         plan: &ServicePlan,
-        domain: &FabricDomainId,
-        weights: &WeightsId,
-    ) -> usize {
-        let there = self.groups.iter().filter(|group| {
-            group.service == plan.service
-                && group.weights == *weights
-                && group.domain.as_ref() == Some(domain)
-                && !group.is_warming
-                && group.is_rising()
+        better: &Packing,
+    ) -> Option<(FabricDomainId, usize)> {
+        let supply = self.supply(plan);
+        let mut missing = supply.least_first().into_iter().filter_map(|model| {
+            let lacks = |wanted: &&WantedGroups| {
+                let counts = wanted.counts.get(model).copied().unwrap_or_default();
+                counts > plan.packing.wanted(&wanted.domain, model)
+            };
+            let domain = better.domains.iter().find(lacks)?;
+            Some((domain.domain.clone(), model))
         });
-        there.count()
+        missing.next()
     }
 
-    pub(super) fn serving_count(&self, plan: &ServicePlan, weights: &WeightsId) -> usize {
-        let serving = self.groups.iter().filter(|group| {
-            group.service == plan.service
-                && group.weights == *weights
-                && !group.is_warming
-                && !group.is_cross_domain
-                && group.is_rising()
+    fn make_room(&mut self, group: &GroupId, weights: &WeightsId, now: Instant) {
+        if let Some(group) = self.groups.get_mut(group) {
+            log::info!(group:% = group.id, weights:% = weights; "group makes room for another model");
+            group.makes_room_for = Some(weights.clone());
+            group.enter(GroupPhase::Finishing, now);
+        }
+    }
+
+    /// Returns what each model has of groups over several domains.
+    fn split_supply(&self, plan: &ServicePlan) -> Supply {
+        let models = &plan.sheet.models;
+        let mut supply = Supply::new(models, &plan.shares);
+        let split = self.groups.iter().filter(|group| {
+            group.service == plan.service && group.is_cross_domain && group.is_rising()
         });
-        serving.count()
+        for group in split {
+            if let Some(model) = models.iter().position(|m| m.weights == group.weights) {
+                supply.add(model, plan.sheet.cross_domain_factor.max(1.0).recip());
+            }
+        }
+        supply
     }
 
-    /// Returns an open group whose hosts would complete a missing group of `model` in their
-    /// domain, if its own model is then still as well supplied.
-    pub(super) fn group_to_sacrifice(
-        &self,
-        plan: &ServicePlan,
-        model: usize,
-        domains: &[FabricDomainId],
-        board: &HostBoard,
-        now: Instant,
-    ) -> Option<GroupId> {
+    /// Returns what each model has of groups that serve or will.
+    pub(super) fn supply(&self, plan: &ServicePlan) -> Supply {
         let models = &plan.sheet.models;
-        let wanted = &models[model];
-        let supply = |index: usize, groups: usize| {
-            let hosts = (groups * models[index].group_size) as f64;
-            hosts
-                / plan
-                    .shares
-                    .get(index)
-                    .copied()
-                    .unwrap_or_default()
-                    .max(f64::MIN_POSITIVE)
-        };
-        let own = self.serving_count(plan, &wanted.weights);
-        let candidates = self.candidates(plan, wanted, board, now);
-        let is_useful = |group: &&Group| {
-            let domain = group.domain.as_ref().filter(|d| domains.contains(d));
-            let other = models.iter().position(|m| m.weights == group.weights);
-            let (Some(domain), Some(other)) = (domain, other) else {
-                return false;
-            };
-            let free = candidates
-                .iter()
-                .filter(|c| !c.needs_load && c.domain == *domain)
-                .count();
-            let is_warm = |member: &&GroupMember| {
-                let entry = board.get(&member.host);
-                entry.is_some_and(|entry| !self.time_to_join(entry, wanted).1)
-            };
-            let gained = group.members.iter().filter(is_warm).count();
-            let others = self.serving_count(plan, &group.weights);
-            // What two models want may be more than there is: a group is ended only if its model
-            // is at least as well supplied afterwards, or hosts would go from one to the other.
-            let is_fair = supply(other, others.saturating_sub(1)) >= supply(model, own + 1);
-            other != model
-                && group.phase == GroupPhase::Open
+        let mut supply = self.split_supply(plan);
+        let whole = self.groups.iter().filter(|group| {
+            group.service == plan.service
+                && !group.is_warming
                 && !group.is_cross_domain
-                && free + gained >= wanted.group_size
-                && is_fair
-        };
-        self.groups
-            .iter()
-            .find(is_useful)
-            .map(|group| group.id.clone())
+                && group.is_rising()
+        });
+        for group in whole {
+            if let Some(model) = models.iter().position(|m| m.weights == group.weights) {
+                supply.add(model, 1.0);
+            }
+        }
+        supply
     }
 }
--- a/lib/src/process/formation/board.rs
+++ b/lib/src/process/formation/board.rs
@@ -19,6 +19,9 @@
 /// How old what a host reports may be; some hundred milliseconds.
 const REPORT_LAG: Duration = Duration::from_millis(400);
 
+/// How long a host that the registry dropped counts as up after it has answered.
+const ANSWER_VALIDITY: Duration = Duration::from_millis(900);
+
 /// What a refused connection counts for: it needs no second look, as silence does.
 const REFUSED_MISSES: u32 = 2;
 
@@ -54,6 +57,8 @@
     /// When the registry listed the host's present life again after it had dropped it.
     pub relisted_at: Option<Instant>,
     record_at: Instant,
+    /// When the last call was sent that the host answered.
+    answered_at: Option<Instant>,
 }
 
 impl Keyed for HostEntry {
@@ -91,6 +96,18 @@
             && self.liveness != Liveness::Ended
     }
 
+    /// Returns whether the host is up although the registry has dropped it: cut off from the
+    /// registry only, or leaving without a word. It gets no new requests, but can help others serve.
+    pub fn is_up_unlisted(&self, now: Instant) -> bool {
+        let is_recent = self
+            .answered_at
+            .is_some_and(|at| now.saturating_duration_since(at) < ANSWER_VALIDITY);
+        !self.is_listed(now)
+            && is_recent
+            && self.record.availability == Availability::Ready
+            && self.liveness == Liveness::Assumed
+    }
+
     /// Returns whether the host left at least `misses` calls unanswered, or ended.
     pub fn is_lost(&self, misses: u32) -> bool {
         match self.liveness {
@@ -175,6 +192,7 @@
             Some(entry) if is_same_life => entry.first_listed_at,
             _ => now,
         };
+        let answered_at = known.filter(|_| is_same_life).and_then(|e| e.answered_at);
         let relisted_at = match known {
             Some(_) if is_same_life && was_departed => Some(now),
             Some(entry) if is_same_life => entry.relisted_at,
@@ -188,6 +206,7 @@
             first_listed_at,
             relisted_at,
             record_at: now,
+            answered_at,
         });
     }
 
@@ -224,6 +243,7 @@
                     return;
                 }
                 entry.liveness = Liveness::Assumed;
+                entry.answered_at = Some(sent_at);
                 let as_of = sent_at.checked_sub(REPORT_LAG).unwrap_or(sent_at);
                 entry.reported = Some((report.membership, as_of));
             }
--- a/lib/src/process/formation/choice.rs
+++ b/lib/src/process/formation/choice.rs
@@ -16,6 +16,10 @@
     pub ready_in: Duration,
     /// Whether the host reads the weights from the weight store.
     pub needs_load: bool,
+    /// Whether the host gives up no other model's weights for it.
+    pub is_native: bool,
+    /// Whether the registry lists the host; one that it does not list can't be the head.
+    pub is_listed: bool,
 }
 
 /// The hosts of a group to be formed.
@@ -65,8 +69,12 @@
 }
 
 fn choose(mut candidates: Vec<&Candidate>, size: usize, loads_max: usize) -> Option<Choice> {
-    candidates.sort_by(|a, b| (a.ready_in, &a.host).cmp(&(b.ready_in, &b.host)));
-    let chosen = candidates.get(..size).filter(|chosen| !chosen.is_empty())?;
+    candidates.sort_by(|a, b| {
+        let order = |c: &Candidate| (!c.is_listed, c.ready_in, c.host.clone());
+        order(a).cmp(&order(b))
+    });
+    let chosen = candidates.get(..size)?;
+    chosen.first().filter(|head| head.is_listed)?;
     let loads = chosen.iter().filter(|c| c.needs_load).count();
     if loads > loads_max {
         return None;
--- a/lib/src/process/formation/free_hosts.rs
+++ b/lib/src/process/formation/free_hosts.rs
@@ -18,6 +18,7 @@
 use crate::ids::Epoch;
 use crate::ids::FabricDomainId;
 use crate::ids::HostId;
+use crate::ids::WeightsId;
 use crate::version::routes::ModelSheet;
 
 /// How many joins one term of the lease can number.
@@ -54,24 +55,33 @@
                 domain,
                 ready_in,
                 needs_load,
+                is_native: self
+                    .last_weights_of(entry)
+                    .is_none_or(|last| *last == model.weights),
+                is_listed: entry.is_listed(now),
             })
         };
         free.filter_map(candidate).collect()
     }
 
     pub(super) fn time_to_join(&self, entry: &HostEntry, model: &ModelSheet) -> (Duration, bool) {
-        let record = &entry.record;
-        let last = self.last_weights.get(&record.host);
-        let last = last.filter(|last| last.incarnation == record.incarnation);
-        if last.is_some_and(|last| last.weights == model.weights) {
+        if self.last_weights_of(entry) == Some(&model.weights) {
             (REJOIN_TIME, false)
-        } else if record.staged.contains(&model.weights) {
+        } else if entry.record.staged.contains(&model.weights) {
             (model.warm_time, false)
         } else {
             (model.load_time, true)
         }
     }
 
+    /// Returns the weights of the last group that a host was in since its start.
+    pub(super) fn last_weights_of(&self, entry: &HostEntry) -> Option<&WeightsId> {
+        let record = &entry.record;
+        let last = self.last_weights.get(&record.host);
+        let last = last.filter(|last| last.incarnation == record.incarnation);
+        last.map(|last| &last.weights)
+    }
+
     /// Returns the group that a host may not be ordered out of.
     pub(super) fn group_of(&self, host: &HostId) -> Option<&Group> {
         self.groups.iter().find(|group| group.has_member(host))
@@ -81,9 +91,8 @@
     fn is_free(&self, plan: &ServicePlan, entry: &HostEntry, now: Instant) -> bool {
         let record = &entry.record;
         if record.service != plan.service
-            || !entry.is_usable(now)
+            || !(entry.is_usable(now) || entry.is_up_unlisted(now))
             || entry.is_lost(1)
-            || self.is_resting(entry, now)
             || self.group_of(&record.host).is_some()
         {
             return false;
@@ -91,12 +100,12 @@
         let Some(membership) = entry.membership() else {
             return true;
         };
-        // Groups that were never opened end without an order to leave.
-        is_warming_id(&membership.group)
-            || self
-                .ended
-                .get(&membership.group)
-                .is_some_and(|ended| ended.is_over(entry))
+        if is_warming_id(&membership.group) {
+            // Groups that were never opened end without an order to leave.
+            return true;
+        }
+        let ended = self.ended.get(&membership.group);
+        ended.is_some_and(|ended| ended.is_over(entry)) && !self.is_resting(entry, now)
     }
 
     /// Returns whether a host was listed again only now, so that others may not have been.
--- a/lib/src/process/formation/machine.rs
+++ b/lib/src/process/formation/machine.rs
@@ -11,7 +11,6 @@
 use super::packing::Packing;
 use super::settings::FormationSettings;
 use crate::ids::Epoch;
-use crate::ids::FabricDomainId;
 use crate::ids::GroupId;
 use crate::ids::HostId;
 use crate::ids::Incarnation;
@@ -112,33 +111,18 @@
     }
 }
 
-/// A domain and the most hosts that it was seen with.
-#[derive(Clone, Debug)]
-pub(super) struct DomainSize {
-    pub(super) domain: FabricDomainId,
-    pub(super) hosts: usize,
-}
-
-impl Keyed for DomainSize {
-    type Key = FabricDomainId;
-
-    fn key(&self) -> &FabricDomainId {
-        &self.domain
-    }
-}
-
 /// What is wanted for one service.
 #[derive(Clone, Debug)]
 pub(super) struct ServicePlan {
     pub(super) service: ServiceId,
     pub(super) sheet: EngineSheet,
     pub(super) shares: Vec<f64>,
-    pub(super) sizes: SortedVec<DomainSize>,
     pub(super) packing: Packing,
     pub(super) loads: LoadWindow,
-    pub(super) missing_since: Vec<Option<Instant>>,
-    /// When a domain was last seen with more hosts than before.
-    pub(super) grown_at: Option<Instant>,
+    /// Since when the hosts could be divided better.
+    pub(super) divided_badly_since: Option<Instant>,
+    /// Since when a model has had far less than the others, and no domain the hosts for a group.
+    pub(super) scarce_since: Option<Instant>,
 }
 
 impl Keyed for ServicePlan {
@@ -214,15 +198,13 @@
             service: service.clone(),
             sheet: sheet.clone(),
             shares: Vec::new(),
-            sizes: SortedVec::new(),
             packing: Packing::default(),
             loads: LoadWindow::new_full(window, sheet.loads_per_s, now),
-            missing_since: Vec::new(),
-            grown_at: None,
+            divided_badly_since: None,
+            scarce_since: None,
         });
         if plan.sheet != *sheet {
             plan.sheet = sheet.clone();
-            plan.sizes = SortedVec::new();
         }
         if plan.shares.len() != sheet.models.len() {
             plan.shares = sheet.models.iter().map(|m| m.expected_share).collect();
@@ -321,8 +303,15 @@
         self.adopt_groups(board, now);
         self.note_weights(board);
         let mut groups = std::mem::take(&mut self.groups);
+        let is_finishing = |group: &&Group| group.phase == GroupPhase::Finishing;
+        let finishing = groups.iter().filter(is_finishing);
+        let mut finishing: Vec<WeightsId> = finishing.map(|g| g.weights.clone()).collect();
         for group in groups.iter_mut() {
-            self.advance(group, board, now, &mut actions);
+            let was_open = group.phase == GroupPhase::Open;
+            self.advance(group, board, &finishing, now, &mut actions);
+            if was_open && group.phase == GroupPhase::Finishing {
+                finishing.push(group.weights.clone());
+            }
         }
         self.groups = groups;
         self.remove_ended(now);
@@ -330,7 +319,7 @@
         let mut groups = std::mem::take(&mut self.groups);
         for group in groups.iter_mut() {
             if matches!(group.phase, GroupPhase::Forming { .. }) {
-                self.advance(group, board, now, &mut actions);
+                self.advance(group, board, &finishing, now, &mut actions);
             }
         }
         self.groups = groups;
--- a/lib/src/process/formation/packing.rs
+++ b/lib/src/process/formation/packing.rs
@@ -1,21 +1,140 @@
 //! How many groups of each model the fabric domains are divided into.
 
+use super::supply::Supply;
 use crate::ids::FabricDomainId;
 use crate::sorted::Keyed;
 use crate::sorted::SortedVec;
 use crate::version::routes::ModelSheet;
 
-/// The hosts of a domain that stay unassigned beside an extra group, as spares.
+/// The hosts of a domain that stay unassigned beside an extra group, as spares of its other groups.
 const SPARES_BESIDE_EXTRA_GROUP: usize = 2;
 
+/// The models whose groups a host can join, by their positions in the sheet.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct ModelSet(u64);
+
+impl ModelSet {
+    /// The set of all models.
+    pub const ALL: Self = Self(u64::MAX);
+
+    /// Adds a model; one beyond the first 64 of a sheet is left out.
+    pub fn insert(&mut self, model: usize) {
+        let position = u32::try_from(model).unwrap_or(u32::MAX);
+        self.0 |= 1_u64.checked_shl(position).unwrap_or_default();
+    }
+
+    /// Returns whether a model is in the set.
+    pub fn contains(self, model: usize) -> bool {
+        let position = u32::try_from(model).unwrap_or(u32::MAX);
+        self.0 & 1_u64.checked_shl(position).unwrap_or_default() != 0
+    }
+
+    /// Returns whether no model is in the set.
+    pub fn is_empty(self) -> bool {
+        self.0 == 0
+    }
+
+    /// Returns the number of models.
+    pub fn len(self) -> u32 {
+        self.0.count_ones()
+    }
+}
+
+impl FromIterator<usize> for ModelSet {
+    fn from_iter<I>(models: I) -> Self
+    where
+        I: IntoIterator<Item = usize>,
+    {
+        let mut set = Self::default();
+        for model in models {
+            set.insert(model);
+        }
+        set
+    }
+}
+
+/// The groups that a host can join.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct HostSkills {
+    /// The models whose groups the host can join.
+    pub able: ModelSet,
+    /// Those of them that the host served last. To join another one's group costs it their weights.
+    pub native: ModelSet,
+}
+
+impl HostSkills {
+    /// The skills of a host that can join any group and has no weights to lose.
+    pub const ANY: Self = Self {
+        able: ModelSet::ALL,
+        native: ModelSet::ALL,
+    };
+}
+
+/// A domain as it is to be divided.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct DomainHosts {
+    /// The domain.
+    pub domain: FabricDomainId,
+    /// The number of groups of each model that stay as they are, in the order of the sheet.
+    pub groups: Vec<usize>,
+    /// What each host that is in none of these groups can join.
+    pub left: Vec<HostSkills>,
+}
+
+impl DomainHosts {
+    /// Returns a domain without groups, whose hosts can join any.
+    pub fn new(domain: FabricDomainId, hosts: usize) -> Self {
+        Self {
+            domain,
+            groups: Vec::new(),
+            left: vec![HostSkills::ANY; hosts],
+        }
+    }
+
+    /// Returns whether there are the hosts for a group of a model that needs it most.
+    fn fits(&self, model: usize, size: usize) -> bool {
+        let able = self.left.iter().filter(|host| host.able.contains(model));
+        size > 0 && able.count() >= size
+    }
+
+    /// Returns whether there are the hosts for a group of a model that another one goes before:
+    /// spares are left, and no host gives up another model's weights.
+    fn fits_extra(&self, model: usize, size: usize) -> bool {
+        let native = self.left.iter().filter(|host| host.native.contains(model));
+        let spares = if self.groups.iter().any(|groups| *groups > 0) {
+            SPARES_BESIDE_EXTRA_GROUP
+        } else {
+            0
+        };
+        size > 0 && native.count() >= size && self.left.len() >= size + spares
+    }
+
+    fn place(&mut self, model: usize, size: usize) {
+        // Hosts that can join little else go first.
+        self.left.sort_by_key(|host| {
+            let is_able = host.able.contains(model);
+            (!is_able, !host.native.contains(model), host.able.len())
+        });
+        self.left.drain(..size);
+        self.groups[model] += 1;
+    }
+}
+
+impl Keyed for DomainHosts {
+    type Key = FabricDomainId;
+
+    fn key(&self) -> &FabricDomainId {
+        &self.domain
+    }
+}
+
 /// The groups that one domain is divided into.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct WantedGroups {
     /// The domain.
     pub domain: FabricDomainId,
-    /// The number of groups of each model, in the order of the sheet.
+    /// The number of groups of each model, in the order of the sheet, with those that there are.
     pub counts: Vec<usize>,
-    hosts_left: usize,
 }
 
 impl Keyed for WantedGroups {
@@ -34,6 +153,13 @@
 }
 
 impl Packing {
+    /// Returns how many groups of a model are wanted in a domain.
+    pub fn wanted(&self, domain: &FabricDomainId, model: usize) -> usize {
+        let wanted = self.domains.get(domain);
+        let count = wanted.and_then(|wanted| wanted.counts.get(model));
+        count.copied().unwrap_or_default()
+    }
+
     /// Returns how many groups of a model are wanted in all domains.
     pub fn total(&self, model: usize) -> usize {
         let counts = self
@@ -42,66 +168,62 @@
             .filter_map(|domain| domain.counts.get(model));
         counts.sum()
     }
+
+    /// Returns how many groups are wanted in all domains.
+    pub fn total_of_all(&self) -> usize {
+        let domains = self.domains.iter();
+        domains.flat_map(|domain| &domain.counts).sum()
+    }
 }
 
-/// Divides domains of the given sizes into groups, in proportion to `shares` of the work.
+/// Divides the hosts of domains that are in no group yet, in proportion to `shares` of the work.
 ///
 /// The model that has least for its share gets the next group. Hosts are left over where no group
 /// of that model fits; groups of another model take them only if spares remain beside.
-pub fn pack_domains(
-    models: &[ModelSheet],
-    shares: &[f64],
-    sizes: &[(FabricDomainId, usize)],
-) -> Packing {
-    let mut domains: SortedVec<WantedGroups> = sizes
-        .iter()
-        .map(|(domain, hosts)| WantedGroups {
-            domain: domain.clone(),
-            counts: vec![0; models.len()],
-            hosts_left: *hosts,
-        })
-        .collect();
-    let mut totals = vec![0_usize; models.len()];
-    loop {
-        let mut order: Vec<usize> = (0..models.len()).collect();
-        let supply = |model: usize, groups: usize| {
-            let hosts = (groups * models[model].group_size) as f64;
-            hosts
-                / shares
-                    .get(model)
-                    .copied()
-                    .unwrap_or_default()
-                    .max(f64::MIN_POSITIVE)
-        };
-        order.sort_by(|a, b| {
-            let next = |model: &usize| supply(*model, totals[*model] + 1);
-            supply(*a, totals[*a])
-                .total_cmp(&supply(*b, totals[*b]))
-                .then(next(a).total_cmp(&next(b)))
-        });
-        let mut placed = None;
-        for (position, model) in order.into_iter().enumerate() {
-            let spares = if position == 0 {
-                0
-            } else {
-                SPARES_BESIDE_EXTRA_GROUP
-            };
-            let needed = models[model].group_size + spares;
-            // The tightest fit leaves room for larger groups elsewhere.
-            let tightest = domains
-                .iter_mut()
-                .filter(|domain| domain.hosts_left >= needed && models[model].group_size > 0)
-                .min_by_key(|domain| domain.hosts_left);
-            if let Some(domain) = tightest {
-                domain.hosts_left -= models[model].group_size;
-                domain.counts[model] += 1;
-                placed = Some(model);
-                break;
-            }
+pub fn pack_domains(models: &[ModelSheet], shares: &[f64], domains: &[DomainHosts]) -> Packing {
+    let mut supply = Supply::new(models, shares);
+    let mut domains: SortedVec<DomainHosts> = domains.iter().cloned().collect();
+    for domain in domains.iter_mut() {
+        domain.groups.resize(models.len(), 0);
+        for (model, groups) in domain.groups.iter().enumerate() {
+            supply.add(model, *groups as f64);
         }
-        match placed {
-            Some(model) => totals[model] += 1,
-            None => return Packing { domains },
+    }
+    while let Some(model) = place_group(models, &supply, &mut domains) {
+        supply.add(model, 1.0);
+    }
+    let wanted = |domain: &DomainHosts| WantedGroups {
+        domain: domain.domain.clone(),
+        counts: domain.groups.clone(),
+    };
+    Packing {
+        domains: domains.iter().map(wanted).collect(),
+    }
+}
+
+/// Puts one more group in a domain and returns its model, if one fits anywhere.
+fn place_group(
+    models: &[ModelSheet],
+    supply: &Supply,
+    domains: &mut SortedVec<DomainHosts>,
+) -> Option<usize> {
+    for model in supply.least_first() {
+        let size = models[model].group_size;
+        // The tightest fit leaves room for larger groups elsewhere.
+        let tightest = domains
+            .iter_mut()
+            .filter(|domain| {
+                if supply.is_least(model) {
+                    domain.fits(model, size)
+                } else {
+                    domain.fits_extra(model, size)
+                }
+            })
+            .min_by_key(|domain| domain.left.len());
+        if let Some(domain) = tightest {
+            domain.place(model, size);
+            return Some(model);
         }
     }
+    None
 }
--- a/lib/src/process/formation/phases.rs
+++ b/lib/src/process/formation/phases.rs
@@ -14,6 +14,7 @@
 use super::machine::FormationAction;
 use super::machine::Outstanding;
 use crate::ids::HostId;
+use crate::ids::WeightsId;
 use crate::target::record::Availability;
 use crate::target::record::CloseMode;
 use crate::target::record::GroupOrder;
@@ -21,10 +22,18 @@
 
 /// How long a member that left the registry may go without an own report before it counts as lost.
 const UNLISTED_REPORT_WAIT: Duration = Duration::from_millis(900);
+/// How long a host that the registry dropped is asked whether it is still up.
+const UNLISTED_WATCH_TIME: Duration = Duration::from_secs(15);
+/// How long after it is due a join may take to show in a member's record; records come within some
+/// tens of milliseconds.
+const JOIN_RECORD_WAIT: Duration = Duration::from_millis(150);
 /// How long work may finish in a group that closes before it is cut off; a member that leaves
 /// stays about as long.
 const FINISH_LIMIT: Duration = Duration::from_secs(8);
 
+/// Of so many groups of a model one may end at once because a member leaves.
+const FINISHING_DIVISOR: usize = 6;
+
 /// How a member stands to its group.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Standing {
@@ -45,6 +54,7 @@
         &mut self,
         group: &mut Group,
         board: &HostBoard,
+        finishing: &[WeightsId],
         now: Instant,
         actions: &mut Vec<FormationAction>,
     ) {
@@ -82,6 +92,7 @@
                     self.advance_opening(group, now, actions);
                 } else {
                     self.order_joins(group, &standings, board, now, actions);
+                    self.watch_joins(group, &standings, board, now, actions);
                 }
             }
             GroupPhase::Opening => {
@@ -100,7 +111,7 @@
                 );
                 if any_lost || !is_open {
                     self.release(group, board, now, actions);
-                } else if any_leaving {
+                } else if any_leaving && self.may_finish(group, head, finishing) {
                     group.enter(GroupPhase::Finishing, now);
                     self.finish(group, board, now, actions);
                 } else {
@@ -128,6 +139,26 @@
         }
     }
 
+    /// Returns whether a group that a member is leaving ends now.
+    ///
+    /// A member stays for some seconds while its group has work, so of the groups that lose one at
+    /// the same moment, some can serve on while the others are formed anew. A head that leaves gets
+    /// no new work, so its group waits for nothing.
+    fn may_finish(&self, group: &Group, head: Standing, finishing: &[WeightsId]) -> bool {
+        if matches!(head, Standing::Leaving(_)) {
+            return true;
+        }
+        let plan = self.plans.get(&group.service);
+        let model = plan.and_then(|plan| {
+            let mut models = plan.sheet.models.iter();
+            models.position(|model| model.weights == group.weights)
+        });
+        let wanted = plan.zip(model);
+        let wanted = wanted.map_or(0, |(plan, model)| plan.packing.total(model));
+        let at_once = finishing.iter().filter(|w| **w == group.weights).count();
+        at_once < (wanted / FINISHING_DIVISOR).max(1)
+    }
+
     fn finish(
         &mut self,
         group: &Group,
@@ -306,9 +337,10 @@
         if is_head {
             return false;
         }
-        let heard_at = entry.reported.as_ref().map(|(_, at)| *at);
-        let heard_at = heard_at.max(entry.departs_at);
-        heard_at.is_some_and(|at| now.saturating_duration_since(at) < UNLISTED_REPORT_WAIT)
+        let departed_at = entry.departs_at;
+        let is_recent =
+            departed_at.is_some_and(|at| now.saturating_duration_since(at) < UNLISTED_REPORT_WAIT);
+        is_recent || entry.is_up_unlisted(now)
     }
 
     /// Asks for the reports of members that are in doubt.
@@ -332,8 +364,30 @@
         }
     }
 
-    /// Asks for the reports of lost hosts that no group watches: one that was cut off for a while
-    /// keeps its record and its place, and nothing else tells that it can be reached again.
+    /// Asks for the reports of members whose records do not show the join that they have taken: one
+    /// that is cut off from the registry tells only itself how far it is.
+    fn watch_joins(
+        &mut self,
+        group: &Group,
+        standings: &[Standing],
+        board: &HostBoard,
+        now: Instant,
+        actions: &mut Vec<FormationAction>,
+    ) {
+        let taken_for = now.saturating_duration_since(group.phase_since);
+        let is_late = taken_for > group.expected_ready_in + JOIN_RECORD_WAIT;
+        for (member, standing) in group.members.iter().zip(standings) {
+            let is_ready = *standing == Standing::In(MemberState::Ready);
+            let entry = board.get(&member.host);
+            let is_unlisted = entry.is_some_and(|entry| !entry.is_listed(now));
+            if !is_ready && member.has_joined && (is_late || is_unlisted) {
+                self.ask_report(member, now, actions);
+            }
+        }
+    }
+
+    /// Asks for the reports of hosts that no group watches and whose records say nothing: lost ones
+    /// that may have been cut off for a while, and those that the registry has just dropped.
     pub(super) fn ask_lost_hosts(
         &mut self,
         board: &HostBoard,
@@ -342,14 +396,21 @@
     ) {
         for entry in board.iter() {
             let record = &entry.record;
-            let is_lost = entry.is_usable(now) && entry.is_lost(self.settings.report_misses);
-            if !is_lost || self.group_of(&record.host).is_some() {
+            let is_lost = entry.is_lost(self.settings.report_misses);
+            let is_unlisted = entry
+                .departs_at
+                .is_some_and(|at| now.saturating_duration_since(at) < UNLISTED_WATCH_TIME);
+            let is_in_doubt = (entry.is_usable(now) && is_lost) || is_unlisted;
+            if !is_in_doubt || self.group_of(&record.host).is_some() {
                 continue;
             }
+            let pause = if is_lost {
+                self.settings.lost_report_pause
+            } else {
+                Duration::ZERO
+            };
             let last = self.reports.get(&record.host).map(|last| last.until);
-            let is_due = last.is_none_or(|until| {
-                until.is_some_and(|until| now >= until + self.settings.lost_report_pause)
-            });
+            let is_due = last.is_none_or(|until| until.is_some_and(|until| now >= until + pause));
             if is_due {
                 self.push_report(&record.host, record.address, actions);
             }
--- a/lib/src/process/formation/spares.rs
+++ b/lib/src/process/formation/spares.rs
@@ -18,11 +18,9 @@
 use crate::target::record::GroupOrder;
 use crate::version::routes::ModelSheet;
 
-/// The part of the rate of loads that staging leaves free, for hosts that groups wait for.
-const STAGING_RESERVE_DIVISOR: usize = 2;
-/// The most hosts that stage at once while there are requests: half of the eight loads that the
-/// users' weight store takes at once before it slows all, since a group may need one at any moment.
-const STAGING_AT_ONCE_MAX: usize = 4;
+/// The part of the loads, at once and in rate, that staging leaves free: a host without weights may
+/// come at any moment, and a group may wait for it.
+const STAGING_RESERVE_DIVISOR: usize = 3;
 
 impl Formation {
     /// Has each spare join a group of its own, so that it holds the weights that the groups of its
@@ -36,20 +34,22 @@
             let Some(entry) = board.get(&spare.host) else {
                 continue;
             };
-            if self.loads_available(plan, now) == 0 {
+            if self.last_weights_of(entry).is_some() {
                 continue;
             }
-            let Some((model, is_missing)) =
-                self.most_exposed(plan, &models, &spare.domain, board, now)
-            else {
-                continue;
+            // Weights that were kept over a restart are joined with, so that others can be staged
+            // beside them.
+            let kept = models
+                .iter()
+                .find(|model| !self.time_to_join(entry, model).1);
+            let model = match kept {
+                Some(kept) => kept,
+                None if !self.has_room_for_loads(plan, board, 0, now) => continue,
+                None => match self.most_exposed(plan, &models, &spare.domain, board, now) {
+                    Some(nearest) => nearest,
+                    None => continue,
+                },
             };
-            // A spare with some weights is kept, unless its domain waits for others.
-            let is_cold = models.iter().all(|model| self.time_to_join(entry, model).1);
-            let is_wanted = is_missing && self.time_to_join(entry, model).1;
-            if !is_cold && !is_wanted {
-                continue;
-            }
             let (ready_in, needs_load) = self.time_to_join(entry, model);
             let choice = Choice {
                 members: vec![spare.host.clone()],
@@ -96,16 +96,31 @@
         self.plans = plans;
     }
 
-    /// Returns whether a host may stage now. Loads that hosts without weights wait for go first:
-    /// each load at the same time may slow them.
+    /// Returns whether a host may stage now. Some loads are left to hosts without weights, which
+    /// groups wait for.
     fn may_stage(&self, plan: &mut ServicePlan, board: &HostBoard, now: Instant) -> bool {
+        let reserve = plan.sheet.loads_at_once / STAGING_RESERVE_DIVISOR;
+        let rate_reserve = plan.loads.limit() / STAGING_RESERVE_DIVISOR;
+        self.has_room_for_loads(plan, board, reserve, now)
+            && self.loads_available(plan, now) > rate_reserve
+    }
+
+    /// Returns whether another load may start so that `reserve` more could: neither the rate of
+    /// the weight store is spent, nor does it serve as many as it can without slowing all.
+    fn has_room_for_loads(
+        &self,
+        plan: &mut ServicePlan,
+        board: &HostBoard,
+        reserve: usize,
+        now: Instant,
+    ) -> bool {
         if self.is_before_traffic {
             return true;
         }
-        let is_loading = self
-            .groups
-            .iter()
-            .any(|group| group.loads > 0 && matches!(group.phase, GroupPhase::Forming { .. }));
+        let joining = self.groups.iter().filter(|group| {
+            group.service == plan.service && matches!(group.phase, GroupPhase::Forming { .. })
+        });
+        let joining: usize = joining.map(|group| group.loads).sum();
         let is_under_way = |order: &&StagedOrder| {
             let entry = board.get(&order.host).filter(|entry| entry.is_usable(now));
             entry.is_some_and(|entry| {
@@ -113,9 +128,9 @@
                     && !entry.record.staged.contains(&order.weights)
             })
         };
-        let under_way = self.staging.iter().filter(is_under_way).count();
-        let reserve = plan.loads.limit() / STAGING_RESERVE_DIVISOR;
-        !is_loading && under_way < STAGING_AT_ONCE_MAX && self.loads_available(plan, now) > reserve
+        let staging = self.staging.iter().filter(is_under_way).count();
+        let at_once = joining.saturating_add(staging).saturating_add(reserve);
+        at_once < plan.sheet.loads_at_once && self.loads_available(plan, now) > 0
     }
 
     /// Returns how many members the group of a host has; none are in no group.
@@ -188,8 +203,8 @@
     }
 
     /// Returns the model of which a domain misses a group, or else the one with the most at stake
-    /// for each of its spares, and whether a group is missing. Of several missing groups, the one
-    /// that the fewest hosts complete goes first: it serves soonest.
+    /// for each of its spares. Of several missing groups, the one that the fewest hosts complete
+    /// goes first: it serves soonest.
     fn most_exposed<'a>(
         &self,
         plan: &ServicePlan,
@@ -197,8 +212,8 @@
         domain: &FabricDomainId,
         board: &HostBoard,
         now: Instant,
-    ) -> Option<(&'a ModelSheet, bool)> {
-        let wanted = plan.packing.domains.get(domain)?;
+    ) -> Option<&'a ModelSheet> {
+        plan.packing.domains.get(domain)?;
         let spares = |model: &ModelSheet| {
             let is_spare = |entry: &&HostEntry| {
                 entry.record.domain.as_ref() == Some(domain)
@@ -208,7 +223,7 @@
             board.iter().filter(is_spare).count()
         };
         let exposure = |index: usize, model: &ModelSheet| {
-            let groups = wanted.counts.get(index).copied().unwrap_or_default();
+            let groups = plan.packing.wanted(domain, index);
             // A member that is lost takes its whole group out of service.
             let at_stake = groups * model.group_size * model.group_size;
             at_stake as f64 / (1 + spares(model)) as f64
@@ -222,10 +237,10 @@
             (short_hosts, std::cmp::Reverse(model.group_size))
         });
         if let Some((_, model)) = nearest {
-            return Some((model, true));
+            return Some(model);
         }
         let best = indexed.max_by(|(i, a), (j, b)| exposure(*i, a).total_cmp(&exposure(*j, b)));
-        best.map(|(_, model)| (model, false))
+        best.map(|(_, model)| model)
     }
 
     /// Returns whether a host is outside of serving groups and holds, or is loading, the weights.
--- a/lib/src/process/formation/wanted.rs
+++ b/lib/src/process/formation/wanted.rs
@@ -4,13 +4,17 @@
 use std::time::Instant;
 
 use super::board::HostBoard;
+use super::board::HostEntry;
 use super::choice::choose_members;
 use super::choice::choose_members_across;
-use super::group::GroupPhase;
-use super::machine::DomainSize;
+use super::group::Group;
 use super::machine::Formation;
 use super::machine::ServicePlan;
 use super::machine::largest_first;
+use super::packing::DomainHosts;
+use super::packing::HostSkills;
+use super::packing::ModelSet;
+use super::packing::Packing;
 use super::packing::pack_domains;
 use crate::ids::FabricDomainId;
 use crate::ids::HostId;
@@ -18,64 +22,142 @@
 use crate::sorted::SortedVec;
 use crate::version::routes::ModelSheet;
 
-/// How long no domain must have grown before hosts are divided into groups: targets that start
-/// together register within some seconds.
+/// How long no host must have come before the first groups are formed: targets that start together
+/// register within some seconds.
 const SETTLE_TIME: Duration = Duration::from_millis(600);
-/// How long a wanted group may be missing before a group of another model is ended for it.
-const SACRIFICE_WAIT: Duration = Duration::from_millis(500);
-/// How long a wanted group may be missing before hosts of several domains form it. Such a group is
-/// several times slower.
+/// How many times as much as the scarcest model another one must have before hosts of several
+/// domains form a group for it, which is about as many times slower.
+const SCARCE_FACTOR: f64 = 2.0;
+/// How long a model must have been scarce before that.
 const CROSS_DOMAIN_WAIT: Duration = Duration::from_millis(2_000);
 
+/// Which hosts a packing divides beside those of the groups that there are.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Packed {
+    /// Those that can join without a load.
+    Ready,
+    /// Those that can join without a load, those that load, and those that may.
+    Loading,
+}
+
 impl Formation {
     pub(super) fn form_wanted(&mut self, board: &HostBoard, now: Instant) {
         let mut plans = std::mem::take(&mut self.plans);
         for plan in plans.iter_mut() {
-            self.update_packing(plan, board, now);
-            let is_settled = |at: Instant| now.saturating_duration_since(at) >= SETTLE_TIME;
-            if !plan.grown_at.is_some_and(is_settled) {
+            if !self.has_settled(plan, board, now) {
                 continue;
             }
-            self.form_service(plan, board, now);
+            let packed = if self.is_before_traffic {
+                Packed::Loading
+            } else {
+                Packed::Ready
+            };
+            plan.packing = self.pack(plan, packed, |_| false, board, now);
+            self.form_in_domains(plan, board, now);
+            self.exchange_groups(plan, board, now);
+            self.relieve_shortage(plan, board, now);
+            self.rehome_group(plan, board, now);
+            plan.packing = self.pack(plan, Packed::Loading, |_| false, board, now);
             self.warm_spares(plan, board, now);
         }
         self.plans = plans;
     }
 
-    /// Divides the domains anew when one was seen with more hosts than before.
-    fn update_packing(&self, plan: &mut ServicePlan, board: &HostBoard, now: Instant) {
-        let mut sizes: SortedVec<DomainSize> = SortedVec::new();
-        let mut newest = None;
+    /// Returns whether the hosts have come that start together.
+    fn has_settled(&self, plan: &ServicePlan, board: &HostBoard, now: Instant) -> bool {
+        let has_groups = self
+            .groups
+            .iter()
+            .any(|group| group.service == plan.service);
+        let listed = board
+            .iter()
+            .filter(|entry| entry.record.service == plan.service && entry.is_listed(now));
+        let newest = listed.map(|entry| entry.first_listed_at).max();
+        let is_past = |at: Instant| now.saturating_duration_since(at) >= SETTLE_TIME;
+        newest.is_some_and(|at| has_groups || is_past(at))
+    }
+
+    /// Divides the hosts into groups, beside those that there are; the members of groups for which
+    /// `is_released` is true count as hosts without one.
+    pub(super) fn pack<F>(
+        &self,
+        plan: &ServicePlan,
+        packed: Packed,
+        is_released: F,
+        board: &HostBoard,
+        now: Instant,
+    ) -> Packing
+    where
+        F: Fn(&Group) -> bool,
+    {
+        let models = &plan.sheet.models;
+        let mut domains: SortedVec<DomainHosts> = SortedVec::new();
         for entry in board.iter() {
-            let is_counted = entry.record.service == plan.service && entry.is_listed(now);
-            if let Some(domain) = entry.record.domain.as_ref().filter(|_| is_counted) {
-                let create = || DomainSize {
-                    domain: domain.clone(),
-                    hosts: 0,
-                };
-                sizes.get_or_insert_with(domain, create).hosts += 1;
-                newest = newest.max(Some(entry.first_listed_at));
+            let is_up = entry.is_usable(now) || entry.is_up_unlisted(now);
+            let is_counted = entry.record.service == plan.service && is_up;
+            let Some(domain) = entry.record.domain.as_ref().filter(|_| is_counted) else {
+                continue;
+            };
+            let domain = domains.get_or_insert_with(domain, || DomainHosts::new(domain.clone(), 0));
+            let group = self.group_of(&entry.record.host);
+            let is_placed = group
+                .is_some_and(|group| !group.is_warming && group.is_rising() && !is_released(group));
+            if is_placed || entry.is_lost(1) {
+                continue;
             }
-        }
-        let mut has_grown = false;
-        for seen in sizes.iter() {
-            let known = plan.sizes.get(&seen.domain).map_or(0, |known| known.hosts);
-            if seen.hosts > known {
-                plan.sizes.insert(seen.clone());
-                has_grown = true;
+            let skills = self.skills(plan, packed, group, entry);
+            if !skills.able.is_empty() {
+                domain.left.push(skills);
             }
         }
-        if has_grown {
-            plan.grown_at = newest;
-            let sizes = plan.sizes.iter().map(|s| (s.domain.clone(), s.hosts));
-            let sizes: Vec<_> = sizes.collect();
-            plan.packing = pack_domains(&plan.sheet.models, &plan.shares, &sizes);
+        for domain in domains.iter_mut() {
+            let count = |model: &ModelSheet| {
+                let rising = self.rising_groups(plan, &domain.domain, &model.weights);
+                rising.filter(|group| !is_released(group)).count()
+            };
+            domain.groups = models.iter().map(count).collect();
         }
+        let domains: Vec<DomainHosts> = domains.iter().cloned().collect();
+        pack_domains(models, &plan.shares, &domains)
     }
 
-    fn form_service(&mut self, plan: &mut ServicePlan, board: &HostBoard, now: Instant) {
+    /// Returns which groups a host can join.
+    fn skills(
+        &self,
+        plan: &ServicePlan,
+        packed: Packed,
+        group: Option<&Group>,
+        entry: &HostEntry,
+    ) -> HostSkills {
+        let models = || plan.sheet.models.iter().enumerate();
+        let set = |weights: &WeightsId| -> ModelSet {
+            let same = models().filter(|(_, model)| model.weights == *weights);
+            same.map(|(index, _)| index).collect()
+        };
+        if let Some(loading) = group.filter(|group| group.is_warming && group.loads > 0) {
+            let loaded = set(&loading.weights);
+            return match packed {
+                Packed::Ready => HostSkills::default(),
+                Packed::Loading => HostSkills {
+                    able: loaded,
+                    native: loaded,
+                },
+            };
+        }
+        let held = models().filter(|(_, model)| !self.time_to_join(entry, model).1);
+        let held: ModelSet = held.map(|(index, _)| index).collect();
+        if held.is_empty() && packed == Packed::Loading {
+            return HostSkills::ANY;
+        }
+        let last = self.last_weights_of(entry).map(set);
+        HostSkills {
+            able: held,
+            native: last.unwrap_or(held),
+        }
+    }
+
+    fn form_in_domains(&mut self, plan: &mut ServicePlan, board: &HostBoard, now: Instant) {
         let models = plan.sheet.models.clone();
-        plan.missing_since.resize(models.len(), None);
         let domains: Vec<FabricDomainId> = plan
             .packing
             .domains
@@ -92,17 +174,13 @@
                     {
                         continue;
                     }
-                    has_formed |= self.form_in_domain(plan, domain, &models[model], board, now);
+                    has_formed |= self.form_in_domain(plan, domain, model, board, now);
                 }
             }
             if !has_formed {
                 break;
             }
         }
-        for model in largest_first(&models) {
-            self.form_across(plan, model, &models[model], board, now);
-        }
-        self.rehome_group(plan, board, now);
     }
 
     pub(super) fn is_satisfied(
@@ -111,13 +189,8 @@
         domain: &FabricDomainId,
         model: usize,
     ) -> bool {
-        let wanted = plan.packing.domains.get(domain);
-        let wanted = wanted
-            .and_then(|d| d.counts.get(model))
-            .copied()
-            .unwrap_or_default();
         let weights = &plan.sheet.models[model].weights;
-        self.rising_count(plan, domain, weights) >= wanted
+        self.rising_groups(plan, domain, weights).count() >= plan.packing.wanted(domain, model)
     }
 
     /// Returns whether a group of the domain is being ended for other weights than these, whose
@@ -133,74 +206,78 @@
         &mut self,
         plan: &mut ServicePlan,
         domain: &FabricDomainId,
-        model: &ModelSheet,
+        model: usize,
         board: &HostBoard,
         now: Instant,
     ) -> bool {
-        let candidates = self.candidates(plan, model, board, now);
+        let needs_it_most = self.supply(plan).is_least(model);
+        let model = &plan.sheet.models[model].clone();
+        let mut candidates = self.candidates(plan, model, board, now);
+        if !needs_it_most {
+            candidates.retain(|candidate| candidate.is_native);
+        }
         let loads_max = self.loads_available(plan, now);
         let chosen = choose_members(&candidates, domain, model.group_size, loads_max);
         let Some(choice) = chosen else {
             return false;
         };
         // A host that loads would keep the others idle; it loads as a spare and joins later.
-        let is_mixed = choice.loads > 0 && choice.loads < choice.members.len();
-        if is_mixed && !self.is_before_traffic {
+        if choice.loads > 0 && !self.is_before_traffic {
             return false;
         }
         self.form(plan, Some(domain.clone()), model, choice, board, now);
         true
     }
 
-    /// Forms a group over several domains when one has been missing for a while.
+    /// Forms a group over several domains for a model that has been far shorter than the others for a
+    /// while, if no domain has the hosts for one.
+    fn relieve_shortage(&mut self, plan: &mut ServicePlan, board: &HostBoard, now: Instant) {
+        let supply = self.supply(plan);
+        let order = supply.least_first();
+        let (Some(least), Some(best)) = (order.first().copied(), order.last()) else {
+            return;
+        };
+        let domains = plan.packing.domains.iter();
+        let mut domains = domains.map(|wanted| &wanted.domain);
+        let is_being_formed = domains.any(|domain| !self.is_satisfied(plan, domain, least));
+        let is_scarce = supply.of(least) * SCARCE_FACTOR <= supply.of(*best);
+        if !is_scarce || is_being_formed || self.is_any_making_room(plan) {
+            plan.scarce_since = None;
+            return;
+        }
+        let since = *plan.scarce_since.get_or_insert(now);
+        if now.saturating_duration_since(since) >= CROSS_DOMAIN_WAIT {
+            let model = plan.sheet.models[least].clone();
+            self.form_across(plan, &model, board, now);
+        }
+    }
+
+    pub(super) fn is_any_making_room(&self, plan: &ServicePlan) -> bool {
+        let mut own = self
+            .groups
+            .iter()
+            .filter(|group| group.service == plan.service);
+        own.any(|group| group.makes_room_for.is_some())
+    }
+
+    /// Forms a group of hosts that several domains have left over.
     fn form_across(
         &mut self,
         plan: &mut ServicePlan,
-        model: usize,
-        sheet: &ModelSheet,
+        model: &ModelSheet,
         board: &HostBoard,
         now: Instant,
     ) {
-        let domains = plan.packing.domains.iter().map(|d| d.domain.clone());
-        let unsatisfied = domains.filter(|d| !self.is_satisfied(plan, d, model));
-        let unsatisfied: Vec<FabricDomainId> = unsatisfied.collect();
-        let is_changing = self.groups.iter().any(|group| {
-            group.weights == sheet.weights
-                && matches!(group.phase, GroupPhase::Releasing | GroupPhase::Finishing)
-        });
-        if unsatisfied.is_empty() || is_changing {
-            plan.missing_since[model] = None;
-            return;
-        }
-        let missing_since = *plan.missing_since[model].get_or_insert(now);
-        let missing_for = now.saturating_duration_since(missing_since);
-        if missing_for < SACRIFICE_WAIT {
-            return;
-        }
-        if let Some(group) = self.group_to_sacrifice(plan, model, &unsatisfied, board, now) {
-            if let Some(group) = self.groups.get_mut(&group) {
-                group.makes_room_for = Some(sheet.weights.clone());
-                group.enter(GroupPhase::Finishing, now);
-            }
-            plan.missing_since[model] = None;
-            return;
-        }
-        let serving = self.serving_count(plan, &sheet.weights);
-        let is_scarce = serving * 2 <= plan.packing.total(model);
-        if missing_for < CROSS_DOMAIN_WAIT || !is_scarce {
-            return;
-        }
-        let candidates = self.candidates(plan, sheet, board, now);
-        let Some(choice) = choose_members_across(&candidates, sheet.group_size) else {
+        let candidates = self.candidates(plan, model, board, now);
+        let Some(choice) = choose_members_across(&candidates, model.group_size) else {
             return;
         };
-        let counted = |domain: &&FabricDomainId| {
-            let is_of = |host: &HostId| {
-                board.get(host).and_then(|e| e.record.domain.as_ref()) == Some(domain)
-            };
-            choice.members.iter().filter(|host| is_of(host)).count()
-        };
-        let domain = unsatisfied.iter().max_by_key(counted).cloned();
-        self.form(plan, domain, sheet, choice, board, now);
+        let domain_of = |host: &HostId| board.get(host)?.record.domain.clone();
+        let mut domains: Vec<FabricDomainId> =
+            choice.members.iter().filter_map(domain_of).collect();
+        domains.sort();
+        let count = |domain: &FabricDomainId| domains.iter().filter(|d| *d == domain).count();
+        let domain = domains.iter().max_by_key(|domain| count(domain)).cloned();
+        self.form(plan, domain, model, choice, board, now);
     }
 }
--- a/lib/testutils/src/fleet.rs
+++ b/lib/testutils/src/fleet.rs
@@ -25,12 +25,18 @@
 
 /// How long a silent host stays in the registry.
 const REGISTRY_LAPSE: Duration = Duration::from_millis(3_300);
+/// How long a host that leaves serves on.
+const DRAIN_TIME: Duration = Duration::from_millis(3_500);
+/// How long a host that leaves stays while its group's head serves.
+const DRAINING_MEMBER_TIME: Duration = Duration::from_secs(10);
 /// How long a group without one of its members stands still before it breaks.
 const STALL_TIME: Duration = Duration::from_secs(4);
 /// How long a head takes to open.
 const OPENING_TIME: Duration = Duration::from_millis(300);
 /// How much quicker a load is before the first request.
 const QUICK_LOAD_FACTOR: f64 = 10.0;
+/// How long the work of a group that closes takes to end.
+const CLOSING_TIME: Duration = Duration::from_secs(2);
 /// How long a host takes to join with the weights of its last group.
 const REJOIN_TIME: Duration = Duration::from_millis(200);
 
@@ -56,8 +62,8 @@
     pub incarnation: Incarnation,
     /// Whether the process runs and the host has power.
     pub is_alive: bool,
-    /// Whether the host is leaving.
-    pub is_draining: bool,
+    /// Since when the host is leaving.
+    pub draining_since: Option<Instant>,
     /// What the host is cut off from.
     pub cut: Cut,
     /// The host's place.
@@ -229,6 +235,38 @@
         whole.count()
     }
 
+    /// Returns the heads whose groups have stood still for at least `time`.
+    pub fn stalled(&self, time: Duration, now: Instant) -> Vec<HostId> {
+        let is_stalled = |host: &&FleetHost| {
+            let since = host.stalled_since;
+            since.is_some_and(|since| now.saturating_duration_since(since) >= time)
+        };
+        let stalled = self.hosts.iter().filter(is_stalled);
+        stalled.map(|host| host.id.clone()).collect()
+    }
+
+    /// Returns how many groups' worth of work is served with these weights; one over several
+    /// domains is slower.
+    pub fn served_groups(&self, weights: &WeightsId) -> f64 {
+        let heads = self.hosts.iter().filter(|host| {
+            self.is_open_head(host)
+                && host.last_weights.as_ref() == Some(weights)
+                && self.is_whole(host)
+        });
+        let worth = |head: &FleetHost| {
+            let is_near = |member: &HostId| {
+                let member = self.host(member);
+                member.is_some_and(|member| member.domain == head.domain)
+            };
+            if head.members.iter().all(is_near) {
+                1.0
+            } else {
+                self.sheet.cross_domain_factor.recip()
+            }
+        };
+        heads.map(worth).sum()
+    }
+
     /// Lets time pass.
     pub fn advance(&mut self, now: Instant) {
         let due: Vec<LateOrder> = self
@@ -242,6 +280,7 @@
             self.carry_out(&late.host, &late.order, now);
         }
         self.advance_loads(now);
+        self.end_draining(now);
         self.finish_states(now);
         self.break_stalled(now);
         for index in 0..self.hosts.len() {
@@ -321,9 +360,7 @@
                 members,
             } => self.join(index, group, *epoch, weights, members, now),
             GroupOrder::Open { group, epoch } => self.open(index, group, *epoch, now),
-            GroupOrder::Close { group, epoch, .. } => {
-                self.set_state(index, group, *epoch, MemberState::Ready)
-            }
+            GroupOrder::Close { group, epoch, .. } => self.close(index, group, *epoch, now),
             GroupOrder::Leave { group, epoch } => {
                 if self.is_in(index, group, *epoch) {
                     self.hosts[index].membership = None;
@@ -344,6 +381,37 @@
         }
     }
 
+    /// Ends the processes of hosts that leave. A member stays while its group's head serves, but not
+    /// for long.
+    fn end_draining(&mut self, now: Instant) {
+        for index in 0..self.hosts.len() {
+            let host = &self.hosts[index];
+            let Some(since) = host.draining_since.filter(|_| host.is_alive) else {
+                continue;
+            };
+            let group = host.membership.as_ref().map(|m| &m.group);
+            let is_needed = group.is_some_and(|group| {
+                let head = self.hosts.iter().find(|head| {
+                    self.is_open_head(head)
+                        && head.membership.as_ref().map(|m| &m.group) == Some(group)
+                });
+                head.is_some()
+            });
+            let stays_for = if is_needed {
+                DRAINING_MEMBER_TIME
+            } else {
+                DRAIN_TIME
+            };
+            if now.saturating_duration_since(since) >= stays_for {
+                let host = &mut self.hosts[index];
+                host.is_alive = false;
+                host.is_listed = false;
+                let id = host.id.clone();
+                self.removed.push(id);
+            }
+        }
+    }
+
     fn load(&self, weights: &WeightsId) -> Load {
         let time = self.sheet.model(weights).map(|model| model.load_time);
         Load {
@@ -352,14 +420,19 @@
         }
     }
 
+    /// Returns how many hosts read weights from the weight store.
+    pub fn loads_under_way(&self) -> usize {
+        let alive = self.hosts.iter().filter(|host| host.is_alive);
+        let loads = alive
+            .map(|host| usize::from(host.loading.is_some()) + usize::from(host.staging.is_some()));
+        loads.sum()
+    }
+
     /// Lets the loads go on. Beyond some at once they share the weight store's speed.
     fn advance_loads(&mut self, now: Instant) {
         let passed = now.saturating_duration_since(self.advanced_at);
         self.advanced_at = now;
-        let alive = self.hosts.iter().filter(|host| host.is_alive);
-        let under_way = alive
-            .map(|host| usize::from(host.loading.is_some()) + usize::from(host.staging.is_some()))
-            .sum::<usize>();
+        let under_way = self.loads_under_way();
         if under_way == 0 {
             return;
         }
@@ -502,20 +575,16 @@
         OrderAnswer::Accepted
     }
 
-    fn set_state(
-        &mut self,
-        index: usize,
-        group: &GroupId,
-        epoch: Epoch,
-        state: MemberState,
-    ) -> OrderAnswer {
+    fn close(&mut self, index: usize, group: &GroupId, epoch: Epoch, now: Instant) -> OrderAnswer {
         if !self.is_in(index, group, epoch) {
             return OrderAnswer::Conflict;
         }
         let host = &mut self.hosts[index];
-        host.state_due_at = None;
-        if let Some(membership) = &mut host.membership {
-            membership.state = state;
+        if let Some(membership) = &mut host.membership
+            && membership.state == MemberState::Open
+        {
+            membership.state = MemberState::Closing;
+            host.state_due_at = Some(now + CLOSING_TIME);
         }
         OrderAnswer::Accepted
     }
@@ -533,7 +602,7 @@
             };
             host.state_due_at = None;
             membership.state = match membership.state {
-                MemberState::Joining => MemberState::Ready,
+                MemberState::Joining | MemberState::Closing => MemberState::Ready,
                 MemberState::Ready => MemberState::Open,
                 state => state,
             };
@@ -584,7 +653,7 @@
             service: self.service.clone(),
             address: "127.0.0.1:1".parse().expect("an address"),
             data_centre: "lakes-a".parse().expect("a data centre"),
-            availability: if host.is_draining {
+            availability: if host.draining_since.is_some() {
                 Availability::Draining
             } else {
                 Availability::Ready
@@ -604,7 +673,7 @@
         domain: domain.parse().expect("a domain's name"),
         incarnation: Incarnation(1),
         is_alive: true,
-        is_draining: false,
+        draining_since: None,
         cut: Cut::default(),
         membership: None,
         members: Vec::new(),
--- a/lib/testutils/src/formation.rs
+++ b/lib/testutils/src/formation.rs
@@ -25,6 +25,10 @@
 /// How long before the first request the fleet starts.
 const LEAD_TIME: Duration = Duration::from_secs(22);
 
+/// How long after its streams have stopped the entry that forms groups hears of a head: the limit of
+/// a stall and a message between entries.
+const STALL_HEARD_AFTER: Duration = Duration::from_millis(500);
+
 /// A fleet, and an entry that forms its groups.
 pub struct FormationWorld {
     /// The current time.
@@ -41,6 +45,8 @@
     pub late_every: u64,
     /// Whether the registry answers the entry.
     pub has_registry: bool,
+    /// Whether there are streams, whose stop tells of a lost member.
+    pub has_streams: bool,
     sheet: EngineSheet,
     term: u64,
     orders: u64,
@@ -58,6 +64,7 @@
             lateness: None,
             late_every: 1,
             has_registry: true,
+            has_streams: false,
             sheet,
             term: 1,
             orders: 0,
@@ -99,6 +106,11 @@
                 self.board.on_record(record, self.now);
             }
         }
+        if self.has_streams {
+            for head in self.fleet.stalled(STALL_HEARD_AFTER, self.now) {
+                self.formation.on_stall(&head, self.now);
+            }
+        }
         let service = SERVICE.parse().expect("a service's name");
         self.formation.on_sheet(&service, &self.sheet, self.now);
         for action in self.formation.poll(&self.board, self.now) {
