gateway: duties go to entries with more processor time, and answers that come together are decided on at once

Change: entries tell how much processor time they may use, and the lease and the following of the platform's records go to those with most; the coordinator takes all news of 15 ms in before it decides. Loads that go on are counted until the host's record tells that they are done, and those that an earlier holder ordered too.

--- a/lib/src/ini/value.rs
+++ b/lib/src/ini/value.rs
@@ -57,8 +57,9 @@
     ids::ServiceId => NAME;
     ids::WeightsId => NAME;
     units::ByteCount => "a whole number with B, KiB, MiB or GiB, such as 64 KiB";
+    units::CoreShare => "a number of cores, such as 0.25";
     units::RequestRate => "a number of requests per second above 0, such as 25/s";
-    units::Share => "a share from 0% to 100%, such as 12.5%";
+    units::Share => "a share from 0% to 100%, such as 12.5% or 0.125";
     units::TokenCount => "a whole number of tokens, such as 4096 tokens";
 }
 
--- a/lib/src/process/formation/free_hosts.rs
+++ b/lib/src/process/formation/free_hosts.rs
@@ -84,7 +84,7 @@
 
     /// Returns the group that a host may not be ordered out of.
     pub(super) fn group_of(&self, host: &HostId) -> Option<&Group> {
-        self.groups.iter().find(|group| group.has_member(host))
+        self.groups.of_host(host)
     }
 
     /// Returns whether a host can be ordered into a group without harm to the one that it is in.
@@ -151,9 +151,6 @@
             members:% = member_list(&choice.members);
             "group is formed"
         );
-        for member in &members {
-            self.staging.remove(&member.host);
-        }
         let until = now + choice.ready_in + self.settings.forming_slack;
         self.groups.insert(Group {
             id,
--- a/lib/src/process/formation/group.rs
+++ b/lib/src/process/formation/group.rs
@@ -14,6 +14,7 @@
 use crate::ids::ServiceId;
 use crate::ids::WeightsId;
 use crate::sorted::Keyed;
+use crate::sorted::SortedVec;
 
 /// How far a group has come.
 #[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
@@ -136,3 +137,88 @@
         self.phase_since = now;
     }
 }
+
+/// The groups that are not ended, and which hosts they have.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Groups {
+    groups: SortedVec<Group>,
+    places: SortedVec<Place>,
+}
+
+/// The group that a host may not be ordered out of; of several the first one by name.
+#[derive(Clone, Debug)]
+struct Place {
+    host: HostId,
+    group: GroupId,
+}
+
+impl Keyed for Place {
+    type Key = HostId;
+
+    fn key(&self) -> &HostId {
+        &self.host
+    }
+}
+
+impl Groups {
+    /// Returns the groups in the order of their names.
+    pub(super) fn iter(&self) -> std::slice::Iter<'_, Group> {
+        self.groups.iter()
+    }
+
+    /// Returns the groups for changes that leave their names and members as they are.
+    pub(super) fn iter_mut(&mut self) -> std::slice::IterMut<'_, Group> {
+        self.groups.iter_mut()
+    }
+
+    /// Returns a group for a change that leaves its name and members as they are.
+    pub(super) fn get_mut(&mut self, group: &GroupId) -> Option<&mut Group> {
+        self.groups.get_mut(group)
+    }
+
+    /// Returns whether there is a group of this name.
+    pub(super) fn contains(&self, group: &GroupId) -> bool {
+        self.groups.contains_key(group)
+    }
+
+    /// Returns the group that a host is a member of.
+    pub(super) fn of_host(&self, host: &HostId) -> Option<&Group> {
+        let place = self.places.get(host)?;
+        self.groups.get(&place.group)
+    }
+
+    /// Adds a group.
+    pub(super) fn insert(&mut self, group: Group) {
+        self.add_places(&group);
+        self.groups.insert(group);
+    }
+
+    /// Removes the groups that have ended and returns them.
+    pub(super) fn remove_ended(&mut self) -> Vec<Group> {
+        let is_ended = |group: &&Group| group.phase == GroupPhase::Ended;
+        let ended: Vec<Group> = self.groups.iter().filter(is_ended).cloned().collect();
+        if ended.is_empty() {
+            return ended;
+        }
+        self.groups.retain(|group| group.phase != GroupPhase::Ended);
+        self.places = SortedVec::new();
+        let groups = std::mem::take(&mut self.groups);
+        for group in groups.iter() {
+            self.add_places(group);
+        }
+        self.groups = groups;
+        ended
+    }
+
+    fn add_places(&mut self, group: &Group) {
+        for member in &group.members {
+            let known = self.places.get(&member.host);
+            if known.is_none_or(|place| group.id < place.group) {
+                self.places.insert(Place {
+                    host: member.host.clone(),
+                    group: group.id.clone(),
+                });
+            }
+        }
+    }
+}
--- a/lib/src/process/formation/machine.rs
+++ b/lib/src/process/formation/machine.rs
@@ -7,6 +7,7 @@
 use super::board::HostEntry;
 use super::group::Group;
 use super::group::GroupPhase;
+use super::group::Groups;
 use super::loads::LoadWindow;
 use super::packing::Packing;
 use super::settings::FormationSettings;
@@ -139,7 +140,7 @@
     pub(super) settings: FormationSettings,
     pub(super) term: Epoch,
     pub(super) joins: u64,
-    pub(super) groups: SortedVec<Group>,
+    pub(super) groups: Groups,
     pub(super) ended: SortedVec<EndedGroup>,
     pub(super) plans: SortedVec<ServicePlan>,
     pub(super) last_weights: SortedVec<LastWeights>,
@@ -157,6 +158,8 @@
     pub(super) host: HostId,
     pub(super) incarnation: Incarnation,
     pub(super) weights: WeightsId,
+    /// Until when the order counts as under way unless the host's record tells that it is done.
+    pub(super) until: Instant,
 }
 
 impl Keyed for StagedOrder {
@@ -174,7 +177,7 @@
             settings,
             term,
             joins: 0,
-            groups: SortedVec::new(),
+            groups: Groups::default(),
             ended: SortedVec::new(),
             plans: SortedVec::new(),
             last_weights: SortedVec::new(),
@@ -245,7 +248,15 @@
             | GroupOrder::Open { group, .. }
             | GroupOrder::Close { group, .. }
             | GroupOrder::Leave { group, .. } => group,
-            GroupOrder::Stage { .. } => return,
+            GroupOrder::Stage { .. } => {
+                if !matches!(
+                    answer,
+                    Ok(OrderAnswer::Accepted) | Err(CallError::InDoubt { .. })
+                ) {
+                    self.staging.remove(host);
+                }
+                return;
+            }
         };
         let Some(group) = self.groups.get_mut(group) else {
             return;
@@ -331,7 +342,7 @@
     fn adopt_groups(&mut self, board: &HostBoard, now: Instant) {
         let is_known = |entry: &HostEntry, id: &GroupId| {
             let is_over = self.ended.get(id).is_some_and(|ended| ended.is_over(entry));
-            is_over || self.groups.contains_key(id)
+            is_over || self.groups.contains(id)
         };
         let is_reachable =
             |entry: &HostEntry| entry.is_listed(now) && !entry.is_lost(self.settings.report_misses);
@@ -371,16 +382,13 @@
     }
 
     fn remove_ended(&mut self, now: Instant) {
-        for group in self.groups.iter() {
-            if group.phase == GroupPhase::Ended {
-                self.ended.insert(EndedGroup {
-                    group: group.id.clone(),
-                    is_head_gone: group.is_head_gone,
-                    ended_at: now,
-                });
-            }
+        for group in self.groups.remove_ended() {
+            self.ended.insert(EndedGroup {
+                group: group.id,
+                is_head_gone: group.is_head_gone,
+                ended_at: now,
+            });
         }
-        self.groups.retain(|group| group.phase != GroupPhase::Ended);
     }
 }
 
--- a/lib/src/process/formation/spares.rs
+++ b/lib/src/process/formation/spares.rs
@@ -1,5 +1,6 @@
 //! Hosts without a group, kept ready to repair the groups of their domain.
 
+use std::time::Duration;
 use std::time::Instant;
 
 use super::board::HostBoard;
@@ -16,12 +17,17 @@
 use crate::ids::FabricDomainId;
 use crate::ids::WeightsId;
 use crate::target::record::GroupOrder;
+use crate::target::record::MemberState;
 use crate::version::routes::ModelSheet;
 
 /// The part of the loads, at once and in rate, that staging leaves free: a host without weights may
 /// come at any moment, and a group may wait for it.
 const STAGING_RESERVE_DIVISOR: usize = 3;
 
+/// How many times the sheet's time a host may take to stage before it is told again: loads that an
+/// earlier holder of the lease ordered may slow it.
+const STAGING_PATIENCE: u32 = 3;
+
 impl Formation {
     /// Has each spare join a group of its own, so that it holds the weights that the groups of its
     /// domain are most likely to need next.
@@ -73,6 +79,15 @@
         now: Instant,
         actions: &mut Vec<FormationAction>,
     ) {
+        self.staging.retain(|order| {
+            // One that leaves, or that the registry has dropped, may load on.
+            let is_under_way = board.get(&order.host).is_some_and(|entry| {
+                entry.record.incarnation == order.incarnation
+                    && !entry.record.staged.contains(&order.weights)
+                    && !entry.is_lost(self.settings.report_misses)
+            });
+            is_under_way && now < order.until
+        });
         let mut plans = std::mem::take(&mut self.plans);
         for plan in plans.iter_mut() {
             if !self.may_stage(plan, board, now) {
@@ -121,15 +136,18 @@
             group.service == plan.service && matches!(group.phase, GroupPhase::Forming { .. })
         });
         let joining: usize = joining.map(|group| group.loads).sum();
-        let is_under_way = |order: &&StagedOrder| {
-            let entry = board.get(&order.host).filter(|entry| entry.is_usable(now));
-            entry.is_some_and(|entry| {
-                entry.record.incarnation == order.incarnation
-                    && !entry.record.staged.contains(&order.weights)
-            })
+        // An earlier holder of the lease may have ordered loads that go on, and a host that began to
+        // leave while it loaded loads on.
+        let is_unknown_load = |entry: &&HostEntry| {
+            let is_joining = entry
+                .membership()
+                .is_some_and(|m| is_warming_id(&m.group) && m.state == MemberState::Joining);
+            let is_up = !entry.is_lost(self.settings.report_misses);
+            is_joining && is_up && self.group_of(&entry.record.host).is_none()
         };
-        let staging = self.staging.iter().filter(is_under_way).count();
-        let at_once = joining.saturating_add(staging).saturating_add(reserve);
+        let unknown = board.iter().filter(is_unknown_load).count();
+        let at_once = [joining, unknown, self.staging.len(), reserve];
+        let at_once = at_once.into_iter().fold(0, usize::saturating_add);
         at_once < plan.sheet.loads_at_once && self.loads_available(plan, now) > 0
     }
 
@@ -142,14 +160,11 @@
     fn weights_to_stage(&self, plan: &ServicePlan, entry: &HostEntry) -> Option<WeightsId> {
         let record = &entry.record;
         let last = self.last_weights.get(&record.host)?;
-        let was_ordered = self
-            .staging
-            .get(&record.host)
-            .is_some_and(|order| order.incarnation == record.incarnation);
+        let is_under_way = self.staging.contains_key(&record.host);
         let is_changing = self
             .group_of(&record.host)
             .is_some_and(|group| group.phase != GroupPhase::Open);
-        if was_ordered
+        if is_under_way
             || last.incarnation != record.incarnation
             || (is_changing && !self.is_before_traffic)
             || record.staged.iter().any(|staged| *staged != last.weights)
@@ -194,10 +209,13 @@
             if !self.is_before_traffic {
                 plan.loads.on_started(1, now);
             }
+            let model = plan.sheet.model(&weights);
+            let load_time = model.map_or(Duration::ZERO, |model| model.load_time);
             self.staging.insert(StagedOrder {
                 host: record.host.clone(),
                 incarnation: record.incarnation,
                 weights,
+                until: now + load_time * STAGING_PATIENCE,
             });
         }
     }
--- a/lib/src/process/formation/supply.rs
+++ b/lib/src/process/formation/supply.rs
@@ -94,7 +94,8 @@
         self.least() > other.least() * (1.0 + EXCHANGE_GAIN_MIN)
     }
 
-    fn least(&self) -> f64 {
+    /// Returns the least supply of all models.
+    pub fn least(&self) -> f64 {
         let supplies = self.models.iter().map(|supply| supply.with(0.0));
         supplies.fold(f64::INFINITY, f64::min)
     }
--- a/lib/src/process/gateway/coordinate.rs
+++ b/lib/src/process/gateway/coordinate.rs
@@ -34,6 +34,8 @@
 const PATIENCE_PER_RANK: f64 = 0.25;
 /// The time between two looks at what is due.
 const TICK_INTERVAL: Duration = Duration::from_millis(40);
+/// The least time between two looks, which take some tenths of a millisecond at hundreds of hosts.
+const STEP_GAP: Duration = Duration::from_millis(15);
 /// The longest wait for an answer to an order.
 const ORDER_LIMIT: Duration = Duration::from_millis(500);
 /// The longest wait for a report; a host that is up answers within a few milliseconds.
@@ -74,24 +76,34 @@
     let mut coordinator = Coordinator::new(state, platform, targets, answers);
     let mut ticks = tokio::time::interval(TICK_INTERVAL);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Skip);
+    let mut stepped_at = tokio::time::Instant::now();
+    let mut has_news = false;
     loop {
         let state = Arc::clone(&coordinator.state);
         tokio::select! {
             () = stop.cancelled() => break,
-            _ = ticks.tick() => {}
-            () = state.targets_changed.notified() => {}
+            _ = ticks.tick() => has_news = true,
+            () = state.targets_changed.notified() => has_news = true,
             answer = received.recv() => {
                 if let Some(answer) = answer {
                     coordinator.on_answer(answer);
+                    has_news = true;
                 }
             }
             called = coordinator.lease_calls.recv() => {
                 if let Some(called) = called {
                     coordinator.on_lease_call(called);
+                    has_news = true;
                 }
             }
+            () = tokio::time::sleep_until(stepped_at + STEP_GAP), if has_news => {}
+        }
+        // Answers and records come in bursts; all that has come by then is decided on at once.
+        if has_news && stepped_at.elapsed() >= STEP_GAP {
+            coordinator.step();
+            has_news = false;
+            stepped_at = tokio::time::Instant::now();
         }
-        coordinator.step();
     }
     coordinator.release().await;
 }
--- a/lib/src/process/gateway/peers.rs
+++ b/lib/src/process/gateway/peers.rs
@@ -18,6 +18,7 @@
 use crate::ids::Incarnation;
 use crate::sorted::Keyed;
 use crate::sorted::SortedVec;
+use crate::units::CoreShare;
 
 /// The time between two datagrams to a peer: well below the time that a stream takes.
 pub(super) const TELL_INTERVAL: Duration = Duration::from_millis(150);
@@ -68,6 +69,9 @@
     pub address: SocketAddr,
     /// The sender's data centre.
     pub data_centre: DataCentreId,
+    /// The processor time that the sender may use; an entry of an earlier version does not say.
+    #[serde(default)]
+    pub processor: CoreShare,
     /// The sender's use of the targets.
     pub uses: Vec<ToldUse>,
     /// Heads whose streams have stopped at the sender.
@@ -82,6 +86,7 @@
     entry: EntryId,
     address: SocketAddr,
     data_centre: DataCentreId,
+    processor: CoreShare,
     incarnation: Incarnation,
     number: u64,
     heard_at: Instant,
@@ -90,6 +95,16 @@
     told: Option<SortedVec<ToldUse>>,
 }
 
+/// How fit an entry is for a duty: the processor time that it may use, and a weight that spreads
+/// duties over equals.
+type Fitness = (CoreShare, u64);
+
+impl Peer {
+    fn fitness(&self, key: &str) -> Fitness {
+        (self.processor, rendezvous_weight(key, self.entry.as_str()))
+    }
+}
+
 impl Keyed for Peer {
     type Key = EntryId;
 
@@ -103,16 +118,18 @@
 pub struct Peers {
     own: EntryId,
     data_centre: DataCentreId,
+    processor: CoreShare,
     peers: SortedVec<Peer>,
     has_requests: bool,
 }
 
 impl Peers {
     /// Creates the view of an entry that knows no peer.
-    pub fn new(own: EntryId, data_centre: DataCentreId) -> Self {
+    pub fn new(own: EntryId, data_centre: DataCentreId, processor: CoreShare) -> Self {
         Self {
             own,
             data_centre,
+            processor,
             peers: SortedVec::new(),
             has_requests: false,
         }
@@ -124,6 +141,7 @@
         entry: EntryId,
         address: SocketAddr,
         data_centre: DataCentreId,
+        processor: CoreShare,
         now: Instant,
     ) {
         if entry == self.own || self.peers.get(&entry).is_some_and(|p| p.address == address) {
@@ -133,6 +151,7 @@
             entry,
             address,
             data_centre,
+            processor,
             incarnation: Incarnation(0),
             number: 0,
             heard_at: now,
@@ -161,6 +180,7 @@
             entry: message.entry.clone(),
             address: message.address,
             data_centre: message.data_centre.clone(),
+            processor: message.processor,
             incarnation: message.incarnation,
             number: message.number,
             heard_at: now,
@@ -176,25 +196,25 @@
     }
 
     /// Returns this entry's place among all for a duty that `key` names; every entry has the same
-    /// order.
+    /// order. Those with more processor time go first, since a duty is work for all.
     pub fn rank_for(&self, key: &str) -> usize {
-        let own = rendezvous_weight(key, self.own.as_str());
-        let weights = self
-            .peers
-            .iter()
-            .map(|peer| rendezvous_weight(key, peer.entry.as_str()));
-        weights.filter(|weight| *weight > own).count()
+        let own = self.own_fitness(key);
+        let ahead = self.peers.iter().filter(|peer| peer.fitness(key) > own);
+        ahead.count()
+    }
+
+    fn own_fitness(&self, key: &str) -> Fitness {
+        (self.processor, rendezvous_weight(key, self.own.as_str()))
     }
 
     /// Returns the peer of this data centre that follows the platform for it, or `None` if this
     /// entry does so itself. Every entry has the same order.
     pub fn source(&self, now: Instant) -> Option<SocketAddr> {
-        let own = rendezvous_weight(SOURCE_KEY, self.own.as_str());
         let near = self
             .usable_sources(now)
             .filter(|peer| peer.data_centre == self.data_centre);
-        let best = near.max_by_key(|peer| rendezvous_weight(SOURCE_KEY, peer.entry.as_str()))?;
-        let is_ahead = rendezvous_weight(SOURCE_KEY, best.entry.as_str()) > own;
+        let best = near.max_by_key(|peer| peer.fitness(SOURCE_KEY))?;
+        let is_ahead = best.fitness(SOURCE_KEY) > self.own_fitness(SOURCE_KEY);
         is_ahead.then_some(best.address)
     }
 
--- a/lib/src/process/gateway/settings.rs
+++ b/lib/src/process/gateway/settings.rs
@@ -12,6 +12,7 @@
 use crate::ini::SectionReader;
 use crate::process::formation::FormationSettings;
 use crate::process::settings::read_section;
+use crate::units::CoreShare;
 use crate::units::Share;
 
 const TIME_MIN: Duration = Duration::from_millis(1);
@@ -30,6 +31,8 @@
     pub listen: GatewayListen,
     /// The platform's address.
     pub platform: SocketAddr,
+    /// The processor time that the process may use. Work for all entries goes to those with more.
+    pub processor: CoreShare,
     /// Whether the whole system starts for the first time.
     pub is_first_start: bool,
     /// How group formation is bounded.
@@ -72,9 +75,10 @@
         let mut reader = IniReader::parse(file, text);
         let names = read_section(&mut reader, "entry", |s| {
             let first_start = s.optional_or("first-start", false);
+            let processor = s.optional_or("processor", CoreShare::default());
             let name = s.required("name");
             let data_centre = s.required("data-centre");
-            Some((name?, data_centre?, first_start))
+            Some((name?, data_centre?, first_start, processor))
         });
         let listen = read_section(&mut reader, "listen", listen_section);
         let platform = read_section(&mut reader, "platform", |s| {
@@ -93,12 +97,13 @@
         reader.finish()?;
         // A required value that can't be read has been reported, so none is missing here.
         let none_missing = || IniErrors { errors: Vec::new() };
-        let (entry, data_centre, is_first_start) = names.ok_or_else(none_missing)?;
+        let (entry, data_centre, is_first_start, processor) = names.ok_or_else(none_missing)?;
         Ok(Self {
             entry,
             data_centre,
             listen: listen.ok_or_else(none_missing)?,
             platform: platform.ok_or_else(none_missing)?,
+            processor,
             is_first_start,
             formation,
             retry,
--- a/lib/src/process/gateway/state.rs
+++ b/lib/src/process/gateway/state.rs
@@ -97,7 +97,11 @@
     /// Creates the state of a process that knows nothing yet.
     pub fn new(settings: GatewaySettings, clock: C, metrics: GatewayMetrics) -> Self {
         let now = clock.now();
-        let peers = Peers::new(settings.entry.clone(), settings.data_centre.clone());
+        let peers = Peers::new(
+            settings.entry.clone(),
+            settings.data_centre.clone(),
+            settings.processor,
+        );
         Self {
             settings,
             metrics,
--- a/lib/src/process/gateway/tell.rs
+++ b/lib/src/process/gateway/tell.rs
@@ -21,6 +21,7 @@
 use crate::platform::Put;
 use crate::platform::Table;
 use crate::platform::Transaction;
+use crate::units::CoreShare;
 
 /// The beginning of the keys of the entries' rows.
 const ENTRY_PREFIX: &str = "entry/";
@@ -37,6 +38,9 @@
     entry: EntryId,
     address: SocketAddr,
     data_centre: DataCentreId,
+    /// Absent in rows of entries of an earlier version.
+    #[serde(default)]
+    processor: CoreShare,
 }
 
 /// Lists this entry in the table and takes the others from there.
@@ -76,6 +80,7 @@
         entry: state.settings.entry.clone(),
         address: state.settings.listen.peers,
         data_centre: state.settings.data_centre.clone(),
+        processor: state.settings.processor,
     };
     let value = serde_json::to_string(&row).map_err(|error| PlatformError::Protocol {
         reason: error.to_string(),
@@ -102,7 +107,7 @@
     for row in platform.scan(ENTRY_PREFIX.to_owned()).await? {
         match serde_json::from_str::<EntryRow>(&row.value) {
             Ok(row) => state.with_peers(|peers| {
-                peers.on_listed(row.entry, row.address, row.data_centre, now);
+                peers.on_listed(row.entry, row.address, row.data_centre, row.processor, now);
             }),
             Err(error) => log::warn!(key = row.key.as_str(); "entry's row is left out: {error}"),
         }
@@ -131,6 +136,7 @@
             number,
             address: state.settings.listen.peers,
             data_centre: state.settings.data_centre.clone(),
+            processor: state.settings.processor,
             uses,
             stalled,
             has_requests: state.request_count() > 0,
--- a/lib/src/units.rs
+++ b/lib/src/units.rs
@@ -155,9 +155,12 @@
     type Err = ParseUnitError;
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
-        let error = || malformed(text, "a share in per cent", "12.5%");
-        let number = text.strip_suffix('%').ok_or_else(error)?;
-        let percent = number.trim().parse::<f64>().map_err(|_| error())?;
+        let error = || malformed(text, "a share in per cent or a part of 1", "12.5% or 0.125");
+        let number = |text: &str| text.trim().parse::<f64>().map_err(|_| error());
+        let percent = match text.strip_suffix('%') {
+            Some(percent) => number(percent)?,
+            None => number(text)? * 100.0,
+        };
         if (0.0..=100.0).contains(&percent) {
             let thousandths = (percent * 10.0).round() as u16;
             Ok(Self { thousandths })
@@ -169,6 +172,42 @@
     }
 }
 
+/// How much of a processor core a process may use, kept in thousandths of a core.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+#[serde(transparent)]
+pub struct CoreShare {
+    /// The thousandths of a core.
+    pub thousandths: u32,
+}
+
+/// The most cores that a setting can name.
+const CORES_MAX: f64 = 4_096.0;
+
+impl std::fmt::Display for CoreShare {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}", f64::from(self.thousandths) / 1_000.0)
+    }
+}
+
+impl FromStr for CoreShare {
+    type Err = ParseUnitError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let cores = text.trim().parse::<f64>();
+        let cores = cores.map_err(|_| malformed(text, "a number of cores", "0.25"))?;
+        if (0.0..=CORES_MAX).contains(&cores) {
+            let thousandths = (cores * 1_000.0).round() as u32;
+            Ok(Self { thousandths })
+        } else {
+            let (least, most) = (String::from("0"), CORES_MAX.to_string());
+            let text = text.to_owned();
+            Err(ParseUnitError::Range { text, least, most })
+        }
+    }
+}
+
 /// Parses a duration such as `750ms`, `5s` or `2min`.
 pub fn parse_duration(text: &str) -> Result<Duration, ParseUnitError> {
     let parsed = humantime::parse_duration(text);
--- a/lib/tests/test_units.rs
+++ b/lib/tests/test_units.rs
@@ -5,6 +5,7 @@
 use beryltray_lib::ids::HostId;
 use beryltray_lib::ids::ParseIdError;
 use beryltray_lib::units::ByteCount;
+use beryltray_lib::units::CoreShare;
 use beryltray_lib::units::RequestRate;
 use beryltray_lib::units::Share;
 use beryltray_lib::units::parse_duration;
@@ -43,3 +44,20 @@
     assert_eq!(parse_duration("750ms").unwrap(), Duration::from_millis(750));
     assert!(parse_duration("750").is_err());
 }
+
+#[test]
+fn core_share_parse_reads_parts_of_a_core() {
+    let share = "0.25".parse::<CoreShare>().unwrap();
+    assert_eq!(share, CoreShare { thousandths: 250 });
+    assert_eq!(share.to_string(), "0.25");
+    assert!("-1".parse::<CoreShare>().is_err());
+    assert!("a core".parse::<CoreShare>().is_err());
+}
+
+#[test]
+fn share_parse_reads_per_cent_and_parts_of_one() {
+    let share = "0.125".parse::<Share>().unwrap();
+    assert_eq!(share, "12.5%".parse::<Share>().unwrap());
+    assert!("12.5".parse::<Share>().is_err());
+    assert!("-0.1".parse::<Share>().is_err());
+}
--- a/lib/testutils/src/fleet.rs
+++ b/lib/testutils/src/fleet.rs
@@ -33,7 +33,7 @@
 const STALL_TIME: Duration = Duration::from_secs(4);
 /// How long a head takes to open.
 const OPENING_TIME: Duration = Duration::from_millis(300);
-/// How much quicker a load is before the first request.
+/// How much quicker a load is before the first request, whatever their number.
 const QUICK_LOAD_FACTOR: f64 = 10.0;
 /// How long the work of a group that closes takes to end.
 const CLOSING_TIME: Duration = Duration::from_secs(2);
@@ -83,6 +83,11 @@
 }
 
 impl FleetHost {
+    /// Returns whether the host can join some group without a load.
+    pub fn holds_weights(&self) -> bool {
+        self.staged.is_some() || (self.last_weights.is_some() && self.loading.is_none())
+    }
+
     /// Takes the weights off the host, as if it were a new one.
     pub fn forget_weights(&mut self) {
         self.staged = None;
@@ -438,7 +443,7 @@
         }
         let share = (self.sheet.loads_at_once as f64 / under_way as f64).min(1.0);
         let speed = if self.is_before_traffic {
-            share * QUICK_LOAD_FACTOR
+            QUICK_LOAD_FACTOR
         } else {
             share
         };
