forward: two targets are drawn, loads are passed on, and a request without a place is refused at once

With 77 entries each knew the loads from 12 others; the sums it made of them were off by half of the true load (19 in flight, 6 believed), and with 8 entries all chose the same group until they heard of it.

Change: an entry draws one target of its data centre and one of the others, and takes the better one. With many entries the loads that the targets tell are passed on. A new request that would wait for its turn for more than 0.3 of the latency target is refused with the time after which there may be room; requests that were sent before, and streams that go on, are not. Shares of failures fade while a target is passed over. Two thirds of the datagrams stay in the data centre.

Ruled out by a simulation of the queues: refusing by the noisy sums (worse than not at all), refusing with the best of all chosen (herding), a refusal that grows with the load (no gain over a limit).

--- a/lib/src/process/gateway/mod.rs
+++ b/lib/src/process/gateway/mod.rs
@@ -26,6 +26,7 @@
 pub use self::metrics::GatewayMetrics;
 pub use self::peers::PeerMessage;
 pub use self::peers::Peers;
+pub use self::peers::ToldLoad;
 pub use self::peers::ToldUse;
 pub use self::run::GatewayError;
 pub use self::run::run_gateway;
--- a/lib/src/process/gateway/peers.rs
+++ b/lib/src/process/gateway/peers.rs
@@ -32,9 +32,13 @@
 const SOURCE_PAUSE: Duration = Duration::from_secs(5);
 /// The most peers that an entry tells, so that many entries don't crowd the network.
 const FANOUT_MAX: usize = 12;
+/// The peers of other data centres among them: bytes between data centres are dear, and what these
+/// are told they pass on in theirs.
+const FANOUT_FAR: usize = 4;
 
 /// A target's load from one entry.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(from = "UseTuple", into = "UseTuple")]
 pub struct ToldUse {
     /// The target.
     pub host: HostId,
@@ -43,11 +47,63 @@
     /// The prompt tokens that are not read yet.
     pub unread_tokens: u64,
     /// For how long no event has come on the sender's streams there, in milliseconds, if one ever
-    /// has; an entry of an earlier version does not say.
-    #[serde(default)]
+    /// has.
     pub still_ms: Option<u64>,
 }
 
+/// A use as it is told: names of fields would make most of the datagram.
+type UseTuple = (HostId, u32, u64, Option<u64>);
+
+impl From<UseTuple> for ToldUse {
+    fn from((host, in_flight, unread_tokens, still_ms): UseTuple) -> Self {
+        Self {
+            host,
+            in_flight,
+            unread_tokens,
+            still_ms,
+        }
+    }
+}
+
+impl From<ToldUse> for UseTuple {
+    fn from(told: ToldUse) -> Self {
+        (told.host, told.in_flight, told.unread_tokens, told.still_ms)
+    }
+}
+
+/// What is known of a target's load from all entries. It is passed on from entry to entry, since
+/// with many of them each hears only some.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(from = "LoadTuple", into = "LoadTuple")]
+pub struct ToldLoad {
+    /// The target.
+    pub host: HostId,
+    /// The requests that run or wait there, as the target told it last, and the age of that in
+    /// milliseconds.
+    pub load: Option<(u32, u64)>,
+    /// For how long no event is known to have come on any stream there, in milliseconds.
+    pub still_ms: Option<u64>,
+}
+
+/// A load as it is told.
+type LoadTuple = (HostId, Option<(u32, u64)>, Option<u64>);
+
+impl From<LoadTuple> for ToldLoad {
+    fn from((host, load, still_ms): LoadTuple) -> Self {
+        Self {
+            host,
+            load,
+            still_ms,
+        }
+    }
+}
+
+impl From<ToldLoad> for LoadTuple {
+    fn from(told: ToldLoad) -> Self {
+        (told.host, told.load, told.still_ms)
+    }
+}
+
 impl Keyed for ToldUse {
     type Key = HostId;
 
@@ -72,10 +128,14 @@
     /// The processor time that the sender may use; an entry of an earlier version does not say.
     #[serde(default)]
     pub processor: CoreShare,
-    /// The sender's use of the targets.
+    /// The sender's use of the targets, if all entries are told of it.
     pub uses: Vec<ToldUse>,
-    /// Heads whose streams have stopped at the sender.
-    pub stalled: Vec<HostId>,
+    /// What the sender knows of the targets' loads, if only some entries are told.
+    #[serde(default)]
+    pub loads: Vec<ToldLoad>,
+    /// Heads whose streams have stopped, and how many milliseconds ago; with many entries they are
+    /// passed on.
+    pub stalled: Vec<(HostId, u64)>,
     /// Whether the sender has had a request.
     pub has_requests: bool,
 }
@@ -100,6 +160,10 @@
 type Fitness = (CoreShare, u64);
 
 impl Peer {
+    fn is_heard(&self, now: Instant) -> bool {
+        self.told.is_some() && now.saturating_duration_since(self.heard_at) < TOLD_AGE_MAX
+    }
+
     fn fitness(&self, key: &str) -> Fitness {
         (self.processor, rendezvous_weight(key, self.entry.as_str()))
     }
@@ -243,52 +307,48 @@
         self.has_requests
     }
 
-    /// Returns the use of a target by all peers: requests in flight and unread prompt tokens. What
-    /// those say that were heard stands for the others too.
+    /// Returns the use of a target by the peers that were heard lately: requests in flight and unread
+    /// prompt tokens.
     pub fn use_of(&self, host: &HostId, now: Instant) -> (f64, f64) {
-        let is_fresh = |peer: &&Peer| {
-            peer.told.is_some() && now.saturating_duration_since(peer.heard_at) < TOLD_AGE_MAX
-        };
-        let fresh = self.peers.iter().filter(is_fresh);
-        let heard = fresh.clone().count();
-        if heard == 0 {
-            return (0.0, 0.0);
-        }
-        let uses = fresh.filter_map(|peer| peer.told.as_ref()?.get(host));
-        let (in_flight, unread) = uses.fold((0.0, 0.0), |(in_flight, unread), told| {
+        let heard = self.peers.iter().filter(|peer| peer.is_heard(now));
+        let uses = heard.filter_map(|peer| peer.told.as_ref()?.get(host));
+        uses.fold((0.0, 0.0), |(in_flight, unread), told| {
             (
                 in_flight + f64::from(told.in_flight),
                 unread + told.unread_tokens as f64,
             )
-        });
-        // Beyond the fanout, not all peers tell this entry.
-        let scale = if self.peers.len() > FANOUT_MAX {
-            self.peers.len() as f64 / heard as f64
-        } else {
-            1.0
-        };
-        (in_flight * scale, unread * scale)
+        })
     }
 
-    /// Returns whether a peer was heard lately.
-    pub fn is_anyone_heard(&self, now: Instant) -> bool {
-        self.peers.iter().any(|peer| {
-            peer.told.is_some() && now.saturating_duration_since(peer.heard_at) < TOLD_AGE_MAX
-        })
+    /// Returns whether so few entries are known that each tells all others of its requests.
+    pub fn is_everyone_told(&self) -> bool {
+        self.peers.len() <= FANOUT_MAX
+    }
+
+    /// Returns whether the uses of the peers that are heard are those of all entries, as far as is
+    /// known: everyone is told, and someone is heard.
+    pub fn are_all_heard(&self, now: Instant) -> bool {
+        self.is_everyone_told() && self.peers.iter().any(|peer| peer.is_heard(now))
     }
 
     /// Returns the addresses to tell, and forgets peers that were not heard of for long.
     ///
     /// With many peers, each entry tells those for which it has the highest weights, so that all
-    /// are told by about as many.
+    /// are told by about as many; most of them are in its data centre.
     pub fn addresses(&mut self, now: Instant) -> Vec<SocketAddr> {
         let is_kept = |peer: &Peer| now.saturating_duration_since(peer.heard_at) < PEER_MEMORY;
         self.peers.retain(is_kept);
         let mut peers: Vec<&Peer> = self.peers.iter().collect();
-        if peers.len() > FANOUT_MAX {
+        if !self.is_everyone_told() {
             let weight = |peer: &&Peer| rendezvous_weight(self.own.as_str(), peer.entry.as_str());
             peers.sort_by_key(|peer| std::cmp::Reverse(weight(peer)));
-            peers.truncate(FANOUT_MAX);
+            let is_near = |peer: &&Peer| peer.data_centre == self.data_centre;
+            let (mut near, mut far): (Vec<&Peer>, Vec<&Peer>) =
+                peers.into_iter().partition(is_near);
+            near.truncate(FANOUT_MAX.saturating_sub(far.len().min(FANOUT_FAR)));
+            far.truncate(FANOUT_MAX - near.len());
+            near.extend(far);
+            peers = near;
         }
         peers.into_iter().map(|peer| peer.address).collect()
     }
--- a/lib/src/process/gateway/places.rs
+++ b/lib/src/process/gateway/places.rs
@@ -3,13 +3,13 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use super::peers::ToldUse;
+use super::peers::PeerMessage;
 use super::serving::ServingTarget;
 use super::settings::GatewaySettings;
 use super::settings::RetrySlack;
 use super::state::Inner;
-use crate::ids::HostId;
 use crate::ids::ServiceId;
+use crate::request::forward::admit::admit;
 use crate::request::forward::choose::TargetOption;
 use crate::request::forward::choose::choose_target;
 use crate::request::forward::context::ChoiceBasis;
@@ -43,22 +43,42 @@
 }
 
 impl Inner {
-    /// Returns the requests that are believed to run or wait at a target: those of this entry and
-    /// of the peers, or what the target told while no peer is heard.
-    fn believed_in_flight(&self, host: &HostId, now: Instant) -> f64 {
-        let usage = self.usage.get(host);
-        if self.peers.is_anyone_heard(now) {
-            let own = usage.map_or(0.0, |u| f64::from(u.own_in_flight()));
-            return own + self.peers.use_of(host, now).0;
+    /// Returns the requests and the unread prompt tokens that are believed to be at a target.
+    ///
+    /// While all peers tell this entry of their requests, these are summed. With more peers, or none
+    /// that is heard, what the target told last goes for them.
+    fn believed_load(&self, target: &ServingTarget, now: Instant) -> (f64, f64) {
+        let usage = self.usage.get(&target.host);
+        if self.peers.are_all_heard(now) {
+            let own = usage.map_or((0.0, 0.0), |u| {
+                (f64::from(u.own_in_flight()), u.unread_tokens() as f64)
+            });
+            let others = self.peers.use_of(&target.host, now);
+            return (own.0 + others.0, own.1 + others.1);
         }
-        usage.map_or(0.0, |u| u.in_flight(now))
+        let in_flight = usage.map_or(0.0, |u| u.in_flight(now));
+        let waiting = (in_flight - f64::from(target.slots)).max(0.0);
+        let prompt_tokens = target.pace.map_or(0.0, |pace| pace.usual_prompt_tokens);
+        let own_unread = usage.map_or(0.0, |u| u.unread_tokens() as f64);
+        (in_flight, own_unread.max(waiting * prompt_tokens))
     }
 
-    /// Takes what a peer told of its streams at the targets.
-    pub(super) fn on_told_uses(&mut self, uses: &[ToldUse], now: Instant) {
-        for told in uses {
-            let still = told.still_ms.map(Duration::from_millis);
-            if let Some(moved_at) = still.and_then(|still| now.checked_sub(still)) {
+    /// Takes what a peer told of its streams at the targets, and of the targets' loads.
+    pub(super) fn on_told(&mut self, message: &PeerMessage, now: Instant) {
+        let ago = |ms: u64| now.checked_sub(Duration::from_millis(ms));
+        for told in &message.uses {
+            if let Some(moved_at) = told.still_ms.and_then(ago) {
+                self.usage.on_others_moved(&told.host, moved_at, now);
+            }
+        }
+        for told in &message.loads {
+            let load = told
+                .load
+                .and_then(|(load, age_ms)| Some((load, ago(age_ms)?)));
+            if let Some((in_flight, at)) = load {
+                self.usage.on_told_load(&told.host, in_flight, at, now);
+            }
+            if let Some(moved_at) = told.still_ms.and_then(ago) {
                 self.usage.on_others_moved(&told.host, moved_at, now);
             }
         }
@@ -82,29 +102,25 @@
         let candidates: Vec<&ServingTarget> = self.serving.iter().filter(serves).collect();
         let option = |target: &&ServingTarget| {
             let usage = self.usage.get(&target.host);
+            let (in_flight, unread_prompt_tokens) = self.believed_load(target, now);
             TargetOption {
                 host: target.host.clone(),
                 is_local: target.data_centre == settings.data_centre,
                 slots: target.slots,
-                in_flight: self.believed_in_flight(&target.host, now),
-                unread_prompt_tokens: usage.map_or(0.0, |u| u.unread_tokens() as f64)
-                    + self.peers.use_of(&target.host, now).1,
+                in_flight,
+                unread_prompt_tokens,
                 pace: target.pace,
-                failure_share: usage.map_or(0.0, |u| u.failure_share()),
+                failure_share: usage.map_or(0.0, |u| u.failure_share(now)),
                 is_suspect: usage.is_some_and(|u| {
                     u.is_suspect(now) || u.has_stopped_serving(target.group.as_ref(), now)
                 }),
             }
         };
         let options: Vec<TargetOption> = candidates.iter().map(option).collect();
-        self.choices = self.choices.wrapping_add(1);
-        let chosen = choose_target(&options, need.prompt_tokens, self.choices);
-        let index = chosen.ok_or(NoTarget::Absent)?;
+        let draw = |count: usize| rand::random_range(0..count);
+        let index = choose_target(&options, need.prompt_tokens, draw).ok_or(NoTarget::Absent)?;
+        let index = admit(&options, index, need, draw)?;
         let expected = options[index].expected_wait(need.prompt_tokens);
-        if expected > need.time_left {
-            let room_in = expected - need.time_left;
-            return Err(NoTarget::Busy { room_in });
-        }
         let target = candidates[index].clone();
         let basis = ChoiceBasis {
             options: options.len(),
--- a/lib/src/process/gateway/state.rs
+++ b/lib/src/process/gateway/state.rs
@@ -14,6 +14,7 @@
 use super::metrics::GatewayMetrics;
 use super::peers::PeerMessage;
 use super::peers::Peers;
+use super::peers::ToldLoad;
 use super::peers::ToldUse;
 use super::places::ServiceBudget;
 use super::serving::ServingTarget;
@@ -37,9 +38,22 @@
 
 /// How long the other entries are told of a head whose streams have stopped: some datagrams.
 const STALL_TOLD_FOR: Duration = Duration::from_millis(400);
+/// For how long a target may have stood still and the others still be told of it.
+const STILL_TOLD_MAX: Duration = Duration::from_millis(1_500);
 /// The most heads that wait to be looked at.
 const STALLED_MAX: usize = 256;
 
+/// What an entry tells others.
+#[derive(Clone, Debug, Default)]
+pub struct News {
+    /// Its own requests at the targets, if all entries are told.
+    pub uses: Vec<ToldUse>,
+    /// What it knows of the targets' loads, if only some are.
+    pub loads: Vec<ToldLoad>,
+    /// Heads whose streams stopped, and how many milliseconds ago.
+    pub stalled: Vec<(HostId, u64)>,
+}
+
 /// The platform as a gateway uses it.
 pub trait GatewayPlatform: Table + Feed<RouteDocument> + Feed<TargetRecord> {}
 
@@ -53,7 +67,6 @@
     pub(super) budgets: SortedVec<ServiceBudget>,
     pub(super) stalled: Vec<HostId>,
     pub(super) requests: u64,
-    pub(super) choices: usize,
     has_targets: bool,
     pub(super) sampler: LogSampler,
     pub(super) peers: Peers,
@@ -118,7 +131,6 @@
                 budgets: SortedVec::new(),
                 stalled: Vec::new(),
                 requests: 0,
-                choices: 0,
                 has_targets: false,
                 sampler: LogSampler::new(now),
                 peers,
@@ -209,22 +221,44 @@
     }
 
     /// Returns what the other entries are told.
-    pub fn uses_to_tell(&self) -> (Vec<ToldUse>, Vec<HostId>) {
+    pub fn news_to_tell(&self) -> News {
         let now = self.clock.now();
         let mut inner = self.inner();
         let is_recent = |at: Instant| now.saturating_duration_since(at) < STALL_TOLD_FOR;
         inner.stalled_to_tell.retain(|(_, at)| is_recent(*at));
-        let uses = inner.usage.busy().map(|(host, usage)| ToldUse {
+        let age_ms = |at: Instant| now.saturating_duration_since(at).as_millis() as u64;
+        let stalled = inner.stalled_to_tell.iter();
+        let stalled = stalled.map(|(host, at)| (host.clone(), age_ms(*at)));
+        let stalled = stalled.collect();
+        if inner.peers.is_everyone_told() {
+            let uses = inner.usage.busy().map(|(host, usage)| ToldUse {
+                host: host.clone(),
+                in_flight: usage.own_in_flight(),
+                unread_tokens: usage.unread_tokens(),
+                still_ms: usage
+                    .own_still_for(now)
+                    .map(|still| still.as_millis() as u64),
+            });
+            return News {
+                uses: uses.collect(),
+                loads: Vec::new(),
+                stalled,
+            };
+        }
+        let loads = inner.usage.iter().map(|(host, usage)| ToldLoad {
             host: host.clone(),
-            in_flight: usage.own_in_flight(),
-            unread_tokens: usage.unread_tokens(),
+            load: usage.told_load(now).map(|(load, at)| (load, age_ms(at))),
             still_ms: usage
-                .own_still_for(now)
+                .still_for(now)
+                .filter(|still| *still < STILL_TOLD_MAX)
                 .map(|still| still.as_millis() as u64),
         });
-        let uses = uses.collect();
-        let stalled = inner.stalled_to_tell.iter().map(|(host, _)| host.clone());
-        (uses, stalled.collect())
+        let has_news = |told: &ToldLoad| told.load.is_some() || told.still_ms.is_some();
+        News {
+            uses: Vec::new(),
+            loads: loads.filter(has_news).collect(),
+            stalled,
+        }
     }
 
     /// Takes a datagram of another entry.
@@ -232,8 +266,18 @@
         let now = self.clock.now();
         let mut inner = self.inner();
         if inner.peers.on_message(message, now) {
-            inner.on_told_uses(&message.uses, now);
-            inner.stalled.extend(message.stalled.iter().cloned());
+            inner.on_told(message, now);
+            let is_passed_on = !inner.peers.is_everyone_told();
+            for (host, age_ms) in &message.stalled {
+                let at = now
+                    .checked_sub(Duration::from_millis(*age_ms))
+                    .unwrap_or(now);
+                let is_known = inner.stalled_to_tell.iter().any(|(known, _)| known == host);
+                if is_passed_on && !is_known {
+                    inner.stalled_to_tell.push((host.clone(), at));
+                }
+                inner.stalled.push(host.clone());
+            }
             // Only the entry that forms groups takes them.
             let excess = inner.stalled.len().saturating_sub(STALLED_MAX);
             inner.stalled.drain(..excess);
--- a/lib/src/process/gateway/tell.rs
+++ b/lib/src/process/gateway/tell.rs
@@ -129,7 +129,7 @@
     loop {
         ticks.tick().await;
         number += 1;
-        let (uses, stalled) = state.uses_to_tell();
+        let news = state.news_to_tell();
         let message = PeerMessage {
             entry: state.settings.entry.clone(),
             incarnation,
@@ -137,8 +137,9 @@
             address: state.settings.listen.peers,
             data_centre: state.settings.data_centre.clone(),
             processor: state.settings.processor,
-            uses,
-            stalled,
+            uses: news.uses,
+            loads: news.loads,
+            stalled: news.stalled,
             has_requests: state.request_count() > 0,
         };
         let bytes = match serde_json::to_vec(&message) {
--- a/lib/src/process/gateway/usage.rs
+++ b/lib/src/process/gateway/usage.rs
@@ -24,11 +24,18 @@
 /// The age after which a load that a target told says nothing any more.
 const LOAD_AGE_MAX: Duration = Duration::from_millis(1_500);
 
-/// A load that a target told.
+/// The time in which the share of failed requests halves while none is sent: a target that was
+/// passed over for its failures is tried again.
+const FAILURE_HALF_LIFE: Duration = Duration::from_secs(3);
+
+/// A load that a target told this process or another one.
 #[derive(Clone, Copy, Debug, PartialEq)]
-struct ToldLoad {
-    load: AnswerLoad,
+struct TargetLoad {
+    /// The requests that run or wait at the target, of all entries.
+    in_flight: u32,
+    /// The requests of this process when the load was heard of.
     own_in_flight: u32,
+    /// As of when the load is.
     at: Instant,
 }
 
@@ -45,8 +52,9 @@
     host: HostId,
     in_flight: u32,
     unread_tokens: u64,
-    told: Option<ToldLoad>,
+    told: Option<TargetLoad>,
     failure_share: f64,
+    failure_share_at: Instant,
     suspect_until: Option<Instant>,
     not_serving: Option<NotServing>,
     progress_at: Instant,
@@ -72,6 +80,7 @@
             unread_tokens: 0,
             told: None,
             failure_share: 0.0,
+            failure_share_at: now,
             suspect_until: None,
             not_serving: None,
             progress_at: now,
@@ -92,7 +101,7 @@
             .told
             .filter(|told| now.saturating_duration_since(told.at) < LOAD_AGE_MAX);
         told.map_or(own, |told| {
-            let there = f64::from(told.load.running + told.load.waiting);
+            let there = f64::from(told.in_flight);
             let since = own - f64::from(told.own_in_flight);
             own.max(there + since)
         })
@@ -109,9 +118,17 @@
         self.unread_tokens
     }
 
+    /// Returns the load that the target told last, and as of when, while it counts.
+    pub fn told_load(&self, now: Instant) -> Option<(u32, Instant)> {
+        let told = self.told?;
+        self.load_age(now).map(|_| (told.in_flight, told.at))
+    }
+
     /// Returns the share of the recent requests that failed.
-    pub fn failure_share(&self) -> f64 {
-        self.failure_share
+    pub fn failure_share(&self, now: Instant) -> f64 {
+        let age = now.saturating_duration_since(self.failure_share_at);
+        let half_lives = age.as_secs_f64() / FAILURE_HALF_LIFE.as_secs_f64();
+        self.failure_share * 0.5_f64.powf(half_lives)
     }
 
     /// Returns whether the target is passed over for now.
@@ -181,12 +198,19 @@
 
     /// Takes a load that a target told.
     pub fn on_load(&mut self, host: &HostId, load: AnswerLoad, now: Instant) {
+        self.on_told_load(host, load.running.saturating_add(load.waiting), now, now);
+    }
+
+    /// Takes a load that a target told another process at the moment `at`.
+    pub fn on_told_load(&mut self, host: &HostId, in_flight: u32, at: Instant, now: Instant) {
         let usage = self.usage(host, now);
-        usage.told = Some(ToldLoad {
-            load,
-            own_in_flight: usage.in_flight,
-            at: now,
-        });
+        if usage.told.is_none_or(|told| told.at < at) {
+            usage.told = Some(TargetLoad {
+                in_flight,
+                own_in_flight: usage.in_flight,
+                at,
+            });
+        }
     }
 
     /// Takes note that an event came on a stream of another process at `moved_at`.
@@ -201,10 +225,12 @@
         let failed = match end {
             None => 0.0,
             // A full target has not failed.
-            Some(SendEnd::NotRun | SendEnd::NotServing) => usage.failure_share,
+            Some(SendEnd::NotRun | SendEnd::NotServing) => usage.failure_share(now),
             Some(_) => 1.0,
         };
-        usage.failure_share += FAILURE_WEIGHT * (failed - usage.failure_share);
+        let share = usage.failure_share(now);
+        usage.failure_share = share + FAILURE_WEIGHT * (failed - share);
+        usage.failure_share_at = now;
         let pause = match end {
             Some(SendEnd::NotSent) => UNCONNECTED_PAUSE,
             Some(SendEnd::Silent) => SILENT_PAUSE,
@@ -227,6 +253,11 @@
         usage.unread_tokens = usage.unread_tokens.saturating_sub(u64::from(unread_tokens));
     }
 
+    /// Returns the usage of all targets.
+    pub fn iter(&self) -> impl Iterator<Item = (&HostId, &TargetUsage)> {
+        self.targets.iter().map(|usage| (&usage.host, usage))
+    }
+
     /// Returns the usage of the targets that have requests.
     pub fn busy(&self) -> impl Iterator<Item = (&HostId, &TargetUsage)> {
         let busy = self.targets.iter().filter(|usage| usage.in_flight > 0);
--- a/lib/src/request/forward/choose.rs
+++ b/lib/src/request/forward/choose.rs
@@ -1,4 +1,10 @@
-//! Which target a request is sent to: the one from which the answer is expected first.
+//! Which target a request is sent to.
+//!
+//! Of two targets drawn at random, the one from which the answer is expected first takes the
+//! request. What an entry knows of the loads is some tenths of a second old and much the same at
+//! all entries, so the best one of all would get the requests of all of them until they hear of it.
+//! Two draws keep the loads even without that (Mitzenmacher, "The Power of Two Choices in
+//! Randomized Load Balancing", 2001).
 
 use std::time::Duration;
 
@@ -9,8 +15,10 @@
 const REMOTE_PENALTY: Duration = Duration::from_millis(4);
 /// The time that a plain service's request is taken to run, for weighing a full target.
 const PLAIN_RUN_TIME: Duration = Duration::from_millis(60);
-/// What a target costs that failed all of its recent requests.
-const FAILING_PENALTY: Duration = Duration::from_millis(600);
+/// By how much more of its recent requests than the best one a target may fail and still be drawn.
+const FAILURE_MARGIN: f64 = 0.15;
+/// The part of its places up to which a target counts as free, whatever is drawn.
+const FREE_SHARE: f64 = 0.5;
 
 /// The pace of a target that runs a model.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -25,6 +33,8 @@
     pub prompt_token_time_s: f64,
     /// The steps of an answer of usual length.
     pub usual_answer_steps: f64,
+    /// The tokens of a prompt of usual length.
+    pub usual_prompt_tokens: f64,
 }
 
 impl EnginePace {
@@ -36,6 +46,7 @@
             steps_per_event: f64::from(sheet.steps_per_event),
             prompt_token_time_s: factor / sheet.prompt_tokens_per_s.max(1.0),
             usual_answer_steps: sheet.usual_answer_tokens,
+            usual_prompt_tokens: sheet.usual_prompt_tokens,
         }
     }
 }
@@ -62,47 +73,115 @@
 }
 
 impl TargetOption {
-    /// Returns how long a request with such a prompt is expected to wait for its first answer.
-    pub fn expected_wait(&self, prompt_tokens: u32) -> Duration {
+    /// Returns how long a request is expected to wait there until it is its turn.
+    pub fn turn_wait(&self) -> Duration {
         let slots = f64::from(self.slots.max(1));
         let excess = (self.in_flight + 1.0 - slots).max(0.0);
         let wait_s = match &self.pace {
             Some(pace) => {
-                let running = self.in_flight.min(slots);
-                let step_s = pace.step_time_s + pace.step_time_per_request_s * running;
-                let unread = self.unread_prompt_tokens + f64::from(prompt_tokens);
-                let queue_s = excess / slots * pace.usual_answer_steps * step_s;
-                queue_s + unread * pace.prompt_token_time_s + pace.steps_per_event * step_s
+                let answer_s = pace.usual_answer_steps * self.step_s(pace);
+                excess / slots * answer_s + self.unread_prompt_tokens * pace.prompt_token_time_s
             }
             None => {
                 let run_s = PLAIN_RUN_TIME.as_secs_f64();
-                // A target that is nearly full may be slower, so the emptier one goes first.
-                (excess / slots + self.in_flight / slots) * run_s
+                excess / slots * run_s
             }
         };
         Duration::from_secs_f64(wait_s)
     }
 
+    /// Returns how long a request with such a prompt is expected to wait for its first answer.
+    pub fn expected_wait(&self, prompt_tokens: u32) -> Duration {
+        let own_s = match &self.pace {
+            Some(pace) => {
+                let read_s = f64::from(prompt_tokens) * pace.prompt_token_time_s;
+                read_s + pace.steps_per_event * self.step_s(pace)
+            }
+            None => {
+                // A target that is nearly full may be slower, so the emptier one goes first.
+                let slots = f64::from(self.slots.max(1));
+                self.in_flight / slots * PLAIN_RUN_TIME.as_secs_f64()
+            }
+        };
+        self.turn_wait() + Duration::from_secs_f64(own_s)
+    }
+
+    fn step_s(&self, pace: &EnginePace) -> f64 {
+        let running = self.in_flight.min(f64::from(self.slots.max(1)));
+        pace.step_time_s + pace.step_time_per_request_s * running
+    }
+
     fn cost(&self, prompt_tokens: u32) -> Duration {
         let remote = if self.is_local {
             Duration::ZERO
         } else {
             REMOTE_PENALTY
         };
-        let failing = FAILING_PENALTY.mul_f64(self.failure_share.clamp(0.0, 1.0));
-        self.expected_wait(prompt_tokens) + remote + failing
+        self.expected_wait(prompt_tokens) + remote
+    }
+
+    /// Returns whether many of the target's places are free.
+    fn is_free(&self) -> bool {
+        self.in_flight < f64::from(self.slots) * FREE_SHARE
     }
 }
 
-/// Returns the position of the option to use, if there is any.
+/// Returns the position of the option to use, if there is any; `draw` returns a random number below
+/// the one that it is given.
 ///
-/// Targets under suspicion are used only if there are no others. `offset` breaks ties, so that
-/// several entries with the same view don't all choose the same target.
-pub fn choose_target(options: &[TargetOption], prompt_tokens: u32, offset: usize) -> Option<usize> {
-    let count = options.len();
-    let rotated = (0..count).map(|index| (index + offset) % count);
-    rotated.min_by_key(|index| {
-        let option = &options[*index];
-        (option.is_suspect, option.cost(prompt_tokens))
-    })
+/// Targets under suspicion, and those that fail more than others, are used only if there are no
+/// others. One target of this data centre and one of the others are drawn, as far as there are.
+pub fn choose_target<F>(options: &[TargetOption], prompt_tokens: u32, mut draw: F) -> Option<usize>
+where
+    F: FnMut(usize) -> usize,
+{
+    let sound = sound_options(options);
+    let is_local = |index: &usize| options[*index].is_local;
+    let (near, far): (Vec<usize>, Vec<usize>) = sound.iter().copied().partition(is_local);
+    let mut pool = if near.is_empty() || far.is_empty() {
+        sound
+    } else {
+        vec![near[draw(near.len())], far[draw(far.len())]]
+    };
+    let first = draw_out(&mut pool, &mut draw)?;
+    let Some(second) = draw_out(&mut pool, &mut draw) else {
+        return Some(first);
+    };
+    let is_better = options[second].cost(prompt_tokens) < options[first].cost(prompt_tokens);
+    Some(if is_better { second } else { first })
+}
+
+/// Returns the position of an option with many free places, if there is one. Requests that the
+/// targets drawn by [`choose_target`] have no room for go there.
+pub fn choose_free_target<F>(options: &[TargetOption], mut draw: F) -> Option<usize>
+where
+    F: FnMut(usize) -> usize,
+{
+    let mut free = sound_options(options);
+    free.retain(|index| options[*index].is_free());
+    draw_out(&mut free, &mut draw)
+}
+
+/// Returns the options that are neither under suspicion nor fail more than others, if there are any.
+fn sound_options(options: &[TargetOption]) -> Vec<usize> {
+    let all = 0..options.len();
+    let has_sound = options.iter().any(|option| !option.is_suspect);
+    let mut sound: Vec<usize> = all
+        .filter(|index| !has_sound || !options[*index].is_suspect)
+        .collect();
+    let shares = sound.iter().map(|index| options[*index].failure_share);
+    let least = shares.fold(f64::INFINITY, f64::min);
+    sound.retain(|index| options[*index].failure_share <= least + FAILURE_MARGIN);
+    sound
+}
+
+fn draw_out<F>(pool: &mut Vec<usize>, draw: &mut F) -> Option<usize>
+where
+    F: FnMut(usize) -> usize,
+{
+    if pool.is_empty() {
+        return None;
+    }
+    let drawn = draw(pool.len());
+    Some(pool.swap_remove(drawn))
 }
--- a/lib/src/request/forward/context.rs
+++ b/lib/src/request/forward/context.rs
@@ -28,6 +28,9 @@
     pub latency_target: Duration,
     /// The time that is left for the answer.
     pub time_left: Duration,
+    /// Whether the request was not sent yet, nor a part of its answer received. One that was goes on
+    /// as long as it can be answered at all.
+    pub is_new: bool,
 }
 
 /// Why no target was found.
@@ -35,10 +38,14 @@
 pub enum NoTarget {
     /// There is none that serves, for the time being.
     Absent,
-    /// All are so busy that the answer would come too late.
+    /// All are so busy that the answer would come late.
     Busy {
         /// When there will be room.
         room_in: Duration,
+        /// How long the request would wait for its turn at the one that was drawn.
+        turn_wait: Duration,
+        /// The targets that there were to choose from.
+        options: usize,
     },
 }
 
--- a/lib/src/request/forward/handler.rs
+++ b/lib/src/request/forward/handler.rs
@@ -117,6 +117,7 @@
             excluded: Vec::new(),
             latency_target: route.latency_target,
             time_left: patience,
+            is_new: call.last_event.is_none(),
         };
         Ok(Passage {
             context: self.context.clone(),
--- a/lib/src/request/forward/mod.rs
+++ b/lib/src/request/forward/mod.rs
@@ -3,6 +3,7 @@
 //! The decisions are pure: [`choose`] says which target, [`plan`] what follows a failed send,
 //! [`events`] which parts of a stream are whole. [`handler`] drives them.
 
+pub mod admit;
 pub mod choose;
 pub mod context;
 pub mod events;
--- a/lib/src/request/forward/send.rs
+++ b/lib/src/request/forward/send.rs
@@ -104,6 +104,7 @@
         let hold_until = tokio::time::Instant::now() + hold;
         loop {
             self.need.time_left = self.time_left();
+            self.need.is_new &= self.plan.sends() == 0;
             let changed = self.context.targets_changed();
             let missing = match self.context.take_target(&self.need) {
                 Ok(target) => {
@@ -113,7 +114,18 @@
                 Err(missing) => missing,
             };
             match missing {
-                NoTarget::Busy { room_in } => {
+                NoTarget::Busy {
+                    room_in,
+                    turn_wait,
+                    options,
+                } => {
+                    log_request!(
+                        self, route = self.route.name.as_str(), service:% = self.service,
+                        weights:% = OrNone(self.need.weights.as_ref()), options = options,
+                        turn_wait_ms = turn_wait.as_millis() as u64,
+                        room_in_ms = room_in.as_millis() as u64, is_new = self.need.is_new;
+                        "no target has room"
+                    );
                     let reason = NotRunReason::Overloaded;
                     return Err(with_retry_after(self.plan.failure(reason), room_in));
                 }
--- a/lib/src/version/routes.rs
+++ b/lib/src/version/routes.rs
@@ -141,6 +141,8 @@
     pub steps_per_event: u32,
     /// The tokens of an answer of usual length.
     pub usual_answer_tokens: f64,
+    /// The tokens of a prompt of usual length.
+    pub usual_prompt_tokens: f64,
     /// The loads that may start in a second, over all hosts.
     pub loads_per_s: f64,
     /// The loads that the weight store serves at once at full speed; more share that speed.
--- a/lib/tests/test_formation.rs
+++ b/lib/tests/test_formation.rs
@@ -45,6 +45,7 @@
         prompt_tokens_per_s: 56_100.0,
         steps_per_event: 6,
         usual_answer_tokens: 150.0,
+        usual_prompt_tokens: 900.0,
         loads_per_s: LOADS_PER_S,
         loads_at_once: 8,
         cross_domain_factor: 2.5,
--- a/lib/tests/test_formation_losses.rs
+++ b/lib/tests/test_formation_losses.rs
@@ -53,6 +53,7 @@
         prompt_tokens_per_s: 56_100.0,
         steps_per_event: 5,
         usual_answer_tokens: 150.0,
+        usual_prompt_tokens: 900.0,
         loads_per_s: 14.0,
         loads_at_once: 20,
         cross_domain_factor: 2.5,
