forward: the heaviest load patterns are tests before simulated groups

The groups work in passes as the users' engines do, and entries choose by loads that are some time old. The patterns: a load near the capacity, one above it, and groups that are missing for some seconds.

--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -11,6 +11,7 @@
 mod test_formation;
 mod test_formation_losses;
 mod test_forward;
+mod test_forward_loads;
 mod test_gateway_peers;
 mod test_head;
 mod test_head_world;
--- a/stand-ins/src/lib.rs
+++ b/stand-ins/src/lib.rs
@@ -5,6 +5,7 @@
 //!
 //! - [`platform`]: the table, the object store and the list of hosts,
 //! - [`engine`]: one host of a model's replica group,
+//! - [`engine_groups`]: simulated groups and the entries before them,
 //! - [`plain`]: one host of a plain service,
 //! - [`relay`]: a TCP relay that cuts, silences and delays,
 //! - [`control`]: the paths for faults and truth, common to all,
@@ -16,6 +17,7 @@
 pub mod answer;
 pub mod control;
 pub mod engine;
+pub mod engine_groups;
 pub mod fleet;
 pub mod invocation;
 pub mod json;
