--- a/stand-ins/src/engine_groups.rs
+++ b/stand-ins/src/engine_groups.rs
@@ -285,7 +285,7 @@
             let waiting = (in_flight - f64::from(slots)).max(0.0);
             Some(TargetOption {
                 host: format!("group-{group}").parse().ok()?,
-                is_local: group % 3 == 0,
+                is_local: group.is_multiple_of(3),
                 slots,
                 in_flight,
                 unread_prompt_tokens: waiting * self.pattern.prompt_tokens,
