--- a/lib/src/process/gateway/context.rs
+++ b/lib/src/process/gateway/context.rs
@@ -56,14 +56,33 @@
     /// The tokens of the prompt; 0 once data of the stream has arrived.
     unread_tokens: u32,
     started_at: Instant,
+    /// Whether the target has been silent for too long and sent nothing since.
+    is_silent: bool,
     has_ended: bool,
 }
 
+impl<C> ReservedTarget<C>
+where
+    C: Clock,
+{
+    /// Reports the target to group formation and to the peers.
+    fn report_stall(&self) {
+        let now = self.state.clock.now();
+        let mut inner = self.state.inner();
+        inner.stalled_targets.push(self.host.clone());
+        inner.stalled_to_gossip.push((self.host.clone(), now));
+    }
+}
+
 impl<C> Drop for ReservedTarget<C>
 where
     C: Clock,
 {
     fn drop(&mut self) {
+        if self.is_silent {
+            // The request was answered elsewhere, or its caller left, before the target went on.
+            self.on_end(Some(SendFailure::Silent));
+        }
         let now = self.state.clock.now();
         let mut inner = self.state.inner();
         inner.usage.on_finish(&self.host, self.unread_tokens, now);
@@ -95,6 +114,7 @@
     }
 
     fn on_first_answer(&mut self, load: Option<AnswerLoad>) {
+        self.is_silent = false;
         let now = self.state.clock.now();
         let mut inner = self.state.inner();
         if let Some(load) = load {
@@ -103,6 +123,7 @@
     }
 
     fn on_progress(&mut self) {
+        self.is_silent = false;
         let now = self.state.clock.now();
         let unread = std::mem::take(&mut self.unread_tokens);
         self.state.inner().usage.on_event(&self.host, unread, now);
@@ -129,6 +150,16 @@
         since_event.map_or(since_start, |since_event| since_event.min(since_start))
     }
 
+    fn on_silence(&mut self) -> bool {
+        if std::mem::replace(&mut self.is_silent, true) {
+            return false;
+        }
+        let now = self.state.clock.now();
+        self.state.inner().usage.on_silence(&self.host, now);
+        self.report_stall();
+        true
+    }
+
     fn on_end(&mut self, end: Option<SendFailure>) {
         if std::mem::replace(&mut self.has_ended, true) {
             return;
@@ -142,12 +173,12 @@
             let group = self.group.clone();
             inner.usage.on_not_serving(&self.host, group, now);
         }
+        drop(inner);
         if matches!(
             end,
             Some(SendFailure::Silent | SendFailure::NotSent | SendFailure::Broken)
         ) {
-            inner.stalled_targets.push(self.host.clone());
-            inner.stalled_to_gossip.push((self.host.clone(), now));
+            self.report_stall();
         }
     }
 }
@@ -209,6 +240,7 @@
             choice_info,
             unread_tokens: requirements.prompt_tokens,
             started_at: now,
+            is_silent: false,
             has_ended: false,
         })
     }
--- a/lib/src/process/gateway/usage.rs
+++ b/lib/src/process/gateway/usage.rs
@@ -237,6 +237,12 @@
         usage.remote_event_at = usage.remote_event_at.max(Some(event_at));
     }
 
+    /// Records that a target has been silent for too long, while the request stays there.
+    pub fn on_silence(&mut self, host: &HostId, now: Instant) {
+        let usage = self.usage(host, now);
+        usage.suspect_until = usage.suspect_until.max(Some(now + SILENT_BACKOFF));
+    }
+
     /// Records how a send ended; `None` is a complete answer.
     pub fn on_result(&mut self, host: &HostId, end: Option<SendFailure>, now: Instant) {
         let usage = self.usage(host, now);
--- a/lib/src/request/forward/buffered.rs
+++ b/lib/src/request/forward/buffered.rs
@@ -7,125 +7,109 @@
 use super::context::ForwardContext;
 use super::context::TargetReservation as _;
 use super::plan::AnswerTimeout;
-use super::plan::NextStep;
 use super::plan::SendFailure;
 use super::protocol::CallerProtocol as _;
 use super::protocol::Failure;
 use super::send::AnswerStart;
-use super::send::ForwardedRequest;
+use super::send::PlannedSend;
 use super::send::log_request;
+use super::sends::RequestSends;
+use super::sends::SendEnd;
+use super::sends::first_answer;
 use crate::connection::body::ResponseBody;
 use crate::connection::body::full_body;
 use crate::connection::body::read_body;
 
 /// The maximum size of an answer's body. A larger answer is treated as broken.
 const ANSWER_LIMIT_BYTES: usize = 16 * 1024 * 1024;
-/// The timeout of a repeatable request's send as a multiple of the latency target. The last send
-/// has the time to the deadline.
+/// The time after which a repeatable request is sent to another target too, as a multiple of the
+/// latency target.
 const SEND_TIMEOUT_FACTOR: f64 = 0.9;
 
-/// A target's complete answer.
-struct CompleteAnswer {
-    response: Response<ResponseBody>,
-    /// Whether the status is a server error.
-    is_failure: bool,
-}
-
 /// Sends a request until a target answers it or no further send is possible. In the latter case,
 /// the last failure answer of a target is returned, if there is one.
 pub(super) async fn forward_buffered<X>(
-    mut forwarded: ForwardedRequest<X>,
+    mut sends: RequestSends<X>,
 ) -> Result<Response<ResponseBody>, Failure>
 where
     X: ForwardContext,
 {
-    let mut last_failure_answer: Option<Response<ResponseBody>> = None;
-    loop {
-        let target = match forwarded.reserve_target().await {
-            Ok(target) => target,
-            Err(failure) => return last_failure_answer.ok_or(failure),
-        };
-        let host = target.host().clone();
-        let timeout = send_timeout(&forwarded);
-        let send_failure = match send_buffered(&mut forwarded, target, timeout).await {
-            Ok(answer) if !answer.is_failure => return Ok(answer.response),
-            Ok(answer) => {
-                last_failure_answer = Some(answer.response);
-                SendFailure::TargetFailed
-            }
-            Err(send_failure) => send_failure,
-        };
-        forwarded.exclude(&host);
-        if forwarded.time_left().is_zero() {
-            return last_failure_answer.ok_or(forwarded.plan.timeout_failure());
-        }
-        match forwarded.next_step(send_failure) {
-            NextStep::SendAgain => {}
-            NextStep::ReturnTargetFailure => {
-                return last_failure_answer.ok_or(forwarded.plan.timeout_failure());
-            }
-            NextStep::End(failure) => return last_failure_answer.ok_or(failure),
-        }
-    }
+    let first = sends.next_send().await?;
+    first_answer(&mut sends, first, send_buffered).await
 }
 
-/// Returns the timeout of the next send.
-fn send_timeout<X>(forwarded: &ForwardedRequest<X>) -> Duration
+/// Returns how long a target may take for each part of its answer before it counts as silent, or
+/// `None` if the request is not sent again for that.
+fn silence_timeout<X>(send: &PlannedSend<X>) -> Option<Duration>
 where
     X: ForwardContext,
 {
-    let left = forwarded.time_left();
-    let is_last = forwarded.plan.sends() + 1 >= forwarded.route.attempts_max;
-    if is_last || !forwarded.route.kind.is_repeatable() {
-        return left;
-    }
-    left.min(forwarded.route.latency_target.mul_f64(SEND_TIMEOUT_FACTOR))
+    let route = &send.request.route;
+    let is_watched = route.kind.is_repeatable() && !send.is_last;
+    is_watched.then(|| route.latency_target.mul_f64(SEND_TIMEOUT_FACTOR))
 }
 
-async fn send_buffered<X>(
-    forwarded: &mut ForwardedRequest<X>,
-    target: X::Reservation,
-    timeout: Duration,
-) -> Result<CompleteAnswer, SendFailure>
+async fn send_buffered<X>(send: PlannedSend<X>) -> SendEnd<Response<ResponseBody>>
 where
     X: ForwardContext,
 {
-    let started = forwarded.context.now();
+    let timeout = silence_timeout(&send);
+    let started = send.send(None, timeout.map(AnswerTimeout::fixed)).await;
     let AnswerStart {
-        mut target,
+        mut send,
         connection,
         head,
         answer,
         body,
-    } = forwarded
-        .send_once(target, None, AnswerTimeout::fixed(timeout))
-        .await?;
-    let spent = forwarded.context.now().saturating_duration_since(started);
-    let read = read_body(body, ANSWER_LIMIT_BYTES, timeout.saturating_sub(spent)).await;
+    } = match started {
+        Ok(started) => started,
+        Err(send_failure) => return SendEnd::Failed(send_failure),
+    };
+    let read = read_body(body, ANSWER_LIMIT_BYTES, send.request.time_left());
+    let mut read = std::pin::pin!(read);
+    let read = loop {
+        tokio::select! {
+            read = &mut read => break read,
+            () = expire(timeout) => send.on_silence(),
+        }
+    };
     drop(connection);
     let bytes = match read {
         Ok(bytes) => bytes,
         Err(error) => {
-            log_request!(forwarded, target:% = target.host();
-                "answer is not whole: {error}"
-            );
-            target.on_end(Some(SendFailure::Broken));
-            return Err(SendFailure::Broken);
+            let request = &send.request;
+            log_request!(request, target:% = send.target.host(); "answer is not whole: {error}");
+            send.target.on_end(Some(SendFailure::Broken));
+            return SendEnd::Failed(SendFailure::Broken);
         }
     };
     let is_success = head.status.is_success();
     if is_success && !answer.is_signed {
-        forwarded.log_send(&target, "answer is not signed", head.status.as_u16());
-        target.on_end(Some(SendFailure::Broken));
-        return Err(SendFailure::Broken);
+        send.log("answer is not signed", head.status.as_u16());
+        send.target.on_end(Some(SendFailure::Broken));
+        return SendEnd::Failed(SendFailure::Broken);
     }
     let is_failure = head.status.is_server_error();
-    target.on_end(is_failure.then_some(SendFailure::TargetFailed));
+    send.target
+        .on_end(is_failure.then_some(SendFailure::TargetFailed));
     let mut response = Response::new(full_body(bytes));
     *response.status_mut() = head.status;
-    *response.headers_mut() = forwarded.context.protocol().caller_headers(&head.headers);
-    Ok(CompleteAnswer {
-        response,
-        is_failure,
-    })
+    *response.headers_mut() = send
+        .request
+        .context
+        .protocol()
+        .caller_headers(&head.headers);
+    if is_failure {
+        SendEnd::FailureAnswer(response)
+    } else {
+        SendEnd::Answer(response)
+    }
+}
+
+/// Waits for `timeout`; forever without one.
+async fn expire(timeout: Option<Duration>) {
+    match timeout {
+        Some(timeout) => tokio::time::sleep(timeout).await,
+        None => std::future::pending().await,
+    }
 }
--- a/lib/src/request/forward/context.rs
+++ b/lib/src/request/forward/context.rs
@@ -94,6 +94,10 @@
     /// other processes report; at most the time since the reservation.
     fn time_since_progress(&self) -> Duration;
 
+    /// Records that the target has been silent for too long, so that others are preferred. Returns
+    /// false if that is already recorded and no data has arrived since.
+    fn on_silence(&mut self) -> bool;
+
     /// Records how the send ended; `None` means with a complete answer.
     fn on_end(&mut self, end: Option<SendFailure>);
 }
--- a/lib/src/request/forward/handler.rs
+++ b/lib/src/request/forward/handler.rs
@@ -1,5 +1,6 @@
 //! Handles a forwarded request from its arrival to its answer.
 
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -18,6 +19,8 @@
 use super::protocol::CallerRequest;
 use super::protocol::Failure;
 use super::send::ForwardedRequest;
+use super::send::log_request;
+use super::sends::RequestSends;
 use super::stream::forward_stream;
 use crate::connection::body::ReadBodyError;
 use crate::connection::body::ResponseBody;
@@ -78,7 +81,7 @@
             }
         };
         let answer = match self.prepare(&document, head, body, &caller_request, started_at) {
-            Ok(forwarded) => forward(forwarded).await,
+            Ok(sends) => forward(sends).await,
             Err(failure) => Err(failure),
         };
         (caller_request, answer)
@@ -91,7 +94,7 @@
         body: Bytes,
         caller_request: &CallerRequest,
         started_at: Instant,
-    ) -> Result<ForwardedRequest<X>, Failure> {
+    ) -> Result<RequestSends<X>, Failure> {
         let authorized = document.authorize(
             &caller_request.host,
             head.uri.path(),
@@ -128,49 +131,46 @@
             time_left: timeout,
             is_new: caller_request.last_event.is_none(),
         };
-        Ok(ForwardedRequest {
+        let plan = SendPlan::new(route.kind, route.attempts_max, deadline, RETRY_AFTER);
+        let request = ForwardedRequest {
             context: self.context.clone(),
             head,
             body,
             caller_request: caller_request.clone(),
             account: authorized.account.map(|account| account.account.clone()),
-            plan: SendPlan::new(route.kind, route.attempts_max, deadline, RETRY_AFTER),
             route,
             service,
-            requirements,
+            deadline,
             started_at,
             is_logged,
-        })
+        };
+        Ok(RequestSends::new(request, plan, requirements))
     }
 }
 
-async fn forward<X>(forwarded: ForwardedRequest<X>) -> Result<Response<ResponseBody>, Failure>
+async fn forward<X>(sends: RequestSends<X>) -> Result<Response<ResponseBody>, Failure>
 where
     X: ForwardContext,
 {
-    let context = forwarded.context.clone();
-    let service = forwarded.service.clone();
-    let request_id = forwarded.caller_request.request_id.clone();
-    let route = forwarded.route.name.clone();
-    let is_stream = forwarded.route.kind.is_stream();
-    let started_at = forwarded.started_at;
-    let is_logged = forwarded.is_logged;
-    let left = forwarded.time_left();
+    let request = Arc::clone(&sends.request);
+    let context = &request.context;
+    let is_stream = request.route.kind.is_stream();
+    let left = request.time_left();
     let answered = if is_stream {
-        tokio::time::timeout(left, forward_stream(forwarded)).await
+        tokio::time::timeout(left, forward_stream(sends)).await
     } else {
-        tokio::time::timeout(left, forward_buffered(forwarded)).await
+        tokio::time::timeout(left, forward_buffered(sends)).await
     };
     // A target may be running the request at this point, so its result is unknown.
     let answered = answered.unwrap_or(Err(Failure::Unknown(UnknownReason::DeadlinePassed)));
-    let waited = context.now().saturating_duration_since(started_at);
+    let waited = context.now().saturating_duration_since(request.started_at);
     let outcome = match &answered {
         Ok(_) if is_stream => return answered,
         Ok(_) => "answered",
         Err(Failure::NotRun { .. }) => "not run",
         Err(_) => "failed",
     };
-    context.on_outcome(&service, outcome, waited);
+    context.on_outcome(&request.service, outcome, waited);
     let status = answered
         .as_ref()
         .map_or(0, |response| response.status().as_u16());
@@ -179,11 +179,8 @@
         .err()
         .map(ToString::to_string)
         .unwrap_or_default();
-    if !is_logged {
-        return answered;
-    }
-    log::info!(
-        request = request_id.as_str(), route = route.as_str(), status = status,
+    log_request!(
+        request, route = request.route.name.as_str(), status = status,
         failure = failure.as_str(), elapsed_ms = waited.as_millis() as u64, outcome = outcome;
         "request ended"
     );
--- a/lib/src/request/forward/mod.rs
+++ b/lib/src/request/forward/mod.rs
@@ -14,4 +14,5 @@
 pub mod protocol;
 pub mod sampling;
 mod send;
+mod sends;
 mod stream;
--- a/lib/src/request/forward/plan.rs
+++ b/lib/src/request/forward/plan.rs
@@ -142,6 +142,12 @@
         }
     }
 
+    /// Returns whether the request may be sent to another target while a silent send stays in
+    /// progress. The retry budget is checked separately.
+    pub fn may_send_beside(&self, now: Instant) -> bool {
+        self.kind.is_repeatable() && self.has_sends_left() && self.has_time(now)
+    }
+
     /// Returns how the request ends if it is not sent again. `reason` applies if it was not run.
     pub fn failure(&self, reason: NotRunReason) -> Failure {
         if self.may_have_run {
@@ -168,12 +174,13 @@
     }
 }
 
-/// The timeouts for the start of a target's answer, measured from the send.
+/// How long a target may take for the start of its answer before it counts as silent, measured from
+/// the send.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct AnswerTimeout {
-    /// The timeout for a target that is stalled, see [`AnswerTimeout::is_expired`].
+    /// The time for a target that is stalled, see [`AnswerTimeout::is_expired`].
     pub if_stalled: Duration,
-    /// The timeout for any target.
+    /// The time for any target.
     pub max: Duration,
 }
 
--- a/lib/src/request/forward/send.rs
+++ b/lib/src/request/forward/send.rs
@@ -1,31 +1,30 @@
-//! Reserves a target for a request and sends the request there once.
+//! Sends a request to a reserved target once.
 
+use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use http::Request;
+use http::Response;
 use http::request;
 use http::response;
 use hyper::body::Incoming;
+use tokio::sync::Notify;
 
 use super::context::ForwardContext;
-use super::context::NoTarget;
-use super::context::TargetRequirements;
 use super::context::TargetReservation;
 use super::plan::AnswerTimeout;
 use super::plan::SendFailure;
-use super::plan::SendPlan;
 use super::protocol::AnswerHead;
 use super::protocol::CallerProtocol as _;
 use super::protocol::CallerRequest;
-use super::protocol::Failure;
 use super::protocol::SendFields;
 use crate::connection::body::RequestBody;
 use crate::connection::client::ClientConnection;
 use crate::connection::client::SendError;
 use crate::ids::AccountId;
 use crate::ids::ServiceId;
-use crate::request::outcome::NotRunReason;
 use crate::version::routes::Route;
 
 /// The connect timeout: several round trips between data centres, but shorter than the delay before
@@ -33,8 +32,6 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// The interval of checks whether a target that sends nothing is stalled.
 pub(super) const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(50);
-/// The divisor of the latency target that gives the maximum wait for a target to become available.
-const TARGET_WAIT_DIVISOR: u32 = 9;
 
 /// Logs a line about a request if the request is sampled for logging.
 macro_rules! log_request {
@@ -61,7 +58,7 @@
     }
 }
 
-/// A request that is being forwarded, with the state of its sends.
+/// A request that is being forwarded.
 #[derive(Debug)]
 pub(super) struct ForwardedRequest<X> {
     pub(super) context: X,
@@ -71,16 +68,32 @@
     pub(super) route: Route,
     pub(super) service: ServiceId,
     pub(super) account: Option<AccountId>,
-    pub(super) plan: SendPlan,
-    pub(super) requirements: TargetRequirements,
-    pub(super) started_at: std::time::Instant,
+    pub(super) deadline: Instant,
+    pub(super) started_at: Instant,
     pub(super) is_logged: bool,
 }
 
+/// A send whose target is reserved.
+pub(super) struct PlannedSend<X>
+where
+    X: ForwardContext,
+{
+    pub(super) request: Arc<ForwardedRequest<X>>,
+    pub(super) target: X::Reservation,
+    /// The number of the send within the request, from 1.
+    pub(super) number: u32,
+    /// Whether the request may not be sent again after this send.
+    pub(super) is_last: bool,
+    /// Notified each time that the target has been silent for too long. The send goes on.
+    pub(super) silence: Arc<Notify>,
+}
+
 /// A target's answer whose head has arrived.
-#[derive(Debug)]
-pub(super) struct AnswerStart<U> {
-    pub(super) target: U,
+pub(super) struct AnswerStart<X>
+where
+    X: ForwardContext,
+{
+    pub(super) send: PlannedSend<X>,
     /// Kept while the body is read; dropping it closes the connection, so that the target can stop.
     pub(super) connection: ClientConnection,
     pub(super) head: response::Parts,
@@ -95,165 +108,144 @@
     /// Returns the time until the request's deadline.
     pub(super) fn time_left(&self) -> Duration {
         let now = self.context.now();
-        self.plan.deadline().saturating_duration_since(now)
+        self.deadline.saturating_duration_since(now)
     }
 
-    /// Reserves a target; if none serves such requests, waits for one for a short time.
-    pub(super) async fn reserve_target(&mut self) -> Result<X::Reservation, Failure> {
-        let wait_max = self.requirements.latency_target / TARGET_WAIT_DIVISOR;
-        let wait_until = tokio::time::Instant::now() + wait_max;
-        loop {
-            self.requirements.time_left = self.time_left();
-            self.requirements.is_new &= self.plan.sends() == 0;
-            let changed = self.context.targets_changed();
-            let no_target = match self.context.reserve_target(&self.requirements) {
-                Ok(target) => {
-                    self.log_choice(&target);
-                    return Ok(target);
-                }
-                Err(no_target) => no_target,
-            };
-            match no_target {
-                NoTarget::Busy {
-                    retry_after,
-                    queue_wait,
-                    candidates,
-                } => {
-                    log_request!(
-                        self, route = self.route.name.as_str(), service:% = self.service,
-                        weights:% = OrNone(self.requirements.weights.as_ref()),
-                        options = candidates,
-                        turn_wait_ms = queue_wait.as_millis() as u64,
-                        room_in_ms = retry_after.as_millis() as u64,
-                        is_new = self.requirements.is_new;
-                        "request is not sent: the queue is too long and no target is free"
-                    );
-                    let reason = NotRunReason::Overloaded;
-                    return Err(with_retry_after(self.plan.failure(reason), retry_after));
-                }
-                NoTarget::Absent => {
-                    let waited = tokio::time::timeout_at(wait_until, changed).await;
-                    if waited.is_err() {
-                        return Err(self.plan.failure(NotRunReason::NoTarget));
-                    }
-                }
-            }
-        }
-    }
-
-    fn log_choice(&self, target: &X::Reservation) {
-        let choice = target.choice_info();
-        let version = self.context.document().map(|document| document.version.0);
-        log_request!(
-            self, route = self.route.name.as_str(), service:% = self.service,
-            weights:% = OrNone(self.requirements.weights.as_ref()),
-            account:% = OrNone(self.account.as_ref()),
-            target:% = target.host(), options = choice.candidates, suspects = choice.suspects,
-            in_flight = choice.in_flight,
-            load_age_ms:% = OrNone(choice.load_age.map(|age| age.as_millis())),
-            expected_ms = target.expected_wait().as_millis() as u64,
-            excluded = self.requirements.excluded.len(), version:% = OrNone(version),
-            time_left_ms = self.time_left().as_millis() as u64;
-            "target is chosen"
-        );
+    pub(super) fn elapsed_ms(&self) -> u64 {
+        let now = self.context.now();
+        now.saturating_duration_since(self.started_at).as_millis() as u64
     }
+}
 
+impl<X> PlannedSend<X>
+where
+    X: ForwardContext,
+{
     /// Sends the request once and returns the start of the answer.
-    pub(super) async fn send_once(
-        &mut self,
-        mut target: X::Reservation,
+    ///
+    /// A target that exceeds `timeout` is reported as silent. The send ends only with the answer, a
+    /// failure or the request's deadline.
+    pub(super) async fn send(
+        mut self,
         last_event: Option<u64>,
-        timeout: AnswerTimeout,
-    ) -> Result<AnswerStart<X::Reservation>, SendFailure> {
-        self.plan.on_send();
-        let sent = self.exchange_heads(&target, last_event, timeout).await;
-        match sent {
-            Ok((connection, head, body)) => {
-                let answer = self.context.protocol().read_answer(&head);
-                if answer.is_not_run {
-                    let send_failure = if answer.is_misdirected {
-                        SendFailure::NotServing
-                    } else {
-                        SendFailure::NotRun
-                    };
-                    target.on_end(Some(send_failure));
-                    log_request!(
-                        self, route = self.route.name.as_str(), target:% = target.host(),
-                        send = self.plan.sends(), status = head.status.as_u16(),
-                        faulty_host:% = OrNone(answer.faulty_host.as_ref()),
-                        elapsed_ms = self.elapsed_ms();
-                        "refused by the target"
-                    );
-                    return Err(send_failure);
-                }
-                let is_matching =
-                    answer.request_id.as_ref() == Some(&self.caller_request.request_id);
-                if !is_matching || answer.is_encoded {
-                    target.on_end(Some(SendFailure::Broken));
-                    self.log_send(
-                        &target,
-                        "answer is not of this request",
-                        head.status.as_u16(),
-                    );
-                    return Err(SendFailure::Broken);
-                }
-                target.on_first_answer(answer.load);
-                Ok(AnswerStart {
-                    target,
-                    connection,
-                    head,
-                    answer,
-                    body,
-                })
-            }
+        timeout: Option<AnswerTimeout>,
+    ) -> Result<AnswerStart<X>, SendFailure> {
+        let sent = self.exchange_heads(last_event, timeout).await;
+        let (connection, head, body) = match sent {
+            Ok(sent) => sent,
             Err(send_failure) => {
-                target.on_end(Some(send_failure));
-                Err(send_failure)
+                self.target.on_end(Some(send_failure));
+                return Err(send_failure);
             }
+        };
+        let answer = self.request.context.protocol().read_answer(&head);
+        if let Err(send_failure) = self.check_answer(&head, &answer) {
+            self.target.on_end(Some(send_failure));
+            return Err(send_failure);
         }
+        self.target.on_first_answer(answer.load);
+        Ok(AnswerStart {
+            send: self,
+            connection,
+            head,
+            answer,
+            body,
+        })
+    }
+
+    fn check_answer(&self, head: &response::Parts, answer: &AnswerHead) -> Result<(), SendFailure> {
+        let request = &self.request;
+        if answer.is_not_run {
+            log_request!(
+                request, route = request.route.name.as_str(), target:% = self.target.host(),
+                send = self.number, status = head.status.as_u16(),
+                faulty_host:% = OrNone(answer.faulty_host.as_ref()),
+                elapsed_ms = request.elapsed_ms();
+                "refused by the target"
+            );
+            return Err(if answer.is_misdirected {
+                SendFailure::NotServing
+            } else {
+                SendFailure::NotRun
+            });
+        }
+        let is_matching = answer.request_id.as_ref() == Some(&request.caller_request.request_id);
+        if !is_matching || answer.is_encoded {
+            self.log("answer is not of this request", head.status.as_u16());
+            return Err(SendFailure::Broken);
+        }
+        Ok(())
     }
 
     async fn exchange_heads(
-        &self,
-        target: &X::Reservation,
+        &mut self,
         last_event: Option<u64>,
-        timeout: AnswerTimeout,
+        timeout: Option<AnswerTimeout>,
     ) -> Result<(ClientConnection, response::Parts, Incoming), SendFailure> {
-        let connect_timeout = CONNECT_TIMEOUT.min(self.time_left());
-        let opened = ClientConnection::open(target.address(), connect_timeout).await;
+        let connect_timeout = CONNECT_TIMEOUT.min(self.request.time_left());
+        let opened = ClientConnection::open(self.target.address(), connect_timeout).await;
         let mut connection = opened.map_err(|error| {
-            self.log_error(target, &error);
+            self.log_error(&error);
             SendFailure::NotSent
         })?;
         // The target may have become unusable while the connection was opened.
-        if !target.is_still_usable() {
+        if !self.target.is_still_usable() {
             return Err(SendFailure::NotSent);
         }
-        let request = self.target_request(target, last_event);
-        let sent = tokio::select! {
-            sent = connection.send(request) => sent,
-            () = self.answer_timeout(target, timeout) => {
-                self.log_send(target, "no answer in time", 0);
-                return Err(SendFailure::Silent);
-            }
-        };
-        let response = sent.map_err(|error| {
-            self.log_error(target, &error);
-            match error {
-                SendError::NotSent { .. } => SendFailure::NotSent,
-                SendError::MaybeSent { .. } => SendFailure::Broken,
-            }
-        })?;
+        let request = self.target_request(last_event);
+        let response = self
+            .wait_for_head(connection.send(request), timeout)
+            .await?;
         let (head, body) = response.into_parts();
         Ok((connection, head, body))
     }
 
-    /// Waits until the timeout for the start of the target's answer expires.
-    async fn answer_timeout(&self, target: &X::Reservation, timeout: AnswerTimeout) {
-        let started_at = self.context.now();
+    async fn wait_for_head<F>(
+        &mut self,
+        sent: F,
+        timeout: Option<AnswerTimeout>,
+    ) -> Result<Response<Incoming>, SendFailure>
+    where
+        F: Future<Output = Result<Response<Incoming>, SendError>>,
+    {
+        let mut sent = std::pin::pin!(sent);
+        let mut deadline = std::pin::pin!(tokio::time::sleep(self.request.time_left()));
+        loop {
+            tokio::select! {
+                sent = &mut sent => return sent.map_err(|error| {
+                    self.log_error(&error);
+                    match error {
+                        SendError::NotSent { .. } => SendFailure::NotSent,
+                        SendError::MaybeSent { .. } => SendFailure::Broken,
+                    }
+                }),
+                () = &mut deadline => {
+                    self.log("no answer in time", 0);
+                    return Err(SendFailure::Silent);
+                }
+                () = self.exceed_timeout(timeout) => self.on_silence(),
+            }
+        }
+    }
+
+    /// Reports that the target has been silent for too long.
+    pub(super) fn on_silence(&mut self) {
+        if self.target.on_silence() {
+            self.log("target is silent", 0);
+        }
+        self.silence.notify_one();
+    }
+
+    /// Waits until the target exceeds the timeout for the start of its answer, counted from now.
+    async fn exceed_timeout(&self, timeout: Option<AnswerTimeout>) {
+        let Some(timeout) = timeout else {
+            return std::future::pending().await;
+        };
+        let started_at = self.request.context.now();
         loop {
-            let waited = self.context.now().saturating_duration_since(started_at);
-            if timeout.is_expired(waited, target.time_since_progress()) {
+            let now = self.request.context.now();
+            let waited = now.saturating_duration_since(started_at);
+            if timeout.is_expired(waited, self.target.time_since_progress()) {
                 return;
             }
             let next = if waited < timeout.if_stalled {
@@ -265,68 +257,38 @@
         }
     }
 
-    fn target_request(
-        &self,
-        target: &X::Reservation,
-        last_event: Option<u64>,
-    ) -> Request<RequestBody> {
+    fn target_request(&self, last_event: Option<u64>) -> Request<RequestBody> {
+        let forwarded = &self.request;
         let fields = SendFields {
-            target: target.host().clone(),
-            account: self.account.clone(),
-            time_left: self.time_left(),
+            target: self.target.host().clone(),
+            account: forwarded.account.clone(),
+            time_left: forwarded.time_left(),
             last_event,
         };
-        let protocol = self.context.protocol();
-        let mut request = Request::new(RequestBody::new(self.body.clone()));
-        *request.method_mut() = self.head.method.clone();
-        *request.uri_mut() = self.head.uri.clone();
-        *request.headers_mut() = protocol.target_headers(&self.head.headers, &fields);
+        let protocol = forwarded.context.protocol();
+        let mut request = Request::new(RequestBody::new(forwarded.body.clone()));
+        *request.method_mut() = forwarded.head.method.clone();
+        *request.uri_mut() = forwarded.head.uri.clone();
+        *request.headers_mut() = protocol.target_headers(&forwarded.head.headers, &fields);
         request
     }
 
-    pub(super) fn log_send(&self, target: &X::Reservation, message: &str, status: u16) {
-        log_request!(self, route = self.route.name.as_str(),
-            target:% = target.host(), send = self.plan.sends(), status = status,
-            elapsed_ms = self.elapsed_ms(), time_left_ms = self.time_left().as_millis() as u64;
+    pub(super) fn log(&self, message: &str, status: u16) {
+        let request = &self.request;
+        log_request!(request, route = request.route.name.as_str(),
+            target:% = self.target.host(), send = self.number, status = status,
+            elapsed_ms = request.elapsed_ms(),
+            time_left_ms = request.time_left().as_millis() as u64;
             "{message}"
         );
     }
 
-    fn log_error(&self, target: &X::Reservation, error: &SendError) {
-        log_request!(self, route = self.route.name.as_str(),
-            target:% = target.host(), send = self.plan.sends(), elapsed_ms = self.elapsed_ms();
+    fn log_error(&self, error: &SendError) {
+        let request = &self.request;
+        log_request!(request, route = request.route.name.as_str(),
+            target:% = self.target.host(), send = self.number,
+            elapsed_ms = request.elapsed_ms();
             "send failed: {error}"
         );
     }
-
-    pub(super) fn elapsed_ms(&self) -> u64 {
-        let now = self.context.now();
-        now.saturating_duration_since(self.started_at).as_millis() as u64
-    }
-
-    /// Excludes a target from the further sends of the request.
-    pub(super) fn exclude(&mut self, target: &crate::ids::HostId) {
-        if !self.requirements.excluded.contains(target) {
-            self.requirements.excluded.push(target.clone());
-        }
-    }
-
-    /// Decides what to do after a failed send.
-    pub(super) fn next_step(&mut self, send_failure: SendFailure) -> super::plan::NextStep {
-        let now = self.context.now();
-        let context = self.context.clone();
-        let service = self.service.clone();
-        self.plan
-            .on_send_failure(send_failure, now, || context.try_spend_retry(&service))
-    }
-}
-
-fn with_retry_after(failure: Failure, retry_after: Duration) -> Failure {
-    match failure {
-        Failure::NotRun { reason, .. } => Failure::NotRun {
-            reason,
-            retry_after,
-        },
-        other => other,
-    }
 }
--- /dev/null
+++ b/lib/src/request/forward/sends.rs
@@ -0,0 +1,239 @@
+//! The sends of one request: chooses their targets and runs them until one brings an answer.
+//!
+//! A send whose target falls silent stays in progress, because a sound target may pause and go on.
+//! If the request may be repeated, it is sent to another target beside it, and the first answer of
+//! either is used.
+
+use std::sync::Arc;
+
+use futures_util::StreamExt as _;
+use futures_util::stream::FuturesUnordered;
+use tokio::sync::Notify;
+
+use super::context::ForwardContext;
+use super::context::NoTarget;
+use super::context::TargetRequirements;
+use super::context::TargetReservation as _;
+use super::plan::NextStep;
+use super::plan::SendFailure;
+use super::plan::SendPlan;
+use super::protocol::Failure;
+use super::send::ForwardedRequest;
+use super::send::OrNone;
+use super::send::PlannedSend;
+use super::send::log_request;
+use crate::request::outcome::NotRunReason;
+
+/// The divisor of the latency target that gives the maximum wait for a target to become available.
+const TARGET_WAIT_DIVISOR: u32 = 9;
+
+/// How a send ended.
+pub(super) enum SendEnd<T> {
+    /// The answer to return.
+    Answer(T),
+    /// The target's failure answer, which is returned if no other send brings an answer.
+    FailureAnswer(T),
+    /// No complete answer.
+    Failed(SendFailure),
+}
+
+/// The state of a request's sends.
+#[derive(Debug)]
+pub(super) struct RequestSends<X> {
+    pub(super) request: Arc<ForwardedRequest<X>>,
+    pub(super) plan: SendPlan,
+    pub(super) requirements: TargetRequirements,
+    /// Notified when the target of a send has been silent for too long.
+    silence: Arc<Notify>,
+}
+
+impl<X> RequestSends<X>
+where
+    X: ForwardContext,
+{
+    /// Creates the state of a request that was not sent yet.
+    pub(super) fn new(
+        request: ForwardedRequest<X>,
+        plan: SendPlan,
+        requirements: TargetRequirements,
+    ) -> Self {
+        Self {
+            request: Arc::new(request),
+            plan,
+            requirements,
+            silence: Arc::new(Notify::new()),
+        }
+    }
+
+    /// Plans a send; if no target serves such requests, waits for one for a short time.
+    pub(super) async fn next_send(&mut self) -> Result<PlannedSend<X>, Failure> {
+        let wait_max = self.requirements.latency_target / TARGET_WAIT_DIVISOR;
+        let wait_until = tokio::time::Instant::now() + wait_max;
+        let request = Arc::clone(&self.request);
+        loop {
+            let changed = request.context.targets_changed();
+            match self.reserve_target() {
+                Ok(target) => return Ok(self.planned(target)),
+                Err(NoTarget::Busy { retry_after, .. }) => {
+                    return Err(match self.plan.failure(NotRunReason::Overloaded) {
+                        Failure::NotRun { reason, .. } => Failure::NotRun {
+                            reason,
+                            retry_after,
+                        },
+                        other => other,
+                    });
+                }
+                Err(NoTarget::Absent) => {
+                    let waited = tokio::time::timeout_at(wait_until, changed).await;
+                    if waited.is_err() {
+                        return Err(self.plan.failure(NotRunReason::NoTarget));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Plans a send beside those in progress. Returns `None` if the plan, the targets or the retry
+    /// budget don't allow it now.
+    pub(super) fn next_send_beside(&mut self) -> Option<PlannedSend<X>> {
+        if !self.plan.may_send_beside(self.request.context.now()) {
+            return None;
+        }
+        let target = self.reserve_target().ok()?;
+        let is_granted = self.request.context.try_spend_retry(&self.request.service);
+        is_granted.then(|| self.planned(target))
+    }
+
+    fn planned(&mut self, target: X::Reservation) -> PlannedSend<X> {
+        self.log_choice(&target);
+        self.requirements.excluded.push(target.host().clone());
+        self.plan.on_send();
+        PlannedSend {
+            request: Arc::clone(&self.request),
+            target,
+            number: self.plan.sends(),
+            is_last: !self.plan.has_sends_left(),
+            silence: Arc::clone(&self.silence),
+        }
+    }
+
+    fn reserve_target(&mut self) -> Result<X::Reservation, NoTarget> {
+        let request = &self.request;
+        self.requirements.time_left = request.time_left();
+        self.requirements.is_new &= self.plan.sends() == 0;
+        let reserved = request.context.reserve_target(&self.requirements);
+        if let Err(NoTarget::Busy {
+            retry_after,
+            queue_wait,
+            candidates,
+        }) = &reserved
+        {
+            log_request!(
+                request, route = request.route.name.as_str(), service:% = request.service,
+                weights:% = OrNone(self.requirements.weights.as_ref()),
+                options = *candidates,
+                turn_wait_ms = queue_wait.as_millis() as u64,
+                room_in_ms = retry_after.as_millis() as u64,
+                is_new = self.requirements.is_new;
+                "request is not sent: the queue is too long and no target is free"
+            );
+        }
+        reserved
+    }
+
+    fn log_choice(&self, target: &X::Reservation) {
+        let request = &self.request;
+        let choice = target.choice_info();
+        let version = request
+            .context
+            .document()
+            .map(|document| document.version.0);
+        log_request!(
+            request, route = request.route.name.as_str(), service:% = request.service,
+            weights:% = OrNone(self.requirements.weights.as_ref()),
+            account:% = OrNone(request.account.as_ref()),
+            target:% = target.host(), options = choice.candidates, suspects = choice.suspects,
+            in_flight = choice.in_flight,
+            load_age_ms:% = OrNone(choice.load_age.map(|age| age.as_millis())),
+            expected_ms = target.expected_wait().as_millis() as u64,
+            excluded = self.requirements.excluded.len(), version:% = OrNone(version),
+            time_left_ms = request.time_left().as_millis() as u64;
+            "target is chosen"
+        );
+    }
+
+    /// Decides what to do after a failed send, when no other is in progress.
+    pub(super) fn next_step(&mut self, send_failure: SendFailure) -> NextStep {
+        let request = &self.request;
+        let now = request.context.now();
+        self.plan.on_send_failure(send_failure, now, || {
+            request.context.try_spend_retry(&request.service)
+        })
+    }
+
+    /// Records a failed send while others are in progress.
+    fn on_failure_beside(&mut self, send_failure: SendFailure) {
+        let now = self.request.context.now();
+        // Without a retry the plan only records the failure.
+        self.plan.on_send_failure(send_failure, now, || false);
+    }
+}
+
+/// Runs `first` and further sends until one brings an answer, no further one is possible, or the
+/// deadline passes. `start` runs a send to its end.
+///
+/// Without an answer, the last failure answer of a target is returned, if there is one.
+pub(super) async fn first_answer<X, S, F, T>(
+    sends: &mut RequestSends<X>,
+    first: PlannedSend<X>,
+    start: S,
+) -> Result<T, Failure>
+where
+    X: ForwardContext,
+    S: Fn(PlannedSend<X>) -> F,
+    F: Future<Output = SendEnd<T>>,
+{
+    let silence = Arc::clone(&sends.silence);
+    let mut deadline = std::pin::pin!(tokio::time::sleep(sends.request.time_left()));
+    let mut in_progress = FuturesUnordered::new();
+    in_progress.push(start(first));
+    let mut failure_answer = None;
+    loop {
+        let end = tokio::select! {
+            Some(end) = in_progress.next() => end,
+            () = silence.notified() => {
+                in_progress.extend(sends.next_send_beside().map(&start));
+                continue;
+            }
+            () = &mut deadline => {
+                return failure_answer.ok_or(sends.plan.timeout_failure());
+            }
+        };
+        let send_failure = match end {
+            SendEnd::Answer(answer) => return Ok(answer),
+            SendEnd::FailureAnswer(answer) => {
+                failure_answer = Some(answer);
+                SendFailure::TargetFailed
+            }
+            SendEnd::Failed(send_failure) => send_failure,
+        };
+        if !in_progress.is_empty() {
+            sends.on_failure_beside(send_failure);
+            in_progress.extend(sends.next_send_beside().map(&start));
+            continue;
+        }
+        if sends.request.time_left().is_zero() {
+            return failure_answer.ok_or(sends.plan.timeout_failure());
+        }
+        match sends.next_step(send_failure) {
+            NextStep::SendAgain => match sends.next_send().await {
+                Ok(send) => in_progress.push(start(send)),
+                Err(failure) => return failure_answer.ok_or(failure),
+            },
+            NextStep::ReturnTargetFailure => {
+                return failure_answer.ok_or(sends.plan.timeout_failure());
+            }
+            NextStep::End(failure) => return failure_answer.ok_or(failure),
+        }
+    }
+}
--- a/lib/src/request/forward/stream.rs
+++ b/lib/src/request/forward/stream.rs
@@ -1,5 +1,6 @@
 //! Forwards requests whose answers are streams of events.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -19,10 +20,13 @@
 use super::protocol::CallerProtocol as _;
 use super::protocol::Failure;
 use super::send::AnswerStart;
-use super::send::ForwardedRequest;
 use super::send::OrNone;
+use super::send::PlannedSend;
 use super::send::STALL_CHECK_INTERVAL;
 use super::send::log_request;
+use super::sends::RequestSends;
+use super::sends::SendEnd;
+use super::sends::first_answer;
 use crate::connection::body::BodySender;
 use crate::connection::body::ResponseBody;
 use crate::connection::body::full_body;
@@ -35,13 +39,15 @@
 const FAILURE_BODY_LIMIT_BYTES: usize = 1024 * 1024;
 
 /// A target's stream, which is forwarded from its first event on.
-struct OpenStream<U> {
-    answer_start: AnswerStart<U>,
+struct OpenStream<X>
+where
+    X: ForwardContext,
+{
+    answer_start: AnswerStart<X>,
     splitter: EventSplitter,
-    /// The first event, until it is forwarded.
+    /// The next event, if it has arrived and is not forwarded yet.
     pending: Option<Bytes>,
-    /// Whether the stream ended without an event.
-    is_empty: bool,
+    has_ended: bool,
 }
 
 /// The next item of a stream.
@@ -53,165 +59,141 @@
 /// Opens a stream at a target and returns the start of the answer; a spawned task forwards the
 /// events.
 pub(super) async fn forward_stream<X>(
-    mut forwarded: ForwardedRequest<X>,
+    mut sends: RequestSends<X>,
 ) -> Result<Response<ResponseBody>, Failure>
 where
     X: ForwardContext,
 {
-    let position = StreamPosition::new(forwarded.caller_request.last_event);
-    let stream = match open_stream(&mut forwarded, &position).await? {
-        Opened::Stream(stream) => stream,
+    let position = StreamPosition::new(sends.request.caller_request.last_event);
+    let first = sends.next_send().await?;
+    let stream = match open_stream(&mut sends, first, &position).await? {
+        Opened::Stream(stream) => *stream,
         Opened::Answer(response) => return Ok(response),
     };
-    let waited = forwarded
-        .context
+    let context = &sends.request.context;
+    let waited = context
         .now()
-        .saturating_duration_since(forwarded.started_at);
-    forwarded.context.on_first_event(&forwarded.service, waited);
-    let protocol = forwarded.context.protocol();
+        .saturating_duration_since(sends.request.started_at);
+    context.on_first_event(&sends.request.service, waited);
+    let protocol = context.protocol();
     let headers = protocol.caller_headers(&stream.answer_start.head.headers);
     let status = stream.answer_start.head.status;
     let (sender, body) = streamed_body();
-    tokio::spawn(forward_to_end(forwarded, stream, position, sender));
+    tokio::spawn(forward_to_end(sends, stream, position, sender));
     let mut response = Response::new(body);
     *response.status_mut() = status;
     *response.headers_mut() = headers;
     Ok(response)
 }
 
-enum Opened<U> {
-    Stream(OpenStream<U>),
+enum Opened<X>
+where
+    X: ForwardContext,
+{
+    Stream(Box<OpenStream<X>>),
     /// The target answered with another status than 200.
     Answer(Response<ResponseBody>),
 }
 
-/// Sends the request to targets until the first event of a stream arrives, a stream ends without
+/// Runs `first` and further sends until the first event of a stream arrives, a stream ends without
 /// an event, or no further send is possible.
 async fn open_stream<X>(
-    forwarded: &mut ForwardedRequest<X>,
+    sends: &mut RequestSends<X>,
+    first: PlannedSend<X>,
     position: &StreamPosition,
-) -> Result<Opened<X::Reservation>, Failure>
+) -> Result<Opened<X>, Failure>
 where
     X: ForwardContext,
 {
-    loop {
-        let target = forwarded.reserve_target().await?;
-        let host = target.host().clone();
-        let send_failure = match open_once(forwarded, target, position).await {
-            Ok(Opened::Answer(response)) => {
-                forwarded.exclude(&host);
-                match forwarded.next_step(SendFailure::TargetFailed) {
-                    NextStep::SendAgain => continue,
-                    NextStep::ReturnTargetFailure | NextStep::End(_) => {
-                        return Ok(Opened::Answer(response));
-                    }
-                }
-            }
-            Ok(opened) => return Ok(opened),
-            Err(send_failure) => send_failure,
-        };
-        forwarded.exclude(&host);
-        if forwarded.time_left().is_zero() {
-            return Err(forwarded.plan.timeout_failure());
-        }
-        match forwarded.next_step(send_failure) {
-            NextStep::SendAgain => {}
-            NextStep::ReturnTargetFailure => return Err(forwarded.plan.timeout_failure()),
-            NextStep::End(failure) => return Err(failure),
-        }
-    }
+    let last_event = position.last_event();
+    first_answer(sends, first, |send| open_once(send, last_event)).await
 }
 
-async fn open_once<X>(
-    forwarded: &mut ForwardedRequest<X>,
-    target: X::Reservation,
-    position: &StreamPosition,
-) -> Result<Opened<X::Reservation>, SendFailure>
+async fn open_once<X>(send: PlannedSend<X>, last_event: Option<u64>) -> SendEnd<Opened<X>>
 where
     X: ForwardContext,
 {
-    let timeout = first_event_timeout(forwarded, &target);
-    let last_event = position.last_event();
-    let mut answer_start = forwarded.send_once(target, last_event, timeout).await?;
+    let timeout = first_event_timeout(&send);
+    let answer_start = match send.send(last_event, timeout).await {
+        Ok(answer_start) => answer_start,
+        Err(send_failure) => return SendEnd::Failed(send_failure),
+    };
     if answer_start.head.status != StatusCode::OK {
-        return read_failure_answer(forwarded, answer_start).await;
-    }
-    if !answer_start.answer.is_signed {
-        answer_start.target.on_end(Some(SendFailure::Broken));
-        return Err(SendFailure::Broken);
+        return read_failure_answer(answer_start).await;
     }
     let mut stream = OpenStream {
         answer_start,
         splitter: EventSplitter::new(),
         pending: None,
-        is_empty: false,
+        has_ended: false,
     };
-    match next_item(forwarded, &mut stream, timeout.if_stalled).await {
-        Ok(StreamItem::Event(event)) => stream.pending = Some(event),
-        Ok(StreamItem::End) => stream.is_empty = true,
+    let result = if stream.answer_start.answer.is_signed {
+        let limit = timeout.map_or(STREAM_IDLE_LIMIT, |timeout| timeout.if_stalled);
+        wait_for_item(&mut stream, limit).await
+    } else {
+        Err(SendFailure::Broken)
+    };
+    let send = &mut stream.answer_start.send;
+    match result {
+        Ok(()) => SendEnd::Answer(Opened::Stream(Box::new(stream))),
         Err(send_failure) => {
-            forwarded.log_send(
-                &stream.answer_start.target,
-                "stream ended before its first event",
-                0,
-            );
-            stream.answer_start.target.on_end(Some(send_failure));
-            return Err(send_failure);
+            send.log("stream ended before its first event", 0);
+            send.target.on_end(Some(send_failure));
+            SendEnd::Failed(send_failure)
         }
     }
-    Ok(Opened::Stream(stream))
 }
 
-async fn read_failure_answer<X>(
-    forwarded: &ForwardedRequest<X>,
-    answer_start: AnswerStart<X::Reservation>,
-) -> Result<Opened<X::Reservation>, SendFailure>
+async fn read_failure_answer<X>(answer_start: AnswerStart<X>) -> SendEnd<Opened<X>>
 where
     X: ForwardContext,
 {
     let AnswerStart {
-        mut target,
+        mut send,
         connection,
         head,
         body,
         ..
     } = answer_start;
-    let read = read_body(body, FAILURE_BODY_LIMIT_BYTES, forwarded.time_left()).await;
+    let read = read_body(body, FAILURE_BODY_LIMIT_BYTES, send.request.time_left()).await;
     drop(connection);
-    target.on_end(Some(SendFailure::TargetFailed));
-    let bytes = read.map_err(|_| SendFailure::Broken)?;
-    forwarded.log_send(
-        &target,
-        "target answered with an error status",
-        head.status.as_u16(),
-    );
+    send.target.on_end(Some(SendFailure::TargetFailed));
+    let Ok(bytes) = read else {
+        return SendEnd::Failed(SendFailure::Broken);
+    };
+    send.log("target answered with an error status", head.status.as_u16());
     let mut response = Response::new(full_body(bytes));
     *response.status_mut() = head.status;
-    *response.headers_mut() = forwarded.context.protocol().caller_headers(&head.headers);
-    Ok(Opened::Answer(response))
+    *response.headers_mut() = send
+        .request
+        .context
+        .protocol()
+        .caller_headers(&head.headers);
+    SendEnd::FailureAnswer(Opened::Answer(response))
 }
 
-/// Returns the timeouts for the head of a stream's answer. `if_stalled` also limits the wait for
-/// the first event after it. On the last send, both are the time to the request's deadline.
-fn first_event_timeout<X>(forwarded: &ForwardedRequest<X>, target: &X::Reservation) -> AnswerTimeout
+/// Returns how long a target may take for the head of a stream's answer before it counts as silent,
+/// or `None` for the last send. `if_stalled` also applies to the first event after the head.
+fn first_event_timeout<X>(send: &PlannedSend<X>) -> Option<AnswerTimeout>
 where
     X: ForwardContext,
 {
-    let left = forwarded.time_left();
-    if forwarded.plan.sends() + 1 >= forwarded.route.attempts_max {
-        return AnswerTimeout::fixed(left);
+    if send.is_last {
+        return None;
     }
-    let if_stalled = target.expected_wait() * 2 + forwarded.route.latency_target;
-    AnswerTimeout {
+    let left = send.request.time_left();
+    let if_stalled = send.target.expected_wait() * 2 + send.request.route.latency_target;
+    Some(AnswerTimeout {
         if_stalled: left.min(if_stalled),
         max: left.min(if_stalled + STREAM_IDLE_LIMIT),
-    }
+    })
 }
 
-/// Forwards events until the stream ends. If the target fails, resumes the stream at another one.
+/// Forwards events until the stream ends. If the target fails or falls silent, resumes the stream
+/// at another one.
 async fn forward_to_end<X>(
-    mut forwarded: ForwardedRequest<X>,
-    mut stream: OpenStream<X::Reservation>,
+    mut sends: RequestSends<X>,
+    mut stream: OpenStream<X>,
     mut position: StreamPosition,
     sender: BodySender,
 ) where
@@ -219,49 +201,37 @@
 {
     let outcome = loop {
         let result = tokio::select! {
-            result = forward_events(&forwarded, &mut stream, &mut position, &sender) => result,
+            result = forward_events(&mut stream, &mut position, &sender) => result,
             () = sender.closed() => Err(ForwardEnd::CallerDisconnected),
         };
         let send_failure = match result {
             Ok(()) => {
-                stream.answer_start.target.on_end(None);
+                stream.answer_start.send.target.on_end(None);
                 break "complete";
             }
             Err(ForwardEnd::CallerDisconnected) => break "caller gone",
             Err(ForwardEnd::Deadline) => break "timed out",
             Err(ForwardEnd::Failed(send_failure)) => send_failure,
         };
-        stream.answer_start.target.on_end(Some(send_failure));
-        let host = stream.answer_start.target.host().clone();
-        log_request!(forwarded, target:% = host, end:% = send_failure,
-            events = position.delivered(), last_event:% = OrNone(position.last_event()),
-            elapsed_ms = forwarded.elapsed_ms();
-            "stream broke off at its target"
-        );
-        forwarded.exclude(&host);
-        match forwarded.next_step(send_failure) {
-            NextStep::SendAgain => {}
-            NextStep::ReturnTargetFailure | NextStep::End(_) => break "broken off",
-        }
-        let resumed = tokio::select! {
-            resumed = open_stream(&mut forwarded, &position) => resumed,
+        let recovered = tokio::select! {
+            recovered = recover(&mut sends, &mut stream, &position, send_failure) => recovered,
             () = sender.closed() => break "caller gone",
         };
-        match resumed {
-            Ok(Opened::Stream(next)) => stream = next,
-            Ok(Opened::Answer(_)) | Err(_) => break "broken off",
+        if !recovered {
+            break "broken off";
         }
     };
-    let waited = forwarded
+    let request = &sends.request;
+    let waited = request
         .context
         .now()
-        .saturating_duration_since(forwarded.started_at);
-    forwarded
+        .saturating_duration_since(request.started_at);
+    request
         .context
-        .on_outcome(&forwarded.service, outcome, waited);
-    log_request!(forwarded, route = forwarded.route.name.as_str(),
-        target:% = stream.answer_start.target.host(), sends = forwarded.plan.sends(),
-        events = position.delivered(), elapsed_ms = forwarded.elapsed_ms(), outcome = outcome;
+        .on_outcome(&request.service, outcome, waited);
+    log_request!(request, route = request.route.name.as_str(),
+        target:% = stream.answer_start.send.target.host(), sends = sends.plan.sends(),
+        events = position.delivered(), elapsed_ms = request.elapsed_ms(), outcome = outcome;
         "stream ended"
     );
     if outcome == "complete" {
@@ -269,6 +239,95 @@
     }
 }
 
+/// Returns whether the answer can go on, from the same target or from another one that then
+/// replaces it in `stream`.
+async fn recover<X>(
+    sends: &mut RequestSends<X>,
+    stream: &mut OpenStream<X>,
+    position: &StreamPosition,
+    send_failure: SendFailure,
+) -> bool
+where
+    X: ForwardContext,
+{
+    let send_failure = if send_failure == SendFailure::Silent {
+        match resume_beside(sends, stream, position).await {
+            Ok(()) => return true,
+            Err(send_failure) => send_failure,
+        }
+    } else {
+        send_failure
+    };
+    end_send(stream, position, send_failure);
+    match sends.next_step(send_failure) {
+        NextStep::SendAgain => {}
+        NextStep::ReturnTargetFailure | NextStep::End(_) => return false,
+    }
+    let Ok(send) = sends.next_send().await else {
+        return false;
+    };
+    match open_stream(sends, send, position).await {
+        Ok(Opened::Stream(next)) => {
+            *stream = *next;
+            true
+        }
+        Ok(Opened::Answer(_)) | Err(_) => false,
+    }
+}
+
+/// Resumes a silent stream at another target, if possible, until either target sends an event.
+///
+/// Fails if the stream breaks in the meantime and is not resumed.
+async fn resume_beside<X>(
+    sends: &mut RequestSends<X>,
+    stream: &mut OpenStream<X>,
+    position: &StreamPosition,
+) -> Result<(), SendFailure>
+where
+    X: ForwardContext,
+{
+    stream.answer_start.send.on_silence();
+    let Some(send) = sends.next_send_beside() else {
+        return Ok(());
+    };
+    let mut opening = std::pin::pin!(open_stream(sends, send, position));
+    let result = tokio::select! {
+        result = wait_for_item(stream, STREAM_IDLE_LIMIT) => result,
+        opened = &mut opening => {
+            if let Ok(Opened::Stream(next)) = opened {
+                end_send(stream, position, SendFailure::Silent);
+                *stream = *next;
+            }
+            return Ok(());
+        }
+    };
+    let Err(send_failure) = result else {
+        return Ok(());
+    };
+    if let Ok(Opened::Stream(next)) = opening.await {
+        end_send(stream, position, send_failure);
+        *stream = *next;
+        return Ok(());
+    }
+    Err(send_failure)
+}
+
+/// Records that a stream is no longer read.
+fn end_send<X>(stream: &mut OpenStream<X>, position: &StreamPosition, send_failure: SendFailure)
+where
+    X: ForwardContext,
+{
+    let PlannedSend {
+        request, target, ..
+    } = &mut stream.answer_start.send;
+    target.on_end(Some(send_failure));
+    log_request!(request, target:% = target.host(), end:% = send_failure,
+        events = position.delivered(), last_event:% = OrNone(position.last_event()),
+        elapsed_ms = request.elapsed_ms();
+        "stream broke off at its target"
+    );
+}
+
 /// Why the forwarding of events from one target stopped before the end of the stream.
 enum ForwardEnd {
     Failed(SendFailure),
@@ -277,33 +336,26 @@
 }
 
 async fn forward_events<X>(
-    forwarded: &ForwardedRequest<X>,
-    stream: &mut OpenStream<X::Reservation>,
+    stream: &mut OpenStream<X>,
     position: &mut StreamPosition,
     sender: &BodySender,
 ) -> Result<(), ForwardEnd>
 where
     X: ForwardContext,
 {
-    if stream.is_empty {
-        return Ok(());
-    }
+    let request = Arc::clone(&stream.answer_start.send.request);
+    let protocol = request.context.protocol();
     loop {
-        let event = match stream.pending.take() {
-            Some(event) => event,
-            None => {
-                let left = forwarded.time_left();
-                if left.is_zero() {
-                    return Err(ForwardEnd::Deadline);
-                }
-                match next_item(forwarded, stream, STREAM_IDLE_LIMIT.min(left)).await {
-                    Ok(StreamItem::Event(event)) => event,
-                    Ok(StreamItem::End) => return Ok(()),
-                    Err(send_failure) => return Err(ForwardEnd::Failed(send_failure)),
-                }
-            }
+        if request.time_left().is_zero() {
+            return Err(ForwardEnd::Deadline);
+        }
+        let item = next_item(stream, STREAM_IDLE_LIMIT.min(request.time_left())).await;
+        let event = match item {
+            Ok(StreamItem::Event(event)) => event,
+            Ok(StreamItem::End) => return Ok(()),
+            Err(send_failure) => return Err(ForwardEnd::Failed(send_failure)),
         };
-        let id = forwarded.context.protocol().event_id(&event);
+        let id = protocol.event_id(&event);
         match position.classify(id) {
             EventPosition::Duplicate => continue,
             EventPosition::AfterGap => return Err(ForwardEnd::Failed(SendFailure::Broken)),
@@ -316,44 +368,72 @@
     }
 }
 
+/// Waits until the next event is pending or the stream has ended, at most until the request's
+/// deadline. The target is reported each time that it is silent for `limit`.
+async fn wait_for_item<X>(stream: &mut OpenStream<X>, limit: Duration) -> Result<(), SendFailure>
+where
+    X: ForwardContext,
+{
+    loop {
+        match next_item(stream, limit).await {
+            Ok(StreamItem::Event(event)) => {
+                stream.pending = Some(event);
+                return Ok(());
+            }
+            Ok(StreamItem::End) => return Ok(()),
+            Err(SendFailure::Silent) if !stream.answer_start.send.request.time_left().is_zero() => {
+                stream.answer_start.send.on_silence();
+            }
+            Err(send_failure) => return Err(send_failure),
+        }
+    }
+}
+
 /// Waits for the next complete event or the end of a stream. The wait fails as
-/// [`SendFailure::Silent`] after `limit`, or earlier if the target is stalled.
+/// [`SendFailure::Silent`] after `limit`, or earlier if the target is stalled; the stream can still
+/// go on then.
 async fn next_item<X>(
-    forwarded: &ForwardedRequest<X>,
-    stream: &mut OpenStream<X::Reservation>,
+    stream: &mut OpenStream<X>,
     limit: Duration,
 ) -> Result<StreamItem, SendFailure>
 where
     X: ForwardContext,
 {
-    let started = forwarded.context.now();
+    if let Some(event) = stream.pending.take() {
+        return Ok(StreamItem::Event(event));
+    }
+    let send = &mut stream.answer_start.send;
+    let started = send.request.context.now();
     loop {
         if let Some(event) = stream.splitter.next_event() {
             return Ok(StreamItem::Event(event));
         }
+        if stream.has_ended {
+            return Ok(StreamItem::End);
+        }
         if stream.splitter.is_oversized() {
             return Err(SendFailure::Broken);
         }
         let frame = stream.answer_start.body.frame();
         match tokio::time::timeout(STALL_CHECK_INTERVAL, frame).await {
             Ok(Some(Ok(frame))) => {
-                stream.answer_start.target.on_progress();
+                send.target.on_progress();
                 if let Some(data) = frame.data_ref() {
                     stream.splitter.push(data);
                 }
             }
             Ok(Some(Err(error))) => {
-                log_request!(forwarded, target:% = stream.answer_start.target.host();
-                    "stream broke: {error}"
-                );
+                let request = &send.request;
+                log_request!(request, target:% = send.target.host(); "stream broke: {error}");
                 return Err(SendFailure::Broken);
             }
             Ok(None) if stream.splitter.has_partial_event() => return Err(SendFailure::Broken),
-            Ok(None) => return Ok(StreamItem::End),
+            Ok(None) => stream.has_ended = true,
             Err(_) => {
-                let waited = forwarded.context.now().saturating_duration_since(started);
-                let is_stalled = waited >= STALL_LIMIT
-                    && stream.answer_start.target.time_since_own_progress() >= STALL_LIMIT;
+                let now = send.request.context.now();
+                let waited = now.saturating_duration_since(started);
+                let is_stalled =
+                    waited >= STALL_LIMIT && send.target.time_since_own_progress() >= STALL_LIMIT;
                 if waited >= limit || is_stalled {
                     return Err(SendFailure::Silent);
                 }
--- a/lib/tests/test_forward.rs
+++ b/lib/tests/test_forward.rs
@@ -217,6 +217,20 @@
     );
 }
 
+#[test]
+fn plan_send_beside_silent_one_needs_repeatable_kind_and_sends_left() {
+    let now = Instant::now();
+    let mut non_idempotent = plan(RouteKind::NonIdempotent, 2, now);
+    non_idempotent.on_send();
+    assert!(!non_idempotent.may_send_beside(now));
+    let mut stream = plan(STREAM, 2, now);
+    stream.on_send();
+    assert!(stream.may_send_beside(now));
+    assert!(!stream.may_send_beside(now + Duration::from_millis(990)));
+    stream.on_send();
+    assert!(!stream.may_send_beside(now));
+}
+
 fn draw_first(_count: usize) -> usize {
     0
 }
@@ -325,6 +339,19 @@
     assert_eq!(usage.get(&host).unwrap().in_flight(stale), 2.0);
 }
 
+#[test]
+fn usage_silent_target_is_suspect_and_does_not_count_as_failing() {
+    let now = Instant::now();
+    let host = "host-1".parse().unwrap();
+    let mut usage = UsageTracker::new();
+    usage.on_start(&host, 0, now);
+    usage.on_silence(&host, now);
+    let tracked = usage.get(&host).unwrap();
+    assert!(tracked.is_suspect(now));
+    assert!(!tracked.is_suspect(now + Duration::from_secs(2)));
+    assert_eq!(tracked.failure_share(now), 0.0);
+}
+
 #[test]
 fn usage_target_without_connection_is_suspect_temporarily() {
     let now = Instant::now();
