tests: a stream of an engine that pauses, on the product's own interface

The cause of the answers lost at silent targets acts on the HTTP interface too: after the silence bound the entry asks the engine on a new connection, and when that is silent as well it ends the request.

--- a/cli/tests/cluster.rs
+++ b/cli/tests/cluster.rs
@@ -44,7 +44,7 @@
 const WAIT_TIMEOUT: Duration = Duration::from_secs(30);
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 const LIMIT_BYTES: usize = 1 << 20;
-const DOCUMENT: &str = include_str!("../../docs/examples/commons.ini");
+pub(crate) const DOCUMENT: &str = include_str!("../../docs/examples/commons.ini");
 
 /// An entry in a separate process.
 pub(crate) struct Entry {
@@ -381,10 +381,15 @@
 
 /// Writes the example document and its head row to the platform as version 1.
 pub(crate) async fn apply_document(platform: SocketAddr) {
+    apply_document_text(platform, DOCUMENT).await;
+}
+
+/// Stores a document and puts it in force.
+pub(crate) async fn apply_document_text(platform: SocketAddr, text: &str) {
     let client = HttpPlatform::new(platform, WAIT_TIMEOUT, SystemClock);
-    let digest = digest_of(DOCUMENT.as_bytes());
+    let digest = digest_of(text.as_bytes());
     let key = format!("document/{digest}");
-    let stored = client.put_object(key, DOCUMENT.as_bytes().to_vec()).await;
+    let stored = client.put_object(key, text.as_bytes().to_vec()).await;
     stored.unwrap();
     let head = HeadRow {
         version: DocumentVersion(1),
--- a/cli/tests/test_streams.rs
+++ b/cli/tests/test_streams.rs
@@ -1,5 +1,7 @@
 //! Tests of streamed answers through an entry in a separate process, with failing engines.
 
+use std::time::Duration;
+
 use beryltray_lib::platform::ListedHost;
 use beryltray_lib::platform::ListedState;
 use beryltray_stand_ins::answer::full_answer_text;
@@ -10,8 +12,9 @@
 use beryltray_stand_ins::server::RunningStandIn;
 use http::Method;
 
+use crate::cluster::DOCUMENT;
 use crate::cluster::Entry;
-use crate::cluster::apply_document;
+use crate::cluster::apply_document_text;
 use crate::cluster::eventually;
 use crate::cluster::set_faults;
 use crate::cluster::spawn_entry;
@@ -31,6 +34,10 @@
 
 impl ModelCluster {
     async fn start() -> Self {
+        Self::start_with_document(DOCUMENT).await
+    }
+
+    async fn start_with_document(document: &str) -> Self {
         let mut engines = Vec::new();
         let mut hosts = Vec::new();
         for number in 0..HOSTS {
@@ -52,7 +59,7 @@
             ..PlatformSettings::default()
         };
         let platform = platform::start(settings).await.unwrap();
-        apply_document(platform.address()).await;
+        apply_document_text(platform.address(), document).await;
         let entry = spawn_entry("entry-1", "lakes-a", platform.address(), &[]).await;
         eventually(async || entry.has_metric(OPEN_GROUP).await).await;
         Self {
@@ -159,3 +166,34 @@
         "{streamed:?}"
     );
 }
+
+/// Pauses all engines for several silence bounds, from some time after a request is sent.
+async fn request_beside_pause(
+    cluster: &ModelCluster,
+    pause_after: Duration,
+) -> Option<(u16, String)> {
+    let pause = async {
+        tokio::time::sleep(pause_after).await;
+        cluster.set_faults(r#"{"is_paused": true}"#).await;
+        tokio::time::sleep(Duration::from_millis(1_500)).await;
+        cluster.set_faults(r#"{"is_paused": false}"#).await;
+    };
+    let (answer, ()) = tokio::join!(cluster.request_stream("m1"), pause);
+    answer
+}
+
+// Guards against streams that were ended because their engine paused for longer than the silence
+// bound.
+#[tokio::test]
+async fn stream_of_pausing_engine_is_complete() {
+    let document = DOCUMENT.replace("silence-bound = 3s", "silence-bound = 200ms");
+    for pause_after_ms in [0, 60, 120] {
+        let cluster = ModelCluster::start_with_document(&document).await;
+        cluster.set_faults(r#"{"slowness_percent": 400}"#).await;
+        let pause_after = Duration::from_millis(pause_after_ms);
+        let (status, text) = request_beside_pause(&cluster, pause_after).await.unwrap();
+        assert_eq!(status, 200, "{pause_after_ms} ms: {text}");
+        assert!(text.ends_with("data: [DONE]\n\n"), "{text}");
+        assert_eq!(text.matches("\nid: ").count() as u64 + 1, TOKENS);
+    }
+}
