request: silence of an engine ends no answer on the HTTP interface either

Callers got a 502 or a broken stream when an engine paused for longer than the silence bound and then went on, if the request could be neither resumed nor retried.

An attempt whose head is late is now given up only for a target that was chosen and a retry that was granted. A silent stream stays open while it is resumed or retried, and is read on if that fails; it is reported to the router only when it is replaced or ends.

--- a/lib/src/request/attempt.rs
+++ b/lib/src/request/attempt.rs
@@ -60,7 +60,7 @@
         /// Why the result is unknown.
         reason: UnknownReason,
     },
-    /// The head of the answer did not arrive within [`AttemptPlan::head_timeout`].
+    /// The head of the answer did not arrive in time, and the attempt was given up.
     #[display("the target did not answer in time")]
     Silent,
 }
@@ -116,20 +116,25 @@
     pub resume_from_tokens: u64,
     /// Whether a pooled connection may be used.
     pub connection: ConnectionChoice,
-    /// The maximum wait for the head of the answer, from the send.
+    /// How long the target may take for the head of the answer before it counts as silent.
     pub head_timeout: Duration,
     /// Whether the target is trusted when it attests a refusal before execution.
     pub has_trusted_refusals: bool,
 }
 
 /// Sends an attempt once, if the target's gate is still open, and checks the head of the answer.
-pub async fn start_attempt<E>(
+///
+/// If the head takes longer than its timeout, `on_silence` returns how much longer to wait for it,
+/// or `None` to give the attempt up as [`AttemptFailure::Silent`].
+pub async fn start_attempt<E, S>(
     state: &E,
     request: &CallerRequest,
     plan: &AttemptPlan,
+    mut on_silence: S,
 ) -> Result<EntryAnswer<E>, AttemptFailure>
 where
     E: EntryContext,
+    S: FnMut() -> Option<Duration>,
 {
     let targets = state.targets();
     let not_sent = |source| AttemptFailure::NotSent { source };
@@ -142,9 +147,13 @@
         return Err(AttemptFailure::GateClosed);
     }
     let sent = targets.submit(connection, submission(request, plan));
-    let answered = match tokio::time::timeout(plan.head_timeout, sent).await {
-        Err(_) => return Err(AttemptFailure::Silent),
-        Ok(answered) => answered,
+    let mut sent = std::pin::pin!(sent);
+    let mut timeout = plan.head_timeout;
+    let answered = loop {
+        match tokio::time::timeout(timeout, &mut sent).await {
+            Ok(answered) => break answered,
+            Err(_) => timeout = on_silence().ok_or(AttemptFailure::Silent)?,
+        }
     };
     let answer = answered.map_err(|error| match error {
         SendError::NotSent { .. } => not_sent(error),
--- a/lib/src/request/dispatch.rs
+++ b/lib/src/request/dispatch.rs
@@ -167,11 +167,17 @@
 where
     E: EntryContext,
 {
+    let mut target = choose_target(state, context, tracker.avoid.as_ref())?;
     loop {
         tracker.state.tries += 1;
-        let target = choose_target(state, context, tracker.avoid.as_ref())?;
         let plan = plan_attempt(state, context, tracker.attempt.clone(), target.clone());
-        let started = start_attempt(state, &context.request, &plan);
+        let mut replacement = None;
+        let on_silence = || {
+            replacement = replace_silent(state, context, tracker, &target);
+            let left = context.silence_bound(state.clock().now());
+            (replacement.is_none() && !left.is_zero()).then_some(left)
+        };
+        let started = start_attempt(state, &context.request, &plan, on_silence);
         let failure = match started.await {
             Ok(answer) => {
                 return Ok(Dispatched {
@@ -183,14 +189,44 @@
             Err(failure) => failure,
         };
         record_failure(state, context, &target, &failure);
-        if let Err(reason) = allow_retry(state, context, tracker, &failure) {
+        let was_sent = !failure.is_not_run();
+        if replacement.is_none()
+            && let Err(reason) = allow_retry(state, context, tracker, &failure)
+        {
             log::debug!(request:% = context.request.id; "no further try: {reason}");
             return Err(request_failure(state, context, failure));
         }
-        tracker.prepare_retry(target.choice.target, !failure.is_not_run());
+        tracker.prepare_retry(target.choice.target, was_sent);
+        target = match replacement {
+            Some(replacement) => replacement,
+            None => choose_target(state, context, tracker.avoid.as_ref())?,
+        };
     }
 }
 
+/// Returns the target that replaces a silent one, or `None` if the request has to wait for it,
+/// because no other target is open or no retry is allowed.
+fn replace_silent<E>(
+    state: &E,
+    context: &RequestContext,
+    tracker: &AttemptTracker,
+    silent: &ChosenTarget,
+) -> Option<ChosenTarget>
+where
+    E: EntryContext,
+{
+    let replacement = choose_target(state, context, Some(&silent.choice.target)).ok()?;
+    let target = &replacement.choice.target;
+    let is_other = *target != silent.choice.target;
+    if is_other && allow_retry(state, context, tracker, &AttemptFailure::Silent).is_ok() {
+        return Some(replacement);
+    }
+    let now = state.clock().now();
+    let service = &context.request.service;
+    state.services().on_finished(service, target, None, now);
+    None
+}
+
 /// Returns the failure of a request; a target that did not answer until the deadline is reported as
 /// a passed deadline.
 fn request_failure<E>(
--- a/lib/src/request/token_stream.rs
+++ b/lib/src/request/token_stream.rs
@@ -20,6 +20,7 @@
 use super::stream_recovery::StreamRecovery;
 use super::stream_recovery::StreamRecoveryState;
 use crate::clock::Clock;
+use crate::ids::AttemptId;
 use crate::ids::ServiceId;
 use crate::ids::TargetId;
 use crate::target::AnswerError;
@@ -98,6 +99,7 @@
                 return Err(UnknownReason::ConnectionLost.into());
             };
             let step = next_step(&mut current.answer, self.next_index, silence_bound).await;
+            let is_silent = step == StreamStep::Silent;
             let failure = match step {
                 StreamStep::Token { data } => return Ok(self.on_token(state, context, data)),
                 StreamStep::Note { data } => return Ok(StreamPart::Note { data }),
@@ -111,27 +113,37 @@
             if context.remaining(state.clock().now()).is_zero() {
                 return Err(UnknownReason::DeadlinePassed.into());
             }
-            self.recover(state, context, failure).await?;
+            let Some(broken) = self.current.take() else {
+                return Err(failure.into());
+            };
+            let (attempt, target) = (broken.attempt.clone(), broken.target.clone());
+            let recovered = self.recover(state, context, attempt, target, failure, is_silent);
+            match recovered.await {
+                Ok(next) => self.current = Some(next),
+                // The target may go on: silence by itself ends no answer before its deadline.
+                Err(_) if is_silent => self.current = Some(broken),
+                Err(failure) => return Err(failure),
+            }
         }
     }
 
-    /// Resumes the answer, retries the request, or returns the failure of the request.
+    /// Resumes a broken or silent attempt or retries the request. Returns the answer to go on with,
+    /// or the failure of the request.
+    ///
+    /// The attempt is reported to the router unless it is silent and not replaced.
     async fn recover<E>(
         &mut self,
         state: &E,
         context: &RequestContext,
+        attempt: AttemptId,
+        target: ChosenTarget,
         reason: UnknownReason,
-    ) -> Result<(), RequestFailure>
+        is_silent: bool,
+    ) -> Result<Dispatched<A>, RequestFailure>
     where
         E: EntryContext,
         E::Targets: TargetClient<Answer = A>,
     {
-        let Some(broken) = self.current.take() else {
-            return Err(reason.into());
-        };
-        let Dispatched {
-            attempt, target, ..
-        } = broken;
         let failure = classify_failure(state, context, &target, reason).await;
         let now = state.clock().now();
         let service = &context.request.service;
@@ -149,55 +161,47 @@
         match decided {
             Some(StreamRecovery::Resume { .. }) => {
                 let plan = AttemptPlan {
-                    attempt: attempt.clone(),
-                    target: target.clone(),
+                    attempt,
+                    target,
                     resume_from_tokens: self.next_index,
                     connection: ConnectionChoice::New,
                     head_timeout: context.silence_bound(now),
                     has_trusted_refusals: false,
                 };
-                self.resume(state, context, plan).await
+                let resumed = start_attempt(state, &context.request, &plan, || None).await;
+                match resumed {
+                    Ok(answer) => Ok(Dispatched {
+                        attempt: plan.attempt,
+                        target: plan.target,
+                        answer,
+                    }),
+                    Err(failure) => {
+                        if !is_silent {
+                            super::dispatch::record_failure(state, context, &plan.target, &failure);
+                        }
+                        Err(UnknownReason::ConnectionLost.into())
+                    }
+                }
             }
             Some(StreamRecovery::Retry) => {
-                record_stream_failure(state, service, &target.choice.target, failure, now);
-                self.tracker.prepare_retry(target.choice.target, true);
-                self.current = Some(dispatch(state, context, &mut self.tracker).await?);
-                Ok(())
+                let mut tracker = self.tracker.clone();
+                tracker.prepare_retry(target.choice.target.clone(), true);
+                let retried = dispatch(state, context, &mut tracker).await;
+                if retried.is_ok() || !is_silent {
+                    record_stream_failure(state, service, &target.choice.target, failure, now);
+                    self.tracker = tracker;
+                }
+                retried
             }
             Some(StreamRecovery::EndBroken { .. }) | None => {
-                record_stream_failure(state, service, &target.choice.target, failure, now);
+                if !is_silent {
+                    record_stream_failure(state, service, &target.choice.target, failure, now);
+                }
                 Err(reason.into())
             }
         }
     }
 
-    async fn resume<E>(
-        &mut self,
-        state: &E,
-        context: &RequestContext,
-        plan: AttemptPlan,
-    ) -> Result<(), RequestFailure>
-    where
-        E: EntryContext,
-        E::Targets: TargetClient<Answer = A>,
-    {
-        let started = start_attempt(state, &context.request, &plan);
-        match started.await {
-            Ok(answer) => {
-                self.current = Some(Dispatched {
-                    attempt: plan.attempt,
-                    target: plan.target,
-                    answer,
-                });
-                Ok(())
-            }
-            Err(failure) => {
-                super::dispatch::record_failure(state, context, &plan.target, &failure);
-                Err(UnknownReason::ConnectionLost.into())
-            }
-        }
-    }
-
     fn on_token<E>(&mut self, state: &E, context: &RequestContext, data: String) -> StreamPart
     where
         E: EntryContext,
