entry: tests of signals in series to processes under load

Callers keep connections open and requests in flight while a process gets SIGTERM, SIGHUP and changes in series. Every request that reached the target must get a whole answer or a refusal.

--- a/cli/tests/runner.rs
+++ b/cli/tests/runner.rs
@@ -1,11 +1,21 @@
 //! The integration tests, built as one binary.
 
 mod cluster;
+mod gateway_process;
+#[path = "../../platform/tests/paced_target.rs"]
+mod paced_target;
+#[allow(
+    dead_code,
+    reason = "the tests of the platform adapter use the other parts"
+)]
+#[path = "../../platform/tests/stand_in.rs"]
+mod stand_in;
 mod test_callers;
 mod test_check_history_command;
 mod test_config_command;
 mod test_docs;
 mod test_entry_command;
+mod test_entry_signals;
 mod test_experiment_command;
 mod test_load_command;
 mod test_promises;
