entry: a repeated SIGTERM does not cut the drain short

Callers saw answers that ended without a last byte, and connections that closed without an answer, when an entry got SIGTERM more than once. Any second signal cancelled the immediate token, which aborts all requests in flight.

SIGTERM now starts the drain and never does more: a supervisor that wants the process to end sends SIGKILL. A second SIGINT still ends the process at once. Both interfaces use the same handler.

The test of the HTTP interface also sends one SIGINT now.

--- a/cli/src/commands/entry.rs
+++ b/cli/src/commands/entry.rs
@@ -60,7 +60,7 @@
 ///
 /// SIGTERM or SIGINT shuts the process down gracefully: /ready turns false, new requests are still
 /// served until the load balancer has noticed, then the listener closes and the requests in flight
-/// are completed. A second signal ends the process at once.
+/// are completed. Further SIGTERMs change nothing. A second SIGINT ends the process at once.
 ///
 /// Exit codes: 0 shut down by a signal; 2 the settings are invalid, an address is in use, or the entry
 /// failed.
@@ -197,17 +197,30 @@
     run_entry(settings, clock, platform, targets, shutdown).await
 }
 
+/// Cancels the shutdown tokens on signals.
+///
+/// The first SIGTERM or SIGINT starts the drain. A further SIGTERM does not cut it short, since a
+/// supervisor may repeat it and sends SIGKILL when the process has to end. A second SIGINT ends the
+/// process at once.
 async fn forward_signals(signals: (Signal, Signal), shutdown: ShutdownTokens) {
     let (mut terminate, mut interrupt) = signals;
-    wait_for_signal(&mut terminate, &mut interrupt).await;
-    shutdown.graceful.cancel();
-    wait_for_signal(&mut terminate, &mut interrupt).await;
-    shutdown.immediate.cancel();
-}
-
-async fn wait_for_signal(terminate: &mut Signal, interrupt: &mut Signal) {
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+    let mut is_interrupted = false;
+    loop {
+        tokio::select! {
+            Some(()) = terminate.recv() => {
+                if shutdown.graceful.is_cancelled() {
+                    log::info!("SIGTERM is ignored: the process is shutting down");
+                }
+            }
+            Some(()) = interrupt.recv() => {
+                if is_interrupted {
+                    shutdown.immediate.cancel();
+                    return;
+                }
+                is_interrupted = true;
+            }
+            else => return,
+        }
+        shutdown.graceful.cancel();
     }
 }
--- a/cli/tests/test_entry_signals.rs
+++ b/cli/tests/test_entry_signals.rs
@@ -194,7 +194,11 @@
 #[tokio::test]
 async fn entry_repeated_sigterm_on_http_interface_cuts_no_request() {
     let mut held = HeldRequest::start().await;
-    let signals = [SignalName::Terminate, SignalName::Terminate];
+    let signals = [
+        SignalName::Terminate,
+        SignalName::Interrupt,
+        SignalName::Terminate,
+    ];
     assert!(held.answer_after(&signals).await);
     assert!(held.entry.process.wait().await.unwrap().success());
 }
