entry: SIGHUP reads the settings again on the HTTP interface too

An entry with the HTTP interface had no handler for SIGHUP, so the signal killed the process and cut all requests in flight. Only the tables interface handled it, and only once its settings were parsed.

The handler is now installed with those of SIGTERM and SIGINT, before the settings are parsed, and both kinds of settings are read again by the same task. The log level changes at once; the log says whether the rest needs a restart.

--- a/cli/src/commands/entry.rs
+++ b/cli/src/commands/entry.rs
@@ -25,6 +25,7 @@
 use derive_more::Display;
 use derive_more::Error;
 use derive_more::From;
+use log::LevelFilter;
 use tokio::signal::unix::Signal;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
@@ -62,6 +63,9 @@
 /// served until the load balancer has noticed, then the listener closes and the requests in flight
 /// are completed. Further SIGTERMs change nothing. A second SIGINT ends the process at once.
 ///
+/// SIGHUP reads the settings file again. Only the log level changes at once; the log says whether
+/// other changes need a restart.
+///
 /// Exit codes: 0 shut down by a signal; 2 the settings are invalid, an address is in use, or the entry
 /// failed.
 #[derive(Args, Debug)]
@@ -95,16 +99,17 @@
             signal(SignalKind::terminate())?,
             signal(SignalKind::interrupt())?,
         );
+        let reloads = signal(SignalKind::hangup())?;
         tokio::spawn(forward_signals(signals, shutdown.clone()));
         if is_tables_interface(&text) {
             let settings = GatewaySettings::parse(&file, &text)?;
             limit_log_level(settings.log_level);
-            let reloads = signal(SignalKind::hangup())?;
             tokio::spawn(reload_on_hangup(self.settings, settings.clone(), reloads));
             run_tables_entry(settings, shutdown).await?;
         } else {
             let settings = EntrySettings::parse(&file, &text)?;
             limit_log_level(settings.log_level);
+            tokio::spawn(reload_on_hangup(self.settings, settings.clone(), reloads));
             run_http_entry(settings, shutdown).await?;
         }
         Ok(ExitCode::SUCCESS)
@@ -127,11 +132,51 @@
     })
 }
 
+/// The settings of a process that reads them again on SIGHUP.
+trait ReloadableSettings: PartialEq + Sized {
+    fn parse(file: &str, text: &str) -> Result<Self, IniErrors>;
+
+    fn log_level(&self) -> LevelFilter;
+
+    fn set_log_level(&mut self, level: LevelFilter);
+}
+
+impl ReloadableSettings for GatewaySettings {
+    fn parse(file: &str, text: &str) -> Result<Self, IniErrors> {
+        Self::parse(file, text)
+    }
+
+    fn log_level(&self) -> LevelFilter {
+        self.log_level
+    }
+
+    fn set_log_level(&mut self, level: LevelFilter) {
+        self.log_level = level;
+    }
+}
+
+impl ReloadableSettings for EntrySettings {
+    fn parse(file: &str, text: &str) -> Result<Self, IniErrors> {
+        Self::parse(file, text)
+    }
+
+    fn log_level(&self) -> LevelFilter {
+        self.log_level
+    }
+
+    fn set_log_level(&mut self, level: LevelFilter) {
+        self.log_level = level;
+    }
+}
+
 /// Reloads the settings on each SIGHUP.
 ///
 /// Only the log level changes at once. The other settings are addresses and bounds that are fixed for
 /// the lifetime of the process; the log line reports whether a change of them needs a restart.
-async fn reload_on_hangup(path: PathBuf, mut current: GatewaySettings, mut reloads: Signal) {
+async fn reload_on_hangup<S>(path: PathBuf, mut current: S, mut reloads: Signal)
+where
+    S: ReloadableSettings,
+{
     let file = path.display().to_string();
     while reloads.recv().await.is_some() {
         let text = match tokio::fs::read_to_string(&path).await {
@@ -141,10 +186,10 @@
                 continue;
             }
         };
-        match GatewaySettings::parse(&file, &text) {
+        match S::parse(&file, &text) {
             Ok(settings) => {
-                limit_log_level(settings.log_level);
-                current.log_level = settings.log_level;
+                limit_log_level(settings.log_level());
+                current.set_log_level(settings.log_level());
                 let needs_restart = settings != current;
                 log::info!(needs_restart = needs_restart; "settings are read again");
             }
@@ -153,7 +198,7 @@
     }
 }
 
-fn limit_log_level(level: log::LevelFilter) {
+fn limit_log_level(level: LevelFilter) {
     if std::env::var_os(env_logger::DEFAULT_FILTER_ENV).is_none() {
         log::set_max_level(level);
     }
