entry: a test of a paused stream that no other target can resume

A stream that may be resumed is cut too when its target pauses and there is no other target. The settings file that a test changes stays valid when it is changed twice.

--- a/cli/tests/gateway_process.rs
+++ b/cli/tests/gateway_process.rs
@@ -112,6 +112,8 @@
     callers: SocketAddr,
     readiness: SocketAddr,
     settings: PathBuf,
+    /// The text of the settings file at the start.
+    settings_text: String,
     version: u64,
 }
 
@@ -157,7 +159,7 @@
              [shutdown]\nlimit = 8s\n"
         );
         let settings = std::env::temp_dir().join(format!("gateway-{}.ini", new_attempt_id()));
-        std::fs::write(&settings, text).unwrap();
+        std::fs::write(&settings, &text).unwrap();
         let process = Command::new(env!("CARGO_BIN_EXE_beryltray"))
             .arg("entry")
             .arg("--settings")
@@ -173,6 +175,7 @@
             callers,
             readiness,
             settings,
+            settings_text: text,
             version: 1,
         }
     }
@@ -229,8 +232,8 @@
 
     /// Changes the settings file.
     pub(crate) fn change_settings(&self) {
-        let text = std::fs::read_to_string(&self.settings).unwrap();
-        std::fs::write(&self.settings, format!("{text}[log]\nlevel = warn\n")).unwrap();
+        let text = format!("{}[log]\nlevel = warn\n", self.settings_text);
+        std::fs::write(&self.settings, text).unwrap();
     }
 
     /// Waits until the process has ended.
@@ -277,6 +280,7 @@
                     events: random.random_range(4..60),
                     interval: Duration::from_millis(50),
                     pause: Duration::ZERO,
+                    is_resumable: false,
                 }
             };
             let answer = send(&mut connection, pace, &id, &target).await;
--- a/cli/tests/test_entry_signals.rs
+++ b/cli/tests/test_entry_signals.rs
@@ -132,22 +132,34 @@
     }
 }
 
-/// Guards against a stream that is cut because its target paused although it can't be resumed: the
-/// target goes on, and its whole answer has to reach the caller.
-#[tokio::test]
-async fn entry_paused_stream_during_drain_is_whole() {
+/// Sends a request for a stream in which the target pauses, and SIGTERM during the pause.
+async fn request_paused_stream(is_resumable: bool) -> CallEnd {
     let mut gateway = GatewayProcess::start().await;
     let pace = AnswerPace::Stream {
         events: 20,
         interval: Duration::from_millis(20),
         pause: Duration::from_millis(2_500),
+        is_resumable,
     };
     let (end, ()) = tokio::join!(gateway.call(pace, "paused"), async {
         eventually(async || gateway.target.has_received("paused")).await;
         SignalName::Terminate.send(&gateway.process).await;
     });
-    assert_eq!(end, CallEnd::Whole);
     assert!(gateway.wait().await.success());
+    end
+}
+
+/// Guards against a stream that is cut because its target paused although it can't be resumed: the
+/// target goes on, and its whole answer has to reach the caller.
+#[tokio::test]
+async fn entry_paused_stream_during_drain_is_whole() {
+    assert_eq!(request_paused_stream(false).await, CallEnd::Whole);
+}
+
+/// Guards against the loss of a stream that could be resumed, but for which there is no other target.
+#[tokio::test]
+async fn entry_paused_stream_without_other_target_is_whole() {
+    assert_eq!(request_paused_stream(true).await, CallEnd::Whole);
 }
 
 const BOOK: &str = "book-slot";
