entry: a test of a request without an answer at the stop limit

A request whose target has not answered when the stop limit is reached ends with a closed connection. The other tests now also assert that no request is answered with 502 or 504.

--- a/cli/tests/gateway_process.rs
+++ b/cli/tests/gateway_process.rs
@@ -70,6 +70,8 @@
     Whole,
     /// The gateway refused the request with a whole answer.
     Refused,
+    /// The gateway answered with a failure that does not say whether the request ran.
+    Failed,
     /// The connection closed without an answer, and the request did not reach the target.
     NotRead,
     /// The request reached the target, and its answer is missing or incomplete.
@@ -89,10 +91,11 @@
     /// Returns the counts of all ends as a text.
     pub(crate) fn summary(&self) -> String {
         format!(
-            "{} requests: {} whole, {} refused, {} not read, {} cut",
+            "{} requests: {} whole, {} refused, {} failed, {} not read, {} cut",
             self.0.len(),
             self.count(CallEnd::Whole),
             self.count(CallEnd::Refused),
+            self.count(CallEnd::Failed),
             self.count(CallEnd::NotRead),
             self.count(CallEnd::Cut)
         )
@@ -125,11 +128,16 @@
 
 impl GatewayProcess {
     /// Starts a gateway and waits until it serves.
+    pub(crate) async fn start() -> Self {
+        Self::start_with_stop_limit("8s").await
+    }
+
+    /// Starts a gateway with this time from SIGTERM to its end, and waits until it serves.
     ///
     /// Tries other ports if another process took one of the free ports first.
-    pub(crate) async fn start() -> Self {
+    pub(crate) async fn start_with_stop_limit(limit: &str) -> Self {
         loop {
-            let mut gateway = Self::spawn().await;
+            let mut gateway = Self::spawn(limit).await;
             if gateway.wait_until_serving().await {
                 return gateway;
             }
@@ -137,7 +145,7 @@
     }
 
     /// Starts the process of a gateway without waiting until it listens.
-    pub(crate) async fn spawn() -> Self {
+    async fn spawn(stop_limit: &str) -> Self {
         let store = StoreStandIn::default();
         let store_address = start(store.clone()).await;
         let target = start_paced_target(&store).await;
@@ -156,7 +164,7 @@
             "[entry]\nname = entry-1\ndata-centre = lakes-a\n\
              [listen]\ncallers = {callers}\nreadiness = {readiness}\npeers = {peers}\n\
              [platform]\ninterface = tables\naddress = {store_address}\n\
-             [shutdown]\nlimit = 8s\n"
+             [shutdown]\nlimit = {stop_limit}\n"
         );
         let settings = std::env::temp_dir().join(format!("gateway-{}.ini", new_attempt_id()));
         std::fs::write(&settings, &text).unwrap();
@@ -320,6 +328,7 @@
     let end = match (is_whole, head.status) {
         (true, _) => CallEnd::Whole,
         (false, StatusCode::SERVICE_UNAVAILABLE) => CallEnd::Refused,
+        (false, StatusCode::BAD_GATEWAY | StatusCode::GATEWAY_TIMEOUT) => CallEnd::Failed,
         (false, _) => CallEnd::Cut,
     };
     CallAnswer {
--- a/cli/tests/test_entry_signals.rs
+++ b/cli/tests/test_entry_signals.rs
@@ -60,6 +60,7 @@
 /// Asserts that requests were served and none was cut.
 fn assert_none_cut(ends: &CallEnds) {
     assert!(ends.count(CallEnd::Whole) > 0, "{}", ends.summary());
+    assert_eq!(ends.count(CallEnd::Failed), 0, "{}", ends.summary());
     assert_eq!(ends.count(CallEnd::Cut), 0, "{}", ends.summary());
 }
 
@@ -123,12 +124,8 @@
     while let Some(run) = runs.join_next().await {
         let (seed, ends) = run.unwrap();
         let steps = generated_steps(seed);
-        assert_eq!(
-            ends.count(CallEnd::Cut),
-            0,
-            "seed {seed}: {}: {steps:?}",
-            ends.summary()
-        );
+        let cut = ends.count(CallEnd::Cut) + ends.count(CallEnd::Failed);
+        assert_eq!(cut, 0, "seed {seed}: {}: {steps:?}", ends.summary());
     }
 }
 
@@ -162,6 +159,21 @@
     assert_eq!(request_paused_stream(true).await, CallEnd::Whole);
 }
 
+/// Guards against a request that ends without an answer because its target has none at the stop limit.
+#[tokio::test]
+async fn entry_unanswered_request_at_stop_limit_is_failed() {
+    let mut gateway = GatewayProcess::start_with_stop_limit("3s").await;
+    let pace = AnswerPace::Plain {
+        delay: Duration::from_secs(20),
+    };
+    let (end, ()) = tokio::join!(gateway.call(pace, "unanswered"), async {
+        eventually(async || gateway.target.has_received("unanswered")).await;
+        SignalName::Terminate.send(&gateway.process).await;
+    });
+    assert_eq!(end, CallEnd::Failed);
+    assert!(gateway.wait().await.success());
+}
+
 const BOOK: &str = "book-slot";
 
 /// An entry with the HTTP interface, and a request that its target holds.
