gateway: requests without an answer at the stop limit get a failure

At that time these requests now get 502, which promises nothing, and the process waits up to 0.25 s for the answers to leave. Dropping the request closes its connection to the target, as before. A stream that has begun can't be given a status any more and is still cut.

--- a/lib/src/process/gateway/context.rs
+++ b/lib/src/process/gateway/context.rs
@@ -176,6 +176,10 @@
         self.state.lifecycle.stage() >= Stage::Draining
     }
 
+    async fn stop_limit_reached(&self) {
+        self.state.lifecycle.wait_until_reached(Stage::Ending).await;
+    }
+
     fn on_request(&self, service: &ServiceId, request_id: &str) -> bool {
         let now = self.now();
         let retry = &self.state.settings.retry;
--- a/lib/src/process/gateway/run.rs
+++ b/lib/src/process/gateway/run.rs
@@ -40,6 +40,8 @@
 const DRAIN_NOTICE: Duration = Duration::from_millis(2_300);
 /// The part of the stop limit that is left for the shutdown of the process after its requests.
 const SHUTDOWN_MARGIN: Duration = Duration::from_millis(500);
+/// The part of [`SHUTDOWN_MARGIN`] in which requests that were not answered in time get a failure.
+const FAILURE_ANSWER_TIME: Duration = Duration::from_millis(250);
 /// How long a connection may be idle before its next request; longer than callers keep one.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(16);
 
@@ -68,8 +70,9 @@
 /// Runs a gateway until it has shut down.
 ///
 /// On the graceful token, it reports that it is not ready, waits until the balancer has detected
-/// that, closes the callers' listener and lets requests in flight finish within the stop limit. On
-/// the immediate token, it aborts them.
+/// that, closes the callers' listener and lets requests in flight finish within the stop limit.
+/// Requests without an answer get a failure then, and streams are cut. On the immediate token, it
+/// aborts all of them.
 pub async fn run_gateway<C, P, T, W>(
     settings: GatewaySettings,
     listeners: GatewayListeners,
@@ -143,7 +146,7 @@
     };
     let close_listener = CancellationToken::new();
     let handler = ForwardHandler::new(context);
-    let serving = tokio::spawn(serve(
+    let mut serving = tokio::spawn(serve(
         listeners.callers,
         handler,
         server,
@@ -158,10 +161,18 @@
         state.lifecycle.advance(Stage::Stopping);
         close_listener.cancel();
         let limit = stop_limit.saturating_sub(DRAIN_NOTICE + SHUTDOWN_MARGIN);
-        match tokio::time::timeout(limit, serving).await {
+        match tokio::time::timeout(limit, &mut serving).await {
             Ok(Ok(())) => log::info!("all requests are done"),
             Ok(Err(error)) => log::error!("caller listener task failed: {error}"),
-            Err(_) => log::warn!("drain timed out; requests aborted"),
+            Err(_) => {
+                log::warn!("drain timed out; unanswered requests fail, streams are cut");
+                state.lifecycle.advance(Stage::Ending);
+                // If this times out too, streams are left, and the process ends without them.
+                let failed = tokio::time::timeout(FAILURE_ANSWER_TIME, serving).await;
+                if let Ok(Err(error)) = failed {
+                    log::error!("caller listener task failed: {error}");
+                }
+            }
         }
     };
     tokio::select! {
--- a/lib/src/process/lifecycle.rs
+++ b/lib/src/process/lifecycle.rs
@@ -21,6 +21,9 @@
     /// No more requests are accepted, and the requests in flight finish.
     #[display("stopping")]
     Stopping,
+    /// The time for the requests in flight is over; those without an answer get a failure.
+    #[display("ending")]
+    Ending,
 }
 
 /// The current stage, which only moves forward. Clones share it.
--- a/lib/src/request/forward/context.rs
+++ b/lib/src/request/forward/context.rs
@@ -118,6 +118,9 @@
     /// Returns whether the process is shutting down; answers then ask callers to close connections.
     fn is_draining(&self) -> bool;
 
+    /// Waits until the time for requests in flight is over at the end of a shutdown.
+    fn stop_limit_reached(&self) -> impl Future<Output = ()> + Send;
+
     /// Counts a request for the service's retry budget and for the sampling of log lines. Returns
     /// whether its lines are written, see [`LogSampler`](super::sampling::LogSampler).
     fn on_request(&self, service: &ServiceId, request_id: &str) -> bool;
--- a/lib/src/request/forward/handler.rs
+++ b/lib/src/request/forward/handler.rs
@@ -203,8 +203,16 @@
 {
     async fn handle(&self, request: Request<Incoming>) -> Response<ResponseBody> {
         let started_at = self.context.now();
-        let (caller_request, answer) = self.answer(request, started_at).await;
         let protocol = self.context.protocol();
+        let request_id = protocol.request_id(request.headers()).unwrap_or_default();
+        let (caller_request, answer) = tokio::select! {
+            answered = self.answer(request, started_at) => answered,
+            () = self.context.stop_limit_reached() => {
+                log::warn!(request = request_id.as_str(); "request is not answered before the shutdown");
+                let request = CallerRequest { request_id, ..CallerRequest::default() };
+                (request, Err(Failure::Unknown(UnknownReason::ShutDown)))
+            }
+        };
         let mut response = match answer {
             Ok(response) => response,
             Err(failure) => protocol.failure_answer(&caller_request.request_id, failure),
--- a/lib/src/request/forward/protocol.rs
+++ b/lib/src/request/forward/protocol.rs
@@ -125,6 +125,9 @@
     /// Parses the head of a caller's request.
     fn read_request(&self, head: &request::Parts) -> Result<CallerRequest, RequestError>;
 
+    /// Returns the identifier of a caller's request, if it has one.
+    fn request_id(&self, caller_headers: &HeaderMap) -> Option<String>;
+
     /// Returns the headers to send to a target.
     fn target_headers(&self, caller_headers: &HeaderMap, fields: &SendFields) -> HeaderMap;
 
--- a/lib/src/request/outcome.rs
+++ b/lib/src/request/outcome.rs
@@ -36,6 +36,9 @@
     /// The deadline passed after the request was sent.
     #[display("the deadline passed")]
     DeadlinePassed,
+    /// The process shut down before the target answered.
+    #[display("the process shut down")]
+    ShutDown,
     /// The answer came from a different generation of the group than the request was sent to.
     #[display("the answer came from another generation")]
     WrongGeneration,
