--- a/cli/tests/test_entry_signals.rs
+++ b/cli/tests/test_entry_signals.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use beryltray_testutils::seeds::extra_seed;
 use rand::RngExt as _;
 use rand::SeedableRng as _;
 use rand::rngs::StdRng;
@@ -118,7 +119,8 @@
 #[tokio::test]
 async fn entry_generated_signal_series_cut_no_request() {
     let mut runs = JoinSet::new();
-    for seed in 0..SERIES {
+    let first = extra_seed() * SERIES;
+    for seed in first..first + SERIES {
         runs.spawn(async move { (seed, run_steps(seed, generated_steps(seed)).await) });
     }
     while let Some(run) = runs.join_next().await {
--- a/lib/testutils/src/seeds.rs
+++ b/lib/testutils/src/seeds.rs
@@ -20,14 +20,18 @@
 ///
 /// [`SEED_VARIABLE`] changes the seed and [`TESTS_VARIABLE`] lowers the number of cases.
 pub fn quickcheck_with_seed(seed: u64, tests: u64) -> QuickCheck {
-    let extra_seed = env_number(SEED_VARIABLE).unwrap_or_default();
-    let seed = seed ^ extra_seed.wrapping_mul(SEED_MULTIPLIER);
+    let seed = seed ^ extra_seed().wrapping_mul(SEED_MULTIPLIER);
     let tests = env_number(TESTS_VARIABLE).map_or(tests, |max_tests| tests.min(max_tests));
     QuickCheck::new()
         .rng(Gen::from_size_and_seed(GEN_SIZE, seed))
         .tests(tests)
 }
 
+/// Returns the value of [`SEED_VARIABLE`], or 0 without one.
+pub fn extra_seed() -> u64 {
+    env_number(SEED_VARIABLE).unwrap_or_default()
+}
+
 fn env_number(variable: &str) -> Option<u64> {
     std::env::var(variable).ok()?.parse().ok()
 }
