--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -26,6 +26,7 @@
 mod test_presence;
 mod test_relay;
 mod test_retry;
+mod test_review;
 mod test_routing;
 mod test_silence;
 mod test_spill;
