forward: the wait for a silent target never ends at once

Found in the review of: a request whose time was up before it was sent, or whose route has a latency target of 0, made the process loop for ever, and nobody got an answer.

Cause: the wait for a silent target is repeated while the send goes on. With a timeout of 0 each wait ended without giving way to the runtime, so neither the answer nor the deadline was seen.

Each wait now lasts 50 ms at least.

--- a/lib/src/request/forward/buffered.rs
+++ b/lib/src/request/forward/buffered.rs
@@ -12,6 +12,7 @@
 use super::protocol::Failure;
 use super::send::AnswerStart;
 use super::send::PlannedSend;
+use super::send::SILENCE_MIN;
 use super::send::log_request;
 use super::sends::RequestSends;
 use super::sends::SendEnd;
@@ -46,7 +47,8 @@
 {
     let route = &send.request.route;
     let is_watched = route.kind.is_repeatable() && !send.is_last;
-    is_watched.then(|| route.latency_target.mul_f64(SEND_TIMEOUT_FACTOR))
+    let timeout = route.latency_target.mul_f64(SEND_TIMEOUT_FACTOR);
+    is_watched.then(|| timeout.max(SILENCE_MIN))
 }
 
 async fn send_buffered<X>(send: PlannedSend<X>) -> SendEnd<Response<ResponseBody>>
--- a/lib/src/request/forward/send.rs
+++ b/lib/src/request/forward/send.rs
@@ -33,6 +33,9 @@
 /// The interval of checks whether a target that sends nothing is stalled.
 pub(super) const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
+/// The shortest time without data that counts as silence.
+pub(super) const SILENCE_MIN: Duration = STALL_CHECK_INTERVAL;
+
 /// Logs a line about a request if the request is sampled for logging.
 macro_rules! log_request {
     ($request:expr, $($line:tt)+) => {
@@ -242,18 +245,20 @@
             return std::future::pending().await;
         };
         let started_at = self.request.context.now();
+        let mut waited = Duration::ZERO;
         loop {
-            let now = self.request.context.now();
-            let waited = now.saturating_duration_since(started_at);
-            if timeout.is_expired(waited, self.target.time_since_progress()) {
-                return;
-            }
             let next = if waited < timeout.if_stalled {
                 timeout.if_stalled - waited
             } else {
                 STALL_CHECK_INTERVAL.min(timeout.max.saturating_sub(waited))
             };
-            tokio::time::sleep(next).await;
+            // Callers repeat the wait, so it must not end at once, whatever the timeout is.
+            tokio::time::sleep(next.max(SILENCE_MIN)).await;
+            let now = self.request.context.now();
+            waited = now.saturating_duration_since(started_at);
+            if timeout.is_expired(waited, self.target.time_since_progress()) {
+                return;
+            }
         }
     }
 
