forward: the silence of a resumed stream starts no second send

Cause: the stream that is resumed and the sends that resume it shared one notification of silence, and the one that began the resumption stayed stored.

silence_in_stream_with_three_sends_starts_one_send failed before with 3 sends instead of 2.

--- a/lib/src/request/forward/sends.rs
+++ b/lib/src/request/forward/sends.rs
@@ -185,7 +185,7 @@
 /// Without an answer, the last failure answer of a target is returned, if there is one.
 pub(super) async fn first_answer<X, S, F, T>(
     sends: &mut RequestSends<X>,
-    first: PlannedSend<X>,
+    mut first: PlannedSend<X>,
     start: S,
 ) -> Result<T, Failure>
 where
@@ -193,7 +193,10 @@
     S: Fn(PlannedSend<X>) -> F,
     F: Future<Output = SendEnd<T>>,
 {
-    let silence = Arc::clone(&sends.silence);
+    // Only the silence of these sends starts another one, not that of a stream which they resume.
+    let silence = Arc::new(Notify::new());
+    sends.silence = Arc::clone(&silence);
+    first.silence = Arc::clone(&silence);
     let mut deadline = std::pin::pin!(tokio::time::sleep(sends.request.time_left()));
     let mut in_progress = FuturesUnordered::new();
     in_progress.push(start(first));
