forward: a stream that moves until its deadline leaves its target unsuspected

stream_until_deadline_does_not_make_target_suspect failed before with sends [2, 1] instead of [3, 0].

--- a/lib/src/request/forward/stream.rs
+++ b/lib/src/request/forward/stream.rs
@@ -353,6 +353,7 @@
         let event = match item {
             Ok(StreamItem::Event(event)) => event,
             Ok(StreamItem::End) => return Ok(()),
+            Err(SendFailure::Silent) if request.time_left().is_zero() => continue,
             Err(send_failure) => return Err(ForwardEnd::Failed(send_failure)),
         };
         let id = protocol.event_id(&event);
