gateway: log the prompt parts of sends that break at their start

Callers saw targets end one after the other. The logs could not tell the requests that ended them from those that broke with them, since no line named the parts of a prompt.

A send that breaks with at most one event gives an unsampled line with target, parts, time since the send and whether it was a retry, and counts in sends_broken_at_start_total. Nothing else changes.

--- a/lib/src/ids.rs
+++ b/lib/src/ids.rs
@@ -34,6 +34,12 @@
         /// The invalid text.
         text: String,
     },
+    /// The text is not a hexadecimal number of up to 32 digits.
+    #[display("{text:?} is not hexadecimal. Hint: use up to 32 digits and letters a to f")]
+    NotHexadecimal {
+        /// The invalid text.
+        text: String,
+    },
 }
 
 fn check_text(text: &str) -> Result<(), ParseIdError> {
@@ -215,6 +221,45 @@
     Revision
 );
 
+/// The identifier of a part of a prompt, which many requests may share. It is written in
+/// hexadecimal.
+#[derive(
+    Clone, Copy, Debug, Deserialize, Display, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+#[display("{_0:x}")]
+#[serde(try_from = "String", into = "String")]
+pub struct PromptPartId(u128);
+
+impl FromStr for PromptPartId {
+    type Err = ParseIdError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let not_hexadecimal = || ParseIdError::NotHexadecimal {
+            text: text.to_owned(),
+        };
+        // `from_str_radix` also accepts a sign.
+        if !text.starts_with(|c: char| c.is_ascii_hexdigit()) {
+            return Err(not_hexadecimal());
+        }
+        let parsed = u128::from_str_radix(text, 16);
+        parsed.map(Self).map_err(|_| not_hexadecimal())
+    }
+}
+
+impl TryFrom<String> for PromptPartId {
+    type Error = ParseIdError;
+
+    fn try_from(text: String) -> Result<Self, Self::Error> {
+        text.parse()
+    }
+}
+
+impl From<PromptPartId> for String {
+    fn from(part: PromptPartId) -> String {
+        part.to_string()
+    }
+}
+
 impl From<GroupId> for TargetId {
     fn from(group: GroupId) -> Self {
         Self(group.0)
--- a/lib/src/process/gateway/context.rs
+++ b/lib/src/process/gateway/context.rs
@@ -9,6 +9,7 @@
 use crate::clock::Clock;
 use crate::ids::GroupId;
 use crate::ids::HostId;
+use crate::ids::PromptPartId;
 use crate::ids::ServiceId;
 use crate::process::lifecycle::Stage;
 use crate::request::forward::context::ChoiceInfo;
@@ -21,6 +22,9 @@
 use crate::request::forward::protocol::CallerProtocol;
 use crate::version::routes::RouteDocument;
 
+/// The number of complete events up to which an answer is at its start.
+const EVENTS_AT_START_MAX: u32 = 1;
+
 /// The state of a gateway as used by forwarded requests.
 #[derive(Debug)]
 pub struct GatewayContext<C, W> {
@@ -57,6 +61,28 @@
     unread_tokens: u32,
     started_at: Instant,
     has_ended: bool,
+    prompt_parts: Vec<PromptPartId>,
+    /// The number of complete events that have arrived.
+    events: u32,
+    /// Whether an earlier send of the request failed.
+    is_retry: bool,
+}
+
+impl<C> ReservedTarget<C>
+where
+    C: Clock,
+{
+    fn log_broken_start(&self, now: Instant) {
+        self.state.metrics.count_broken_start(&self.service);
+        let parts: Vec<String> = self.prompt_parts.iter().map(ToString::to_string).collect();
+        let sent_ms_ago = now.saturating_duration_since(self.started_at).as_millis() as u64;
+        log::info!(
+            service:% = self.service, target:% = self.host,
+            prompt_parts = parts.join(",").as_str(), sent_ms_ago = sent_ms_ago, events = self.events,
+            is_retry = self.is_retry;
+            "send broke at the start of its answer"
+        );
+    }
 }
 
 impl<C> Drop for ReservedTarget<C>
@@ -108,6 +134,10 @@
         self.state.inner().usage.on_event(&self.host, unread, now);
     }
 
+    fn on_event(&mut self) {
+        self.events = self.events.saturating_add(1);
+    }
+
     fn time_since_own_progress(&self) -> Duration {
         let now = self.state.clock.now();
         let inner = self.state.inner();
@@ -136,6 +166,9 @@
         let now = self.state.clock.now();
         let label = end.map_or_else(|| String::from("complete"), |end| end.to_string());
         self.state.metrics.count_send(&self.service, &label);
+        if end == Some(SendFailure::Broken) && self.events <= EVENTS_AT_START_MAX {
+            self.log_broken_start(now);
+        }
         let mut inner = self.state.inner();
         inner.usage.on_result(&self.host, end, now);
         if end == Some(SendFailure::NotServing) {
@@ -210,6 +243,9 @@
             unread_tokens: requirements.prompt_tokens,
             started_at: now,
             has_ended: false,
+            prompt_parts: requirements.prompt_parts.clone(),
+            events: 0,
+            is_retry: !requirements.excluded.is_empty(),
         })
     }
 
--- a/lib/src/process/gateway/metrics.rs
+++ b/lib/src/process/gateway/metrics.rs
@@ -30,6 +30,7 @@
     request_seconds: HistogramVec,
     first_event_seconds: HistogramVec,
     sends: IntCounterVec,
+    broken_starts: IntCounterVec,
     retries: IntCounterVec,
     orders: IntCounterVec,
     /// Failed calls to the platform, by the feed that was read.
@@ -67,6 +68,11 @@
                 "Sends to targets by their end.",
                 &["service", "end"],
             )?,
+            broken_starts: counters(
+                "sends_broken_at_start_total",
+                "Sends that broke at the start of their answer.",
+                &["service"],
+            )?,
             retries: counters(
                 "further_sends_total",
                 "Further sends asked of the budget.",
@@ -103,6 +109,7 @@
         registry.register(Box::new(self.request_seconds.clone()))?;
         registry.register(Box::new(self.first_event_seconds.clone()))?;
         registry.register(Box::new(self.sends.clone()))?;
+        registry.register(Box::new(self.broken_starts.clone()))?;
         registry.register(Box::new(self.retries.clone()))?;
         registry.register(Box::new(self.orders.clone()))?;
         registry.register(Box::new(self.platform_failures.clone()))?;
@@ -132,6 +139,12 @@
         self.sends.with_label_values(&[service.as_str(), end]).inc();
     }
 
+    /// Counts a send to a target that broke at the start of its answer.
+    pub fn count_broken_start(&self, service: &ServiceId) {
+        let labels = [service.as_str()];
+        self.broken_starts.with_label_values(&labels).inc();
+    }
+
     /// Counts a retry that was requested from the retry budget.
     pub fn count_retry(&self, service: &ServiceId, is_granted: bool) {
         let granted = if is_granted { "yes" } else { "no" };
--- a/lib/src/request/forward/buffered.rs
+++ b/lib/src/request/forward/buffered.rs
@@ -119,6 +119,9 @@
         target.on_end(Some(SendFailure::Broken));
         return Err(SendFailure::Broken);
     }
+    if is_success {
+        target.on_event();
+    }
     let is_failure = head.status.is_server_error();
     target.on_end(is_failure.then_some(SendFailure::TargetFailed));
     let mut response = Response::new(full_body(bytes));
--- a/lib/src/request/forward/context.rs
+++ b/lib/src/request/forward/context.rs
@@ -9,6 +9,7 @@
 use super::protocol::AnswerLoad;
 use super::protocol::CallerProtocol;
 use crate::ids::HostId;
+use crate::ids::PromptPartId;
 use crate::ids::ServiceId;
 use crate::ids::WeightsId;
 use crate::version::routes::RouteDocument;
@@ -32,6 +33,8 @@
     /// Whether the request was not sent yet and its caller has no part of the answer. A new request
     /// may wait in a queue for a share of `latency_target`, any other one for all of `time_left`.
     pub is_new: bool,
+    /// The parts of the prompt that other requests may share.
+    pub prompt_parts: Vec<PromptPartId>,
 }
 
 /// Why no target could be reserved.
@@ -86,6 +89,9 @@
     /// Records that data of the answer's stream arrived.
     fn on_progress(&mut self);
 
+    /// Records that a complete event of a stream, or a complete successful answer, arrived.
+    fn on_event(&mut self);
+
     /// Returns the time since the last progress of any of this process's streams at the target; at
     /// most the time since the reservation.
     fn time_since_own_progress(&self) -> Duration;
--- a/lib/src/request/forward/handler.rs
+++ b/lib/src/request/forward/handler.rs
@@ -127,6 +127,7 @@
             latency_target: route.latency_target,
             time_left: timeout,
             is_new: caller_request.last_event.is_none(),
+            prompt_parts: caller_request.prompt_parts.clone(),
         };
         Ok(ForwardedRequest {
             context: self.context.clone(),
--- a/lib/src/request/forward/protocol.rs
+++ b/lib/src/request/forward/protocol.rs
@@ -12,6 +12,7 @@
 use crate::connection::body::ResponseBody;
 use crate::ids::AccountId;
 use crate::ids::HostId;
+use crate::ids::PromptPartId;
 use crate::ids::WeightsId;
 use crate::request::outcome::NotRunReason;
 use crate::request::outcome::UnknownReason;
@@ -35,6 +36,8 @@
     pub answer_tokens_max: u32,
     /// The ID of the last event that the caller received, if it resumes a stream.
     pub last_event: Option<u64>,
+    /// The parts of the prompt that other requests may share; empty if none are named.
+    pub prompt_parts: Vec<PromptPartId>,
 }
 
 /// Why the head of a caller's request is invalid.
--- a/lib/src/request/forward/stream.rs
+++ b/lib/src/request/forward/stream.rs
@@ -329,6 +329,7 @@
     let started = forwarded.context.now();
     loop {
         if let Some(event) = stream.splitter.next_event() {
+            stream.answer_start.target.on_event();
             return Ok(StreamItem::Event(event));
         }
         if stream.splitter.is_oversized() {
