gateway: quarantine prompt parts at which targets crash

Callers saw targets of a model end one after the other, and then 502 and 503 for most requests of the route: requests with one prompt part end each target at which they begin to run. No entry remembered that, so each such request went to the next target, and after the break once more to another one.

An entry now confirms the end of a target after a send broke at its start, and gossips the crash with the prompt parts of the requests that were at their start there. A part that explains several crashes and has had no answer since is refused at all entries, before each first or repeated send and right before the bytes are written, for ten minutes after the last crash or until a request with it is answered.

--- a/lib/src/process/gateway/context.rs
+++ b/lib/src/process/gateway/context.rs
@@ -5,7 +5,11 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use super::crash_check::check_target;
+use super::crash_records::Suspect;
+use super::quarantine::Admission;
 use super::state::GatewayState;
+use super::state::Inner;
 use crate::clock::Clock;
 use crate::ids::GroupId;
 use crate::ids::HostId;
@@ -66,12 +70,43 @@
     events: u32,
     /// Whether an earlier send of the request failed.
     is_retry: bool,
+    /// Whether the request is sent although a part of its prompt is quarantined.
+    is_trial: bool,
 }
 
 impl<C> ReservedTarget<C>
 where
     C: Clock,
 {
+    fn is_quarantined(&self, inner: &Inner, now: Instant) -> bool {
+        let time_left = inner.quarantine.time_left(&self.prompt_parts, now);
+        time_left.is_some() && !self.is_trial
+    }
+
+    /// Records that the parts of the prompt let the target answer.
+    fn report_proof(&self) {
+        if !self.prompt_parts.is_empty() {
+            self.state
+                .with_quarantine(|quarantine, now| quarantine.on_proof(&self.prompt_parts, now));
+        }
+    }
+
+    /// Records that the request broke, and checks whether the target has ended.
+    fn report_broken_start(&self, now: Instant) {
+        let suspect = Suspect {
+            sent_at: self.started_at,
+            parts: self.prompt_parts.clone(),
+        };
+        let is_unchecked = self
+            .state
+            .inner()
+            .add_broken_start(&self.host, suspect, now);
+        if is_unchecked {
+            let state = Arc::clone(&self.state);
+            tokio::spawn(check_target(state, self.host.clone(), self.address));
+        }
+    }
+
     fn log_broken_start(&self, now: Instant) {
         self.state.metrics.count_broken_start(&self.service);
         let parts: Vec<String> = self.prompt_parts.iter().map(ToString::to_string).collect();
@@ -117,7 +152,9 @@
     }
 
     fn is_still_usable(&self) -> bool {
-        self.state.inner().is_usable(&self.host)
+        let now = self.state.clock.now();
+        let inner = self.state.inner();
+        inner.is_usable(&self.host) && !self.is_quarantined(&inner, now)
     }
 
     fn on_first_answer(&mut self, load: Option<AnswerLoad>) {
@@ -136,6 +173,9 @@
 
     fn on_event(&mut self) {
         self.events = self.events.saturating_add(1);
+        if self.events == EVENTS_AT_START_MAX + 1 {
+            self.report_proof();
+        }
     }
 
     fn time_since_own_progress(&self) -> Duration {
@@ -166,10 +206,18 @@
         let now = self.state.clock.now();
         let label = end.map_or_else(|| String::from("complete"), |end| end.to_string());
         self.state.metrics.count_send(&self.service, &label);
-        if end == Some(SendFailure::Broken) && self.events <= EVENTS_AT_START_MAX {
+        let is_at_start = self.events <= EVENTS_AT_START_MAX;
+        if end == Some(SendFailure::Broken) && is_at_start {
             self.log_broken_start(now);
+            self.report_broken_start(now);
+        } else if end.is_none() && is_at_start && self.events > 0 {
+            self.report_proof();
         }
         let mut inner = self.state.inner();
+        if end == Some(SendFailure::NotSent) && self.is_quarantined(&inner, now) {
+            // The send was withheld; that says nothing about the target.
+            return;
+        }
         inner.usage.on_result(&self.host, end, now);
         if end == Some(SendFailure::NotServing) {
             let group = self.group.clone();
@@ -227,6 +275,18 @@
         requirements: &TargetRequirements,
     ) -> Result<ReservedTarget<C>, NoTarget> {
         let now = self.now();
+        let parts = &requirements.prompt_parts;
+        let admission = self
+            .state
+            .with_quarantine(|quarantine, now| quarantine.admit(parts, now));
+        if let Admission::Refused { time_left } = admission {
+            self.state
+                .metrics
+                .count_quarantine_refusal(&requirements.service);
+            return Err(NoTarget::Quarantined {
+                retry_after: time_left,
+            });
+        }
         let reserved = self
             .state
             .inner()
@@ -246,6 +306,7 @@
             prompt_parts: requirements.prompt_parts.clone(),
             events: 0,
             is_retry: !requirements.excluded.is_empty(),
+            is_trial: admission == Admission::Trial,
         })
     }
 
@@ -265,6 +326,11 @@
         is_granted
     }
 
+    fn quarantine_left(&self, parts: &[PromptPartId]) -> Option<Duration> {
+        let now = self.now();
+        self.state.inner().quarantine.time_left(parts, now)
+    }
+
     fn on_outcome(&self, service: &ServiceId, outcome: &'static str, waited: Duration) {
         self.state.metrics.count_request(service, outcome, waited);
     }
--- /dev/null
+++ b/lib/src/process/gateway/crash_check.rs
@@ -0,0 +1,123 @@
+//! Confirms that a target has crashed after requests there broke, and reports the changes of the
+//! quarantine.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use tokio::net::TcpStream;
+
+use super::crash_records::CrashRecord;
+use super::crash_records::Suspect;
+use super::quarantine::Quarantine;
+use super::quarantine::QuarantineChange;
+use super::state::GatewayState;
+use super::state::Inner;
+use crate::clock::Clock;
+use crate::ids::HostId;
+
+/// The timeout of a connection, as for sends.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// The delay before the second connection. A process that ends may close its listener a little
+/// after its connections.
+const SECOND_CHECK_DELAY: Duration = Duration::from_millis(50);
+
+impl Inner {
+    /// Adds a request that broke at the start of its answer. Returns whether the target must be
+    /// checked; otherwise a check is in progress.
+    pub(super) fn add_broken_start(
+        &mut self,
+        host: &HostId,
+        suspect: Suspect,
+        now: Instant,
+    ) -> bool {
+        let mut known = self.broken_starts.iter_mut();
+        if let Some(known) = known.find(|record| record.host == *host) {
+            known.suspects.push(suspect);
+            return false;
+        }
+        self.broken_starts.push(CrashRecord {
+            host: host.clone(),
+            at: now,
+            suspects: vec![suspect],
+        });
+        true
+    }
+
+    fn take_broken_starts(&mut self, host: &HostId) -> Option<CrashRecord> {
+        let mut known = self.broken_starts.iter();
+        let index = known.position(|record| record.host == *host)?;
+        Some(self.broken_starts.swap_remove(index))
+    }
+}
+
+/// Checks whether a target has ended, and records the crash if so.
+pub(super) async fn check_target<C>(state: Arc<GatewayState<C>>, host: HostId, address: SocketAddr)
+where
+    C: Clock,
+{
+    let mut accepts = accepts_connections(address).await;
+    if accepts {
+        tokio::time::sleep(SECOND_CHECK_DELAY).await;
+        accepts = accepts_connections(address).await;
+    }
+    let Some(record) = state.inner().take_broken_starts(&host) else {
+        return;
+    };
+    if !accepts {
+        state.with_quarantine(|quarantine, now| quarantine.on_crash(record, now));
+    }
+}
+
+async fn accepts_connections(address: SocketAddr) -> bool {
+    let connect = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
+    matches!(connect.await, Ok(Ok(_)))
+}
+
+impl<C> GatewayState<C>
+where
+    C: Clock,
+{
+    /// Calls `change` with the quarantine while the state is locked, and reports what changed.
+    pub(super) fn with_quarantine<F, T>(&self, change: F) -> T
+    where
+        F: FnOnce(&mut Quarantine, Instant) -> T,
+    {
+        let now = self.clock.now();
+        let mut inner = self.inner();
+        let result = change(&mut inner.quarantine, now);
+        let changes = inner.quarantine.take_changes();
+        if changes.is_empty() {
+            return result;
+        }
+        let count = inner.quarantine.quarantined_count(now);
+        drop(inner);
+        let count = i64::try_from(count).unwrap_or(i64::MAX);
+        self.metrics.quarantined_parts.set(count);
+        for change in changes {
+            self.report(change);
+        }
+        result
+    }
+
+    fn report(&self, change: QuarantineChange) {
+        match change {
+            QuarantineChange::Crashed { host, suspects } => {
+                self.metrics.target_crashes.inc();
+                log::info!(suspects = suspects, target:% = host; "target has crashed");
+            }
+            QuarantineChange::Quarantined { part, hosts } => {
+                let hosts: Vec<&str> = hosts.iter().map(HostId::as_str).collect();
+                log::warn!(
+                    prompt_part:% = part, crashes = hosts.len(),
+                    targets = hosts.join(",").as_str();
+                    "prompt part is quarantined: targets crash at requests with it"
+                );
+            }
+            QuarantineChange::Released { part, reason } => {
+                log::info!(prompt_part:% = part; "prompt part is released: {reason}");
+            }
+        }
+    }
+}
--- a/lib/src/process/gateway/gossip.rs
+++ b/lib/src/process/gateway/gossip.rs
@@ -145,6 +145,7 @@
             loads: payload.loads,
             stalled: payload.stalled,
             has_requests: state.request_count() > 0,
+            quarantine: state.with_quarantine(|quarantine, now| quarantine.gossip(now)),
         };
         let bytes = match serde_json::to_vec(&message) {
             Ok(bytes) => bytes,
--- a/lib/src/process/gateway/metrics.rs
+++ b/lib/src/process/gateway/metrics.rs
@@ -5,6 +5,7 @@
 use prometheus::Encoder as _;
 use prometheus::HistogramOpts;
 use prometheus::HistogramVec;
+use prometheus::IntCounter;
 use prometheus::IntCounterVec;
 use prometheus::IntGauge;
 use prometheus::IntGaugeVec;
@@ -39,6 +40,11 @@
     pub configuration_version: IntGauge,
     /// Targets that can be sent requests, by service.
     pub serving_targets: IntGaugeVec,
+    /// Prompt parts that are quarantined.
+    pub quarantined_parts: IntGauge,
+    /// Crashes of targets that this entry or a peer has confirmed.
+    pub target_crashes: IntCounter,
+    quarantine_refusals: IntCounterVec,
     /// 1 while this entry holds the formation lease, 0 otherwise.
     pub holds_lease: IntGauge,
 }
@@ -97,6 +103,19 @@
                 "Targets that can be sent requests.",
                 &["service"],
             )?,
+            quarantined_parts: gauge(
+                "quarantined_prompt_parts",
+                "Prompt parts that are quarantined.",
+            )?,
+            target_crashes: IntCounter::new(
+                crate::process::metrics::prefixed_name("target_crashes_total"),
+                "Crashes of targets that this entry or a peer has confirmed.",
+            )?,
+            quarantine_refusals: counters(
+                "quarantine_refusals_total",
+                "Requests not sent because of a quarantined prompt part.",
+                &["service"],
+            )?,
             holds_lease: gauge("holds_lease", "Whether this entry forms the groups.")?,
         };
         metrics.register()?;
@@ -115,6 +134,9 @@
         registry.register(Box::new(self.platform_failures.clone()))?;
         registry.register(Box::new(self.configuration_version.clone()))?;
         registry.register(Box::new(self.serving_targets.clone()))?;
+        registry.register(Box::new(self.quarantined_parts.clone()))?;
+        registry.register(Box::new(self.target_crashes.clone()))?;
+        registry.register(Box::new(self.quarantine_refusals.clone()))?;
         registry.register(Box::new(self.holds_lease.clone()))
     }
 
@@ -145,6 +167,12 @@
         self.broken_starts.with_label_values(&labels).inc();
     }
 
+    /// Counts a request that was not sent because of a quarantined prompt part.
+    pub fn count_quarantine_refusal(&self, service: &ServiceId) {
+        let labels = [service.as_str()];
+        self.quarantine_refusals.with_label_values(&labels).inc();
+    }
+
     /// Counts a retry that was requested from the retry budget.
     pub fn count_retry(&self, service: &ServiceId, is_granted: bool) {
         let granted = if is_granted { "yes" } else { "no" };
--- a/lib/src/process/gateway/peers.rs
+++ b/lib/src/process/gateway/peers.rs
@@ -11,6 +11,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::quarantine_gossip::QuarantineGossip;
 use crate::hash::rendezvous_weight;
 use crate::ids::DataCentreId;
 use crate::ids::EntryId;
@@ -150,6 +151,9 @@
     pub stalled: Vec<(HostId, u64)>,
     /// Whether the sender has received a request since its start.
     pub has_requests: bool,
+    /// Crashes of targets and quarantined prompt parts; an entry of an earlier version omits it.
+    #[serde(default)]
+    pub quarantine: QuarantineGossip,
 }
 
 /// Another entry and its last datagram.
--- /dev/null
+++ b/lib/src/process/gateway/quarantine_gossip.rs
@@ -0,0 +1,171 @@
+//! The gossip between entries about crashed targets and quarantined prompt parts.
+
+use std::cmp::Reverse;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::crash_records::CrashRecord;
+use super::crash_records::SUSPECTS_MAX;
+use super::crash_records::Suspect;
+use super::quarantine::COMPANIONS_MAX;
+use super::quarantine::Convicted;
+use super::quarantine::GOSSIP_TIME;
+use super::quarantine::Proof;
+use super::quarantine::QUARANTINE_TIME;
+use super::quarantine::Quarantine;
+use crate::ids::HostId;
+use crate::ids::PromptPartId;
+
+/// The most crashes and proofs in a datagram.
+const GOSSIPED_MAX: usize = 32;
+/// The most quarantined parts in a datagram; those that were quarantined last are preferred.
+const GOSSIPED_QUARANTINES_MAX: usize = 16;
+/// The most parts of suspects in a datagram.
+const GOSSIPED_PARTS_MAX: usize = 120;
+
+/// A crash in a gossip datagram.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct GossipedCrash {
+    /// The target's host.
+    pub host: HostId,
+    /// How many milliseconds ago it crashed.
+    pub age_ms: u64,
+    /// How many milliseconds ago each suspect was sent, and the parts of its prompt.
+    pub suspects: Vec<(u64, Vec<PromptPartId>)>,
+}
+
+/// A quarantined part in a gossip datagram.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct GossipedQuarantine {
+    /// The part.
+    pub part: PromptPartId,
+    /// The time until the end of the quarantine, in milliseconds.
+    pub left_ms: u64,
+    /// The parts that it can't be told apart from by the crashes.
+    pub companions: Vec<PromptPartId>,
+}
+
+/// The content of a gossip datagram about the quarantine.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default)]
+pub struct QuarantineGossip {
+    /// The recent crashes.
+    pub crashes: Vec<GossipedCrash>,
+    /// Parts of suspects of which a request was answered recently, and how many milliseconds ago.
+    pub proofs: Vec<(PromptPartId, u64)>,
+    /// The quarantined parts.
+    pub quarantined: Vec<GossipedQuarantine>,
+}
+
+impl Quarantine {
+    /// Returns the content of the next datagram, and drops what is too old.
+    pub fn gossip(&mut self, now: Instant) -> QuarantineGossip {
+        self.expire(now);
+        let age_ms = |at: Instant| now.saturating_duration_since(at).as_millis() as u64;
+        let mut crashes = Vec::new();
+        let mut parts = 0;
+        for record in self.crashes.changed_within(GOSSIP_TIME, now) {
+            let of_suspects = record.suspects.iter().map(|suspect| suspect.parts.len());
+            parts += of_suspects.sum::<usize>();
+            if parts > GOSSIPED_PARTS_MAX {
+                break;
+            }
+            let suspect = |s: &Suspect| (age_ms(s.sent_at), s.parts.clone());
+            crashes.push(GossipedCrash {
+                host: record.host.clone(),
+                age_ms: age_ms(record.at),
+                suspects: record.suspects.iter().map(suspect).collect(),
+            });
+        }
+        let all_parts = self.crashes.parts();
+        let new_parts: Vec<PromptPartId> = self
+            .crashes
+            .changed_within(GOSSIP_TIME, now)
+            .flat_map(|record| &record.suspects)
+            .flat_map(|suspect| suspect.parts.iter().copied())
+            .collect();
+        let is_gossiped = |proof: &&Proof| {
+            let is_recent = now.saturating_duration_since(proof.at) < GOSSIP_TIME;
+            proof.gossip_until > now
+                || (is_recent && all_parts.binary_search(&proof.part).is_ok())
+                || new_parts.contains(&proof.part)
+        };
+        let proofs = self.proofs.iter().filter(is_gossiped);
+        let mut proofs: Vec<(PromptPartId, u64)> = proofs.map(|p| (p.part, age_ms(p.at))).collect();
+        proofs.sort_by_key(|(_, age_ms)| *age_ms);
+        proofs.truncate(GOSSIPED_MAX);
+        let mut quarantined: Vec<&Convicted> = self.quarantined(now).collect();
+        quarantined.sort_by_key(|convicted| Reverse(convicted.until));
+        let quarantined = quarantined.into_iter().map(|convicted| GossipedQuarantine {
+            part: convicted.part,
+            left_ms: (convicted.until - now).as_millis() as u64,
+            companions: convicted.companions.clone(),
+        });
+        QuarantineGossip {
+            crashes,
+            proofs,
+            quarantined: quarantined.take(GOSSIPED_QUARANTINES_MAX).collect(),
+        }
+    }
+
+    /// Applies the gossip of another entry.
+    pub fn on_gossip(&mut self, gossip: &QuarantineGossip, now: Instant) {
+        let ago = |ms: u64| now.checked_sub(Duration::from_millis(ms));
+        for (part, age_ms) in gossip.proofs.iter().take(GOSSIPED_MAX) {
+            if let Some(at) = ago(*age_ms) {
+                self.add_proof(*part, at, now);
+            }
+        }
+        let mut has_changed = false;
+        for crash in gossip.crashes.iter().take(GOSSIPED_MAX) {
+            let Some(at) = ago(crash.age_ms) else {
+                continue;
+            };
+            let suspects = crash.suspects.iter().take(SUSPECTS_MAX);
+            let suspects = suspects.filter_map(|(age_ms, parts)| {
+                Some(Suspect {
+                    sent_at: ago(*age_ms)?,
+                    parts: parts.clone(),
+                })
+            });
+            let record = CrashRecord {
+                host: crash.host.clone(),
+                at,
+                suspects: suspects.collect(),
+            };
+            has_changed |= self.add_crash(record, now);
+        }
+        if has_changed {
+            self.evaluate(now);
+        }
+        for quarantined in gossip.quarantined.iter().take(GOSSIPED_QUARANTINES_MAX) {
+            let left = Duration::from_millis(quarantined.left_ms).min(QUARANTINE_TIME);
+            let until = now + left;
+            if let Some(proof) = self.proofs.get_mut(&quarantined.part)
+                && (proof.at + QUARANTINE_TIME > until || self.crashes.mentions(quarantined.part))
+            {
+                // This entry has the crashes too, and decides by itself.
+                // The sender does not know of the proof yet.
+                proof.gossip_until = now + GOSSIP_TIME;
+                continue;
+            }
+            let known = self.convicted.get(&quarantined.part);
+            if let Some(known) = known.filter(|known| known.until > now) {
+                let companions = known.companions.clone();
+                self.convict(quarantined.part, until, companions, Vec::new(), now);
+                continue;
+            }
+            let own: Vec<PromptPartId> = self.quarantined(now).map(|c| c.part).collect();
+            if self.crashes.is_explained(quarantined.part, &own) {
+                // The sender does not know of the culprit's crashes yet.
+                continue;
+            }
+            let companions = quarantined.companions.iter().copied();
+            let companions = companions.take(COMPANIONS_MAX).collect();
+            self.convict(quarantined.part, until, companions, Vec::new(), now);
+        }
+    }
+}
--- a/lib/src/process/gateway/state.rs
+++ b/lib/src/process/gateway/state.rs
@@ -11,11 +11,13 @@
 use tokio::sync::Notify;
 
 use super::change_log::ChangeLog;
+use super::crash_records::CrashRecord;
 use super::metrics::GatewayMetrics;
 use super::peers::GossipedLoad;
 use super::peers::PeerMessage;
 use super::peers::Peers;
 use super::peers::SenderLoad;
+use super::quarantine::Quarantine;
 use super::reservation::ServiceRetryBudget;
 use super::serving::ServingTarget;
 use super::serving::serving_targets;
@@ -75,6 +77,10 @@
     document_log: ChangeLog<RouteDocument>,
     /// The stalled targets to gossip, and when each stalled.
     pub(super) stalled_to_gossip: Vec<(HostId, Instant)>,
+    pub(super) quarantine: Quarantine,
+    /// The requests that broke at the start of their answers, by target, while it is checked whether
+    /// the target has crashed.
+    pub(super) broken_starts: Vec<CrashRecord>,
 }
 
 /// The state of a gateway's process.
@@ -138,6 +144,8 @@
                 target_log: ChangeLog::default(),
                 document_log: ChangeLog::default(),
                 stalled_to_gossip: Vec::new(),
+                quarantine: Quarantine::new(),
+                broken_starts: Vec::new(),
             }),
         }
     }
@@ -271,7 +279,8 @@
     pub fn on_peer_message(&self, message: &PeerMessage) {
         let now = self.clock.now();
         let mut inner = self.inner();
-        if inner.peers.on_message(message, now) {
+        let is_accepted = inner.peers.on_message(message, now);
+        if is_accepted {
             inner.apply_peer_loads(message, now);
             let is_gossiped_on = !inner.peers.is_full_mesh();
             for (host, age_ms) in &message.stalled {
@@ -294,6 +303,10 @@
                 .saturating_sub(STALLED_TARGETS_MAX);
             inner.stalled_targets.drain(..excess);
         }
+        drop(inner);
+        if is_accepted {
+            self.with_quarantine(|quarantine, now| quarantine.on_gossip(&message.quarantine, now));
+        }
     }
 
     /// Changes the log of target records, and wakes the requests of other entries that wait for it.
--- a/lib/src/request/forward/context.rs
+++ b/lib/src/request/forward/context.rs
@@ -40,6 +40,11 @@
 /// Why no target could be reserved.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum NoTarget {
+    /// A part of the request's prompt crashes targets, so the request is not sent to any.
+    Quarantined {
+        /// The time until the end of the quarantine.
+        retry_after: Duration,
+    },
     /// No target that meets the requirements is serving at present.
     Absent,
     /// The expected queue wait is too long, and no target has enough free slots.
@@ -143,6 +148,10 @@
     /// Takes one retry from the service's retry budget; returns false if the budget is exhausted.
     fn try_spend_retry(&self, service: &ServiceId) -> bool;
 
+    /// Returns the time until requests with these prompt parts may be sent again, or `None` if they
+    /// may be sent now.
+    fn quarantine_left(&self, parts: &[PromptPartId]) -> Option<Duration>;
+
     /// Counts a request in the metrics, with `outcome` as label and the time since its arrival.
     fn on_outcome(&self, service: &ServiceId, outcome: &'static str, waited: Duration);
 }
--- a/lib/src/request/forward/send.rs
+++ b/lib/src/request/forward/send.rs
@@ -13,6 +13,7 @@
 use super::context::TargetRequirements;
 use super::context::TargetReservation;
 use super::plan::AnswerTimeout;
+use super::plan::NextStep;
 use super::plan::SendFailure;
 use super::plan::SendPlan;
 use super::protocol::AnswerHead;
@@ -114,6 +115,9 @@
                 Err(no_target) => no_target,
             };
             match no_target {
+                NoTarget::Quarantined { retry_after } => {
+                    return Err(self.quarantine_failure(retry_after));
+                }
                 NoTarget::Busy {
                     retry_after,
                     queue_wait,
@@ -312,12 +316,22 @@
     }
 
     /// Decides what to do after a failed send.
-    pub(super) fn next_step(&mut self, send_failure: SendFailure) -> super::plan::NextStep {
+    pub(super) fn next_step(&mut self, send_failure: SendFailure) -> NextStep {
         let now = self.context.now();
         let context = self.context.clone();
         let service = self.service.clone();
-        self.plan
-            .on_send_failure(send_failure, now, || context.try_spend_retry(&service))
+        let quarantine_left = context.quarantine_left(&self.requirements.prompt_parts);
+        let spend_retry = || quarantine_left.is_none() && context.try_spend_retry(&service);
+        let step = self.plan.on_send_failure(send_failure, now, spend_retry);
+        match (step, quarantine_left) {
+            (NextStep::End(_), Some(left)) => NextStep::End(self.quarantine_failure(left)),
+            (step, _) => step,
+        }
+    }
+
+    fn quarantine_failure(&self, retry_after: Duration) -> Failure {
+        let failure = self.plan.failure(NotRunReason::PromptQuarantined);
+        with_retry_after(failure, retry_after)
     }
 }
 
--- a/lib/src/request/outcome.rs
+++ b/lib/src/request/outcome.rs
@@ -22,6 +22,9 @@
     /// The entry is starting or shutting down.
     #[display("the entry is not ready")]
     NotReady,
+    /// A part of the prompt is quarantined, because targets crash at requests with it.
+    #[display("a part of the prompt crashes the targets")]
+    PromptQuarantined,
     /// A target whose refusals are trusted refused the request before starting it.
     #[display("refused by the target before the start")]
     Refused,
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -24,6 +24,8 @@
 mod test_peer;
 mod test_peer_table;
 mod test_presence;
+mod test_quarantine;
+mod test_quarantine_simulation;
 mod test_relay;
 mod test_retry;
 mod test_routing;
--- a/lib/tests/test_forward_loads.rs
+++ b/lib/tests/test_forward_loads.rs
@@ -75,7 +75,9 @@
     });
     admitted.map_err(|no_target| match no_target {
         NoTarget::Absent => 1.0,
-        NoTarget::Busy { retry_after, .. } => retry_after.as_secs_f64(),
+        NoTarget::Busy { retry_after, .. } | NoTarget::Quarantined { retry_after } => {
+            retry_after.as_secs_f64()
+        }
     })
 }
 
--- a/lib/tests/test_gateway_peers.rs
+++ b/lib/tests/test_gateway_peers.rs
@@ -12,6 +12,7 @@
 use beryltray_lib::process::gateway::GossipedLoad;
 use beryltray_lib::process::gateway::PeerMessage;
 use beryltray_lib::process::gateway::Peers;
+use beryltray_lib::process::gateway::QuarantineGossip;
 use beryltray_lib::process::gateway::SenderLoad;
 use beryltray_lib::request::forward::choose::TargetCandidate;
 use beryltray_lib::request::forward::choose::choose_target;
@@ -42,6 +43,7 @@
         loads: Vec::new(),
         stalled: Vec::new(),
         has_requests: true,
+        quarantine: QuarantineGossip::default(),
     }
 }
 
