--- a/lib/src/request/forward/buffered.rs
+++ b/lib/src/request/forward/buffered.rs
@@ -91,6 +91,9 @@
         send.target.on_end(Some(SendFailure::Broken));
         return SendEnd::Failed(SendFailure::Broken);
     }
+    if is_success {
+        send.target.on_event();
+    }
     let is_failure = head.status.is_server_error();
     send.target
         .on_end(is_failure.then_some(SendFailure::TargetFailed));
--- a/lib/src/request/forward/context.rs
+++ b/lib/src/request/forward/context.rs
@@ -9,6 +9,7 @@
 use super::protocol::AnswerLoad;
 use super::protocol::CallerProtocol;
 use crate::ids::HostId;
+use crate::ids::PromptPartId;
 use crate::ids::ServiceId;
 use crate::ids::WeightsId;
 use crate::version::routes::RouteDocument;
@@ -32,11 +33,18 @@
     /// Whether the request was not sent yet and its caller has no part of the answer. A new request
     /// may wait in a queue for a share of `latency_target`, any other one for all of `time_left`.
     pub is_new: bool,
+    /// The parts of the prompt that other requests may share.
+    pub prompt_parts: Vec<PromptPartId>,
 }
 
 /// Why no target could be reserved.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum NoTarget {
+    /// A part of the request's prompt crashes targets, so the request is not sent to any.
+    Quarantined {
+        /// The time until the end of the quarantine.
+        retry_after: Duration,
+    },
     /// No target that meets the requirements is serving at present.
     Absent,
     /// The expected queue wait is too long, and no target has enough free slots.
@@ -86,6 +94,9 @@
     /// Records that data of the answer's stream arrived.
     fn on_progress(&mut self);
 
+    /// Records that a complete event of a stream, or a complete successful answer, arrived.
+    fn on_event(&mut self);
+
     /// Returns the time since the last progress of any of this process's streams at the target; at
     /// most the time since the reservation.
     fn time_since_own_progress(&self) -> Duration;
@@ -144,6 +155,10 @@
     /// Takes one retry from the service's retry budget; returns false if the budget is exhausted.
     fn try_spend_retry(&self, service: &ServiceId) -> bool;
 
+    /// Returns the time until requests with these prompt parts may be sent again, or `None` if they
+    /// may be sent now.
+    fn quarantine_left(&self, parts: &[PromptPartId]) -> Option<Duration>;
+
     /// Counts a request in the metrics, with `outcome` as label and the time since its arrival.
     fn on_outcome(&self, service: &ServiceId, outcome: &'static str, waited: Duration);
 }
--- a/lib/src/request/forward/handler.rs
+++ b/lib/src/request/forward/handler.rs
@@ -130,6 +130,7 @@
             latency_target: route.latency_target,
             time_left: timeout,
             is_new: caller_request.last_event.is_none(),
+            prompt_parts: caller_request.prompt_parts.clone(),
         };
         let plan = SendPlan::new(route.kind, route.attempts_max, deadline, RETRY_AFTER);
         let request = ForwardedRequest {
--- a/lib/src/request/forward/sends.rs
+++ b/lib/src/request/forward/sends.rs
@@ -5,6 +5,7 @@
 //! either is used.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use futures_util::StreamExt as _;
 use futures_util::stream::FuturesUnordered;
@@ -74,14 +75,12 @@
             let changed = request.context.targets_changed();
             match self.reserve_target() {
                 Ok(target) => return Ok(self.planned(target)),
+                Err(NoTarget::Quarantined { retry_after }) => {
+                    return Err(self.quarantine_failure(retry_after));
+                }
                 Err(NoTarget::Busy { retry_after, .. }) => {
-                    return Err(match self.plan.failure(NotRunReason::Overloaded) {
-                        Failure::NotRun { reason, .. } => Failure::NotRun {
-                            reason,
-                            retry_after,
-                        },
-                        other => other,
-                    });
+                    let failure = self.plan.failure(NotRunReason::Overloaded);
+                    return Err(with_retry_after(failure, retry_after));
                 }
                 Err(NoTarget::Absent) => {
                     let waited = tokio::time::timeout_at(wait_until, changed).await;
@@ -166,9 +165,20 @@
     pub(super) fn next_step(&mut self, send_failure: SendFailure) -> NextStep {
         let request = &self.request;
         let now = request.context.now();
-        self.plan.on_send_failure(send_failure, now, || {
-            request.context.try_spend_retry(&request.service)
-        })
+        let parts = &self.requirements.prompt_parts;
+        let quarantine_left = request.context.quarantine_left(parts);
+        let spend_retry =
+            || quarantine_left.is_none() && request.context.try_spend_retry(&request.service);
+        let step = self.plan.on_send_failure(send_failure, now, spend_retry);
+        match (step, quarantine_left) {
+            (NextStep::End(_), Some(left)) => NextStep::End(self.quarantine_failure(left)),
+            (step, _) => step,
+        }
+    }
+
+    fn quarantine_failure(&self, retry_after: Duration) -> Failure {
+        let failure = self.plan.failure(NotRunReason::PromptQuarantined);
+        with_retry_after(failure, retry_after)
     }
 
     /// Records a failed send while others are in progress.
@@ -179,6 +189,16 @@
     }
 }
 
+fn with_retry_after(failure: Failure, retry_after: Duration) -> Failure {
+    match failure {
+        Failure::NotRun { reason, .. } => Failure::NotRun {
+            reason,
+            retry_after,
+        },
+        other => other,
+    }
+}
+
 /// Runs `first` and further sends until one brings an answer, no further one is possible, or the
 /// deadline passes. `start` runs a send to its end.
 ///
--- a/lib/src/request/forward/stream.rs
+++ b/lib/src/request/forward/stream.rs
@@ -407,6 +407,7 @@
     let started = send.request.context.now();
     loop {
         if let Some(event) = stream.splitter.next_event() {
+            send.target.on_event();
             return Ok(StreamItem::Event(event));
         }
         if stream.has_ended {
--- a/lib/tests/test_forward_loads.rs
+++ b/lib/tests/test_forward_loads.rs
@@ -55,6 +55,7 @@
         latency_target: LATENCY_TARGET,
         time_left: CALLER_TIMEOUT,
         is_new,
+        prompt_parts: Vec::new(),
     }
 }
 
@@ -74,7 +75,9 @@
     });
     admitted.map_err(|no_target| match no_target {
         NoTarget::Absent => 1.0,
-        NoTarget::Busy { retry_after, .. } => retry_after.as_secs_f64(),
+        NoTarget::Busy { retry_after, .. } | NoTarget::Quarantined { retry_after } => {
+            retry_after.as_secs_f64()
+        }
     })
 }
 
