connection: limit what a server sends without body data

A target that sent interim responses, zeros of a chunk size or blanks after it without end kept the gateway busy until the request's deadline, and the caller got 504. hyper drops such bytes without a limit. Its read buffer also grew to 417,792 bytes for each connection.

The client's stream now fails when more than 256 KiB were received since the start of the response or the last body data; the read buffer, and with it a response head, is limited to 64 KiB. The limit is four read buffers: the largest head and what hyper reads ahead of the body's reader. The body of a response has a type of its own, which restarts the count.

--- a/cli/src/load/caller.rs
+++ b/cli/src/load/caller.rs
@@ -9,6 +9,7 @@
 use beryltray_lib::connection::body::RequestBody;
 use beryltray_lib::connection::body::read_body;
 use beryltray_lib::connection::client::ClientConnection;
+use beryltray_lib::connection::receive_limit::ReceivedBody;
 use beryltray_lib::ids::IdempotencyKey;
 use beryltray_lib::request::caller::CHAT_PATH;
 use beryltray_lib::request::caller::DEADLINE_HEADER;
@@ -26,7 +27,6 @@
 use http::header::CONTENT_TYPE;
 use http::header::HOST;
 use http::header::RETRY_AFTER;
-use hyper::body::Incoming;
 use serde_json::Value;
 use serde_json::json;
 use sse_stream::SseStream;
@@ -172,16 +172,16 @@
     None
 }
 
-fn is_event_stream(response: &Response<Incoming>) -> bool {
+fn is_event_stream(response: &Response<ReceivedBody>) -> bool {
     let media_type = header_text(response, CONTENT_TYPE.as_str());
     media_type.is_some_and(|text| text.starts_with("text/event-stream"))
 }
 
-fn header_text<'a>(response: &'a Response<Incoming>, name: &str) -> Option<&'a str> {
+fn header_text<'a>(response: &'a Response<ReceivedBody>, name: &str) -> Option<&'a str> {
     response.headers().get(name)?.to_str().ok()
 }
 
-async fn read_stream(body: Incoming) -> Observation {
+async fn read_stream(body: ReceivedBody) -> Observation {
     let mut events = SseStream::new(body);
     let mut observation = Observation::without_answer(CallerOutcome::Broken);
     while let Some(Ok(event)) = events.next().await {
@@ -204,7 +204,7 @@
     text.as_str().map(str::to_owned)
 }
 
-async fn read_buffered(response: Response<Incoming>, limit: Duration) -> Observation {
+async fn read_buffered(response: Response<ReceivedBody>, limit: Duration) -> Observation {
     let label = header_text(&response, OUTCOME_HEADER);
     let outcome = label.and_then(CallerOutcome::from_label);
     let retry_after = header_text(&response, RETRY_AFTER.as_str());
--- a/cli/tests/cluster.rs
+++ b/cli/tests/cluster.rs
@@ -35,7 +35,6 @@
 use http::Request;
 use http::Response;
 use http::header::HOST;
-use hyper::body::Incoming;
 use tokio::net::TcpListener;
 use tokio::process::Child;
 use tokio::process::Command;
@@ -372,7 +371,7 @@
         request = request.header(*name, *value);
     }
     let body = RequestBody::new(body.to_owned().into());
-    let response: Response<Incoming> = connection.send(request.body(body).unwrap()).await.ok()?;
+    let response = connection.send(request.body(body).unwrap()).await.ok()?;
     let (head, body) = response.into_parts();
     let bytes = read_body(body, LIMIT_BYTES, WAIT_TIMEOUT).await.ok()?;
     let text = String::from_utf8(bytes.to_vec()).unwrap();
--- a/lib/src/connection/client.rs
+++ b/lib/src/connection/client.rs
@@ -11,13 +11,16 @@
 use derive_more::Error;
 use http::Request;
 use http::Response;
-use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
 use super::body::RequestBody;
+use super::receive_limit::MeteredStream;
+use super::receive_limit::READ_BUFFER_BYTES;
+use super::receive_limit::ReceiveMeter;
+use super::receive_limit::ReceivedBody;
 use super::tcp_options::set_tcp_options;
 
 /// Why a request got no response.
@@ -50,6 +53,7 @@
 pub struct ClientConnection {
     address: SocketAddr,
     sender: http1::SendRequest<RequestBody>,
+    received: ReceiveMeter,
     driver: DriverGuard,
 }
 
@@ -91,7 +95,12 @@
             reason: error.to_string(),
         })?;
         set_tcp_options(&stream).map_err(|error| not_sent(error.to_string()))?;
-        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let received = ReceiveMeter::default();
+        let stream = MeteredStream::new(stream, received.clone());
+        let handshake = http1::Builder::new()
+            .max_buf_size(READ_BUFFER_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await;
         let (sender, connection) = handshake.map_err(|error| not_sent(error.to_string()))?;
         let driver = tokio::spawn(async move {
             if let Err(error) = connection.await {
@@ -102,6 +111,7 @@
         Ok(Self {
             address,
             sender,
+            received,
             driver,
         })
     }
@@ -124,13 +134,17 @@
     /// Sends a request once and returns the head of the response.
     ///
     /// The caller must keep the connection until it has read the response body. Dropping the
-    /// connection aborts the body, and the server sees that the client disconnected.
+    /// connection aborts the body, and the server sees that the client disconnected. The response
+    /// fails if the server sends too much that is not body data.
     pub async fn send(
         &mut self,
         request: Request<RequestBody>,
-    ) -> Result<Response<Incoming>, SendError> {
+    ) -> Result<Response<ReceivedBody>, SendError> {
         let address = self.address;
+        self.received.reset();
         let sent = self.sender.try_send_request(request).await;
+        let sent = sent
+            .map(|response| response.map(|body| ReceivedBody::new(body, self.received.clone())));
         sent.map_err(|mut error| {
             let is_unsent = error.take_message().is_some();
             let reason = error.error().to_string();
--- a/lib/src/connection/mod.rs
+++ b/lib/src/connection/mod.rs
@@ -3,6 +3,7 @@
 pub mod body;
 pub mod client;
 pub mod pool;
+pub mod receive_limit;
 pub mod relay;
 pub mod server;
 pub mod silence;
--- a/lib/src/request/forward/send.rs
+++ b/lib/src/request/forward/send.rs
@@ -6,7 +6,6 @@
 use http::Request;
 use http::request;
 use http::response;
-use hyper::body::Incoming;
 
 use super::context::ForwardContext;
 use super::context::NoTarget;
@@ -23,6 +22,7 @@
 use crate::connection::body::RequestBody;
 use crate::connection::client::ClientConnection;
 use crate::connection::client::SendError;
+use crate::connection::receive_limit::ReceivedBody;
 use crate::ids::AccountId;
 use crate::ids::ServiceId;
 use crate::request::outcome::NotRunReason;
@@ -85,7 +85,7 @@
     pub(super) connection: ClientConnection,
     pub(super) head: response::Parts,
     pub(super) answer: AnswerHead,
-    pub(super) body: Incoming,
+    pub(super) body: ReceivedBody,
 }
 
 impl<X> ForwardedRequest<X>
@@ -218,7 +218,7 @@
         target: &X::Reservation,
         last_event: Option<u64>,
         timeout: AnswerTimeout,
-    ) -> Result<(ClientConnection, response::Parts, Incoming), SendFailure> {
+    ) -> Result<(ClientConnection, response::Parts, ReceivedBody), SendFailure> {
         let connect_timeout = CONNECT_TIMEOUT.min(self.time_left());
         let opened = ClientConnection::open(target.address(), connect_timeout).await;
         let mut connection = opened.map_err(|error| {
--- a/lib/src/target/http.rs
+++ b/lib/src/target/http.rs
@@ -12,7 +12,6 @@
 use http::Request;
 use http::header::CONTENT_TYPE;
 use http::header::HOST;
-use hyper::body::Incoming;
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use sse_stream::Sse;
@@ -37,6 +36,7 @@
 use crate::connection::client::SendError;
 use crate::connection::pool::ConnectionPool;
 use crate::connection::pool::PooledConnection;
+use crate::connection::receive_limit::ReceivedBody;
 use crate::ids::AttemptId;
 
 /// The maximum size of the answer to a control call.
@@ -63,14 +63,14 @@
 
 /// The body of an answer, read either as server-sent events or buffered.
 enum AnswerBody {
-    Unread(Incoming),
-    Events(SseStream<Incoming>),
+    Unread(ReceivedBody),
+    Events(SseStream<ReceivedBody>),
     Consumed,
 }
 
 impl AnswerBody {
     /// Returns the event stream, or `None` if the body was consumed.
-    fn events(&mut self) -> Option<&mut SseStream<Incoming>> {
+    fn events(&mut self) -> Option<&mut SseStream<ReceivedBody>> {
         let current = std::mem::replace(self, Self::Consumed);
         *self = match current {
             Self::Unread(body) => Self::Events(SseStream::new(body)),
