connection: a change of protocol is no answer

A target that answered 101 had its 101 returned to the caller, with the target's signature; the caller's connection then was no HTTP connection any more. The interface for model engines and plain services passed it on as well. No request asks for another protocol, so the client now reports such an answer as broken: 502, or another target if the request may be repeated.

--- a/lib/src/connection/client.rs
+++ b/lib/src/connection/client.rs
@@ -143,9 +143,7 @@
         let address = self.address;
         self.received.reset();
         let sent = self.sender.try_send_request(request).await;
-        let sent = sent
-            .map(|response| response.map(|body| ReceivedBody::new(body, self.received.clone())));
-        sent.map_err(|mut error| {
+        let response = sent.map_err(|mut error| {
             let is_unsent = error.take_message().is_some();
             let reason = error.error().to_string();
             if is_unsent {
@@ -157,7 +155,13 @@
             } else {
                 SendError::MaybeSent { address, reason }
             }
-        })
+        })?;
+        // Of the 1xx statuses only 101 ends a head, and no upgrade is ever requested.
+        if response.status().is_informational() {
+            let reason = format!("the server answered {}", response.status());
+            return Err(SendError::MaybeSent { address, reason });
+        }
+        Ok(response.map(|body| ReceivedBody::new(body, self.received.clone())))
     }
 }
 
