connection: a body read into memory keeps no read buffers

A body was collected as the list of its frames. A frame is a part of the connection's read buffer and keeps all of it, and a list entry is larger than a frame of one byte; a target that sent chunks of one byte thus made the process hold many times the 16 MiB that the limit allows. The data is now copied into one buffer as it arrives.

read_body_tiny_frames_release_their_buffers failed before (more than 2 read buffers were held at a time, of 1,000 frames) and passes now.

--- a/lib/src/connection/body.rs
+++ b/lib/src/connection/body.rs
@@ -2,14 +2,15 @@
 
 use std::time::Duration;
 
+use bytes::Buf as _;
+use bytes::BufMut as _;
 use bytes::Bytes;
+use bytes::BytesMut;
 use derive_more::Display;
 use derive_more::Error;
 use http_body_util::BodyExt as _;
 use http_body_util::Either;
 use http_body_util::Full;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
 use http_body_util::StreamBody;
 use hyper::body::Body;
 use hyper::body::Frame;
@@ -130,18 +131,32 @@
 ) -> Result<Bytes, ReadBodyError>
 where
     B: Body,
-    B::Error: std::error::Error + Send + Sync + 'static,
+    B::Error: std::error::Error,
 {
-    let collected = tokio::time::timeout(timeout, Limited::new(body, limit_bytes).collect()).await;
-    match collected {
-        Err(_) => Err(ReadBodyError::Timeout { timeout }),
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
-            Err(ReadBodyError::TooLong { limit_bytes })
-        }
-        Ok(Err(error)) => {
-            let reason = error.to_string();
-            Err(ReadBodyError::Broken { reason })
+    let read = tokio::time::timeout(timeout, collect_body(body, limit_bytes)).await;
+    read.unwrap_or(Err(ReadBodyError::Timeout { timeout }))
+}
+
+async fn collect_body<B>(body: B, limit_bytes: usize) -> Result<Bytes, ReadBodyError>
+where
+    B: Body,
+    B::Error: std::error::Error,
+{
+    let too_long = ReadBodyError::TooLong { limit_bytes };
+    let mut body = std::pin::pin!(body);
+    // The data is copied, since a frame of one byte keeps the connection's whole read buffer.
+    let mut collected = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| ReadBodyError::Broken {
+            reason: error.to_string(),
+        })?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if data.remaining() > limit_bytes - collected.len() {
+            return Err(too_long);
         }
+        collected.put(data);
     }
+    Ok(collected.freeze())
 }
--- a/lib/tests/test_connection.rs
+++ b/lib/tests/test_connection.rs
@@ -1,19 +1,27 @@
 //! Tests of HTTP connections: a request is sent at most once, errors say whether it was sent, and
 //! slow or dead peers are disconnected.
 
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use beryltray_lib::connection::body::RequestBody;
 use beryltray_lib::connection::body::ResponseBody;
 use beryltray_lib::connection::body::full_body;
+use beryltray_lib::connection::body::read_body;
 use beryltray_lib::connection::client::ClientConnection;
 use beryltray_lib::connection::client::SendError;
 use beryltray_lib::connection::server::HttpHandler;
 use beryltray_lib::connection::server::ServerSettings;
 use beryltray_lib::connection::server::serve;
 use beryltray_lib::connection::tcp_options::set_tcp_options;
+use bytes::Bytes;
 use http::Request;
 use http::Response;
+use http_body_util::StreamBody;
+use hyper::body::Frame;
 use hyper::body::Incoming;
 use socket2::SockRef;
 use tokio::io::AsyncReadExt as _;
@@ -111,3 +119,25 @@
     let user_timeout = socket.tcp_user_timeout().unwrap().unwrap();
     assert!(user_timeout <= Duration::from_secs(4));
 }
+
+// Guards against a body of tiny chunks that keeps a read buffer of the connection for each of them.
+#[tokio::test]
+async fn read_body_tiny_frames_release_their_buffers() {
+    #[derive(Clone)]
+    struct ReadBuffer(Arc<[u8; 4096]>);
+    impl AsRef<[u8]> for ReadBuffer {
+        fn as_ref(&self) -> &[u8] {
+            &self.0[..]
+        }
+    }
+    let buffer = ReadBuffer(Arc::new([b'a'; 4096]));
+    let held_max = AtomicUsize::new(0);
+    let frames = (0..1000).map(|_| {
+        held_max.fetch_max(Arc::strong_count(&buffer.0), Ordering::Relaxed);
+        Ok::<_, Infallible>(Frame::data(Bytes::from_owner(buffer.clone()).slice(..1)))
+    });
+    let body = StreamBody::new(tokio_stream::iter(frames));
+    let read = read_body(body, 1000, CONNECT_TIMEOUT).await.unwrap();
+    assert_eq!(read.len(), 1000);
+    assert!(held_max.into_inner() <= 2);
+}
