connection: a body that declares too great a length is not read

A target that declared a length of 1 TB could send 16 MiB before the gateway closed the connection, although the head had already shown that the answer can't be passed on. The declared length is now checked first. Requests of callers are read by the same function, so one that is too long gets its 413 before its body is read.

--- a/lib/src/connection/body.rs
+++ b/lib/src/connection/body.rs
@@ -124,6 +124,8 @@
 }
 
 /// Reads a whole body of at most `limit_bytes` within `timeout`.
+///
+/// A body that declares a greater length is not read at all.
 pub async fn read_body<B>(
     body: B,
     limit_bytes: usize,
@@ -143,6 +145,9 @@
     B::Error: std::error::Error,
 {
     let too_long = ReadBodyError::TooLong { limit_bytes };
+    if body.size_hint().lower() > limit_bytes as u64 {
+        return Err(too_long);
+    }
     let mut body = std::pin::pin!(body);
     // The data is copied, since a frame of one byte keeps the connection's whole read buffer.
     let mut collected = BytesMut::new();
