gateway: limit the memory of large answers for the process

Each buffered answer could take 16 MiB, and nothing limited all of them together: 34 targets that sent 15 MiB each and then neither ended nor went on made the gateway hold 519,045,120 bytes, while its process is killed at 260 MB.

An answer now reserves memory beyond its first 64 KiB, in steps while it grows, out of 48 MiB for the process. When these are taken it waits, within its timeout, until it is the one answer that may grow to 16 MiB beside them, so that answers which hold a part each can't wait for each other forever. The reservation is kept until the caller has the answer. 64 MiB are a quarter of the process's limit.

--- a/lib/src/connection/body.rs
+++ b/lib/src/connection/body.rs
@@ -17,6 +17,9 @@
 use tokio::sync::mpsc;
 use tokio_stream::wrappers::ReceiverStream;
 
+use super::body_memory::BodyMemory;
+use super::body_memory::BodyReservation;
+
 /// The capacity of the channel between the writer and the reader of a streamed body, in frames.
 /// When the channel is full, [`BodySender::send`] waits.
 const STREAM_BUFFER_FRAMES: usize = 32;
@@ -135,11 +138,32 @@
     B: Body,
     B::Error: std::error::Error,
 {
-    let read = tokio::time::timeout(timeout, collect_body(body, limit_bytes)).await;
+    let read = tokio::time::timeout(timeout, collect_body(body, limit_bytes, None)).await;
+    read.unwrap_or(Err(ReadBodyError::Timeout { timeout }))
+}
+
+/// Reads a whole body like [`read_body`], within the process's limit on the memory of bodies. The
+/// wait for memory counts toward the timeout.
+pub async fn read_body_within<B>(
+    body: B,
+    limit_bytes: usize,
+    timeout: Duration,
+    memory: &BodyMemory,
+) -> Result<Bytes, ReadBodyError>
+where
+    B: Body,
+    B::Error: std::error::Error,
+{
+    let reservation = Some(memory.reservation());
+    let read = tokio::time::timeout(timeout, collect_body(body, limit_bytes, reservation)).await;
     read.unwrap_or(Err(ReadBodyError::Timeout { timeout }))
 }
 
-async fn collect_body<B>(body: B, limit_bytes: usize) -> Result<Bytes, ReadBodyError>
+async fn collect_body<B>(
+    body: B,
+    limit_bytes: usize,
+    mut reservation: Option<BodyReservation>,
+) -> Result<Bytes, ReadBodyError>
 where
     B: Body,
     B::Error: std::error::Error,
@@ -161,7 +185,16 @@
         if data.remaining() > limit_bytes - collected.len() {
             return Err(too_long);
         }
+        if let Some(reservation) = &mut reservation {
+            reservation
+                .grow_to(collected.len() + data.remaining())
+                .await;
+        }
         collected.put(data);
     }
-    Ok(collected.freeze())
+    let collected = collected.freeze();
+    Ok(match reservation {
+        Some(reservation) => reservation.keep_with(collected),
+        None => collected,
+    })
 }
--- a/lib/src/connection/mod.rs
+++ b/lib/src/connection/mod.rs
@@ -1,6 +1,7 @@
 //! HTTP and relay connections: clients, connection pools, servers and failure detection.
 
 pub mod body;
+pub mod body_memory;
 pub mod client;
 pub mod pool;
 pub mod receive_limit;
--- a/lib/src/process/gateway/context.rs
+++ b/lib/src/process/gateway/context.rs
@@ -7,6 +7,7 @@
 
 use super::state::GatewayState;
 use crate::clock::Clock;
+use crate::connection::body_memory::BodyMemory;
 use crate::ids::GroupId;
 use crate::ids::HostId;
 use crate::ids::ServiceId;
@@ -176,6 +177,10 @@
         self.state.lifecycle.stage() >= Stage::Draining
     }
 
+    fn body_memory(&self) -> &BodyMemory {
+        &self.state.body_memory
+    }
+
     fn on_request(&self, service: &ServiceId, request_id: &str) -> bool {
         let now = self.now();
         let retry = &self.state.settings.retry;
--- a/lib/src/process/gateway/state.rs
+++ b/lib/src/process/gateway/state.rs
@@ -22,6 +22,7 @@
 use super::settings::GatewaySettings;
 use super::usage::UsageTracker;
 use crate::clock::Clock;
+use crate::connection::body_memory::BodyMemory;
 use crate::ids::HostId;
 use crate::ids::Revision;
 use crate::ids::ServiceId;
@@ -31,6 +32,7 @@
 use crate::process::formation::HostTracker;
 use crate::process::lifecycle::Lifecycle;
 use crate::process::lifecycle::Stage;
+use crate::request::forward::buffered::ANSWER_LIMIT_BYTES;
 use crate::request::forward::sampling::LogSampler;
 use crate::sorted::SortedVec;
 use crate::target::record::TargetRecord;
@@ -43,6 +45,10 @@
 /// The most stalled targets that are kept for group formation; the oldest are dropped.
 const STALLED_TARGETS_MAX: usize = 256;
 
+/// The memory for large answers, beside one of the maximum size. Together they are a quarter of the
+/// 260 MB of a gateway's process; half is left for the buffers of 500 requests of up to 250 KB each.
+const BODY_MEMORY_BYTES: usize = 48 * 1024 * 1024;
+
 /// The part of a gossip datagram that is computed from the state.
 #[derive(Clone, Debug, Default)]
 pub struct GossipPayload {
@@ -93,6 +99,8 @@
     pub records_changed: Notify,
     /// The process's metrics.
     pub metrics: GatewayMetrics,
+    /// The limit on the memory of answers that are read completely.
+    pub body_memory: BodyMemory,
     inner: Mutex<Inner>,
 }
 
@@ -119,6 +127,7 @@
         Self {
             settings,
             metrics,
+            body_memory: BodyMemory::new(BODY_MEMORY_BYTES, ANSWER_LIMIT_BYTES),
             started_at: now,
             clock,
             lifecycle: Lifecycle::default(),
--- a/lib/src/request/forward/buffered.rs
+++ b/lib/src/request/forward/buffered.rs
@@ -16,10 +16,10 @@
 use super::send::log_request;
 use crate::connection::body::ResponseBody;
 use crate::connection::body::full_body;
-use crate::connection::body::read_body;
+use crate::connection::body::read_body_within;
 
 /// The maximum size of an answer's body. A larger answer is treated as broken.
-const ANSWER_LIMIT_BYTES: usize = 16 * 1024 * 1024;
+pub const ANSWER_LIMIT_BYTES: usize = 16 * 1024 * 1024;
 /// The timeout of a repeatable request's send as a multiple of the latency target. The last send
 /// has the time to the deadline.
 const SEND_TIMEOUT_FACTOR: f64 = 0.9;
@@ -101,7 +101,9 @@
         .send_once(target, None, AnswerTimeout::fixed(timeout))
         .await?;
     let spent = forwarded.context.now().saturating_duration_since(started);
-    let read = read_body(body, ANSWER_LIMIT_BYTES, timeout.saturating_sub(spent)).await;
+    let memory = forwarded.context.body_memory();
+    let left = timeout.saturating_sub(spent);
+    let read = read_body_within(body, ANSWER_LIMIT_BYTES, left, memory).await;
     drop(connection);
     let bytes = match read {
         Ok(bytes) => bytes,
--- a/lib/src/request/forward/context.rs
+++ b/lib/src/request/forward/context.rs
@@ -8,6 +8,7 @@
 use super::plan::SendFailure;
 use super::protocol::AnswerLoad;
 use super::protocol::CallerProtocol;
+use crate::connection::body_memory::BodyMemory;
 use crate::ids::HostId;
 use crate::ids::ServiceId;
 use crate::ids::WeightsId;
@@ -118,6 +119,9 @@
     /// Returns whether the process is shutting down; answers then ask callers to close connections.
     fn is_draining(&self) -> bool;
 
+    /// Returns the process's limit on the memory of answers that are read completely.
+    fn body_memory(&self) -> &BodyMemory;
+
     /// Counts a request for the service's retry budget and for the sampling of log lines. Returns
     /// whether its lines are written, see [`LogSampler`](super::sampling::LogSampler).
     fn on_request(&self, service: &ServiceId, request_id: &str) -> bool;
--- a/lib/src/request/forward/mod.rs
+++ b/lib/src/request/forward/mod.rs
@@ -5,7 +5,7 @@
 //! [`handler`] applies them.
 
 pub mod admit;
-mod buffered;
+pub mod buffered;
 pub mod choose;
 pub mod context;
 pub mod events;
--- a/lib/src/request/forward/stream.rs
+++ b/lib/src/request/forward/stream.rs
@@ -26,7 +26,7 @@
 use crate::connection::body::BodySender;
 use crate::connection::body::ResponseBody;
 use crate::connection::body::full_body;
-use crate::connection::body::read_body;
+use crate::connection::body::read_body_within;
 use crate::connection::body::streamed_body;
 
 /// How long one stream may make no progress while other streams of its target do.
@@ -176,7 +176,9 @@
         body,
         ..
     } = answer_start;
-    let read = read_body(body, FAILURE_BODY_LIMIT_BYTES, forwarded.time_left()).await;
+    let left = forwarded.time_left();
+    let memory = forwarded.context.body_memory();
+    let read = read_body_within(body, FAILURE_BODY_LIMIT_BYTES, left, memory).await;
     drop(connection);
     target.on_end(Some(SendFailure::TargetFailed));
     let bytes = read.map_err(|_| SendFailure::Broken)?;
--- a/lib/tests/test_connection.rs
+++ b/lib/tests/test_connection.rs
@@ -11,6 +11,7 @@
 use beryltray_lib::connection::body::ResponseBody;
 use beryltray_lib::connection::body::full_body;
 use beryltray_lib::connection::body::read_body;
+use beryltray_lib::connection::body_memory::BodyMemory;
 use beryltray_lib::connection::client::ClientConnection;
 use beryltray_lib::connection::client::SendError;
 use beryltray_lib::connection::server::HttpHandler;
@@ -18,6 +19,7 @@
 use beryltray_lib::connection::server::serve;
 use beryltray_lib::connection::tcp_options::set_tcp_options;
 use bytes::Bytes;
+use futures_util::FutureExt as _;
 use http::Request;
 use http::Response;
 use http_body_util::StreamBody;
@@ -141,3 +143,19 @@
     assert_eq!(read.len(), 1000);
     assert!(held_max.into_inner() <= 2);
 }
+
+// Guards against large bodies that wait for each other's memory, or whose memory is free too early.
+#[tokio::test]
+async fn body_memory_bodies_beyond_limit_take_turns() {
+    let size = 1024 * 1024;
+    let memory = BodyMemory::new(128 * 1024, size);
+    let (mut first, mut second) = (memory.reservation(), memory.reservation());
+    first.grow_to(128 * 1024).await;
+    second.grow_to(128 * 1024).await;
+    first.grow_to(size).await;
+    let body = first.keep_with(Bytes::from(vec![0; size]));
+    let mut waits = std::pin::pin!(second.grow_to(size));
+    assert!(waits.as_mut().now_or_never().is_none());
+    drop(body);
+    assert!(waits.now_or_never().is_some());
+}
