connection: limit the bytes that wait for a slow reader

The queue of a streamed body had room for 32 frames of any size. For a caller that read nothing, a target with events of 960 KiB could send 38,304,695 bytes, the buffers of the sockets included; seven such callers would fill the process's 260 MB.

The queue now also has a limit of 64 KiB. A frame takes its room until it is written to the caller; a larger one waits until the queue is empty.

--- a/lib/src/connection/body.rs
+++ b/lib/src/connection/body.rs
@@ -1,5 +1,6 @@
 //! HTTP message bodies: buffered and streamed bodies, and reading a body within limits.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Buf as _;
@@ -14,6 +15,8 @@
 use http_body_util::StreamBody;
 use hyper::body::Body;
 use hyper::body::Frame;
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::sync::Semaphore;
 use tokio::sync::mpsc;
 use tokio_stream::wrappers::ReceiverStream;
 
@@ -23,6 +26,8 @@
 /// The capacity of the channel between the writer and the reader of a streamed body, in frames.
 /// When the channel is full, [`BodySender::send`] waits.
 const STREAM_BUFFER_FRAMES: usize = 32;
+/// The capacity of the same channel in bytes. A larger frame is sent when the channel is empty.
+const STREAM_BUFFER_BYTES: u32 = 64 * 1024;
 
 /// A buffered request body.
 pub type RequestBody = Full<Bytes>;
@@ -75,9 +80,22 @@
 #[derive(Debug)]
 pub struct BodySender {
     frames: mpsc::Sender<Result<Frame<Bytes>, BodyAborted>>,
+    free_bytes: Arc<Semaphore>,
     is_finished: bool,
 }
 
+/// The data of a frame, which takes room in the channel until it is dropped.
+struct QueuedData {
+    data: Bytes,
+    _room: OwnedSemaphorePermit,
+}
+
+impl AsRef<[u8]> for QueuedData {
+    fn as_ref(&self) -> &[u8] {
+        &self.data
+    }
+}
+
 /// The receiver of a streamed body was dropped, usually because the client disconnected.
 #[derive(Clone, Copy, Debug, Display, Error)]
 #[display("the reader of the answer disconnected")]
@@ -86,7 +104,15 @@
 impl BodySender {
     /// Sends a data frame; waits while the channel to the reader is full.
     pub async fn send(&self, bytes: Bytes) -> Result<(), ReaderClosed> {
-        let sent = self.frames.send(Ok(Frame::data(bytes))).await;
+        let permits = u32::try_from(bytes.len()).unwrap_or(u32::MAX);
+        let room = Arc::clone(&self.free_bytes)
+            .acquire_many_owned(permits.min(STREAM_BUFFER_BYTES))
+            .await;
+        let data = Bytes::from_owner(QueuedData {
+            data: bytes,
+            _room: room.map_err(|_| ReaderClosed)?,
+        });
+        let sent = self.frames.send(Ok(Frame::data(data))).await;
         sent.map_err(|_| ReaderClosed)
     }
 
@@ -120,6 +146,7 @@
     let (frames, receiver) = mpsc::channel(STREAM_BUFFER_FRAMES);
     let sender = BodySender {
         frames,
+        free_bytes: Arc::new(Semaphore::new(STREAM_BUFFER_BYTES as usize)),
         is_finished: false,
     };
     let stream = StreamBody::new(ReceiverStream::new(receiver));
