forward: text without a line of an event breaks a stream

On a streaming route any text up to a blank line was forwarded as an event, so that garbage or blank lines without end reached the caller, as the start of an answer or within one, until the deadline.

A block must now have a line of an event or a comment, or the stream counts as broken: before the first event the request goes to another target or ends with 502, later the stream is resumed or broken off. Blank lines alone are skipped, up to the size of the largest event.

--- a/lib/src/request/forward/events.rs
+++ b/lib/src/request/forward/events.rs
@@ -6,6 +6,8 @@
 
 /// The maximum size of an event. A stream that exceeds it is treated as broken.
 const EVENT_LIMIT_BYTES: usize = 1024 * 1024;
+/// The field names of server-sent events; a line that begins with a colon is a comment.
+const EVENT_FIELDS: [&[u8]; 4] = [b"data", b"event", b"id", b"retry"];
 
 /// Splits a stream of chunks of any size into complete events.
 ///
@@ -71,6 +73,70 @@
     }
 }
 
+/// What the text up to a blank line of a stream is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum BlockKind {
+    /// It has a line of an event.
+    Event,
+    /// It has comments, and other lines that clients ignore.
+    Comment,
+    /// It has no text at all.
+    Empty,
+    /// It has text, but no line belongs to the format of server-sent events.
+    Garbage,
+}
+
+impl BlockKind {
+    /// Returns the kind of a complete block.
+    pub fn of<B>(block: B) -> Self
+    where
+        B: AsRef<[u8]>,
+    {
+        let mut kind = Self::Empty;
+        for line in block.as_ref().split(|byte| matches!(byte, b'\n' | b'\r')) {
+            let name = line.split(|byte| *byte == b':').next().unwrap_or_default();
+            if EVENT_FIELDS.contains(&name) {
+                return Self::Event;
+            }
+            if line.starts_with(b":") {
+                kind = Self::Comment;
+            } else if !line.is_empty() && kind == Self::Empty {
+                kind = Self::Garbage;
+            }
+        }
+        kind
+    }
+}
+
+/// Limits what a target may send in a stream without a new event.
+///
+/// The IDs of a target's events increase. If the target resumes a stream, it may repeat each event
+/// once.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct ProgressTracker {
+    highest_id: Option<u64>,
+    idle_bytes: usize,
+}
+
+impl ProgressTracker {
+    /// Records an event that the target has not sent before.
+    pub fn on_new_event(&mut self, id: Option<u64>) {
+        self.highest_id = id.or(self.highest_id);
+        self.idle_bytes = 0;
+    }
+
+    /// Records a block that is no new event. Returns whether there are too many bytes of them.
+    pub fn on_idle_block(&mut self, block_bytes: usize) -> bool {
+        self.idle_bytes += block_bytes;
+        self.idle_bytes > EVENT_LIMIT_BYTES
+    }
+
+    /// Returns whether an event with an ID is one that the target has not sent before.
+    pub fn is_new(&self, id: u64) -> bool {
+        self.highest_id.is_none_or(|highest| id > highest)
+    }
+}
+
 /// The position of an event relative to those that the caller has received. After a retry, the new
 /// target may repeat events or skip some.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/lib/src/request/forward/stream.rs
+++ b/lib/src/request/forward/stream.rs
@@ -9,8 +9,10 @@
 
 use super::context::ForwardContext;
 use super::context::TargetReservation as _;
+use super::events::BlockKind;
 use super::events::EventPosition;
 use super::events::EventSplitter;
+use super::events::ProgressTracker;
 use super::events::StreamPosition;
 use super::plan::AnswerTimeout;
 use super::plan::NextStep;
@@ -38,6 +40,7 @@
 struct OpenStream<U> {
     answer_start: AnswerStart<U>,
     splitter: EventSplitter,
+    progress: ProgressTracker,
     /// The first event, until it is forwarded.
     pending: Option<Bytes>,
     /// Whether the stream ended without an event.
@@ -143,6 +146,7 @@
     let mut stream = OpenStream {
         answer_start,
         splitter: EventSplitter::new(),
+        progress: ProgressTracker::default(),
         pending: None,
         is_empty: false,
     };
@@ -331,7 +335,11 @@
     let started = forwarded.context.now();
     loop {
         if let Some(event) = stream.splitter.next_event() {
-            return Ok(StreamItem::Event(event));
+            match BlockKind::of(&event) {
+                BlockKind::Event | BlockKind::Comment => return Ok(StreamItem::Event(event)),
+                BlockKind::Empty if !stream.progress.on_idle_block(event.len()) => continue,
+                BlockKind::Empty | BlockKind::Garbage => return Err(SendFailure::Broken),
+            }
         }
         if stream.splitter.is_oversized() {
             return Err(SendFailure::Broken);
