forward: a target that sends no new event breaks its stream

Comments, events without an ID and events that were sent before counted as progress of a stream, so a target that sent nothing else kept the caller waiting until the deadline: comments were forwarded, repeated events were dropped one by one (114,096,435 bytes within 8 s).

The IDs of a target's events increase, and a target that resumes a stream repeats an event once at most. In a stream without IDs each event is new.

--- a/lib/src/request/forward/stream.rs
+++ b/lib/src/request/forward/stream.rs
@@ -310,6 +310,16 @@
             }
         };
         let id = forwarded.context.protocol().event_id(&event);
+        let is_new = match id {
+            Some(id) => stream.progress.is_new(id),
+            // In a stream whose events have IDs, a block without one is no event of its own.
+            None => position.last_event().is_none() && BlockKind::of(&event) == BlockKind::Event,
+        };
+        if is_new {
+            stream.progress.on_new_event(id);
+        } else if stream.progress.on_idle_block(event.len()) {
+            return Err(ForwardEnd::Failed(SendFailure::Broken));
+        }
         match position.classify(id) {
             EventPosition::Duplicate => continue,
             EventPosition::AfterGap => return Err(ForwardEnd::Failed(SendFailure::Broken)),
