forward: a stream that trickles ends at its deadline

The deadline of a stream was checked before each event and, within one, only while nothing arrived. A target that sent bytes of an event without its end, a few at a time, kept the stream open past its deadline, until 1 MiB was reached or 50 ms passed without a byte. The wait for an event now has the remaining time as its limit.

--- a/lib/src/request/forward/stream.rs
+++ b/lib/src/request/forward/stream.rs
@@ -299,13 +299,16 @@
             Some(event) => event,
             None => {
                 let left = forwarded.time_left();
+                // The timeout below does not apply to an event that is ready.
                 if left.is_zero() {
                     return Err(ForwardEnd::Deadline);
                 }
-                match next_item(forwarded, stream, STREAM_IDLE_LIMIT.min(left)).await {
-                    Ok(StreamItem::Event(event)) => event,
-                    Ok(StreamItem::End) => return Ok(()),
-                    Err(send_failure) => return Err(ForwardEnd::Failed(send_failure)),
+                let item = next_item(forwarded, stream, STREAM_IDLE_LIMIT.min(left));
+                match tokio::time::timeout(left, item).await {
+                    Ok(Ok(StreamItem::Event(event))) => event,
+                    Ok(Ok(StreamItem::End)) => return Ok(()),
+                    Ok(Err(send_failure)) => return Err(ForwardEnd::Failed(send_failure)),
+                    Err(_) => return Err(ForwardEnd::Deadline),
                 }
             }
         };
