connection: read buffers of 32 KiB on client connections

A request may hold a read buffer, a frame in the channel of the body and one that waits for memory, 64 KiB of an answer without reservation and 64 KiB that wait for its caller. With buffers of 64 KiB that is 320 KiB; 500 requests then exceed the half of the process's 260 MB that the limit on large answers leaves to them. With 32 KiB it is 224 KiB. The limit on bytes without body data stays.

--- a/lib/src/connection/receive_limit.rs
+++ b/lib/src/connection/receive_limit.rs
@@ -26,10 +26,11 @@
 use tokio::net::TcpStream;
 
 /// The size of a connection's read buffer, and so of the largest response head.
-pub(super) const READ_BUFFER_BYTES: usize = 64 * 1024;
-/// The maximum number of bytes received in a row without body data. It fits the largest head, and the
-/// data that `hyper` reads ahead: one frame in the body's channel and a full read buffer.
-const OVERHEAD_LIMIT_BYTES: usize = 4 * READ_BUFFER_BYTES;
+pub(super) const READ_BUFFER_BYTES: usize = 32 * 1024;
+/// The maximum number of bytes received in a row without body data. It fits several heads of
+/// the largest size, and the data that `hyper` reads ahead: a frame in the body's channel and a full
+/// read buffer.
+const OVERHEAD_LIMIT_BYTES: usize = 8 * READ_BUFFER_BYTES;
 
 /// The server sent too many bytes without body data.
 #[derive(Clone, Copy, Debug, Display, Error)]
