forward: large events share the memory limit of answers

An event without its end was buffered up to 1 MiB for each stream, and nothing limited all streams together; 260 of them would fill the process. An event now reserves memory beyond 64 KiB like a buffered answer and keeps it until it is written to the caller.

--- a/lib/src/process/gateway/state.rs
+++ b/lib/src/process/gateway/state.rs
@@ -46,7 +46,7 @@
 const STALLED_TARGETS_MAX: usize = 256;
 
 /// The memory for large answers, beside one of the maximum size. Together they are a quarter of the
-/// 260 MB of a gateway's process; half is left for the buffers of 500 requests of up to 250 KB each.
+/// 260 MB of a gateway's process; half is left for the buffers of 500 requests of 250 KB each.
 const BODY_MEMORY_BYTES: usize = 48 * 1024 * 1024;
 
 /// The part of a gossip datagram that is computed from the state.
--- a/lib/src/request/forward/events.rs
+++ b/lib/src/request/forward/events.rs
@@ -41,6 +41,11 @@
         Some(self.buffer.split_to(end).freeze())
     }
 
+    /// Returns the number of bytes in the buffer.
+    pub fn buffered_bytes(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Returns whether the buffer holds data. Once [`EventSplitter::next_event`] has returned
     /// `None`, the data is an incomplete event.
     pub fn has_partial_event(&self) -> bool {
--- a/lib/src/request/forward/stream.rs
+++ b/lib/src/request/forward/stream.rs
@@ -30,6 +30,7 @@
 use crate::connection::body::full_body;
 use crate::connection::body::read_body_within;
 use crate::connection::body::streamed_body;
+use crate::connection::body_memory::BodyReservation;
 
 /// How long one stream may make no progress while other streams of its target do.
 const STREAM_IDLE_LIMIT: Duration = Duration::from_millis(1_500);
@@ -41,6 +42,8 @@
     answer_start: AnswerStart<U>,
     splitter: EventSplitter,
     progress: ProgressTracker,
+    /// The memory for the next event.
+    reservation: BodyReservation,
     /// The first event, until it is forwarded.
     pending: Option<Bytes>,
     /// Whether the stream ended without an event.
@@ -147,6 +150,7 @@
         answer_start,
         splitter: EventSplitter::new(),
         progress: ProgressTracker::default(),
+        reservation: forwarded.context.body_memory().reservation(),
         pending: None,
         is_empty: false,
     };
@@ -349,7 +353,11 @@
     loop {
         if let Some(event) = stream.splitter.next_event() {
             match BlockKind::of(&event) {
-                BlockKind::Event | BlockKind::Comment => return Ok(StreamItem::Event(event)),
+                BlockKind::Event | BlockKind::Comment => {
+                    let next = forwarded.context.body_memory().reservation();
+                    let reservation = std::mem::replace(&mut stream.reservation, next);
+                    return Ok(StreamItem::Event(reservation.keep_with(event)));
+                }
                 BlockKind::Empty if !stream.progress.on_idle_block(event.len()) => continue,
                 BlockKind::Empty | BlockKind::Garbage => return Err(SendFailure::Broken),
             }
@@ -363,6 +371,8 @@
                 stream.answer_start.target.on_progress();
                 if let Some(data) = frame.data_ref() {
                     stream.splitter.push(data);
+                    let buffered_bytes = stream.splitter.buffered_bytes();
+                    stream.reservation.grow_to(buffered_bytes).await;
                 }
             }
             Ok(Some(Err(error))) => {
