--- a/lib/src/request/forward/stream.rs
+++ b/lib/src/request/forward/stream.rs
@@ -66,7 +66,7 @@
 {
     let position = StreamPosition::new(forwarded.caller_request.last_event);
     let stream = match open_stream(&mut forwarded, &position).await? {
-        Opened::Stream(stream) => stream,
+        Opened::Stream(stream) => *stream,
         Opened::Answer(response) => return Ok(response),
     };
     let waited = forwarded
@@ -86,7 +86,7 @@
 }
 
 enum Opened<U> {
-    Stream(OpenStream<U>),
+    Stream(Box<OpenStream<U>>),
     /// The target answered with another status than 200.
     Answer(Response<ResponseBody>),
 }
@@ -167,7 +167,7 @@
             return Err(send_failure);
         }
     }
-    Ok(Opened::Stream(stream))
+    Ok(Opened::Stream(Box::new(stream)))
 }
 
 async fn read_failure_answer<X>(
@@ -258,7 +258,7 @@
             () = sender.closed() => break "caller gone",
         };
         match resumed {
-            Ok(Opened::Stream(next)) => stream = next,
+            Ok(Opened::Stream(next)) => stream = *next,
             Ok(Opened::Answer(_)) | Err(_) => break "broken off",
         }
     };
