--- a/lib/src/connection/body.rs
+++ b/lib/src/connection/body.rs
@@ -1,24 +1,33 @@
 //! HTTP message bodies: buffered and streamed bodies, and reading a body within limits.
 
+use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Buf as _;
+use bytes::BufMut as _;
 use bytes::Bytes;
+use bytes::BytesMut;
 use derive_more::Display;
 use derive_more::Error;
 use http_body_util::BodyExt as _;
 use http_body_util::Either;
 use http_body_util::Full;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
 use http_body_util::StreamBody;
 use hyper::body::Body;
 use hyper::body::Frame;
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::sync::Semaphore;
 use tokio::sync::mpsc;
 use tokio_stream::wrappers::ReceiverStream;
 
+use super::body_memory::BodyMemory;
+use super::body_memory::BodyReservation;
+
 /// The capacity of the channel between the writer and the reader of a streamed body, in frames.
 /// When the channel is full, [`BodySender::send`] waits.
 const STREAM_BUFFER_FRAMES: usize = 32;
+/// The capacity of the same channel in bytes. A larger frame is sent when the channel is empty.
+const STREAM_BUFFER_BYTES: u32 = 64 * 1024;
 
 /// A buffered request body.
 pub type RequestBody = Full<Bytes>;
@@ -71,9 +80,22 @@
 #[derive(Debug)]
 pub struct BodySender {
     frames: mpsc::Sender<Result<Frame<Bytes>, BodyAborted>>,
+    free_bytes: Arc<Semaphore>,
     is_finished: bool,
 }
 
+/// The data of a frame, which takes room in the channel until it is dropped.
+struct QueuedData {
+    data: Bytes,
+    _room: OwnedSemaphorePermit,
+}
+
+impl AsRef<[u8]> for QueuedData {
+    fn as_ref(&self) -> &[u8] {
+        &self.data
+    }
+}
+
 /// The receiver of a streamed body was dropped, usually because the client disconnected.
 #[derive(Clone, Copy, Debug, Display, Error)]
 #[display("the reader of the answer disconnected")]
@@ -82,7 +104,15 @@
 impl BodySender {
     /// Sends a data frame; waits while the channel to the reader is full.
     pub async fn send(&self, bytes: Bytes) -> Result<(), ReaderClosed> {
-        let sent = self.frames.send(Ok(Frame::data(bytes))).await;
+        let permits = u32::try_from(bytes.len()).unwrap_or(u32::MAX);
+        let room = Arc::clone(&self.free_bytes)
+            .acquire_many_owned(permits.min(STREAM_BUFFER_BYTES))
+            .await;
+        let data = Bytes::from_owner(QueuedData {
+            data: bytes,
+            _room: room.map_err(|_| ReaderClosed)?,
+        });
+        let sent = self.frames.send(Ok(Frame::data(data))).await;
         sent.map_err(|_| ReaderClosed)
     }
 
@@ -116,6 +146,7 @@
     let (frames, receiver) = mpsc::channel(STREAM_BUFFER_FRAMES);
     let sender = BodySender {
         frames,
+        free_bytes: Arc::new(Semaphore::new(STREAM_BUFFER_BYTES as usize)),
         is_finished: false,
     };
     let stream = StreamBody::new(ReceiverStream::new(receiver));
@@ -123,6 +154,8 @@
 }
 
 /// Reads a whole body of at most `limit_bytes` within `timeout`.
+///
+/// A body that declares a greater length is not read at all.
 pub async fn read_body<B>(
     body: B,
     limit_bytes: usize,
@@ -130,18 +163,65 @@
 ) -> Result<Bytes, ReadBodyError>
 where
     B: Body,
-    B::Error: std::error::Error + Send + Sync + 'static,
+    B::Error: std::error::Error,
 {
-    let collected = tokio::time::timeout(timeout, Limited::new(body, limit_bytes).collect()).await;
-    match collected {
-        Err(_) => Err(ReadBodyError::Timeout { timeout }),
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
-            Err(ReadBodyError::TooLong { limit_bytes })
+    let read = tokio::time::timeout(timeout, collect_body(body, limit_bytes, None)).await;
+    read.unwrap_or(Err(ReadBodyError::Timeout { timeout }))
+}
+
+/// Reads a whole body like [`read_body`], within the process's limit on the memory of bodies. The
+/// wait for memory counts toward the timeout.
+pub async fn read_body_within<B>(
+    body: B,
+    limit_bytes: usize,
+    timeout: Duration,
+    memory: &BodyMemory,
+) -> Result<Bytes, ReadBodyError>
+where
+    B: Body,
+    B::Error: std::error::Error,
+{
+    let reservation = Some(memory.reservation());
+    let read = tokio::time::timeout(timeout, collect_body(body, limit_bytes, reservation)).await;
+    read.unwrap_or(Err(ReadBodyError::Timeout { timeout }))
+}
+
+async fn collect_body<B>(
+    body: B,
+    limit_bytes: usize,
+    mut reservation: Option<BodyReservation>,
+) -> Result<Bytes, ReadBodyError>
+where
+    B: Body,
+    B::Error: std::error::Error,
+{
+    let too_long = ReadBodyError::TooLong { limit_bytes };
+    if body.size_hint().lower() > limit_bytes as u64 {
+        return Err(too_long);
+    }
+    let mut body = std::pin::pin!(body);
+    // The data is copied, since a frame of one byte keeps the connection's whole read buffer.
+    let mut collected = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| ReadBodyError::Broken {
+            reason: error.to_string(),
+        })?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if data.remaining() > limit_bytes - collected.len() {
+            return Err(too_long);
         }
-        Ok(Err(error)) => {
-            let reason = error.to_string();
-            Err(ReadBodyError::Broken { reason })
+        if let Some(reservation) = &mut reservation {
+            reservation
+                .grow_to(collected.len() + data.remaining())
+                .await;
         }
+        collected.put(data);
     }
+    let collected = collected.freeze();
+    Ok(match reservation {
+        Some(reservation) => reservation.keep_with(collected),
+        None => collected,
+    })
 }
--- a/lib/src/connection/mod.rs
+++ b/lib/src/connection/mod.rs
@@ -1,8 +1,10 @@
 //! HTTP and relay connections: clients, connection pools, servers and failure detection.
 
 pub mod body;
+pub mod body_memory;
 pub mod client;
 pub mod pool;
+pub mod receive_limit;
 pub mod relay;
 pub mod server;
 pub mod silence;
--- a/lib/src/process/gateway/context.rs
+++ b/lib/src/process/gateway/context.rs
@@ -11,6 +11,7 @@
 use super::state::GatewayState;
 use super::state::Inner;
 use crate::clock::Clock;
+use crate::connection::body_memory::BodyMemory;
 use crate::ids::GroupId;
 use crate::ids::HostId;
 use crate::ids::PromptPartId;
@@ -120,12 +121,7 @@
             "send broke at the start of its answer"
         );
     }
-}
 
-impl<C> ReservedTarget<C>
-where
-    C: Clock,
-{
     /// Reports the target to group formation and to the peers.
     fn report_stall(&self) {
         let now = self.state.clock.now();
@@ -292,6 +288,10 @@
         self.state.lifecycle.wait_until_reached(Stage::Ending).await;
     }
 
+    fn body_memory(&self) -> &BodyMemory {
+        &self.state.body_memory
+    }
+
     fn on_request(&self, service: &ServiceId, request_id: &str) -> bool {
         let now = self.now();
         let retry = &self.state.settings.retry;
--- a/lib/src/request/forward/buffered.rs
+++ b/lib/src/request/forward/buffered.rs
@@ -1,5 +1,6 @@
 //! Forwards requests whose answers are read completely before they are returned.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use http::Response;
@@ -19,10 +20,10 @@
 use super::sends::first_answer;
 use crate::connection::body::ResponseBody;
 use crate::connection::body::full_body;
-use crate::connection::body::read_body;
+use crate::connection::body::read_body_within;
 
 /// The maximum size of an answer's body. A larger answer is treated as broken.
-const ANSWER_LIMIT_BYTES: usize = 16 * 1024 * 1024;
+pub const ANSWER_LIMIT_BYTES: usize = 16 * 1024 * 1024;
 /// The time after which a repeatable request is sent to another target too, as a multiple of the
 /// latency target.
 const SEND_TIMEOUT_FACTOR: f64 = 0.9;
@@ -67,7 +68,9 @@
         Ok(started) => started,
         Err(send_failure) => return SendEnd::Failed(send_failure),
     };
-    let read = read_body(body, ANSWER_LIMIT_BYTES, send.request.time_left());
+    let request = Arc::clone(&send.request);
+    let memory = request.context.body_memory();
+    let read = read_body_within(body, ANSWER_LIMIT_BYTES, request.time_left(), memory);
     let mut read = std::pin::pin!(read);
     let read = loop {
         tokio::select! {
--- a/lib/src/request/forward/context.rs
+++ b/lib/src/request/forward/context.rs
@@ -8,6 +8,7 @@
 use super::plan::SendFailure;
 use super::protocol::AnswerLoad;
 use super::protocol::CallerProtocol;
+use crate::connection::body_memory::BodyMemory;
 use crate::ids::HostId;
 use crate::ids::PromptPartId;
 use crate::ids::ServiceId;
@@ -136,6 +137,9 @@
     /// Waits until the time for requests in flight is over at the end of a shutdown.
     fn stop_limit_reached(&self) -> impl Future<Output = ()> + Send;
 
+    /// Returns the process's limit on the memory of answers that are read completely.
+    fn body_memory(&self) -> &BodyMemory;
+
     /// Counts a request for the service's retry budget and for the sampling of log lines. Returns
     /// whether its lines are written, see [`LogSampler`](super::sampling::LogSampler).
     fn on_request(&self, service: &ServiceId, request_id: &str) -> bool;
--- a/lib/src/request/forward/send.rs
+++ b/lib/src/request/forward/send.rs
@@ -9,7 +9,6 @@
 use http::Response;
 use http::request;
 use http::response;
-use hyper::body::Incoming;
 use tokio::sync::Notify;
 
 use super::context::ForwardContext;
@@ -23,6 +22,7 @@
 use crate::connection::body::RequestBody;
 use crate::connection::client::ClientConnection;
 use crate::connection::client::SendError;
+use crate::connection::receive_limit::ReceivedBody;
 use crate::ids::AccountId;
 use crate::ids::ServiceId;
 use crate::version::routes::Route;
@@ -101,7 +101,7 @@
     pub(super) connection: ClientConnection,
     pub(super) head: response::Parts,
     pub(super) answer: AnswerHead,
-    pub(super) body: Incoming,
+    pub(super) body: ReceivedBody,
 }
 
 impl<X> ForwardedRequest<X>
@@ -184,7 +184,7 @@
         &mut self,
         last_event: Option<u64>,
         timeout: Option<AnswerTimeout>,
-    ) -> Result<(ClientConnection, response::Parts, Incoming), SendFailure> {
+    ) -> Result<(ClientConnection, response::Parts, ReceivedBody), SendFailure> {
         let connect_timeout = CONNECT_TIMEOUT.min(self.request.time_left());
         let opened = ClientConnection::open(self.target.address(), connect_timeout).await;
         let mut connection = opened.map_err(|error| {
@@ -207,9 +207,9 @@
         &mut self,
         sent: F,
         timeout: Option<AnswerTimeout>,
-    ) -> Result<Response<Incoming>, SendFailure>
+    ) -> Result<Response<ReceivedBody>, SendFailure>
     where
-        F: Future<Output = Result<Response<Incoming>, SendError>>,
+        F: Future<Output = Result<Response<ReceivedBody>, SendError>>,
     {
         let mut sent = std::pin::pin!(sent);
         let mut deadline = std::pin::pin!(tokio::time::sleep(self.request.time_left()));
--- a/lib/src/request/forward/stream.rs
+++ b/lib/src/request/forward/stream.rs
@@ -10,8 +10,10 @@
 
 use super::context::ForwardContext;
 use super::context::TargetReservation as _;
+use super::events::BlockKind;
 use super::events::EventPosition;
 use super::events::EventSplitter;
+use super::events::ProgressTracker;
 use super::events::StreamPosition;
 use super::plan::AnswerTimeout;
 use super::plan::NextStep;
@@ -30,8 +32,9 @@
 use crate::connection::body::BodySender;
 use crate::connection::body::ResponseBody;
 use crate::connection::body::full_body;
-use crate::connection::body::read_body;
+use crate::connection::body::read_body_within;
 use crate::connection::body::streamed_body;
+use crate::connection::body_memory::BodyReservation;
 
 /// How long one stream may make no progress while other streams of its target do.
 const STREAM_IDLE_LIMIT: Duration = Duration::from_millis(1_500);
@@ -45,6 +48,9 @@
 {
     answer_start: AnswerStart<X>,
     splitter: EventSplitter,
+    progress: ProgressTracker,
+    /// The memory for the next event.
+    reservation: BodyReservation,
     /// The next event, if it has arrived and is not forwarded yet.
     pending: Option<Bytes>,
     has_ended: bool,
@@ -121,9 +127,12 @@
     if answer_start.head.status != StatusCode::OK {
         return read_failure_answer(answer_start).await;
     }
+    let memory = answer_start.send.request.context.body_memory();
     let mut stream = OpenStream {
+        reservation: memory.reservation(),
         answer_start,
         splitter: EventSplitter::new(),
+        progress: ProgressTracker::default(),
         pending: None,
         has_ended: false,
     };
@@ -155,7 +164,9 @@
         body,
         ..
     } = answer_start;
-    let read = read_body(body, FAILURE_BODY_LIMIT_BYTES, send.request.time_left()).await;
+    let left = send.request.time_left();
+    let memory = send.request.context.body_memory();
+    let read = read_body_within(body, FAILURE_BODY_LIMIT_BYTES, left, memory).await;
     drop(connection);
     send.target.on_end(Some(SendFailure::TargetFailed));
     let Ok(bytes) = read else {
@@ -346,17 +357,30 @@
     let request = Arc::clone(&stream.answer_start.send.request);
     let protocol = request.context.protocol();
     loop {
-        if request.time_left().is_zero() {
+        let left = request.time_left();
+        // The timeout below does not apply to an event that is ready.
+        if left.is_zero() {
             return Err(ForwardEnd::Deadline);
         }
-        let item = next_item(stream, STREAM_IDLE_LIMIT.min(request.time_left())).await;
-        let event = match item {
-            Ok(StreamItem::Event(event)) => event,
-            Ok(StreamItem::End) => return Ok(()),
-            Err(SendFailure::Silent) if request.time_left().is_zero() => continue,
-            Err(send_failure) => return Err(ForwardEnd::Failed(send_failure)),
+        let item = next_item(stream, STREAM_IDLE_LIMIT.min(left));
+        let event = match tokio::time::timeout(left, item).await {
+            Ok(Ok(StreamItem::Event(event))) => event,
+            Ok(Ok(StreamItem::End)) => return Ok(()),
+            Ok(Err(SendFailure::Silent)) if request.time_left().is_zero() => continue,
+            Ok(Err(send_failure)) => return Err(ForwardEnd::Failed(send_failure)),
+            Err(_) => return Err(ForwardEnd::Deadline),
         };
         let id = protocol.event_id(&event);
+        let is_new = match id {
+            Some(id) => stream.progress.is_new(id),
+            // In a stream whose events have IDs, a block without one is no event of its own.
+            None => position.last_event().is_none() && BlockKind::of(&event) == BlockKind::Event,
+        };
+        if is_new {
+            stream.progress.on_new_event(id);
+        } else if stream.progress.on_idle_block(event.len()) {
+            return Err(ForwardEnd::Failed(SendFailure::Broken));
+        }
         match position.classify(id) {
             EventPosition::Duplicate => continue,
             EventPosition::AfterGap => return Err(ForwardEnd::Failed(SendFailure::Broken)),
@@ -407,8 +431,18 @@
     let started = send.request.context.now();
     loop {
         if let Some(event) = stream.splitter.next_event() {
-            send.target.on_event();
-            return Ok(StreamItem::Event(event));
+            match BlockKind::of(&event) {
+                kind @ (BlockKind::Event | BlockKind::Comment) => {
+                    if kind == BlockKind::Event {
+                        send.target.on_event();
+                    }
+                    let next = send.request.context.body_memory().reservation();
+                    let reservation = std::mem::replace(&mut stream.reservation, next);
+                    return Ok(StreamItem::Event(reservation.keep_with(event)));
+                }
+                BlockKind::Empty if !stream.progress.on_idle_block(event.len()) => continue,
+                BlockKind::Empty | BlockKind::Garbage => return Err(SendFailure::Broken),
+            }
         }
         if stream.has_ended {
             return Ok(StreamItem::End);
@@ -422,6 +456,8 @@
                 send.target.on_progress();
                 if let Some(data) = frame.data_ref() {
                     stream.splitter.push(data);
+                    let buffered_bytes = stream.splitter.buffered_bytes();
+                    stream.reservation.grow_to(buffered_bytes).await;
                 }
             }
             Ok(Some(Err(error))) => {
