--- a/lib/tests/test_review.rs
+++ b/lib/tests/test_formation_pauses.rs
@@ -1,4 +1,4 @@
-//! Tests from a review: pauses of a host that group formation takes for its loss.
+//! Tests of pauses of a host that group formation takes for its loss.
 
 use std::time::Duration;
 use std::time::Instant;
