tests: the replay of a booking waits until its result is recorded

An entry answers its caller and records the result in the next group commit; until then another entry sees the work as started and answers in-progress with a time to come back, as docs/design/claims.md and docs/callers.md say. On a loaded machine the second request came before that commit.

The test now asks again under the same key while it is in progress, as callers are told, and checks the retry delay of each such answer, that the first answer is complete, and as before that the replay is the same answer and that the work ran once.

--- a/cli/tests/test_promises.rs
+++ b/cli/tests/test_promises.rs
@@ -51,9 +51,19 @@
     let first = cluster.start_entry("entry-1").await;
     let second = cluster.start_entry("entry-2").await;
     let answer = first.send(BOOK, "m1", Some("k1")).await;
-    let replayed = second.send(BOOK, "m1", Some("k1")).await;
-    assert_eq!(replayed.outcome, "complete");
-    assert_eq!(replayed.body, answer.body);
+    assert_eq!(answer.outcome, "complete");
+    // The result is recorded after the answer is sent; until then the work is in progress.
+    eventually(async || {
+        let replayed = second.send(BOOK, "m1", Some("k1")).await;
+        if replayed.outcome == "in-progress" {
+            assert!(replayed.has_retry_after);
+            return false;
+        }
+        assert_eq!(replayed.outcome, "complete");
+        assert_eq!(replayed.body, answer.body);
+        true
+    })
+    .await;
     let other_body = second.send(BOOK, "m2", Some("k1")).await;
     assert_eq!(other_body.outcome, "invalid");
     assert_eq!(cluster.truth().await.works.len(), 1);
