gateway: limits that targets name are read, logged and counted

The header is now read from each answer of a target, refusals included. An answer without it ends a limit only if its request was sent after the limit was last named, since answers overtake each other. Decisions are unchanged.

--- a/lib/src/process/gateway/context.rs
+++ b/lib/src/process/gateway/context.rs
@@ -25,6 +25,7 @@
 use crate::request::forward::plan::SendFailure;
 use crate::request::forward::protocol::AnswerLoad;
 use crate::request::forward::protocol::CallerProtocol;
+use crate::request::forward::protocol::StatedLimit;
 use crate::version::routes::RouteDocument;
 
 /// The number of complete events up to which an answer is at its start.
@@ -172,6 +173,12 @@
         inner.is_usable(&self.host) && !self.is_quarantined(&inner, now)
     }
 
+    fn on_stated_limit(&mut self, limit: StatedLimit) {
+        self.state.with_target_limits(|limits, now| {
+            limits.on_answer(&self.host, limit, self.started_at, now);
+        });
+    }
+
     fn on_first_answer(&mut self, load: Option<AnswerLoad>) {
         self.is_silent = false;
         let now = self.state.clock.now();
--- a/lib/src/process/gateway/metrics.rs
+++ b/lib/src/process/gateway/metrics.rs
@@ -45,6 +45,8 @@
     /// Crashes of targets that this entry or a peer has confirmed.
     pub target_crashes: IntCounter,
     quarantine_refusals: IntCounterVec,
+    /// Targets that name a request limit.
+    pub limited_targets: IntGauge,
     /// 1 while this entry holds the formation lease, 0 otherwise.
     pub holds_lease: IntGauge,
 }
@@ -116,6 +118,10 @@
                 "Requests not sent because of a quarantined prompt part.",
                 &["service"],
             )?,
+            limited_targets: gauge(
+                "limited_targets",
+                "Targets that name a limit on the rate of requests.",
+            )?,
             holds_lease: gauge("holds_lease", "Whether this entry forms the groups.")?,
         };
         metrics.register()?;
@@ -137,6 +143,7 @@
         registry.register(Box::new(self.quarantined_parts.clone()))?;
         registry.register(Box::new(self.target_crashes.clone()))?;
         registry.register(Box::new(self.quarantine_refusals.clone()))?;
+        registry.register(Box::new(self.limited_targets.clone()))?;
         registry.register(Box::new(self.holds_lease.clone()))
     }
 
--- a/lib/src/process/gateway/mod.rs
+++ b/lib/src/process/gateway/mod.rs
@@ -24,6 +24,7 @@
 mod serving;
 mod settings;
 mod state;
+mod target_limits;
 mod usage;
 
 pub use self::change_log::ChangeLog;
@@ -52,5 +53,7 @@
 pub use self::settings::RetryLimits;
 pub use self::state::GatewayPlatform;
 pub use self::state::GatewayState;
+pub use self::target_limits::LimitChange;
+pub use self::target_limits::TargetLimits;
 pub use self::usage::TargetUsage;
 pub use self::usage::UsageTracker;
--- a/lib/src/process/gateway/reservation.rs
+++ b/lib/src/process/gateway/reservation.rs
@@ -141,6 +141,7 @@
                 .usage
                 .get(&target.host)
                 .and_then(|usage| usage.load_age(now)),
+            limit: self.target_limits.limit(&target.host),
         };
         self.usage
             .on_start(&target.host, requirements.prompt_tokens, now);
--- a/lib/src/process/gateway/state.rs
+++ b/lib/src/process/gateway/state.rs
@@ -22,6 +22,7 @@
 use super::serving::ServingTarget;
 use super::serving::serving_targets;
 use super::settings::GatewaySettings;
+use super::target_limits::TargetLimits;
 use super::usage::UsageTracker;
 use crate::clock::Clock;
 use crate::connection::body_memory::BodyMemory;
@@ -87,6 +88,7 @@
     /// The requests that broke at the start of their answers, by target, while it is checked whether
     /// the target has crashed.
     pub(super) broken_starts: Vec<CrashRecord>,
+    pub(super) target_limits: TargetLimits,
 }
 
 /// The state of a gateway's process.
@@ -155,6 +157,7 @@
                 stalled_to_gossip: Vec::new(),
                 quarantine: Quarantine::new(),
                 broken_starts: Vec::new(),
+                target_limits: TargetLimits::new(),
             }),
         }
     }
--- a/lib/src/request/forward/context.rs
+++ b/lib/src/request/forward/context.rs
@@ -8,11 +8,13 @@
 use super::plan::SendFailure;
 use super::protocol::AnswerLoad;
 use super::protocol::CallerProtocol;
+use super::protocol::StatedLimit;
 use crate::connection::body_memory::BodyMemory;
 use crate::ids::HostId;
 use crate::ids::PromptPartId;
 use crate::ids::ServiceId;
 use crate::ids::WeightsId;
+use crate::units::RequestRate;
 use crate::version::routes::RouteDocument;
 
 /// What a request requires of a target.
@@ -70,6 +72,8 @@
     pub in_flight: f64,
     /// The age of the target's last load report, or `None` without a recent one.
     pub load_age: Option<Duration>,
+    /// The limit on the rate of requests that the chosen target names, if it is known.
+    pub limit: Option<RequestRate>,
 }
 
 /// A request's reserved slot at a target; dropping it releases the slot.
@@ -89,6 +93,9 @@
     /// Returns whether new requests may still be sent to the target.
     fn is_still_usable(&self) -> bool;
 
+    /// Records what an answer of the target, which may be a refusal, says about its limit.
+    fn on_stated_limit(&mut self, limit: StatedLimit);
+
     /// Records that the head of the answer arrived, with the load that it reports.
     fn on_first_answer(&mut self, load: Option<AnswerLoad>);
 
--- a/lib/src/request/forward/protocol.rs
+++ b/lib/src/request/forward/protocol.rs
@@ -16,6 +16,7 @@
 use crate::ids::WeightsId;
 use crate::request::outcome::NotRunReason;
 use crate::request::outcome::UnknownReason;
+use crate::units::RequestRate;
 
 /// The fields of a caller's request that are read from its head.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -76,8 +77,19 @@
     pub waiting: u32,
 }
 
+/// What a target's answer says about the rate of requests that the target takes.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum StatedLimit {
+    /// The target names no limit.
+    Unlimited,
+    /// The target takes at most this rate, from all entries together. It may be 0.
+    Limited(RequestRate),
+    /// The target names a limit that can't be parsed.
+    Invalid,
+}
+
 /// The fields read from the head of a target's answer.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct AnswerHead {
     /// The identifier of the request that the answer belongs to, if present.
     pub request_id: Option<String>,
@@ -91,6 +103,8 @@
     pub is_encoded: bool,
     /// The target's load, if reported.
     pub load: Option<AnswerLoad>,
+    /// The target's limit on the rate of requests.
+    pub limit: StatedLimit,
     /// The host that prevented the request from running, if the answer names one.
     pub faulty_host: Option<HostId>,
 }
--- a/lib/src/request/forward/send.rs
+++ b/lib/src/request/forward/send.rs
@@ -142,7 +142,12 @@
             }
         };
         let answer = self.request.context.protocol().read_answer(&head);
-        if let Err(send_failure) = self.check_answer(&head, &answer) {
+        let checked = self.check_answer(&head, &answer);
+        // A misdirected request may have reached another target, at an address that is used again.
+        if matches!(checked, Ok(()) | Err(SendFailure::NotRun)) {
+            self.target.on_stated_limit(answer.limit);
+        }
+        if let Err(send_failure) = checked {
             self.target.on_end(Some(send_failure));
             return Err(send_failure);
         }
--- a/lib/src/request/forward/sends.rs
+++ b/lib/src/request/forward/sends.rs
@@ -154,6 +154,7 @@
             target:% = target.host(), options = choice.candidates, suspects = choice.suspects,
             in_flight = choice.in_flight,
             load_age_ms:% = OrNone(choice.load_age.map(|age| age.as_millis())),
+            limit_per_s:% = OrNone(choice.limit.map(|limit| limit.0)),
             expected_ms = target.expected_wait().as_millis() as u64,
             excluded = self.requirements.excluded.len(), version:% = OrNone(version),
             time_left_ms = request.time_left().as_millis() as u64;
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -33,4 +33,5 @@
 mod test_silence;
 mod test_spill;
 mod test_stragglers;
+mod test_target_limits;
 mod test_units;
