gateway: the limits that targets name are kept by all entries together

Cause: no entry used the limit. Neither single entries keeping to the limit nor further sends were at work: there were none to these targets.

The entries now divide each limit. Those with the highest ranks for the target have equal parts of at least two requests a second, which save up half a second; single requests are left to entries that lack one, by at most one datagram, and lapse after a second. So the sum over entries with the same view stays within 4 L + 1.5 L + 1 requests in 4 s, also when the limit is a fraction of a request per second and entry. An entry that hears half of the others or fewer reduces its part; only entries in contact with more than half take over the parts of silent ones. A request that no target takes is refused at once, unless one takes it within the short wait for targets.

--- a/lib/src/process/gateway/context.rs
+++ b/lib/src/process/gateway/context.rs
@@ -333,6 +333,11 @@
             .state
             .inner()
             .reserve_target(requirements, &self.state.settings, now);
+        if let Err(NoTarget::Limited { .. }) = &reserved {
+            self.state
+                .metrics
+                .count_limit_refusal(&requirements.service);
+        }
         let (target, expected_wait, choice_info) = reserved?;
         Ok(ReservedTarget {
             state: Arc::clone(&self.state),
--- a/lib/src/process/gateway/gossip.rs
+++ b/lib/src/process/gateway/gossip.rs
@@ -106,16 +106,21 @@
     P: Table,
 {
     let now = state.clock.now();
+    let mut listed = Vec::new();
     for row in platform.scan(ENTRY_PREFIX.to_owned()).await? {
         match serde_json::from_str::<EntryRow>(&row.value) {
-            Ok(row) => state.with_peers(|peers| {
-                peers.on_listed(row.entry, row.address, row.data_centre, row.processor, now);
-            }),
+            Ok(row) => {
+                listed.push(row.entry.clone());
+                state.with_peers(|peers| {
+                    peers.on_listed(row.entry, row.address, row.data_centre, row.processor, now);
+                });
+            }
             Err(error) => {
                 log::warn!(key = row.key.as_str(); "invalid entry row is ignored: {error}")
             }
         }
     }
+    state.with_peers(|peers| peers.on_list_read(&listed, now));
     Ok(())
 }
 
@@ -145,6 +150,7 @@
             loads: payload.loads,
             stalled: payload.stalled,
             has_requests: state.request_count() > 0,
+            limits: payload.limits,
             quarantine: state.with_quarantine(|quarantine, now| quarantine.gossip(now)),
         };
         let bytes = match serde_json::to_vec(&message) {
@@ -155,7 +161,9 @@
             }
         };
         let now = state.clock.now();
-        for address in state.with_peers(|peers| peers.recipients(now)) {
+        let grants = message.limits.iter().flat_map(|limit| &limit.grants);
+        let grantees: Vec<EntryId> = grants.map(|(entry, _)| entry.clone()).collect();
+        for address in state.with_peers(|peers| peers.recipients(&grantees, now)) {
             if let Err(error) = socket.send_to(&bytes, address).await {
                 log::debug!(peer:% = address; "can't send the gossip datagram: {error}");
             }
--- a/lib/src/process/gateway/metrics.rs
+++ b/lib/src/process/gateway/metrics.rs
@@ -45,6 +45,7 @@
     /// Crashes of targets that this entry or a peer has confirmed.
     pub target_crashes: IntCounter,
     quarantine_refusals: IntCounterVec,
+    limit_refusals: IntCounterVec,
     /// Targets that name a request limit.
     pub limited_targets: IntGauge,
     /// 1 while this entry holds the formation lease, 0 otherwise.
@@ -118,6 +119,11 @@
                 "Requests not sent because of a quarantined prompt part.",
                 &["service"],
             )?,
+            limit_refusals: counters(
+                "limit_refusals_total",
+                "Attempts to choose a target while the limits of all were used up.",
+                &["service"],
+            )?,
             limited_targets: gauge(
                 "limited_targets",
                 "Targets that name a limit on the rate of requests.",
@@ -143,6 +149,7 @@
         registry.register(Box::new(self.quarantined_parts.clone()))?;
         registry.register(Box::new(self.target_crashes.clone()))?;
         registry.register(Box::new(self.quarantine_refusals.clone()))?;
+        registry.register(Box::new(self.limit_refusals.clone()))?;
         registry.register(Box::new(self.limited_targets.clone()))?;
         registry.register(Box::new(self.holds_lease.clone()))
     }
@@ -180,6 +187,12 @@
         self.quarantine_refusals.with_label_values(&labels).inc();
     }
 
+    /// Counts an attempt to choose a target while the limits of all were used up.
+    pub fn count_limit_refusal(&self, service: &ServiceId) {
+        let labels = [service.as_str()];
+        self.limit_refusals.with_label_values(&labels).inc();
+    }
+
     /// Counts a retry that was requested from the retry budget.
     pub fn count_retry(&self, service: &ServiceId, is_granted: bool) {
         let granted = if is_granted { "yes" } else { "no" };
--- a/lib/src/process/gateway/peers.rs
+++ b/lib/src/process/gateway/peers.rs
@@ -11,7 +11,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::limit_gossip::GossipedLimit;
 use super::quarantine_gossip::QuarantineGossip;
+use super::share_members::ShareMembers;
 use crate::hash::rendezvous_weight;
 use crate::ids::DataCentreId;
 use crate::ids::EntryId;
@@ -125,7 +127,7 @@
 }
 
 /// A gossip datagram.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct PeerMessage {
     /// The entry that sent the datagram.
     pub entry: EntryId,
@@ -154,6 +156,9 @@
     /// Crashes of targets and quarantined prompt parts; an entry of an earlier version omits it.
     #[serde(default)]
     pub quarantine: QuarantineGossip,
+    /// The limits of targets; an entry of an earlier version omits it.
+    #[serde(default)]
+    pub limits: Vec<GossipedLimit>,
 }
 
 /// Another entry and its last datagram.
@@ -202,12 +207,14 @@
     processor: CoreShare,
     peers: SortedVec<Peer>,
     has_requests: bool,
+    share_members: ShareMembers,
 }
 
 impl Peers {
     /// Creates the peers of an entry that has not discovered any yet.
     pub fn new(own: EntryId, data_centre: DataCentreId, processor: CoreShare) -> Self {
         Self {
+            share_members: ShareMembers::new(own.clone()),
             own,
             data_centre,
             processor,
@@ -260,6 +267,7 @@
             return false;
         }
         self.has_requests |= message.has_requests;
+        self.share_members.on_heard(&message.entry, now);
         let upstream_backoff_until = known.and_then(|peer| peer.upstream_backoff_until);
         self.peers.insert(Peer {
             entry: message.entry.clone(),
@@ -275,6 +283,18 @@
         true
     }
 
+    /// Records that the list of entries has been read, after [`Peers::on_listed`] for each.
+    pub fn on_list_read(&mut self, listed: &[EntryId], now: Instant) {
+        self.share_members.on_list_read(listed, now);
+    }
+
+    /// Returns the entries that limits are divided among.
+    pub fn share_members(&mut self, now: Instant) -> &ShareMembers {
+        let hears_all = self.is_full_mesh();
+        self.share_members.update(hears_all, now);
+        &self.share_members
+    }
+
     /// Returns the number of known entries, including this one.
     pub fn entry_count(&self) -> usize {
         self.peers.len() + 1
@@ -356,12 +376,13 @@
         self.is_full_mesh() && self.peers.iter().any(|peer| peer.has_current_loads(now))
     }
 
-    /// Returns the addresses to send datagrams to, and removes peers without a recent message.
+    /// Returns the addresses to send a datagram to, which include those of `required`, and removes
+    /// peers without a recent message.
     ///
     /// With many peers, each entry sends to those with the highest rendezvous weights for it, so
     /// that all entries have about the same number of senders. Most recipients are in its own data
     /// centre.
-    pub fn recipients(&mut self, now: Instant) -> Vec<SocketAddr> {
+    pub fn recipients(&mut self, required: &[EntryId], now: Instant) -> Vec<SocketAddr> {
         let is_kept =
             |peer: &Peer| now.saturating_duration_since(peer.last_seen_at) < PEER_RETENTION;
         self.peers.retain(is_kept);
@@ -376,6 +397,12 @@
             remote.truncate(FANOUT_MAX - local.len());
             local.extend(remote);
             peers = local;
+            let missing = required
+                .iter()
+                .filter(|entry| !peers.iter().any(|peer| peer.entry == **entry))
+                .filter_map(|entry| self.peers.get(entry));
+            let missing: Vec<&Peer> = missing.collect();
+            peers.extend(missing);
         }
         peers.into_iter().map(|peer| peer.address).collect()
     }
--- a/lib/src/process/gateway/reservation.rs
+++ b/lib/src/process/gateway/reservation.rs
@@ -106,7 +106,13 @@
                         .as_ref()
                         .is_none_or(|w| target.weights.contains(w)))
         };
-        let targets: Vec<&ServingTarget> = self.serving.iter().filter(serves).collect();
+        let targets = self.serving.iter().filter(serves);
+        let takes_request = |target: &&ServingTarget| {
+            let wait = self.target_limits.time_until_send(&target.host, now);
+            wait.is_zero()
+        };
+        let (targets, passed_over): (Vec<&ServingTarget>, Vec<&ServingTarget>) =
+            targets.partition(takes_request);
         let candidate = |target: &&ServingTarget| {
             let usage = self.usage.get(&target.host);
             let (in_flight, unread_prompt_tokens) = self.estimated_load(target, now);
@@ -125,9 +131,28 @@
         };
         let candidates: Vec<TargetCandidate> = targets.iter().map(candidate).collect();
         let draw = |count: usize| rand::random_range(0..count);
-        let index =
-            choose_target(&candidates, requirements.prompt_tokens, draw).ok_or(NoTarget::Absent)?;
-        let index = admit(&candidates, index, requirements, draw)?;
+        let chosen = choose_target(&candidates, requirements.prompt_tokens, draw);
+        let chosen = match chosen {
+            Some(index) => admit(&candidates, index, requirements, draw),
+            None if passed_over.is_empty() => Err(NoTarget::Absent),
+            None => Err(NoTarget::Limited {
+                available_in: passed_over
+                    .iter()
+                    .map(|target| self.target_limits.time_until_send(&target.host, now))
+                    .min()
+                    .unwrap_or_default(),
+                candidates: passed_over.len(),
+            }),
+        };
+        let index = match chosen {
+            Ok(index) => index,
+            Err(no_target) => {
+                for target in passed_over {
+                    self.target_limits.on_lacking(&target.host, now);
+                }
+                return Err(no_target);
+            }
+        };
         let expected_wait = candidates[index].expected_wait(requirements.prompt_tokens);
         let target = targets[index].clone();
         let choice_info = ChoiceInfo {
@@ -145,6 +170,7 @@
         };
         self.usage
             .on_start(&target.host, requirements.prompt_tokens, now);
+        self.target_limits.on_send(&target.host, now);
         Ok((target, expected_wait, choice_info))
     }
 
--- /dev/null
+++ b/lib/src/process/gateway/share_members.rs
@@ -0,0 +1,180 @@
+//! The entries that a limit on all entries together is divided among.
+//!
+//! An entry that has fallen silent has ended, or is only cut off and still uses its part. Its part
+//! is taken over only by entries that are in contact with more than half of all others, and only
+//! after an entry that has lost this contact has reduced its own part.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::hash::rendezvous_weight;
+use crate::ids::EntryId;
+use crate::sorted::Keyed;
+use crate::sorted::SortedVec;
+
+/// How long an entry is in contact after its last message; it spans many messages.
+const CONTACT_TIME: Duration = Duration::from_millis(2_500);
+/// How long messages of an entry must have come before it is in contact. It is longer than
+/// [`CONTACT_TIME`], so that no entry is in contact with both sides when the sides of a cut change.
+const SETTLE_TIME: Duration = Duration::from_secs(3);
+/// How long an entry must be silent before the others take over its part. All entries beyond a cut
+/// are out of contact before the first of them has been silent for so long.
+const TAKEOVER_TIME: Duration = Duration::from_millis(4_500);
+/// How long an entry that could not read the list of entries waits for messages of others.
+const DISCOVERY_TIME: Duration = Duration::from_secs(1);
+
+/// With how many of the other entries an entry is in contact.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Contact {
+    /// The other entries are not known yet.
+    Unknown,
+    /// Less than half of all entries, this one included.
+    Minority,
+    /// Half of all entries.
+    Half,
+    /// More than half of all entries.
+    Majority,
+}
+
+/// The place of an entry among those that a limit is divided among.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct SharePlace {
+    /// The number of entries, this one included.
+    pub entries: usize,
+    /// The rank of this entry for the key, from 0.
+    pub rank: usize,
+    /// The entry's contact with the others.
+    pub contact: Contact,
+}
+
+#[derive(Clone, Debug)]
+struct Member {
+    entry: EntryId,
+    /// When its last message came, or when it was listed.
+    heard_at: Instant,
+    /// Since when messages have come without a long break; `None` before the first.
+    heard_since: Option<Instant>,
+    /// Whether its part has not been taken over.
+    is_counted: bool,
+}
+
+impl Member {
+    fn new(entry: &EntryId, now: Instant) -> Self {
+        Self {
+            entry: entry.clone(),
+            heard_at: now,
+            heard_since: None,
+            is_counted: true,
+        }
+    }
+
+    fn on_heard(&mut self, now: Instant) {
+        if self.heard_since.is_none() || self.silence(now) >= CONTACT_TIME {
+            self.heard_since = Some(now);
+        }
+        self.heard_at = now;
+        self.is_counted = true;
+    }
+
+    fn is_in_contact(&self, now: Instant) -> bool {
+        let has_settled = |since: Instant| now.saturating_duration_since(since) >= SETTLE_TIME;
+        self.silence(now) < CONTACT_TIME && self.heard_since.is_some_and(has_settled)
+    }
+
+    fn silence(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.heard_at)
+    }
+}
+
+impl Keyed for Member {
+    type Key = EntryId;
+
+    fn key(&self) -> &EntryId {
+        &self.entry
+    }
+}
+
+/// The entries that limits are divided among, as known to one entry.
+#[derive(Clone, Debug)]
+pub struct ShareMembers {
+    own: EntryId,
+    members: SortedVec<Member>,
+    /// When the other entries are taken as known.
+    discovered_at: Option<Instant>,
+    contact: Contact,
+}
+
+impl ShareMembers {
+    /// Creates the members as known to an entry that has just started.
+    pub fn new(own: EntryId) -> Self {
+        Self {
+            own,
+            members: SortedVec::new(),
+            discovered_at: None,
+            contact: Contact::Unknown,
+        }
+    }
+
+    /// Applies the list of all entries. An entry whose part was taken over is not counted again
+    /// before a message from it; a silent one that is no longer listed has ended.
+    pub fn on_list_read(&mut self, listed: &[EntryId], now: Instant) {
+        self.discovered_at = Some(self.discovered_at.map_or(now, |at| at.min(now)));
+        for entry in listed.iter().filter(|entry| **entry != self.own) {
+            let create = || Member::new(entry, now);
+            self.members.get_or_insert_with(entry, create);
+        }
+        self.members
+            .retain(|member| member.silence(now) < TAKEOVER_TIME || listed.contains(&member.entry));
+    }
+
+    /// Records a message from an entry.
+    pub fn on_heard(&mut self, entry: &EntryId, now: Instant) {
+        self.discovered_at.get_or_insert(now + DISCOVERY_TIME);
+        let create = || Member::new(entry, now);
+        self.members.get_or_insert_with(entry, create).on_heard(now);
+    }
+
+    /// Updates the contact, and takes over the parts of silent entries. `hears_all` is whether all
+    /// entries send messages to this one; otherwise nothing is known of silent ones.
+    pub fn update(&mut self, hears_all: bool, now: Instant) {
+        if self.discovered_at.is_none_or(|at| now < at) {
+            self.contact = Contact::Unknown;
+            return;
+        }
+        if !hears_all {
+            self.contact = Contact::Majority;
+            return;
+        }
+        let in_contact = self.counted().filter(|m| m.is_in_contact(now));
+        self.contact = match ((in_contact.count() + 1) * 2).cmp(&self.count()) {
+            std::cmp::Ordering::Less => Contact::Minority,
+            std::cmp::Ordering::Equal => Contact::Half,
+            std::cmp::Ordering::Greater => Contact::Majority,
+        };
+        if self.contact == Contact::Majority {
+            for member in self.members.iter_mut() {
+                member.is_counted &= member.silence(now) < TAKEOVER_TIME;
+            }
+        }
+    }
+
+    /// Returns this entry's place for a key. Entries with the same members compute the same order.
+    pub fn place(&self, key: &str) -> SharePlace {
+        let weight = |entry: &EntryId| (rendezvous_weight(key, entry.as_str()), entry.clone());
+        let own = weight(&self.own);
+        let ahead = self.counted().filter(|member| weight(&member.entry) > own);
+        SharePlace {
+            entries: self.count(),
+            rank: ahead.count(),
+            contact: self.contact,
+        }
+    }
+
+    fn counted(&self) -> impl Iterator<Item = &Member> {
+        self.members.iter().filter(|member| member.is_counted)
+    }
+
+    fn count(&self) -> usize {
+        self.counted().count() + 1
+    }
+}
--- a/lib/src/process/gateway/state.rs
+++ b/lib/src/process/gateway/state.rs
@@ -12,6 +12,7 @@
 
 use super::change_log::ChangeLog;
 use super::crash_records::CrashRecord;
+use super::limit_gossip::GossipedLimit;
 use super::metrics::GatewayMetrics;
 use super::peers::GossipedLoad;
 use super::peers::PeerMessage;
@@ -61,6 +62,8 @@
     pub loads: Vec<GossipedLoad>,
     /// Targets whose streams stalled, and how many milliseconds ago.
     pub stalled: Vec<(HostId, u64)>,
+    /// The limits of targets, with requests that are left to peers.
+    pub limits: Vec<GossipedLimit>,
 }
 
 /// The interfaces of the platform that a gateway uses.
@@ -70,7 +73,7 @@
 
 pub(super) struct Inner {
     document: Option<Arc<RouteDocument>>,
-    host_tracker: HostTracker,
+    pub(super) host_tracker: HostTracker,
     pub(super) serving: Vec<ServingTarget>,
     pub(super) usage: UsageTracker,
     pub(super) retry_budgets: SortedVec<ServiceRetryBudget>,
@@ -243,10 +246,12 @@
         change(&mut self.inner().peers)
     }
 
-    /// Returns the content of the next gossip datagram.
+    /// Returns the content of the next gossip datagram, which must be sent at most once.
     pub fn gossip_payload(&self) -> GossipPayload {
         let now = self.clock.now();
         let mut inner = self.inner();
+        inner.update_target_limits(now);
+        let limits = inner.target_limits.gossip(now);
         let is_recent = |at: Instant| now.saturating_duration_since(at) < STALL_GOSSIP_TIME;
         inner.stalled_to_gossip.retain(|(_, at)| is_recent(*at));
         let age_ms = |at: Instant| now.saturating_duration_since(at).as_millis() as u64;
@@ -266,6 +271,7 @@
                 uses: uses.collect(),
                 loads: Vec::new(),
                 stalled,
+                limits,
             };
         }
         let loads = inner.usage.iter().map(|(host, usage)| GossipedLoad {
@@ -284,6 +290,7 @@
             uses: Vec::new(),
             loads: loads.filter(has_content).collect(),
             stalled,
+            limits,
         }
     }
 
@@ -318,6 +325,10 @@
         drop(inner);
         if is_accepted {
             self.with_quarantine(|quarantine, now| quarantine.on_gossip(&message.quarantine, now));
+            let own = &self.settings.entry;
+            self.with_target_limits(|limits, now| {
+                limits.on_gossip(own, &message.entry, &message.limits, now);
+            });
         }
     }
 
--- a/lib/src/request/forward/admit.rs
+++ b/lib/src/request/forward/admit.rs
@@ -10,9 +10,9 @@
 /// The share of the latency target that a new request may spend in a target's queue. The rest is
 /// left for the prefill, for the first event, and for errors in the load estimates.
 const QUEUE_WAIT_SHARE: f64 = 0.3;
-/// The shortest retry delay for refused callers: a group that lost a member serves again within one
-/// to two seconds.
-const RETRY_AFTER_MIN: Duration = Duration::from_millis(1_000);
+/// The shortest retry delay for callers that are refused while targets are busy: a group that lost a
+/// member serves again within one to two seconds.
+pub(super) const RETRY_AFTER_MIN: Duration = Duration::from_millis(1_000);
 
 /// Returns the index of the candidate to send a request to, or [`NoTarget::Busy`].
 ///
--- a/lib/src/request/forward/context.rs
+++ b/lib/src/request/forward/context.rs
@@ -50,6 +50,14 @@
     },
     /// No target that meets the requirements is serving at present.
     Absent,
+    /// The targets that meet the requirements take no more requests for now, by the limits that
+    /// they name.
+    Limited {
+        /// The time until this process may send a request to one of them.
+        available_in: Duration,
+        /// The number of targets considered.
+        candidates: usize,
+    },
     /// The expected queue wait is too long, and no target has enough free slots.
     Busy {
         /// How long the caller should wait before a retry.
--- a/lib/src/request/forward/sends.rs
+++ b/lib/src/request/forward/sends.rs
@@ -11,6 +11,7 @@
 use futures_util::stream::FuturesUnordered;
 use tokio::sync::Notify;
 
+use super::admit::RETRY_AFTER_MIN;
 use super::context::ForwardContext;
 use super::context::NoTarget;
 use super::context::TargetRequirements;
@@ -66,7 +67,8 @@
         }
     }
 
-    /// Plans a send; if no target serves such requests, waits for one for a short time.
+    /// Plans a send; if no target serves such requests or takes one now, waits for one for a short
+    /// time.
     pub(super) async fn next_send(&mut self) -> Result<PlannedSend<X>, Failure> {
         let wait_max = self.requirements.latency_target / TARGET_WAIT_DIVISOR;
         let wait_until = tokio::time::Instant::now() + wait_max;
@@ -82,6 +84,15 @@
                     let failure = self.plan.failure(NotRunReason::Overloaded);
                     return Err(with_retry_after(failure, retry_after));
                 }
+                Err(NoTarget::Limited { available_in, .. }) => {
+                    let available_at = tokio::time::Instant::now() + available_in;
+                    if available_at > wait_until {
+                        let failure = self.plan.failure(NotRunReason::Overloaded);
+                        let retry_after = available_in.max(RETRY_AFTER_MIN);
+                        return Err(with_retry_after(failure, retry_after));
+                    }
+                    tokio::time::sleep_until(available_at).await;
+                }
                 Err(NoTarget::Absent) => {
                     let waited = tokio::time::timeout_at(wait_until, changed).await;
                     if waited.is_err() {
@@ -137,6 +148,20 @@
                 "request is not sent: the queue is too long and no target is free"
             );
         }
+        if let Err(NoTarget::Limited {
+            available_in,
+            candidates,
+        }) = &reserved
+        {
+            log_request!(
+                request, route = request.route.name.as_str(), service:% = request.service,
+                weights:% = OrNone(self.requirements.weights.as_ref()),
+                options = *candidates,
+                room_in_ms = available_in.as_millis() as u64,
+                is_new = self.requirements.is_new;
+                "request is not sent: the limits of all targets are used up"
+            );
+        }
         reserved
     }
 
--- a/lib/src/request/token_bucket.rs
+++ b/lib/src/request/token_bucket.rs
@@ -22,14 +22,41 @@
 impl TokenBucket {
     /// Creates a full bucket.
     pub fn new(rate: RequestRate, burst: Duration, now: Instant) -> Self {
-        let mut bucket = Self {
+        let mut bucket = Self::empty(rate, burst, now);
+        bucket.tokens = bucket.capacity();
+        bucket
+    }
+
+    /// Creates an empty bucket.
+    pub fn empty(rate: RequestRate, burst: Duration, now: Instant) -> Self {
+        Self::with_tokens(0.0, rate, burst, now)
+    }
+
+    /// Creates a bucket with a number of tokens, which may be a fraction.
+    pub fn with_tokens(tokens: f64, rate: RequestRate, burst: Duration, now: Instant) -> Self {
+        Self {
             rate,
             burst,
-            tokens: 0.0,
+            tokens,
             refilled_at: now,
-        };
-        bucket.tokens = bucket.capacity();
-        bucket
+        }
+    }
+
+    /// Returns the time until a token is available; zero if there is one.
+    pub fn time_until_token(&self, now: Instant) -> Duration {
+        let missing_tokens = 1.0 - self.tokens_at(now);
+        if missing_tokens <= 0.0 {
+            return Duration::ZERO;
+        }
+        if self.rate.0 <= 0.0 {
+            return RETRY_AFTER_WITHOUT_RATE;
+        }
+        Duration::from_secs_f64(missing_tokens / self.rate.0)
+    }
+
+    /// Returns whether the bucket has as many tokens as it can hold.
+    pub fn is_full(&self, now: Instant) -> bool {
+        self.tokens_at(now) >= self.capacity()
     }
 
     /// Changes the rate; tokens beyond the new capacity are discarded.
@@ -69,10 +96,14 @@
     }
 
     fn refill(&mut self, now: Instant) {
+        self.tokens = self.tokens_at(now);
+        self.refilled_at = self.refilled_at.max(now);
+    }
+
+    fn tokens_at(&self, now: Instant) -> f64 {
         let elapsed = now.saturating_duration_since(self.refilled_at);
         let refilled = self.tokens + self.rate.0 * elapsed.as_secs_f64();
-        self.tokens = refilled.min(self.capacity());
-        self.refilled_at = self.refilled_at.max(now);
+        refilled.min(self.capacity())
     }
 
     fn capacity(&self) -> f64 {
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -28,6 +28,7 @@
 mod test_quarantine;
 mod test_quarantine_simulation;
 mod test_relay;
+mod test_request_limit_simulation;
 mod test_retry;
 mod test_routing;
 mod test_silence;
--- a/lib/tests/test_forward_loads.rs
+++ b/lib/tests/test_forward_loads.rs
@@ -75,6 +75,7 @@
     });
     admitted.map_err(|no_target| match no_target {
         NoTarget::Absent => 1.0,
+        NoTarget::Limited { available_in, .. } => available_in.as_secs_f64(),
         NoTarget::Busy { retry_after, .. } | NoTarget::Quarantined { retry_after } => {
             retry_after.as_secs_f64()
         }
--- a/lib/tests/test_gateway_peers.rs
+++ b/lib/tests/test_gateway_peers.rs
@@ -44,6 +44,7 @@
         stalled: Vec::new(),
         has_requests: true,
         quarantine: QuarantineGossip::default(),
+        limits: Vec::new(),
     }
 }
 
@@ -114,7 +115,7 @@
             now,
         );
     }
-    let recipients = peers.recipients(now);
+    let recipients = peers.recipients(&[], now);
     assert_eq!(recipients.len(), 12);
     let local = recipients.iter().filter(|address| address.port() <= 1_025);
     assert_eq!(local.count(), 8);
