gateway: listed entries stay counted between reads of the list

Found while looking elsewhere for the cause of the breach of LIMIT (parts of a sum that add up to more than the sum). With more entries than send datagrams to each other, an entry hears few of the others. The rest were forgotten 60 s after they were first listed, until the next read up to 20 s later: of 41 entries one was left. Each entry then took a larger part of the further sends, and took itself for one of a few that hear all others.

An entry that the last read listed is now kept, whenever it was heard. The test failed before with 1 entry instead of 41.

--- a/lib/src/process/gateway/peers.rs
+++ b/lib/src/process/gateway/peers.rs
@@ -28,7 +28,7 @@
 /// How long the loads of a peer are used without a new datagram; it allows several lost datagrams
 /// in a row.
 const PEER_LOAD_AGE_MAX: Duration = Duration::from_millis(700);
-/// How long a peer is kept, and sent datagrams, without a message from it.
+/// How long a peer that is not listed is kept, and sent datagrams, without a message from it.
 const PEER_RETENTION: Duration = Duration::from_secs(60);
 /// The rendezvous key for the choice of the entry that reads records from the platform.
 const UPSTREAM_KEY: &str = "records";
@@ -171,6 +171,8 @@
     incarnation: Incarnation,
     number: u64,
     last_seen_at: Instant,
+    /// Whether the last read of the list of entries had the peer.
+    is_listed: bool,
     /// Until when the peer is not used as an upstream, after a failed request.
     upstream_backoff_until: Option<Instant>,
     sender_loads: Option<SortedVec<SenderLoad>>,
@@ -232,7 +234,13 @@
         processor: CoreShare,
         now: Instant,
     ) {
-        if entry == self.own || self.peers.get(&entry).is_some_and(|p| p.address == address) {
+        if entry == self.own {
+            return;
+        }
+        if let Some(known) = self.peers.get_mut(&entry)
+            && known.address == address
+        {
+            known.is_listed = true;
             return;
         }
         self.peers.insert(Peer {
@@ -243,6 +251,7 @@
             incarnation: Incarnation(0),
             number: 0,
             last_seen_at: now,
+            is_listed: true,
             upstream_backoff_until: None,
             sender_loads: None,
         });
@@ -268,6 +277,7 @@
         }
         self.has_requests |= message.has_requests;
         self.share_members.on_heard(&message.entry, now);
+        let is_listed = known.is_some_and(|peer| peer.is_listed);
         let upstream_backoff_until = known.and_then(|peer| peer.upstream_backoff_until);
         self.peers.insert(Peer {
             entry: message.entry.clone(),
@@ -277,6 +287,7 @@
             incarnation: message.incarnation,
             number: message.number,
             last_seen_at: now,
+            is_listed,
             upstream_backoff_until,
             sender_loads: Some(message.uses.iter().cloned().collect()),
         });
@@ -285,6 +296,9 @@
 
     /// Records that the list of entries has been read, after [`Peers::on_listed`] for each.
     pub fn on_list_read(&mut self, listed: &[EntryId], now: Instant) {
+        for peer in self.peers.iter_mut() {
+            peer.is_listed = listed.contains(&peer.entry);
+        }
         self.share_members.on_list_read(listed, now);
     }
 
@@ -377,14 +391,15 @@
     }
 
     /// Returns the addresses to send a datagram to, which include those of `required`, and removes
-    /// peers without a recent message.
+    /// peers that are not listed and without a recent message.
     ///
     /// With many peers, each entry sends to those with the highest rendezvous weights for it, so
     /// that all entries have about the same number of senders. Most recipients are in its own data
     /// centre.
     pub fn recipients(&mut self, required: &[EntryId], now: Instant) -> Vec<SocketAddr> {
-        let is_kept =
+        let is_recent =
             |peer: &Peer| now.saturating_duration_since(peer.last_seen_at) < PEER_RETENTION;
+        let is_kept = |peer: &Peer| peer.is_listed || is_recent(peer);
         self.peers.retain(is_kept);
         let mut peers: Vec<&Peer> = self.peers.iter().collect();
         if !self.is_full_mesh() {
--- a/lib/tests/test_gateway_peers.rs
+++ b/lib/tests/test_gateway_peers.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use beryltray_lib::ids::DataCentreId;
+use beryltray_lib::ids::EntryId;
 use beryltray_lib::ids::HostId;
 use beryltray_lib::ids::Incarnation;
 use beryltray_lib::ids::Revision;
@@ -323,3 +324,39 @@
     let upstreams = (0..3).filter(|entry| view(*entry, large).upstream(now).is_none());
     assert_eq!(upstreams.count(), 1);
 }
+
+// Guards against entries that are no longer counted between two reads of the list, so that each
+// entry takes a larger part of the limits on all of them.
+#[test]
+fn peers_listed_entries_without_messages_stay_counted_until_unlisted() {
+    let now = Instant::now();
+    let mut peers = Peers::new(
+        "entry-0".parse().unwrap(),
+        data_centre(),
+        CoreShare::default(),
+    );
+    let entries: Vec<EntryId> = (1..=40)
+        .map(|n| format!("entry-{n}").parse().unwrap())
+        .collect();
+    let read_list = |peers: &mut Peers, listed: &[EntryId], at: Instant| {
+        for entry in listed {
+            let address = "127.0.0.1:1000".parse().unwrap();
+            peers.on_listed(
+                entry.clone(),
+                address,
+                data_centre(),
+                CoreShare::default(),
+                at,
+            );
+        }
+        peers.on_list_read(listed, at);
+    };
+    read_list(&mut peers, &entries, now);
+    let later = now + Duration::from_secs(70);
+    peers.recipients(&[], later);
+    assert_eq!(peers.entry_count(), 41);
+    assert!(!peers.is_full_mesh());
+    read_list(&mut peers, &entries[..30], later);
+    peers.recipients(&[], later);
+    assert_eq!(peers.entry_count(), 31);
+}
