forward: the content of requests that break at their start is logged

Requests under which targets end come again with new ids, and the log could not tell a repeat from another request. The line now has a digest of client account, method, host, path and body. Decisions are unchanged. Embedders: TargetRequirements has content.

--- a/lib/src/ids.rs
+++ b/lib/src/ids.rs
@@ -260,6 +260,22 @@
     }
 }
 
+/// The digest of all that makes up a request apart from its identifier. It is written in
+/// hexadecimal with 32 digits, the first of which is at least 8.
+#[derive(Clone, Copy, Debug, Display, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[display("{_0:x}")]
+pub struct ContentDigest(u128);
+
+impl ContentDigest {
+    /// The bit that is set in every digest.
+    const MARK: u128 = 1 << 127;
+
+    /// Creates the digest from a hash, of which one bit is not used.
+    pub fn from_hash(hash: u128) -> Self {
+        Self(hash | Self::MARK)
+    }
+}
+
 impl From<GroupId> for TargetId {
     fn from(group: GroupId) -> Self {
         Self(group.0)
--- a/lib/src/process/gateway/context.rs
+++ b/lib/src/process/gateway/context.rs
@@ -12,6 +12,7 @@
 use super::state::Inner;
 use crate::clock::Clock;
 use crate::connection::body_memory::BodyMemory;
+use crate::ids::ContentDigest;
 use crate::ids::GroupId;
 use crate::ids::HostId;
 use crate::ids::PromptPartId;
@@ -70,6 +71,7 @@
     is_silent: bool,
     has_ended: bool,
     prompt_parts: Vec<PromptPartId>,
+    content: ContentDigest,
     /// The number of complete events that have arrived.
     events: u32,
     /// Whether an earlier send of the request failed.
@@ -117,7 +119,8 @@
         let sent_ms_ago = now.saturating_duration_since(self.started_at).as_millis() as u64;
         log::info!(
             service:% = self.service, target:% = self.host,
-            prompt_parts = parts.join(",").as_str(), sent_ms_ago = sent_ms_ago, events = self.events,
+            prompt_parts = parts.join(",").as_str(), content:% = self.content,
+            sent_ms_ago = sent_ms_ago, events = self.events,
             is_retry = self.is_retry;
             "send broke at the start of its answer"
         );
@@ -352,6 +355,7 @@
             is_silent: false,
             has_ended: false,
             prompt_parts: requirements.prompt_parts.clone(),
+            content: requirements.content,
             events: 0,
             is_retry: !requirements.excluded.is_empty(),
             is_trial: admission == Admission::Trial,
--- a/lib/src/request/forward/context.rs
+++ b/lib/src/request/forward/context.rs
@@ -10,6 +10,7 @@
 use super::protocol::CallerProtocol;
 use super::protocol::StatedLimit;
 use crate::connection::body_memory::BodyMemory;
+use crate::ids::ContentDigest;
 use crate::ids::HostId;
 use crate::ids::PromptPartId;
 use crate::ids::ServiceId;
@@ -38,6 +39,8 @@
     pub is_new: bool,
     /// The parts of the prompt that other requests may share.
     pub prompt_parts: Vec<PromptPartId>,
+    /// The digest of the request, equal for repeated requests.
+    pub content: ContentDigest,
 }
 
 /// Why no target could be reserved.
--- a/lib/src/request/forward/handler.rs
+++ b/lib/src/request/forward/handler.rs
@@ -9,6 +9,7 @@
 use http::Request;
 use http::Response;
 use http::header::CONNECTION;
+use http::uri::PathAndQuery;
 use hyper::body::Incoming;
 
 use super::buffered::forward_buffered;
@@ -26,6 +27,8 @@
 use crate::connection::body::ResponseBody;
 use crate::connection::body::read_body;
 use crate::connection::server::HttpHandler;
+use crate::hash::content_digest;
+use crate::ids::AccountId;
 use crate::request::outcome::NotRunReason;
 use crate::request::outcome::UnknownReason;
 use crate::version::routes::AccessDenial;
@@ -122,6 +125,15 @@
         let is_logged = self
             .context
             .on_request(&service, &caller_request.request_id);
+        let account = authorized.account.map(|account| account.account.clone());
+        let path = head.uri.path_and_query().map_or("/", PathAndQuery::as_str);
+        let content = content_digest(&[
+            account.as_ref().map_or("", AccountId::as_str).as_bytes(),
+            head.method.as_str().as_bytes(),
+            caller_request.host.as_bytes(),
+            path.as_bytes(),
+            &body,
+        ]);
         let requirements = TargetRequirements {
             service: service.clone(),
             weights: caller_request.weights.clone(),
@@ -131,6 +143,7 @@
             time_left: timeout,
             is_new: caller_request.last_event.is_none(),
             prompt_parts: caller_request.prompt_parts.clone(),
+            content,
         };
         let plan = SendPlan::new(route.kind, route.attempts_max, deadline, RETRY_AFTER);
         let request = ForwardedRequest {
@@ -138,7 +151,7 @@
             head,
             body,
             caller_request: caller_request.clone(),
-            account: authorized.account.map(|account| account.account.clone()),
+            account,
             route,
             service,
             deadline,
--- a/lib/tests/test_forward_loads.rs
+++ b/lib/tests/test_forward_loads.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use beryltray_lib::hash::content_digest;
 use beryltray_lib::request::forward::admit::admit;
 use beryltray_lib::request::forward::choose::EnginePace;
 use beryltray_lib::request::forward::choose::TargetCandidate;
@@ -56,6 +57,7 @@
         time_left: CALLER_TIMEOUT,
         is_new,
         prompt_parts: Vec::new(),
+        content: content_digest(&[]),
     }
 }
 
