gateway: the quarantine counts crashes for features of requests

Prompt parts were all that it could count. A RequestFeature is a prompt part or the digest of a whole request; only prompt parts are used so far. Both have one written form, told apart by a bit, so gossip and log keys stay as they were. Renames only, no change of decisions; the tests of the quarantine pass with the new names.

--- a/lib/src/ids.rs
+++ b/lib/src/ids.rs
@@ -4,6 +4,7 @@
 
 use derive_more::Display;
 use derive_more::Error;
+use derive_more::From;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -276,6 +277,53 @@
     }
 }
 
+/// What requests can have in common: a part of their prompts, or all of their content. It is written
+/// in hexadecimal, and a text with the mark of a [`ContentDigest`] is one.
+#[derive(
+    Clone, Copy, Debug, Deserialize, Display, Eq, From, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+#[serde(try_from = "String", into = "String")]
+pub enum RequestFeature {
+    /// A part of the prompt.
+    PromptPart(PromptPartId),
+    /// The whole content.
+    Content(ContentDigest),
+}
+
+impl RequestFeature {
+    /// Returns whether this is the whole content of a request.
+    pub fn is_content(self) -> bool {
+        matches!(self, Self::Content(_))
+    }
+}
+
+impl FromStr for RequestFeature {
+    type Err = ParseIdError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let PromptPartId(number) = text.parse()?;
+        Ok(if number & ContentDigest::MARK == 0 {
+            Self::PromptPart(PromptPartId(number))
+        } else {
+            Self::Content(ContentDigest(number))
+        })
+    }
+}
+
+impl TryFrom<String> for RequestFeature {
+    type Error = ParseIdError;
+
+    fn try_from(text: String) -> Result<Self, Self::Error> {
+        text.parse()
+    }
+}
+
+impl From<RequestFeature> for String {
+    fn from(feature: RequestFeature) -> String {
+        feature.to_string()
+    }
+}
+
 impl From<GroupId> for TargetId {
     fn from(group: GroupId) -> Self {
         Self(group.0)
--- a/lib/src/process/gateway/context.rs
+++ b/lib/src/process/gateway/context.rs
@@ -15,7 +15,7 @@
 use crate::ids::ContentDigest;
 use crate::ids::GroupId;
 use crate::ids::HostId;
-use crate::ids::PromptPartId;
+use crate::ids::RequestFeature;
 use crate::ids::ServiceId;
 use crate::process::lifecycle::Stage;
 use crate::request::forward::context::ChoiceInfo;
@@ -70,7 +70,7 @@
     /// Whether the target has been silent for too long and sent nothing since.
     is_silent: bool,
     has_ended: bool,
-    prompt_parts: Vec<PromptPartId>,
+    features: Vec<RequestFeature>,
     content: ContentDigest,
     /// The number of complete events that have arrived.
     events: u32,
@@ -85,15 +85,15 @@
     C: Clock,
 {
     fn is_quarantined(&self, inner: &Inner, now: Instant) -> bool {
-        let time_left = inner.quarantine.time_left(&self.prompt_parts, now);
+        let time_left = inner.quarantine.time_left(&self.features, now);
         time_left.is_some() && !self.is_trial
     }
 
-    /// Records that the parts of the prompt let the target answer.
+    /// Records that the target answered a request with these features.
     fn report_proof(&self) {
-        if !self.prompt_parts.is_empty() {
+        if !self.features.is_empty() {
             self.state
-                .with_quarantine(|quarantine, now| quarantine.on_proof(&self.prompt_parts, now));
+                .with_quarantine(|quarantine, now| quarantine.on_proof(&self.features, now));
         }
     }
 
@@ -101,7 +101,7 @@
     fn report_broken_start(&self, now: Instant) {
         let suspect = Suspect {
             sent_at: self.started_at,
-            parts: self.prompt_parts.clone(),
+            features: self.features.clone(),
         };
         let is_unchecked = self
             .state
@@ -115,7 +115,7 @@
 
     fn log_broken_start(&self, now: Instant) {
         self.state.metrics.count_broken_start(&self.service);
-        let parts: Vec<String> = self.prompt_parts.iter().map(ToString::to_string).collect();
+        let parts: Vec<String> = self.features.iter().map(ToString::to_string).collect();
         let sent_ms_ago = now.saturating_duration_since(self.started_at).as_millis() as u64;
         log::info!(
             service:% = self.service, target:% = self.host,
@@ -320,10 +320,10 @@
         requirements: &TargetRequirements,
     ) -> Result<ReservedTarget<C>, NoTarget> {
         let now = self.now();
-        let parts = &requirements.prompt_parts;
+        let features = &requirements.features;
         let admission = self
             .state
-            .with_quarantine(|quarantine, now| quarantine.admit(parts, now));
+            .with_quarantine(|quarantine, now| quarantine.admit(features, now));
         if let Admission::Refused { time_left } = admission {
             self.state
                 .metrics
@@ -354,7 +354,7 @@
             started_at: now,
             is_silent: false,
             has_ended: false,
-            prompt_parts: requirements.prompt_parts.clone(),
+            features: requirements.features.clone(),
             content: requirements.content,
             events: 0,
             is_retry: !requirements.excluded.is_empty(),
@@ -378,9 +378,9 @@
         is_granted
     }
 
-    fn quarantine_left(&self, parts: &[PromptPartId]) -> Option<Duration> {
+    fn quarantine_left(&self, features: &[RequestFeature]) -> Option<Duration> {
         let now = self.now();
-        self.state.inner().quarantine.time_left(parts, now)
+        self.state.inner().quarantine.time_left(features, now)
     }
 
     fn on_outcome(&self, service: &ServiceId, outcome: &'static str, waited: Duration) {
--- a/lib/src/process/gateway/crash_check.rs
+++ b/lib/src/process/gateway/crash_check.rs
@@ -107,16 +107,16 @@
                 self.metrics.target_crashes.inc();
                 log::info!(suspects = suspects, target:% = host; "target has crashed");
             }
-            QuarantineChange::Quarantined { part, hosts } => {
+            QuarantineChange::Quarantined { feature, hosts } => {
                 let hosts: Vec<&str> = hosts.iter().map(HostId::as_str).collect();
                 log::warn!(
-                    prompt_part:% = part, crashes = hosts.len(),
+                    prompt_part:% = feature, crashes = hosts.len(),
                     targets = hosts.join(",").as_str();
                     "prompt part is quarantined: targets crash at requests with it"
                 );
             }
-            QuarantineChange::Released { part, reason } => {
-                log::info!(prompt_part:% = part; "prompt part is released: {reason}");
+            QuarantineChange::Released { feature, reason } => {
+                log::info!(prompt_part:% = feature; "prompt part is released: {reason}");
             }
         }
     }
--- a/lib/src/process/gateway/crash_records.rs
+++ b/lib/src/process/gateway/crash_records.rs
@@ -1,18 +1,19 @@
-//! Records of crashed targets, and the choice of the prompt parts that explain the crashes.
+//! Records of crashed targets, and the choice of the features that explain the crashes.
 
 use std::cmp::Reverse;
 use std::time::Duration;
 use std::time::Instant;
 
 use crate::ids::HostId;
-use crate::ids::PromptPartId;
+use crate::ids::RequestFeature;
 
 /// How long a crash is remembered.
 pub(super) const CRASH_RETENTION: Duration = Duration::from_secs(600);
 /// The time within which reports of the same host's crash are one crash. A target takes longer than
 /// that to come back.
 const MERGE_TIME: Duration = Duration::from_secs(1);
-/// Crashes in faster succession may be one failure of several targets, and count once for a part.
+/// Crashes in faster succession may be one failure of several targets, and count once for a
+/// feature.
 const CRASH_SPACING_MIN: Duration = Duration::from_millis(10);
 /// The least time between crashes in sequence; more than the error of the times.
 const SEQUENCE_SPACING_MIN: Duration = Duration::from_millis(100);
@@ -24,13 +25,13 @@
 pub(super) const SUSPECTS_MAX: usize = 24;
 
 /// A request that was at the start of its answer when its target crashed. Requests with the same
-/// parts are one suspect.
+/// features are one suspect.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Suspect {
     /// When the request was sent.
     pub sent_at: Instant,
-    /// The parts of its prompt that other requests may share.
-    pub parts: Vec<PromptPartId>,
+    /// What it may have in common with other requests.
+    pub features: Vec<RequestFeature>,
 }
 
 /// The crash of a target, as seen by one or more entries.
@@ -45,15 +46,18 @@
 }
 
 impl CrashRecord {
-    pub(super) fn has(&self, part: PromptPartId) -> bool {
+    pub(super) fn has(&self, feature: RequestFeature) -> bool {
         self.suspects
             .iter()
-            .any(|suspect| suspect.parts.contains(&part))
+            .any(|suspect| suspect.features.contains(&feature))
     }
 
     /// Adds a suspect and returns whether that changed the record.
     fn add_suspect(&mut self, suspect: Suspect) -> bool {
-        let known = self.suspects.iter_mut().find(|s| s.parts == suspect.parts);
+        let known = self
+            .suspects
+            .iter_mut()
+            .find(|s| s.features == suspect.features);
         if let Some(known) = known {
             let is_later = suspect.sent_at > known.sent_at + 2 * AGE_ERROR_MAX;
             if is_later {
@@ -69,7 +73,7 @@
     }
 }
 
-/// What is known about a part besides the crashes.
+/// What is known about a feature besides the crashes.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(super) enum Standing {
     /// It was quarantined, and has not been proven innocent since.
@@ -81,10 +85,10 @@
 }
 
 impl Standing {
-    /// Returns whether that many crashes in sequence and that many in a burst make a part a
+    /// Returns whether that many crashes in sequence and that many in a burst make a feature a
     /// culprit.
     ///
-    /// A part that crashes each target has no answer, so one that had some needs more evidence. It
+    /// A feature that crashes each target has no answer, so one that had some needs more evidence. It
     /// may be in all crashes because nearly every request has it.
     fn is_culprit(self, in_sequence: usize, in_burst: usize) -> bool {
         match self {
@@ -98,23 +102,23 @@
 /// Parts that explain the same crashes and can't be told apart by them.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(super) struct CulpritGroup {
-    pub(super) parts: Vec<PromptPartId>,
+    pub(super) features: Vec<RequestFeature>,
     pub(super) last_crash_at: Instant,
     pub(super) hosts: Vec<HostId>,
 }
 
-/// A crash with a suspect that has a part.
+/// A crash with a suspect that has a feature.
 struct Occurrence {
-    part: PromptPartId,
+    feature: RequestFeature,
     /// The index of the record.
     crash: usize,
     /// When the last such suspect was sent.
     sent_at: Instant,
 }
 
-/// A part's crashes that no other culprit explains, as indexes of records.
+/// A feature's crashes that no other culprit explains, as indexes of records.
 struct Candidate {
-    part: PromptPartId,
+    feature: RequestFeature,
     standing: Standing,
     crashes: Vec<usize>,
     in_sequence: usize,
@@ -191,52 +195,52 @@
         recent.map(|crash| &crash.record)
     }
 
-    /// Returns the parts of all suspects in ascending order.
-    pub(super) fn parts(&self) -> Vec<PromptPartId> {
-        let mut parts: Vec<PromptPartId> = self
+    /// Returns the features of all suspects in ascending order.
+    pub(super) fn features(&self) -> Vec<RequestFeature> {
+        let mut features: Vec<RequestFeature> = self
             .crashes
             .iter()
             .flat_map(|crash| &crash.record.suspects)
-            .flat_map(|suspect| suspect.parts.iter().copied())
+            .flat_map(|suspect| suspect.features.iter().copied())
             .collect();
-        parts.sort_unstable();
-        parts.dedup();
-        parts
+        features.sort_unstable();
+        features.dedup();
+        features
     }
 
-    /// Returns whether a suspect of a crash has the part.
-    pub(super) fn mentions(&self, part: PromptPartId) -> bool {
-        self.crashes.iter().any(|crash| crash.record.has(part))
+    /// Returns whether a suspect of a crash has the feature.
+    pub(super) fn mentions(&self, feature: RequestFeature) -> bool {
+        self.crashes.iter().any(|crash| crash.record.has(feature))
     }
 
-    /// Returns whether the part has crashes, and each of them has one of the `others` as well.
-    pub(super) fn is_explained(&self, part: PromptPartId, others: &[PromptPartId]) -> bool {
+    /// Returns whether the feature has crashes, and each of them has one of the `others` as well.
+    pub(super) fn is_explained(&self, feature: RequestFeature, others: &[RequestFeature]) -> bool {
         let has_other = |record: &CrashRecord| {
-            let mut others = others.iter().filter(|other| **other != part);
+            let mut others = others.iter().filter(|other| **other != feature);
             others.any(|other| record.has(*other))
         };
         let records = self.crashes.iter().map(|crash| &crash.record);
-        let mut with_part = records.filter(|record| record.has(part)).peekable();
-        with_part.peek().is_some() && with_part.all(has_other)
+        let mut with_feature = records.filter(|record| record.has(feature)).peekable();
+        with_feature.peek().is_some() && with_feature.all(has_other)
     }
 
-    /// Returns the parts that explain the crashes, with a group for each explanation.
+    /// Returns the features that explain the crashes, with a group for each explanation.
     ///
-    /// The part with the most crashes is chosen first. The crashes that it explains then count
-    /// against no other part. `standing` returns a part's standing and the time of its last proof;
-    /// earlier crashes do not count.
+    /// The feature with the most crashes is chosen first. The crashes that it explains then count
+    /// against no other feature. `standing` returns a feature's standing and the time of its last
+    /// proof; earlier crashes do not count.
     pub(super) fn culprits<F>(&self, standing: F) -> Vec<CulpritGroup>
     where
-        F: Fn(PromptPartId) -> (Standing, Option<Instant>),
+        F: Fn(RequestFeature) -> (Standing, Option<Instant>),
     {
         let occurrences = self.occurrences();
         let mut groups = Vec::new();
         let mut is_explained = vec![false; self.crashes.len()];
         loop {
-            let of_parts = occurrences.chunk_by(|a, b| a.part == b.part);
+            let of_parts = occurrences.chunk_by(|a, b| a.feature == b.feature);
             let candidates = of_parts.map(|occurrences| {
-                let part = occurrences[0].part;
-                self.candidate(part, standing(part), occurrences, &is_explained)
+                let feature = occurrences[0].feature;
+                self.candidate(feature, standing(feature), occurrences, &is_explained)
             });
             let candidates: Vec<Candidate> = candidates
                 .filter(|c| c.standing.is_culprit(c.in_sequence, c.in_burst))
@@ -258,45 +262,48 @@
                 return groups;
             };
             let group = CulpritGroup {
-                parts: tied.map(|candidate| candidate.part).collect(),
+                features: tied.map(|candidate| candidate.feature).collect(),
                 last_crash_at,
                 hosts,
             };
             for (index, crash) in self.crashes.iter().enumerate() {
-                is_explained[index] |= group.parts.iter().any(|part| crash.record.has(*part));
+                is_explained[index] |= group
+                    .features
+                    .iter()
+                    .any(|feature| crash.record.has(*feature));
             }
             groups.push(group);
         }
     }
 
-    /// Returns the parts of the suspects of all crashes, ordered by part and crash.
+    /// Returns the features of the suspects of all crashes, ordered by feature and crash.
     fn occurrences(&self) -> Vec<Occurrence> {
         let mut occurrences = Vec::new();
         for (crash, remembered) in self.crashes.iter().enumerate() {
             for suspect in &remembered.record.suspects {
                 let sent_at = suspect.sent_at;
-                let parts = suspect.parts.iter();
-                occurrences.extend(parts.map(|part| Occurrence {
-                    part: *part,
+                let features = suspect.features.iter();
+                occurrences.extend(features.map(|feature| Occurrence {
+                    feature: *feature,
                     crash,
                     sent_at,
                 }));
             }
         }
-        // Of several suspects with the part, the last one sent comes first.
-        occurrences.sort_unstable_by_key(|o| (o.part, o.crash, Reverse(o.sent_at)));
-        occurrences.dedup_by_key(|o| (o.part, o.crash));
+        // Of several suspects with the feature, the last one sent comes first.
+        occurrences.sort_unstable_by_key(|o| (o.feature, o.crash, Reverse(o.sent_at)));
+        occurrences.dedup_by_key(|o| (o.feature, o.crash));
         occurrences
     }
 
-    /// Returns a part's unexplained crashes after its last proof.
+    /// Returns a feature's unexplained crashes after its last proof.
     ///
-    /// A crash is in sequence if a request with the part was sent after the one before. If the part
-    /// was in flight at several targets at once, their crashes are only a burst, which counts if
-    /// the part was at most of the targets that crashed meanwhile.
+    /// A crash is in sequence if a request with the feature was sent after the one before. If the
+    /// feature was in flight at several targets at once, their crashes are only a burst, which
+    /// counts if the feature was at most of the targets that crashed meanwhile.
     fn candidate(
         &self,
-        part: PromptPartId,
+        feature: RequestFeature,
         (standing, proven_at): (Standing, Option<Instant>),
         occurrences: &[Occurrence],
         is_explained: &[bool],
@@ -325,7 +332,7 @@
                 previous = Some(at);
             }
         }
-        // A failure of many targets breaks requests with a part at only some of them.
+        // A failure of many targets breaks requests with a feature at only some of them.
         let (first, last) = (crashes.first(), crashes.last());
         let span = first
             .zip(last)
@@ -335,7 +342,7 @@
             in_burst = 0;
         }
         Candidate {
-            part,
+            feature,
             standing,
             crashes,
             in_sequence,
--- a/lib/src/process/gateway/quarantine.rs
+++ b/lib/src/process/gateway/quarantine.rs
@@ -1,8 +1,8 @@
-//! The quarantine of prompt parts that crash the targets that answer them.
+//! The quarantine of requests that crash the targets that answer them.
 //!
-//! A crash breaks all requests at the target, most of which had no part in it. A part is a culprit
-//! if requests with it preceded several crashes in sequence and no request with it was answered
-//! since. Entries gossip crashes, proofs of innocence and quarantined parts. The module does no
+//! A crash breaks all requests at the target, most of which did not cause it. A feature of
+//! requests, such as a part of their prompts, is a culprit if requests with it preceded several crashes in sequence and no request with it was answered
+//! since. Entries gossip crashes, proofs of innocence and quarantined features. The module does no
 //! I/O.
 
 use std::time::Duration;
@@ -16,33 +16,33 @@
 use super::crash_records::Standing;
 use super::crash_records::Suspect;
 use crate::ids::HostId;
-use crate::ids::PromptPartId;
+use crate::ids::RequestFeature;
 use crate::sorted::Keyed;
 use crate::sorted::SortedVec;
 
-/// How long a part is quarantined after its last crash.
+/// How long a feature is quarantined after its last crash.
 pub const QUARANTINE_TIME: Duration = Duration::from_secs(600);
 /// How long crashes and proofs are gossiped; this spans several datagrams.
 pub(super) const GOSSIP_TIME: Duration = Duration::from_secs(2);
-/// The interval of requests that are sent to tell apart parts that were quarantined together.
+/// The interval of requests that are sent to tell apart features that were quarantined together.
 const TRIAL_INTERVAL: Duration = Duration::from_secs(1);
-/// How long a part that was quarantined is kept after that, without a proof.
+/// How long a feature that was quarantined is kept after that, without a proof.
 const FORMER_RETENTION: Duration = Duration::from_secs(3_600);
-/// The most parts that are or were quarantined.
+/// The most features that are or were quarantined.
 const CONVICTED_MAX: usize = 64;
-/// The most companions of a quarantined part that are kept.
+/// The most companions of a quarantined feature that are kept.
 pub(super) const COMPANIONS_MAX: usize = 4;
-/// The most suspects of a crash that an entry records. Those with unproven parts come first.
+/// The most suspects of a crash that an entry records. Those with unproven features come first.
 const OWN_SUSPECTS_MAX: usize = 8;
-/// The most parts whose proofs are kept.
+/// The most features whose proofs are kept.
 const PROOFS_MAX: usize = 4_096;
 
 /// Whether a request may be sent.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Admission {
-    /// No part of the request is quarantined.
+    /// No feature of the request is quarantined.
     Free,
-    /// The request may be sent, because it tells apart parts that were quarantined together.
+    /// The request may be sent, because it tells apart features that were quarantined together.
     Trial,
     /// The request must not be sent.
     Refused {
@@ -51,13 +51,14 @@
     },
 }
 
-/// Why a part was released.
+/// Why a feature was released.
 #[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
 pub enum ReleaseReason {
-    /// A request with the part was answered.
+    /// A request with the feature was answered.
     #[display("a request with it was answered")]
     Proven,
-    /// Another part explains the crashes, or the part had been answered at another entry before.
+    /// Another feature explains the crashes, or a request with this one had been answered at another
+    /// entry before.
     #[display("the crashes do not confirm it any more")]
     Explained,
     /// The time of the quarantine has passed.
@@ -75,51 +76,51 @@
         /// The number of known suspects.
         suspects: usize,
     },
-    /// A part was quarantined.
+    /// A feature was quarantined.
     Quarantined {
-        /// The part.
-        part: PromptPartId,
+        /// The feature.
+        feature: RequestFeature,
         /// The targets that crashed; empty if the quarantine was learned from another entry.
         hosts: Vec<HostId>,
     },
-    /// A part was released.
+    /// A feature was released.
     Released {
-        /// The part.
-        part: PromptPartId,
+        /// The feature.
+        feature: RequestFeature,
         /// Why it was released.
         reason: ReleaseReason,
     },
 }
 
-/// The last known answer to a request with a part.
+/// The last known answer to a request with a feature.
 pub(super) struct Proof {
-    pub(super) part: PromptPartId,
+    pub(super) feature: RequestFeature,
     pub(super) at: Instant,
     pub(super) gossip_until: Instant,
 }
 
 impl Keyed for Proof {
-    type Key = PromptPartId;
+    type Key = RequestFeature;
 
-    fn key(&self) -> &PromptPartId {
-        &self.part
+    fn key(&self) -> &RequestFeature {
+        &self.feature
     }
 }
 
-/// A part that is quarantined, or was until a time that has passed.
+/// A feature that is quarantined, or was until a time that has passed.
 pub(super) struct Convicted {
-    pub(super) part: PromptPartId,
+    pub(super) feature: RequestFeature,
     pub(super) until: Instant,
-    pub(super) companions: Vec<PromptPartId>,
+    pub(super) companions: Vec<RequestFeature>,
     /// Whether the end of the quarantine has been reported.
     has_expired: bool,
 }
 
 impl Keyed for Convicted {
-    type Key = PromptPartId;
+    type Key = RequestFeature;
 
-    fn key(&self) -> &PromptPartId {
-        &self.part
+    fn key(&self) -> &RequestFeature {
+        &self.feature
     }
 }
 
@@ -147,14 +148,16 @@
 
     /// Records a crash that this entry has confirmed.
     pub fn on_crash(&mut self, mut record: CrashRecord, now: Instant) {
-        // If there are too many suspects, those with only proven parts are the least likely.
+        // If there are too many suspects, those with only proven features are the least likely.
         let is_proven =
-            |suspect: &Suspect| suspect.parts.iter().all(|p| self.proofs.contains_key(p));
-        record.suspects.retain(|suspect| !suspect.parts.is_empty());
+            |suspect: &Suspect| suspect.features.iter().all(|p| self.proofs.contains_key(p));
+        record
+            .suspects
+            .retain(|suspect| !suspect.features.is_empty());
         record.suspects.sort_by_key(is_proven);
         let mut distinct: Vec<Suspect> = Vec::new();
         for suspect in record.suspects {
-            match distinct.iter_mut().find(|s| s.parts == suspect.parts) {
+            match distinct.iter_mut().find(|s| s.features == suspect.features) {
                 Some(known) => known.sent_at = known.sent_at.max(suspect.sent_at),
                 None => distinct.push(suspect),
             }
@@ -166,16 +169,16 @@
         }
     }
 
-    /// Records that a request with these parts was answered beyond the start.
-    pub fn on_proof(&mut self, parts: &[PromptPartId], now: Instant) {
-        for part in parts {
-            self.add_proof(*part, now, now);
+    /// Records that a request with these features was answered beyond the start.
+    pub fn on_proof(&mut self, features: &[RequestFeature], now: Instant) {
+        for feature in features {
+            self.add_proof(*feature, now, now);
         }
     }
 
-    /// Decides whether a request with these parts may be sent now.
-    pub fn admit(&mut self, parts: &[PromptPartId], now: Instant) -> Admission {
-        let Some(time_left) = self.time_left(parts, now) else {
+    /// Decides whether a request with these features may be sent now.
+    pub fn admit(&mut self, features: &[RequestFeature], now: Instant) -> Admission {
+        let Some(time_left) = self.time_left(features, now) else {
             return Admission::Free;
         };
         let is_trial_due = self
@@ -183,7 +186,8 @@
             .is_none_or(|at| now.saturating_duration_since(at) >= TRIAL_INTERVAL);
         let tells_apart = self.quarantined(now).all(|convicted| {
             let companions = &convicted.companions;
-            !parts.contains(&convicted.part) || companions.iter().any(|c| !parts.contains(c))
+            !features.contains(&convicted.feature)
+                || companions.iter().any(|c| !features.contains(c))
         });
         if is_trial_due && tells_apart {
             self.last_trial_at = Some(now);
@@ -192,15 +196,17 @@
         Admission::Refused { time_left }
     }
 
-    /// Returns the time until the end of the quarantine of the parts, or `None` if none of them is
+    /// Returns the time until the end of the quarantine of the features, or `None` if none of them is
     /// quarantined.
-    pub fn time_left(&self, parts: &[PromptPartId], now: Instant) -> Option<Duration> {
-        let convicted = parts.iter().filter_map(|part| self.convicted.get(part));
+    pub fn time_left(&self, features: &[RequestFeature], now: Instant) -> Option<Duration> {
+        let convicted = features
+            .iter()
+            .filter_map(|feature| self.convicted.get(feature));
         let until = convicted.map(|convicted| convicted.until).max()?;
         (until > now).then(|| until - now)
     }
 
-    /// Returns the number of quarantined parts.
+    /// Returns the number of quarantined features.
     pub fn quarantined_count(&self, now: Instant) -> usize {
         self.quarantined(now).count()
     }
@@ -221,7 +227,7 @@
         }
         let (host, suspects) = (record.host.clone(), record.suspects.len());
         if suspects == 0 {
-            // It says nothing about parts, and must not displace the crashes that do.
+            // It says nothing about features, and must not displace the crashes that do.
             self.changes
                 .push(QuarantineChange::Crashed { host, suspects });
             return false;
@@ -234,13 +240,13 @@
         added.is_some()
     }
 
-    pub(super) fn add_proof(&mut self, part: PromptPartId, at: Instant, now: Instant) {
+    pub(super) fn add_proof(&mut self, feature: RequestFeature, at: Instant, now: Instant) {
         let create = || Proof {
-            part,
+            feature,
             at,
             gossip_until: at,
         };
-        let proof = self.proofs.get_or_insert_with(&part, create);
+        let proof = self.proofs.get_or_insert_with(&feature, create);
         proof.at = proof.at.max(at);
         if self.proofs.len() > PROOFS_MAX {
             let mut times: Vec<Instant> = self.proofs.iter().map(|proof| proof.at).collect();
@@ -248,24 +254,24 @@
             let oldest_kept = times[PROOFS_MAX / 4];
             self.proofs.retain(|proof| proof.at >= oldest_kept);
         }
-        let Some(convicted) = self.convicted.get(&part) else {
+        let Some(convicted) = self.convicted.get(&feature) else {
             return;
         };
         if at + QUARANTINE_TIME > convicted.until {
-            if let Some(proof) = self.proofs.get_mut(&part) {
+            if let Some(proof) = self.proofs.get_mut(&feature) {
                 proof.gossip_until = now + GOSSIP_TIME;
             }
-            self.release(part, ReleaseReason::Proven);
+            self.release(feature, ReleaseReason::Proven);
         }
         self.evaluate(now);
     }
 
     /// Quarantines the culprits of the known crashes.
     pub(super) fn evaluate(&mut self, now: Instant) {
-        let standing = |part: PromptPartId| {
-            let proven_at = self.proofs.get(&part).map(|proof| proof.at);
+        let standing = |feature: RequestFeature| {
+            let proven_at = self.proofs.get(&feature).map(|proof| proof.at);
             let is_former = |convicted: &Convicted| convicted.until <= now;
-            let standing = if self.convicted.get(&part).is_some_and(is_former) {
+            let standing = if self.convicted.get(&feature).is_some_and(is_former) {
                 Standing::Convicted
             } else if proven_at.is_some() {
                 Standing::Proven
@@ -278,70 +284,72 @@
         let mut culprits = Vec::new();
         for group in groups {
             let until = group.last_crash_at + QUARANTINE_TIME;
-            for part in &group.parts {
-                let others = group.parts.iter().copied();
-                let companions = others.filter(|other| other != part);
+            for feature in &group.features {
+                let others = group.features.iter().copied();
+                let companions = others.filter(|other| other != feature);
                 let companions = companions.take(COMPANIONS_MAX).collect();
-                self.convict(*part, until, companions, group.hosts.clone(), now);
+                self.convict(*feature, until, companions, group.hosts.clone(), now);
             }
-            culprits.extend(group.parts);
+            culprits.extend(group.features);
         }
         self.release_explained(&culprits, now);
     }
 
-    /// Releases the parts that would not be quarantined by what is known now: crashes of the
+    /// Releases the features that would not be quarantined by what is known now: crashes of the
     /// culprits and proofs that other entries knew earlier.
-    fn release_explained(&mut self, culprits: &[PromptPartId], now: Instant) {
-        let is_explained = |part: PromptPartId| {
-            let has_proof = self.proofs.contains_key(&part) && self.crashes.mentions(part);
-            has_proof || self.crashes.is_explained(part, culprits)
+    fn release_explained(&mut self, culprits: &[RequestFeature], now: Instant) {
+        let is_explained = |feature: RequestFeature| {
+            let has_proof = self.proofs.contains_key(&feature) && self.crashes.mentions(feature);
+            has_proof || self.crashes.is_explained(feature, culprits)
         };
-        let quarantined = self.quarantined(now).map(|convicted| convicted.part);
-        let explained: Vec<PromptPartId> = quarantined
-            .filter(|part| !culprits.contains(part) && is_explained(*part))
+        let quarantined = self.quarantined(now).map(|convicted| convicted.feature);
+        let explained: Vec<RequestFeature> = quarantined
+            .filter(|feature| !culprits.contains(feature) && is_explained(*feature))
             .collect();
-        for part in explained {
-            self.release(part, ReleaseReason::Explained);
+        for feature in explained {
+            self.release(feature, ReleaseReason::Explained);
         }
     }
 
-    fn release(&mut self, part: PromptPartId, reason: ReleaseReason) {
-        self.convicted.remove(&part);
+    fn release(&mut self, feature: RequestFeature, reason: ReleaseReason) {
+        self.convicted.remove(&feature);
         for convicted in self.convicted.iter_mut() {
-            convicted.companions.retain(|companion| *companion != part);
+            convicted
+                .companions
+                .retain(|companion| *companion != feature);
         }
         self.changes
-            .push(QuarantineChange::Released { part, reason });
+            .push(QuarantineChange::Released { feature, reason });
     }
 
     pub(super) fn convict(
         &mut self,
-        part: PromptPartId,
+        feature: RequestFeature,
         until: Instant,
-        companions: Vec<PromptPartId>,
+        companions: Vec<RequestFeature>,
         hosts: Vec<HostId>,
         now: Instant,
     ) {
         if until <= now {
             return;
         }
-        let known = self.convicted.get(&part);
+        let known = self.convicted.get(&feature);
         let is_new = known.is_none_or(|known| known.until <= now);
         let until = known.map_or(until, |known| known.until.max(until));
         self.convicted.insert(Convicted {
-            part,
+            feature,
             until,
             companions,
             has_expired: false,
         });
         if is_new {
             self.changes
-                .push(QuarantineChange::Quarantined { part, hosts });
+                .push(QuarantineChange::Quarantined { feature, hosts });
         }
         if self.convicted.len() > CONVICTED_MAX
             && let Some(first) = self.convicted.iter().min_by_key(|known| known.until)
         {
-            let dropped = first.part;
+            let dropped = first.feature;
             self.convicted.remove(&dropped);
         }
     }
@@ -351,7 +359,7 @@
         for convicted in self.convicted.iter_mut() {
             if convicted.until <= now && !std::mem::replace(&mut convicted.has_expired, true) {
                 self.changes.push(QuarantineChange::Released {
-                    part: convicted.part,
+                    feature: convicted.feature,
                     reason: ReleaseReason::Expired,
                 });
             }
--- a/lib/src/process/gateway/quarantine_gossip.rs
+++ b/lib/src/process/gateway/quarantine_gossip.rs
@@ -1,4 +1,4 @@
-//! The gossip between entries about crashed targets and quarantined prompt parts.
+//! The gossip between entries about crashed targets and quarantined features of requests.
 
 use std::cmp::Reverse;
 use std::time::Duration;
@@ -17,14 +17,14 @@
 use super::quarantine::QUARANTINE_TIME;
 use super::quarantine::Quarantine;
 use crate::ids::HostId;
-use crate::ids::PromptPartId;
+use crate::ids::RequestFeature;
 
 /// The most crashes and proofs in a datagram.
 const GOSSIPED_MAX: usize = 32;
-/// The most quarantined parts in a datagram; those that were quarantined last are preferred.
+/// The most quarantined features in a datagram; those that were quarantined last are preferred.
 const GOSSIPED_QUARANTINES_MAX: usize = 16;
-/// The most parts of suspects in a datagram.
-const GOSSIPED_PARTS_MAX: usize = 120;
+/// The most features of suspects in a datagram.
+const GOSSIPED_FEATURES_MAX: usize = 120;
 
 /// A crash in a gossip datagram.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -33,19 +33,20 @@
     pub host: HostId,
     /// How many milliseconds ago it crashed.
     pub age_ms: u64,
-    /// How many milliseconds ago each suspect was sent, and the parts of its prompt.
-    pub suspects: Vec<(u64, Vec<PromptPartId>)>,
+    /// How many milliseconds ago each suspect was sent, and the features of its prompt.
+    pub suspects: Vec<(u64, Vec<RequestFeature>)>,
 }
 
-/// A quarantined part in a gossip datagram.
+/// A quarantined feature in a gossip datagram.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct GossipedQuarantine {
-    /// The part.
-    pub part: PromptPartId,
+    /// The feature.
+    #[serde(rename = "part")]
+    pub feature: RequestFeature,
     /// The time until the end of the quarantine, in milliseconds.
     pub left_ms: u64,
-    /// The parts that it can't be told apart from by the crashes.
-    pub companions: Vec<PromptPartId>,
+    /// The features that it can't be told apart from by the crashes.
+    pub companions: Vec<RequestFeature>,
 }
 
 /// The content of a gossip datagram about the quarantine.
@@ -55,8 +56,8 @@
     /// The recent crashes.
     pub crashes: Vec<GossipedCrash>,
     /// Parts of suspects of which a request was answered recently, and how many milliseconds ago.
-    pub proofs: Vec<(PromptPartId, u64)>,
-    /// The quarantined parts.
+    pub proofs: Vec<(RequestFeature, u64)>,
+    /// The quarantined features.
     pub quarantined: Vec<GossipedQuarantine>,
 }
 
@@ -66,41 +67,42 @@
         self.expire(now);
         let age_ms = |at: Instant| now.saturating_duration_since(at).as_millis() as u64;
         let mut crashes = Vec::new();
-        let mut parts = 0;
+        let mut features = 0;
         for record in self.crashes.changed_within(GOSSIP_TIME, now) {
-            let of_suspects = record.suspects.iter().map(|suspect| suspect.parts.len());
-            parts += of_suspects.sum::<usize>();
-            if parts > GOSSIPED_PARTS_MAX {
+            let of_suspects = record.suspects.iter().map(|suspect| suspect.features.len());
+            features += of_suspects.sum::<usize>();
+            if features > GOSSIPED_FEATURES_MAX {
                 break;
             }
-            let suspect = |s: &Suspect| (age_ms(s.sent_at), s.parts.clone());
+            let suspect = |s: &Suspect| (age_ms(s.sent_at), s.features.clone());
             crashes.push(GossipedCrash {
                 host: record.host.clone(),
                 age_ms: age_ms(record.at),
                 suspects: record.suspects.iter().map(suspect).collect(),
             });
         }
-        let all_parts = self.crashes.parts();
-        let new_parts: Vec<PromptPartId> = self
+        let all_features = self.crashes.features();
+        let new_features: Vec<RequestFeature> = self
             .crashes
             .changed_within(GOSSIP_TIME, now)
             .flat_map(|record| &record.suspects)
-            .flat_map(|suspect| suspect.parts.iter().copied())
+            .flat_map(|suspect| suspect.features.iter().copied())
             .collect();
         let is_gossiped = |proof: &&Proof| {
             let is_recent = now.saturating_duration_since(proof.at) < GOSSIP_TIME;
             proof.gossip_until > now
-                || (is_recent && all_parts.binary_search(&proof.part).is_ok())
-                || new_parts.contains(&proof.part)
+                || (is_recent && all_features.binary_search(&proof.feature).is_ok())
+                || new_features.contains(&proof.feature)
         };
         let proofs = self.proofs.iter().filter(is_gossiped);
-        let mut proofs: Vec<(PromptPartId, u64)> = proofs.map(|p| (p.part, age_ms(p.at))).collect();
+        let mut proofs: Vec<(RequestFeature, u64)> =
+            proofs.map(|p| (p.feature, age_ms(p.at))).collect();
         proofs.sort_by_key(|(_, age_ms)| *age_ms);
         proofs.truncate(GOSSIPED_MAX);
         let mut quarantined: Vec<&Convicted> = self.quarantined(now).collect();
         quarantined.sort_by_key(|convicted| Reverse(convicted.until));
         let quarantined = quarantined.into_iter().map(|convicted| GossipedQuarantine {
-            part: convicted.part,
+            feature: convicted.feature,
             left_ms: (convicted.until - now).as_millis() as u64,
             companions: convicted.companions.clone(),
         });
@@ -114,9 +116,9 @@
     /// Applies the gossip of another entry.
     pub fn on_gossip(&mut self, gossip: &QuarantineGossip, now: Instant) {
         let ago = |ms: u64| now.checked_sub(Duration::from_millis(ms));
-        for (part, age_ms) in gossip.proofs.iter().take(GOSSIPED_MAX) {
+        for (feature, age_ms) in gossip.proofs.iter().take(GOSSIPED_MAX) {
             if let Some(at) = ago(*age_ms) {
-                self.add_proof(*part, at, now);
+                self.add_proof(*feature, at, now);
             }
         }
         let mut has_changed = false;
@@ -125,10 +127,10 @@
                 continue;
             };
             let suspects = crash.suspects.iter().take(SUSPECTS_MAX);
-            let suspects = suspects.filter_map(|(age_ms, parts)| {
+            let suspects = suspects.filter_map(|(age_ms, features)| {
                 Some(Suspect {
                     sent_at: ago(*age_ms)?,
-                    parts: parts.clone(),
+                    features: features.clone(),
                 })
             });
             let record = CrashRecord {
@@ -144,28 +146,29 @@
         for quarantined in gossip.quarantined.iter().take(GOSSIPED_QUARANTINES_MAX) {
             let left = Duration::from_millis(quarantined.left_ms).min(QUARANTINE_TIME);
             let until = now + left;
-            if let Some(proof) = self.proofs.get_mut(&quarantined.part)
-                && (proof.at + QUARANTINE_TIME > until || self.crashes.mentions(quarantined.part))
+            if let Some(proof) = self.proofs.get_mut(&quarantined.feature)
+                && (proof.at + QUARANTINE_TIME > until
+                    || self.crashes.mentions(quarantined.feature))
             {
                 // This entry has the crashes too, and decides by itself.
                 // The sender does not know of the proof yet.
                 proof.gossip_until = now + GOSSIP_TIME;
                 continue;
             }
-            let known = self.convicted.get(&quarantined.part);
+            let known = self.convicted.get(&quarantined.feature);
             if let Some(known) = known.filter(|known| known.until > now) {
                 let companions = known.companions.clone();
-                self.convict(quarantined.part, until, companions, Vec::new(), now);
+                self.convict(quarantined.feature, until, companions, Vec::new(), now);
                 continue;
             }
-            let own: Vec<PromptPartId> = self.quarantined(now).map(|c| c.part).collect();
-            if self.crashes.is_explained(quarantined.part, &own) {
+            let own: Vec<RequestFeature> = self.quarantined(now).map(|c| c.feature).collect();
+            if self.crashes.is_explained(quarantined.feature, &own) {
                 // The sender does not know of the culprit's crashes yet.
                 continue;
             }
             let companions = quarantined.companions.iter().copied();
             let companions = companions.take(COMPANIONS_MAX).collect();
-            self.convict(quarantined.part, until, companions, Vec::new(), now);
+            self.convict(quarantined.feature, until, companions, Vec::new(), now);
         }
     }
 }
--- a/lib/src/request/forward/context.rs
+++ b/lib/src/request/forward/context.rs
@@ -12,7 +12,7 @@
 use crate::connection::body_memory::BodyMemory;
 use crate::ids::ContentDigest;
 use crate::ids::HostId;
-use crate::ids::PromptPartId;
+use crate::ids::RequestFeature;
 use crate::ids::ServiceId;
 use crate::ids::WeightsId;
 use crate::units::RequestRate;
@@ -37,8 +37,8 @@
     /// Whether the request was not sent yet and its caller has no part of the answer. A new request
     /// may wait in a queue for a share of `latency_target`, any other one for all of `time_left`.
     pub is_new: bool,
-    /// The parts of the prompt that other requests may share.
-    pub prompt_parts: Vec<PromptPartId>,
+    /// What the request may have in common with others that crash targets.
+    pub features: Vec<RequestFeature>,
     /// The digest of the request, equal for repeated requests.
     pub content: ContentDigest,
 }
@@ -177,9 +177,9 @@
     /// Takes one retry from the service's retry budget; returns false if the budget is exhausted.
     fn try_spend_retry(&self, service: &ServiceId) -> bool;
 
-    /// Returns the time until requests with these prompt parts may be sent again, or `None` if they
-    /// may be sent now.
-    fn quarantine_left(&self, parts: &[PromptPartId]) -> Option<Duration>;
+    /// Returns the time until requests with these features may be sent again, or `None` if they may be
+    /// sent now.
+    fn quarantine_left(&self, features: &[RequestFeature]) -> Option<Duration>;
 
     /// Counts a request in the metrics, with `outcome` as label and the time since its arrival.
     fn on_outcome(&self, service: &ServiceId, outcome: &'static str, waited: Duration);
--- a/lib/src/request/forward/handler.rs
+++ b/lib/src/request/forward/handler.rs
@@ -29,6 +29,7 @@
 use crate::connection::server::HttpHandler;
 use crate::hash::content_digest;
 use crate::ids::AccountId;
+use crate::ids::RequestFeature;
 use crate::request::outcome::NotRunReason;
 use crate::request::outcome::UnknownReason;
 use crate::version::routes::AccessDenial;
@@ -134,6 +135,8 @@
             path.as_bytes(),
             &body,
         ]);
+        let parts = caller_request.prompt_parts.iter().copied();
+        let parts = parts.map(RequestFeature::from);
         let requirements = TargetRequirements {
             service: service.clone(),
             weights: caller_request.weights.clone(),
@@ -142,7 +145,7 @@
             latency_target: route.latency_target,
             time_left: timeout,
             is_new: caller_request.last_event.is_none(),
-            prompt_parts: caller_request.prompt_parts.clone(),
+            features: parts.collect(),
             content,
         };
         let plan = SendPlan::new(route.kind, route.attempts_max, deadline, RETRY_AFTER);
--- a/lib/src/request/forward/sends.rs
+++ b/lib/src/request/forward/sends.rs
@@ -191,8 +191,8 @@
     pub(super) fn next_step(&mut self, send_failure: SendFailure) -> NextStep {
         let request = &self.request;
         let now = request.context.now();
-        let parts = &self.requirements.prompt_parts;
-        let quarantine_left = request.context.quarantine_left(parts);
+        let features = &self.requirements.features;
+        let quarantine_left = request.context.quarantine_left(features);
         let spend_retry =
             || quarantine_left.is_none() && request.context.try_spend_retry(&request.service);
         let step = self.plan.on_send_failure(send_failure, now, spend_retry);
--- a/lib/tests/test_forward_loads.rs
+++ b/lib/tests/test_forward_loads.rs
@@ -56,7 +56,7 @@
         latency_target: LATENCY_TARGET,
         time_left: CALLER_TIMEOUT,
         is_new,
-        prompt_parts: Vec::new(),
+        features: Vec::new(),
         content: content_digest(&[]),
     }
 }
--- a/lib/tests/test_quarantine.rs
+++ b/lib/tests/test_quarantine.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use beryltray_lib::ids::PromptPartId;
+use beryltray_lib::ids::RequestFeature;
 use beryltray_lib::process::gateway::Admission;
 use beryltray_lib::process::gateway::CrashRecord;
 use beryltray_lib::process::gateway::QUARANTINE_TIME;
@@ -18,11 +18,11 @@
 /// The part at which targets crash.
 const CRASHING: &str = "bad";
 
-fn part(id: &str) -> PromptPartId {
+fn part(id: &str) -> RequestFeature {
     id.parse().unwrap()
 }
 
-fn parts(ids: &[&str]) -> Vec<PromptPartId> {
+fn parts(ids: &[&str]) -> Vec<RequestFeature> {
     ids.iter().map(|id| part(id)).collect()
 }
 
@@ -34,7 +34,7 @@
 fn crash(start: Instant, host: &str, at_ms: u64, suspects: &[&[&str]]) -> CrashRecord {
     let suspect = |ids: &&[&str]| Suspect {
         sent_at: start + ms(at_ms) - ms(100),
-        parts: parts(ids),
+        features: parts(ids),
     };
     CrashRecord {
         host: host.parse().unwrap(),
@@ -93,7 +93,7 @@
         let record = CrashRecord {
             suspects: vec![Suspect {
                 sent_at: start + ms(900),
-                parts: parts(ids),
+                features: parts(ids),
             }],
             ..crash(start, &format!("host-{number}"), at_ms, &[])
         };
@@ -189,7 +189,7 @@
     quarantine.on_proof(&parts(&["a"]), now + ms(1));
     assert!(!is_quarantined(&quarantine, &["a"], now + ms(1)));
     let released = QuarantineChange::Released {
-        part: part("a"),
+        feature: part("a"),
         reason: ReleaseReason::Proven,
     };
     assert_eq!(quarantine.take_changes(), [released]);
@@ -268,7 +268,7 @@
             };
             Suspect {
                 sent_at: now - ms(30),
-                parts: (0..6).map(|k| part(&id(40 * k))).collect(),
+                features: (0..6).map(|k| part(&id(40 * k))).collect(),
             }
         });
         let record = CrashRecord {
--- a/lib/tests/test_quarantine_simulation.rs
+++ b/lib/tests/test_quarantine_simulation.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use beryltray_lib::ids::PromptPartId;
+use beryltray_lib::ids::RequestFeature;
 use beryltray_lib::process::gateway::Admission;
 use beryltray_lib::process::gateway::CrashRecord;
 use beryltray_lib::process::gateway::Quarantine;
@@ -42,7 +42,7 @@
 
 struct Request {
     entry: usize,
-    parts: Vec<PromptPartId>,
+    parts: Vec<RequestFeature>,
     is_crashing: bool,
     sent_ms: u64,
     /// When it begins to run.
@@ -101,15 +101,15 @@
     outcome: Outcome,
 }
 
-fn shared_part() -> PromptPartId {
+fn shared_part() -> RequestFeature {
     "f1".parse().unwrap()
 }
 
-fn crashing_part() -> PromptPartId {
+fn crashing_part() -> RequestFeature {
     "bad".parse().unwrap()
 }
 
-fn session_part(number: u64) -> PromptPartId {
+fn session_part(number: u64) -> RequestFeature {
     format!("5e55{number:04x}").parse().unwrap()
 }
 
@@ -273,7 +273,7 @@
             let suspects: Vec<Suspect> = at_start
                 .map(|request| Suspect {
                     sent_at: self.time(request.sent_ms),
-                    parts: request.parts.clone(),
+                    features: request.parts.clone(),
                 })
                 .collect();
             if !suspects.is_empty() {
