gateway: requests that crash targets each time that they come are quarantined

Cause: the quarantine counted crashes for prompt parts only. Requests to a plain service have none, so the crashes of the 11 targets that ended in the log were all confirmed with "suspects=0" and dropped. Further sends made it worse (4 of 10 such requests were sent again and ended the next target), but are not the cause: the other 7 targets ended at first sends.

The digest of a request (client account, method, host, path, body) is now one of its features beside its prompt parts, in the same records, gossip and rules: three crashes in sequence, or four in a burst, with no answer since. One quarantine for both finds what explains the most crashes, so that a crashing part condemns no request that has it, and a crashing request no part that others have too. Answers prove content only once a crash has named it, so that proofs of parts are not displaced. An entry records up to 12 suspects of a crash instead of 8, and prefers requests that were suspects before.

Tests of the quarantine name the refused feature in an ActiveQuarantine, otherwise they are unchanged.

--- a/lib/src/process/gateway/context.rs
+++ b/lib/src/process/gateway/context.rs
@@ -12,12 +12,12 @@
 use super::state::Inner;
 use crate::clock::Clock;
 use crate::connection::body_memory::BodyMemory;
-use crate::ids::ContentDigest;
 use crate::ids::GroupId;
 use crate::ids::HostId;
 use crate::ids::RequestFeature;
 use crate::ids::ServiceId;
 use crate::process::lifecycle::Stage;
+use crate::request::forward::context::ActiveQuarantine;
 use crate::request::forward::context::ChoiceInfo;
 use crate::request::forward::context::ForwardContext;
 use crate::request::forward::context::NoTarget;
@@ -71,7 +71,6 @@
     is_silent: bool,
     has_ended: bool,
     features: Vec<RequestFeature>,
-    content: ContentDigest,
     /// The number of complete events that have arrived.
     events: u32,
     /// Whether an earlier send of the request failed.
@@ -115,11 +114,18 @@
 
     fn log_broken_start(&self, now: Instant) {
         self.state.metrics.count_broken_start(&self.service);
-        let parts: Vec<String> = self.features.iter().map(ToString::to_string).collect();
+        let (content, parts): (Vec<RequestFeature>, Vec<RequestFeature>) = self
+            .features
+            .iter()
+            .partition(|feature| feature.is_content());
+        let list = |features: Vec<RequestFeature>| {
+            let texts: Vec<String> = features.iter().map(ToString::to_string).collect();
+            texts.join(",")
+        };
         let sent_ms_ago = now.saturating_duration_since(self.started_at).as_millis() as u64;
         log::info!(
             service:% = self.service, target:% = self.host,
-            prompt_parts = parts.join(",").as_str(), content:% = self.content,
+            prompt_parts = list(parts).as_str(), content = list(content).as_str(),
             sent_ms_ago = sent_ms_ago, events = self.events,
             is_retry = self.is_retry;
             "send broke at the start of its answer"
@@ -324,13 +330,11 @@
         let admission = self
             .state
             .with_quarantine(|quarantine, now| quarantine.admit(features, now));
-        if let Admission::Refused { time_left } = admission {
+        if let Admission::Refused(quarantine) = admission {
             self.state
                 .metrics
                 .count_quarantine_refusal(&requirements.service);
-            return Err(NoTarget::Quarantined {
-                retry_after: time_left,
-            });
+            return Err(NoTarget::Quarantined(quarantine));
         }
         let reserved = self
             .state
@@ -355,7 +359,6 @@
             is_silent: false,
             has_ended: false,
             features: requirements.features.clone(),
-            content: requirements.content,
             events: 0,
             is_retry: !requirements.excluded.is_empty(),
             is_trial: admission == Admission::Trial,
@@ -378,9 +381,9 @@
         is_granted
     }
 
-    fn quarantine_left(&self, features: &[RequestFeature]) -> Option<Duration> {
+    fn quarantine(&self, features: &[RequestFeature]) -> Option<ActiveQuarantine> {
         let now = self.now();
-        self.state.inner().quarantine.time_left(features, now)
+        self.state.inner().quarantine.active(features, now)
     }
 
     fn on_outcome(&self, service: &ServiceId, outcome: &'static str, waited: Duration) {
--- a/lib/src/process/gateway/crash_check.rs
+++ b/lib/src/process/gateway/crash_check.rs
@@ -92,9 +92,13 @@
             return result;
         }
         let count = inner.quarantine.quarantined_count(now);
+        let request_count = inner.quarantine.quarantined_request_count(now);
         drop(inner);
-        let count = i64::try_from(count).unwrap_or(i64::MAX);
-        self.metrics.quarantined_parts.set(count);
+        let gauge_value = |count| i64::try_from(count).unwrap_or(i64::MAX);
+        let part_count = gauge_value(count - request_count);
+        self.metrics.quarantined_parts.set(part_count);
+        let request_count = gauge_value(request_count);
+        self.metrics.quarantined_requests.set(request_count);
         for change in changes {
             self.report(change);
         }
@@ -109,14 +113,25 @@
             }
             QuarantineChange::Quarantined { feature, hosts } => {
                 let hosts: Vec<&str> = hosts.iter().map(HostId::as_str).collect();
-                log::warn!(
-                    prompt_part:% = feature, crashes = hosts.len(),
-                    targets = hosts.join(",").as_str();
-                    "prompt part is quarantined: targets crash at requests with it"
-                );
+                let (crashes, hosts) = (hosts.len(), hosts.join(","));
+                if feature.is_content() {
+                    log::warn!(
+                        content:% = feature, crashes = crashes, targets = hosts.as_str();
+                        "request is quarantined: targets crash each time that it comes"
+                    );
+                } else {
+                    log::warn!(
+                        prompt_part:% = feature, crashes = crashes, targets = hosts.as_str();
+                        "prompt part is quarantined: targets crash at requests with it"
+                    );
+                }
             }
             QuarantineChange::Released { feature, reason } => {
-                log::info!(prompt_part:% = feature; "prompt part is released: {reason}");
+                if feature.is_content() {
+                    log::info!(content:% = feature; "request is released: {reason}");
+                } else {
+                    log::info!(prompt_part:% = feature; "prompt part is released: {reason}");
+                }
             }
         }
     }
--- a/lib/src/process/gateway/crash_records.rs
+++ b/lib/src/process/gateway/crash_records.rs
@@ -45,6 +45,12 @@
     pub suspects: Vec<Suspect>,
 }
 
+impl Suspect {
+    pub(super) fn prompt_parts(&self) -> impl Iterator<Item = RequestFeature> {
+        self.features.iter().copied().filter(|f| !f.is_content())
+    }
+}
+
 impl CrashRecord {
     pub(super) fn has(&self, feature: RequestFeature) -> bool {
         self.suspects
--- a/lib/src/process/gateway/metrics.rs
+++ b/lib/src/process/gateway/metrics.rs
@@ -42,6 +42,8 @@
     pub serving_targets: IntGaugeVec,
     /// Prompt parts that are quarantined.
     pub quarantined_parts: IntGauge,
+    /// Requests that are quarantined by their content.
+    pub quarantined_requests: IntGauge,
     /// Crashes of targets that this entry or a peer has confirmed.
     pub target_crashes: IntCounter,
     quarantine_refusals: IntCounterVec,
@@ -110,13 +112,17 @@
                 "quarantined_prompt_parts",
                 "Prompt parts that are quarantined.",
             )?,
+            quarantined_requests: gauge(
+                "quarantined_requests",
+                "Requests that are quarantined by their content.",
+            )?,
             target_crashes: IntCounter::new(
                 crate::process::metrics::prefixed_name("target_crashes_total"),
                 "Crashes of targets that this entry or a peer has confirmed.",
             )?,
             quarantine_refusals: counters(
                 "quarantine_refusals_total",
-                "Requests not sent because of a quarantined prompt part.",
+                "Requests not sent because a prompt part or the request is quarantined.",
                 &["service"],
             )?,
             limit_refusals: counters(
@@ -147,6 +153,7 @@
         registry.register(Box::new(self.configuration_version.clone()))?;
         registry.register(Box::new(self.serving_targets.clone()))?;
         registry.register(Box::new(self.quarantined_parts.clone()))?;
+        registry.register(Box::new(self.quarantined_requests.clone()))?;
         registry.register(Box::new(self.target_crashes.clone()))?;
         registry.register(Box::new(self.quarantine_refusals.clone()))?;
         registry.register(Box::new(self.limit_refusals.clone()))?;
--- a/lib/src/process/gateway/quarantine.rs
+++ b/lib/src/process/gateway/quarantine.rs
@@ -1,9 +1,9 @@
 //! The quarantine of requests that crash the targets that answer them.
 //!
 //! A crash breaks all requests at the target, most of which did not cause it. A feature of
-//! requests, such as a part of their prompts, is a culprit if requests with it preceded several crashes in sequence and no request with it was answered
-//! since. Entries gossip crashes, proofs of innocence and quarantined features. The module does no
-//! I/O.
+//! requests, a part of their prompts or all of their content, is a culprit if requests with it
+//! preceded several crashes in sequence and no request with it was answered since. Entries gossip
+//! crashes, proofs of innocence and quarantined features. The module does no I/O.
 
 use std::time::Duration;
 use std::time::Instant;
@@ -17,6 +17,7 @@
 use super::crash_records::Suspect;
 use crate::ids::HostId;
 use crate::ids::RequestFeature;
+use crate::request::forward::context::ActiveQuarantine;
 use crate::sorted::Keyed;
 use crate::sorted::SortedVec;
 
@@ -32,8 +33,8 @@
 const CONVICTED_MAX: usize = 64;
 /// The most companions of a quarantined feature that are kept.
 pub(super) const COMPANIONS_MAX: usize = 4;
-/// The most suspects of a crash that an entry records. Those with unproven features come first.
-const OWN_SUSPECTS_MAX: usize = 8;
+/// The most suspects of a crash that an entry records, see [`Quarantine::on_crash`].
+const OWN_SUSPECTS_MAX: usize = 12;
 /// The most features whose proofs are kept.
 const PROOFS_MAX: usize = 4_096;
 
@@ -45,10 +46,7 @@
     /// The request may be sent, because it tells apart features that were quarantined together.
     Trial,
     /// The request must not be sent.
-    Refused {
-        /// The time until the end of the quarantine.
-        time_left: Duration,
-    },
+    Refused(ActiveQuarantine),
 }
 
 /// Why a feature was released.
@@ -147,21 +145,38 @@
     }
 
     /// Records a crash that this entry has confirmed.
+    ///
+    /// If there are too many suspects, requests that were suspects of earlier crashes are preferred,
+    /// then those with prompt parts that were never answered, and one for each list of prompt parts.
     pub fn on_crash(&mut self, mut record: CrashRecord, now: Instant) {
-        // If there are too many suspects, those with only proven features are the least likely.
-        let is_proven =
-            |suspect: &Suspect| suspect.features.iter().all(|p| self.proofs.contains_key(p));
-        record
-            .suspects
-            .retain(|suspect| !suspect.features.is_empty());
-        record.suspects.sort_by_key(is_proven);
+        let earlier = self.crashes.features();
+        let rank = |suspect: &Suspect| {
+            let mut features = suspect.features.iter();
+            let is_earlier = |f: &RequestFeature| earlier.binary_search(f).is_ok();
+            let is_suspect_again = features.any(|f| f.is_content() && is_earlier(f));
+            let mut parts = suspect.prompt_parts();
+            let has_unproven_part = parts.any(|part| !self.proofs.contains_key(&part));
+            (!is_suspect_again, !has_unproven_part)
+        };
+        record.suspects.sort_by_cached_key(rank);
         let mut distinct: Vec<Suspect> = Vec::new();
+        let mut with_same_parts = Vec::new();
         for suspect in record.suspects {
-            match distinct.iter_mut().find(|s| s.features == suspect.features) {
-                Some(known) => known.sent_at = known.sent_at.max(suspect.sent_at),
-                None => distinct.push(suspect),
+            let known = distinct.iter_mut().chain(&mut with_same_parts);
+            let mut known = known.filter(|known| known.features == suspect.features);
+            if let Some(known) = known.next() {
+                known.sent_at = known.sent_at.max(suspect.sent_at);
+                continue;
+            }
+            let has_same_parts = |known: &Suspect| known.prompt_parts().eq(suspect.prompt_parts());
+            if distinct.iter().any(has_same_parts) {
+                with_same_parts.push(suspect);
+            } else {
+                distinct.push(suspect);
             }
         }
+        distinct.extend(with_same_parts);
+        distinct.sort_by_cached_key(rank);
         distinct.truncate(OWN_SUSPECTS_MAX);
         record.suspects = distinct;
         if self.add_crash(record, now) {
@@ -172,13 +187,19 @@
     /// Records that a request with these features was answered beyond the start.
     pub fn on_proof(&mut self, features: &[RequestFeature], now: Instant) {
         for feature in features {
-            self.add_proof(*feature, now, now);
+            // Nearly every request has content of its own, so proofs of it are kept only if needed.
+            let is_needed = !feature.is_content()
+                || self.crashes.mentions(*feature)
+                || self.convicted.contains_key(feature);
+            if is_needed {
+                self.add_proof(*feature, now, now);
+            }
         }
     }
 
     /// Decides whether a request with these features may be sent now.
     pub fn admit(&mut self, features: &[RequestFeature], now: Instant) -> Admission {
-        let Some(time_left) = self.time_left(features, now) else {
+        let Some(active) = self.active(features, now) else {
             return Admission::Free;
         };
         let is_trial_due = self
@@ -193,17 +214,31 @@
             self.last_trial_at = Some(now);
             return Admission::Trial;
         }
-        Admission::Refused { time_left }
+        Admission::Refused(active)
     }
 
     /// Returns the time until the end of the quarantine of the features, or `None` if none of them is
     /// quarantined.
     pub fn time_left(&self, features: &[RequestFeature], now: Instant) -> Option<Duration> {
-        let convicted = features
-            .iter()
-            .filter_map(|feature| self.convicted.get(feature));
-        let until = convicted.map(|convicted| convicted.until).max()?;
-        (until > now).then(|| until - now)
+        let active = self.active(features, now)?;
+        Some(active.time_left)
+    }
+
+    /// Returns the quarantine of one of the features that ends last, or `None` if none of them is
+    /// quarantined.
+    pub fn active(&self, features: &[RequestFeature], now: Instant) -> Option<ActiveQuarantine> {
+        let convicted = features.iter().filter_map(|f| self.convicted.get(f));
+        let last = convicted.max_by_key(|convicted| convicted.until)?;
+        (last.until > now).then(|| ActiveQuarantine {
+            feature: last.feature,
+            time_left: last.until - now,
+        })
+    }
+
+    /// Returns the number of quarantined requests, which crash targets by their content.
+    pub fn quarantined_request_count(&self, now: Instant) -> usize {
+        let features = self.quarantined(now).map(|convicted| convicted.feature);
+        features.filter(|feature| feature.is_content()).count()
     }
 
     /// Returns the number of quarantined features.
--- a/lib/src/process/gateway/quarantine_gossip.rs
+++ b/lib/src/process/gateway/quarantine_gossip.rs
@@ -24,7 +24,7 @@
 /// The most quarantined features in a datagram; those that were quarantined last are preferred.
 const GOSSIPED_QUARANTINES_MAX: usize = 16;
 /// The most features of suspects in a datagram.
-const GOSSIPED_FEATURES_MAX: usize = 120;
+const GOSSIPED_FEATURES_MAX: usize = 160;
 
 /// A crash in a gossip datagram.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -33,7 +33,7 @@
     pub host: HostId,
     /// How many milliseconds ago it crashed.
     pub age_ms: u64,
-    /// How many milliseconds ago each suspect was sent, and the features of its prompt.
+    /// How many milliseconds ago each suspect was sent, and its features.
     pub suspects: Vec<(u64, Vec<RequestFeature>)>,
 }
 
--- a/lib/src/request/forward/context.rs
+++ b/lib/src/request/forward/context.rs
@@ -10,7 +10,6 @@
 use super::protocol::CallerProtocol;
 use super::protocol::StatedLimit;
 use crate::connection::body_memory::BodyMemory;
-use crate::ids::ContentDigest;
 use crate::ids::HostId;
 use crate::ids::RequestFeature;
 use crate::ids::ServiceId;
@@ -37,20 +36,25 @@
     /// Whether the request was not sent yet and its caller has no part of the answer. A new request
     /// may wait in a queue for a share of `latency_target`, any other one for all of `time_left`.
     pub is_new: bool,
-    /// What the request may have in common with others that crash targets.
+    /// What the request may have in common with others that crash targets: the parts of its prompt
+    /// that others may share, and its content.
     pub features: Vec<RequestFeature>,
-    /// The digest of the request, equal for repeated requests.
-    pub content: ContentDigest,
+}
+
+/// A quarantine that a request is under.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ActiveQuarantine {
+    /// The quarantined feature of the request.
+    pub feature: RequestFeature,
+    /// The time until the end of the quarantine.
+    pub time_left: Duration,
 }
 
 /// Why no target could be reserved.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum NoTarget {
-    /// A part of the request's prompt crashes targets, so the request is not sent to any.
-    Quarantined {
-        /// The time until the end of the quarantine.
-        retry_after: Duration,
-    },
+    /// A feature of the request crashes targets, so the request is not sent to any.
+    Quarantined(ActiveQuarantine),
     /// No target that meets the requirements is serving at present.
     Absent,
     /// The targets that meet the requirements take no more requests for now, by the limits that
@@ -177,9 +181,8 @@
     /// Takes one retry from the service's retry budget; returns false if the budget is exhausted.
     fn try_spend_retry(&self, service: &ServiceId) -> bool;
 
-    /// Returns the time until requests with these features may be sent again, or `None` if they may be
-    /// sent now.
-    fn quarantine_left(&self, features: &[RequestFeature]) -> Option<Duration>;
+    /// Returns the quarantine of one of these features, or `None` if a request with them may be sent.
+    fn quarantine(&self, features: &[RequestFeature]) -> Option<ActiveQuarantine>;
 
     /// Counts a request in the metrics, with `outcome` as label and the time since its arrival.
     fn on_outcome(&self, service: &ServiceId, outcome: &'static str, waited: Duration);
--- a/lib/src/request/forward/handler.rs
+++ b/lib/src/request/forward/handler.rs
@@ -137,6 +137,7 @@
         ]);
         let parts = caller_request.prompt_parts.iter().copied();
         let parts = parts.map(RequestFeature::from);
+        let features = parts.chain([RequestFeature::from(content)]);
         let requirements = TargetRequirements {
             service: service.clone(),
             weights: caller_request.weights.clone(),
@@ -145,8 +146,7 @@
             latency_target: route.latency_target,
             time_left: timeout,
             is_new: caller_request.last_event.is_none(),
-            features: parts.collect(),
-            content,
+            features: features.collect(),
         };
         let plan = SendPlan::new(route.kind, route.attempts_max, deadline, RETRY_AFTER);
         let request = ForwardedRequest {
--- a/lib/src/request/forward/sends.rs
+++ b/lib/src/request/forward/sends.rs
@@ -12,6 +12,7 @@
 use tokio::sync::Notify;
 
 use super::admit::RETRY_AFTER_MIN;
+use super::context::ActiveQuarantine;
 use super::context::ForwardContext;
 use super::context::NoTarget;
 use super::context::TargetRequirements;
@@ -77,8 +78,8 @@
             let changed = request.context.targets_changed();
             match self.reserve_target() {
                 Ok(target) => return Ok(self.planned(target)),
-                Err(NoTarget::Quarantined { retry_after }) => {
-                    return Err(self.quarantine_failure(retry_after));
+                Err(NoTarget::Quarantined(quarantine)) => {
+                    return Err(self.quarantine_failure(quarantine));
                 }
                 Err(NoTarget::Busy { retry_after, .. }) => {
                     let failure = self.plan.failure(NotRunReason::Overloaded);
@@ -192,19 +193,25 @@
         let request = &self.request;
         let now = request.context.now();
         let features = &self.requirements.features;
-        let quarantine_left = request.context.quarantine_left(features);
+        let quarantine = request.context.quarantine(features);
         let spend_retry =
-            || quarantine_left.is_none() && request.context.try_spend_retry(&request.service);
+            || quarantine.is_none() && request.context.try_spend_retry(&request.service);
         let step = self.plan.on_send_failure(send_failure, now, spend_retry);
-        match (step, quarantine_left) {
-            (NextStep::End(_), Some(left)) => NextStep::End(self.quarantine_failure(left)),
+        match (step, quarantine) {
+            (NextStep::End(_), Some(quarantine)) => {
+                NextStep::End(self.quarantine_failure(quarantine))
+            }
             (step, _) => step,
         }
     }
 
-    fn quarantine_failure(&self, retry_after: Duration) -> Failure {
-        let failure = self.plan.failure(NotRunReason::PromptQuarantined);
-        with_retry_after(failure, retry_after)
+    fn quarantine_failure(&self, quarantine: ActiveQuarantine) -> Failure {
+        let reason = if quarantine.feature.is_content() {
+            NotRunReason::RequestQuarantined
+        } else {
+            NotRunReason::PromptQuarantined
+        };
+        with_retry_after(self.plan.failure(reason), quarantine.time_left)
     }
 
     /// Records a failed send while others are in progress.
--- a/lib/src/request/outcome.rs
+++ b/lib/src/request/outcome.rs
@@ -25,6 +25,9 @@
     /// A part of the prompt is quarantined, because targets crash at requests with it.
     #[display("a part of the prompt crashes the targets")]
     PromptQuarantined,
+    /// The request is quarantined, because targets crash each time that it comes.
+    #[display("the request crashes the targets")]
+    RequestQuarantined,
     /// A target whose refusals are trusted refused the request before starting it.
     #[display("refused by the target before the start")]
     Refused,
--- a/lib/tests/test_forward_loads.rs
+++ b/lib/tests/test_forward_loads.rs
@@ -4,7 +4,6 @@
 
 use std::time::Duration;
 
-use beryltray_lib::hash::content_digest;
 use beryltray_lib::request::forward::admit::admit;
 use beryltray_lib::request::forward::choose::EnginePace;
 use beryltray_lib::request::forward::choose::TargetCandidate;
@@ -57,7 +56,6 @@
         time_left: CALLER_TIMEOUT,
         is_new,
         features: Vec::new(),
-        content: content_digest(&[]),
     }
 }
 
@@ -78,9 +76,8 @@
     admitted.map_err(|no_target| match no_target {
         NoTarget::Absent => 1.0,
         NoTarget::Limited { available_in, .. } => available_in.as_secs_f64(),
-        NoTarget::Busy { retry_after, .. } | NoTarget::Quarantined { retry_after } => {
-            retry_after.as_secs_f64()
-        }
+        NoTarget::Busy { retry_after, .. } => retry_after.as_secs_f64(),
+        NoTarget::Quarantined(quarantine) => quarantine.time_left.as_secs_f64(),
     })
 }
 
--- a/lib/tests/test_quarantine.rs
+++ b/lib/tests/test_quarantine.rs
@@ -12,6 +12,7 @@
 use beryltray_lib::process::gateway::QuarantineGossip;
 use beryltray_lib::process::gateway::ReleaseReason;
 use beryltray_lib::process::gateway::Suspect;
+use beryltray_lib::request::forward::context::ActiveQuarantine;
 
 /// The first part, which all requests share.
 const SHARED: &str = "f1";
@@ -77,9 +78,10 @@
     let now = add_crashes(&mut quarantine, start, &[poison, poison]);
     assert_eq!(quarantine.admit(&parts(&[CRASHING]), now), Admission::Free);
     let now = add_crashes(&mut quarantine, now + ms(1_000), &[poison]);
-    let refused = Admission::Refused {
+    let refused = Admission::Refused(ActiveQuarantine {
+        feature: part(CRASHING),
         time_left: QUARANTINE_TIME,
-    };
+    });
     assert_eq!(quarantine.admit(&parts(&[SHARED, CRASHING]), now), refused);
     assert_eq!(quarantine.admit(&parts(&[SHARED]), now), Admission::Free);
     assert_eq!(quarantine.quarantined_count(now), 1);
@@ -218,18 +220,18 @@
     let both = parts(&[SHARED, CRASHING]);
     assert!(matches!(
         quarantine.admit(&both, now),
-        Admission::Refused { .. }
+        Admission::Refused(_)
     ));
     assert_eq!(quarantine.admit(&sound, now), Admission::Trial);
     assert!(matches!(
         quarantine.admit(&sound, now),
-        Admission::Refused { .. }
+        Admission::Refused(_)
     ));
     assert_eq!(quarantine.admit(&sound, now + ms(1_000)), Admission::Trial);
     quarantine.on_proof(&sound, now + ms(1_100));
     assert_eq!(quarantine.admit(&sound, now + ms(1_100)), Admission::Free);
     let alone = quarantine.admit(&parts(&[CRASHING]), now + ms(3_000));
-    assert!(matches!(alone, Admission::Refused { .. }), "{alone:?}");
+    assert!(matches!(alone, Admission::Refused(_)), "{alone:?}");
 }
 
 // Guards against an entry that sends requests with a quarantined part after its restart.
@@ -284,3 +286,83 @@
     println!("the datagram's part has {length} bytes");
     assert!(length < 12 * 1024, "{length}");
 }
+
+/// Returns the written form of the content of a request.
+fn content(number: usize) -> String {
+    format!("f{number:031x}")
+}
+
+// Guards against targets that crash on and on under a request that comes again, although each part
+// of its prompt is answered in other requests.
+#[test]
+fn quarantine_repeated_request_with_answered_parts_is_refused() {
+    let (mut quarantine, start) = quarantine_with_proof();
+    let repeated = content(0);
+    let (a, b, c) = (content(1), content(2), content(3));
+    let crashes: [&[&[&str]]; 3] = [
+        &[&[SHARED, &a], &[SHARED, &repeated]],
+        &[&[SHARED, &repeated], &[SHARED, &b]],
+        &[&[SHARED, &c], &[SHARED, &repeated]],
+    ];
+    let now = add_crashes(&mut quarantine, start, &crashes);
+    assert!(is_quarantined(&quarantine, &[SHARED, &repeated], now));
+    for sound in [&a, &b, &c, &content(4)] {
+        let features = parts(&[SHARED, sound]);
+        assert_eq!(quarantine.admit(&features, now), Admission::Free);
+    }
+    assert_eq!(quarantine.quarantined_request_count(now), 1);
+}
+
+// Guards against a request without a prompt that is lost among the many that break with it.
+#[test]
+fn quarantine_repeated_request_among_many_broken_ones_is_refused() {
+    let (mut quarantine, start) = quarantine_with_proof();
+    let repeated = content(0);
+    let mut now = start;
+    for crash_number in 0..3 {
+        let others = (0..14).map(|number| content(1 + 14 * crash_number + number));
+        let mut contents: Vec<String> = others.collect();
+        contents.insert(7 + crash_number, repeated.clone());
+        let suspects: Vec<[&str; 1]> = contents.iter().map(|content| [content.as_str()]).collect();
+        let suspects: Vec<&[&str]> = suspects.iter().map(|suspect| &suspect[..]).collect();
+        let at_ms = 300 * (crash_number as u64 + 1);
+        now = start + ms(at_ms);
+        let host = format!("host-{crash_number}");
+        quarantine.on_crash(crash(start, &host, at_ms, &suspects), now);
+    }
+    assert!(is_quarantined(&quarantine, &[&repeated], now));
+    assert_eq!(quarantine.quarantined_count(now), 1);
+}
+
+// Guards against sound requests that come often and are refused, since they break at each crash.
+#[test]
+fn quarantine_request_answered_between_crashes_is_free() {
+    let (mut quarantine, start) = quarantine_with_proof();
+    let (frequent, repeated) = (content(0), content(1));
+    let both: &[&[&str]] = &[&[&frequent], &[&repeated]];
+    let mut now = start;
+    for number in 1..=3 {
+        let at_ms = 300 * number;
+        now = start + ms(at_ms);
+        quarantine.on_crash(crash(start, &format!("host-{number}"), at_ms, both), now);
+        quarantine.on_proof(&parts(&[&frequent]), now + ms(50));
+    }
+    assert!(!is_quarantined(&quarantine, &[&frequent], now));
+    assert!(is_quarantined(&quarantine, &[&repeated], now));
+}
+
+// Guards against proofs of content, which nearly every answer brings, that displace those of parts.
+#[test]
+fn quarantine_answers_do_not_displace_proofs_of_parts() {
+    let (mut quarantine, start) = quarantine_with_proof();
+    for number in 0..10_000 {
+        quarantine.on_proof(&parts(&[&content(number)]), start + ms(1));
+    }
+    let suspects: &[&[&str]] = &[&[SHARED]];
+    let now = add_crashes(
+        &mut quarantine,
+        start + ms(10),
+        &[suspects, suspects, suspects],
+    );
+    assert!(!is_quarantined(&quarantine, &[SHARED], now));
+}
--- a/lib/tests/test_quarantine_simulation.rs
+++ b/lib/tests/test_quarantine_simulation.rs
@@ -199,7 +199,7 @@
             .filter(|target| self.targets[*target].down_until_ms <= self.now_ms)
             .collect();
         let admission = self.entries[request.entry].admit(&request.parts, now);
-        let is_refused = matches!(admission, Admission::Refused { .. });
+        let is_refused = matches!(admission, Admission::Refused(_));
         if !request.is_crashing && request.sends == 0 {
             self.outcome.sound_sent += 1;
             self.outcome.sound_refused += usize::from(is_refused);
