--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -31,6 +31,7 @@
 mod test_request_limit_simulation;
 mod test_retry;
 mod test_routing;
+mod test_share_members;
 mod test_silence;
 mod test_spill;
 mod test_stragglers;
