gateway: parts of limits are taken over by a majority of all known entries

Entries whose parts were taken over no longer counted, so after a second or third cut each side could be the larger part of what the cut before had left to it, and both used all of the limit.

A majority is now one of all known entries. An entry counts as ended, and no longer as known, when it is not listed any more, or after ten minutes of silence if others are heard.

--- a/lib/src/process/gateway/share_members.rs
+++ b/lib/src/process/gateway/share_members.rs
@@ -1,8 +1,10 @@
 //! The entries that a limit on all entries together is divided among.
 //!
 //! An entry that has fallen silent has ended, or is only cut off and still uses its part. Its part
-//! is taken over only by entries that are in contact with more than half of all others, and only
-//! after an entry that has lost this contact has reduced its own part.
+//! is taken over only by entries that are in contact with more than half of all known entries, and
+//! only after an entry that has lost this contact has reduced its own part. Entries whose parts were
+//! taken over still count as known: otherwise each side of a cut could come to be the larger part
+//! of what is left to it, after a series of cuts.
 
 use std::time::Duration;
 use std::time::Instant;
@@ -20,6 +22,8 @@
 /// How long an entry must be silent before the others take over its part. All entries beyond a cut
 /// are out of contact before the first of them has been silent for so long.
 const TAKEOVER_TIME: Duration = Duration::from_millis(4_500);
+/// How long an entry must be silent to count as ended, unless no other entry is heard either.
+const ENDED_TIME: Duration = Duration::from_secs(600);
 /// How long an entry that could not read the list of entries waits for messages of others.
 const DISCOVERY_TIME: Duration = Duration::from_secs(1);
 
@@ -39,7 +43,8 @@
 /// The place of an entry among those that a limit is divided among.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct SharePlace {
-    /// The number of entries, this one included.
+    /// The number of entries that have a part, this one included: those that are not taken over or,
+    /// without contact with the majority, all known ones.
     pub entries: usize,
     /// The rank of this entry for the key, from 0.
     pub rank: usize,
@@ -54,8 +59,8 @@
     heard_at: Instant,
     /// Since when messages have come without a long break; `None` before the first.
     heard_since: Option<Instant>,
-    /// Whether its part has not been taken over.
-    is_counted: bool,
+    /// Whether its part has been taken over.
+    is_taken_over: bool,
 }
 
 impl Member {
@@ -64,7 +69,7 @@
             entry: entry.clone(),
             heard_at: now,
             heard_since: None,
-            is_counted: true,
+            is_taken_over: false,
         }
     }
 
@@ -73,7 +78,7 @@
             self.heard_since = Some(now);
         }
         self.heard_at = now;
-        self.is_counted = true;
+        self.is_taken_over = false;
     }
 
     fn is_in_contact(&self, now: Instant) -> bool {
@@ -115,8 +120,7 @@
         }
     }
 
-    /// Applies the list of all entries. An entry whose part was taken over is not counted again
-    /// before a message from it; a silent one that is no longer listed has ended.
+    /// Applies the list of all entries. A silent entry that is no longer listed has ended.
     pub fn on_list_read(&mut self, listed: &[EntryId], now: Instant) {
         self.discovered_at = Some(self.discovered_at.map_or(now, |at| at.min(now)));
         for entry in listed.iter().filter(|entry| **entry != self.own) {
@@ -143,17 +147,24 @@
         }
         if !hears_all {
             self.contact = Contact::Majority;
+            for member in self.members.iter_mut() {
+                member.is_taken_over = false;
+            }
             return;
         }
-        let in_contact = self.counted().filter(|m| m.is_in_contact(now));
-        self.contact = match ((in_contact.count() + 1) * 2).cmp(&self.count()) {
+        let in_contact = self.members.iter().filter(|m| m.is_in_contact(now)).count();
+        if in_contact > 0 {
+            self.members
+                .retain(|member| member.silence(now) < ENDED_TIME);
+        }
+        self.contact = match ((in_contact + 1) * 2).cmp(&(self.members.len() + 1)) {
             std::cmp::Ordering::Less => Contact::Minority,
             std::cmp::Ordering::Equal => Contact::Half,
             std::cmp::Ordering::Greater => Contact::Majority,
         };
         if self.contact == Contact::Majority {
             for member in self.members.iter_mut() {
-                member.is_counted &= member.silence(now) < TAKEOVER_TIME;
+                member.is_taken_over |= member.silence(now) >= TAKEOVER_TIME;
             }
         }
     }
@@ -162,19 +173,14 @@
     pub fn place(&self, key: &str) -> SharePlace {
         let weight = |entry: &EntryId| (rendezvous_weight(key, entry.as_str()), entry.clone());
         let own = weight(&self.own);
-        let ahead = self.counted().filter(|member| weight(&member.entry) > own);
+        let has_majority = self.contact == Contact::Majority;
+        let has_part = |member: &&Member| !(has_majority && member.is_taken_over);
+        let others = self.members.iter().filter(has_part);
+        let ahead = others.clone().filter(|member| weight(&member.entry) > own);
         SharePlace {
-            entries: self.count(),
+            entries: others.count() + 1,
             rank: ahead.count(),
             contact: self.contact,
         }
     }
-
-    fn counted(&self) -> impl Iterator<Item = &Member> {
-        self.members.iter().filter(|member| member.is_counted)
-    }
-
-    fn count(&self) -> usize {
-        self.counted().count() + 1
-    }
 }
--- a/lib/tests/test_share_members.rs
+++ b/lib/tests/test_share_members.rs
@@ -127,6 +127,31 @@
     assert_eq!(scene.contact_and_count(), (Contact::Majority, 3));
 }
 
+// Guards against two sides of a cut that both take themselves for the majority after a series of
+// cuts, each as the larger part of what the cut before left to it.
+#[test]
+fn members_taken_over_entries_still_count_for_the_majority() {
+    let mut scene = Scene::new(5);
+    scene.hear(1..5, 4_000);
+    scene.hear(1..3, 10_000);
+    assert_eq!(scene.contact_and_count(), (Contact::Majority, 3));
+    scene.hear(1..2, 10_000);
+    assert_eq!(scene.contact_and_count(), (Contact::Minority, 5));
+}
+
+// Guards against entries that ended long ago and make the others a minority for good.
+#[test]
+fn members_silent_for_long_have_ended_if_others_are_heard() {
+    let mut scene = Scene::new(8);
+    scene.hear(1..8, 4_000);
+    scene.hear(1..3, 590_000);
+    assert_eq!(scene.contact_and_count(), (Contact::Minority, 8));
+    scene.hear(1..3, 20_000);
+    assert_eq!(scene.contact_and_count(), (Contact::Majority, 3));
+    scene.hear(1..1, 1_200_000);
+    assert_eq!(scene.contact_and_count(), (Contact::Minority, 3));
+}
+
 #[test]
 fn part_of_limit_sum_over_entries_is_at_most_the_limit() {
     for contact in [
