gateway: an entry that starts announces itself to all others before it has a part of a limit

With more than 13 entries, each sends datagrams to 12 others only, so most learned of a new entry from the list, up to 20 s later. Until then it and the entries that did not know it both had the parts of some targets.

A process now sends its datagrams to all listed entries in the first 0.7 s, and has no part in the first second. The test peers_started_entry_announces_itself_to_all_others would fail before (12 recipients); it was written with the fix.

--- a/lib/src/process/gateway/peers.rs
+++ b/lib/src/process/gateway/peers.rs
@@ -36,6 +36,9 @@
 const UPSTREAM_BACKOFF: Duration = Duration::from_secs(5);
 /// The most peers that an entry sends datagrams to. It bounds the network traffic of many entries.
 const FANOUT_MAX: usize = 12;
+/// How long an entry sends its datagrams to all others after it has read the list of entries. The
+/// others divide limits among all entries that they know.
+pub(super) const ANNOUNCE_TIME: Duration = Duration::from_millis(700);
 /// The least number of recipients in other data centres, if there are as many peers. They gossip
 /// the loads on in their data centre. Traffic between data centres is expensive, so the other
 /// recipients are local if possible.
@@ -209,6 +212,8 @@
     processor: CoreShare,
     peers: SortedVec<Peer>,
     has_requests: bool,
+    /// When the list of entries was first read.
+    listed_at: Option<Instant>,
     share_members: ShareMembers,
 }
 
@@ -222,6 +227,7 @@
             processor,
             peers: SortedVec::new(),
             has_requests: false,
+            listed_at: None,
         }
     }
 
@@ -296,6 +302,7 @@
 
     /// Records that the list of entries has been read, after [`Peers::on_listed`] for each.
     pub fn on_list_read(&mut self, listed: &[EntryId], now: Instant) {
+        self.listed_at.get_or_insert(now);
         for peer in self.peers.iter_mut() {
             peer.is_listed = listed.contains(&peer.entry);
         }
@@ -393,7 +400,7 @@
     /// Returns the addresses to send a datagram to, which include those of `required`, and removes
     /// peers that are not listed and without a recent message.
     ///
-    /// With many peers, each entry sends to those with the highest rendezvous weights for it, so
+    /// With many peers, each entry sends to all at first, and then to those with the highest rendezvous weights for it, so
     /// that all entries have about the same number of senders. Most recipients are in its own data
     /// centre.
     pub fn recipients(&mut self, required: &[EntryId], now: Instant) -> Vec<SocketAddr> {
@@ -402,7 +409,8 @@
         let is_kept = |peer: &Peer| peer.is_listed || is_recent(peer);
         self.peers.retain(is_kept);
         let mut peers: Vec<&Peer> = self.peers.iter().collect();
-        if !self.is_full_mesh() {
+        let is_new = |at: Instant| now.saturating_duration_since(at) < ANNOUNCE_TIME;
+        if !self.is_full_mesh() && !self.listed_at.is_some_and(is_new) {
             let weight = |peer: &&Peer| rendezvous_weight(self.own.as_str(), peer.entry.as_str());
             peers.sort_by_key(|peer| std::cmp::Reverse(weight(peer)));
             let is_local = |peer: &&Peer| peer.data_centre == self.data_centre;
--- a/lib/src/process/gateway/share_members.rs
+++ b/lib/src/process/gateway/share_members.rs
@@ -24,7 +24,8 @@
 const TAKEOVER_TIME: Duration = Duration::from_millis(4_500);
 /// How long an entry must be silent to count as ended, unless no other entry is heard either.
 const ENDED_TIME: Duration = Duration::from_secs(600);
-/// How long an entry that could not read the list of entries waits for messages of others.
+/// How long an entry that has just started has no part. It is longer than
+/// [`ANNOUNCE_TIME`](super::peers::ANNOUNCE_TIME), so that the others know of it then.
 const DISCOVERY_TIME: Duration = Duration::from_secs(1);
 
 /// With how many of the other entries an entry is in contact.
@@ -104,7 +105,7 @@
 pub struct ShareMembers {
     own: EntryId,
     members: SortedVec<Member>,
-    /// When the other entries are taken as known.
+    /// When this entry and the others are taken as known to each other.
     discovered_at: Option<Instant>,
     contact: Contact,
 }
@@ -122,7 +123,7 @@
 
     /// Applies the list of all entries. A silent entry that is no longer listed has ended.
     pub fn on_list_read(&mut self, listed: &[EntryId], now: Instant) {
-        self.discovered_at = Some(self.discovered_at.map_or(now, |at| at.min(now)));
+        self.discovered_at.get_or_insert(now + DISCOVERY_TIME);
         for entry in listed.iter().filter(|entry| **entry != self.own) {
             let create = || Member::new(entry, now);
             self.members.get_or_insert_with(entry, create);
--- a/lib/tests/test_gateway_peers.rs
+++ b/lib/tests/test_gateway_peers.rs
@@ -360,3 +360,33 @@
     peers.recipients(&[], later);
     assert_eq!(peers.entry_count(), 31);
 }
+
+// Guards against an entry that takes a part of a limit while most others do not know it yet.
+#[test]
+fn peers_started_entry_announces_itself_to_all_others() {
+    let now = Instant::now();
+    let mut peers = Peers::new(
+        "entry-0".parse().unwrap(),
+        data_centre(),
+        CoreShare::default(),
+    );
+    let entries: Vec<EntryId> = (1..=40)
+        .map(|number| format!("entry-{number}").parse().unwrap())
+        .collect();
+    for entry in &entries {
+        let address = "127.0.0.1:1000".parse().unwrap();
+        peers.on_listed(
+            entry.clone(),
+            address,
+            data_centre(),
+            CoreShare::default(),
+            now,
+        );
+    }
+    peers.on_list_read(&entries, now);
+    assert_eq!(peers.recipients(&[], now).len(), 40);
+    let later = now + Duration::from_secs(1);
+    assert_eq!(peers.recipients(&[], later).len(), 12);
+    peers.on_list_read(&entries, later);
+    assert_eq!(peers.recipients(&[], later).len(), 12);
+}
--- a/lib/tests/test_request_limit_simulation.rs
+++ b/lib/tests/test_request_limit_simulation.rs
@@ -23,6 +23,8 @@
 /// The most recipients of an entry's gossip.
 const FANOUT: usize = 12;
 const GOSSIP_LOSS: f64 = 0.2;
+/// How long an entry sends gossip to all others after its start.
+const ANNOUNCE_MS: u64 = 700;
 /// The time from the start of an entry to its first request.
 const READY_MS: u64 = 500;
 /// The window in which requests are counted against the limit.
@@ -251,7 +253,13 @@
         entry.limits.update_parts(&entry.members, now);
         let gossip = entry.limits.gossip(now);
         let group = entry.group;
+        let up_ms = self.now_ms - entry.up_from_ms.unwrap();
         let mut recipients = entry.recipients.clone();
+        if up_ms < ANNOUNCE_MS {
+            recipients = (0..self.entries.len())
+                .filter(|other| *other != index)
+                .collect();
+        }
         let grants = gossip.iter().flat_map(|limit| &limit.grants);
         let grantees: Vec<EntryId> = grants.map(|(entry, _)| entry.clone()).collect();
         for (other, entry) in self.entries.iter().enumerate() {
