gateway: entries that ended long ago stay ended while they are listed

The rows of entries that are gone stay in the list. An entry that was dropped after ten minutes of silence came back as known with the next read, within 20 s, and counted for the majority for ten minutes more. Found in review. It is now kept and marked; a message from it ends that. The test members_silent_for_long_have_ended_if_others_are_heard failed before, after a read of the list was added to it. Nothing changes within ten minutes of a start.

--- a/lib/src/process/gateway/share_members.rs
+++ b/lib/src/process/gateway/share_members.rs
@@ -62,6 +62,8 @@
     heard_since: Option<Instant>,
     /// Whether its part has been taken over.
     is_taken_over: bool,
+    /// Whether it counts as ended. It is kept, since it may still be listed.
+    has_ended: bool,
 }
 
 impl Member {
@@ -71,6 +73,7 @@
             heard_at: now,
             heard_since: None,
             is_taken_over: false,
+            has_ended: false,
         }
     }
 
@@ -80,6 +83,7 @@
         }
         self.heard_at = now;
         self.is_taken_over = false;
+        self.has_ended = false;
     }
 
     fn is_in_contact(&self, now: Instant) -> bool {
@@ -155,10 +159,11 @@
         }
         let in_contact = self.members.iter().filter(|m| m.is_in_contact(now)).count();
         if in_contact > 0 {
-            self.members
-                .retain(|member| member.silence(now) < ENDED_TIME);
+            for member in self.members.iter_mut() {
+                member.has_ended = member.silence(now) >= ENDED_TIME;
+            }
         }
-        self.contact = match ((in_contact + 1) * 2).cmp(&(self.members.len() + 1)) {
+        self.contact = match ((in_contact + 1) * 2).cmp(&(self.known().count() + 1)) {
             std::cmp::Ordering::Less => Contact::Minority,
             std::cmp::Ordering::Equal => Contact::Half,
             std::cmp::Ordering::Greater => Contact::Majority,
@@ -170,13 +175,18 @@
         }
     }
 
+    /// Returns the other entries that have not ended.
+    fn known(&self) -> impl Iterator<Item = &Member> + Clone {
+        self.members.iter().filter(|member| !member.has_ended)
+    }
+
     /// Returns this entry's place for a key. Entries with the same members compute the same order.
     pub fn place(&self, key: &str) -> SharePlace {
         let weight = |entry: &EntryId| (rendezvous_weight(key, entry.as_str()), entry.clone());
         let own = weight(&self.own);
         let has_majority = self.contact == Contact::Majority;
         let has_part = |member: &&Member| !(has_majority && member.is_taken_over);
-        let others = self.members.iter().filter(has_part);
+        let others = self.known().filter(has_part);
         let ahead = others.clone().filter(|member| weight(&member.entry) > own);
         SharePlace {
             entries: others.count() + 1,
--- a/lib/tests/test_share_members.rs
+++ b/lib/tests/test_share_members.rs
@@ -148,8 +148,16 @@
     assert_eq!(scene.contact_and_count(), (Contact::Minority, 8));
     scene.hear(1..3, 20_000);
     assert_eq!(scene.contact_and_count(), (Contact::Majority, 3));
+    // Their rows stay in the list.
+    let listed: Vec<EntryId> = (0..8).map(entry).collect();
+    let now = scene.now();
+    scene.members.on_list_read(&listed, now);
+    scene.hear(1..3, 150);
+    assert_eq!(scene.contact_and_count(), (Contact::Majority, 3));
     scene.hear(1..1, 1_200_000);
     assert_eq!(scene.contact_and_count(), (Contact::Minority, 3));
+    scene.hear(1..8, 4_000);
+    assert_eq!(scene.contact_and_count(), (Contact::Majority, 8));
 }
 
 #[test]
