--- a/lib/tests/test_gateway_peers.rs
+++ b/lib/tests/test_gateway_peers.rs
@@ -325,38 +325,35 @@
     assert_eq!(upstreams.count(), 1);
 }
 
+fn entries(numbers: std::ops::RangeInclusive<usize>) -> Vec<EntryId> {
+    numbers
+        .map(|number| format!("entry-{number}").parse().unwrap())
+        .collect()
+}
+
+/// Applies a read of the list of entries.
+fn read_list(peers: &mut Peers, listed: &[EntryId], now: Instant) {
+    for entry in listed {
+        let address = "127.0.0.1:1000".parse().unwrap();
+        let processor = CoreShare::default();
+        peers.on_listed(entry.clone(), address, data_centre(), processor, now);
+    }
+    peers.on_list_read(listed, now);
+}
+
 // Guards against entries that are no longer counted between two reads of the list, so that each
 // entry takes a larger part of the limits on all of them.
 #[test]
 fn peers_listed_entries_without_messages_stay_counted_until_unlisted() {
     let now = Instant::now();
-    let mut peers = Peers::new(
-        "entry-0".parse().unwrap(),
-        data_centre(),
-        CoreShare::default(),
-    );
-    let entries: Vec<EntryId> = (1..=40)
-        .map(|n| format!("entry-{n}").parse().unwrap())
-        .collect();
-    let read_list = |peers: &mut Peers, listed: &[EntryId], at: Instant| {
-        for entry in listed {
-            let address = "127.0.0.1:1000".parse().unwrap();
-            peers.on_listed(
-                entry.clone(),
-                address,
-                data_centre(),
-                CoreShare::default(),
-                at,
-            );
-        }
-        peers.on_list_read(listed, at);
-    };
-    read_list(&mut peers, &entries, now);
+    let own = "entry-0".parse().unwrap();
+    let mut peers = Peers::new(own, data_centre(), CoreShare::default());
+    read_list(&mut peers, &entries(1..=40), now);
     let later = now + Duration::from_secs(70);
     peers.recipients(&[], later);
     assert_eq!(peers.entry_count(), 41);
     assert!(!peers.is_full_mesh());
-    read_list(&mut peers, &entries[..30], later);
+    read_list(&mut peers, &entries(1..=30), later);
     peers.recipients(&[], later);
     assert_eq!(peers.entry_count(), 31);
 }
@@ -365,28 +362,12 @@
 #[test]
 fn peers_started_entry_announces_itself_to_all_others() {
     let now = Instant::now();
-    let mut peers = Peers::new(
-        "entry-0".parse().unwrap(),
-        data_centre(),
-        CoreShare::default(),
-    );
-    let entries: Vec<EntryId> = (1..=40)
-        .map(|number| format!("entry-{number}").parse().unwrap())
-        .collect();
-    for entry in &entries {
-        let address = "127.0.0.1:1000".parse().unwrap();
-        peers.on_listed(
-            entry.clone(),
-            address,
-            data_centre(),
-            CoreShare::default(),
-            now,
-        );
-    }
-    peers.on_list_read(&entries, now);
+    let own = "entry-0".parse().unwrap();
+    let mut peers = Peers::new(own, data_centre(), CoreShare::default());
+    read_list(&mut peers, &entries(1..=40), now);
     assert_eq!(peers.recipients(&[], now).len(), 40);
     let later = now + Duration::from_secs(1);
     assert_eq!(peers.recipients(&[], later).len(), 12);
-    peers.on_list_read(&entries, later);
+    read_list(&mut peers, &entries(1..=40), later);
     assert_eq!(peers.recipients(&[], later).len(), 12);
 }
