gateway: a request is quarantined after a burst of three crashes

The simulation of the quarantine now plays a plain service with three targets and a request that comes again and again. When the targets were back at about the same time, several repeats were sent before the next crash was known.

Three crashes in a burst are now enough for the content of a request without a known answer; prompt parts still need four. So that a frequent sound request is not taken for the culprit when all targets fail together, the last 1,024 answered contents are remembered, apart from the answered prompt parts.

--- a/lib/src/process/gateway/crash_records.rs
+++ b/lib/src/process/gateway/crash_records.rs
@@ -95,11 +95,13 @@
     /// culprit.
     ///
     /// A feature that crashes each target has no answer, so one that had some needs more evidence. It
-    /// may be in all crashes because nearly every request has it.
-    fn is_culprit(self, in_sequence: usize, in_burst: usize) -> bool {
+    /// may be in all crashes because nearly every request has it. The content of a request needs
+    /// less: a sound request without answers is hardly at several targets at once.
+    fn is_culprit(self, feature: RequestFeature, in_sequence: usize, in_burst: usize) -> bool {
+        let in_burst_min = if feature.is_content() { 3 } else { 4 };
         match self {
             Self::Convicted => in_sequence >= 1,
-            Self::Unknown => in_sequence >= 3 || in_burst >= 4,
+            Self::Unknown => in_sequence >= 3 || in_burst >= in_burst_min,
             Self::Proven => in_sequence >= 6,
         }
     }
@@ -249,7 +251,7 @@
                 self.candidate(feature, standing(feature), occurrences, &is_explained)
             });
             let candidates: Vec<Candidate> = candidates
-                .filter(|c| c.standing.is_culprit(c.in_sequence, c.in_burst))
+                .filter(|c| c.standing.is_culprit(c.feature, c.in_sequence, c.in_burst))
                 .collect();
             let rank =
                 |c: &&Candidate| (c.standing, Reverse(c.in_sequence), Reverse(c.crashes.len()));
--- a/lib/src/process/gateway/quarantine.rs
+++ b/lib/src/process/gateway/quarantine.rs
@@ -35,8 +35,11 @@
 pub(super) const COMPANIONS_MAX: usize = 4;
 /// The most suspects of a crash that an entry records, see [`Quarantine::on_crash`].
 const OWN_SUSPECTS_MAX: usize = 12;
-/// The most features whose proofs are kept.
+/// The most prompt parts whose proofs are kept.
 const PROOFS_MAX: usize = 4_096;
+/// The most contents of requests whose proofs are kept. Nearly every request has content of its own,
+/// so these are only the last ones.
+const CONTENT_PROOFS_MAX: usize = 1_024;
 
 /// Whether a request may be sent.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -187,13 +190,7 @@
     /// Records that a request with these features was answered beyond the start.
     pub fn on_proof(&mut self, features: &[RequestFeature], now: Instant) {
         for feature in features {
-            // Nearly every request has content of its own, so proofs of it are kept only if needed.
-            let is_needed = !feature.is_content()
-                || self.crashes.mentions(*feature)
-                || self.convicted.contains_key(feature);
-            if is_needed {
-                self.add_proof(*feature, now, now);
-            }
+            self.add_proof(*feature, now, now);
         }
     }
 
@@ -283,11 +280,9 @@
         };
         let proof = self.proofs.get_or_insert_with(&feature, create);
         proof.at = proof.at.max(at);
-        if self.proofs.len() > PROOFS_MAX {
-            let mut times: Vec<Instant> = self.proofs.iter().map(|proof| proof.at).collect();
-            times.sort_unstable();
-            let oldest_kept = times[PROOFS_MAX / 4];
-            self.proofs.retain(|proof| proof.at >= oldest_kept);
+        if self.proofs.len() > PROOFS_MAX + CONTENT_PROOFS_MAX {
+            self.drop_oldest_proofs(RequestFeature::is_content, CONTENT_PROOFS_MAX);
+            self.drop_oldest_proofs(|feature| !feature.is_content(), PROOFS_MAX);
         }
         let Some(convicted) = self.convicted.get(&feature) else {
             return;
@@ -301,6 +296,22 @@
         self.evaluate(now);
     }
 
+    /// Drops a quarter of the proofs of one kind, the oldest ones, if there are too many.
+    fn drop_oldest_proofs<F>(&mut self, is_of_kind: F, count_max: usize)
+    where
+        F: Fn(RequestFeature) -> bool,
+    {
+        let of_kind = self.proofs.iter().filter(|p| is_of_kind(p.feature));
+        let mut times: Vec<Instant> = of_kind.map(|proof| proof.at).collect();
+        if times.len() <= count_max {
+            return;
+        }
+        times.sort_unstable();
+        let oldest_kept = times[times.len() - count_max * 3 / 4];
+        self.proofs
+            .retain(|proof| !is_of_kind(proof.feature) || proof.at >= oldest_kept);
+    }
+
     /// Quarantines the culprits of the known crashes.
     pub(super) fn evaluate(&mut self, now: Instant) {
         let standing = |feature: RequestFeature| {
--- a/lib/tests/test_quarantine_simulation.rs
+++ b/lib/tests/test_quarantine_simulation.rs
@@ -23,6 +23,8 @@
 const SENDS_MAX: u32 = 2;
 /// The parts that sessions share, beside the first part.
 const SESSION_PARTS: u64 = 24;
+/// The sound requests without a prompt that come often.
+const FREQUENT_REQUESTS: u64 = 10;
 
 /// What is simulated.
 #[derive(Clone, Copy, Debug)]
@@ -38,6 +40,10 @@
     /// When all targets crash without such a request, within a tenth of a second.
     mass_failure_ms: Option<u64>,
     gossip_loss: f64,
+    /// The crashes after which sends of crashing requests count, beyond [`CONTACT_MS`].
+    excused_crashes: usize,
+    /// Whether the requests have no prompts, and the crashing one comes again and again.
+    is_plain: bool,
 }
 
 struct Request {
@@ -68,6 +74,7 @@
 
 #[derive(Debug, Default)]
 struct Outcome {
+    excused_crashes: usize,
     crashing_sends_ms: Vec<u64>,
     /// Crashes caused by requests with the part.
     crashes_ms: Vec<u64>,
@@ -80,11 +87,12 @@
 
 impl Outcome {
     fn late_sends(&self) -> usize {
-        let Some(fifth_ms) = self.crashes_ms.get(4) else {
+        let Some(last_excused_ms) = self.crashes_ms.get(self.excused_crashes - 1) else {
             return 0;
         };
         let late = self.crashing_sends_ms.iter();
-        late.filter(|ms| **ms > fifth_ms + CONTACT_MS).count()
+        let counted_from_ms = last_excused_ms + CONTACT_MS;
+        late.filter(|ms| **ms > counted_from_ms).count()
     }
 }
 
@@ -113,6 +121,11 @@
     format!("5e55{number:04x}").parse().unwrap()
 }
 
+/// The content of a request; number 0 is the crashing one.
+fn content(number: u64) -> RequestFeature {
+    format!("f{number:031x}").parse().unwrap()
+}
+
 impl Simulation {
     fn new(scenario: Scenario, seed: u64) -> Self {
         let targets = (0..scenario.targets).map(|_| Target::default());
@@ -125,7 +138,10 @@
             sound_quarantined_from_ms: vec![None; ENTRIES],
             targets: targets.collect(),
             messages: Vec::new(),
-            outcome: Outcome::default(),
+            outcome: Outcome {
+                excused_crashes: scenario.excused_crashes,
+                ..Outcome::default()
+            },
             scenario,
         }
     }
@@ -170,15 +186,11 @@
         }
         let is_crashing = self.now_ms >= self.scenario.crashing_from_ms
             && self.random.random_bool(self.scenario.crashing_share);
-        let mut parts = vec![shared_part()];
-        if self.random.random_bool(0.6) {
-            // Some sessions send many requests and some few.
-            let number = self.random.random_range(0..SESSION_PARTS);
-            parts.push(session_part(self.random.random_range(0..=number)));
-        }
-        if is_crashing {
-            parts.push(crashing_part());
-        }
+        let parts = if self.scenario.is_plain {
+            self.plain_features(is_crashing)
+        } else {
+            self.prompt_features(is_crashing)
+        };
         let request = Request {
             entry: self.random.random_range(0..ENTRIES),
             parts,
@@ -193,6 +205,30 @@
         self.send(request);
     }
 
+    fn prompt_features(&mut self, is_crashing: bool) -> Vec<RequestFeature> {
+        let mut parts = vec![shared_part()];
+        if self.random.random_bool(0.6) {
+            // Some sessions send many requests and some few.
+            let number = self.random.random_range(0..SESSION_PARTS);
+            parts.push(session_part(self.random.random_range(0..=number)));
+        }
+        if is_crashing {
+            parts.push(crashing_part());
+        }
+        parts
+    }
+
+    fn plain_features(&mut self, is_crashing: bool) -> Vec<RequestFeature> {
+        let number = if is_crashing {
+            0
+        } else if self.random.random_bool(0.5) {
+            self.random.random_range(1..=FREQUENT_REQUESTS)
+        } else {
+            self.random.random_range(1_000..u64::MAX)
+        };
+        vec![content(number)]
+    }
+
     fn send(&mut self, mut request: Request) {
         let now = self.time(self.now_ms);
         let up: Vec<usize> = (0..self.targets.len())
@@ -320,6 +356,7 @@
         let now = self.time(self.now_ms);
         let mut sound = vec![shared_part()];
         sound.extend((0..SESSION_PARTS).map(session_part));
+        sound.extend((1..=FREQUENT_REQUESTS).map(content));
         for (entry, from_ms) in self.sound_quarantined_from_ms.iter_mut().enumerate() {
             if self.entries[entry].time_left(&sound, now).is_none() {
                 *from_ms = None;
@@ -343,6 +380,8 @@
         other_crash_interval_ms: None,
         mass_failure_ms: None,
         gossip_loss: 0.2,
+        excused_crashes: 5,
+        is_plain: false,
     }
 }
 
@@ -396,6 +435,18 @@
     }));
 }
 
+// Guards against a request without a prompt that is still sent long after it has crashed three
+// targets, and against frequent sound requests that are held for the culprit.
+#[test]
+fn simulation_repeated_request_is_contained_and_sound_requests_are_sent() {
+    assert_contained(&simulate(0..100, |scenario| {
+        scenario.targets = 3;
+        scenario.requests_per_s /= 3.0;
+        scenario.excused_crashes = 3;
+        scenario.is_plain = true;
+    }));
+}
+
 // Guards against entries that have just started and know of no answered request.
 #[test]
 fn simulation_crashing_part_from_the_start_is_contained() {
@@ -436,3 +487,20 @@
         assert!(quarantined_ms <= 1_000, "seed {seed}: {outcome:?}");
     }
 }
+
+// Guards against frequent sound requests that are condemned because all targets of a plain service
+// fail at about the same time.
+#[test]
+fn simulation_mass_failure_of_plain_targets_quarantines_nothing_for_long() {
+    let outcomes = simulate(0..100, |scenario| {
+        scenario.targets = 3;
+        scenario.crashing_share = 0.0;
+        scenario.mass_failure_ms = Some(5_000);
+        scenario.is_plain = true;
+    });
+    for (seed, outcome) in outcomes {
+        assert_eq!(outcome.other_crashes, 3);
+        let quarantined_ms = outcome.sound_quarantined_ms;
+        assert!(quarantined_ms <= 1_000, "seed {seed}: {outcome:?}");
+    }
+}
