--- a/lib/src/process/gateway/peers.rs
+++ b/lib/src/process/gateway/peers.rs
@@ -400,9 +400,9 @@
     /// Returns the addresses to send a datagram to, which include those of `required`, and removes
     /// peers that are not listed and without a recent message.
     ///
-    /// With many peers, each entry sends to all at first, and then to those with the highest rendezvous weights for it, so
-    /// that all entries have about the same number of senders. Most recipients are in its own data
-    /// centre.
+    /// With many peers, each entry sends to all at first, and then to those with the highest
+    /// rendezvous weights for it, so that all entries have about the same number of senders. Most
+    /// recipients are in its own data centre.
     pub fn recipients(&mut self, required: &[EntryId], now: Instant) -> Vec<SocketAddr> {
         let is_recent =
             |peer: &Peer| now.saturating_duration_since(peer.last_seen_at) < PEER_RETENTION;
