gateway: entries pass on when the platform last confirmed their records

An entry that reads the configuration and the targets from another one could not tell how old they were: the other's word from the platform was up to 1.1 s old when it answered, and nothing said so. Answers between entries now carry the age of the platform's last answer. The time on the way counts as age, so an age only grows from entry to entry, and two entries that read from each other can tell that neither reaches the platform. A new confirmation is passed on at once.

Entries of an earlier version send no age, and ignore it.

The checks of the change log take the greatest age as an argument, because it now differs between the configuration and the targets; it is 1.2 s there instead of the constant of 1.1 s, and what they assert at 0 s and 2 s is unchanged. Added are checks that an older answer of the platform confirms nothing and never moves the time back.

--- a/lib/src/process/gateway/change_log.rs
+++ b/lib/src/process/gateway/change_log.rs
@@ -9,11 +9,6 @@
 
 /// The number of batches that are kept. An entry that is further behind reads a snapshot.
 const BATCHES_MAX: usize = 512;
-/// The age of the last confirmation by the platform after which the log is no longer served. It is
-/// longer than a long poll of the platform, and short enough that other entries receive a change
-/// well within two seconds.
-const CONFIRMED_AGE_MAX: Duration = Duration::from_millis(1_100);
-
 /// The latest changes of one kind of record, with the platform's revisions.
 #[derive(Clone, Debug)]
 pub struct ChangeLog<T> {
@@ -46,12 +41,19 @@
         self.revision = Some(revision);
     }
 
-    /// Records that the platform itself answered.
+    /// Records that the log is complete as of `at`, by an answer of the platform.
     ///
-    /// Changes from another entry don't confirm the log: otherwise two entries that read from each
-    /// other could not detect that neither reaches the platform.
-    pub fn confirm(&mut self, now: Instant) {
-        self.confirmed_at = Some(now);
+    /// The answer may have come through other entries. `at` is then the time of the platform's
+    /// answer to them, not that of their own: otherwise two entries that read from each other could
+    /// not detect that neither reaches the platform.
+    pub fn confirm(&mut self, at: Instant) {
+        self.confirmed_at = self.confirmed_at.max(Some(at));
+    }
+
+    /// Returns the time as of which the log is known to be complete; `None` if the platform has not
+    /// answered yet.
+    pub fn confirmed_at(&self) -> Option<Instant> {
+        self.confirmed_at
     }
 
     /// Appends a batch of changes, which may be empty.
@@ -68,11 +70,11 @@
         }
     }
 
-    /// Returns the latest revision, or `None` if there is none or the platform has not confirmed
-    /// the log recently.
-    pub fn confirmed_revision(&self, now: Instant) -> Option<Revision> {
+    /// Returns the latest revision, or `None` if there is none or the last confirmation is older
+    /// than `age_max`.
+    pub fn confirmed_revision(&self, age_max: Duration, now: Instant) -> Option<Revision> {
         let confirmed_at = self.confirmed_at?;
-        let is_recent = now.saturating_duration_since(confirmed_at) < CONFIRMED_AGE_MAX;
+        let is_recent = now.saturating_duration_since(confirmed_at) < age_max;
         self.revision.filter(|_| is_recent)
     }
 
--- a/lib/src/process/gateway/follow.rs
+++ b/lib/src/process/gateway/follow.rs
@@ -19,13 +19,6 @@
 /// The delay after the first failed call; it doubles up to the maximum.
 const RETRY_DELAY_MIN: Duration = Duration::from_millis(100);
 const RETRY_DELAY_MAX: Duration = Duration::from_millis(800);
-/// The delay between two calls for targets, per known entry. Changes in that time are read by one
-/// call, and the rate of calls of all entries together hardly grows with their number.
-const TARGETS_BATCH_DELAY_PER_ENTRY: Duration = Duration::from_millis(9);
-/// The longest such delay, well within the drain time of targets that leave.
-const TARGETS_BATCH_DELAY_MAX: Duration = Duration::from_millis(700);
-/// The delay at the lease holder, which forms groups.
-const TARGETS_BATCH_DELAY_LEASE_HOLDER: Duration = Duration::from_millis(25);
 /// Calls that fail for at least this long count as an outage of the platform.
 const OUTAGE_MIN: Duration = Duration::from_millis(1_000);
 /// How long after an outage removals are not applied, because expired records may return.
@@ -113,21 +106,14 @@
     P: Feed<TargetRecord>,
 {
     let sink = TargetSink(Arc::clone(&state));
-    follow("targets", state, platform, sink, targets_batch_delay).await;
-}
-
-fn targets_batch_delay<C>(state: &GatewayState<C>) -> Duration
-where
-    C: Clock,
-{
-    if state.metrics.holds_lease.get() > 0 {
-        return TARGETS_BATCH_DELAY_LEASE_HOLDER;
-    }
-    let entries = state.with_peers(|peers| peers.entry_count());
-    let entries = u32::try_from(entries).unwrap_or(u32::MAX);
-    TARGETS_BATCH_DELAY_PER_ENTRY
-        .saturating_mul(entries)
-        .min(TARGETS_BATCH_DELAY_MAX)
+    follow(
+        "targets",
+        state,
+        platform,
+        sink,
+        GatewayState::targets_batch_delay,
+    )
+    .await;
 }
 
 /// Reads a snapshot and then long-polls for changes, with a batch delay between calls.
--- a/lib/src/process/gateway/metrics.rs
+++ b/lib/src/process/gateway/metrics.rs
@@ -38,6 +38,8 @@
     pub platform_failures: IntCounterVec,
     /// The version of the configuration in force.
     pub configuration_version: IntGauge,
+    /// The milliseconds since the platform last confirmed the configuration.
+    pub configuration_age_ms: IntGauge,
     /// Targets that can be sent requests, by service.
     pub serving_targets: IntGaugeVec,
     /// Prompt parts that are quarantined.
@@ -103,6 +105,10 @@
                 "configuration_version",
                 "Version of the configuration in force.",
             )?,
+            configuration_age_ms: gauge(
+                "configuration_age_ms",
+                "Milliseconds since the platform confirmed the configuration, maybe to another entry.",
+            )?,
             serving_targets: gauges(
                 "serving_targets",
                 "Targets that can be sent requests.",
@@ -151,6 +157,7 @@
         registry.register(Box::new(self.orders.clone()))?;
         registry.register(Box::new(self.platform_failures.clone()))?;
         registry.register(Box::new(self.configuration_version.clone()))?;
+        registry.register(Box::new(self.configuration_age_ms.clone()))?;
         registry.register(Box::new(self.serving_targets.clone()))?;
         registry.register(Box::new(self.quarantined_parts.clone()))?;
         registry.register(Box::new(self.quarantined_requests.clone()))?;
--- a/lib/src/process/gateway/record_relay.rs
+++ b/lib/src/process/gateway/record_relay.rs
@@ -8,6 +8,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use http::Method;
 use http::Request;
@@ -51,6 +52,13 @@
 /// The query parameter with the revision of the caller.
 const SINCE_PARAMETER: &str = "since=";
 
+/// The age from which the records of an entry are not passed on to others, beside the delay between
+/// its reads. It is longer than a long poll of the platform.
+const AGE_MAX: Duration = Duration::from_millis(1_200);
+/// How much longer than its wait a call to the platform may take while its answer counts as current
+/// at the time of its arrival. A longer call may have ended before this process could read it.
+const PLATFORM_ANSWER_TIME: Duration = Duration::from_millis(200);
+
 /// The response of a relay.
 #[derive(Debug, Deserialize, Serialize)]
 struct RelayedChanges<T> {
@@ -60,6 +68,13 @@
     changed: Vec<T>,
     removed: Vec<String>,
     revision: Revision,
+    /// The milliseconds since the platform's answer that these records are from, when they were
+    /// sent; an entry of an earlier version omits it.
+    #[serde(default)]
+    confirmed_ms_ago: Option<u64>,
+    /// How many milliseconds the request was held.
+    #[serde(default)]
+    held_ms: u64,
 }
 
 /// A kind of record that entries relay.
@@ -69,13 +84,23 @@
     /// The path of the records.
     const PATH: &'static str;
 
-    /// Records that the platform itself answered.
-    fn confirm<C>(state: &GatewayState<C>)
+    /// Records that the records are complete as of `at`, by an answer of the platform.
+    fn confirm<C>(state: &GatewayState<C>, at: Instant)
+    where
+        C: Clock;
+
+    /// Returns the time as of which the records are known to be complete.
+    fn confirmed_at<C>(state: &GatewayState<C>) -> Option<Instant>
+    where
+        C: Clock;
+
+    /// Returns the age from which the records are too old.
+    fn age_max<C>(state: &GatewayState<C>) -> Duration
     where
         C: Clock;
 
     /// Returns whether the result is a snapshot, and the changes after `since` or a snapshot of all
-    /// records; `None` if the platform has not confirmed them recently.
+    /// records; `None` if they are too old.
     fn read<C>(state: &GatewayState<C>, since: Option<Revision>) -> Option<(bool, Changes<Self>)>
     where
         C: Clock;
@@ -84,36 +109,64 @@
 impl RelayedRecord for TargetRecord {
     const PATH: &'static str = TARGETS_PATH;
 
-    fn confirm<C>(state: &GatewayState<C>)
+    fn confirm<C>(state: &GatewayState<C>, at: Instant)
+    where
+        C: Clock,
+    {
+        state.with_target_log(|log: &mut ChangeLog<Self>, _| log.confirm(at));
+    }
+
+    fn confirmed_at<C>(state: &GatewayState<C>) -> Option<Instant>
     where
         C: Clock,
     {
-        state.with_target_log(ChangeLog::confirm);
+        state.targets_confirmed_at()
+    }
+
+    fn age_max<C>(state: &GatewayState<C>) -> Duration
+    where
+        C: Clock,
+    {
+        AGE_MAX + state.targets_batch_delay()
     }
 
     fn read<C>(state: &GatewayState<C>, since: Option<Revision>) -> Option<(bool, Changes<Self>)>
     where
         C: Clock,
     {
-        state.target_changes(since)
+        state.target_changes(since, Self::age_max(state))
     }
 }
 
 impl RelayedRecord for RouteDocument {
     const PATH: &'static str = CONFIGURATION_PATH;
 
-    fn confirm<C>(state: &GatewayState<C>)
+    fn confirm<C>(state: &GatewayState<C>, at: Instant)
     where
         C: Clock,
     {
-        state.with_document_log(ChangeLog::confirm);
+        state.with_document_log(|log: &mut ChangeLog<Self>, _| log.confirm(at));
+    }
+
+    fn confirmed_at<C>(state: &GatewayState<C>) -> Option<Instant>
+    where
+        C: Clock,
+    {
+        state.document_confirmed_at()
+    }
+
+    fn age_max<C>(_state: &GatewayState<C>) -> Duration
+    where
+        C: Clock,
+    {
+        AGE_MAX
     }
 
     fn read<C>(state: &GatewayState<C>, since: Option<Revision>) -> Option<(bool, Changes<Self>)>
     where
         C: Clock,
     {
-        state.document_changes(since)
+        state.document_changes(since, Self::age_max(state))
     }
 }
 
@@ -156,31 +209,40 @@
     where
         T: RelayedRecord,
     {
+        let arrived_at = self.state.clock.now();
         let deadline = tokio::time::Instant::now() + LONG_POLL_TIME;
+        let known_at = T::confirmed_at(&self.state);
+        let mut has_waited = false;
         loop {
             let changed = self.state.records_changed.notified();
             let Some((is_snapshot, changes)) = T::read(&self.state, since) else {
                 return empty_response(StatusCode::SERVICE_UNAVAILABLE);
             };
+            let confirmed_at = T::confirmed_at(&self.state);
             let has_changes =
                 is_snapshot || !changes.changed.is_empty() || !changes.removed.is_empty();
-            if has_changes || tokio::time::timeout_at(deadline, changed).await.is_err() {
-                return changes_response(is_snapshot, changes);
+            // A new confirmation is passed on at once, so that it does not grow old on the way.
+            if has_changes || has_waited || confirmed_at > known_at {
+                let now = self.state.clock.now();
+                let ms_since = |at| now.saturating_duration_since(at).as_millis() as u64;
+                return changes_response(RelayedChanges {
+                    is_snapshot,
+                    changed: changes.changed,
+                    removed: changes.removed,
+                    revision: changes.revision,
+                    confirmed_ms_ago: confirmed_at.map(ms_since),
+                    held_ms: ms_since(arrived_at),
+                });
             }
+            has_waited = tokio::time::timeout_at(deadline, changed).await.is_err();
         }
     }
 }
 
-fn changes_response<T>(is_snapshot: bool, changes: Changes<T>) -> Response<ResponseBody>
+fn changes_response<T>(relayed: RelayedChanges<T>) -> Response<ResponseBody>
 where
     T: Serialize,
 {
-    let relayed = RelayedChanges {
-        is_snapshot,
-        changed: changes.changed,
-        removed: changes.removed,
-        revision: changes.revision,
-    };
     match serde_json::to_vec(&relayed) {
         Ok(bytes) => Response::new(full_body(bytes)),
         Err(error) => {
@@ -239,6 +301,7 @@
     where
         T: RelayedRecord,
     {
+        let sent_at = self.state.clock.now();
         let response = tokio::time::timeout(
             LONG_POLL_TIME + RESPONSE_TIMEOUT,
             self.send_changes_request(upstream, since),
@@ -247,13 +310,32 @@
             let reason = format!("entry {upstream} did not answer within the timeout");
             Err(PlatformError::Unavailable { reason })
         });
-        if let Err(error) = &relayed {
-            log::info!(source:% = upstream, records = T::PATH; "records are not passed on: {error}");
-            self.state.on_upstream_failed(upstream);
+        match &relayed {
+            Ok(relayed) => self.confirm_relayed(relayed, sent_at),
+            Err(error) => {
+                log::info!(source:% = upstream, records = T::PATH; "records are not passed on: {error}");
+                self.state.on_upstream_failed(upstream);
+            }
         }
         relayed
     }
 
+    /// Records the confirmation that came with relayed records. The time on the way counts as age.
+    fn confirm_relayed<T>(&self, relayed: &RelayedChanges<T>, sent_at: Instant)
+    where
+        T: RelayedRecord,
+    {
+        let Some(confirmed_ms_ago) = relayed.confirmed_ms_ago else {
+            return;
+        };
+        let held = Duration::from_millis(relayed.held_ms);
+        let answered_at = self.state.clock.now().min(sent_at + held);
+        let confirmed_at = answered_at.checked_sub(Duration::from_millis(confirmed_ms_ago));
+        if let Some(confirmed_at) = confirmed_at.filter(|_| !relayed.is_snapshot) {
+            T::confirm(&self.state, confirmed_at);
+        }
+    }
+
     async fn send_changes_request<T>(
         &self,
         upstream: SocketAddr,
@@ -316,9 +398,11 @@
         P: Feed<T>,
         T: RelayedRecord,
     {
+        let sent_at = self.state.clock.now();
         let changes = self.platform.changes(since, wait).await;
         if changes.is_ok() {
-            T::confirm(&self.state);
+            let now = self.state.clock.now();
+            T::confirm(&self.state, now.min(sent_at + wait + PLATFORM_ANSWER_TIME));
         }
         changes
     }
@@ -331,9 +415,10 @@
     T: RelayedRecord,
 {
     async fn snapshot(&self) -> Result<Snapshot<T>, FeedError> {
+        let sent_at = self.state.clock.now();
         let from_platform = self.platform.snapshot().await;
         if from_platform.is_ok() {
-            T::confirm(&self.state);
+            T::confirm(&self.state, sent_at);
         }
         let Err(FeedError::Platform(_)) = &from_platform else {
             return from_platform;
--- a/lib/src/process/gateway/state.rs
+++ b/lib/src/process/gateway/state.rs
@@ -46,6 +46,12 @@
 const STALL_GOSSIP_TIME: Duration = Duration::from_millis(400);
 /// The age from which the last event of a target is no longer gossiped.
 const GOSSIPED_EVENT_AGE_MAX: Duration = Duration::from_millis(1_500);
+/// The delay between two calls for targets, per known entry.
+const TARGETS_BATCH_DELAY_PER_ENTRY: Duration = Duration::from_millis(9);
+/// The longest such delay, well within the drain time of targets that leave.
+const TARGETS_BATCH_DELAY_MAX: Duration = Duration::from_millis(700);
+/// The delay at the lease holder, which forms groups.
+const TARGETS_BATCH_DELAY_LEASE_HOLDER: Duration = Duration::from_millis(25);
 /// The most stalled targets that are kept for group formation; the oldest are dropped.
 const STALLED_TARGETS_MAX: usize = 256;
 
@@ -184,9 +190,11 @@
         if known.is_some_and(|known| known >= document.version) {
             return;
         }
+        let confirmed_at = inner.document_log.confirmed_at();
+        let confirmed_ms = confirmed_at.map(|at| now.saturating_duration_since(at).as_millis());
         log::info!(
             version = document.version.0, replaced:? = known.map(|v| v.0),
-            routes = document.route_count();
+            routes = document.route_count(), confirmed_ms_ago:? = confirmed_ms;
             "configuration is in force"
         );
         let version = i64::try_from(document.version.0).unwrap_or(i64::MAX);
@@ -353,14 +361,41 @@
         self.records_changed.notify_waiters();
     }
 
+    /// Returns the time as of which the target records are known to be complete.
+    pub fn targets_confirmed_at(&self) -> Option<Instant> {
+        self.inner().target_log.confirmed_at()
+    }
+
+    /// Returns the time as of which the configuration is known to be the latest.
+    pub fn document_confirmed_at(&self) -> Option<Instant> {
+        self.inner().document_log.confirmed_at()
+    }
+
+    /// Returns the delay between two reads of the target records. Changes in that time are read by
+    /// one call, and the rate of calls of all entries together hardly grows with their number.
+    pub fn targets_batch_delay(&self) -> Duration {
+        if self.metrics.holds_lease.get() > 0 {
+            return TARGETS_BATCH_DELAY_LEASE_HOLDER;
+        }
+        let entries = self.with_peers(|peers| peers.entry_count());
+        let entries = u32::try_from(entries).unwrap_or(u32::MAX);
+        TARGETS_BATCH_DELAY_PER_ENTRY
+            .saturating_mul(entries)
+            .min(TARGETS_BATCH_DELAY_MAX)
+    }
+
     /// Returns whether the result is a snapshot, and the target records: those changed after
     /// `since`, or a snapshot of all if `since` is `None` or the log does not go back that far.
     ///
-    /// Returns `None` if the platform has not confirmed the log recently.
-    pub fn target_changes(&self, since: Option<Revision>) -> Option<(bool, Changes<TargetRecord>)> {
+    /// Returns `None` if the last confirmation by the platform is older than `age_max`.
+    pub fn target_changes(
+        &self,
+        since: Option<Revision>,
+        age_max: Duration,
+    ) -> Option<(bool, Changes<TargetRecord>)> {
         let now = self.clock.now();
         let inner = self.inner();
-        let revision = inner.target_log.confirmed_revision(now)?;
+        let revision = inner.target_log.confirmed_revision(age_max, now)?;
         if let Some(changes) = since.and_then(|since| inner.target_log.changes_since(since)) {
             return Some((false, changes));
         }
@@ -381,15 +416,16 @@
     /// Returns whether the result is a snapshot, and the configuration: its changes after `since`,
     /// or a snapshot of the current one if `since` is `None` or the log does not go back that far.
     ///
-    /// Returns `None` if there is no configuration or the platform has not confirmed the log
-    /// recently.
+    /// Returns `None` if there is no configuration or the last confirmation by the platform is older
+    /// than `age_max`.
     pub fn document_changes(
         &self,
         since: Option<Revision>,
+        age_max: Duration,
     ) -> Option<(bool, Changes<RouteDocument>)> {
         let now = self.clock.now();
         let inner = self.inner();
-        let revision = inner.document_log.confirmed_revision(now)?;
+        let revision = inner.document_log.confirmed_revision(age_max, now)?;
         if let Some(changes) = since.and_then(|since| inner.document_log.changes_since(since)) {
             return Some((false, changes));
         }
--- a/lib/tests/test_gateway_peers.rs
+++ b/lib/tests/test_gateway_peers.rs
@@ -238,6 +238,9 @@
     assert_eq!(peers.fallback_upstream(later), Some(first));
 }
 
+/// The age from which a log is not passed on.
+const AGE_MAX: Duration = Duration::from_millis(1_200);
+
 fn changes(revision: u64, changed: &[u32]) -> Changes<u32> {
     Changes {
         changed: changed.to_vec(),
@@ -250,7 +253,7 @@
 fn change_log_returns_changes_after_revision() {
     let now = Instant::now();
     let mut log = ChangeLog::default();
-    assert_eq!(log.confirmed_revision(now), None);
+    assert_eq!(log.confirmed_revision(AGE_MAX, now), None);
     log.on_snapshot(Revision(10));
     log.confirm(now);
     log.on_changes(changes(12, &[1]));
@@ -270,14 +273,17 @@
     let mut log = ChangeLog::default();
     log.on_snapshot(Revision(10));
     log.confirm(now);
-    assert_eq!(log.confirmed_revision(now), Some(Revision(10)));
+    assert_eq!(log.confirmed_revision(AGE_MAX, now), Some(Revision(10)));
     let later = now + Duration::from_secs(2);
-    assert_eq!(log.confirmed_revision(later), None);
-    // Changes from another entry do not confirm the log.
+    assert_eq!(log.confirmed_revision(AGE_MAX, later), None);
+    // Changes from another entry do not confirm the log, nor does an older answer of the platform.
     log.on_changes(changes(11, &[1]));
-    assert_eq!(log.confirmed_revision(later), None);
+    log.confirm(now);
+    assert_eq!(log.confirmed_revision(AGE_MAX, later), None);
     log.confirm(later);
-    assert_eq!(log.confirmed_revision(later), Some(Revision(11)));
+    assert_eq!(log.confirmed_revision(AGE_MAX, later), Some(Revision(11)));
+    log.confirm(now);
+    assert_eq!(log.confirmed_at(), Some(later));
 }
 
 #[test]
