gateway: records that get too old are read elsewhere beside a slow upstream

Each wait of an entry for the next word of the platform had its own limit, and they were taken one after the other: an upstream's word could be 1.1 s old, the upstream held the request for 0.7 s, the next one could be silent for 1 s, and only then was the platform read. That is 2.8 s and the time of the read, 0.5 s for a large configuration on a small entry; 2 s or 3 s are allowed.

Now one limit holds over all of it, the age of the records by the platform's own word: at 1.2 s they are read from the platform beside the request that is under way, after another 0.2 s also from another entry, and the first answer is used. Long polls with such a delay are shorter by it; before, the targets' records were too old to be passed on in each idle round, and the readers all fell back to the platform (503).

--- a/lib/src/process/gateway/follow.rs
+++ b/lib/src/process/gateway/follow.rs
@@ -16,6 +16,7 @@
 /// The longest time for which a call waits for a change. It is short, so that entries that read
 /// records here learn soon when this entry can't reach the platform.
 const LONG_POLL_TIME: Duration = Duration::from_millis(800);
+const LONG_POLL_TIME_MIN: Duration = Duration::from_millis(100);
 /// The delay after the first failed call; it doubles up to the maximum.
 const RETRY_DELAY_MIN: Duration = Duration::from_millis(100);
 const RETRY_DELAY_MAX: Duration = Duration::from_millis(800);
@@ -139,7 +140,7 @@
         let update = match revision {
             None => platform.snapshot().await.map(Update::Snapshot),
             Some(since) => platform
-                .changes(since, LONG_POLL_TIME)
+                .changes(since, long_poll_time(batch_delay(&state)))
                 .await
                 .map(Update::Changes),
         };
@@ -187,6 +188,14 @@
     }
 }
 
+/// Returns how long a call waits for a change, so that calls with a delay between them confirm the
+/// records as often as those without.
+fn long_poll_time(batch_delay: Duration) -> Duration {
+    LONG_POLL_TIME
+        .saturating_sub(batch_delay)
+        .max(LONG_POLL_TIME_MIN)
+}
+
 enum Update<T> {
     Snapshot(Snapshot<T>),
     Changes(Changes<T>),
--- a/lib/src/process/gateway/record_relay.rs
+++ b/lib/src/process/gateway/record_relay.rs
@@ -7,6 +7,9 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -59,6 +62,9 @@
 /// at the time of its arrival. A longer call may have ended before this process could read it.
 const PLATFORM_ANSWER_TIME: Duration = Duration::from_millis(200);
 
+/// The least time for an answer before the records are read elsewhere, too.
+const ANSWER_TIME_MIN: Duration = Duration::from_millis(150);
+
 /// The response of a relay.
 #[derive(Debug, Deserialize, Serialize)]
 struct RelayedChanges<T> {
@@ -263,7 +269,7 @@
 pub(super) struct RelayedFeed<C, P> {
     state: Arc<GatewayState<C>>,
     platform: P,
-    connection: Arc<tokio::sync::Mutex<Option<ClientConnection>>>,
+    connection: Arc<Mutex<Option<ClientConnection>>>,
 }
 
 impl<C, P> Clone for RelayedFeed<C, P>
@@ -345,8 +351,8 @@
         T: RelayedRecord,
     {
         let unavailable = |reason: String| PlatformError::Unavailable { reason };
-        let mut slot = self.connection.lock().await;
-        let idle_connection = slot
+        let idle_connection = self
+            .lock_connection()
             .take()
             .filter(|idle| idle.address() == upstream && idle.is_usable());
         let mut connection = match idle_connection {
@@ -377,7 +383,7 @@
         let body = read_body(response.into_body(), RESPONSE_LIMIT_BYTES, RESPONSE_TIMEOUT).await;
         let body = body.map_err(|error| unavailable(error.to_string()))?;
         if connection.wait_until_usable().await {
-            *slot = Some(connection);
+            *self.lock_connection() = Some(connection);
         }
         serde_json::from_slice(&body).map_err(|error| PlatformError::Protocol {
             reason: error.to_string(),
@@ -385,10 +391,97 @@
     }
 }
 
+impl<C, P> RelayedFeed<C, P> {
+    fn lock_connection(&self) -> MutexGuard<'_, Option<ClientConnection>> {
+        // An option is valid after every statement, so a poisoned mutex can still be used.
+        self.connection
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 impl<C, P> RelayedFeed<C, P>
 where
     C: Clock,
 {
+    /// Returns how long an answer may be waited for until the records are too old.
+    fn time_until_too_old<T>(&self) -> Duration
+    where
+        T: RelayedRecord,
+    {
+        let now = self.state.clock.now();
+        let age_max = T::age_max(&self.state);
+        let age =
+            T::confirmed_at(&self.state).map_or(age_max, |at| now.saturating_duration_since(at));
+        age_max.saturating_sub(age).max(ANSWER_TIME_MIN)
+    }
+
+    /// Reads the changes at the usual place: from the upstream, or without one from the platform.
+    async fn usual_changes<T>(
+        &self,
+        upstream: Option<SocketAddr>,
+        since: Revision,
+        wait: Duration,
+    ) -> Result<Changes<T>, FeedError>
+    where
+        P: Feed<T>,
+        T: RelayedRecord,
+    {
+        match upstream {
+            Some(upstream) => self.relayed_changes(upstream, since).await,
+            None => self.platform_changes(since, wait).await,
+        }
+    }
+
+    /// Reads the changes from the platform without a wait, and from another entry if the platform
+    /// fails or does not answer soon.
+    async fn changes_elsewhere<T>(&self, since: Revision) -> Result<Changes<T>, FeedError>
+    where
+        P: Feed<T>,
+        T: RelayedRecord,
+    {
+        let mut platform = std::pin::pin!(self.platform_changes(since, Duration::ZERO));
+        let answered = tokio::time::timeout(PLATFORM_ANSWER_TIME, &mut platform).await;
+        if let Ok(changes) = &answered
+            && is_settled(changes)
+        {
+            return changes.clone();
+        }
+        let peer = async {
+            match self.state.fallback_upstream() {
+                Some(peer) => self.relayed_changes(peer, since).await,
+                None => Err(FeedError::Platform(PlatformError::Unavailable {
+                    reason: "no other entry can be asked".to_owned(),
+                })),
+            }
+        };
+        match answered {
+            Ok(_) => peer.await,
+            Err(_) => first_settled(platform, peer).await,
+        }
+    }
+
+    async fn relayed_changes<T>(
+        &self,
+        upstream: SocketAddr,
+        since: Revision,
+    ) -> Result<Changes<T>, FeedError>
+    where
+        T: RelayedRecord,
+    {
+        let relayed = self.request_changes::<T>(upstream, Some(since)).await?;
+        if relayed.is_snapshot {
+            // The log of the upstream does not go back that far, so the caller must read a
+            // snapshot.
+            return Err(FeedError::HistoryLost { since });
+        }
+        Ok(Changes {
+            changed: relayed.changed,
+            removed: relayed.removed,
+            revision: relayed.revision.max(since),
+        })
+    }
+
     async fn platform_changes<T>(
         &self,
         since: Revision,
@@ -433,34 +526,41 @@
         })
     }
 
+    /// Reads the changes at the usual place. If that fails, or the records get too old meanwhile,
+    /// they are also read elsewhere, and the first answer is used. The time without the platform's
+    /// word is thus bounded, however many entries fail one after the other.
     async fn changes(&self, since: Revision, wait: Duration) -> Result<Changes<T>, FeedError> {
-        let relayed = match self.state.upstream() {
-            Some(upstream) => self.request_changes::<T>(upstream, Some(since)).await,
-            None => {
-                let from_platform = self.platform_changes(since, wait).await;
-                let Err(FeedError::Platform(_)) = &from_platform else {
-                    return from_platform;
-                };
-                let Some(upstream) = self.state.fallback_upstream() else {
-                    return from_platform;
-                };
-                self.request_changes::<T>(upstream, Some(since)).await
+        let upstream = self.state.upstream();
+        let mut usual = std::pin::pin!(self.usual_changes(upstream, since, wait));
+        match tokio::time::timeout(self.time_until_too_old::<T>(), &mut usual).await {
+            Ok(changes) if is_settled(&changes) => changes,
+            Ok(_) => self.changes_elsewhere(since).await,
+            Err(_) => {
+                log::info!(
+                    records = T::PATH, source:? = upstream;
+                    "records get too old; they are read elsewhere, too"
+                );
+                first_settled(usual, self.changes_elsewhere(since)).await
             }
-        };
-        let relayed = match relayed {
-            Ok(relayed) => relayed,
-            // The platform is read at once, so that a failed upstream does not delay changes.
-            Err(_) => return self.platform_changes(since, Duration::ZERO).await,
-        };
-        if relayed.is_snapshot {
-            // The log of the upstream does not go back that far, so the caller must read a
-            // snapshot.
-            return Err(FeedError::HistoryLost { since });
         }
-        Ok(Changes {
-            changed: relayed.changed,
-            removed: relayed.removed,
-            revision: relayed.revision.max(since),
-        })
+    }
+}
+
+/// Returns whether the read need not be repeated elsewhere.
+fn is_settled<T>(changes: &Result<Changes<T>, FeedError>) -> bool {
+    !matches!(changes, Err(FeedError::Platform(_)))
+}
+
+/// Runs both reads and returns the first result that is settled, or else the last one.
+async fn first_settled<T, A, B>(first: A, second: B) -> Result<Changes<T>, FeedError>
+where
+    A: Future<Output = Result<Changes<T>, FeedError>>,
+    B: Future<Output = Result<Changes<T>, FeedError>>,
+{
+    let mut first = std::pin::pin!(first);
+    let mut second = std::pin::pin!(second);
+    tokio::select! {
+        changes = &mut first => if is_settled(&changes) { changes } else { second.await },
+        changes = &mut second => if is_settled(&changes) { changes } else { first.await },
     }
 }
