gateway: an entry that reaches no target passes requests on to one that does

Such an entry had no way to a target but its own, and answered 503 after four failed connections, however long the cut lasted.

An entry now counts as cut off when requests to three targets have failed at the connection, or before a byte of an answer, with no answer in between to a request that was sent later. Answers on older connections don't count, because these may live on behind the cut. It ends with the first answer, or with a connection that stays open; one is tried each 0.3 s. A fault of the targets is not a cut: then no other entry says in its gossip that it reaches them, and nothing changes.

Requests then go to another entry, one of the same data centre if possible, as to a target. It applies its own admission, limits, quarantine and configuration, sends the request once, and never passes it on, so there is no circle. The first entry keeps the plan: its number of sends, its retry budget, its deadline, and streams that are resumed. A hop that breaks after the request was sent counts as a send that may have run; a connection that fails does not. An entry with an older configuration than that of the first one refuses. A draining entry takes no more of them and finishes those that it has.

New ones: entries that all reach nothing refuse at once, the return, and the older configuration.

--- a/lib/src/process/gateway/context.rs
+++ b/lib/src/process/gateway/context.rs
@@ -7,11 +7,14 @@
 
 use super::crash_check::check_target;
 use super::crash_records::Suspect;
+use super::passed_on::PassedOn;
+use super::passed_on::Reservation;
 use super::quarantine::Admission;
 use super::state::GatewayState;
 use super::state::Inner;
 use crate::clock::Clock;
 use crate::connection::body_memory::BodyMemory;
+use crate::ids::EntryId;
 use crate::ids::GroupId;
 use crate::ids::HostId;
 use crate::ids::RequestFeature;
@@ -37,6 +40,8 @@
 pub struct GatewayContext<C, W> {
     pub(super) state: Arc<GatewayState<C>>,
     pub(super) protocol: W,
+    /// Whether the requests were passed on by another entry.
+    pub(super) is_behind_hop: bool,
 }
 
 impl<C, W> Clone for GatewayContext<C, W>
@@ -47,6 +52,7 @@
         Self {
             state: Arc::clone(&self.state),
             protocol: self.protocol.clone(),
+            is_behind_hop: self.is_behind_hop,
         }
     }
 }
@@ -69,6 +75,8 @@
     started_at: Instant,
     /// Whether the target has been silent for too long and sent nothing since.
     is_silent: bool,
+    /// Whether the head of an answer has arrived.
+    has_answered: bool,
     has_ended: bool,
     features: Vec<RequestFeature>,
     /// The number of complete events that have arrived.
@@ -132,6 +140,23 @@
         );
     }
 
+    /// Reports what the end of the send says about the links to the targets.
+    fn report_link(&self, end: Option<SendFailure>) {
+        match end {
+            Some(SendFailure::NotRun | SendFailure::NotServing) => {
+                self.state.on_target_answer(self.started_at);
+            }
+            // A send to a target that is no longer usable is withheld.
+            Some(SendFailure::NotSent) if self.is_still_usable() => {
+                self.state.on_target_failed(&self.host);
+            }
+            Some(SendFailure::Broken) if !self.has_answered => {
+                self.state.on_target_failed(&self.host);
+            }
+            _ => {}
+        }
+    }
+
     /// Reports the target to group formation and to the peers.
     fn report_stall(&self) {
         let now = self.state.clock.now();
@@ -168,6 +193,10 @@
         self.address
     }
 
+    fn passed_on_by(&self) -> Option<&EntryId> {
+        None
+    }
+
     fn expected_wait(&self) -> Duration {
         self.expected_wait
     }
@@ -190,6 +219,8 @@
 
     fn on_first_answer(&mut self, load: Option<AnswerLoad>) {
         self.is_silent = false;
+        self.has_answered = true;
+        self.state.on_target_answer(self.started_at);
         let now = self.state.clock.now();
         let mut inner = self.state.inner();
         if let Some(load) = load {
@@ -246,6 +277,7 @@
         if std::mem::replace(&mut self.has_ended, true) {
             return;
         }
+        self.report_link(end);
         let now = self.state.clock.now();
         let label = end.map_or_else(|| String::from("complete"), |end| end.to_string());
         self.state.metrics.count_send(&self.service, &label);
@@ -282,7 +314,7 @@
     W: CallerProtocol,
 {
     type Protocol = W;
-    type Reservation = ReservedTarget<C>;
+    type Reservation = Reservation<C>;
 
     fn protocol(&self) -> &W {
         &self.protocol
@@ -300,6 +332,10 @@
         self.state.lifecycle.stage() >= Stage::Draining
     }
 
+    fn is_behind_hop(&self) -> bool {
+        self.is_behind_hop
+    }
+
     async fn stop_limit_reached(&self) {
         self.state.lifecycle.wait_until_reached(Stage::Ending).await;
     }
@@ -313,7 +349,10 @@
         let retry = &self.state.settings.retry;
         let mut inner = self.state.inner();
         inner.request_count += 1;
-        inner.retry_budget(service, retry, now).on_success(now);
+        if !self.is_behind_hop {
+            // The entry that has passed it on counts the request.
+            inner.retry_budget(service, retry, now).on_success(now);
+        }
         inner.sampler.on_request(request_id, now)
     }
 
@@ -324,7 +363,7 @@
     fn reserve_target(
         &self,
         requirements: &TargetRequirements,
-    ) -> Result<ReservedTarget<C>, NoTarget> {
+    ) -> Result<Reservation<C>, NoTarget> {
         let now = self.now();
         let features = &requirements.features;
         let admission = self
@@ -336,6 +375,16 @@
                 .count_quarantine_refusal(&requirements.service);
             return Err(NoTarget::Quarantined(quarantine));
         }
+        if !self.is_behind_hop {
+            self.state.check_links();
+            let forwarder = self.state.forwarder(&requirements.excluded);
+            let service = &requirements.service;
+            let passed_on =
+                forwarder.and_then(|entry| PassedOn::new(&self.state, entry, service.clone()));
+            if let Some(passed_on) = passed_on {
+                return Ok(Reservation::Entry(passed_on));
+            }
+        }
         let reserved = self
             .state
             .inner()
@@ -346,7 +395,7 @@
                 .count_limit_refusal(&requirements.service);
         }
         let (target, expected_wait, choice_info) = reserved?;
-        Ok(ReservedTarget {
+        Ok(Reservation::Target(ReservedTarget {
             state: Arc::clone(&self.state),
             host: target.host,
             group: target.group,
@@ -357,12 +406,13 @@
             unread_tokens: requirements.prompt_tokens,
             started_at: now,
             is_silent: false,
+            has_answered: false,
             has_ended: false,
             features: requirements.features.clone(),
             events: 0,
             is_retry: !requirements.excluded.is_empty(),
             is_trial: admission == Admission::Trial,
-        })
+        }))
     }
 
     async fn targets_changed(&self) {
--- a/lib/src/process/gateway/gossip.rs
+++ b/lib/src/process/gateway/gossip.rs
@@ -150,6 +150,7 @@
             loads: payload.loads,
             stalled: payload.stalled,
             has_requests: state.request_count() > 0,
+            can_forward: state.can_forward(),
             limits: payload.limits,
             quarantine: state.with_quarantine(|quarantine, now| quarantine.gossip(now)),
         };
--- a/lib/src/process/gateway/metrics.rs
+++ b/lib/src/process/gateway/metrics.rs
@@ -31,6 +31,7 @@
     request_seconds: HistogramVec,
     first_event_seconds: HistogramVec,
     sends: IntCounterVec,
+    passed_on: IntCounterVec,
     broken_starts: IntCounterVec,
     retries: IntCounterVec,
     orders: IntCounterVec,
@@ -52,6 +53,8 @@
     limit_refusals: IntCounterVec,
     /// Targets that name a request limit.
     pub limited_targets: IntGauge,
+    /// 1 while this entry reaches no target, 0 otherwise.
+    pub is_cut_off: IntGauge,
     /// 1 while this entry holds the formation lease, 0 otherwise.
     pub holds_lease: IntGauge,
 }
@@ -105,6 +108,15 @@
                 "configuration_version",
                 "Version of the configuration in force.",
             )?,
+            is_cut_off: gauge(
+                "cut_off_from_targets",
+                "Whether no target is reached, so that requests are passed on to other entries.",
+            )?,
+            passed_on: counters(
+                "passed_on_total",
+                "Requests that were passed on to another entry, by service and result.",
+                &["service", "end"],
+            )?,
             configuration_age_ms: gauge(
                 "configuration_age_ms",
                 "Milliseconds since the platform confirmed the configuration, maybe to another entry.",
@@ -158,6 +170,8 @@
         registry.register(Box::new(self.platform_failures.clone()))?;
         registry.register(Box::new(self.configuration_version.clone()))?;
         registry.register(Box::new(self.configuration_age_ms.clone()))?;
+        registry.register(Box::new(self.is_cut_off.clone()))?;
+        registry.register(Box::new(self.passed_on.clone()))?;
         registry.register(Box::new(self.serving_targets.clone()))?;
         registry.register(Box::new(self.quarantined_parts.clone()))?;
         registry.register(Box::new(self.quarantined_requests.clone()))?;
@@ -189,6 +203,13 @@
         self.sends.with_label_values(&[service.as_str(), end]).inc();
     }
 
+    /// Counts a request that was passed on to another entry by its result.
+    pub fn count_passed_on(&self, service: &ServiceId, end: &str) {
+        self.passed_on
+            .with_label_values(&[service.as_str(), end])
+            .inc();
+    }
+
     /// Counts a send to a target that broke at the start of its answer.
     pub fn count_broken_start(&self, service: &ServiceId) {
         let labels = [service.as_str()];
--- a/lib/src/process/gateway/peers.rs
+++ b/lib/src/process/gateway/peers.rs
@@ -34,6 +34,8 @@
 const UPSTREAM_KEY: &str = "records";
 /// How long a peer is not used as an upstream after a failed request.
 const UPSTREAM_BACKOFF: Duration = Duration::from_secs(5);
+/// How long no request is passed on to a peer after one failed there.
+const FORWARD_BACKOFF: Duration = Duration::from_secs(1);
 /// The most peers that an entry sends datagrams to. It bounds the network traffic of many entries.
 const FANOUT_MAX: usize = 12;
 /// How long an entry sends its datagrams to all others after it has read the list of entries. The
@@ -156,6 +158,10 @@
     pub stalled: Vec<(HostId, u64)>,
     /// Whether the sender has received a request since its start.
     pub has_requests: bool,
+    /// Whether the sender reaches targets and takes requests that others pass on; an entry of an
+    /// earlier version omits it and takes none.
+    #[serde(default)]
+    pub can_forward: bool,
     /// Crashes of targets and quarantined prompt parts; an entry of an earlier version omits it.
     #[serde(default)]
     pub quarantine: QuarantineGossip,
@@ -178,9 +184,23 @@
     is_listed: bool,
     /// Until when the peer is not used as an upstream, after a failed request.
     upstream_backoff_until: Option<Instant>,
+    can_forward: bool,
+    /// Until when no request is passed on to the peer, after one failed there.
+    forward_backoff_until: Option<Instant>,
     sender_loads: Option<SortedVec<SenderLoad>>,
 }
 
+/// An entry that takes requests from entries that reach no target.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Forwarder {
+    /// The entry.
+    pub entry: EntryId,
+    /// Its address for peers.
+    pub address: SocketAddr,
+    /// Whether it is in the data centre of this entry.
+    pub is_local: bool,
+}
+
 /// What entries are ordered by for a duty: the processor time, then a rendezvous weight that
 /// spreads duties over entries with equal processor time.
 type Fitness = (CoreShare, u64);
@@ -259,6 +279,8 @@
             last_seen_at: now,
             is_listed: true,
             upstream_backoff_until: None,
+            can_forward: false,
+            forward_backoff_until: None,
             sender_loads: None,
         });
     }
@@ -285,6 +307,7 @@
         self.share_members.on_heard(&message.entry, now);
         let is_listed = known.is_some_and(|peer| peer.is_listed);
         let upstream_backoff_until = known.and_then(|peer| peer.upstream_backoff_until);
+        let forward_backoff_until = known.and_then(|peer| peer.forward_backoff_until);
         self.peers.insert(Peer {
             entry: message.entry.clone(),
             address: message.address,
@@ -295,6 +318,8 @@
             last_seen_at: now,
             is_listed,
             upstream_backoff_until,
+            can_forward: message.can_forward,
+            forward_backoff_until,
             sender_loads: Some(message.uses.iter().cloned().collect()),
         });
         true
@@ -368,6 +393,28 @@
         }
     }
 
+    /// Returns the peers that take requests which this entry passes on.
+    pub fn forwarders(&self, now: Instant) -> Vec<Forwarder> {
+        let takes_requests = |peer: &&Peer| {
+            let is_backoff_over = peer.forward_backoff_until.is_none_or(|until| now >= until);
+            peer.can_forward && peer.has_current_loads(now) && is_backoff_over
+        };
+        let forwarder = |peer: &Peer| Forwarder {
+            entry: peer.entry.clone(),
+            address: peer.address,
+            is_local: peer.data_centre == self.data_centre,
+        };
+        let usable = self.peers.iter().filter(takes_requests);
+        usable.map(forwarder).collect()
+    }
+
+    /// Records that a request failed that was passed on to a peer.
+    pub fn on_forward_failed(&mut self, entry: &EntryId, now: Instant) {
+        if let Some(peer) = self.peers.get_mut(entry) {
+            peer.forward_backoff_until = Some(now + FORWARD_BACKOFF);
+        }
+    }
+
     /// Returns whether any peer has reported that it received a request.
     pub fn has_requests(&self) -> bool {
         self.has_requests
--- a/lib/src/process/gateway/run.rs
+++ b/lib/src/process/gateway/run.rs
@@ -18,6 +18,7 @@
 use super::gossip::send_gossip;
 use super::listeners::GatewayListeners;
 use super::metrics::GatewayMetrics;
+use super::peer_handler::PeerHandler;
 use super::probe_handlers::MetricsHandler;
 use super::probe_handlers::ReadyHandler;
 use super::record_relay::RecordRelayHandler;
@@ -42,6 +43,9 @@
 const SHUTDOWN_MARGIN: Duration = Duration::from_millis(500);
 /// The part of [`SHUTDOWN_MARGIN`] in which requests that were not answered in time get a failure.
 const FAILURE_ANSWER_TIME: Duration = Duration::from_millis(250);
+/// What a hop adds to the head of a request.
+const HOP_HEADERS: usize = 8;
+const HOP_HEAD_BYTES: usize = 1024;
 /// How long a connection may be idle before its next request; longer than callers keep one.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(16);
 
@@ -117,14 +121,28 @@
         };
         background.spawn(serve(listener, metrics, server, never));
     }
-    let relay = RecordRelayHandler {
-        state: Arc::clone(&state),
+    let close_listener = CancellationToken::new();
+    let peer_handler = PeerHandler {
+        records: RecordRelayHandler {
+            state: Arc::clone(&state),
+        },
+        requests: ForwardHandler::new(GatewayContext {
+            state: Arc::clone(&state),
+            protocol: protocol.clone(),
+            is_behind_hop: true,
+        }),
     };
-    background.spawn(serve(
+    // Requests that entries pass on have more headers than those of callers.
+    let peer_server = ServerSettings {
+        head_limit_bytes: server.head_limit_bytes + HOP_HEAD_BYTES,
+        header_limit: server.header_limit + HOP_HEADERS,
+        ..server
+    };
+    let peer_serving = tokio::spawn(serve(
         listeners.peer_streams,
-        relay,
-        server,
-        CancellationToken::new(),
+        peer_handler,
+        peer_server,
+        close_listener.clone(),
     ));
     let documents = RelayedFeed::new(Arc::clone(&state), platform.clone());
     let records = RelayedFeed::new(Arc::clone(&state), platform.clone());
@@ -143,15 +161,19 @@
     let context = GatewayContext {
         state: Arc::clone(&state),
         protocol,
+        is_behind_hop: false,
     };
-    let close_listener = CancellationToken::new();
     let handler = ForwardHandler::new(context);
-    let mut serving = tokio::spawn(serve(
+    let caller_serving = tokio::spawn(serve(
         listeners.callers,
         handler,
         server,
         close_listener.clone(),
     ));
+    let mut serving = tokio::spawn(async move {
+        let (callers, peers) = tokio::join!(caller_serving, peer_serving);
+        callers.and(peers)
+    });
 
     let drained = async {
         shutdown.graceful.cancelled().await;
@@ -162,15 +184,15 @@
         close_listener.cancel();
         let limit = stop_limit.saturating_sub(DRAIN_NOTICE + SHUTDOWN_MARGIN);
         match tokio::time::timeout(limit, &mut serving).await {
-            Ok(Ok(())) => log::info!("all requests are done"),
-            Ok(Err(error)) => log::error!("caller listener task failed: {error}"),
+            Ok(Ok(Ok(()))) => log::info!("all requests are done"),
+            Ok(Ok(Err(error)) | Err(error)) => log::error!("listener task failed: {error}"),
             Err(_) => {
                 log::warn!("drain timed out; unanswered requests fail, streams are cut");
                 state.lifecycle.advance(Stage::Ending);
                 // If this times out too, streams are left, and the process ends without them.
                 let failed = tokio::time::timeout(FAILURE_ANSWER_TIME, serving).await;
-                if let Ok(Err(error)) = failed {
-                    log::error!("caller listener task failed: {error}");
+                if let Ok(Ok(Err(error)) | Err(error)) = failed {
+                    log::error!("listener task failed: {error}");
                 }
             }
         }
--- a/lib/src/process/gateway/state.rs
+++ b/lib/src/process/gateway/state.rs
@@ -24,6 +24,7 @@
 use super::serving::serving_targets;
 use super::settings::GatewaySettings;
 use super::target_limits::TargetLimits;
+use super::target_links::TargetLinks;
 use super::usage::UsageTracker;
 use crate::clock::Clock;
 use crate::connection::body_memory::BodyMemory;
@@ -98,6 +99,7 @@
     /// the target has crashed.
     pub(super) broken_starts: Vec<CrashRecord>,
     pub(super) target_limits: TargetLimits,
+    pub(super) target_links: TargetLinks,
 }
 
 /// The state of a gateway's process.
@@ -167,6 +169,7 @@
                 quarantine: Quarantine::new(),
                 broken_starts: Vec::new(),
                 target_limits: TargetLimits::new(),
+                target_links: TargetLinks::new(),
             }),
         }
     }
@@ -463,6 +466,11 @@
         self.inner().peers.on_upstream_failed(address, now);
     }
 
+    /// Returns whether this entry takes requests that other entries pass on.
+    pub fn can_forward(&self) -> bool {
+        self.lifecycle.stage() == Stage::Ready && !self.is_cut_off()
+    }
+
     /// Returns the number of requests received since the start.
     pub fn request_count(&self) -> u64 {
         self.inner().request_count
--- a/lib/src/request/forward/context.rs
+++ b/lib/src/request/forward/context.rs
@@ -10,6 +10,7 @@
 use super::protocol::CallerProtocol;
 use super::protocol::StatedLimit;
 use crate::connection::body_memory::BodyMemory;
+use crate::ids::EntryId;
 use crate::ids::HostId;
 use crate::ids::RequestFeature;
 use crate::ids::ServiceId;
@@ -99,6 +100,10 @@
     /// Returns the address to connect to.
     fn address(&self) -> SocketAddr;
 
+    /// Returns the name of this entry if the request is passed on to another entry, which sends it
+    /// to a target; `None` if it goes to the target itself.
+    fn passed_on_by(&self) -> Option<&EntryId>;
+
     /// Returns the time to the first answer that was expected when the target was chosen.
     fn expected_wait(&self) -> Duration;
 
@@ -156,6 +161,10 @@
     /// Returns whether the process is shutting down; answers then ask callers to close connections.
     fn is_draining(&self) -> bool;
 
+    /// Returns whether the requests were passed on by another entry, which decides on further sends.
+    /// They are sent once, and are not passed on again.
+    fn is_behind_hop(&self) -> bool;
+
     /// Waits until the time for requests in flight is over at the end of a shutdown.
     fn stop_limit_reached(&self) -> impl Future<Output = ()> + Send;
 
--- a/lib/src/request/forward/handler.rs
+++ b/lib/src/request/forward/handler.rs
@@ -15,6 +15,8 @@
 use super::buffered::forward_buffered;
 use super::context::ForwardContext;
 use super::context::TargetRequirements;
+use super::hop::Hop;
+use super::hop::take_hop;
 use super::plan::SendPlan;
 use super::protocol::CallerProtocol as _;
 use super::protocol::CallerRequest;
@@ -63,7 +65,11 @@
         request: Request<Incoming>,
         started_at: Instant,
     ) -> (CallerRequest, Result<Response<ResponseBody>, Failure>) {
-        let (head, body) = request.into_parts();
+        let (mut head, body) = request.into_parts();
+        let hop = self
+            .context
+            .is_behind_hop()
+            .then(|| take_hop(&mut head.headers));
         let caller_request = match self.context.protocol().read_request(&head) {
             Ok(caller_request) => caller_request,
             Err(error) => {
@@ -74,6 +80,15 @@
         let Some(document) = self.context.document() else {
             return (caller_request, Err(not_run(NotRunReason::NotReady)));
         };
+        // The other entry may have shown its callers the effect of its version.
+        if let Some(hop) = hop.as_ref().filter(|hop| hop.version > document.version) {
+            log::info!(
+                request = caller_request.request_id.as_str(), from = hop.entry.as_str(),
+                their_version = hop.version.0, version = document.version.0;
+                "request of another entry is refused: its configuration is newer"
+            );
+            return (caller_request, Err(not_run(NotRunReason::NotReady)));
+        }
         let limit_bytes = document.limits.body_limit_bytes;
         let timeout = caller_request.timeout.unwrap_or(CALLER_TIMEOUT_DEFAULT);
         let read = read_body(body, limit_bytes, timeout / BODY_TIME_DIVISOR).await;
@@ -84,7 +99,7 @@
                 return (caller_request, Err(not_run(NotRunReason::Overloaded)));
             }
         };
-        let answer = match self.prepare(&document, head, body, &caller_request, started_at) {
+        let answer = match self.prepare(&document, head, body, &caller_request, hop, started_at) {
             Ok(sends) => forward(sends).await,
             Err(failure) => Err(failure),
         };
@@ -97,6 +112,7 @@
         head: http::request::Parts,
         body: Bytes,
         caller_request: &CallerRequest,
+        hop: Option<Hop>,
         started_at: Instant,
     ) -> Result<RequestSends<X>, Failure> {
         let authorized = document.authorize(
@@ -148,7 +164,12 @@
             is_new: caller_request.last_event.is_none(),
             features: features.collect(),
         };
-        let plan = SendPlan::new(route.kind, route.attempts_max, deadline, RETRY_AFTER);
+        let sends_max = if self.context.is_behind_hop() {
+            1
+        } else {
+            route.attempts_max
+        };
+        let plan = SendPlan::new(route.kind, sends_max, deadline, RETRY_AFTER);
         let request = ForwardedRequest {
             context: self.context.clone(),
             head,
@@ -161,6 +182,13 @@
             started_at,
             is_logged,
         };
+        if let Some(hop) = hop {
+            log_request!(
+                request, from = hop.entry.as_str(), their_version = hop.version.0,
+                version = document.version.0, time_left_ms = timeout.as_millis() as u64;
+                "request is passed on by another entry"
+            );
+        }
         Ok(RequestSends::new(request, plan, requirements))
     }
 }
@@ -229,7 +257,13 @@
         };
         let mut response = match answer {
             Ok(response) => response,
-            Err(failure) => protocol.failure_answer(&caller_request.request_id, failure),
+            Err(failure) => {
+                let mut response = protocol.failure_answer(&caller_request.request_id, failure);
+                if self.context.is_behind_hop() && matches!(failure, Failure::NotRun { .. }) {
+                    protocol.attest_not_run(response.headers_mut());
+                }
+                response
+            }
         };
         if self.context.is_draining() {
             let close = HeaderValue::from_static("close");
--- a/lib/src/request/forward/mod.rs
+++ b/lib/src/request/forward/mod.rs
@@ -10,6 +10,7 @@
 pub mod context;
 pub mod events;
 pub mod handler;
+pub mod hop;
 pub mod plan;
 pub mod protocol;
 pub mod sampling;
--- a/lib/src/request/forward/protocol.rs
+++ b/lib/src/request/forward/protocol.rs
@@ -68,6 +68,15 @@
     pub last_event: Option<u64>,
 }
 
+/// The fields that are set on a request before it is passed on to another entry.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct HopFields {
+    /// The time that remains until the request's deadline.
+    pub time_left: Duration,
+    /// The last event that was already delivered; the target resumes the stream after it.
+    pub last_event: Option<u64>,
+}
+
 /// A target's load as reported in an answer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct AnswerLoad {
@@ -148,6 +157,12 @@
     /// Returns the headers to send to a target.
     fn target_headers(&self, caller_headers: &HeaderMap, fields: &SendFields) -> HeaderMap;
 
+    /// Returns the headers to send to an entry that a request is passed on to.
+    fn hop_headers(&self, caller_headers: &HeaderMap, fields: &HopFields) -> HeaderMap;
+
+    /// Marks an answer to another entry as one to a request that was not run.
+    fn attest_not_run(&self, headers: &mut HeaderMap);
+
     /// Parses the head of a target's answer.
     fn read_answer(&self, head: &response::Parts) -> AnswerHead;
 
--- a/lib/src/request/forward/send.rs
+++ b/lib/src/request/forward/send.rs
@@ -13,11 +13,13 @@
 
 use super::context::ForwardContext;
 use super::context::TargetReservation;
+use super::hop::add_hop;
 use super::plan::AnswerTimeout;
 use super::plan::SendFailure;
 use super::protocol::AnswerHead;
 use super::protocol::CallerProtocol as _;
 use super::protocol::CallerRequest;
+use super::protocol::HopFields;
 use super::protocol::SendFields;
 use crate::connection::body::RequestBody;
 use crate::connection::client::ClientConnection;
@@ -269,17 +271,37 @@
 
     fn target_request(&self, last_event: Option<u64>) -> Request<RequestBody> {
         let forwarded = &self.request;
-        let fields = SendFields {
-            target: self.target.host().clone(),
-            account: forwarded.account.clone(),
-            time_left: forwarded.time_left(),
-            last_event,
-        };
         let protocol = forwarded.context.protocol();
+        let time_left = forwarded.time_left();
+        let headers = match self.target.passed_on_by() {
+            Some(entry) => {
+                let fields = HopFields {
+                    time_left,
+                    last_event,
+                };
+                let mut headers = protocol.hop_headers(&forwarded.head.headers, &fields);
+                let document = forwarded.context.document();
+                add_hop(
+                    &mut headers,
+                    entry,
+                    document.map(|document| document.version),
+                );
+                headers
+            }
+            None => {
+                let fields = SendFields {
+                    target: self.target.host().clone(),
+                    account: forwarded.account.clone(),
+                    time_left,
+                    last_event,
+                };
+                protocol.target_headers(&forwarded.head.headers, &fields)
+            }
+        };
         let mut request = Request::new(RequestBody::new(forwarded.body.clone()));
         *request.method_mut() = forwarded.head.method.clone();
         *request.uri_mut() = forwarded.head.uri.clone();
-        *request.headers_mut() = protocol.target_headers(&forwarded.head.headers, &fields);
+        *request.headers_mut() = headers;
         request
     }
 
--- a/lib/src/request/forward/sends.rs
+++ b/lib/src/request/forward/sends.rs
@@ -183,6 +183,7 @@
             limit_per_s:% = OrNone(choice.limit.map(|limit| limit.0)),
             expected_ms = target.expected_wait().as_millis() as u64,
             excluded = self.requirements.excluded.len(), version:% = OrNone(version),
+            is_entry = target.passed_on_by().is_some(),
             time_left_ms = request.time_left().as_millis() as u64;
             "target is chosen"
         );
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -36,4 +36,5 @@
 mod test_spill;
 mod test_stragglers;
 mod test_target_limits;
+mod test_target_links;
 mod test_units;
--- a/lib/tests/test_gateway_peers.rs
+++ b/lib/tests/test_gateway_peers.rs
@@ -44,6 +44,7 @@
         loads: Vec::new(),
         stalled: Vec::new(),
         has_requests: true,
+        can_forward: true,
         quarantine: QuarantineGossip::default(),
         limits: Vec::new(),
     }
@@ -377,3 +378,47 @@
     read_list(&mut peers, &entries(1..=40), later);
     assert_eq!(peers.recipients(&[], later).len(), 12);
 }
+
+#[test]
+fn peers_forwarders_are_in_contact_and_reach_targets() {
+    let now = Instant::now();
+    let mut peers = new_peers();
+    let heard = |peers: &mut Peers, entry: usize, can_forward: bool| {
+        let received = PeerMessage {
+            can_forward,
+            ..message(entry, 1, 1, &[])
+        };
+        assert!(peers.on_message(&received, now));
+    };
+    heard(&mut peers, 2, true);
+    heard(&mut peers, 3, false);
+    let names = |peers: &Peers, at: Instant| {
+        let forwarders = peers.forwarders(at).into_iter();
+        let names: Vec<String> = forwarders.map(|f| f.entry.to_string()).collect();
+        names
+    };
+    assert_eq!(names(&peers, now), ["entry-2"]);
+    peers.on_forward_failed(&"entry-2".parse().unwrap(), now);
+    assert!(names(&peers, now).is_empty());
+    // An entry that fell silent may be gone or cut off itself.
+    let mut silent = peers_with_forwarder(now);
+    assert_eq!(silent.forwarders(now).len(), 1);
+    assert!(silent.forwarders(now + Duration::from_secs(1)).is_empty());
+    // An entry of an earlier version doesn't say that it takes requests.
+    let text = serde_json::to_string(&message(4, 1, 1, &[])).unwrap();
+    let earlier: PeerMessage =
+        serde_json::from_str(&text.replace("\"can_forward\":true,", "")).unwrap();
+    silent.on_message(&earlier, now);
+    assert_eq!(silent.forwarders(now).len(), 1);
+}
+
+fn new_peers() -> Peers {
+    let own = "entry-1".parse().unwrap();
+    Peers::new(own, data_centre(), CoreShare::default())
+}
+
+fn peers_with_forwarder(now: Instant) -> Peers {
+    let mut peers = new_peers();
+    peers.on_message(&message(2, 1, 1, &[]), now);
+    peers
+}
