--- a/cli/tests/test_gateway_soak.rs
+++ b/cli/tests/test_gateway_soak.rs
@@ -64,8 +64,10 @@
         let [callers, readiness, peers, metrics] = addresses[..] else {
             unreachable!("four addresses were bound");
         };
+        // The calm entries read from the others, which have more processor time.
+        let processor = if number < CALM_ENTRIES { 0.1 } else { 1.0 };
         let text = format!(
-            "[entry]\nname = entry-{number}\ndata-centre = lakes-a\n\
+            "[entry]\nname = entry-{number}\ndata-centre = lakes-a\nprocessor = {processor}\n\
              [listen]\ncallers = {callers}\nreadiness = {readiness}\npeers = {peers}\n\
              metrics = {metrics}\n[platform]\ninterface = tables\naddress = {store}\n"
         );
