connection: the user timeout decides when keepalive probes give up

On Linux a TCP_USER_TIMEOUT that is set replaces the number of keepalive probes. Both give up after 4 s here (1 s and three probes of 1 s, or the user timeout), so nothing changes but the comment. A target that is silent for about a second is kept, and no wait for a silent connection relies on either.

--- a/lib/src/connection/tcp_options.rs
+++ b/lib/src/connection/tcp_options.rs
@@ -13,7 +13,9 @@
 /// The number of unanswered keepalive probes after which the kernel closes the connection.
 const KEEPALIVE_RETRIES: u32 = 3;
 /// How long sent data may stay unacknowledged before the kernel closes the connection. It tolerates
-/// several lost packets in a row, but not a path that no longer delivers packets.
+/// several lost packets in a row, but not a path that no longer delivers packets. Once it is set,
+/// the kernel also goes by it, and not by [`KEEPALIVE_RETRIES`], to give up unanswered keepalive
+/// probes; both allow the same time.
 const USER_TIMEOUT: Duration = Duration::from_secs(4);
 
 /// Enables keepalive probes and a user timeout, so that the kernel closes the connection when the
