--- a/lib/src/process/gateway/mod.rs
+++ b/lib/src/process/gateway/mod.rs
@@ -24,6 +24,8 @@
 mod quarantine;
 mod quarantine_gossip;
 mod record_relay;
+mod record_state;
+mod relayed_feed;
 mod reservation;
 mod run;
 mod serving;
--- a/lib/src/process/gateway/record_relay.rs
+++ b/lib/src/process/gateway/record_relay.rs
@@ -5,19 +5,13 @@
 //! of the platform everywhere, so an entry can switch to another upstream or to the platform at any
 //! time. An entry that can't read the platform reads from any other entry.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::Mutex;
-use std::sync::MutexGuard;
-use std::sync::PoisonError;
 use std::time::Duration;
 use std::time::Instant;
 
-use http::Method;
 use http::Request;
 use http::Response;
 use http::StatusCode;
-use http::header::HOST;
 use hyper::body::Incoming;
 use serde::Deserialize;
 use serde::Serialize;
@@ -26,61 +20,43 @@
 use super::change_log::ChangeLog;
 use super::state::GatewayState;
 use crate::clock::Clock;
-use crate::connection::body::RequestBody;
 use crate::connection::body::ResponseBody;
 use crate::connection::body::full_body;
-use crate::connection::body::read_body;
-use crate::connection::client::ClientConnection;
 use crate::connection::server::HttpHandler;
 use crate::ids::Revision;
-use crate::platform::PlatformError;
 use crate::platform::feed::Changes;
-use crate::platform::feed::Feed;
-use crate::platform::feed::FeedError;
-use crate::platform::feed::Snapshot;
 use crate::target::record::TargetRecord;
 use crate::version::routes::RouteDocument;
 
 /// The longest time for which a request waits for a change.
-const LONG_POLL_TIME: Duration = Duration::from_millis(700);
-/// The timeout of opening a connection, and of a response after the long poll time has passed.
-/// Entries are close to each other and respond at once.
-const RESPONSE_TIMEOUT: Duration = Duration::from_millis(300);
-/// The size limit of a response, enough for the records of some thousand targets.
-const RESPONSE_LIMIT_BYTES: usize = 8 * 1024 * 1024;
+pub(super) const LONG_POLL_TIME: Duration = Duration::from_millis(700);
 /// The path of the target records.
 const TARGETS_PATH: &str = "/targets";
 /// The path of the configuration.
 const CONFIGURATION_PATH: &str = "/configuration";
 /// The query parameter with the revision of the caller.
-const SINCE_PARAMETER: &str = "since=";
+pub(super) const SINCE_PARAMETER: &str = "since=";
 
 /// The age from which the records of an entry are not passed on to others, beside the delay between
 /// its reads. It is longer than a long poll of the platform.
 const AGE_MAX: Duration = Duration::from_millis(1_200);
-/// How much longer than its wait a call to the platform may take while its answer counts as current
-/// at the time of its arrival. A longer call may have ended before this process could read it.
-const PLATFORM_ANSWER_TIME: Duration = Duration::from_millis(200);
-
-/// The least time for an answer before the records are read elsewhere, too.
-const ANSWER_TIME_MIN: Duration = Duration::from_millis(150);
 
 /// The response of a relay.
 #[derive(Debug, Deserialize, Serialize)]
-struct RelayedChanges<T> {
+pub(super) struct RelayedChanges<T> {
     /// Whether these are all records instead of the changes since a revision.
     #[serde(rename = "is_whole")]
-    is_snapshot: bool,
-    changed: Vec<T>,
-    removed: Vec<String>,
-    revision: Revision,
+    pub(super) is_snapshot: bool,
+    pub(super) changed: Vec<T>,
+    pub(super) removed: Vec<String>,
+    pub(super) revision: Revision,
     /// The milliseconds since the platform's answer that these records are from, when they were
     /// sent; an entry of an earlier version omits it.
     #[serde(default)]
-    confirmed_ms_ago: Option<u64>,
+    pub(super) confirmed_ms_ago: Option<u64>,
     /// How many milliseconds the request was held.
     #[serde(default)]
-    held_ms: u64,
+    pub(super) held_ms: u64,
 }
 
 /// A kind of record that entries relay.
@@ -263,304 +239,3 @@
     *response.status_mut() = status;
     response
 }
-
-/// A feed that reads from the platform or from the current upstream entry.
-#[derive(Debug)]
-pub(super) struct RelayedFeed<C, P> {
-    state: Arc<GatewayState<C>>,
-    platform: P,
-    connection: Arc<Mutex<Option<ClientConnection>>>,
-}
-
-impl<C, P> Clone for RelayedFeed<C, P>
-where
-    P: Clone,
-{
-    fn clone(&self) -> Self {
-        Self {
-            state: Arc::clone(&self.state),
-            platform: self.platform.clone(),
-            connection: Arc::clone(&self.connection),
-        }
-    }
-}
-
-impl<C, P> RelayedFeed<C, P> {
-    pub(super) fn new(state: Arc<GatewayState<C>>, platform: P) -> Self {
-        Self {
-            state,
-            platform,
-            connection: Arc::default(),
-        }
-    }
-}
-
-impl<C, P> RelayedFeed<C, P>
-where
-    C: Clock,
-{
-    async fn request_changes<T>(
-        &self,
-        upstream: SocketAddr,
-        since: Option<Revision>,
-    ) -> Result<RelayedChanges<T>, PlatformError>
-    where
-        T: RelayedRecord,
-    {
-        let sent_at = self.state.clock.now();
-        let response = tokio::time::timeout(
-            LONG_POLL_TIME + RESPONSE_TIMEOUT,
-            self.send_changes_request(upstream, since),
-        );
-        let relayed = response.await.unwrap_or_else(|_| {
-            let reason = format!("entry {upstream} did not answer within the timeout");
-            Err(PlatformError::Unavailable { reason })
-        });
-        match &relayed {
-            Ok(relayed) => self.confirm_relayed(relayed, sent_at),
-            Err(error) => {
-                log::info!(source:% = upstream, records = T::PATH; "records are not passed on: {error}");
-                self.state.on_upstream_failed(upstream);
-            }
-        }
-        relayed
-    }
-
-    /// Records the confirmation that came with relayed records. The time on the way counts as age.
-    fn confirm_relayed<T>(&self, relayed: &RelayedChanges<T>, sent_at: Instant)
-    where
-        T: RelayedRecord,
-    {
-        let Some(confirmed_ms_ago) = relayed.confirmed_ms_ago else {
-            return;
-        };
-        let held = Duration::from_millis(relayed.held_ms);
-        let answered_at = self.state.clock.now().min(sent_at + held);
-        let confirmed_at = answered_at.checked_sub(Duration::from_millis(confirmed_ms_ago));
-        if let Some(confirmed_at) = confirmed_at.filter(|_| !relayed.is_snapshot) {
-            T::confirm(&self.state, confirmed_at);
-        }
-    }
-
-    async fn send_changes_request<T>(
-        &self,
-        upstream: SocketAddr,
-        since: Option<Revision>,
-    ) -> Result<RelayedChanges<T>, PlatformError>
-    where
-        T: RelayedRecord,
-    {
-        let unavailable = |reason: String| PlatformError::Unavailable { reason };
-        let idle_connection = self
-            .lock_connection()
-            .take()
-            .filter(|idle| idle.address() == upstream && idle.is_usable());
-        let mut connection = match idle_connection {
-            Some(connection) => connection,
-            None => {
-                let opened = ClientConnection::open(upstream, RESPONSE_TIMEOUT).await;
-                opened.map_err(|error| unavailable(error.to_string()))?
-            }
-        };
-        let path = match since {
-            Some(since) => format!("{}?{SINCE_PARAMETER}{}", T::PATH, since.0),
-            None => T::PATH.to_owned(),
-        };
-        let request = Request::builder()
-            .method(Method::GET)
-            .uri(path)
-            .header(HOST, upstream.to_string())
-            .body(RequestBody::default())
-            .map_err(|error| unavailable(error.to_string()))?;
-        let response = connection.send(request).await;
-        let response = response.map_err(|error| unavailable(error.to_string()))?;
-        if response.status() != StatusCode::OK {
-            return Err(unavailable(format!(
-                "the entry answered {}",
-                response.status()
-            )));
-        }
-        let body = read_body(response.into_body(), RESPONSE_LIMIT_BYTES, RESPONSE_TIMEOUT).await;
-        let body = body.map_err(|error| unavailable(error.to_string()))?;
-        if connection.wait_until_usable().await {
-            *self.lock_connection() = Some(connection);
-        }
-        serde_json::from_slice(&body).map_err(|error| PlatformError::Protocol {
-            reason: error.to_string(),
-        })
-    }
-}
-
-impl<C, P> RelayedFeed<C, P> {
-    fn lock_connection(&self) -> MutexGuard<'_, Option<ClientConnection>> {
-        // An option is valid after every statement, so a poisoned mutex can still be used.
-        self.connection
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-    }
-}
-
-impl<C, P> RelayedFeed<C, P>
-where
-    C: Clock,
-{
-    /// Returns how long an answer may be waited for until the records are too old.
-    fn time_until_too_old<T>(&self) -> Duration
-    where
-        T: RelayedRecord,
-    {
-        let now = self.state.clock.now();
-        let age_max = T::age_max(&self.state);
-        let age =
-            T::confirmed_at(&self.state).map_or(age_max, |at| now.saturating_duration_since(at));
-        age_max.saturating_sub(age).max(ANSWER_TIME_MIN)
-    }
-
-    /// Reads the changes at the usual place: from the upstream, or without one from the platform.
-    async fn usual_changes<T>(
-        &self,
-        upstream: Option<SocketAddr>,
-        since: Revision,
-        wait: Duration,
-    ) -> Result<Changes<T>, FeedError>
-    where
-        P: Feed<T>,
-        T: RelayedRecord,
-    {
-        match upstream {
-            Some(upstream) => self.relayed_changes(upstream, since).await,
-            None => self.platform_changes(since, wait).await,
-        }
-    }
-
-    /// Reads the changes from the platform without a wait, and from another entry if the platform
-    /// fails or does not answer soon.
-    async fn changes_elsewhere<T>(&self, since: Revision) -> Result<Changes<T>, FeedError>
-    where
-        P: Feed<T>,
-        T: RelayedRecord,
-    {
-        let mut platform = std::pin::pin!(self.platform_changes(since, Duration::ZERO));
-        let answered = tokio::time::timeout(PLATFORM_ANSWER_TIME, &mut platform).await;
-        if let Ok(changes) = &answered
-            && is_settled(changes)
-        {
-            return changes.clone();
-        }
-        let peer = async {
-            match self.state.fallback_upstream() {
-                Some(peer) => self.relayed_changes(peer, since).await,
-                None => Err(FeedError::Platform(PlatformError::Unavailable {
-                    reason: "no other entry can be asked".to_owned(),
-                })),
-            }
-        };
-        match answered {
-            Ok(_) => peer.await,
-            Err(_) => first_settled(platform, peer).await,
-        }
-    }
-
-    async fn relayed_changes<T>(
-        &self,
-        upstream: SocketAddr,
-        since: Revision,
-    ) -> Result<Changes<T>, FeedError>
-    where
-        T: RelayedRecord,
-    {
-        let relayed = self.request_changes::<T>(upstream, Some(since)).await?;
-        if relayed.is_snapshot {
-            // The log of the upstream does not go back that far, so the caller must read a
-            // snapshot.
-            return Err(FeedError::HistoryLost { since });
-        }
-        Ok(Changes {
-            changed: relayed.changed,
-            removed: relayed.removed,
-            revision: relayed.revision.max(since),
-        })
-    }
-
-    async fn platform_changes<T>(
-        &self,
-        since: Revision,
-        wait: Duration,
-    ) -> Result<Changes<T>, FeedError>
-    where
-        P: Feed<T>,
-        T: RelayedRecord,
-    {
-        let sent_at = self.state.clock.now();
-        let changes = self.platform.changes(since, wait).await;
-        if changes.is_ok() {
-            let now = self.state.clock.now();
-            T::confirm(&self.state, now.min(sent_at + wait + PLATFORM_ANSWER_TIME));
-        }
-        changes
-    }
-}
-
-impl<C, P, T> Feed<T> for RelayedFeed<C, P>
-where
-    C: Clock,
-    P: Feed<T>,
-    T: RelayedRecord,
-{
-    async fn snapshot(&self) -> Result<Snapshot<T>, FeedError> {
-        let sent_at = self.state.clock.now();
-        let from_platform = self.platform.snapshot().await;
-        if from_platform.is_ok() {
-            T::confirm(&self.state, sent_at);
-        }
-        let Err(FeedError::Platform(_)) = &from_platform else {
-            return from_platform;
-        };
-        let Some(upstream) = self.state.fallback_upstream() else {
-            return from_platform;
-        };
-        let relayed = self.request_changes::<T>(upstream, None).await?;
-        Ok(Snapshot {
-            records: relayed.changed,
-            revision: relayed.revision,
-        })
-    }
-
-    /// Reads the changes at the usual place. If that fails, or the records get too old meanwhile,
-    /// they are also read elsewhere, and the first answer is used. The time without the platform's
-    /// word is thus bounded, however many entries fail one after the other.
-    async fn changes(&self, since: Revision, wait: Duration) -> Result<Changes<T>, FeedError> {
-        let upstream = self.state.upstream();
-        let mut usual = std::pin::pin!(self.usual_changes(upstream, since, wait));
-        match tokio::time::timeout(self.time_until_too_old::<T>(), &mut usual).await {
-            Ok(changes) if is_settled(&changes) => changes,
-            Ok(_) => self.changes_elsewhere(since).await,
-            Err(_) => {
-                log::info!(
-                    records = T::PATH, source:? = upstream;
-                    "records get too old; they are read elsewhere, too"
-                );
-                first_settled(usual, self.changes_elsewhere(since)).await
-            }
-        }
-    }
-}
-
-/// Returns whether the read need not be repeated elsewhere.
-fn is_settled<T>(changes: &Result<Changes<T>, FeedError>) -> bool {
-    !matches!(changes, Err(FeedError::Platform(_)))
-}
-
-/// Runs both reads and returns the first result that is settled, or else the last one.
-async fn first_settled<T, A, B>(first: A, second: B) -> Result<Changes<T>, FeedError>
-where
-    A: Future<Output = Result<Changes<T>, FeedError>>,
-    B: Future<Output = Result<Changes<T>, FeedError>>,
-{
-    let mut first = std::pin::pin!(first);
-    let mut second = std::pin::pin!(second);
-    tokio::select! {
-        changes = &mut first => if is_settled(&changes) { changes } else { second.await },
-        changes = &mut second => if is_settled(&changes) { changes } else { first.await },
-    }
-}
--- /dev/null
+++ b/lib/src/process/gateway/record_state.rs
@@ -0,0 +1,148 @@
+//! The platform's records in the state of a gateway: their logs, their age, and where they are read.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use super::change_log::ChangeLog;
+use super::state::GatewayState;
+use crate::clock::Clock;
+use crate::ids::Revision;
+use crate::platform::feed::Changes;
+use crate::target::record::TargetRecord;
+use crate::version::routes::RouteDocument;
+
+/// The delay between two calls for targets, per known entry.
+const TARGETS_BATCH_DELAY_PER_ENTRY: Duration = Duration::from_millis(9);
+/// The longest such delay, well within the drain time of targets that leave.
+const TARGETS_BATCH_DELAY_MAX: Duration = Duration::from_millis(700);
+/// The delay at the lease holder, which forms groups.
+const TARGETS_BATCH_DELAY_LEASE_HOLDER: Duration = Duration::from_millis(25);
+
+impl<C> GatewayState<C>
+where
+    C: Clock,
+{
+    /// Changes the log of target records, and wakes the requests of other entries that wait for it.
+    pub fn with_target_log<F>(&self, change: F)
+    where
+        F: FnOnce(&mut ChangeLog<TargetRecord>, Instant),
+    {
+        let now = self.clock.now();
+        change(&mut self.inner().target_log, now);
+        self.records_changed.notify_waiters();
+    }
+
+    /// Changes the log of the configuration, and wakes the requests of other entries that wait for
+    /// it.
+    pub fn with_document_log<F>(&self, change: F)
+    where
+        F: FnOnce(&mut ChangeLog<RouteDocument>, Instant),
+    {
+        let now = self.clock.now();
+        change(&mut self.inner().document_log, now);
+        self.records_changed.notify_waiters();
+    }
+
+    /// Returns the time as of which the target records are known to be complete.
+    pub fn targets_confirmed_at(&self) -> Option<Instant> {
+        self.inner().target_log.confirmed_at()
+    }
+
+    /// Returns the time as of which the configuration is known to be the latest.
+    pub fn document_confirmed_at(&self) -> Option<Instant> {
+        self.inner().document_log.confirmed_at()
+    }
+
+    /// Returns the delay between two reads of the target records. Changes in that time are read by
+    /// one call, and the rate of calls of all entries together hardly grows with their number.
+    pub fn targets_batch_delay(&self) -> Duration {
+        if self.metrics.holds_lease.get() > 0 {
+            return TARGETS_BATCH_DELAY_LEASE_HOLDER;
+        }
+        let entries = self.with_peers(|peers| peers.entry_count());
+        let entries = u32::try_from(entries).unwrap_or(u32::MAX);
+        TARGETS_BATCH_DELAY_PER_ENTRY
+            .saturating_mul(entries)
+            .min(TARGETS_BATCH_DELAY_MAX)
+    }
+
+    /// Returns whether the result is a snapshot, and the target records: those changed after
+    /// `since`, or a snapshot of all if `since` is `None` or the log does not go back that far.
+    ///
+    /// Returns `None` if the last confirmation by the platform is older than `age_max`.
+    pub fn target_changes(
+        &self,
+        since: Option<Revision>,
+        age_max: Duration,
+    ) -> Option<(bool, Changes<TargetRecord>)> {
+        let now = self.clock.now();
+        let inner = self.inner();
+        let revision = inner.target_log.confirmed_revision(age_max, now)?;
+        if let Some(changes) = since.and_then(|since| inner.target_log.changes_since(since)) {
+            return Some((false, changes));
+        }
+        let listed = inner
+            .host_tracker
+            .iter()
+            .filter(|tracked| tracked.unlisted_from.is_none());
+        Some((
+            true,
+            Changes {
+                changed: listed.map(|tracked| tracked.record.clone()).collect(),
+                removed: Vec::new(),
+                revision,
+            },
+        ))
+    }
+
+    /// Returns whether the result is a snapshot, and the configuration: its changes after `since`,
+    /// or a snapshot of the current one if `since` is `None` or the log does not go back that far.
+    ///
+    /// Returns `None` if there is no configuration or the last confirmation by the platform is older
+    /// than `age_max`.
+    pub fn document_changes(
+        &self,
+        since: Option<Revision>,
+        age_max: Duration,
+    ) -> Option<(bool, Changes<RouteDocument>)> {
+        let now = self.clock.now();
+        let inner = self.inner();
+        let revision = inner.document_log.confirmed_revision(age_max, now)?;
+        if let Some(changes) = since.and_then(|since| inner.document_log.changes_since(since)) {
+            return Some((false, changes));
+        }
+        let document = inner.document.as_ref()?;
+        Some((
+            true,
+            Changes {
+                changed: vec![RouteDocument::clone(document)],
+                removed: Vec::new(),
+                revision,
+            },
+        ))
+    }
+
+    /// Returns the entry to read records from, or `None` if this entry reads the platform itself.
+    pub fn upstream(&self) -> Option<SocketAddr> {
+        // The lease holder reads the platform itself, so that it gets changes first.
+        if self.metrics.holds_lease.get() > 0 {
+            return None;
+        }
+        let now = self.clock.now();
+        self.inner().peers.upstream(now)
+    }
+
+    /// Returns an entry to read records from while the platform can't be read here; `None` without
+    /// a usable one.
+    pub fn fallback_upstream(&self) -> Option<SocketAddr> {
+        let now = self.clock.now();
+        self.inner().peers.fallback_upstream(now)
+    }
+
+    /// Records that the entry at `address` failed to serve records.
+    pub fn on_upstream_failed(&self, address: SocketAddr) {
+        let now = self.clock.now();
+        self.inner().peers.on_upstream_failed(address, now);
+    }
+}
--- a/lib/src/process/gateway/run.rs
+++ b/lib/src/process/gateway/run.rs
@@ -22,7 +22,7 @@
 use super::probe_handlers::MetricsHandler;
 use super::probe_handlers::ReadyHandler;
 use super::record_relay::RecordRelayHandler;
-use super::record_relay::RelayedFeed;
+use super::relayed_feed::RelayedFeed;
 use super::settings::GatewaySettings;
 use super::state::GatewayPlatform;
 use super::state::GatewayState;
