gateway: a large configuration is passed on once and given the time to arrive

An upstream whose head has come is alive, so its body may take 1 s; if the records get too old meanwhile, they are read elsewhere beside it. An entry that lacks several versions gets the newest one only, as each is complete.

--- a/lib/src/process/gateway/record_state.rs
+++ b/lib/src/process/gateway/record_state.rs
@@ -110,7 +110,10 @@
         let inner = self.inner();
         let revision = inner.document_log.confirmed_revision(age_max, now)?;
         if let Some(changes) = since.and_then(|since| inner.document_log.changes_since(since)) {
-            return Some((false, changes));
+            // Each version is complete, so the reader needs only the newest one.
+            let newest = changes.changed.into_iter().max_by_key(|d| d.version);
+            let changed = newest.into_iter().collect();
+            return Some((false, Changes { changed, ..changes }));
         }
         let document = inner.document.as_ref()?;
         Some((
--- a/lib/src/process/gateway/relayed_feed.rs
+++ b/lib/src/process/gateway/relayed_feed.rs
@@ -30,9 +30,12 @@
 use crate::platform::feed::FeedError;
 use crate::platform::feed::Snapshot;
 
-/// The timeout of opening a connection, and of a response after the long poll time has passed.
+/// The timeout of opening a connection, and of a response's head after the long poll time has passed.
 /// Entries are close to each other and respond at once.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(300);
+/// The timeout of a response's body. Several hundred kilobytes go to all readers at once, some of
+/// which have slow links; records that get too old meanwhile are read elsewhere.
+const BODY_TIMEOUT: Duration = Duration::from_secs(1);
 /// The size limit of a response, enough for the records of some thousand targets.
 const RESPONSE_LIMIT_BYTES: usize = 8 * 1024 * 1024;
 /// How much longer than its wait a call to the platform may take while its answer counts as current
@@ -85,14 +88,7 @@
         T: RelayedRecord,
     {
         let sent_at = self.state.clock.now();
-        let response = tokio::time::timeout(
-            LONG_POLL_TIME + RESPONSE_TIMEOUT,
-            self.send_changes_request(upstream, since),
-        );
-        let relayed = response.await.unwrap_or_else(|_| {
-            let reason = format!("entry {upstream} did not answer within the timeout");
-            Err(PlatformError::Unavailable { reason })
-        });
+        let relayed = self.send_changes_request(upstream, since).await;
         match &relayed {
             Ok(relayed) => self.confirm_relayed(relayed, sent_at),
             Err(error) => {
@@ -149,7 +145,13 @@
             .header(HOST, upstream.to_string())
             .body(RequestBody::default())
             .map_err(|error| unavailable(error.to_string()))?;
-        let response = connection.send(request).await;
+        let head_timeout = LONG_POLL_TIME + RESPONSE_TIMEOUT;
+        let response = tokio::time::timeout(head_timeout, connection.send(request)).await;
+        let response = response.map_err(|_| {
+            unavailable(format!(
+                "entry {upstream} did not answer within the timeout"
+            ))
+        })?;
         let response = response.map_err(|error| unavailable(error.to_string()))?;
         if response.status() != StatusCode::OK {
             return Err(unavailable(format!(
@@ -157,7 +159,7 @@
                 response.status()
             )));
         }
-        let body = read_body(response.into_body(), RESPONSE_LIMIT_BYTES, RESPONSE_TIMEOUT).await;
+        let body = read_body(response.into_body(), RESPONSE_LIMIT_BYTES, BODY_TIMEOUT).await;
         let body = body.map_err(|error| unavailable(error.to_string()))?;
         if connection.wait_until_usable().await {
             *self.lock_connection() = Some(connection);
