gateway: a lease holder that reaches no target keeps the formation lease

What a cut-off holder orders reaches no host, so that groups are not repaired meanwhile; that stays open.

--- a/lib/src/process/gateway/coordinate.rs
+++ b/lib/src/process/gateway/coordinate.rs
@@ -164,7 +164,6 @@
         let rank = self.state.with_peers(|peers| peers.rank_for(LEASE_KEY));
         self.lease
             .set_read_interval_factor(1.0 + rank as f64 * READ_INTERVAL_FACTOR_PER_RANK);
-        self.lease.set_resigned(self.state.must_resign(now));
         if let Some(action) = self.lease.poll(now, new_attempt_id) {
             self.call_platform(action);
         }
--- a/lib/src/process/gateway/link_check.rs
+++ b/lib/src/process/gateway/link_check.rs
@@ -15,9 +15,6 @@
 
 /// The timeout of a connection, as for sends.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
-/// How long this entry is cut off before it gives up the formation lease. Orders that it sent before
-/// the cut have taken effect by then, as far as they are not carried out late.
-const RESIGN_AFTER: Duration = Duration::from_secs(2);
 /// How long a connection must stay open. Behind some cuts it is accepted and then reset.
 const OPEN_TIME_MIN: Duration = Duration::from_millis(50);
 
@@ -72,15 +69,6 @@
         self.inner().target_links.is_cut_off()
     }
 
-    /// Returns whether this entry can't form groups because it reaches no target, while another one
-    /// does.
-    pub(super) fn must_resign(&self, now: Instant) -> bool {
-        let inner = self.inner();
-        let cut_off_for = inner.target_links.cut_off_for(now);
-        cut_off_for.is_some_and(|time| time >= RESIGN_AFTER)
-            && !inner.peers.forwarders(now).is_empty()
-    }
-
     /// Returns an entry to pass a request on to, if this entry is cut off and another one is not.
     pub(super) fn forwarder(&self, excluded: &[HostId]) -> Option<(EntryId, SocketAddr)> {
         let now = self.clock.now();
--- a/lib/src/process/lease/machine.rs
+++ b/lib/src/process/lease/machine.rs
@@ -93,7 +93,6 @@
     highest_epoch: Epoch,
     next_call_at: Option<Instant>,
     is_stopped: bool,
-    is_resigned: bool,
 }
 
 impl LeaseMachine {
@@ -109,7 +108,6 @@
             highest_epoch: Epoch::default(),
             next_call_at: None,
             is_stopped: false,
-            is_resigned: false,
         }
     }
 
@@ -126,16 +124,6 @@
         self.settings.read_interval_factor = read_interval_factor;
     }
 
-    /// Sets whether this entry can't carry out the duty of the lease for now.
-    ///
-    /// It then has no fence, releases the lease if it holds it, and does not take it over.
-    pub fn set_resigned(&mut self, is_resigned: bool) {
-        if is_resigned && !self.is_resigned && self.held.is_some() {
-            self.next_call_at = None;
-        }
-        self.is_resigned = is_resigned;
-    }
-
     /// Records an epoch that a group's row contains or a host has reported.
     ///
     /// If this entry holds the lease with a smaller epoch, it has no fence until it has written the
@@ -150,9 +138,6 @@
     pub fn fence(&self, now: Instant) -> Option<Fence> {
         let is_valid = |held: &HeldLease| now < held.expires_at && held.epoch >= self.highest_epoch;
         let held = self.held.filter(is_valid)?;
-        if self.is_resigned {
-            return None;
-        }
         let SeenRow::Present { revision, .. } = self.seen else {
             return None;
         };
@@ -269,12 +254,6 @@
         if self.must_read {
             return None;
         }
-        if self.is_resigned {
-            self.held?;
-            let mut released = self.last_row()?.clone();
-            released.is_released = true;
-            return Some(released);
-        }
         match &self.seen {
             SeenRow::Unread => None,
             SeenRow::Absent => Some(self.takeover_row()),
@@ -318,10 +297,6 @@
         let check = self.check(condition);
         let transaction = self.transaction(&lease, check, attempt.clone())?;
         let sent_at = now;
-        if lease.is_released {
-            // The next holder may take it over before the answer arrives.
-            self.held = None;
-        }
         let sent = SentWrite {
             attempt,
             lease,
@@ -351,12 +326,11 @@
     fn record_held_lease(&mut self, sent: SentWrite, revision: Revision, now: Instant) {
         let epoch = sent.lease.epoch;
         self.on_epoch(epoch);
-        let held = HeldLease {
+        self.held = Some(HeldLease {
             epoch,
             sent_at: sent.sent_at,
             expires_at: sent.sent_at + self.settings.holding_time(),
-        };
-        self.held = (!sent.lease.is_released).then_some(held);
+        });
         self.seen = SeenRow::Present {
             revision,
             lease: Some(sent.lease),
@@ -409,7 +383,7 @@
         let is_released = lease.as_ref().is_some_and(|lease| lease.is_released);
         self.next_call_at = match self.held {
             Some(held) => Some(held.sent_at + self.settings.renewal_interval()),
-            None if is_released && !self.is_resigned => Some(now),
+            None if is_released => Some(now),
             None => Some(now + self.settings.read_interval()),
         };
     }
