gateway: an entry to pass requests on to is used although one failed there

After one failed hop the other entry was not used for 1 s. Where it is the only one, all requests of that second ended with 503.

--- a/lib/src/process/gateway/link_check.rs
+++ b/lib/src/process/gateway/link_check.rs
@@ -7,6 +7,7 @@
 
 use tokio::net::TcpStream;
 
+use super::peers::Forwarder;
 use super::state::GatewayState;
 use super::state::Inner;
 use crate::clock::Clock;
@@ -25,12 +26,10 @@
             |entry: &EntryId| excluded.iter().any(|host| host.as_str() == entry.as_str());
         let mut usable = self.peers.forwarders(now);
         usable.retain(|forwarder| !is_excluded(&forwarder.entry));
-        if usable.iter().any(|forwarder| forwarder.is_local) {
-            usable.retain(|forwarder| forwarder.is_local);
-        }
-        if usable.is_empty() {
-            return None;
-        }
+        // One that failed is better than none, and one that has not is better than a local one.
+        let rank = |forwarder: &Forwarder| (forwarder.has_failed, !forwarder.is_local);
+        let best = usable.iter().map(rank).min()?;
+        usable.retain(|forwarder| rank(forwarder) == best);
         let chosen = usable.swap_remove(rand::random_range(0..usable.len()));
         Some((chosen.entry, chosen.address))
     }
--- a/lib/src/process/gateway/peers.rs
+++ b/lib/src/process/gateway/peers.rs
@@ -34,7 +34,10 @@
 const UPSTREAM_KEY: &str = "records";
 /// How long a peer is not used as an upstream after a failed request.
 const UPSTREAM_BACKOFF: Duration = Duration::from_secs(5);
-/// How long no request is passed on to a peer after one failed there.
+/// How long a peer may be silent while requests are passed on to it. A sound one may pause for about
+/// a second.
+const FORWARDER_SILENCE_MAX: Duration = Duration::from_millis(1_500);
+/// How long other peers are preferred after a request failed that was passed on to one.
 const FORWARD_BACKOFF: Duration = Duration::from_secs(1);
 /// The most peers that an entry sends datagrams to. It bounds the network traffic of many entries.
 const FANOUT_MAX: usize = 12;
@@ -185,7 +188,7 @@
     /// Until when the peer is not used as an upstream, after a failed request.
     upstream_backoff_until: Option<Instant>,
     can_forward: bool,
-    /// Until when no request is passed on to the peer, after one failed there.
+    /// Until when other peers are preferred for requests that are passed on, after one failed there.
     forward_backoff_until: Option<Instant>,
     sender_loads: Option<SortedVec<SenderLoad>>,
 }
@@ -199,6 +202,8 @@
     pub address: SocketAddr,
     /// Whether it is in the data centre of this entry.
     pub is_local: bool,
+    /// Whether a request failed there a moment ago.
+    pub has_failed: bool,
 }
 
 /// What entries are ordered by for a duty: the processor time, then a rendezvous weight that
@@ -396,13 +401,14 @@
     /// Returns the peers that take requests which this entry passes on.
     pub fn forwarders(&self, now: Instant) -> Vec<Forwarder> {
         let takes_requests = |peer: &&Peer| {
-            let is_backoff_over = peer.forward_backoff_until.is_none_or(|until| now >= until);
-            peer.can_forward && peer.has_current_loads(now) && is_backoff_over
+            let silent_for = now.saturating_duration_since(peer.last_seen_at);
+            peer.can_forward && silent_for < FORWARDER_SILENCE_MAX
         };
         let forwarder = |peer: &Peer| Forwarder {
             entry: peer.entry.clone(),
             address: peer.address,
             is_local: peer.data_centre == self.data_centre,
+            has_failed: peer.forward_backoff_until.is_some_and(|until| now < until),
         };
         let usable = self.peers.iter().filter(takes_requests);
         usable.map(forwarder).collect()
