formation: a host confirms that it is in no other group before it joins one

Callers saw nothing, but a host was ordered into a group while it led, or was in, an open group of an earlier lease holder (rule TWO).

A join is now sent only to a host whose own report, requested under this lease and after the last order to it, shows it free, or whose answers to this holder's orders prove it. A host in an ended group that may have served leaves it first; if it turns out to be in another group, the new group is given up. Records also carry the number of orders that the host had accepted, so one from a copy of the registry that lags no longer sets a host back.

--- a/lib/src/process/formation/controller.rs
+++ b/lib/src/process/formation/controller.rs
@@ -8,6 +8,7 @@
 use super::group::Groups;
 use super::host_tracker::HostTracker;
 use super::host_tracker::TrackedHost;
+use super::join_check::JoinedHost;
 use super::load_limiter::LoadRateLimiter;
 use super::packing::Packing;
 use super::settings::FormationSettings;
@@ -75,6 +76,8 @@
     /// The order; `None` if the call requested a report.
     pub(super) order: Option<GroupOrder>,
     pub(super) next_allowed_at: Option<Instant>,
+    /// When the call was answered or failed; `None` while it is unanswered.
+    pub(super) ended_at: Option<Instant>,
 }
 
 impl Keyed for LastCall {
@@ -90,6 +93,8 @@
 pub(super) struct EndedGroup {
     pub(super) group: GroupId,
     pub(super) is_leader_stopped: bool,
+    /// Whether the group may ever have served; see [`Group::may_have_served`].
+    pub(super) may_have_served: bool,
     pub(super) ended_at: Instant,
 }
 
@@ -143,6 +148,8 @@
 pub struct FormationController {
     pub(super) settings: FormationSettings,
     pub(super) lease_epoch: Epoch,
+    /// When the lease was acquired with this epoch.
+    pub(super) acquired_at: Instant,
     pub(super) join_count: u64,
     pub(super) groups: Groups,
     pub(super) ended: SortedVec<EndedGroup>,
@@ -150,6 +157,7 @@
     pub(super) last_weights: SortedVec<LastWeights>,
     pub(super) order_calls: SortedVec<LastCall>,
     pub(super) report_calls: SortedVec<LastCall>,
+    pub(super) joined_hosts: SortedVec<JoinedHost>,
     /// The leaders whose streams were reported as stalled, and when the polling of their groups
     /// ends.
     pub(super) stalled: Vec<(HostId, Instant)>,
@@ -179,11 +187,13 @@
 }
 
 impl FormationController {
-    /// Creates the controller of an entry that has just acquired the lease with `lease_epoch`.
-    pub fn new(settings: FormationSettings, lease_epoch: Epoch) -> Self {
+    /// Creates the controller of an entry that has acquired the lease with `lease_epoch` at
+    /// `acquired_at`.
+    pub fn new(settings: FormationSettings, lease_epoch: Epoch, acquired_at: Instant) -> Self {
         Self {
             settings,
             lease_epoch,
+            acquired_at,
             join_count: 0,
             groups: Groups::default(),
             ended: SortedVec::new(),
@@ -191,6 +201,7 @@
             last_weights: SortedVec::new(),
             order_calls: SortedVec::new(),
             report_calls: SortedVec::new(),
+            joined_hosts: SortedVec::new(),
             stalled: Vec::new(),
             is_before_traffic: false,
             staging: SortedVec::new(),
@@ -253,7 +264,9 @@
             host: host.clone(),
             order: Some(order.clone()),
             next_allowed_at: Some(now + retry),
+            ended_at: Some(now),
         });
+        self.record_join_answer(host, order, answer);
         let group = match order {
             GroupOrder::Join { group, .. }
             | GroupOrder::Open { group, .. }
@@ -317,6 +330,7 @@
             host: host.clone(),
             order: None,
             next_allowed_at: Some(now + self.settings.report_interval),
+            ended_at: Some(now),
         });
     }
 
@@ -403,6 +417,7 @@
             self.ended.insert(EndedGroup {
                 group: group.id,
                 is_leader_stopped: group.is_leader_stopped,
+                may_have_served: group.may_have_served,
                 ended_at: now,
             });
         }
--- a/lib/src/process/formation/free_hosts.rs
+++ b/lib/src/process/formation/free_hosts.rs
@@ -175,6 +175,7 @@
             has_leader: true,
             is_leader_stopped: false,
             is_cross_domain: selection.is_cross_domain,
+            may_have_served: false,
             is_warm_spare,
             phase: GroupPhase::Forming { deadline },
             phase_since: now,
--- a/lib/src/process/formation/group.rs
+++ b/lib/src/process/formation/group.rs
@@ -82,6 +82,9 @@
     pub is_leader_stopped: bool,
     /// Whether the members are in more than one fabric domain.
     pub is_cross_domain: bool,
+    /// Whether the leader may have been ordered to open. Orders to open a group come only from the
+    /// holder that formed it.
+    pub may_have_served: bool,
     /// Whether the group only makes its member hold the weights and is never opened.
     pub is_warm_spare: bool,
     /// The phase of the group's life cycle.
--- a/lib/src/process/formation/host_tracker.rs
+++ b/lib/src/process/formation/host_tracker.rs
@@ -42,6 +42,35 @@
     Replaced,
 }
 
+/// What a host has reported of itself.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct OwnReport {
+    /// The host's membership in a group, if any.
+    pub membership: Option<Membership>,
+    /// When the report was requested.
+    pub requested_at: Instant,
+    /// The number of orders that the host had accepted, if it reports it. The host may have accepted
+    /// some more.
+    pub accepted_orders: Option<u64>,
+}
+
+impl OwnReport {
+    /// Returns the earliest time that the report may refer to.
+    fn as_of(&self) -> Instant {
+        let staleness = REPORT_STALENESS_MAX;
+        self.requested_at
+            .checked_sub(staleness)
+            .unwrap_or(self.requested_at)
+    }
+
+    /// Returns whether the host wrote `record` before it had accepted all orders that this report
+    /// counts.
+    fn is_newer_than(&self, record: &TargetRecord) -> bool {
+        self.accepted_orders
+            .is_some_and(|count| record.accepted_orders < count)
+    }
+}
+
 /// A host's registry record, with its liveness and own report.
 #[derive(Clone, Debug)]
 pub struct TrackedHost {
@@ -51,9 +80,8 @@
     pub unlisted_from: Option<Instant>,
     /// Whether the host answers calls, as far as this entry has tried.
     pub liveness: Liveness,
-    /// The membership in the host's last own report and the earliest time that it may refer to;
-    /// `None` if no report has arrived since the registry's last record.
-    pub own_report: Option<(Option<Membership>, Instant)>,
+    /// The last report of the host's current incarnation; `None` if there is none.
+    pub own_report: Option<OwnReport>,
     /// When the registry first listed the host's current incarnation.
     pub first_listed_at: Instant,
     /// When the registry last listed the host's current incarnation again after dropping it.
@@ -130,7 +158,7 @@
     /// Returns the host's latest known membership, from the registry or the host's own report.
     pub fn membership(&self) -> Option<&Membership> {
         match self.newer_report() {
-            Some((membership, _)) => membership.as_ref(),
+            Some(report) => report.membership.as_ref(),
             None => self.record.membership.as_ref(),
         }
     }
@@ -138,12 +166,14 @@
     /// Returns the time that [`Self::membership`] refers to.
     pub fn membership_at(&self) -> Instant {
         self.newer_report()
-            .map_or(self.record_received_at, |(_, at)| *at)
+            .map_or(self.record_received_at, OwnReport::as_of)
     }
 
-    fn newer_report(&self) -> Option<&(Option<Membership>, Instant)> {
+    fn newer_report(&self) -> Option<&OwnReport> {
         let own_report = self.own_report.as_ref();
-        own_report.filter(|(_, at)| *at > self.record_received_at)
+        own_report.filter(|report| {
+            report.as_of() > self.record_received_at || report.is_newer_than(&self.record)
+        })
     }
 }
 
@@ -190,6 +220,13 @@
         let known = self.hosts.get(&record.host);
         let is_same_incarnation =
             known.is_some_and(|known| known.record.incarnation == record.incarnation);
+        // Records that were read from a lagging copy of the registry are older than the known one.
+        let is_outdated = known.is_some_and(|known| {
+            is_same_incarnation && record.accepted_orders < known.record.accepted_orders
+        });
+        if is_outdated {
+            return;
+        }
         let was_unlisted = known.is_some_and(|known| known.unlisted_from.is_some());
         let liveness = match known {
             Some(tracked) if is_same_incarnation && !was_unlisted => tracked.liveness,
@@ -207,11 +244,14 @@
             Some(tracked) if is_same_incarnation => tracked.relisted_at,
             _ => None,
         };
+        let own_report = known
+            .filter(|_| is_same_incarnation)
+            .and_then(|known| known.own_report.clone());
         self.hosts.insert(TrackedHost {
             record,
             unlisted_from: None,
             liveness,
-            own_report: None,
+            own_report,
             first_listed_at,
             relisted_at,
             record_received_at: now,
@@ -258,8 +298,11 @@
                 }
                 tracked.liveness = Liveness::Alive;
                 tracked.answered_at = Some(sent_at);
-                let as_of = sent_at.checked_sub(REPORT_STALENESS_MAX).unwrap_or(sent_at);
-                tracked.own_report = Some((report.membership, as_of));
+                tracked.own_report = Some(OwnReport {
+                    membership: report.membership,
+                    requested_at: sent_at,
+                    accepted_orders: report.accepted_orders,
+                });
             }
             // A network partition may refuse connections too, so a refusal does not prove that the
             // process has ended.
--- /dev/null
+++ b/lib/src/process/formation/join_check.rs
@@ -0,0 +1,187 @@
+//! Checks that a host is in no other group that may serve before it is ordered to join one.
+//!
+//! The registry's record of a host may be older than an order of an earlier lease holder that the
+//! host has executed, so only the host itself can confirm that it is free. Two facts do:
+//!
+//! - a report that was requested after the lease was acquired and after the last order to the host
+//!   had ended, or
+//! - its answers to the joins and leaves of this lease holder. A host that has accepted a join under
+//!   this lease rejects those of earlier holders, so it is only moved by this one.
+
+use std::time::Instant;
+
+use super::controller::FormationController;
+use super::controller::is_warm_spare_id;
+use super::group::Group;
+use super::group::GroupMember;
+use super::host_tracker::HostTracker;
+use crate::ids::Epoch;
+use crate::ids::GroupId;
+use crate::ids::HostId;
+use crate::ids::Incarnation;
+use crate::sorted::Keyed;
+use crate::target::record::CallError;
+use crate::target::record::GroupOrder;
+use crate::target::record::OrderAnswer;
+
+/// The epoch of the first lease. No orders have been sent before it was acquired.
+const FIRST_LEASE_EPOCH: Epoch = Epoch(1);
+
+/// What has to happen before a host is ordered to join a group.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(super) enum JoinCheck {
+    /// The host is in no other group that may serve, so it can be ordered to join.
+    Free,
+    /// The host has to leave an ended group that may have served.
+    Leaves {
+        /// The ended group.
+        group: GroupId,
+        /// The epoch of the host's membership.
+        epoch: Epoch,
+    },
+    /// The host has to report its state.
+    Unconfirmed,
+    /// The host is in another group that has not ended.
+    Taken,
+}
+
+/// A host that was ordered to join a group under the current lease.
+#[derive(Clone, Debug)]
+pub(super) struct JoinedHost {
+    host: HostId,
+    incarnation: Incarnation,
+    place: Place,
+}
+
+/// The group that a host is in, as its answers to orders prove.
+#[derive(Clone, Debug, Eq, PartialEq)]
+enum Place {
+    /// The host accepted a join and was not ordered elsewhere since.
+    In { group: GroupId, epoch: Epoch },
+    /// The host accepted an order to leave the group that it had joined.
+    Left,
+    /// A join was not answered, so the host may execute it at any time.
+    InDoubt,
+}
+
+impl Keyed for JoinedHost {
+    type Key = HostId;
+
+    fn key(&self) -> &HostId {
+        &self.host
+    }
+}
+
+impl FormationController {
+    /// Records what the answer to an order proves about the host.
+    pub(super) fn record_join_answer(
+        &mut self,
+        host: &HostId,
+        order: &GroupOrder,
+        answer: &Result<OrderAnswer, CallError>,
+    ) {
+        match order {
+            GroupOrder::Join { group, epoch, .. } => {
+                let place = match answer {
+                    Ok(OrderAnswer::Accepted) => Place::In {
+                        group: group.clone(),
+                        epoch: *epoch,
+                    },
+                    Err(CallError::InDoubt { .. } | CallError::Protocol { .. }) => Place::InDoubt,
+                    _ => return,
+                };
+                let members = self.groups.iter().find(|g| g.id == *group);
+                let mut members = members.into_iter().flat_map(|group| group.members.iter());
+                let Some(member) = members.find(|member| member.host == *host) else {
+                    // The group has ended, so which process was meant is not known any more.
+                    self.joined_hosts.remove(host);
+                    return;
+                };
+                self.joined_hosts.insert(JoinedHost {
+                    host: host.clone(),
+                    incarnation: member.incarnation,
+                    place,
+                });
+            }
+            GroupOrder::Leave { group, .. } => {
+                if let Some(joined) = self.joined_hosts.get_mut(host)
+                    && matches!(answer, Ok(OrderAnswer::Accepted))
+                    && matches!(&joined.place, Place::In { group: id, .. } if id == group)
+                {
+                    joined.place = Place::Left;
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Returns what has to happen before `member` is ordered to join `group`.
+    pub(super) fn check_join(
+        &self,
+        group: &Group,
+        member: &GroupMember,
+        tracker: &HostTracker,
+    ) -> JoinCheck {
+        if !self.settings.checks_before_join {
+            return JoinCheck::Free;
+        }
+        let last_order = self.order_calls.get(&member.host);
+        let is_repetition = last_order.is_some_and(|last| {
+            matches!(&last.order, Some(GroupOrder::Join { group: id, .. }) if *id == group.id)
+        });
+        let is_first_order = last_order.is_none() && self.lease_epoch == FIRST_LEASE_EPOCH;
+        if is_repetition || is_first_order {
+            return JoinCheck::Free;
+        }
+        let joined = self.joined_hosts.get(&member.host);
+        match joined.filter(|joined| joined.incarnation == member.incarnation) {
+            Some(JoinedHost {
+                place: Place::In { group: id, epoch },
+                ..
+            }) => return self.check_membership(group, id, *epoch),
+            Some(JoinedHost {
+                place: Place::Left, ..
+            }) => return JoinCheck::Free,
+            _ => {}
+        }
+        let tracked = tracker.get(&member.host);
+        let tracked = tracked.filter(|host| host.record.incarnation == member.incarnation);
+        let is_fresh = |requested_at: Instant| {
+            let is_after_orders = match last_order {
+                Some(order) => order.ended_at.is_some_and(|at| requested_at > at),
+                None => true,
+            };
+            requested_at > self.acquired_at && is_after_orders
+        };
+        let report = tracked.and_then(|host| host.own_report.as_ref());
+        match report.filter(|report| is_fresh(report.requested_at)) {
+            None => JoinCheck::Unconfirmed,
+            Some(report) => match &report.membership {
+                Some(current) => self.check_membership(group, &current.group, current.epoch),
+                None => JoinCheck::Free,
+            },
+        }
+    }
+
+    fn check_membership(&self, group: &Group, current: &GroupId, epoch: Epoch) -> JoinCheck {
+        if *current == group.id || is_warm_spare_id(current) {
+            return JoinCheck::Free;
+        }
+        match self.ended.get(current) {
+            Some(ended) if !ended.may_have_served => JoinCheck::Free,
+            Some(_) => JoinCheck::Leaves {
+                group: current.clone(),
+                epoch,
+            },
+            None => JoinCheck::Taken,
+        }
+    }
+
+    /// Returns whether a member that was not yet ordered to join has confirmed that it is in another
+    /// group that has not ended.
+    pub(super) fn is_any_member_taken(&self, group: &Group, tracker: &HostTracker) -> bool {
+        let pending = group.members.iter().filter(|member| !member.has_joined);
+        let mut checks = pending.map(|member| self.check_join(group, member, tracker));
+        checks.any(|check| check == JoinCheck::Taken)
+    }
+}
--- a/lib/src/process/formation/mod.rs
+++ b/lib/src/process/formation/mod.rs
@@ -10,8 +10,11 @@
 //! - Every join has its own epoch, higher than all earlier ones: the lease's epoch in the upper
 //!   digits, a counter in the lower ones. A host rejects epochs lower than the highest one it has
 //!   seen.
-//! - A host is ordered into another group only after the leader of its group is known to have
-//!   stopped serving: closed, broken, or its process ended.
+//! - A host is ordered to join a group only after it has itself confirmed to this lease holder that
+//!   it is in no group that may serve. What the registry says of it is not enough: a host that is
+//!   cut off from the registry may have joined a group of an earlier holder since.
+//! - A host is chosen for another group only after the leader of its group is known to have stopped
+//!   serving: closed, broken, or its process ended.
 //! - A group is opened only after each member was seen ready under the group's name and epoch. A
 //!   name is used for one list of members only, so name and epoch identify the list.
 //! - A group that an earlier lease holder formed and did not open is abandoned, since an order of
@@ -23,6 +26,7 @@
 mod free_hosts;
 mod group;
 mod host_tracker;
+mod join_check;
 mod load_limiter;
 mod packing;
 mod phases;
--- a/lib/src/process/formation/phases.rs
+++ b/lib/src/process/formation/phases.rs
@@ -13,8 +13,10 @@
 use super::host_tracker::HostTracker;
 use super::host_tracker::Liveness;
 use super::host_tracker::TrackedHost;
+use super::join_check::JoinCheck;
 use crate::ids::HostId;
 use crate::ids::WeightsId;
+use crate::sorted::SortedVec;
 use crate::target::record::Availability;
 use crate::target::record::CloseMode;
 use crate::target::record::GroupOrder;
@@ -90,7 +92,12 @@
                 let all_ready = statuses
                     .iter()
                     .all(|s| *s == MemberStatus::Joined(MemberState::Ready));
-                if any_lost || any_draining || now > deadline || (all_ready && group.is_warm_spare)
+                let is_taken = self.is_any_member_taken(group, tracker);
+                if any_lost
+                    || any_draining
+                    || is_taken
+                    || now > deadline
+                    || (all_ready && group.is_warm_spare)
                 {
                     // A group that was never ordered to open has no leader that serves.
                     group.is_leader_stopped = true;
@@ -204,6 +211,7 @@
     }
 
     fn order_open(&mut self, group: &mut Group, now: Instant, actions: &mut Vec<FormationAction>) {
+        group.may_have_served = true;
         let order = GroupOrder::Open {
             group: group.id.clone(),
             epoch: group.epoch,
@@ -443,6 +451,26 @@
         }
     }
 
+    /// Requests a report from a host that is to join a group, at once if an order to it has ended
+    /// since its last report.
+    fn request_confirmation(
+        &mut self,
+        member: &GroupMember,
+        now: Instant,
+        actions: &mut Vec<FormationAction>,
+    ) {
+        let ended_at = |calls: &SortedVec<LastCall>| calls.get(&member.host)?.ended_at;
+        let is_outdated = match (ended_at(&self.report_calls), ended_at(&self.order_calls)) {
+            (Some(report_at), Some(order_at)) => order_at >= report_at,
+            _ => false,
+        };
+        if is_outdated {
+            self.push_report(&member.host, member.address, actions);
+        } else {
+            self.request_report(member, now, actions);
+        }
+    }
+
     fn push_report(
         &mut self,
         host: &HostId,
@@ -453,6 +481,7 @@
             host: host.clone(),
             order: None,
             next_allowed_at: None,
+            ended_at: None,
         });
         actions.push(FormationAction::Report {
             host: host.clone(),
@@ -489,7 +518,15 @@
                 weights: group.weights.clone(),
                 members: group.members.iter().map(|m| m.host.clone()).collect(),
             };
-            self.push_order(member, order, now, actions);
+            match self.check_join(group, member, tracker) {
+                JoinCheck::Free => self.push_order(member, order, now, actions),
+                JoinCheck::Leaves { group, epoch } => {
+                    let order = GroupOrder::Leave { group, epoch };
+                    self.push_order(member, order, now, actions);
+                }
+                JoinCheck::Unconfirmed => self.request_confirmation(member, now, actions),
+                JoinCheck::Taken => {}
+            }
         }
     }
 
@@ -523,6 +560,7 @@
                 host: member.host.clone(),
                 order: Some(order.clone()),
                 next_allowed_at: None,
+                ended_at: None,
             });
             actions.push(FormationAction::Order {
                 host: member.host.clone(),
--- a/lib/src/process/formation/settings.rs
+++ b/lib/src/process/formation/settings.rs
@@ -21,6 +21,9 @@
     pub report_misses: u32,
     /// Added to `report_interval` for a lost host that is in no group.
     pub lost_report_extra_interval: Duration,
+    /// Whether a host has to confirm that it is in no other group before it is ordered to join one.
+    /// Only tests that show what the check prevents turn it off.
+    pub checks_before_join: bool,
 }
 
 impl Default for FormationSettings {
@@ -42,6 +45,7 @@
             // A host is rarely back within a second. After an outage of a fabric domain, all of its
             // hosts are polled at the same time.
             lost_report_extra_interval: Duration::from_millis(800),
+            checks_before_join: true,
         }
     }
 }
--- a/lib/src/process/formation/takeover.rs
+++ b/lib/src/process/formation/takeover.rs
@@ -129,6 +129,7 @@
             has_leader: self.has_leader,
             is_leader_stopped: false,
             is_cross_domain,
+            may_have_served: true,
             is_warm_spare: false,
             phase,
             phase_since: now,
--- a/lib/src/process/gateway/coordinate.rs
+++ b/lib/src/process/gateway/coordinate.rs
@@ -190,7 +190,7 @@
             .is_none_or(|(controller_epoch, _)| *controller_epoch != epoch)
         {
             let settings = self.state.settings.formation;
-            self.formation = Some((epoch, FormationController::new(settings, epoch)));
+            self.formation = Some((epoch, FormationController::new(settings, epoch, now)));
         }
         self.poll_formation(now);
     }
--- a/lib/src/target/record.rs
+++ b/lib/src/target/record.rs
@@ -89,6 +89,10 @@
     pub weights: Vec<WeightsId>,
     /// The host's membership in a group, if any.
     pub membership: Option<Membership>,
+    /// The number of orders that the target's process had accepted when the record was written; 0
+    /// if the target does not count them.
+    #[serde(default)]
+    pub accepted_orders: u64,
 }
 
 impl Keyed for TargetRecord {
@@ -110,6 +114,8 @@
     pub waiting: u32,
     /// The host's membership in a group, if any.
     pub membership: Option<Membership>,
+    /// The number of orders that the target's process has accepted, if the target reports it.
+    pub accepted_orders: Option<u64>,
 }
 
 /// How a group's requests in flight are treated when the group is closed.
--- /dev/null
+++ b/lib/tests/test_formation_handover.rs
@@ -0,0 +1,114 @@
+//! Explores hand-overs of group formation between entries: no host may be ordered into a group while
+//! the leader of another group that it is in may serve.
+//!
+//! `BERYLTRAY_EXPLORE_SEED` selects other schedules and `BERYLTRAY_HANDOVER_SCHEDULES` sets their
+//! number.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use beryltray_lib::ids::Epoch;
+use beryltray_lib::process::formation::HostTracker;
+use beryltray_lib::target::record::GroupOrder;
+use beryltray_lib::version::routes::EngineProfile;
+use beryltray_lib::version::routes::ModelProfile;
+use beryltray_testutils::fleet::SimulatedFleet;
+use beryltray_testutils::handover::HandoverSimulation;
+use beryltray_testutils::seeds::extra_seed;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+/// The number of schedules without [`SCHEDULES_VARIABLE`].
+const SCHEDULES: u64 = 150;
+/// The environment variable that sets the number of schedules.
+const SCHEDULES_VARIABLE: &str = "BERYLTRAY_HANDOVER_SCHEDULES";
+/// The number of faults in a schedule.
+const FAULTS: usize = 14;
+
+fn profile() -> EngineProfile {
+    let model = |name: &str, size| ModelProfile {
+        weights: name.parse().unwrap(),
+        group_size: size,
+        expected_share: 0.5,
+        pace: 1.0,
+        load_time: Duration::from_secs(2),
+        warm_time: Duration::from_millis(400),
+    };
+    EngineProfile {
+        models: vec![model("large", 4), model("small", 2)],
+        slots: 26,
+        step_time: Duration::from_micros(6_450),
+        step_time_per_request: Duration::from_micros(97),
+        prompt_tokens_per_s: 56_100.0,
+        steps_per_event: 6,
+        usual_answer_tokens: 150.0,
+        usual_prompt_tokens: 900.0,
+        loads_per_s: 40.0,
+        loads_at_once: 16,
+        cross_domain_factor: 2.5,
+    }
+}
+
+/// Runs the schedule of a seed and returns the violations.
+fn violations(seed: u64, joins_without_check: bool) -> Vec<String> {
+    let mut random = SmallRng::seed_from_u64(seed);
+    let waits: Vec<u64> = (0..FAULTS).map(|_| random.random_range(0..1_600)).collect();
+    let mut simulation =
+        HandoverSimulation::open(profile(), &[8, 7], 3, random, joins_without_check);
+    for wait_ms in waits {
+        simulation.inject_fault();
+        simulation.run(Duration::from_millis(wait_ms));
+        if !simulation.fleet.violations.is_empty() {
+            break;
+        }
+    }
+    simulation.fleet.violations
+}
+
+/// Returns the seeds whose schedules violate the invariant, with the first violation of each.
+fn failing_seeds(schedules: u64, joins_without_check: bool) -> Vec<(u64, String)> {
+    let first = extra_seed().wrapping_mul(1_000_000);
+    let violated = |seed| {
+        let found = violations(seed, joins_without_check).into_iter().next()?;
+        Some((seed, found))
+    };
+    (first..first + schedules).filter_map(violated).collect()
+}
+
+#[test]
+fn formation_handovers_keep_hosts_in_one_serving_group() {
+    let schedules = std::env::var(SCHEDULES_VARIABLE)
+        .ok()
+        .and_then(|count| count.parse().ok())
+        .unwrap_or(SCHEDULES);
+    assert_eq!(failing_seeds(schedules, false), Vec::new());
+}
+
+// The exploration has to find entries that order hosts to join without asking them first.
+#[test]
+fn formation_handovers_without_check_before_join_are_caught() {
+    assert!(!failing_seeds(SCHEDULES, true).is_empty());
+}
+
+// Guards against records that an entry reads from a copy of the registry that lags: they showed a
+// host that leads an open group as free.
+#[test]
+fn host_tracker_record_from_lagging_copy_does_not_set_a_host_back() {
+    let now = Instant::now();
+    let mut fleet = SimulatedFleet::new("writers", profile(), &[1], now);
+    let mut tracker = HostTracker::new();
+    let before = fleet.snapshot();
+    let host = before[0].host.clone();
+    let join = GroupOrder::Join {
+        group: "g1".parse().unwrap(),
+        epoch: Epoch(1),
+        weights: "large".parse().unwrap(),
+        members: vec![host.clone()],
+    };
+    fleet.order(&host, &join, None, now).unwrap();
+    tracker.on_snapshot(fleet.snapshot(), now);
+    tracker.on_snapshot(before, now + Duration::from_millis(100));
+    let membership = tracker.get(&host).and_then(|tracked| tracked.membership());
+    assert_eq!(membership.map(|m| m.group.as_str()), Some("g1"));
+}
--- a/lib/testutils/src/fleet.rs
+++ b/lib/testutils/src/fleet.rs
@@ -76,6 +76,7 @@
     /// The weights that the host is reading from the weight store because of an order to stage.
     staging: Option<Load>,
     highest_epoch: Epoch,
+    accepted_orders: u64,
     state_due_at: Option<Instant>,
     stalled_since: Option<Instant>,
     last_heartbeat_at: Instant,
@@ -197,6 +198,7 @@
             host.loading = None;
             host.staging = None;
             host.highest_epoch = Epoch(0);
+            host.accepted_orders = 0;
             host.state_due_at = None;
             host.stalled_since = None;
             host.last_heartbeat_at = now;
@@ -337,6 +339,7 @@
             running: 0,
             waiting: 0,
             membership: host.membership.clone(),
+            accepted_orders: Some(host.accepted_orders),
         })
     }
 
@@ -364,6 +367,14 @@
             return OrderAnswer::Conflict;
         }
         self.changed.push(id.clone());
+        let answer = self.begin(index, order, now);
+        if answer == OrderAnswer::Accepted {
+            self.hosts[index].accepted_orders += 1;
+        }
+        answer
+    }
+
+    fn begin(&mut self, index: usize, order: &GroupOrder, now: Instant) -> OrderAnswer {
         match order {
             GroupOrder::Join {
                 group,
@@ -677,6 +688,7 @@
             staged: host.staged.iter().cloned().collect(),
             weights: host.last_weights.iter().cloned().collect(),
             membership: host.membership.clone(),
+            accepted_orders: host.accepted_orders,
         }
     }
 }
@@ -696,6 +708,7 @@
         loading: None,
         staging: None,
         highest_epoch: Epoch(0),
+        accepted_orders: 0,
         state_due_at: None,
         stalled_since: None,
         last_heartbeat_at: now,
--- a/lib/testutils/src/formation.rs
+++ b/lib/testutils/src/formation.rs
@@ -61,7 +61,7 @@
             now,
             fleet: SimulatedFleet::new(SERVICE, profile.clone(), domains, now),
             tracker: HostTracker::new(),
-            formation: FormationController::new(FormationSettings::default(), Epoch(1)),
+            formation: FormationController::new(FormationSettings::default(), Epoch(1), now),
             order_delay: None,
             delay_every: 1,
             is_registry_reachable: true,
@@ -139,8 +139,11 @@
     /// Passes the lease to another entry, whose view of the hosts is the same.
     pub fn change_lease_holder(&mut self) {
         self.lease_epoch += 1;
-        self.formation =
-            FormationController::new(FormationSettings::default(), Epoch(self.lease_epoch));
+        self.formation = FormationController::new(
+            FormationSettings::default(),
+            Epoch(self.lease_epoch),
+            self.now,
+        );
     }
 
     /// Ends a registry outage: the entry gets a full list of records again.
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod clock;
 pub mod fleet;
 pub mod formation;
+pub mod handover;
 pub mod head;
 pub mod history;
 pub mod mesh;
