formation: a host that pauses for a second keeps its group

Streams broke because a host that sent nothing for 1.3 s and went on was taken for lost: two reports without an answer, about 1.1 s after the last event, ended its group.

A failed call says more than that there was no answer. A host that is gone accepts no connection; one that pauses accepts it, since its kernel runs. Each call without a connection counts as before, so that a host that is gone is found as soon as before (two calls, about 1.1 s after the last event); one that was sent and not answered counts half, which makes it 2 s for a process that hangs. Weighed: a longer limit for all failures, which delays each repair by the same time, and a detector that adapts to pauses, which has seen too few of them in the first minutes to know any.

--- a/lib/src/process/formation/desired.rs
+++ b/lib/src/process/formation/desired.rs
@@ -105,7 +105,7 @@
             let is_assigned = group.is_some_and(|group| {
                 !group.is_warm_spare && group.is_active() && !is_released(group)
             });
-            if is_assigned || tracked.is_lost(1) {
+            if is_assigned || tracked.is_in_doubt() {
                 continue;
             }
             let capabilities = self.capabilities(plan, scope, group, tracked);
--- a/lib/src/process/formation/free_hosts.rs
+++ b/lib/src/process/formation/free_hosts.rs
@@ -102,7 +102,7 @@
         let record = &tracked.record;
         if record.service != plan.service
             || !(tracked.is_usable(now) || tracked.is_up_unlisted(now))
-            || tracked.is_lost(1)
+            || tracked.is_in_doubt()
             || self.group_of(&record.host).is_some()
         {
             return false;
--- a/lib/src/process/formation/host_tracker.rs
+++ b/lib/src/process/formation/host_tracker.rs
@@ -22,9 +22,12 @@
 /// How long after an answered call a host that the registry dropped counts as up.
 const ANSWER_VALIDITY: Duration = Duration::from_millis(900);
 
-/// How many missed calls a refused connection counts as. Unlike a missing answer, a refusal needs
-/// no confirmation by a second call.
-const REFUSED_MISSES: u32 = 2;
+/// How much evidence of a loss one failed call is, relative to [`MISS`]. A refused connection needs no
+/// confirmation by a second call. A host that accepts the connection and does not answer has power
+/// and a network, so its process may only be paused.
+const MISS: u32 = 2;
+const REFUSED: u32 = 2 * MISS;
+const UNANSWERED: u32 = MISS / 2;
 
 /// Whether a host answers calls.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -35,8 +38,8 @@
     Unresponsive {
         /// When the first unanswered call was sent.
         since: Instant,
-        /// The number of unanswered calls; a refused connection counts more than once.
-        misses: u32,
+        /// The evidence of a loss in failed calls; each without a connection counts for [`MISS`].
+        evidence: u32,
     },
     /// Another process answers at the host's address.
     Replaced,
@@ -104,11 +107,11 @@
         self.liveness = match self.liveness {
             Liveness::Alive => Liveness::Unresponsive {
                 since: sent_at,
-                misses: count,
+                evidence: count,
             },
-            Liveness::Unresponsive { since, misses } => Liveness::Unresponsive {
+            Liveness::Unresponsive { since, evidence } => Liveness::Unresponsive {
                 since,
-                misses: misses.saturating_add(count),
+                evidence: evidence.saturating_add(count),
             },
             Liveness::Replaced => Liveness::Replaced,
         };
@@ -140,16 +143,21 @@
             && self.liveness == Liveness::Alive
     }
 
-    /// Returns whether the host left at least `misses` calls unanswered, or was replaced by another
-    /// process.
+    /// Returns whether the host was replaced by another process, or calls to it failed: at least
+    /// `misses` without a connection, one that was refused, or twice as many without an answer.
     pub fn is_lost(&self, misses: u32) -> bool {
         match self.liveness {
             Liveness::Alive => false,
-            Liveness::Unresponsive { misses: seen, .. } => seen >= misses,
+            Liveness::Unresponsive { evidence, .. } => evidence >= misses.saturating_mul(MISS),
             Liveness::Replaced => true,
         }
     }
 
+    /// Returns whether the last call to the host failed or another process answered it.
+    pub fn is_in_doubt(&self) -> bool {
+        self.liveness != Liveness::Alive
+    }
+
     /// Returns when the registry's last record was received.
     pub fn record_received_at(&self) -> Instant {
         self.record_received_at
@@ -306,10 +314,9 @@
             }
             // A network partition may refuse connections too, so a refusal does not prove that the
             // process has ended.
-            Err(CallError::Refused { .. }) => tracked.on_miss(sent_at, REFUSED_MISSES),
-            Err(CallError::NotSent { .. } | CallError::InDoubt { .. }) => {
-                tracked.on_miss(sent_at, 1);
-            }
+            Err(CallError::Refused { .. }) => tracked.on_miss(sent_at, REFUSED),
+            Err(CallError::NotSent { .. }) => tracked.on_miss(sent_at, MISS),
+            Err(CallError::InDoubt { .. }) => tracked.on_miss(sent_at, UNANSWERED),
             // A host that sends an answer, even one that can't be read, is up.
             Err(CallError::Protocol { .. }) => tracked.liveness = Liveness::Alive,
         }
--- a/lib/src/process/formation/settings.rs
+++ b/lib/src/process/formation/settings.rs
@@ -17,7 +17,8 @@
     pub forming_slack: Duration,
     /// The minimum time between two reports requested of a host in doubt.
     pub report_interval: Duration,
-    /// The number of unanswered reports after which a host counts as lost.
+    /// The number of reports without a connection after which a host counts as lost. Twice as many
+    /// without an answer count as much.
     pub report_misses: u32,
     /// Added to `report_interval` for a lost host that is in no group.
     pub lost_report_extra_interval: Duration,
