gateway: settings with fractions start an entry and keep the bounds

Numbers that the platform fills in may have a fraction now, rounded so that the bound is kept: allowances (free-sends, share, the time to stop) down, windows and waits up. An allowance that is too large to use counts as the largest; a window of zero gives no window, so the default is used. Negative numbers, NaN, infinity, text and empty values still stop the entry, with file, line, key and hint.

--- a/lib/src/ini/value.rs
+++ b/lib/src/ini/value.rs
@@ -56,6 +56,10 @@
     ids::RegionId => NAME;
     ids::ServiceId => NAME;
     ids::WeightsId => NAME;
+    units::Allowance => "a number that is not negative, such as 130 or 39.5";
+    units::AllowedShare => "a share, such as 12.5% or 0.125";
+    units::TimeLimit => "a duration with its unit, such as 750ms, 5s or 2min";
+    units::WaitTime => "a duration with its unit, such as 750ms, 5s or 2min";
     units::ByteCount => "a whole number with B, KiB, MiB or GiB, such as 64 KiB";
     units::CoreShare => "a number of cores, such as 0.25";
     units::RequestRate => "a number of requests per second above 0, such as 25/s";
--- a/lib/src/process/gateway/settings.rs
+++ b/lib/src/process/gateway/settings.rs
@@ -12,13 +12,24 @@
 use crate::ini::SectionReader;
 use crate::process::formation::FormationSettings;
 use crate::process::settings::read_section;
+use crate::units::Allowance;
+use crate::units::AllowedShare;
 use crate::units::CoreShare;
 use crate::units::Share;
+use crate::units::TimeLimit;
+use crate::units::WaitTime;
 
 const TIME_MIN: Duration = Duration::from_millis(1);
-const TIME_MAX: Duration = Duration::from_secs(3600);
-/// The upper bound of the setting `free-sends`.
+/// The longest wait or window that a setting may give.
+const WAIT_MAX: Duration = Duration::from_secs(24 * 3600);
+/// The longest time to stop that is used; a longer setting counts as this one.
+const STOP_LIMIT_MAX: Duration = Duration::from_secs(3600);
+/// The most free retries that are used; a higher setting counts as this one.
 const FREE_RETRIES_MAX: u32 = 1_000_000;
+/// The time to stop without a setting.
+const STOP_LIMIT: Duration = Duration::from_secs(8);
+/// The free retries without a setting.
+const FREE_RETRIES: u32 = 130;
 
 /// The settings of a gateway's process.
 #[derive(Clone, Debug, PartialEq)]
@@ -92,7 +103,8 @@
         let formation = read_section(&mut reader, "formation", formation_section);
         let retry = read_section(&mut reader, "retry", retry_section);
         let stop_limit = read_section(&mut reader, "shutdown", |s| {
-            s.optional_in_range_or("limit", Duration::from_secs(8), TIME_MIN..=TIME_MAX)
+            let limit = s.optional_or("limit", TimeLimit(STOP_LIMIT));
+            limit.0.clamp(TIME_MIN, STOP_LIMIT_MAX)
         });
         let log_level = read_section(&mut reader, "log", |s| {
             s.optional_or("level", LevelFilter::Info)
@@ -132,14 +144,9 @@
 
 fn formation_section(section: &mut SectionReader) -> FormationSettings {
     let default = FormationSettings::default();
-    let range = TIME_MIN..=TIME_MAX;
     FormationSettings {
-        load_window: section.optional_in_range_or(
-            "load-window",
-            default.load_window,
-            range.clone(),
-        ),
-        stall_time: section.optional_in_range_or("stall-time", default.stall_time, range),
+        load_window: wait_time(section, "load-window", default.load_window),
+        stall_time: wait_time(section, "stall-time", default.stall_time),
         ..default
     }
 }
@@ -147,9 +154,24 @@
 fn retry_section(section: &mut SectionReader) -> RetryLimits {
     // The users' current limits.
     let window = Duration::from_secs(10);
+    let share = AllowedShare(Share::from_percent(20));
+    let free_retries = Allowance {
+        count: FREE_RETRIES,
+    };
     RetryLimits {
-        share: section.optional_or("share", Share::from_percent(20)),
-        window: section.optional_in_range_or("window", window, TIME_MIN..=TIME_MAX),
-        free_retries: section.optional_in_range_or("free-sends", 130, 0..=FREE_RETRIES_MAX),
+        share: section.optional_or("share", share).0,
+        window: wait_time(section, "window", window),
+        free_retries: section
+            .optional_or("free-sends", free_retries)
+            .count
+            .min(FREE_RETRIES_MAX),
     }
 }
+
+/// Reads a time for which something is counted or waited for. Zero gives no time, so the default is
+/// used.
+fn wait_time(section: &mut SectionReader, key: &str, default: Duration) -> Duration {
+    let range = WaitTime(Duration::ZERO)..=WaitTime(WAIT_MAX);
+    let time = section.optional_in_range_or(key, WaitTime(default), range);
+    if time.0.is_zero() { default } else { time.0 }
+}
--- a/lib/src/units.rs
+++ b/lib/src/units.rs
@@ -208,6 +208,124 @@
     }
 }
 
+/// A whole number of things that are allowed, read from a number that may have a fraction. The fraction
+/// is dropped, so that no more is allowed than was written.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Allowance {
+    /// The whole number; larger ones than fit count as the largest.
+    pub count: u32,
+}
+
+impl std::fmt::Display for Allowance {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        self.count.fmt(f)
+    }
+}
+
+impl FromStr for Allowance {
+    type Err = ParseUnitError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let error = || malformed(text, "a number that is not negative", "130 or 39.5");
+        let count = text.trim().parse::<f64>().map_err(|_| error())?;
+        if !count.is_finite() || count.is_sign_negative() {
+            return Err(error());
+        }
+        // The conversion drops the fraction and saturates.
+        Ok(Self {
+            count: count as u32,
+        })
+    }
+}
+
+/// A share that is allowed. What is less than a tenth of a percent is dropped, and more than the whole
+/// counts as the whole.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct AllowedShare(pub Share);
+
+impl std::fmt::Display for AllowedShare {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+impl FromStr for AllowedShare {
+    type Err = ParseUnitError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let error = || malformed(text, "a percentage or a fraction of 1", "12.5% or 0.125");
+        let (number, factor) = match text.strip_suffix('%') {
+            Some(percent) => (percent, 10.0),
+            None => (text, 1_000.0),
+        };
+        let number: f64 = number.trim().parse().map_err(|_| error())?;
+        if !number.is_finite() || number.is_sign_negative() {
+            return Err(error());
+        }
+        // Products such as 0.29 * 1000 lie just below the whole number that is meant.
+        let thousandths = (number * factor + 1e-6).floor().min(1_000.0) as u16;
+        Ok(Self(Share { thousandths }))
+    }
+}
+
+/// The time in which something must be done. A part of a millisecond is dropped.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct TimeLimit(pub Duration);
+
+/// A time that must pass, or for which something is counted. A part of a millisecond counts as a whole
+/// one.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct WaitTime(pub Duration);
+
+impl FromStr for TimeLimit {
+    type Err = ParseUnitError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        parse_fractional_duration(text, f64::floor).map(Self)
+    }
+}
+
+impl FromStr for WaitTime {
+    type Err = ParseUnitError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        parse_fractional_duration(text, f64::ceil).map(Self)
+    }
+}
+
+impl std::fmt::Display for TimeLimit {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(&format_duration(self.0))
+    }
+}
+
+impl std::fmt::Display for WaitTime {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(&format_duration(self.0))
+    }
+}
+
+/// Parses a number with `ms` or `s`, which may have a fraction, or any other duration that
+/// [`parse_duration`] takes. The number of milliseconds is made whole with `round`.
+fn parse_fractional_duration<F>(text: &str, round: F) -> Result<Duration, ParseUnitError>
+where
+    F: Fn(f64) -> f64,
+{
+    let number = |suffix: &str| text.trim().strip_suffix(suffix)?.parse::<f64>().ok();
+    let millis = match number("ms") {
+        Some(millis) => Some(millis),
+        None => number("s").map(|seconds| seconds * 1_000.0),
+    };
+    let Some(millis) = millis else {
+        return parse_duration(text);
+    };
+    if !millis.is_finite() || millis.is_sign_negative() {
+        return Err(malformed(text, "a duration with its unit", "750ms or 5s"));
+    }
+    // The conversion saturates.
+    Ok(Duration::from_millis(round(millis) as u64))
+}
+
 /// Parses a duration such as `750ms`, `5s` or `2min`.
 pub fn parse_duration(text: &str) -> Result<Duration, ParseUnitError> {
     let parsed = humantime::parse_duration(text);
