gateway: loads of targets cross data centres between few entries

Each entry sent the loads of all targets (some 4 kB) to four entries of other data centres every 150 ms, and for 700 ms after its start to all 194 others; the first grows with entries times groups, the second with the square of the entries when they are replaced one after the other.

Now eight entries of each data centre send them to one entry in each other data centre: 160 datagrams with loads an interval at any number of entries, instead of 780 with 195 and 1,200 with 300. Other datagrams to remote entries have no loads; they are sent every third interval unless they say something that has to be acted on at once. Within a data centre loads go round a ring with fixed distances, so that each entry has as many senders as recipients; by random choice some had only two or three. Ten recipients instead of eight.

The new test of the pattern simulates 14 to 300 entries with lost datagrams and a third of the entries silent.

--- a/lib/src/process/gateway/gossip.rs
+++ b/lib/src/process/gateway/gossip.rs
@@ -10,6 +10,8 @@
 
 use super::peers::GOSSIP_INTERVAL;
 use super::peers::PeerMessage;
+use super::peers::Recipient;
+use super::quarantine_gossip::QuarantineGossip;
 use super::state::GatewayState;
 use crate::clock::Clock;
 use crate::ids::DataCentreId;
@@ -154,18 +156,38 @@
             limits: payload.limits,
             quarantine: state.with_quarantine(|quarantine, now| quarantine.gossip(now)),
         };
-        let bytes = match serde_json::to_vec(&message) {
-            Ok(bytes) => bytes,
+        let now = state.clock.now();
+        let grants = message.limits.iter().flat_map(|limit| &limit.grants);
+        let grantees: Vec<EntryId> = grants.map(|(entry, _)| entry.clone()).collect();
+        let recipients = state.with_peers(|peers| peers.recipients(&grantees, now));
+        let without_loads = PeerMessage {
+            loads: Vec::new(),
+            ..message.clone()
+        };
+        let encoded = serde_json::to_vec(&message);
+        let (with_loads, without_loads) = match encoded.and_then(|bytes| {
+            let without_loads = serde_json::to_vec(&without_loads)?;
+            Ok((bytes, without_loads))
+        }) {
+            Ok(encoded) => encoded,
             Err(error) => {
                 log::error!("can't encode the gossip datagram: {error}");
                 continue;
             }
         };
-        let now = state.clock.now();
-        let grants = message.limits.iter().flat_map(|limit| &limit.grants);
-        let grantees: Vec<EntryId> = grants.map(|(entry, _)| entry.clone()).collect();
-        for address in state.with_peers(|peers| peers.recipients(&grantees, now)) {
-            if let Err(error) = socket.send_to(&bytes, address).await {
+        // What others have to act on at once is sent to all, without a wait.
+        let is_urgent = !message.stalled.is_empty()
+            || !message.limits.is_empty()
+            || message.quarantine != QuarantineGossip::default();
+        let is_sent = |recipient: &&Recipient| is_urgent || recipient.takes(number);
+        for recipient in recipients.iter().filter(is_sent) {
+            let bytes = if recipient.takes_loads {
+                &with_loads
+            } else {
+                &without_loads
+            };
+            let address = recipient.address;
+            if let Err(error) = socket.send_to(bytes, address).await {
                 log::debug!(peer:% = address; "can't send the gossip datagram: {error}");
             }
         }
--- a/lib/src/process/gateway/mod.rs
+++ b/lib/src/process/gateway/mod.rs
@@ -48,6 +48,7 @@
 pub use self::peers::GossipedLoad;
 pub use self::peers::PeerMessage;
 pub use self::peers::Peers;
+pub use self::peers::Recipient;
 pub use self::peers::SenderLoad;
 pub use self::quarantine::Admission;
 pub use self::quarantine::QUARANTINE_TIME;
--- a/lib/src/process/gateway/peers.rs
+++ b/lib/src/process/gateway/peers.rs
@@ -39,15 +39,27 @@
 const FORWARDER_SILENCE_MAX: Duration = Duration::from_millis(1_500);
 /// How long other peers are preferred after a request failed that was passed on to one.
 const FORWARD_BACKOFF: Duration = Duration::from_secs(1);
-/// The most peers that an entry sends datagrams to. It bounds the network traffic of many entries.
-const FANOUT_MAX: usize = 12;
+/// The most peers with which each entry sends its loads to all others. Beyond it, the entries pass
+/// loads on to each other.
+const FULL_MESH_MAX: usize = 12;
 /// How long an entry sends its datagrams to all others after it has read the list of entries. The
 /// others divide limits among all entries that they know.
 pub(super) const ANNOUNCE_TIME: Duration = Duration::from_millis(700);
-/// The least number of recipients in other data centres, if there are as many peers. They gossip
-/// the loads on in their data centre. Traffic between data centres is expensive, so the other
-/// recipients are local if possible.
-const FANOUT_REMOTE_MIN: usize = 4;
+/// The most recipients of loads in the own data centre.
+const FANOUT_LOCAL: usize = 10;
+/// The most recipients in other data centres. Traffic between data centres is expensive, so most of
+/// them take no loads.
+const FANOUT_REMOTE: usize = 4;
+/// The rendezvous key of the order of the entries of a data centre in which loads are passed on.
+const RING_KEY: &str = "ring";
+/// The entries of a data centre that send the loads of targets to other ones, one recipient in each.
+/// The recipients gossip the loads on in their data centre. Several may fail at the same time.
+const BRIDGES: usize = 8;
+/// The rendezvous key for the choice of these entries.
+const BRIDGE_KEY: &str = "bridge";
+/// One in this many datagrams is sent to a recipient that takes no loads. It is often enough for
+/// [`FORWARDER_SILENCE_MAX`], even if one is lost.
+const PRESENCE_DIVISOR: u64 = 3;
 
 /// The load that the sending entry puts on a target.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -206,6 +218,24 @@
     pub has_failed: bool,
 }
 
+/// An entry that datagrams are sent to.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Recipient {
+    /// The entry's address for datagrams.
+    pub address: SocketAddr,
+    /// Whether the datagrams contain the loads of targets.
+    pub takes_loads: bool,
+    /// Whether the recipient is sent each datagram, not only one in some.
+    pub takes_all: bool,
+}
+
+impl Recipient {
+    /// Returns whether the recipient is sent the datagram with this number.
+    pub fn takes(&self, number: u64) -> bool {
+        self.takes_all || number.is_multiple_of(PRESENCE_DIVISOR)
+    }
+}
+
 /// What entries are ordered by for a duty: the processor time, then a rendezvous weight that
 /// spreads duties over entries with equal processor time.
 type Fitness = (CoreShare, u64);
@@ -441,7 +471,7 @@
 
     /// Returns whether there are so few entries that each sends its loads to all others.
     pub fn is_full_mesh(&self) -> bool {
-        self.peers.len() <= FANOUT_MAX
+        self.peers.len() <= FULL_MESH_MAX
     }
 
     /// Returns whether the current loads of the peers are taken as those of all other entries: the
@@ -450,36 +480,88 @@
         self.is_full_mesh() && self.peers.iter().any(|peer| peer.has_current_loads(now))
     }
 
-    /// Returns the addresses to send a datagram to, which include those of `required`, and removes
-    /// peers that are not listed and without a recent message.
+    /// Returns the recipients of datagrams, which include those of `required`, and removes peers that
+    /// are not listed and without a recent message.
     ///
-    /// With many peers, each entry sends to all at first, and then to those with the highest
-    /// rendezvous weights for it, so that all entries have about the same number of senders. Most
-    /// recipients are in its own data centre.
-    pub fn recipients(&mut self, required: &[EntryId], now: Instant) -> Vec<SocketAddr> {
+    /// With many peers, each entry sends to all at first, so that they know it, and then to some of
+    /// them. The loads of targets go to some entries of its own data centre, so that each has as many
+    /// senders, and from some entries of the data centre to one entry in each other one. So the
+    /// traffic between data centres does not grow with their entries.
+    pub fn recipients(&mut self, required: &[EntryId], now: Instant) -> Vec<Recipient> {
         let is_recent =
             |peer: &Peer| now.saturating_duration_since(peer.last_seen_at) < PEER_RETENTION;
         let is_kept = |peer: &Peer| peer.is_listed || is_recent(peer);
         self.peers.retain(is_kept);
+        if self.is_full_mesh() {
+            let recipient = |peer: &Peer| Recipient {
+                address: peer.address,
+                takes_loads: true,
+                takes_all: true,
+            };
+            return self.peers.iter().map(recipient).collect();
+        }
         let mut peers: Vec<&Peer> = self.peers.iter().collect();
+        let weight = |peer: &&Peer| rendezvous_weight(self.own.as_str(), peer.entry.as_str());
+        peers.sort_by_key(|peer| std::cmp::Reverse(weight(peer)));
+        let is_remote = |peer: &&Peer| peer.data_centre != self.data_centre;
+        let remote: Vec<&Peer> = peers.iter().copied().filter(is_remote).collect();
+        let is_bridge = self.is_bridge();
+        let mut bridged: Vec<&DataCentreId> = Vec::new();
+        let (mut with_loads, mut others) = (self.local_recipients(), Vec::new());
+        for peer in remote {
+            if is_bridge && !bridged.contains(&&peer.data_centre) {
+                bridged.push(&peer.data_centre);
+                with_loads.push(peer);
+            } else {
+                others.push(peer);
+            }
+        }
+        others.truncate(FANOUT_REMOTE.saturating_sub(bridged.len()));
         let is_new = |at: Instant| now.saturating_duration_since(at) < ANNOUNCE_TIME;
-        if !self.is_full_mesh() && !self.listed_at.is_some_and(is_new) {
-            let weight = |peer: &&Peer| rendezvous_weight(self.own.as_str(), peer.entry.as_str());
-            peers.sort_by_key(|peer| std::cmp::Reverse(weight(peer)));
-            let is_local = |peer: &&Peer| peer.data_centre == self.data_centre;
-            let (mut local, mut remote): (Vec<&Peer>, Vec<&Peer>) =
-                peers.into_iter().partition(is_local);
-            local.truncate(FANOUT_MAX.saturating_sub(remote.len().min(FANOUT_REMOTE_MIN)));
-            remote.truncate(FANOUT_MAX - local.len());
-            local.extend(remote);
-            peers = local;
-            let missing = required
-                .iter()
-                .filter(|entry| !peers.iter().any(|peer| peer.entry == **entry))
-                .filter_map(|entry| self.peers.get(entry));
-            let missing: Vec<&Peer> = missing.collect();
-            peers.extend(missing);
+        let is_announcing = self.listed_at.is_some_and(is_new);
+        let is_required = |peer: &Peer| is_announcing || required.contains(&peer.entry);
+        others.retain(|peer| !is_required(peer));
+        let is_in = |peers: &[&Peer], peer: &Peer| peers.iter().any(|p| p.entry == peer.entry);
+        let required = peers.iter().filter(|peer| is_required(peer));
+        let required = required.filter(|peer| !is_in(&with_loads, peer));
+        let recipient = |peer: &Peer, takes_loads, takes_all| Recipient {
+            address: peer.address,
+            takes_loads,
+            takes_all,
+        };
+        let with_loads = with_loads.iter().map(|peer| recipient(peer, true, true));
+        let others = others.iter().map(|peer| recipient(peer, false, false));
+        let required = required.map(|peer| recipient(peer, false, true));
+        with_loads.chain(required).chain(others).collect()
+    }
+
+    /// Returns the entries of this data centre that loads are sent to. The entries are ordered in a
+    /// ring, and each sends to those at the same distances from it, so that each has as many senders
+    /// as recipients. The distances are spread over the ring, so that loads take few steps.
+    fn local_recipients(&self) -> Vec<&Peer> {
+        let weight = |entry: &EntryId| (rendezvous_weight(RING_KEY, entry.as_str()), entry.clone());
+        let local = self.peers.iter();
+        let local = local.filter(|peer| peer.data_centre == self.data_centre);
+        let mut ring: Vec<&Peer> = local.collect();
+        ring.sort_by_key(|peer| weight(&peer.entry));
+        if ring.len() <= FANOUT_LOCAL {
+            return ring;
         }
-        peers.into_iter().map(|peer| peer.address).collect()
+        let own = weight(&self.own);
+        let next = ring.partition_point(|peer| weight(&peer.entry) < own);
+        // The peer at distance 1 is at `next`, since this entry itself is not in the ring.
+        let mut distances: Vec<usize> = (1..=ring.len()).collect();
+        distances.sort_by_key(|distance| rendezvous_weight(RING_KEY, &distance.to_string()));
+        let distances = distances.into_iter().take(FANOUT_LOCAL);
+        let at = |distance: usize| ring[(next + distance - 1) % ring.len()];
+        distances.map(at).collect()
+    }
+
+    /// Returns whether this entry sends the loads of targets to other data centres.
+    fn is_bridge(&self) -> bool {
+        let own = self.own_fitness(BRIDGE_KEY);
+        let is_ahead =
+            |peer: &&Peer| peer.data_centre == self.data_centre && peer.fitness(BRIDGE_KEY) > own;
+        self.peers.iter().filter(is_ahead).count() < BRIDGES
     }
 }
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -15,6 +15,7 @@
 mod test_forward;
 mod test_forward_loads;
 mod test_gateway_peers;
+mod test_gossip_spread;
 mod test_head;
 mod test_head_simulation;
 mod test_history;
