lease: the reads of all challengers hardly grow with their number

With 195 entries, challengers read the row of the formation lease 33 times a second, a third of the calls: the interval grew by a quarter of the first one a rank, so that the sum of all rates grows with the logarithm of the entries. It now grows by a factor of 1.25 a rank, up to 64: 15 reads a second with 195 entries. The first ranks read about as often as before, so a hand-over takes as long; the sixth reads every 1.5 s.

The test fails on the code before (33 a second with 195 entries).

--- a/lib/src/process/gateway/coordinate.rs
+++ b/lib/src/process/gateway/coordinate.rs
@@ -30,10 +30,6 @@
 /// How long the lease is valid without a renewal: long enough to survive several lost calls, short
 /// enough to leave little time without a holder after a failure.
 const LEASE_TERM: Duration = Duration::from_millis(2_500);
-/// The growth of the lease read interval per rank, relative to the interval of rank 0. Only two or
-/// three entries then read the lease about as often as it is renewed, regardless of the number of
-/// entries.
-const READ_INTERVAL_FACTOR_PER_RANK: f64 = 0.25;
 /// The longest interval between two steps of the coordinator.
 const TICK_INTERVAL: Duration = Duration::from_millis(40);
 /// The shortest interval between two steps. A step takes some tenths of a millisecond with hundreds
@@ -163,7 +159,7 @@
         let now = self.state.clock.now();
         let rank = self.state.with_peers(|peers| peers.rank_for(LEASE_KEY));
         self.lease
-            .set_read_interval_factor(1.0 + rank as f64 * READ_INTERVAL_FACTOR_PER_RANK);
+            .set_read_interval_factor(LeaseSettings::read_interval_factor_of(rank));
         if let Some(action) = self.lease.poll(now, new_attempt_id) {
             self.call_platform(action);
         }
--- a/lib/src/process/lease/settings.rs
+++ b/lib/src/process/lease/settings.rs
@@ -18,6 +18,12 @@
 const RETRIES_PER_TERM: u32 = 10;
 /// The number of stagger steps over which challengers spread their takeovers.
 const STAGGER_STEPS: u32 = 16;
+/// The growth of the read interval from one rank to the next. All challengers together then read
+/// about as often as five of rank 0, however many there are.
+const READ_INTERVAL_GROWTH: f64 = 1.25;
+/// The largest factor of the read interval, so that each entry notices some time that all others that
+/// read more often are gone.
+const READ_INTERVAL_FACTOR_MAX: f64 = 64.0;
 /// The length of a stagger step, as a divisor of the term.
 const STAGGER_DIVISOR: u32 = 64;
 
@@ -71,6 +77,14 @@
         (self.term / READS_PER_TERM).mul_f64(self.read_interval_factor.max(1.0))
     }
 
+    /// Returns the factor of the read interval for the challenger with this rank, from 0.
+    pub fn read_interval_factor_of(rank: usize) -> f64 {
+        let rank = i32::try_from(rank).unwrap_or(i32::MAX);
+        READ_INTERVAL_GROWTH
+            .powi(rank)
+            .min(READ_INTERVAL_FACTOR_MAX)
+    }
+
     /// Returns the delay before a failed call is retried.
     pub fn retry_interval(&self) -> Duration {
         self.term / RETRIES_PER_TERM
--- a/lib/tests/test_lease.rs
+++ b/lib/tests/test_lease.rs
@@ -485,3 +485,29 @@
     assert_eq!(holders.count(), 1);
     assert_eq!(table.lease().unwrap().epoch, Epoch(2));
 }
+
+// The pattern: many entries compete for one lease. The reads of all of them were 33 a second with 195
+// entries and grew with their number.
+#[test]
+fn lease_reads_of_all_challengers_hardly_grow_with_their_number() {
+    let reads_per_s = |entries: usize| -> f64 {
+        let of_rank = |rank| {
+            let settings = LeaseSettings {
+                read_interval_factor: LeaseSettings::read_interval_factor_of(rank),
+                ..LeaseSettings::new(
+                    "formation".to_owned(),
+                    "entry-1".parse().unwrap(),
+                    Incarnation(1),
+                )
+                .with_term(Duration::from_millis(2_500))
+            };
+            settings.read_interval().as_secs_f64().recip()
+        };
+        (0..entries).map(of_rank).sum()
+    };
+    assert!(reads_per_s(13) < 11.0);
+    assert!(reads_per_s(195) < 17.0);
+    assert!(reads_per_s(300) / reads_per_s(100) < 1.6);
+    // An entry takes over within some seconds even if the five before it are gone.
+    assert!(LeaseSettings::read_interval_factor_of(5) < 4.0);
+}
