formation: records without the number of orders are applied as before

A missing number now gives no order between two records.

The test removes the field from a relayed record, as an earlier version does; it was not run on the code before.

--- a/lib/src/process/formation/host_tracker.rs
+++ b/lib/src/process/formation/host_tracker.rs
@@ -69,8 +69,7 @@
     /// Returns whether the host wrote `record` before it had accepted all orders that this report
     /// counts.
     fn is_newer_than(&self, record: &TargetRecord) -> bool {
-        self.accepted_orders
-            .is_some_and(|count| record.accepted_orders < count)
+        is_fewer(record.accepted_orders, self.accepted_orders)
     }
 }
 
@@ -230,7 +229,7 @@
             known.is_some_and(|known| known.record.incarnation == record.incarnation);
         // Records that were read from a lagging copy of the registry are older than the known one.
         let is_outdated = known.is_some_and(|known| {
-            is_same_incarnation && record.accepted_orders < known.record.accepted_orders
+            is_same_incarnation && is_fewer(record.accepted_orders, known.record.accepted_orders)
         });
         if is_outdated {
             return;
@@ -333,6 +332,13 @@
     }
 }
 
+/// Returns whether both numbers are known and the first one is smaller.
+fn is_fewer(first: Option<u64>, second: Option<u64>) -> bool {
+    first
+        .zip(second)
+        .is_some_and(|(first, second)| first < second)
+}
+
 /// The name of a host in a snapshot, as the element of a sorted set.
 struct Listed(HostId);
 
--- a/lib/src/target/record.rs
+++ b/lib/src/target/record.rs
@@ -89,10 +89,11 @@
     pub weights: Vec<WeightsId>,
     /// The host's membership in a group, if any.
     pub membership: Option<Membership>,
-    /// The number of orders that the target's process had accepted when the record was written; 0
-    /// if the target does not count them.
+    /// The number of orders that the target's process had accepted when the record was written;
+    /// `None` if the target does not count them, or from an entry of an earlier version, which omits
+    /// it.
     #[serde(default)]
-    pub accepted_orders: u64,
+    pub accepted_orders: Option<u64>,
 }
 
 impl Keyed for TargetRecord {
--- a/lib/tests/test_formation_handover.rs
+++ b/lib/tests/test_formation_handover.rs
@@ -9,7 +9,9 @@
 
 use beryltray_lib::ids::Epoch;
 use beryltray_lib::process::formation::HostTracker;
+use beryltray_lib::target::record::Availability;
 use beryltray_lib::target::record::GroupOrder;
+use beryltray_lib::target::record::TargetRecord;
 use beryltray_lib::version::routes::EngineProfile;
 use beryltray_lib::version::routes::ModelProfile;
 use beryltray_testutils::fleet::SimulatedFleet;
@@ -112,3 +114,31 @@
     let membership = tracker.get(&host).and_then(|tracked| tracked.membership());
     assert_eq!(membership.map(|m| m.group.as_str()), Some("g1"));
 }
+
+// Guards against an entry that ignores all records which it reads from an entry of an earlier version:
+// these do not have the number of orders.
+#[test]
+fn host_tracker_record_from_earlier_version_is_applied() {
+    let now = Instant::now();
+    let mut fleet = SimulatedFleet::new("writers", profile(), &[1], now);
+    let mut tracker = HostTracker::new();
+    let host = fleet.hosts[0].id.clone();
+    let join = GroupOrder::Join {
+        group: "g1".parse().unwrap(),
+        epoch: Epoch(1),
+        weights: "large".parse().unwrap(),
+        members: vec![host.clone()],
+    };
+    fleet.order(&host, &join, None, now).unwrap();
+    tracker.on_snapshot(fleet.snapshot(), now);
+    fleet.change(&host, |host| host.draining_since = Some(now));
+    let mut relayed = serde_json::to_value(fleet.snapshot()).unwrap();
+    let fields = relayed[0].as_object_mut().unwrap();
+    assert!(fields.remove("accepted_orders").is_some());
+    let records: Vec<TargetRecord> = serde_json::from_value(relayed).unwrap();
+    tracker.on_snapshot(records, now + Duration::from_millis(100));
+    let availability = tracker
+        .get(&host)
+        .map(|tracked| tracked.record.availability);
+    assert_eq!(availability, Some(Availability::Draining));
+}
--- a/lib/testutils/src/fleet.rs
+++ b/lib/testutils/src/fleet.rs
@@ -688,7 +688,7 @@
             staged: host.staged.iter().cloned().collect(),
             weights: host.last_weights.iter().cloned().collect(),
             membership: host.membership.clone(),
-            accepted_orders: host.accepted_orders,
+            accepted_orders: Some(host.accepted_orders),
         }
     }
 }
