formation: a host that has confirmed another group is not chosen again

Suspected, from reading: a host that the registry dropped reports a group that is not tracked; the new group is given up, but the host was chosen again at each step, since its record still showed it free, and the other members were ordered to join again and again. The report is now part of the choice.

--- a/lib/src/process/formation/free_hosts.rs
+++ b/lib/src/process/formation/free_hosts.rs
@@ -104,6 +104,7 @@
             || !(tracked.is_usable(now) || tracked.is_up_unlisted(now))
             || tracked.is_in_doubt()
             || self.group_of(&record.host).is_some()
+            || self.has_confirmed_other_group(tracked)
         {
             return false;
         }
--- a/lib/src/process/formation/join_check.rs
+++ b/lib/src/process/formation/join_check.rs
@@ -8,13 +8,13 @@
 //! - its answers to the joins and leaves of this lease holder. A host that has accepted a join under
 //!   this lease rejects those of earlier holders, so it is only moved by this one.
 
-use std::time::Instant;
-
 use super::controller::FormationController;
 use super::controller::is_warm_spare_id;
 use super::group::Group;
 use super::group::GroupMember;
 use super::host_tracker::HostTracker;
+use super::host_tracker::OwnReport;
+use super::host_tracker::TrackedHost;
 use crate::ids::Epoch;
 use crate::ids::GroupId;
 use crate::ids::HostId;
@@ -146,15 +146,7 @@
         }
         let tracked = tracker.get(&member.host);
         let tracked = tracked.filter(|host| host.record.incarnation == member.incarnation);
-        let is_fresh = |requested_at: Instant| {
-            let is_after_orders = match last_order {
-                Some(order) => order.ended_at.is_some_and(|at| requested_at > at),
-                None => true,
-            };
-            requested_at > self.acquired_at && is_after_orders
-        };
-        let report = tracked.and_then(|host| host.own_report.as_ref());
-        match report.filter(|report| is_fresh(report.requested_at)) {
+        match tracked.and_then(|host| self.confirming_report(host)) {
             None => JoinCheck::Unconfirmed,
             Some(report) => match &report.membership {
                 Some(current) => self.check_membership(group, &current.group, current.epoch),
@@ -163,6 +155,27 @@
         }
     }
 
+    /// Returns the host's own report if it was requested after the lease was acquired and after the last
+    /// order to the host had ended.
+    fn confirming_report<'a>(&self, tracked: &'a TrackedHost) -> Option<&'a OwnReport> {
+        let report = tracked.own_report.as_ref()?;
+        let is_after_orders = match self.order_calls.get(&tracked.record.host) {
+            Some(order) => order.ended_at.is_some_and(|at| report.requested_at > at),
+            None => true,
+        };
+        (report.requested_at > self.acquired_at && is_after_orders).then_some(report)
+    }
+
+    /// Returns whether the host has confirmed that it is in a group that has not ended, whatever the
+    /// registry says of it. A group formed with such a host would be given up at once.
+    pub(super) fn has_confirmed_other_group(&self, tracked: &TrackedHost) -> bool {
+        let report = self.confirming_report(tracked);
+        let membership = report.and_then(|report| report.membership.as_ref());
+        membership.is_some_and(|membership| {
+            !is_warm_spare_id(&membership.group) && !self.ended.contains_key(&membership.group)
+        })
+    }
+
     fn check_membership(&self, group: &Group, current: &GroupId, epoch: Epoch) -> JoinCheck {
         if *current == group.id || is_warm_spare_id(current) {
             return JoinCheck::Free;
