gateway: log lines and a gauge for targets that say that they leave

Nothing acts on it yet, so that the failing test runs on the behaviour of before. The word of a misdirected answer (421) does not count, because another target may have given it at an address that is used again.

--- a/lib/src/process/formation/host_tracker.rs
+++ b/lib/src/process/formation/host_tracker.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use crate::ids::HostId;
+use crate::ids::Incarnation;
 use crate::sorted::Keyed;
 use crate::sorted::SortedVec;
 use crate::target::record::Availability;
@@ -88,6 +89,9 @@
     pub first_listed_at: Instant,
     /// When the registry last listed the host's current incarnation again after dropping it.
     pub relisted_at: Option<Instant>,
+    /// When the host's current incarnation last said, in an answer to a request, that it leaves;
+    /// `None` if it did not.
+    pub leaving_stated_at: Option<Instant>,
     record_received_at: Instant,
     /// When the last answered call was sent.
     answered_at: Option<Instant>,
@@ -254,6 +258,9 @@
         let own_report = known
             .filter(|_| is_same_incarnation)
             .and_then(|known| known.own_report.clone());
+        let leaving_stated_at = known
+            .filter(|_| is_same_incarnation)
+            .and_then(|known| known.leaving_stated_at);
         self.hosts.insert(TrackedHost {
             record,
             unlisted_from: None,
@@ -261,6 +268,7 @@
             own_report,
             first_listed_at,
             relisted_at,
+            leaving_stated_at,
             record_received_at: now,
             answered_at,
         });
@@ -321,6 +329,25 @@
         }
     }
 
+    /// Records that an incarnation of a host said at `stated_at` that it leaves. Returns whether that
+    /// is news. The word of any other incarnation than the current one is ignored.
+    pub fn on_leaving_stated(
+        &mut self,
+        host: &HostId,
+        incarnation: Incarnation,
+        stated_at: Instant,
+    ) -> bool {
+        let Some(tracked) = self.hosts.get_mut(host) else {
+            return false;
+        };
+        if tracked.record.incarnation != incarnation {
+            return false;
+        }
+        let known = tracked.leaving_stated_at;
+        tracked.leaving_stated_at = known.max(Some(stated_at));
+        known.is_none()
+    }
+
     /// Returns a host; `None` if it was never listed or was removed long ago.
     pub fn get(&self, host: &HostId) -> Option<&TrackedHost> {
         self.hosts.get(host)
--- a/lib/src/process/gateway/context.rs
+++ b/lib/src/process/gateway/context.rs
@@ -17,6 +17,7 @@
 use crate::ids::EntryId;
 use crate::ids::GroupId;
 use crate::ids::HostId;
+use crate::ids::Incarnation;
 use crate::ids::RequestFeature;
 use crate::ids::ServiceId;
 use crate::process::lifecycle::Stage;
@@ -65,6 +66,7 @@
 {
     state: Arc<GatewayState<C>>,
     host: HostId,
+    incarnation: Incarnation,
     group: Option<GroupId>,
     address: SocketAddr,
     service: ServiceId,
@@ -217,6 +219,10 @@
         });
     }
 
+    fn on_leaving_stated(&mut self) {
+        self.state.on_leaving_stated(&self.host, self.incarnation);
+    }
+
     fn on_first_answer(&mut self, load: Option<AnswerLoad>) {
         self.is_silent = false;
         self.has_answered = true;
@@ -398,6 +404,7 @@
         Ok(Reservation::Target(ReservedTarget {
             state: Arc::clone(&self.state),
             host: target.host,
+            incarnation: target.incarnation,
             group: target.group,
             address: target.address,
             service: target.service,
--- a/lib/src/process/gateway/metrics.rs
+++ b/lib/src/process/gateway/metrics.rs
@@ -53,6 +53,9 @@
     limit_refusals: IntCounterVec,
     /// Targets that name a request limit.
     pub limited_targets: IntGauge,
+    /// Targets that say in their answers that they leave, while their records say that they are
+    /// ready.
+    pub leaving_targets: IntGauge,
     /// 1 while this entry reaches no target, 0 otherwise.
     pub is_cut_off: IntGauge,
     /// 1 while this entry holds the formation lease, 0 otherwise.
@@ -152,6 +155,10 @@
                 "limited_targets",
                 "Targets that name a limit on the rate of requests.",
             )?,
+            leaving_targets: gauge(
+                "leaving_targets",
+                "Targets that say that they leave, though their records don't.",
+            )?,
             holds_lease: gauge("holds_lease", "Whether this entry forms the groups.")?,
         };
         metrics.register()?;
@@ -179,6 +186,7 @@
         registry.register(Box::new(self.quarantine_refusals.clone()))?;
         registry.register(Box::new(self.limit_refusals.clone()))?;
         registry.register(Box::new(self.limited_targets.clone()))?;
+        registry.register(Box::new(self.leaving_targets.clone()))?;
         registry.register(Box::new(self.holds_lease.clone()))
     }
 
--- a/lib/src/process/gateway/mod.rs
+++ b/lib/src/process/gateway/mod.rs
@@ -12,6 +12,7 @@
 mod crash_records;
 mod follow;
 mod gossip;
+mod leaving;
 mod limit_gossip;
 mod limit_state;
 mod link_check;
--- a/lib/src/process/gateway/passed_on.rs
+++ b/lib/src/process/gateway/passed_on.rs
@@ -106,9 +106,11 @@
         true
     }
 
-    // The other entry keeps the target's limit and load.
+    // The other entry knows which target it is, and keeps its limit, load and state.
     fn on_stated_limit(&mut self, _limit: StatedLimit) {}
 
+    fn on_leaving_stated(&mut self) {}
+
     fn on_first_answer(&mut self, _load: Option<AnswerLoad>) {
         self.on_progress();
     }
@@ -202,6 +204,10 @@
         delegate!(self, on_stated_limit(limit));
     }
 
+    fn on_leaving_stated(&mut self) {
+        delegate!(self, on_leaving_stated());
+    }
+
     fn on_first_answer(&mut self, load: Option<AnswerLoad>) {
         delegate!(self, on_first_answer(load));
     }
--- a/lib/src/process/gateway/serving.rs
+++ b/lib/src/process/gateway/serving.rs
@@ -6,6 +6,7 @@
 use crate::ids::DataCentreId;
 use crate::ids::GroupId;
 use crate::ids::HostId;
+use crate::ids::Incarnation;
 use crate::ids::ServiceId;
 use crate::ids::WeightsId;
 use crate::process::formation::HostTracker;
@@ -20,6 +21,8 @@
 pub struct ServingTarget {
     /// The host of a plain service, or the leader of a group.
     pub host: HostId,
+    /// The incarnation of the target's process.
+    pub incarnation: Incarnation,
     /// The address that requests are sent to.
     pub address: SocketAddr,
     /// The service that the target runs.
@@ -62,6 +65,7 @@
         };
         Some(ServingTarget {
             host: record.host.clone(),
+            incarnation: record.incarnation,
             address: record.address,
             service: record.service.clone(),
             group: record
--- a/lib/src/process/gateway/state.rs
+++ b/lib/src/process/gateway/state.rs
@@ -217,6 +217,7 @@
                 .with_label_values(&labels)
                 .set(count);
         }
+        self.metrics.leaving_targets.set(inner.leaving_count(now));
         drop(inner);
         self.targets_changed.notify_waiters();
     }
--- a/lib/src/request/forward/context.rs
+++ b/lib/src/request/forward/context.rs
@@ -116,6 +116,9 @@
     /// Records what an answer of the target, which may be a refusal, says about its limit.
     fn on_stated_limit(&mut self, limit: StatedLimit);
 
+    /// Records that the target says in an answer, which may be a refusal, that it leaves.
+    fn on_leaving_stated(&mut self);
+
     /// Records that the head of the answer arrived, with the load that it reports.
     fn on_first_answer(&mut self, load: Option<AnswerLoad>);
 
--- a/lib/src/request/forward/protocol.rs
+++ b/lib/src/request/forward/protocol.rs
@@ -114,6 +114,8 @@
     pub load: Option<AnswerLoad>,
     /// The target's limit on the rate of requests.
     pub limit: StatedLimit,
+    /// Whether the target says that it is about to end and wants no new requests.
+    pub is_leaving: bool,
     /// The host that prevented the request from running, if the answer names one.
     pub faulty_host: Option<HostId>,
 }
--- a/lib/src/request/forward/send.rs
+++ b/lib/src/request/forward/send.rs
@@ -148,6 +148,9 @@
         // A misdirected request may have reached another target, at an address that is used again.
         if matches!(checked, Ok(()) | Err(SendFailure::NotRun)) {
             self.target.on_stated_limit(answer.limit);
+            if answer.is_leaving {
+                self.target.on_leaving_stated();
+            }
         }
         if let Err(send_failure) = checked {
             self.target.on_end(Some(send_failure));
