gateway: a target that says that it leaves gets no new requests

Cause: nothing read the header Server-Leaving. An entry knew a leaving target by its record only, which lags while the store is away, slow, or not reached by the target or the entry.

The word now belongs to the host's incarnation in the host tracker, and counts like a record that says draining: for the choice of targets, for sends whose connection is just being opened, for resumed streams, and for group formation. It counts from the head of any answer of the target, also one that is dropped because a retry follows or whose body breaks. It outlasts records of the same incarnation and ends with the next one.

--- a/lib/src/process/formation/host_tracker.rs
+++ b/lib/src/process/formation/host_tracker.rs
@@ -125,11 +125,22 @@
         self.unlisted_from.is_none_or(|at| now < at)
     }
 
+    /// Returns whether the host accepts new work, by its record and by its own answers. A host whose
+    /// record lags, because the registry is away or not reached, says first in its answers that it
+    /// leaves.
+    pub fn availability(&self) -> Availability {
+        if self.leaving_stated_at.is_some() {
+            Availability::Draining
+        } else {
+            self.record.availability
+        }
+    }
+
     /// Returns whether the host can get new work: listed, not draining, and not replaced by another
     /// process.
     pub fn is_usable(&self, now: Instant) -> bool {
         self.is_listed(now)
-            && self.record.availability == Availability::Ready
+            && self.availability() == Availability::Ready
             && self.liveness != Liveness::Replaced
     }
 
@@ -142,7 +153,7 @@
             .is_some_and(|at| now.saturating_duration_since(at) < ANSWER_VALIDITY);
         !self.is_listed(now)
             && is_recent
-            && self.record.availability == Availability::Ready
+            && self.availability() == Availability::Ready
             && self.liveness == Liveness::Alive
     }
 
--- a/lib/src/process/formation/phases.rs
+++ b/lib/src/process/formation/phases.rs
@@ -325,7 +325,7 @@
             return MemberStatus::Lost;
         }
         match tracked.membership() {
-            Some(membership) if membership.group == group.id => match tracked.record.availability {
+            Some(membership) if membership.group == group.id => match tracked.availability() {
                 Availability::Ready => MemberStatus::Joined(membership.state),
                 Availability::Draining => MemberStatus::Draining(membership.state),
             },
--- a/lib/src/process/gateway/leaving.rs
+++ b/lib/src/process/gateway/leaving.rs
@@ -40,7 +40,9 @@
         let availability = tracked.map(|tracked| tracked.record.availability.to_string());
         let is_listed = tracked.is_some_and(|tracked| tracked.is_listed(now));
         self.metrics.leaving_targets.set(inner.leaving_count(now));
+        inner.update_serving(now);
         drop(inner);
+        self.targets_changed.notify_waiters();
         log::info!(
             target:% = host, record = availability.unwrap_or_default().as_str(),
             is_listed = is_listed;
--- a/lib/src/process/gateway/state.rs
+++ b/lib/src/process/gateway/state.rs
@@ -356,7 +356,7 @@
 }
 
 impl Inner {
-    fn update_serving(&mut self, now: Instant) {
+    pub(super) fn update_serving(&mut self, now: Instant) {
         let Some(document) = &self.document else {
             return;
         };
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -19,6 +19,7 @@
 mod test_head;
 mod test_head_simulation;
 mod test_history;
+mod test_host_tracker;
 mod test_ini;
 mod test_layers;
 mod test_lease;
--- /dev/null
+++ b/lib/tests/test_host_tracker.rs
@@ -0,0 +1,84 @@
+//! Tests of what hosts say of themselves in their answers, beside their records.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use beryltray_lib::ids::HostId;
+use beryltray_lib::ids::Incarnation;
+use beryltray_lib::process::formation::HostTracker;
+use beryltray_lib::target::record::Availability;
+use beryltray_lib::target::record::TargetRecord;
+
+const FIRST: Incarnation = Incarnation(17);
+const SECOND: Incarnation = Incarnation(18);
+
+fn host() -> HostId {
+    "i-1".parse().unwrap()
+}
+
+fn record(incarnation: Incarnation) -> TargetRecord {
+    TargetRecord {
+        host: host(),
+        incarnation,
+        service: "ledger".parse().unwrap(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        data_centre: "lakes-a".parse().unwrap(),
+        availability: Availability::Ready,
+        slots: 6,
+        domain: None,
+        staged: Vec::new(),
+        weights: Vec::new(),
+        membership: None,
+        accepted_orders: None,
+    }
+}
+
+fn is_usable(tracker: &HostTracker, now: Instant) -> bool {
+    tracker.get(&host()).is_some_and(|host| host.is_usable(now))
+}
+
+#[test]
+fn on_leaving_stated_host_is_unusable_and_news_is_reported_once() {
+    let now = Instant::now();
+    let mut tracker = HostTracker::new();
+    tracker.on_record(record(FIRST), now);
+    assert!(is_usable(&tracker, now));
+    assert!(tracker.on_leaving_stated(&host(), FIRST, now));
+    assert!(!tracker.on_leaving_stated(&host(), FIRST, now));
+    assert!(!is_usable(&tracker, now));
+    let availability = tracker.get(&host()).unwrap().availability();
+    assert_eq!(availability, Availability::Draining);
+}
+
+// Guards against a word that is forgotten because the record is written again, or vanishes and
+// returns, as after an outage of the registry.
+#[test]
+fn on_leaving_stated_outlasts_records_of_the_same_incarnation() {
+    let now = Instant::now();
+    let later = now + Duration::from_secs(5);
+    let mut tracker = HostTracker::new();
+    tracker.on_record(record(FIRST), now);
+    tracker.on_leaving_stated(&host(), FIRST, now);
+    tracker.on_record(record(FIRST), later);
+    assert!(!is_usable(&tracker, later));
+    tracker.on_removed(&host(), later);
+    tracker.on_record(record(FIRST), later);
+    assert!(!is_usable(&tracker, later));
+    tracker.on_snapshot(Vec::new(), later);
+    tracker.on_snapshot(vec![record(FIRST)], later);
+    assert!(!is_usable(&tracker, later));
+}
+
+// Guards against a word that is applied to another process than the one that gave it.
+#[test]
+fn on_leaving_stated_applies_to_one_incarnation() {
+    let now = Instant::now();
+    let mut tracker = HostTracker::new();
+    assert!(!tracker.on_leaving_stated(&host(), FIRST, now));
+    tracker.on_record(record(FIRST), now);
+    assert!(!tracker.on_leaving_stated(&host(), SECOND, now));
+    assert!(is_usable(&tracker, now));
+    tracker.on_leaving_stated(&host(), FIRST, now);
+    tracker.on_record(record(SECOND), now);
+    assert!(is_usable(&tracker, now));
+}
