gateway: entries tell each other which targets say that they leave

An entry that is cut off from the targets passes answers on that another entry has fetched, so it hands out a target's word without knowing whose it is, and sent to that target itself once it reached it again. An entry that the target had not answered yet sent to it as well.

Entries gossip the word with the incarnation for 3 s. A word that is known already is not renewed by gossip, since the error of its age would keep it alive.

--- a/lib/src/process/gateway/gossip.rs
+++ b/lib/src/process/gateway/gossip.rs
@@ -154,6 +154,7 @@
             has_requests: state.request_count() > 0,
             can_forward: state.can_forward(),
             limits: payload.limits,
+            leaving: payload.leaving,
             quarantine: state.with_quarantine(|quarantine, now| quarantine.gossip(now)),
         };
         let now = state.clock.now();
@@ -178,6 +179,7 @@
         // What others have to act on at once is sent to all, without a wait.
         let is_urgent = !message.stalled.is_empty()
             || !message.limits.is_empty()
+            || !message.leaving.is_empty()
             || message.quarantine != QuarantineGossip::default();
         let is_sent = |recipient: &&Recipient| is_urgent || recipient.takes(number);
         for recipient in recipients.iter().filter(is_sent) {
--- a/lib/src/process/gateway/leaving.rs
+++ b/lib/src/process/gateway/leaving.rs
@@ -1,7 +1,15 @@
 //! What a gateway does when targets say in their answers that they leave.
+//!
+//! The word counts for one incarnation of a target, in the host tracker. Entries tell it each other,
+//! because one that was told nothing may have passed it on: an entry that is cut off from the targets
+//! does not know from which target an answer came that another entry has fetched.
 
+use std::time::Duration;
 use std::time::Instant;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use super::state::GatewayState;
 use super::state::Inner;
 use crate::clock::Clock;
@@ -10,6 +18,43 @@
 use crate::process::formation::TrackedHost;
 use crate::target::record::Availability;
 
+/// How long the word of a target is gossiped. It spans several datagrams, and the time in which the
+/// record of the target's start reaches all entries.
+const GOSSIP_TIME: Duration = Duration::from_secs(3);
+/// The most such targets in a datagram; those that said it last are preferred.
+const GOSSIPED_MAX: usize = 64;
+
+/// A target's word that it leaves, in a gossip datagram.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(from = "LeavingTuple", into = "LeavingTuple")]
+pub struct GossipedLeaving {
+    /// The target.
+    pub host: HostId,
+    /// The incarnation of the target's process.
+    pub incarnation: Incarnation,
+    /// How many milliseconds ago the target said so to an entry.
+    pub age_ms: u64,
+}
+
+/// The encoded form of a [`GossipedLeaving`], without field names to keep the datagram short.
+type LeavingTuple = (HostId, Incarnation, u64);
+
+impl From<LeavingTuple> for GossipedLeaving {
+    fn from((host, incarnation, age_ms): LeavingTuple) -> Self {
+        Self {
+            host,
+            incarnation,
+            age_ms,
+        }
+    }
+}
+
+impl From<GossipedLeaving> for LeavingTuple {
+    fn from(gossiped: GossipedLeaving) -> Self {
+        (gossiped.host, gossiped.incarnation, gossiped.age_ms)
+    }
+}
+
 impl Inner {
     /// Returns the number of targets that say that they leave, while their records say that they are
     /// ready.
@@ -22,6 +67,23 @@
         let count = self.host_tracker.iter().filter(leaves).count();
         i64::try_from(count).unwrap_or(i64::MAX)
     }
+
+    /// Returns the targets that said recently that they leave, for the next datagram.
+    pub(super) fn gossiped_leaving(&self, now: Instant) -> Vec<GossipedLeaving> {
+        let gossiped = |tracked: &TrackedHost| {
+            let age = now.saturating_duration_since(tracked.leaving_stated_at?);
+            (age < GOSSIP_TIME).then(|| GossipedLeaving {
+                host: tracked.record.host.clone(),
+                incarnation: tracked.record.incarnation,
+                age_ms: age.as_millis() as u64,
+            })
+        };
+        let mut leaving: Vec<GossipedLeaving> =
+            self.host_tracker.iter().filter_map(gossiped).collect();
+        leaving.sort_by_key(|gossiped| gossiped.age_ms);
+        leaving.truncate(GOSSIPED_MAX);
+        leaving
+    }
 }
 
 impl<C> GatewayState<C>
@@ -30,10 +92,38 @@
 {
     /// Records that a target said in an answer to this entry that it leaves.
     pub(super) fn on_leaving_stated(&self, host: &HostId, incarnation: Incarnation) {
+        let now = self.clock.now();
+        self.apply_leaving(host, incarnation, now, true);
+    }
+
+    /// Applies what a peer gossips about targets that leave.
+    pub(super) fn on_gossiped_leaving(&self, leaving: &[GossipedLeaving]) {
+        let now = self.clock.now();
+        for gossiped in leaving.iter().take(GOSSIPED_MAX) {
+            let age = Duration::from_millis(gossiped.age_ms);
+            let Some(stated_at) = now.checked_sub(age).filter(|_| age < GOSSIP_TIME) else {
+                continue;
+            };
+            self.apply_leaving(&gossiped.host, gossiped.incarnation, stated_at, false);
+        }
+    }
+
+    fn apply_leaving(
+        &self,
+        host: &HostId,
+        incarnation: Incarnation,
+        stated_at: Instant,
+        is_own: bool,
+    ) {
         let now = self.clock.now();
         let mut inner = self.inner();
         let tracker = &mut inner.host_tracker;
-        if !tracker.on_leaving_stated(host, incarnation, now) {
+        let known = tracker.get(host).and_then(|known| known.leaving_stated_at);
+        // With the error of the age, a word that is gossiped back would become newer each time.
+        if known.is_some() && !is_own {
+            return;
+        }
+        if !tracker.on_leaving_stated(host, incarnation, stated_at) {
             return;
         }
         let tracked = tracker.get(host);
@@ -45,7 +135,7 @@
         self.targets_changed.notify_waiters();
         log::info!(
             target:% = host, record = availability.unwrap_or_default().as_str(),
-            is_listed = is_listed;
+            is_listed = is_listed, is_own = is_own;
             "target says that it leaves"
         );
     }
--- a/lib/src/process/gateway/mod.rs
+++ b/lib/src/process/gateway/mod.rs
@@ -40,6 +40,7 @@
 pub use self::change_log::ChangeLog;
 pub use self::crash_records::CrashRecord;
 pub use self::crash_records::Suspect;
+pub use self::leaving::GossipedLeaving;
 pub use self::limit_gossip::GossipedLimit;
 pub use self::listeners::GatewayListeners;
 pub use self::metrics::GatewayMetrics;
--- a/lib/src/process/gateway/peers.rs
+++ b/lib/src/process/gateway/peers.rs
@@ -11,6 +11,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::leaving::GossipedLeaving;
 use super::limit_gossip::GossipedLimit;
 use super::quarantine_gossip::QuarantineGossip;
 use super::share_members::ShareMembers;
@@ -183,6 +184,9 @@
     /// The limits of targets; an entry of an earlier version omits it.
     #[serde(default)]
     pub limits: Vec<GossipedLimit>,
+    /// Targets that said recently that they leave; an entry of an earlier version omits it.
+    #[serde(default)]
+    pub leaving: Vec<GossipedLeaving>,
 }
 
 /// Another entry and its last datagram.
--- a/lib/src/process/gateway/state.rs
+++ b/lib/src/process/gateway/state.rs
@@ -11,6 +11,7 @@
 
 use super::change_log::ChangeLog;
 use super::crash_records::CrashRecord;
+use super::leaving::GossipedLeaving;
 use super::limit_gossip::GossipedLimit;
 use super::metrics::GatewayMetrics;
 use super::peers::GossipedLoad;
@@ -62,6 +63,8 @@
     pub stalled: Vec<(HostId, u64)>,
     /// The limits of targets, with requests that are left to peers.
     pub limits: Vec<GossipedLimit>,
+    /// Targets that said recently that they leave.
+    pub leaving: Vec<GossipedLeaving>,
 }
 
 /// The interfaces of the platform that a gateway uses.
@@ -255,6 +258,7 @@
         let mut inner = self.inner();
         inner.update_target_limits(now);
         let limits = inner.target_limits.gossip(now);
+        let leaving = inner.gossiped_leaving(now);
         let is_recent = |at: Instant| now.saturating_duration_since(at) < STALL_GOSSIP_TIME;
         inner.stalled_to_gossip.retain(|(_, at)| is_recent(*at));
         let age_ms = |at: Instant| now.saturating_duration_since(at).as_millis() as u64;
@@ -275,6 +279,7 @@
                 loads: Vec::new(),
                 stalled,
                 limits,
+                leaving,
             };
         }
         let loads = inner.usage.iter().map(|(host, usage)| GossipedLoad {
@@ -294,6 +299,7 @@
             loads: loads.filter(has_content).collect(),
             stalled,
             limits,
+            leaving,
         }
     }
 
@@ -328,6 +334,7 @@
         drop(inner);
         if is_accepted {
             self.with_quarantine(|quarantine, now| quarantine.on_gossip(&message.quarantine, now));
+            self.on_gossiped_leaving(&message.leaving);
             let own = &self.settings.entry;
             self.with_target_limits(|limits, now| {
                 limits.on_gossip(own, &message.entry, &message.limits, now);
--- a/lib/tests/test_gateway_peers.rs
+++ b/lib/tests/test_gateway_peers.rs
@@ -48,6 +48,7 @@
         can_forward: true,
         quarantine: QuarantineGossip::default(),
         limits: Vec::new(),
+        leaving: Vec::new(),
     }
 }
 
