gateway: requests are refused at once while all targets leave

While all targets of a plain service leave, a request waited for a ninth of its latency target and was then told to come back in 0.7 s, when nothing could have changed. It is now refused at once with 2 s, about the time after which a target that leaves ends and its replacement is listed. Services with groups are left as they are: their free hosts form another group in about 0.7 s.

--- a/lib/src/process/gateway/leaving.rs
+++ b/lib/src/process/gateway/leaving.rs
@@ -15,6 +15,7 @@
 use crate::clock::Clock;
 use crate::ids::HostId;
 use crate::ids::Incarnation;
+use crate::ids::ServiceId;
 use crate::process::formation::TrackedHost;
 use crate::target::record::Availability;
 
@@ -68,6 +69,23 @@
         i64::try_from(count).unwrap_or(i64::MAX)
     }
 
+    /// Returns the number of targets of a plain service that leave, by their records or their own
+    /// word, if all that are listed do; otherwise `None`. Hosts of other services may form another
+    /// group at any time.
+    pub(super) fn all_leaving(&self, service: &ServiceId, now: Instant) -> Option<usize> {
+        let document = self.document.as_ref()?;
+        let is_plain = document.service(service)?.engine.is_none();
+        let is_listed =
+            |tracked: &&TrackedHost| tracked.record.service == *service && tracked.is_listed(now);
+        let listed = self.host_tracker.iter().filter(is_listed);
+        let mut availabilities = listed.map(TrackedHost::availability).peekable();
+        let is_any_listed = availabilities.peek().is_some();
+        let leaving = availabilities.try_fold(0, |count, availability| {
+            (availability == Availability::Draining).then_some(count + 1)
+        });
+        leaving.filter(|_| is_plain && is_any_listed)
+    }
+
     /// Returns the targets that said recently that they leave, for the next datagram.
     pub(super) fn gossiped_leaving(&self, now: Instant) -> Vec<GossipedLeaving> {
         let gossiped = |tracked: &TrackedHost| {
--- a/lib/src/process/gateway/reservation.rs
+++ b/lib/src/process/gateway/reservation.rs
@@ -141,7 +141,10 @@
                     available_in,
                     candidates: passed_over.len(),
                 };
-                Err(waits.min().map_or(NoTarget::Absent, limited))
+                let leaving = self.all_leaving(&requirements.service, now);
+                let absent =
+                    leaving.map_or(NoTarget::Absent, |targets| NoTarget::Leaving { targets });
+                Err(waits.min().map_or(absent, limited))
             }
         };
         for target in passed_over {
--- a/lib/src/request/forward/context.rs
+++ b/lib/src/request/forward/context.rs
@@ -58,6 +58,11 @@
     Quarantined(ActiveQuarantine),
     /// No target that meets the requirements is serving at present.
     Absent,
+    /// All targets that are listed leave, so none takes new requests until others are listed.
+    Leaving {
+        /// The number of targets that leave.
+        targets: usize,
+    },
     /// The targets that meet the requirements take no more requests for now, by the limits that
     /// they name.
     Limited {
--- a/lib/src/request/forward/sends.rs
+++ b/lib/src/request/forward/sends.rs
@@ -30,6 +30,10 @@
 /// The divisor of the latency target that gives the maximum wait for a target to become available.
 const TARGET_WAIT_DIVISOR: u32 = 9;
 
+/// The retry delay for callers while all targets leave. A planned replacement of a target is listed
+/// when the target ends, some seconds after it begins to leave.
+const LEAVING_RETRY_AFTER: Duration = Duration::from_millis(2_000);
+
 /// How a send ended.
 pub(super) enum SendEnd<T> {
     /// The answer to return.
@@ -94,6 +98,10 @@
                     }
                     tokio::time::sleep_until(available_at).await;
                 }
+                Err(NoTarget::Leaving { .. }) => {
+                    let failure = self.plan.failure(NotRunReason::NoTarget);
+                    return Err(with_retry_after(failure, LEAVING_RETRY_AFTER));
+                }
                 Err(NoTarget::Absent) => {
                     let waited = tokio::time::timeout_at(wait_until, changed).await;
                     if waited.is_err() {
@@ -149,6 +157,13 @@
                 "request is not sent: the queue is too long and no target is free"
             );
         }
+        if let Err(NoTarget::Leaving { targets }) = &reserved {
+            log_request!(
+                request, route = request.route.name.as_str(), service:% = request.service,
+                leaving = *targets, is_new = self.requirements.is_new;
+                "request is not sent: all targets leave"
+            );
+        }
         if let Err(NoTarget::Limited {
             available_in,
             candidates,
