gateway: a target can take back that it leaves

A word that was given by mistake would have kept a sound target without requests until it starts again, at all entries. Requests may not be sent to find out, so after ten seconds with a record that is still ready each entry makes a health check: the word ends if the target itself answers 200, under its ID and without the header. Otherwise the next check follows after ten seconds.

--- a/lib/src/process/formation/host_tracker.rs
+++ b/lib/src/process/formation/host_tracker.rs
@@ -74,6 +74,15 @@
     }
 }
 
+/// A host's word, in answers to requests, that it leaves.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct StatedLeaving {
+    /// When the host last said so.
+    pub stated_at: Instant,
+    /// When the host last said so or a health check last failed.
+    pub confirmed_at: Instant,
+}
+
 /// A host's registry record, with its liveness and own report.
 #[derive(Clone, Debug)]
 pub struct TrackedHost {
@@ -89,9 +98,8 @@
     pub first_listed_at: Instant,
     /// When the registry last listed the host's current incarnation again after dropping it.
     pub relisted_at: Option<Instant>,
-    /// When the host's current incarnation last said, in an answer to a request, that it leaves;
-    /// `None` if it did not.
-    pub leaving_stated_at: Option<Instant>,
+    /// What the host's current incarnation said in answers about its leaving; `None` if it did not.
+    pub stated_leaving: Option<StatedLeaving>,
     record_received_at: Instant,
     /// When the last answered call was sent.
     answered_at: Option<Instant>,
@@ -129,7 +137,7 @@
     /// record lags, because the registry is away or not reached, says first in its answers that it
     /// leaves.
     pub fn availability(&self) -> Availability {
-        if self.leaving_stated_at.is_some() {
+        if self.stated_leaving.is_some() {
             Availability::Draining
         } else {
             self.record.availability
@@ -269,9 +277,9 @@
         let own_report = known
             .filter(|_| is_same_incarnation)
             .and_then(|known| known.own_report.clone());
-        let leaving_stated_at = known
+        let stated_leaving = known
             .filter(|_| is_same_incarnation)
-            .and_then(|known| known.leaving_stated_at);
+            .and_then(|known| known.stated_leaving);
         self.hosts.insert(TrackedHost {
             record,
             unlisted_from: None,
@@ -279,7 +287,7 @@
             own_report,
             first_listed_at,
             relisted_at,
-            leaving_stated_at,
+            stated_leaving,
             record_received_at: now,
             answered_at,
         });
@@ -348,17 +356,42 @@
         incarnation: Incarnation,
         stated_at: Instant,
     ) -> bool {
-        let Some(tracked) = self.hosts.get_mut(host) else {
+        let Some(tracked) = self.incarnation_mut(host, incarnation) else {
             return false;
         };
-        if tracked.record.incarnation != incarnation {
-            return false;
-        }
-        let known = tracked.leaving_stated_at;
-        tracked.leaving_stated_at = known.max(Some(stated_at));
+        let known = tracked.stated_leaving;
+        let stated_at = known.map_or(stated_at, |known| known.stated_at.max(stated_at));
+        tracked.stated_leaving = Some(StatedLeaving {
+            stated_at,
+            confirmed_at: stated_at,
+        });
         known.is_none()
     }
 
+    /// Records that a health check of a host that says that it leaves has failed.
+    pub fn on_leaving_confirmed(&mut self, host: &HostId, incarnation: Incarnation, now: Instant) {
+        if let Some(tracked) = self.incarnation_mut(host, incarnation)
+            && let Some(stated) = &mut tracked.stated_leaving
+        {
+            stated.confirmed_at = now;
+        }
+    }
+
+    /// Records that a host does not leave after all, by its own word. Returns whether that is news.
+    pub fn on_leaving_withdrawn(&mut self, host: &HostId, incarnation: Incarnation) -> bool {
+        let tracked = self.incarnation_mut(host, incarnation);
+        tracked.is_some_and(|tracked| tracked.stated_leaving.take().is_some())
+    }
+
+    fn incarnation_mut(
+        &mut self,
+        host: &HostId,
+        incarnation: Incarnation,
+    ) -> Option<&mut TrackedHost> {
+        let tracked = self.hosts.get_mut(host)?;
+        (tracked.record.incarnation == incarnation).then_some(tracked)
+    }
+
     /// Returns a host; `None` if it was never listed or was removed long ago.
     pub fn get(&self, host: &HostId) -> Option<&TrackedHost> {
         self.hosts.get(host)
--- a/lib/src/process/gateway/mod.rs
+++ b/lib/src/process/gateway/mod.rs
@@ -13,6 +13,7 @@
 mod follow;
 mod gossip;
 mod leaving;
+mod leaving_check;
 mod limit_gossip;
 mod limit_state;
 mod link_check;
