gateway: log lines and a gauge for targets that ask for rest

The rest is kept for the target's incarnation and logged; nothing acts on it yet, so that the failing test runs on the behaviour of before.

--- a/lib/src/process/gateway/context.rs
+++ b/lib/src/process/gateway/context.rs
@@ -223,6 +223,10 @@
         self.state.on_leaving_stated(&self.host, self.incarnation);
     }
 
+    fn on_rest_asked(&mut self, rest: Duration) {
+        self.state.on_rest_asked(&self.host, self.incarnation, rest);
+    }
+
     fn on_first_answer(&mut self, load: Option<AnswerLoad>) {
         self.is_silent = false;
         self.has_answered = true;
--- a/lib/src/process/gateway/metrics.rs
+++ b/lib/src/process/gateway/metrics.rs
@@ -56,6 +56,8 @@
     /// Targets that say in their answers that they leave, while their records say that they are
     /// ready.
     pub leaving_targets: IntGauge,
+    /// Targets that want no requests from this entry for now.
+    pub resting_targets: IntGauge,
     /// 1 while this entry reaches no target, 0 otherwise.
     pub is_cut_off: IntGauge,
     /// 1 while this entry holds the formation lease, 0 otherwise.
@@ -159,6 +161,10 @@
                 "leaving_targets",
                 "Targets that say that they leave, though their records don't.",
             )?,
+            resting_targets: gauge(
+                "resting_targets",
+                "Targets that want no requests from this entry for now.",
+            )?,
             holds_lease: gauge("holds_lease", "Whether this entry forms the groups.")?,
         };
         metrics.register()?;
@@ -187,6 +193,7 @@
         registry.register(Box::new(self.limit_refusals.clone()))?;
         registry.register(Box::new(self.limited_targets.clone()))?;
         registry.register(Box::new(self.leaving_targets.clone()))?;
+        registry.register(Box::new(self.resting_targets.clone()))?;
         registry.register(Box::new(self.holds_lease.clone()))
     }
 
--- /dev/null
+++ b/lib/src/process/gateway/target_rests.rs
@@ -0,0 +1,167 @@
+//! The rest that targets ask this entry for.
+//!
+//! A target that refuses a request may name a time in which it wants no requests from this entry. The
+//! longest one that was asked for is kept, because each holds by itself. Nothing is sent in that time,
+//! not even to find out whether it could end sooner. After it, sends begin slowly: the target may ask
+//! again, and as the emptiest one it would be chosen for all requests at once. The module does no I/O.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::ids::HostId;
+use crate::ids::Incarnation;
+use crate::sorted::Keyed;
+use crate::sorted::SortedVec;
+
+/// The longest rest. A longer one is likely a mistake, which the target could not correct otherwise.
+const REST_MAX: Duration = Duration::from_secs(3_600);
+/// How long after the first send that follows a rest sends are spaced.
+const RESUME_TIME: Duration = Duration::from_millis(500);
+/// The time between two sends then. It covers the answer of a target that refuses at once.
+const RESUME_INTERVAL: Duration = Duration::from_millis(50);
+/// How long after its end a rest without a following send is kept.
+const ENDED_RETENTION: Duration = Duration::from_secs(60);
+
+/// The rest of one target.
+#[derive(Clone, Debug)]
+struct Rest {
+    host: HostId,
+    incarnation: Incarnation,
+    until: Instant,
+    /// When the first request after the rest was sent.
+    resumed_at: Option<Instant>,
+    /// When the next request may be sent after that.
+    next_send_at: Instant,
+}
+
+impl Keyed for Rest {
+    type Key = HostId;
+
+    fn key(&self) -> &HostId {
+        &self.host
+    }
+}
+
+impl Rest {
+    fn is_resting(&self, now: Instant) -> bool {
+        now < self.until
+    }
+
+    fn is_resuming(&self, now: Instant) -> bool {
+        let is_recent = |at| now.saturating_duration_since(at) < RESUME_TIME;
+        !self.is_resting(now) && self.resumed_at.is_some_and(is_recent)
+    }
+
+    fn time_until_send(&self, now: Instant) -> Duration {
+        if self.is_resting(now) {
+            return self.until.saturating_duration_since(now);
+        }
+        if self.is_resuming(now) {
+            return self.next_send_at.saturating_duration_since(now);
+        }
+        Duration::ZERO
+    }
+
+    fn on_send(&mut self, now: Instant) {
+        if self.is_resting(now) {
+            return;
+        }
+        self.resumed_at.get_or_insert(now);
+        self.next_send_at = now + RESUME_INTERVAL;
+    }
+
+    fn is_over(&self, now: Instant) -> bool {
+        let is_forgotten = now.saturating_duration_since(self.until) >= ENDED_RETENTION;
+        let has_resumed = self.resumed_at.is_some() && !self.is_resuming(now);
+        !self.is_resting(now) && (has_resumed || is_forgotten)
+    }
+}
+
+/// The rests of all targets at one entry.
+#[derive(Clone, Debug, Default)]
+pub struct TargetRests {
+    rests: SortedVec<Rest>,
+}
+
+impl TargetRests {
+    /// Creates a tracker without rests.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Records that an incarnation of a target asked for a rest in an answer that arrived at `now`.
+    /// Returns whether it was not at rest before.
+    pub fn on_rest_asked(
+        &mut self,
+        host: &HostId,
+        incarnation: Incarnation,
+        rest: Duration,
+        now: Instant,
+    ) -> bool {
+        if rest.is_zero() {
+            return false;
+        }
+        let until = now + rest.min(REST_MAX);
+        let known = self.rests.get(host);
+        if known.is_some_and(|known| known.incarnation > incarnation) {
+            return false;
+        }
+        let resting = known.filter(|known| known.incarnation == incarnation);
+        let resting = resting.filter(|known| known.is_resting(now));
+        let is_new = resting.is_none();
+        let until = resting.map_or(until, |known| known.until.max(until));
+        self.rests.insert(Rest {
+            host: host.clone(),
+            incarnation,
+            until,
+            resumed_at: None,
+            next_send_at: until,
+        });
+        is_new
+    }
+
+    /// Returns whether an incarnation of a target wants no requests from this entry now.
+    pub fn is_resting(&self, host: &HostId, incarnation: Incarnation, now: Instant) -> bool {
+        let rest = self.rest(host, incarnation);
+        rest.is_some_and(|rest| rest.is_resting(now))
+    }
+
+    /// Returns the time until a request may be sent to an incarnation of a target; zero if it may
+    /// now.
+    pub fn time_until_send(
+        &self,
+        host: &HostId,
+        incarnation: Incarnation,
+        now: Instant,
+    ) -> Duration {
+        let rest = self.rest(host, incarnation);
+        rest.map_or(Duration::ZERO, |rest| rest.time_until_send(now))
+    }
+
+    /// Records that a request is sent to a target.
+    pub fn on_send(&mut self, host: &HostId, now: Instant) {
+        if let Some(rest) = self.rests.get_mut(host) {
+            rest.on_send(now);
+        }
+    }
+
+    /// Drops rests that are over, and those of targets for which `is_known` is false.
+    pub fn expire<F>(&mut self, is_known: F, now: Instant)
+    where
+        F: Fn(&HostId) -> bool,
+    {
+        self.rests
+            .retain(|rest| is_known(&rest.host) && !rest.is_over(now));
+    }
+
+    /// Returns the number of targets that want no requests from this entry now.
+    pub fn resting_count(&self, now: Instant) -> usize {
+        let resting = self.rests.iter().filter(|rest| rest.is_resting(now));
+        resting.count()
+    }
+
+    fn rest(&self, host: &HostId, incarnation: Incarnation) -> Option<&Rest> {
+        let rest = self.rests.get(host)?;
+        (rest.incarnation == incarnation).then_some(rest)
+    }
+}
--- a/lib/src/request/forward/context.rs
+++ b/lib/src/request/forward/context.rs
@@ -124,6 +124,10 @@
     /// Records that the target says in an answer, which may be a refusal, that it leaves.
     fn on_leaving_stated(&mut self);
 
+    /// Records that the target wants no more requests from this entry for a time, by an answer that
+    /// may be a refusal.
+    fn on_rest_asked(&mut self, rest: Duration);
+
     /// Records that the head of the answer arrived, with the load that it reports.
     fn on_first_answer(&mut self, load: Option<AnswerLoad>);
 
