gateway: a target that asks for rest gets no requests until it has rested

Cause: nothing read Retry-After of a refusal. Only the pause of 0.1 s after any refusal applied, and with several targets refusing at once not even that. A target that refuses looks empty, so it was preferred.

An entry now keeps the longest rest that a target's incarnation has asked it for, on the steady clock, and sends nothing meanwhile: neither new requests nor retries, resumed streams, or requests whose connection is just being opened. Then it sends one request, another after 0.3 s, and no more until one is answered; after that one each 50 ms for half a second. While no target takes a request, it is refused at once with the time to come back, spread over half a second.

--- a/lib/src/process/gateway/context.rs
+++ b/lib/src/process/gateway/context.rs
@@ -10,8 +10,10 @@
 use super::passed_on::PassedOn;
 use super::passed_on::Reservation;
 use super::quarantine::Admission;
+use super::reservation::ChosenTarget;
 use super::state::GatewayState;
 use super::state::Inner;
+use super::target_rests::RestTrial;
 use crate::clock::Clock;
 use crate::connection::body_memory::BodyMemory;
 use crate::ids::EntryId;
@@ -87,6 +89,8 @@
     is_retry: bool,
     /// Whether the request is sent although a part of its prompt is quarantined.
     is_trial: bool,
+    /// The trial that the request is after a rest of the target, until it is answered.
+    rest_trial: Option<RestTrial>,
 }
 
 impl<C> ReservedTarget<C>
@@ -98,6 +102,17 @@
         time_left.is_some() && !self.is_trial
     }
 
+    /// Returns whether the target wants no requests from this entry now.
+    fn is_resting(&self, inner: &Inner, now: Instant) -> bool {
+        let rests = &inner.target_rests;
+        rests.is_resting(&self.host, self.incarnation, now)
+    }
+
+    /// Returns whether a send is withheld for another reason than that the target is not reached.
+    fn is_withheld(&self, inner: &Inner, now: Instant) -> bool {
+        self.is_quarantined(inner, now) || self.is_resting(inner, now)
+    }
+
     /// Records that the target answered a request with these features.
     fn report_proof(&self) {
         if !self.features.is_empty() {
@@ -180,6 +195,9 @@
         let now = self.state.clock.now();
         let mut inner = self.state.inner();
         inner.usage.on_finish(&self.host, self.unread_tokens, now);
+        if let Some(trial) = self.rest_trial.take() {
+            inner.target_rests.on_trial_failed(&self.host, trial);
+        }
     }
 }
 
@@ -210,7 +228,7 @@
     fn is_still_usable(&self) -> bool {
         let now = self.state.clock.now();
         let inner = self.state.inner();
-        inner.is_usable(&self.host) && !self.is_quarantined(&inner, now)
+        inner.is_usable(&self.host) && !self.is_withheld(&inner, now)
     }
 
     fn on_stated_limit(&mut self, limit: StatedLimit) {
@@ -233,6 +251,10 @@
         self.state.on_target_answer(self.started_at);
         let now = self.state.clock.now();
         let mut inner = self.state.inner();
+        if let Some(trial) = self.rest_trial.take() {
+            let rests = &mut inner.target_rests;
+            rests.on_trial_answered(&self.host, trial, now);
+        }
         if let Some(load) = load {
             inner.usage.on_load(&self.host, load, now);
         }
@@ -299,8 +321,8 @@
             self.report_proof();
         }
         let mut inner = self.state.inner();
-        if end == Some(SendFailure::NotSent) && self.is_quarantined(&inner, now) {
-            // The send was withheld; that says nothing about the target.
+        if end == Some(SendFailure::NotSent) && self.is_withheld(&inner, now) {
+            // That says nothing about the target.
             return;
         }
         inner.usage.on_result(&self.host, end, now);
@@ -399,12 +421,20 @@
             .state
             .inner()
             .reserve_target(requirements, &self.state.settings, now);
-        if let Err(NoTarget::Limited { .. }) = &reserved {
-            self.state
-                .metrics
-                .count_limit_refusal(&requirements.service);
+        if let Err(NoTarget::Limited { resting, .. }) = &reserved {
+            let metrics = &self.state.metrics;
+            if *resting > 0 {
+                metrics.count_rest_refusal(&requirements.service);
+            } else {
+                metrics.count_limit_refusal(&requirements.service);
+            }
         }
-        let (target, expected_wait, choice_info) = reserved?;
+        let ChosenTarget {
+            target,
+            expected_wait,
+            choice_info,
+            rest_trial,
+        } = reserved?;
         Ok(Reservation::Target(ReservedTarget {
             state: Arc::clone(&self.state),
             host: target.host,
@@ -423,6 +453,7 @@
             events: 0,
             is_retry: !requirements.excluded.is_empty(),
             is_trial: admission == Admission::Trial,
+            rest_trial,
         }))
     }
 
--- a/lib/src/process/gateway/metrics.rs
+++ b/lib/src/process/gateway/metrics.rs
@@ -51,6 +51,7 @@
     pub target_crashes: IntCounter,
     quarantine_refusals: IntCounterVec,
     limit_refusals: IntCounterVec,
+    rest_refusals: IntCounterVec,
     /// Targets that name a request limit.
     pub limited_targets: IntGauge,
     /// Targets that say in their answers that they leave, while their records say that they are
@@ -153,6 +154,12 @@
                 "Attempts to choose a target while the limits of all were used up.",
                 &["service"],
             )?,
+            rest_refusals: counters(
+                "rest_refusals_total",
+                "Attempts to choose a target while all rested, or some and the limits of the others \
+                 were used up.",
+                &["service"],
+            )?,
             limited_targets: gauge(
                 "limited_targets",
                 "Targets that name a limit on the rate of requests.",
@@ -191,6 +198,7 @@
         registry.register(Box::new(self.target_crashes.clone()))?;
         registry.register(Box::new(self.quarantine_refusals.clone()))?;
         registry.register(Box::new(self.limit_refusals.clone()))?;
+        registry.register(Box::new(self.rest_refusals.clone()))?;
         registry.register(Box::new(self.limited_targets.clone()))?;
         registry.register(Box::new(self.leaving_targets.clone()))?;
         registry.register(Box::new(self.resting_targets.clone()))?;
@@ -243,6 +251,12 @@
         self.limit_refusals.with_label_values(&labels).inc();
     }
 
+    /// Counts an attempt to choose a target while no target took requests and some rested.
+    pub fn count_rest_refusal(&self, service: &ServiceId) {
+        let labels = [service.as_str()];
+        self.rest_refusals.with_label_values(&labels).inc();
+    }
+
     /// Counts a retry that was requested from the retry budget.
     pub fn count_retry(&self, service: &ServiceId, is_granted: bool) {
         let granted = if is_granted { "yes" } else { "no" };
--- a/lib/src/process/gateway/mod.rs
+++ b/lib/src/process/gateway/mod.rs
@@ -80,6 +80,7 @@
 pub use self::target_limits::part_of_limit;
 pub use self::target_links::LinksRestored;
 pub use self::target_links::TargetLinks;
+pub use self::target_rests::RestTrial;
 pub use self::target_rests::TargetRests;
 pub use self::usage::TargetUsage;
 pub use self::usage::UsageTracker;
--- a/lib/src/process/gateway/reservation.rs
+++ b/lib/src/process/gateway/reservation.rs
@@ -8,6 +8,7 @@
 use super::settings::GatewaySettings;
 use super::settings::RetryLimits;
 use super::state::Inner;
+use super::target_rests::RestTrial;
 use crate::ids::ServiceId;
 use crate::request::forward::admit::admit;
 use crate::request::forward::choose::TargetCandidate;
@@ -30,6 +31,9 @@
 /// aligned with those in which the limit is judged.
 const RETRY_SHARE_USE: f64 = 0.85;
 
+/// The longest addition to the retry delay of callers while all targets rest.
+const RETRY_SPREAD_MAX: Duration = Duration::from_millis(500);
+
 /// The retry budget of a service at this entry.
 pub(super) struct ServiceRetryBudget {
     service: ServiceId,
@@ -44,6 +48,25 @@
     }
 }
 
+/// A target that was chosen for a request.
+pub(super) struct ChosenTarget {
+    pub(super) target: ServingTarget,
+    /// The expected time until the first answer.
+    pub(super) expected_wait: Duration,
+    pub(super) choice_info: ChoiceInfo,
+    /// The trial that the request is, if the target has just rested.
+    pub(super) rest_trial: Option<RestTrial>,
+}
+
+/// Returns an addition to the retry delay of callers, so that they do not all come back when the first
+/// of the resting targets has rested.
+fn retry_spread(resting: usize) -> Duration {
+    if resting == 0 {
+        return Duration::ZERO;
+    }
+    rand::random_range(Duration::ZERO..RETRY_SPREAD_MAX)
+}
+
 impl Inner {
     /// Returns the estimated requests in flight and unread prompt tokens at a target, of all
     /// entries.
@@ -88,15 +111,26 @@
         }
     }
 
+    /// Returns the time until a request may be sent to a target, by the limit that it names and by the
+    /// rest that it asked for.
+    fn time_until_send(&self, target: &ServingTarget, now: Instant) -> Duration {
+        let limits = &self.target_limits;
+        let by_limit = limits.time_until_send(&target.host, now);
+        by_limit.max(self.rest_left(target, now))
+    }
+
+    fn rest_left(&self, target: &ServingTarget, now: Instant) -> Duration {
+        let rests = &self.target_rests;
+        rests.time_until_send(&target.host, target.incarnation, now)
+    }
+
     /// Chooses a target for a request and counts the request as in flight there.
-    ///
-    /// Returns the target, the expected time until its first answer, and the inputs of the choice.
     pub(super) fn reserve_target(
         &mut self,
         requirements: &TargetRequirements,
         settings: &GatewaySettings,
         now: Instant,
-    ) -> Result<(ServingTarget, Duration, ChoiceInfo), NoTarget> {
+    ) -> Result<ChosenTarget, NoTarget> {
         let serves = |target: &&ServingTarget| {
             target.service == requirements.service
                 && !requirements.excluded.contains(&target.host)
@@ -107,10 +141,7 @@
                         .is_none_or(|w| target.weights.contains(w)))
         };
         let targets = self.serving.iter().filter(serves);
-        let takes_request = |target: &&ServingTarget| {
-            let wait = self.target_limits.time_until_send(&target.host, now);
-            wait.is_zero()
-        };
+        let takes_request = |target: &&ServingTarget| self.time_until_send(target, now).is_zero();
         let (targets, passed_over): (Vec<&ServingTarget>, Vec<&ServingTarget>) =
             targets.partition(takes_request);
         let candidate = |target: &&ServingTarget| {
@@ -136,10 +167,15 @@
             Some(index) => admit(&candidates, index, requirements, draw),
             None => {
                 let waits = passed_over.iter();
-                let waits = waits.map(|t| self.target_limits.time_until_send(&t.host, now));
+                let waits = waits.map(|target| self.time_until_send(target, now));
+                let resting = passed_over.iter();
+                let resting = resting.filter(|target| !self.rest_left(target, now).is_zero());
+                let resting = resting.count();
                 let limited = |available_in| NoTarget::Limited {
                     available_in,
+                    retry_after: available_in + retry_spread(resting),
                     candidates: passed_over.len(),
+                    resting,
                 };
                 let leaving = self.all_leaving(&requirements.service, now);
                 let absent =
@@ -148,7 +184,10 @@
             }
         };
         for target in passed_over {
-            self.target_limits.on_lacking(&target.host, now);
+            let limits = &mut self.target_limits;
+            if !limits.time_until_send(&target.host, now).is_zero() {
+                limits.on_lacking(&target.host, now);
+            }
         }
         let index = chosen?;
         let expected_wait = candidates[index].expected_wait(requirements.prompt_tokens);
@@ -169,7 +208,13 @@
         self.usage
             .on_start(&target.host, requirements.prompt_tokens, now);
         self.target_limits.on_send(&target.host, now);
-        Ok((target, expected_wait, choice_info))
+        let rest_trial = self.target_rests.on_send(&target.host, now);
+        Ok(ChosenTarget {
+            target,
+            expected_wait,
+            choice_info,
+            rest_trial,
+        })
     }
 
     /// Returns a service's retry budget, with this entry's part of the limits of all entries.
--- a/lib/src/request/forward/context.rs
+++ b/lib/src/request/forward/context.rs
@@ -64,12 +64,16 @@
         targets: usize,
     },
     /// The targets that meet the requirements take no more requests for now, by the limits that
-    /// they name.
+    /// they name or the rest that they ask for.
     Limited {
         /// The time until this process may send a request to one of them.
         available_in: Duration,
+        /// How long the caller should wait before a retry.
+        retry_after: Duration,
         /// The number of targets considered.
         candidates: usize,
+        /// The number of those that rest.
+        resting: usize,
     },
     /// The expected queue wait is too long, and no target has enough free slots.
     Busy {
--- a/lib/src/request/forward/sends.rs
+++ b/lib/src/request/forward/sends.rs
@@ -89,11 +89,15 @@
                     let failure = self.plan.failure(NotRunReason::Overloaded);
                     return Err(with_retry_after(failure, retry_after));
                 }
-                Err(NoTarget::Limited { available_in, .. }) => {
+                Err(NoTarget::Limited {
+                    available_in,
+                    retry_after,
+                    ..
+                }) => {
                     let available_at = tokio::time::Instant::now() + available_in;
                     if available_at > wait_until {
                         let failure = self.plan.failure(NotRunReason::Overloaded);
-                        let retry_after = available_in.max(RETRY_AFTER_MIN);
+                        let retry_after = retry_after.max(RETRY_AFTER_MIN);
                         return Err(with_retry_after(failure, retry_after));
                     }
                     tokio::time::sleep_until(available_at).await;
@@ -167,15 +171,22 @@
         if let Err(NoTarget::Limited {
             available_in,
             candidates,
+            resting,
+            ..
         }) = &reserved
         {
+            let reason = if *resting > 0 {
+                "all targets rest or have used up their limits"
+            } else {
+                "the limits of all targets are used up"
+            };
             log_request!(
                 request, route = request.route.name.as_str(), service:% = request.service,
                 weights:% = OrNone(self.requirements.weights.as_ref()),
-                options = *candidates,
+                options = *candidates, resting = *resting,
                 room_in_ms = available_in.as_millis() as u64,
                 is_new = self.requirements.is_new;
-                "request is not sent: the limits of all targets are used up"
+                "request is not sent: {reason}"
             );
         }
         reserved
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -40,4 +40,5 @@
 mod test_stragglers;
 mod test_target_limits;
 mod test_target_links;
+mod test_target_rests;
 mod test_units;
