gateway: refused requests are told when their targets have rested

A request that all its targets turned away ended with 0.7 s as the time to come back, although they had just asked for 3 s of rest; its caller came back to be refused at once. The time is now that until the first target takes requests, if none does at the end of the request. It counts for used up limits as well, and is spread over half a second like that of requests that were not sent.

--- a/lib/src/process/gateway/context.rs
+++ b/lib/src/process/gateway/context.rs
@@ -473,6 +473,11 @@
         is_granted
     }
 
+    fn retry_after(&self, requirements: &TargetRequirements) -> Option<Duration> {
+        let now = self.now();
+        self.state.inner().retry_after(requirements, now)
+    }
+
     fn quarantine(&self, features: &[RequestFeature]) -> Option<ActiveQuarantine> {
         let now = self.now();
         self.state.inner().quarantine.active(features, now)
--- a/lib/src/process/gateway/reservation.rs
+++ b/lib/src/process/gateway/reservation.rs
@@ -31,7 +31,7 @@
 /// aligned with those in which the limit is judged.
 const RETRY_SHARE_USE: f64 = 0.85;
 
-/// The longest addition to the retry delay of callers while all targets rest.
+/// The longest addition to the retry delay of callers while no target takes requests.
 const RETRY_SPREAD_MAX: Duration = Duration::from_millis(500);
 
 /// The retry budget of a service at this entry.
@@ -58,12 +58,15 @@
     pub(super) rest_trial: Option<RestTrial>,
 }
 
+fn meets(target: &ServingTarget, requirements: &TargetRequirements) -> bool {
+    let weights = requirements.weights.as_ref();
+    let has_weights = || weights.is_none_or(|weights| target.weights.contains(weights));
+    target.service == requirements.service && (target.pace.is_none() || has_weights())
+}
+
 /// Returns an addition to the retry delay of callers, so that they do not all come back when the first
-/// of the resting targets has rested.
-fn retry_spread(resting: usize) -> Duration {
-    if resting == 0 {
-        return Duration::ZERO;
-    }
+/// target takes requests again.
+fn retry_spread() -> Duration {
     rand::random_range(Duration::ZERO..RETRY_SPREAD_MAX)
 }
 
@@ -124,6 +127,20 @@
         rests.time_until_send(&target.host, target.incarnation, now)
     }
 
+    /// Returns how long a caller should wait before a retry, if all targets that meet the
+    /// requirements rest or have used up their limits; otherwise `None`.
+    pub(super) fn retry_after(
+        &self,
+        requirements: &TargetRequirements,
+        now: Instant,
+    ) -> Option<Duration> {
+        let targets = self.serving.iter();
+        let targets = targets.filter(|target| meets(target, requirements));
+        let waits = targets.map(|target| self.time_until_send(target, now));
+        let available_in = waits.min().filter(|wait| !wait.is_zero())?;
+        Some(available_in + retry_spread())
+    }
+
     /// Chooses a target for a request and counts the request as in flight there.
     pub(super) fn reserve_target(
         &mut self,
@@ -131,16 +148,9 @@
         settings: &GatewaySettings,
         now: Instant,
     ) -> Result<ChosenTarget, NoTarget> {
-        let serves = |target: &&ServingTarget| {
-            target.service == requirements.service
-                && !requirements.excluded.contains(&target.host)
-                && (target.pace.is_none()
-                    || requirements
-                        .weights
-                        .as_ref()
-                        .is_none_or(|w| target.weights.contains(w)))
-        };
-        let targets = self.serving.iter().filter(serves);
+        let is_excluded = |target: &&ServingTarget| requirements.excluded.contains(&target.host);
+        let targets = self.serving.iter();
+        let targets = targets.filter(|target| meets(target, requirements) && !is_excluded(target));
         let takes_request = |target: &&ServingTarget| self.time_until_send(target, now).is_zero();
         let (targets, passed_over): (Vec<&ServingTarget>, Vec<&ServingTarget>) =
             targets.partition(takes_request);
@@ -173,7 +183,7 @@
                 let resting = resting.count();
                 let limited = |available_in| NoTarget::Limited {
                     available_in,
-                    retry_after: available_in + retry_spread(resting),
+                    retry_after: available_in + retry_spread(),
                     candidates: passed_over.len(),
                     resting,
                 };
--- a/lib/src/request/forward/context.rs
+++ b/lib/src/request/forward/context.rs
@@ -206,6 +206,11 @@
     /// Takes one retry from the service's retry budget; returns false if the budget is exhausted.
     fn try_spend_retry(&self, service: &ServiceId) -> bool;
 
+    /// Returns how long the caller of a request that was refused should wait before a retry, if no
+    /// target that meets the requirements takes requests now, whether the request was sent there or
+    /// not; otherwise `None`.
+    fn retry_after(&self, requirements: &TargetRequirements) -> Option<Duration>;
+
     /// Returns the quarantine of one of these features, or `None` if a request with them may be sent.
     fn quarantine(&self, features: &[RequestFeature]) -> Option<ActiveQuarantine>;
 
--- a/lib/src/request/forward/sends.rs
+++ b/lib/src/request/forward/sends.rs
@@ -228,7 +228,15 @@
             (NextStep::End(_), Some(quarantine)) => {
                 NextStep::End(self.quarantine_failure(quarantine))
             }
-            (step, _) => step,
+            (NextStep::End(failure), None) => {
+                let retry_after = request.context.retry_after(&self.requirements);
+                let retry_after = retry_after.map(|wait| wait.max(RETRY_AFTER_MIN));
+                NextStep::End(match retry_after {
+                    Some(retry_after) => with_retry_after(failure, retry_after),
+                    None => failure,
+                })
+            }
+            (step, None | Some(_)) => step,
         }
     }
 
