gateway: a word in a discarded answer counts too

An answer that does not name its request is discarded, and with it what the target said of itself: that it leaves, its limit, the rest that it wants. The connection is new for each request, so the answer is the target's own unless it says that it is another target (421).

--- a/lib/src/request/forward/send.rs
+++ b/lib/src/request/forward/send.rs
@@ -145,8 +145,9 @@
         };
         let answer = self.request.context.protocol().read_answer(&head);
         let checked = self.check_answer(&head, &answer);
-        // A misdirected request may have reached another target, at an address that is used again.
-        if matches!(checked, Ok(()) | Err(SendFailure::NotRun)) {
+        // A misdirected request may have reached another target, at an address that is used again. Any
+        // other answer is the target's own, since the connection is new, even if it is discarded.
+        if !answer.is_misdirected {
             self.target.on_stated_limit(answer.limit);
             if answer.is_leaving {
                 self.target.on_leaving_stated();
