--- a/lib/tests/test_formation.rs
+++ b/lib/tests/test_formation.rs
@@ -281,6 +281,25 @@
     simulation.assert_invariants();
 }
 
+// Guards against a group that is left without a leader, and not replaced before, because only the
+// leader's answers say that it leaves.
+#[test]
+fn formation_leader_that_says_it_leaves_is_replaced() {
+    let mut simulation = open_simulation(&[11]);
+    let leader = simulation.member(&small(), true);
+    let incarnation = simulation.tracker.get(&leader).unwrap().record.incarnation;
+    let now = simulation.now;
+    let is_news = simulation
+        .tracker
+        .on_leaving_stated(&leader, incarnation, now);
+    assert!(is_news);
+    simulation.run(Duration::from_secs(8));
+    assert_eq!(serving(&simulation), (1, 1));
+    let mut groups = simulation.formation.groups();
+    assert!(!groups.any(|group| group.has_member(&leader)));
+    simulation.assert_invariants();
+}
+
 #[test]
 fn formation_host_restarted_under_same_name_does_not_block_its_group() {
     let mut simulation = open_simulation(&[11]);
