gateway: the count of leaving targets stops at the first that stays

It is taken whenever no target serves a request, so it should not visit all hosts of a large fleet, nor any of a service with groups. No change of behaviour.

--- a/lib/src/process/gateway/leaving.rs
+++ b/lib/src/process/gateway/leaving.rs
@@ -74,16 +74,19 @@
     /// group at any time.
     pub(super) fn all_leaving(&self, service: &ServiceId, now: Instant) -> Option<usize> {
         let document = self.document.as_ref()?;
-        let is_plain = document.service(service)?.engine.is_none();
+        if document.service(service)?.engine.is_some() {
+            return None;
+        }
         let is_listed =
             |tracked: &&TrackedHost| tracked.record.service == *service && tracked.is_listed(now);
-        let listed = self.host_tracker.iter().filter(is_listed);
-        let mut availabilities = listed.map(TrackedHost::availability).peekable();
-        let is_any_listed = availabilities.peek().is_some();
-        let leaving = availabilities.try_fold(0, |count, availability| {
-            (availability == Availability::Draining).then_some(count + 1)
-        });
-        leaving.filter(|_| is_plain && is_any_listed)
+        let mut count = 0;
+        for tracked in self.host_tracker.iter().filter(is_listed) {
+            if tracked.availability() == Availability::Ready {
+                return None;
+            }
+            count += 1;
+        }
+        (count > 0).then_some(count)
     }
 
     /// Returns the targets that said recently that they leave, for the next datagram.
