tests: a soak of targets that leave and ask for rest

Four gateways in separate processes, six targets and 24 callers that use their connections until the process is gone. Targets say that they leave or ask for rest, with rows that follow, vanish or lag, and start again; gateways are stopped, ended and restarted, and the configuration changes, in series that overlap. Each word is checked against the later requests of the entry that was told.

--- a/cli/tests/runner.rs
+++ b/cli/tests/runner.rs
@@ -21,4 +21,5 @@
 mod test_load_command;
 mod test_promises;
 mod test_stand_in_command;
+mod test_statement_soak;
 mod test_streams;
--- a/cli/tests/test_gateway_soak.rs
+++ b/cli/tests/test_gateway_soak.rs
@@ -36,9 +36,10 @@
 const LIMIT_BYTES: usize = 1 << 20;
 
 /// An entry that the soak disturbs.
-struct SoakEntry {
+pub(crate) struct SoakEntry {
     process: std::process::Child,
     settings: PathBuf,
+    pub(crate) callers: SocketAddr,
     metrics: SocketAddr,
     /// The end of the present disturbance, or the time of the last one.
     disturbed_until: Instant,
@@ -53,7 +54,7 @@
 }
 
 impl SoakEntry {
-    async fn start(number: usize, store: SocketAddr) -> Self {
+    pub(crate) async fn start(number: usize, store: SocketAddr) -> Self {
         let mut listeners = Vec::new();
         for _ in 0..4 {
             listeners.push(TcpListener::bind("127.0.0.1:0").await.unwrap());
@@ -76,12 +77,18 @@
         Self {
             process: spawn(&settings),
             settings,
+            callers,
             metrics,
             disturbed_until: Instant::now(),
             is_stopped: false,
         }
     }
 
+    /// Returns whether no disturbance is under way.
+    pub(crate) fn is_calm(&self) -> bool {
+        !self.is_stopped && self.disturbed_until < Instant::now()
+    }
+
     fn signal(&self, name: &str) {
         // The ID of a process that has not been waited for is not reused.
         let pid = self.process.id().to_string();
@@ -110,7 +117,7 @@
 
 /// A disturbance of an entry.
 #[derive(Clone, Copy, Debug)]
-enum Disturbance {
+pub(crate) enum Disturbance {
     /// The process stands still for this long.
     Stop(Duration),
     /// The process is killed and starts again.
@@ -120,7 +127,7 @@
 }
 
 impl Disturbance {
-    fn draw(random: &mut StdRng) -> Self {
+    pub(crate) fn draw(random: &mut StdRng) -> Self {
         let time = Duration::from_millis(random.random_range(400..2_600));
         match random.random_range(0..4) {
             0 | 1 => Self::Stop(time),
@@ -130,7 +137,7 @@
     }
 
     /// Carries out the start and the end of the disturbance.
-    async fn run(self, entry: Arc<Mutex<SoakEntry>>) {
+    pub(crate) async fn run(self, entry: Arc<Mutex<SoakEntry>>) {
         let time = match self {
             Self::Kill => Duration::ZERO,
             Self::Stop(time) | Self::Terminate(time) => time,
@@ -238,11 +245,8 @@
             acknowledged.lock().unwrap().push((version, at));
             continue;
         }
-        let now = Instant::now();
-        let running = entries[CALM_ENTRIES..].iter().filter(|entry| {
-            let entry = entry.lock().unwrap();
-            !entry.is_stopped && entry.disturbed_until < now
-        });
+        let running = entries[CALM_ENTRIES..].iter();
+        let running = running.filter(|entry| entry.lock().unwrap().is_calm());
         let running: Vec<_> = running.collect();
         if running.len() > 2 {
             let victim = Arc::clone(running[random.random_range(0..running.len())]);
