gateway: requested backoff and statements by the usual terms

The rest that a target asks for is called a backoff, as elsewhere in the field, in code, logs, metrics and tests, and what a target says of itself a statement. No change of behaviour; the tests are renamed with the code, and none is dropped.

--- a/cli/tests/test_statement_soak.rs
+++ b/cli/tests/test_statement_soak.rs
@@ -1,5 +1,5 @@
-//! A soak of gateways in separate processes, while targets say that they leave, ask for rest and start
-//! again, and signals stop, end and restart the gateways, in series that overlap.
+//! A soak of gateways in separate processes, while targets say that they leave, request a backoff and
+//! start again, and signals stop, end and restart the gateways, in series that overlap.
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
@@ -37,20 +37,20 @@
 const TARGETS: usize = 6;
 const CALLERS: usize = 6;
 const SOAK_TIME: Duration = Duration::from_secs(15);
-/// The users' bounds: how long after the word that a target leaves requests may be sent there, how
-/// long after it has asked for rest requests may arrive, and how many may later.
+/// The users' bounds: how long after the statement that a target leaves requests may be sent there, how
+/// long after it has requested a backoff requests may arrive, and how many may later.
 const DRAIN_TIME: Duration = Duration::from_secs(2);
-const REST_SLACK: Duration = Duration::from_millis(500);
+const BACKOFF_SLACK: Duration = Duration::from_millis(500);
 const ARRIVALS_MAX: usize = 2;
 const TIMEOUT: Duration = Duration::from_secs(10);
 const LIMIT_BYTES: usize = 1 << 20;
 
 /// What a target says now.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Word {
+enum Statement {
     None,
     Leaving,
-    Rest(Duration),
+    Backoff(Duration),
 }
 
 /// A request at a target, with the target's answer.
@@ -62,12 +62,12 @@
     at: Instant,
     /// The number of the target's starts.
     life: u64,
-    word: Word,
+    statement: Statement,
 }
 
 #[derive(Debug)]
 struct TargetState {
-    word: Word,
+    statement: Statement,
     life: u64,
     arrivals: Vec<Arrival>,
 }
@@ -87,29 +87,29 @@
             *response.status_mut() = StatusCode::NOT_FOUND;
             return response;
         };
-        let word = {
+        let statement = {
             let mut state = self.state.lock().unwrap();
-            let (word, life) = (state.word, state.life);
+            let (statement, life) = (state.statement, state.life);
             state.arrivals.push(Arrival {
                 entry: entry as usize,
                 sent_at: self.started_at + Duration::from_micros(sent_us),
                 at: Instant::now(),
                 life,
-                word,
+                statement,
             });
-            word
+            statement
         };
         let headers = response.headers_mut();
         let id = request.headers()["beryltray-request-id"].clone();
         headers.insert("beryltray-request-id", id);
         headers.insert("beryltray-response-seal", "3e1b".parse().unwrap());
-        match word {
-            Word::None => {}
-            Word::Leaving => {
+        match statement {
+            Statement::None => {}
+            Statement::Leaving => {
                 headers.insert("server-leaving", "1".parse().unwrap());
             }
-            Word::Rest(rest) => {
-                let seconds = rest.as_secs_f64().to_string();
+            Statement::Backoff(backoff) => {
+                let seconds = backoff.as_secs_f64().to_string();
                 headers.insert("retry-after", seconds.parse().unwrap());
                 headers.insert("beryltray-not-executed", "1".parse().unwrap());
                 *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
@@ -119,26 +119,32 @@
     }
 }
 
-/// Lets a target say one word for a while, with a record that follows, vanishes or lags; a target
+/// Lets a target make one statement for a while, with a record that follows, vanishes or lags; a target
 /// that leaves starts again under its ID.
-async fn say(target: Target, store: StoreStandIn, number: usize, address: SocketAddr, seed: u64) {
+async fn make_statement(
+    target: Target,
+    store: StoreStandIn,
+    number: usize,
+    address: SocketAddr,
+    seed: u64,
+) {
     let mut random = StdRng::seed_from_u64(seed);
     let id = format!("i-{number}");
     let ms = |random: &mut StdRng, range| Duration::from_millis(random.random_range(range));
-    let word = match random.random_range(0..2) {
-        0 => Word::Leaving,
-        _ => Word::Rest(ms(&mut random, 700..3_500)),
+    let statement = match random.random_range(0..2) {
+        0 => Statement::Leaving,
+        _ => Statement::Backoff(ms(&mut random, 700..3_500)),
     };
     let mut listed = record(address);
     let life = {
         let mut state = target.state.lock().unwrap();
-        state.word = word;
+        state.statement = statement;
         state.life
     };
     listed["born"] = life.into();
     match random.random_range(0..4) {
-        0 if word == Word::Leaving => store.remove("servers", &id),
-        1 if word == Word::Leaving => {
+        0 if statement == Statement::Leaving => store.remove("servers", &id),
+        1 if statement == Statement::Leaving => {
             listed["state"] = "draining".into();
             store.put("servers", &id, &listed);
         }
@@ -146,13 +152,13 @@
     }
     tokio::time::sleep(ms(&mut random, 500..6_000)).await;
     let mut state = target.state.lock().unwrap();
-    if word == Word::Leaving {
+    if statement == Statement::Leaving {
         state.life += 1;
         listed["born"] = state.life.into();
         listed["state"] = "ready".into();
         store.put("servers", &id, &listed);
     }
-    state.word = Word::None;
+    state.statement = Statement::None;
 }
 
 /// Sends requests one after another, on a connection that is kept until the gateway closes it.
@@ -183,15 +189,15 @@
     }
 }
 
-/// The number of checked words, and what broke a bound.
+/// The number of checked statements, and what broke a bound.
 #[derive(Debug, Default)]
 struct Checked {
     leaving: usize,
-    rests: usize,
+    backoffs: usize,
     broken: Vec<String>,
 }
 
-/// Disturbs targets and entries in series, and checks the words of the targets.
+/// Disturbs targets and entries in series, and checks the statements of the targets.
 async fn soak(seed: u64) -> Checked {
     let mut random = StdRng::seed_from_u64(seed);
     let started_at = Instant::now();
@@ -201,7 +207,7 @@
     let mut targets = Vec::new();
     for number in 0..TARGETS {
         let state = TargetState {
-            word: Word::None,
+            statement: Statement::None,
             life: 17,
             arrivals: Vec::new(),
         };
@@ -230,7 +236,7 @@
             random.random_range(0..ENTRIES),
         );
         let (target, address) = targets[number].clone();
-        let is_silent = target.state.lock().unwrap().word == Word::None;
+        let is_silent = target.state.lock().unwrap().statement == Statement::None;
         match random.random_range(0..8) {
             0 => {
                 version += 1;
@@ -242,7 +248,13 @@
                 tokio::spawn(disturbance.run(Arc::clone(&entries[entry])));
             }
             2.. if is_silent => {
-                says.spawn(say(target, store.clone(), number, address, random.random()));
+                says.spawn(make_statement(
+                    target,
+                    store.clone(),
+                    number,
+                    address,
+                    random.random(),
+                ));
             }
             _ => {}
         }
@@ -257,8 +269,8 @@
     checked
 }
 
-/// Checks each word of a target against the later requests of the entry that was told, unless the
-/// entry was disturbed from a while before the word on.
+/// Checks each statement of a target against the later requests of the entry that was told, unless the
+/// entry was disturbed from a while before the statement on.
 fn check(arrivals: &[Arrival], disturbed: &[Vec<Instant>], checked: &mut Checked) {
     for told in arrivals {
         // A disturbance takes up to 3 s.
@@ -270,17 +282,17 @@
                 && excused_from.is_none_or(|from| later.at < *from)
         };
         let later = arrivals.iter().filter(is_counted);
-        let (count, allowed) = match told.word {
-            Word::None => continue,
-            Word::Leaving => {
+        let (count, allowed) = match told.statement {
+            Statement::None => continue,
+            Statement::Leaving => {
                 checked.leaving += 1;
                 let drained_at = told.at + DRAIN_TIME;
                 (later.filter(|later| later.sent_at > drained_at).count(), 0)
             }
-            Word::Rest(rest) => {
-                checked.rests += 1;
-                let in_rest = told.at + REST_SLACK..told.at + rest;
-                let later = later.filter(|later| in_rest.contains(&later.at));
+            Statement::Backoff(backoff) => {
+                checked.backoffs += 1;
+                let in_backoff = told.at + BACKOFF_SLACK..told.at + backoff;
+                let later = later.filter(|later| in_backoff.contains(&later.at));
                 (later.count(), ARRIVALS_MAX)
             }
         };
@@ -290,13 +302,13 @@
     }
 }
 
-/// Guards against requests to targets that have said that they leave or want rest, while targets and
-/// entries change in series that overlap.
+/// Guards against requests to targets that have said that they leave or want a backoff, while targets
+/// and entries change in series that overlap.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn soak_words_of_targets_are_kept_while_entries_fail_in_series() {
+async fn soak_statements_of_targets_are_kept_while_entries_fail_in_series() {
     let seed = 35 + extra_seed();
     let checked = soak(seed).await;
     println!("seed {seed}: {checked:?}");
-    assert!(checked.leaving > 0 && checked.rests > 0, "seed {seed}");
+    assert!(checked.leaving > 0 && checked.backoffs > 0, "seed {seed}");
     assert!(checked.broken.is_empty(), "seed {seed}");
 }
--- a/lib/src/process/formation/host_tracker.rs
+++ b/lib/src/process/formation/host_tracker.rs
@@ -74,7 +74,7 @@
     }
 }
 
-/// A host's word, in answers to requests, that it leaves.
+/// A host's statement, in answers to requests, that it leaves.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct StatedLeaving {
     /// When the host last said so.
@@ -349,7 +349,7 @@
     }
 
     /// Records that an incarnation of a host said at `stated_at` that it leaves. Returns whether that
-    /// is news. The word of any other incarnation than the current one is ignored.
+    /// is news. The statement of any other incarnation than the current one is ignored.
     pub fn on_leaving_stated(
         &mut self,
         host: &HostId,
@@ -377,7 +377,7 @@
         }
     }
 
-    /// Records that a host does not leave after all, by its own word. Returns whether that is news.
+    /// Records that a host does not leave after all, by its own statement. Returns whether that is news.
     pub fn on_leaving_withdrawn(&mut self, host: &HostId, incarnation: Incarnation) -> bool {
         let tracked = self.incarnation_mut(host, incarnation);
         tracked.is_some_and(|tracked| tracked.stated_leaving.take().is_some())
--- a/lib/src/process/gateway/context.rs
+++ b/lib/src/process/gateway/context.rs
@@ -13,7 +13,7 @@
 use super::reservation::ChosenTarget;
 use super::state::GatewayState;
 use super::state::Inner;
-use super::target_rests::RestTrial;
+use super::target_backoffs::BackoffTrial;
 use crate::clock::Clock;
 use crate::connection::body_memory::BodyMemory;
 use crate::ids::EntryId;
@@ -89,8 +89,8 @@
     is_retry: bool,
     /// Whether the request is sent although a part of its prompt is quarantined.
     is_trial: bool,
-    /// The trial that the request is after a rest of the target, until it is answered.
-    rest_trial: Option<RestTrial>,
+    /// The trial that the request is after a backoff of the target, until it is answered.
+    backoff_trial: Option<BackoffTrial>,
 }
 
 impl<C> ReservedTarget<C>
@@ -103,14 +103,14 @@
     }
 
     /// Returns whether the target wants no requests from this entry now.
-    fn is_resting(&self, inner: &Inner, now: Instant) -> bool {
-        let rests = &inner.target_rests;
-        rests.is_resting(&self.host, self.incarnation, now)
+    fn is_backed_off(&self, inner: &Inner, now: Instant) -> bool {
+        let backoffs = &inner.target_backoffs;
+        backoffs.is_backed_off(&self.host, self.incarnation, now)
     }
 
     /// Returns whether a send is withheld for another reason than that the target is not reached.
     fn is_withheld(&self, inner: &Inner, now: Instant) -> bool {
-        self.is_quarantined(inner, now) || self.is_resting(inner, now)
+        self.is_quarantined(inner, now) || self.is_backed_off(inner, now)
     }
 
     /// Records that the target answered a request with these features.
@@ -195,8 +195,8 @@
         let now = self.state.clock.now();
         let mut inner = self.state.inner();
         inner.usage.on_finish(&self.host, self.unread_tokens, now);
-        if let Some(trial) = self.rest_trial.take() {
-            inner.target_rests.on_trial_failed(&self.host, trial);
+        if let Some(trial) = self.backoff_trial.take() {
+            inner.target_backoffs.on_trial_failed(&self.host, trial);
         }
     }
 }
@@ -241,8 +241,9 @@
         self.state.on_leaving_stated(&self.host, self.incarnation);
     }
 
-    fn on_rest_asked(&mut self, rest: Duration) {
-        self.state.on_rest_asked(&self.host, self.incarnation, rest);
+    fn on_backoff_requested(&mut self, backoff: Duration) {
+        self.state
+            .on_backoff_requested(&self.host, self.incarnation, backoff);
     }
 
     fn on_first_answer(&mut self, load: Option<AnswerLoad>) {
@@ -251,9 +252,9 @@
         self.state.on_target_answer(self.started_at);
         let now = self.state.clock.now();
         let mut inner = self.state.inner();
-        if let Some(trial) = self.rest_trial.take() {
-            let rests = &mut inner.target_rests;
-            rests.on_trial_answered(&self.host, trial, now);
+        if let Some(trial) = self.backoff_trial.take() {
+            let backoffs = &mut inner.target_backoffs;
+            backoffs.on_trial_answered(&self.host, trial, now);
         }
         if let Some(load) = load {
             inner.usage.on_load(&self.host, load, now);
@@ -421,10 +422,10 @@
             .state
             .inner()
             .reserve_target(requirements, &self.state.settings, now);
-        if let Err(NoTarget::Limited { resting, .. }) = &reserved {
+        if let Err(NoTarget::Limited { backed_off, .. }) = &reserved {
             let metrics = &self.state.metrics;
-            if *resting > 0 {
-                metrics.count_rest_refusal(&requirements.service);
+            if *backed_off > 0 {
+                metrics.count_backoff_refusal(&requirements.service);
             } else {
                 metrics.count_limit_refusal(&requirements.service);
             }
@@ -433,7 +434,7 @@
             target,
             expected_wait,
             choice_info,
-            rest_trial,
+            backoff_trial,
         } = reserved?;
         Ok(Reservation::Target(ReservedTarget {
             state: Arc::clone(&self.state),
@@ -453,7 +454,7 @@
             events: 0,
             is_retry: !requirements.excluded.is_empty(),
             is_trial: admission == Admission::Trial,
-            rest_trial,
+            backoff_trial,
         }))
     }
 
--- a/lib/src/process/gateway/leaving.rs
+++ b/lib/src/process/gateway/leaving.rs
@@ -1,7 +1,7 @@
 //! What a gateway does when targets say in their answers that they leave.
 //!
-//! The word counts for one incarnation of a target, in the host tracker. Entries tell it each other,
-//! because one that was told nothing may have passed it on: an entry that is cut off from the targets
+//! The statement counts for one incarnation of a target, in the host tracker. Entries tell it each
+//! other, because one that was not told may have passed it on: an entry that is cut off from the targets
 //! does not know from which target an answer came that another entry has fetched.
 
 use std::time::Duration;
@@ -19,13 +19,13 @@
 use crate::process::formation::TrackedHost;
 use crate::target::record::Availability;
 
-/// How long the word of a target is gossiped. It spans several datagrams, and the time in which the
+/// How long a target's statement is gossiped. It spans several datagrams, and the time in which the
 /// record of the target's start reaches all entries.
 const GOSSIP_TIME: Duration = Duration::from_secs(3);
 /// The most such targets in a datagram; those that said it last are preferred.
 const GOSSIPED_MAX: usize = 64;
 
-/// A target's word that it leaves, in a gossip datagram.
+/// A target's statement that it leaves, in a gossip datagram.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(from = "LeavingTuple", into = "LeavingTuple")]
 pub struct GossipedLeaving {
@@ -70,7 +70,7 @@
     }
 
     /// Returns the number of targets of a plain service that leave, by their records or their own
-    /// word, if all that are listed do; otherwise `None`. Hosts of other services may form another
+    /// statements, if all that are listed do; otherwise `None`. Hosts of other services may form another
     /// group at any time.
     pub(super) fn all_leaving(&self, service: &ServiceId, now: Instant) -> Option<usize> {
         let document = self.document.as_ref()?;
@@ -140,7 +140,7 @@
         let mut inner = self.inner();
         let tracker = &mut inner.host_tracker;
         let known = tracker.get(host).and_then(|known| known.stated_leaving);
-        // With the error of the age, a word that is gossiped back would become newer each time.
+        // With the error of the age, a statement that is gossiped back would become newer each time.
         if known.is_some() && !is_own {
             return;
         }
--- a/lib/src/process/gateway/leaving_check.rs
+++ b/lib/src/process/gateway/leaving_check.rs
@@ -1,7 +1,7 @@
 //! Health checks of targets that say that they leave, while their records stay ready.
 //!
-//! Such a target ends within seconds, or its record changes. If neither happens, the word may have
-//! been a mistake, and only the target itself can take it back: requests may not be sent to find out.
+//! Such a target ends within seconds, or its record changes. If neither happens, the statement may
+//! have been a mistake. Only the target itself can withdraw it: requests may not be sent to find out.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -17,7 +17,7 @@
 use crate::target::record::Availability;
 use crate::target::record::TargetControl;
 
-/// The time from a target's word, or from the last check, to the next check.
+/// The time from a target's statement, or from the last check, to the next check.
 const CHECK_DELAY: Duration = Duration::from_secs(10);
 /// The interval in which due checks are looked for.
 const POLL_INTERVAL: Duration = Duration::from_secs(1);
--- a/lib/src/process/gateway/metrics.rs
+++ b/lib/src/process/gateway/metrics.rs
@@ -51,14 +51,14 @@
     pub target_crashes: IntCounter,
     quarantine_refusals: IntCounterVec,
     limit_refusals: IntCounterVec,
-    rest_refusals: IntCounterVec,
+    backoff_refusals: IntCounterVec,
     /// Targets that name a request limit.
     pub limited_targets: IntGauge,
     /// Targets that say in their answers that they leave, while their records say that they are
     /// ready.
     pub leaving_targets: IntGauge,
     /// Targets that want no requests from this entry for now.
-    pub resting_targets: IntGauge,
+    pub backed_off_targets: IntGauge,
     /// 1 while this entry reaches no target, 0 otherwise.
     pub is_cut_off: IntGauge,
     /// 1 while this entry holds the formation lease, 0 otherwise.
@@ -154,10 +154,10 @@
                 "Attempts to choose a target while the limits of all were used up.",
                 &["service"],
             )?,
-            rest_refusals: counters(
-                "rest_refusals_total",
-                "Attempts to choose a target while all rested, or some and the limits of the others \
-                 were used up.",
+            backoff_refusals: counters(
+                "backoff_refusals_total",
+                "Attempts to choose a target while all were backed off, or some and the limits of the \
+                 others were used up.",
                 &["service"],
             )?,
             limited_targets: gauge(
@@ -168,8 +168,8 @@
                 "leaving_targets",
                 "Targets that say that they leave, though their records don't.",
             )?,
-            resting_targets: gauge(
-                "resting_targets",
+            backed_off_targets: gauge(
+                "backed_off_targets",
                 "Targets that want no requests from this entry for now.",
             )?,
             holds_lease: gauge("holds_lease", "Whether this entry forms the groups.")?,
@@ -198,10 +198,10 @@
         registry.register(Box::new(self.target_crashes.clone()))?;
         registry.register(Box::new(self.quarantine_refusals.clone()))?;
         registry.register(Box::new(self.limit_refusals.clone()))?;
-        registry.register(Box::new(self.rest_refusals.clone()))?;
+        registry.register(Box::new(self.backoff_refusals.clone()))?;
         registry.register(Box::new(self.limited_targets.clone()))?;
         registry.register(Box::new(self.leaving_targets.clone()))?;
-        registry.register(Box::new(self.resting_targets.clone()))?;
+        registry.register(Box::new(self.backed_off_targets.clone()))?;
         registry.register(Box::new(self.holds_lease.clone()))
     }
 
@@ -251,10 +251,10 @@
         self.limit_refusals.with_label_values(&labels).inc();
     }
 
-    /// Counts an attempt to choose a target while no target took requests and some rested.
-    pub fn count_rest_refusal(&self, service: &ServiceId) {
+    /// Counts an attempt to choose a target while no target took requests and some were backed off.
+    pub fn count_backoff_refusal(&self, service: &ServiceId) {
         let labels = [service.as_str()];
-        self.rest_refusals.with_label_values(&labels).inc();
+        self.backoff_refusals.with_label_values(&labels).inc();
     }
 
     /// Counts a retry that was requested from the retry budget.
--- a/lib/src/process/gateway/mod.rs
+++ b/lib/src/process/gateway/mod.rs
@@ -5,6 +5,7 @@
 //! [`crate::request::forward`], and forms groups through [`crate::process::formation`] while it
 //! holds the formation lease. All of its state is rebuilt from the platform after a restart.
 
+mod backoff_state;
 mod change_log;
 mod context;
 mod coordinate;
@@ -29,15 +30,14 @@
 mod record_state;
 mod relayed_feed;
 mod reservation;
-mod rest_state;
 mod run;
 mod serving;
 mod settings;
 mod share_members;
 mod state;
+mod target_backoffs;
 mod target_limits;
 mod target_links;
-mod target_rests;
 mod usage;
 
 pub use self::change_log::ChangeLog;
@@ -75,12 +75,12 @@
 pub use self::share_members::SharePlace;
 pub use self::state::GatewayPlatform;
 pub use self::state::GatewayState;
+pub use self::target_backoffs::BackoffTrial;
+pub use self::target_backoffs::TargetBackoffs;
 pub use self::target_limits::LimitChange;
 pub use self::target_limits::TargetLimits;
 pub use self::target_limits::part_of_limit;
 pub use self::target_links::LinksRestored;
 pub use self::target_links::TargetLinks;
-pub use self::target_rests::RestTrial;
-pub use self::target_rests::TargetRests;
 pub use self::usage::TargetUsage;
 pub use self::usage::UsageTracker;
--- a/lib/src/process/gateway/passed_on.rs
+++ b/lib/src/process/gateway/passed_on.rs
@@ -112,7 +112,7 @@
     fn on_leaving_stated(&mut self) {}
 
     // The target asked the other entry, and the other entry asks for nothing of its own.
-    fn on_rest_asked(&mut self, _rest: Duration) {}
+    fn on_backoff_requested(&mut self, _rest: Duration) {}
 
     fn on_first_answer(&mut self, _load: Option<AnswerLoad>) {
         self.on_progress();
@@ -211,8 +211,8 @@
         delegate!(self, on_leaving_stated());
     }
 
-    fn on_rest_asked(&mut self, rest: Duration) {
-        delegate!(self, on_rest_asked(rest));
+    fn on_backoff_requested(&mut self, backoff: Duration) {
+        delegate!(self, on_backoff_requested(backoff));
     }
 
     fn on_first_answer(&mut self, load: Option<AnswerLoad>) {
--- a/lib/src/process/gateway/reservation.rs
+++ b/lib/src/process/gateway/reservation.rs
@@ -8,7 +8,7 @@
 use super::settings::GatewaySettings;
 use super::settings::RetryLimits;
 use super::state::Inner;
-use super::target_rests::RestTrial;
+use super::target_backoffs::BackoffTrial;
 use crate::ids::ServiceId;
 use crate::request::forward::admit::admit;
 use crate::request::forward::choose::TargetCandidate;
@@ -54,8 +54,8 @@
     /// The expected time until the first answer.
     pub(super) expected_wait: Duration,
     pub(super) choice_info: ChoiceInfo,
-    /// The trial that the request is, if the target has just rested.
-    pub(super) rest_trial: Option<RestTrial>,
+    /// The trial that the request is, if the backoff of the target has just ended.
+    pub(super) backoff_trial: Option<BackoffTrial>,
 }
 
 fn meets(target: &ServingTarget, requirements: &TargetRequirements) -> bool {
@@ -115,20 +115,20 @@
     }
 
     /// Returns the time until a request may be sent to a target, by the limit that it names and by the
-    /// rest that it asked for.
+    /// backoff that it requested.
     fn time_until_send(&self, target: &ServingTarget, now: Instant) -> Duration {
         let limits = &self.target_limits;
         let by_limit = limits.time_until_send(&target.host, now);
-        by_limit.max(self.rest_left(target, now))
+        by_limit.max(self.backoff_left(target, now))
     }
 
-    fn rest_left(&self, target: &ServingTarget, now: Instant) -> Duration {
-        let rests = &self.target_rests;
-        rests.time_until_send(&target.host, target.incarnation, now)
+    fn backoff_left(&self, target: &ServingTarget, now: Instant) -> Duration {
+        let backoffs = &self.target_backoffs;
+        backoffs.time_until_send(&target.host, target.incarnation, now)
     }
 
     /// Returns how long a caller should wait before a retry, if all targets that meet the
-    /// requirements rest or have used up their limits; otherwise `None`.
+    /// requirements are backed off or have used up their limits; otherwise `None`.
     pub(super) fn retry_after(
         &self,
         requirements: &TargetRequirements,
@@ -178,14 +178,15 @@
             None => {
                 let waits = passed_over.iter();
                 let waits = waits.map(|target| self.time_until_send(target, now));
-                let resting = passed_over.iter();
-                let resting = resting.filter(|target| !self.rest_left(target, now).is_zero());
-                let resting = resting.count();
+                let backed_off = passed_over.iter();
+                let backed_off =
+                    backed_off.filter(|target| !self.backoff_left(target, now).is_zero());
+                let backed_off = backed_off.count();
                 let limited = |available_in| NoTarget::Limited {
                     available_in,
                     retry_after: available_in + retry_spread(),
                     candidates: passed_over.len(),
-                    resting,
+                    backed_off,
                 };
                 let leaving = self.all_leaving(&requirements.service, now);
                 let absent =
@@ -218,12 +219,12 @@
         self.usage
             .on_start(&target.host, requirements.prompt_tokens, now);
         self.target_limits.on_send(&target.host, now);
-        let rest_trial = self.target_rests.on_send(&target.host, now);
+        let backoff_trial = self.target_backoffs.on_send(&target.host, now);
         Ok(ChosenTarget {
             target,
             expected_wait,
             choice_info,
-            rest_trial,
+            backoff_trial,
         })
     }
 
--- a/lib/src/process/gateway/state.rs
+++ b/lib/src/process/gateway/state.rs
@@ -23,9 +23,9 @@
 use super::serving::ServingTarget;
 use super::serving::serving_targets;
 use super::settings::GatewaySettings;
+use super::target_backoffs::TargetBackoffs;
 use super::target_limits::TargetLimits;
 use super::target_links::TargetLinks;
-use super::target_rests::TargetRests;
 use super::usage::UsageTracker;
 use crate::clock::Clock;
 use crate::connection::body_memory::BodyMemory;
@@ -95,7 +95,7 @@
     pub(super) broken_starts: Vec<CrashRecord>,
     pub(super) target_limits: TargetLimits,
     pub(super) target_links: TargetLinks,
-    pub(super) target_rests: TargetRests,
+    pub(super) target_backoffs: TargetBackoffs,
 }
 
 /// The state of a gateway's process.
@@ -166,7 +166,7 @@
                 broken_starts: Vec::new(),
                 target_limits: TargetLimits::new(),
                 target_links: TargetLinks::new(),
-                target_rests: TargetRests::new(),
+                target_backoffs: TargetBackoffs::new(),
             }),
         }
     }
@@ -262,8 +262,8 @@
         inner.update_target_limits(now);
         let limits = inner.target_limits.gossip(now);
         let leaving = inner.gossiped_leaving(now);
-        let resting = inner.update_target_rests(now);
-        self.metrics.resting_targets.set(resting);
+        let backed_off = inner.update_target_backoffs(now);
+        self.metrics.backed_off_targets.set(backed_off);
         let is_recent = |at: Instant| now.saturating_duration_since(at) < STALL_GOSSIP_TIME;
         inner.stalled_to_gossip.retain(|(_, at)| is_recent(*at));
         let age_ms = |at: Instant| now.saturating_duration_since(at).as_millis() as u64;
--- a/lib/src/request/forward/context.rs
+++ b/lib/src/request/forward/context.rs
@@ -64,7 +64,7 @@
         targets: usize,
     },
     /// The targets that meet the requirements take no more requests for now, by the limits that
-    /// they name or the rest that they ask for.
+    /// they name or the backoff that they request.
     Limited {
         /// The time until this process may send a request to one of them.
         available_in: Duration,
@@ -72,8 +72,8 @@
         retry_after: Duration,
         /// The number of targets considered.
         candidates: usize,
-        /// The number of those that rest.
-        resting: usize,
+        /// The number of those that are backed off.
+        backed_off: usize,
     },
     /// The expected queue wait is too long, and no target has enough free slots.
     Busy {
@@ -130,7 +130,7 @@
 
     /// Records that the target wants no more requests from this entry for a time, by an answer that
     /// may be a refusal.
-    fn on_rest_asked(&mut self, rest: Duration);
+    fn on_backoff_requested(&mut self, backoff: Duration);
 
     /// Records that the head of the answer arrived, with the load that it reports.
     fn on_first_answer(&mut self, load: Option<AnswerLoad>);
--- a/lib/src/request/forward/protocol.rs
+++ b/lib/src/request/forward/protocol.rs
@@ -117,7 +117,7 @@
     /// Whether the target says that it is about to end and wants no new requests.
     pub is_leaving: bool,
     /// How long the target wants no more requests from this entry, if it says so.
-    pub rest: Option<Duration>,
+    pub backoff: Option<Duration>,
     /// The host that prevented the request from running, if the answer names one.
     pub faulty_host: Option<HostId>,
 }
--- a/lib/src/request/forward/send.rs
+++ b/lib/src/request/forward/send.rs
@@ -152,8 +152,8 @@
             if answer.is_leaving {
                 self.target.on_leaving_stated();
             }
-            if let Some(rest) = answer.rest {
-                self.target.on_rest_asked(rest);
+            if let Some(backoff) = answer.backoff {
+                self.target.on_backoff_requested(backoff);
             }
         }
         if let Err(send_failure) = checked {
@@ -177,7 +177,7 @@
                 request, route = request.route.name.as_str(), target:% = self.target.host(),
                 send = self.number, status = head.status.as_u16(),
                 faulty_host:% = OrNone(answer.faulty_host.as_ref()),
-                rest_ms:% = OrNone(answer.rest.map(|rest| rest.as_millis())),
+                backoff_ms:% = OrNone(answer.backoff.map(|backoff| backoff.as_millis())),
                 elapsed_ms = request.elapsed_ms();
                 "refused by the target"
             );
--- a/lib/src/request/forward/sends.rs
+++ b/lib/src/request/forward/sends.rs
@@ -171,19 +171,19 @@
         if let Err(NoTarget::Limited {
             available_in,
             candidates,
-            resting,
+            backed_off,
             ..
         }) = &reserved
         {
-            let reason = if *resting > 0 {
-                "all targets rest or have used up their limits"
+            let reason = if *backed_off > 0 {
+                "all targets are backed off or have used up their limits"
             } else {
                 "the limits of all targets are used up"
             };
             log_request!(
                 request, route = request.route.name.as_str(), service:% = request.service,
                 weights:% = OrNone(self.requirements.weights.as_ref()),
-                options = *candidates, resting = *resting,
+                options = *candidates, backed_off = *backed_off,
                 room_in_ms = available_in.as_millis() as u64,
                 is_new = self.requirements.is_new;
                 "request is not sent: {reason}"
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -38,7 +38,7 @@
 mod test_silence;
 mod test_spill;
 mod test_stragglers;
+mod test_target_backoffs;
 mod test_target_limits;
 mod test_target_links;
-mod test_target_rests;
 mod test_units;
--- a/lib/tests/test_host_tracker.rs
+++ b/lib/tests/test_host_tracker.rs
@@ -50,7 +50,7 @@
     assert_eq!(availability, Availability::Draining);
 }
 
-// Guards against a word that is forgotten because the record is written again, or vanishes and
+// Guards against a statement that is forgotten because the record is written again, or vanishes and
 // returns, as after an outage of the registry.
 #[test]
 fn on_leaving_stated_outlasts_records_of_the_same_incarnation() {
@@ -69,7 +69,7 @@
     assert!(!is_usable(&tracker, later));
 }
 
-// Guards against a word that is applied to another process than the one that gave it.
+// Guards against a statement that is applied to another process than the one that gave it.
 #[test]
 fn on_leaving_stated_applies_to_one_incarnation() {
     let now = Instant::now();
@@ -96,10 +96,10 @@
     assert!(is_usable(&tracker, now));
 }
 
-// Guards against a failed health check that counts as a word of the host, which entries would tell
+// Guards against a failed health check that counts as a statement of the host, which entries would tell
 // each other again and again.
 #[test]
-fn on_leaving_confirmed_does_not_renew_the_word() {
+fn on_leaving_confirmed_does_not_renew_the_statement() {
     let now = Instant::now();
     let later = now + Duration::from_secs(10);
     let mut tracker = HostTracker::new();
