gateway: trials after a backoff that run for long let others follow

Found by reading: after a backoff at most two requests were sent until one was answered. A buffered answer begins only when its request has run, so a target with long requests would have been held at two requests of each entry for all that time. A target that turns requests away answers at once; two seconds after the second trial it now counts as taking requests again.

--- a/lib/src/process/gateway/target_backoffs.rs
+++ b/lib/src/process/gateway/target_backoffs.rs
@@ -21,6 +21,9 @@
 const TRIALS_MAX: usize = 2;
 /// The time from the first of these to the next one. Targets that turn requests away answer at once.
 const TRIAL_DELAY: Duration = Duration::from_millis(300);
+/// The time after which the last of these counts as not turned away. The answer to a request that runs
+/// may take much longer.
+const TRIAL_ANSWER_TIME_MAX: Duration = Duration::from_secs(2);
 /// How long after the first answer sends are spaced, and the time between two of them.
 const RESUME_TIME: Duration = Duration::from_millis(500);
 const RESUME_INTERVAL: Duration = Duration::from_millis(50);
@@ -69,11 +72,15 @@
             }
             Some(_) => Duration::ZERO,
             None if self.trials == 0 => Duration::ZERO,
-            None if self.trials < TRIALS_MAX => {
+            None => {
+                let delay = if self.trials < TRIALS_MAX {
+                    TRIAL_DELAY
+                } else {
+                    TRIAL_ANSWER_TIME_MAX
+                };
                 let since_trial = now.saturating_duration_since(self.last_trial_at);
-                TRIAL_DELAY.saturating_sub(since_trial)
+                delay.saturating_sub(since_trial)
             }
-            None => TRIAL_DELAY,
         }
     }
 
@@ -82,6 +89,10 @@
             return None;
         }
         self.next_send_at = now + RESUME_INTERVAL;
+        if self.trials >= TRIALS_MAX {
+            // The trials run; they were not turned away.
+            self.resumed_at.get_or_insert(now);
+        }
         if self.resumed_at.is_some() {
             return None;
         }
