gateway: log lines and gauges for records of targets that change

Nothing told when an entry learned that a target is draining or gone, how old the records were by which a target was chosen, or whether a removal was held back after an outage, so the hypotheses for late requests to leaving targets could not be told apart. Only transitions are logged, and only the records of a batch are compared.

--- a/lib/src/process/gateway/change_log.rs
+++ b/lib/src/process/gateway/change_log.rs
@@ -56,6 +56,13 @@
         self.confirmed_at
     }
 
+    /// Returns the time since the platform confirmed that the log is complete; `None` if it has not
+    /// answered yet.
+    pub fn age(&self, now: Instant) -> Option<Duration> {
+        let confirmed_at = self.confirmed_at?;
+        Some(now.saturating_duration_since(confirmed_at))
+    }
+
     /// Appends a batch of changes, which may be empty.
     pub fn on_changes(&mut self, changes: Changes<T>) {
         self.revision = self.revision.max(Some(changes.revision));
--- a/lib/src/process/gateway/follow.rs
+++ b/lib/src/process/gateway/follow.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use super::listings::Listings;
 use super::state::GatewayState;
 use crate::clock::Clock;
 use crate::platform::feed::Changes;
@@ -65,14 +66,21 @@
 {
     fn on_snapshot(&self, snapshot: Snapshot<TargetRecord>) {
         let revision = snapshot.revision;
+        let listings = self
+            .0
+            .with_host_tracker(|tracker| Listings::of_snapshot(tracker, &snapshot.records));
         self.0
             .update_host_tracker(|tracker, now| tracker.on_snapshot(snapshot.records, now));
+        self.0.log_listings(&listings, revision, "snapshot");
         self.0.with_target_log(|log, _| log.on_snapshot(revision));
         self.0.mark_targets_read();
     }
 
     fn on_changes(&self, changes: Changes<TargetRecord>) {
         if !changes.changed.is_empty() || !changes.removed.is_empty() {
+            let listings = self
+                .0
+                .with_host_tracker(|tracker| Listings::of_changes(tracker, &changes));
             self.0.update_host_tracker(|tracker, now| {
                 for host in changes.removed.iter().filter_map(|host| host.parse().ok()) {
                     tracker.on_removed(&host, now);
@@ -81,6 +89,7 @@
                     tracker.on_record(record.clone(), now);
                 }
             });
+            self.0.log_listings(&listings, changes.revision, "changes");
         }
         self.0.with_target_log(|log, _| log.on_changes(changes));
     }
@@ -150,8 +159,12 @@
             && let Some(since) = failing_since.take()
         {
             let failed_for = now.saturating_duration_since(since);
-            log::info!(what = feed_name, failed_ms = failed_for.as_millis() as u64; "platform is back");
-            if failed_for >= OUTAGE_MIN {
+            let is_outage = failed_for >= OUTAGE_MIN;
+            log::info!(
+                what = feed_name, failed_ms = failed_for.as_millis() as u64, is_outage = is_outage;
+                "platform is back"
+            );
+            if is_outage {
                 sink.on_outage_ended();
             }
         }
--- a/lib/src/process/gateway/metrics.rs
+++ b/lib/src/process/gateway/metrics.rs
@@ -59,6 +59,10 @@
     pub leaving_targets: IntGauge,
     /// Targets that want no requests from this entry for now.
     pub backed_off_targets: IntGauge,
+    /// The milliseconds since the platform last confirmed the records of targets.
+    pub target_records_age_ms: IntGauge,
+    /// Targets whose removal from the registry is held back.
+    pub held_back_removals: IntGauge,
     /// 1 while this entry reaches no target, 0 otherwise.
     pub is_cut_off: IntGauge,
     /// 1 while this entry holds the formation lease, 0 otherwise.
@@ -172,6 +176,14 @@
                 "backed_off_targets",
                 "Targets that want no requests from this entry for now.",
             )?,
+            target_records_age_ms: gauge(
+                "target_records_age_ms",
+                "Milliseconds since the platform confirmed the records of targets, maybe to another entry.",
+            )?,
+            held_back_removals: gauge(
+                "held_back_removals",
+                "Targets that the platform lists no more and that are still used.",
+            )?,
             holds_lease: gauge("holds_lease", "Whether this entry forms the groups.")?,
         };
         metrics.register()?;
@@ -202,6 +214,8 @@
         registry.register(Box::new(self.limited_targets.clone()))?;
         registry.register(Box::new(self.leaving_targets.clone()))?;
         registry.register(Box::new(self.backed_off_targets.clone()))?;
+        registry.register(Box::new(self.target_records_age_ms.clone()))?;
+        registry.register(Box::new(self.held_back_removals.clone()))?;
         registry.register(Box::new(self.holds_lease.clone()))
     }
 
--- a/lib/src/process/gateway/mod.rs
+++ b/lib/src/process/gateway/mod.rs
@@ -19,6 +19,7 @@
 mod limit_state;
 mod link_check;
 mod listeners;
+mod listings;
 mod metrics;
 mod passed_on;
 mod peer_handler;
--- a/lib/src/process/gateway/passed_on.rs
+++ b/lib/src/process/gateway/passed_on.rs
@@ -99,6 +99,7 @@
             in_flight: 0.0,
             load_age: None,
             limit: None,
+            records_age: None,
         }
     }
 
--- a/lib/src/process/gateway/probe_handlers.rs
+++ b/lib/src/process/gateway/probe_handlers.rs
@@ -65,12 +65,7 @@
     C: Clock,
 {
     async fn handle(&self, _request: Request<Incoming>) -> Response<ResponseBody> {
-        if let Some(confirmed_at) = self.state.document_confirmed_at() {
-            let now = self.state.clock.now();
-            let age = now.saturating_duration_since(confirmed_at);
-            let age_ms = i64::try_from(age.as_millis()).unwrap_or(i64::MAX);
-            self.state.metrics.configuration_age_ms.set(age_ms);
-        }
+        self.state.update_record_metrics();
         match self.state.metrics.render() {
             Ok(text) => {
                 let mut response = Response::new(full_body(text));
--- a/lib/src/process/gateway/record_state.rs
+++ b/lib/src/process/gateway/record_state.rs
@@ -54,6 +54,23 @@
         self.inner().document_log.confirmed_at()
     }
 
+    /// Updates the metrics of the records' ages and of the removals that are held back.
+    pub(super) fn update_record_metrics(&self) {
+        let now = self.clock.now();
+        let inner = self.inner();
+        let age_ms = |age: Duration| i64::try_from(age.as_millis()).unwrap_or(i64::MAX);
+        if let Some(age) = inner.document_log.age(now) {
+            self.metrics.configuration_age_ms.set(age_ms(age));
+        }
+        if let Some(age) = inner.target_log.age(now) {
+            self.metrics.target_records_age_ms.set(age_ms(age));
+        }
+        let hosts = inner.host_tracker.iter();
+        let held_back = hosts.filter(|tracked| tracked.unlisted_from.is_some_and(|at| now < at));
+        let held_back = i64::try_from(held_back.count()).unwrap_or(i64::MAX);
+        self.metrics.held_back_removals.set(held_back);
+    }
+
     /// Returns the delay between two reads of the target records. Changes in that time are read by
     /// one call, and the rate of calls of all entries together hardly grows with their number.
     pub fn targets_batch_delay(&self) -> Duration {
--- a/lib/src/process/gateway/reservation.rs
+++ b/lib/src/process/gateway/reservation.rs
@@ -215,6 +215,7 @@
                 .get(&target.host)
                 .and_then(|usage| usage.load_age(now)),
             limit: self.target_limits.limit(&target.host),
+            records_age: self.target_log.age(now),
         };
         self.usage
             .on_start(&target.host, requirements.prompt_tokens, now);
--- a/lib/src/request/forward/context.rs
+++ b/lib/src/request/forward/context.rs
@@ -99,6 +99,8 @@
     pub load_age: Option<Duration>,
     /// The limit on the rate of requests that the chosen target names, if it is known.
     pub limit: Option<RequestRate>,
+    /// The time since the platform confirmed the records of targets by which the target was chosen.
+    pub records_age: Option<Duration>,
 }
 
 /// A request's reserved slot at a target; dropping it releases the slot.
--- a/lib/src/request/forward/sends.rs
+++ b/lib/src/request/forward/sends.rs
@@ -207,6 +207,7 @@
             in_flight = choice.in_flight,
             load_age_ms:% = OrNone(choice.load_age.map(|age| age.as_millis())),
             limit_per_s:% = OrNone(choice.limit.map(|limit| limit.0)),
+            records_age_ms:% = OrNone(choice.records_age.map(|age| age.as_millis())),
             expected_ms = target.expected_wait().as_millis() as u64,
             excluded = self.requirements.excluded.len(), version:% = OrNone(version),
             is_entry = target.passed_on_by().is_some(),
