--- a/cli/tests/runner.rs
+++ b/cli/tests/runner.rs
@@ -13,6 +13,7 @@
 mod test_callers;
 mod test_check_history_command;
 mod test_config_command;
+mod test_departed_targets;
 mod test_docs;
 mod test_entry_command;
 mod test_entry_signals;
--- a/cli/tests/test_gateway_soak.rs
+++ b/cli/tests/test_gateway_soak.rs
@@ -89,7 +89,8 @@
         !self.is_stopped && self.disturbed_until < Instant::now()
     }
 
-    fn signal(&self, name: &str) {
+    /// Sends a signal, by its name for `kill`.
+    pub(crate) fn signal(&self, name: &str) {
         // The ID of a process that has not been waited for is not reused.
         let pid = self.process.id().to_string();
         let mut kill = Command::new("kill");
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -2,6 +2,7 @@
 
 mod test_admission;
 mod test_change;
+mod test_change_log;
 mod test_claim_store;
 mod test_claims;
 mod test_clock;
