gateway: changes of a record that are joined keep its last state

Cause: ChangeLog::changes_since joined batches into one list of changed records and one of removed keys, and the order of two changes of a record was lost.

Now the changes of a feed are one state per record: a later change replaces an earlier one. A key in both lists can only come from an entry of an earlier version; the reader then reads all records. Versions of the configuration are records of their own, and the newest is chosen as before.

--- a/lib/src/platform/feed.rs
+++ b/lib/src/platform/feed.rs
@@ -1,5 +1,6 @@
 //! Change feeds of platform records: a snapshot, followed by the changes since its revision.
 
+use std::borrow::Cow;
 use std::future::Future;
 use std::time::Duration;
 
@@ -19,7 +20,14 @@
     pub revision: Revision,
 }
 
-/// The changes of records after a revision.
+/// A record of a feed.
+pub trait FeedRecord {
+    /// Returns the key by which the feed names the record when it is removed.
+    fn feed_key(&self) -> Cow<'_, str>;
+}
+
+/// The changes of records after a revision, as one state per record: a key is in one of the lists at
+/// most. The lists do not tell the order of two changes of a record.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Changes<T> {
     /// The new or changed records that could be decoded.
@@ -30,6 +38,38 @@
     pub revision: Revision,
 }
 
+impl<T> Changes<T>
+where
+    T: FeedRecord,
+{
+    /// Adds later changes, which replace those of the same records.
+    pub fn append(&mut self, later: Self) {
+        let changed = later.changed.iter().map(FeedRecord::feed_key);
+        let removed = later.removed.iter().map(|key| Cow::Borrowed(key.as_str()));
+        let mut replaced: Vec<Cow<'_, str>> = changed.chain(removed).collect();
+        replaced.sort();
+        let is_kept = |key: &str| {
+            replaced
+                .binary_search_by(|known| known.as_ref().cmp(key))
+                .is_err()
+        };
+        self.changed.retain(|record| is_kept(&record.feed_key()));
+        self.removed.retain(|key| is_kept(key));
+        self.changed.extend(later.changed);
+        self.removed.extend(later.removed);
+        self.revision = self.revision.max(later.revision);
+    }
+
+    /// Returns whether a record is both changed and removed, so that its state is not known.
+    pub fn is_ambiguous(&self) -> bool {
+        let is_removed = |record: &T| {
+            let key = record.feed_key();
+            self.removed.iter().any(|removed| *removed == key)
+        };
+        !self.removed.is_empty() && self.changed.iter().any(is_removed)
+    }
+}
+
 /// Why a snapshot or changes can't be read.
 #[derive(Clone, Debug, Display, Error, From)]
 pub enum FeedError {
--- a/lib/src/process/gateway/change_log.rs
+++ b/lib/src/process/gateway/change_log.rs
@@ -6,6 +6,7 @@
 
 use crate::ids::Revision;
 use crate::platform::feed::Changes;
+use crate::platform::feed::FeedRecord;
 
 /// The number of batches that are kept. An entry that is further behind reads a snapshot.
 const BATCHES_MAX: usize = 512;
@@ -32,7 +33,7 @@
 
 impl<T> ChangeLog<T>
 where
-    T: Clone,
+    T: Clone + FeedRecord,
 {
     /// Restarts the log at the revision of a snapshot.
     pub fn on_snapshot(&mut self, revision: Revision) {
@@ -99,8 +100,7 @@
             revision: since.max(self.revision.unwrap_or(since)),
         };
         for batch in self.batches.iter().filter(|batch| batch.revision > since) {
-            changes.changed.extend(batch.changed.iter().cloned());
-            changes.removed.extend(batch.removed.iter().cloned());
+            changes.append(batch.clone());
         }
         Some(changes)
     }
--- a/lib/src/process/gateway/record_relay.rs
+++ b/lib/src/process/gateway/record_relay.rs
@@ -25,6 +25,7 @@
 use crate::connection::server::HttpHandler;
 use crate::ids::Revision;
 use crate::platform::feed::Changes;
+use crate::platform::feed::FeedRecord;
 use crate::target::record::TargetRecord;
 use crate::version::routes::RouteDocument;
 
@@ -61,7 +62,7 @@
 
 /// A kind of record that entries relay.
 pub(super) trait RelayedRecord:
-    Clone + Serialize + DeserializeOwned + Send + Sync + 'static
+    Clone + FeedRecord + Serialize + DeserializeOwned + Send + Sync + 'static
 {
     /// The path of the records.
     const PATH: &'static str;
--- a/lib/src/process/gateway/relayed_feed.rs
+++ b/lib/src/process/gateway/relayed_feed.rs
@@ -254,11 +254,16 @@
             // snapshot.
             return Err(FeedError::HistoryLost { since });
         }
-        Ok(Changes {
+        let changes = Changes {
             changed: relayed.changed,
             removed: relayed.removed,
             revision: relayed.revision.max(since),
-        })
+        };
+        if changes.is_ambiguous() {
+            // An entry of an earlier version joins changes without their order.
+            return Err(FeedError::HistoryLost { since });
+        }
+        Ok(changes)
     }
 
     async fn platform_changes<T>(
--- a/lib/src/target/record.rs
+++ b/lib/src/target/record.rs
@@ -1,5 +1,6 @@
 //! Targets as listed in the registry: their records, reports, and the orders that hosts accept.
 
+use std::borrow::Cow;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -17,6 +18,7 @@
 use crate::ids::Incarnation;
 use crate::ids::ServiceId;
 use crate::ids::WeightsId;
+use crate::platform::feed::FeedRecord;
 use crate::sorted::Keyed;
 
 /// Whether a target accepts new requests.
@@ -96,6 +98,12 @@
     pub accepted_orders: Option<u64>,
 }
 
+impl FeedRecord for TargetRecord {
+    fn feed_key(&self) -> Cow<'_, str> {
+        Cow::Borrowed(self.host.as_str())
+    }
+}
+
 impl Keyed for TargetRecord {
     type Key = HostId;
 
--- a/lib/src/version/routes.rs
+++ b/lib/src/version/routes.rs
@@ -3,6 +3,7 @@
 //! A [`RouteDocument`] is immutable. A request keeps the one that it was matched against, so that a
 //! configuration change does not affect requests in progress.
 
+use std::borrow::Cow;
 use std::time::Duration;
 
 use derive_more::Display;
@@ -14,6 +15,7 @@
 use crate::ids::DocumentVersion;
 use crate::ids::ServiceId;
 use crate::ids::WeightsId;
+use crate::platform::feed::FeedRecord;
 use crate::sorted::Keyed;
 use crate::sorted::SortedVec;
 
@@ -247,6 +249,13 @@
     keys: Option<SortedVec<AccountKey>>,
 }
 
+impl FeedRecord for RouteDocument {
+    /// Each version is a record of its own, so that readers can choose the newest one.
+    fn feed_key(&self) -> Cow<'_, str> {
+        Cow::Owned(self.version.to_string())
+    }
+}
+
 impl RouteDocument {
     /// Creates a document; `keys` is `None` for an environment without accounts.
     pub fn new(
--- a/lib/tests/test_change_log.rs
+++ b/lib/tests/test_change_log.rs
@@ -74,6 +74,17 @@
     assert_eq!(changes.removed, Vec::<String>::new());
 }
 
+// Guards against answers of entries of earlier versions, which tell no order.
+#[test]
+fn is_ambiguous_record_both_changed_and_removed() {
+    let mut changes = changed(12, record("i-1", 7));
+    assert!(!changes.is_ambiguous());
+    changes.removed = vec![String::from("i-2")];
+    assert!(!changes.is_ambiguous());
+    changes.removed = vec![String::from("i-1")];
+    assert!(changes.is_ambiguous());
+}
+
 /// A change of one of four hosts: its record with this number of slots, or its removal.
 type HostChange = (u8, Option<u8>);
 
--- a/lib/tests/test_gateway_peers.rs
+++ b/lib/tests/test_gateway_peers.rs
@@ -1,5 +1,6 @@
 //! Tests of the gossip between entries, the choice of an upstream, and the change log.
 
+use std::borrow::Cow;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -9,6 +10,7 @@
 use beryltray_lib::ids::Incarnation;
 use beryltray_lib::ids::Revision;
 use beryltray_lib::platform::feed::Changes;
+use beryltray_lib::platform::feed::FeedRecord;
 use beryltray_lib::process::gateway::ChangeLog;
 use beryltray_lib::process::gateway::GossipedLoad;
 use beryltray_lib::process::gateway::PeerMessage;
@@ -249,9 +251,19 @@
 /// The age from which a log is not passed on.
 const AGE_MAX: Duration = Duration::from_millis(1_200);
 
-fn changes(revision: u64, changed: &[u32]) -> Changes<u32> {
+/// A record with this key.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+struct Number(u32);
+
+impl FeedRecord for Number {
+    fn feed_key(&self) -> Cow<'_, str> {
+        Cow::Owned(self.0.to_string())
+    }
+}
+
+fn changes(revision: u64, changed: &[u32]) -> Changes<Number> {
     Changes {
-        changed: changed.to_vec(),
+        changed: changed.iter().copied().map(Number).collect(),
         removed: Vec::new(),
         revision: Revision(revision),
     }
@@ -266,12 +278,10 @@
     log.confirm(now);
     log.on_changes(changes(12, &[1]));
     log.on_changes(changes(15, &[2, 3]));
-    assert_eq!(log.changes_since(Revision(12)).unwrap().changed, [2, 3]);
-    assert_eq!(log.changes_since(Revision(10)).unwrap().changed, [1, 2, 3]);
-    assert_eq!(
-        log.changes_since(Revision(15)).unwrap().changed,
-        Vec::<u32>::new()
-    );
+    let since = |revision| log.changes_since(Revision(revision)).unwrap().changed;
+    assert_eq!(since(12), [2, 3].map(Number));
+    assert_eq!(since(10), [1, 2, 3].map(Number));
+    assert_eq!(since(15), []);
     assert_eq!(log.changes_since(Revision(9)), None);
 }
 
@@ -297,7 +307,7 @@
 #[test]
 fn change_log_caller_ahead_of_log_keeps_its_revision() {
     let now = Instant::now();
-    let mut log = ChangeLog::<u32>::default();
+    let mut log = ChangeLog::<Number>::default();
     log.on_snapshot(Revision(10));
     log.confirm(now);
     assert_eq!(
