gateway: a removal that is newer than an outage is not held back beyond the drain time

Cause: after a second of failed calls, removals took effect 2.3 s after the next good read, because records that expired while the store was away may return. That held for all removals, also those that were made later, and for outages of one entry only. Besides, nothing happened when the 2.3 s were over: the list of targets in use was computed again at the next change of a record, of the configuration, or of a report.

A removal that is not in what is read first after the outage is held back for 1.5 s at most, counted from the time as of which the records known before were complete, so that it takes effect within the drain time. A task applies removals when their time is over.

--- a/lib/src/process/formation/host_tracker.rs
+++ b/lib/src/process/formation/host_tracker.rs
@@ -5,6 +5,7 @@
 
 use crate::ids::HostId;
 use crate::ids::Incarnation;
+use crate::platform::feed::Changes;
 use crate::sorted::Keyed;
 use crate::sorted::SortedVec;
 use crate::target::record::Availability;
@@ -20,6 +21,10 @@
 /// How much older than the call that requests it the state in a host's report may be.
 const REPORT_STALENESS_MAX: Duration = Duration::from_millis(400);
 
+/// How long a removal that is newer than an outage is held back, from the time at which the host was
+/// last known to be listed. Hosts that are up write their records again in that time.
+const NEW_REMOVAL_DELAY_MAX: Duration = Duration::from_millis(1_500);
+
 /// How long after an answered call a host that the registry dropped counts as up.
 const ANSWER_VALIDITY: Duration = Duration::from_millis(900);
 
@@ -211,8 +216,17 @@
 #[derive(Clone, Debug, Default)]
 pub struct HostTracker {
     hosts: SortedVec<TrackedHost>,
-    /// Removals take effect no earlier than this, since records may return after an outage.
-    removals_effective_at: Option<Instant>,
+    /// The last outage of the registry.
+    outage: Option<Outage>,
+}
+
+/// The end of an outage of the registry.
+#[derive(Clone, Copy, Debug)]
+struct Outage {
+    /// Until when records that expired during the outage may return.
+    records_return_until: Instant,
+    /// Whether nothing has been read since the outage, so that the next removals may be due to it.
+    is_unread: bool,
 }
 
 impl HostTracker {
@@ -222,13 +236,72 @@
     }
 
     /// Handles the end of a registry outage. Records that expired during the outage may return, so
-    /// removals take effect only after `grace`.
+    /// removals are held back, by `grace` at most.
+    ///
+    /// If they are not in what is read first after the outage, they are held back by a time that is
+    /// within the drain time of a host.
     pub fn on_outage_ended(&mut self, now: Instant, grace: Duration) {
-        self.removals_effective_at = Some(now + grace);
+        self.outage = Some(Outage {
+            records_return_until: now + grace,
+            is_unread: true,
+        });
+    }
+
+    /// Applies changes from the registry. All hosts that they remove were listed at `listed_at`.
+    pub fn on_changes(
+        &mut self,
+        changes: &Changes<TargetRecord>,
+        listed_at: Option<Instant>,
+        now: Instant,
+    ) {
+        let effective_at = self.removals_effective_at(listed_at, now);
+        for host in changes.removed.iter().filter_map(|host| host.parse().ok()) {
+            self.remove(&host, effective_at, now);
+        }
+        for record in &changes.changed {
+            self.on_record(record.clone(), now);
+        }
+        self.on_read();
+    }
+
+    /// Records that the registry was read, without changes or after they were applied.
+    pub fn on_read(&mut self) {
+        if let Some(outage) = &mut self.outage {
+            outage.is_unread = false;
+        }
     }
 
-    /// Replaces the list of records; hosts that are not in it count as removed.
-    pub fn on_snapshot(&mut self, records: Vec<TargetRecord>, now: Instant) {
+    /// Returns when the removals take effect that are read now. The hosts were listed at `listed_at`.
+    fn removals_effective_at(&self, listed_at: Option<Instant>, now: Instant) -> Instant {
+        let Some(outage) = self.outage else {
+            return now;
+        };
+        let held_back_until = match listed_at {
+            Some(at) if !outage.is_unread => {
+                outage.records_return_until.min(at + NEW_REMOVAL_DELAY_MAX)
+            }
+            _ => outage.records_return_until,
+        };
+        held_back_until.max(now)
+    }
+
+    /// Returns when the next removal that is held back takes effect.
+    pub fn next_removal_at(&self, now: Instant) -> Option<Instant> {
+        let held_back = self
+            .hosts
+            .iter()
+            .filter_map(|tracked| tracked.unlisted_from);
+        held_back.filter(|at| *at > now).min()
+    }
+
+    /// Replaces the list of records; hosts that are not in it count as removed. They were listed at
+    /// `listed_at`.
+    pub fn on_snapshot(
+        &mut self,
+        records: Vec<TargetRecord>,
+        listed_at: Option<Instant>,
+        now: Instant,
+    ) {
         let listed: SortedVec<Listed> = records.iter().map(|r| Listed(r.host.clone())).collect();
         let is_absent = |tracked: &&TrackedHost| !listed.contains_key(tracked.key());
         let removed: Vec<HostId> = self
@@ -237,12 +310,14 @@
             .filter(is_absent)
             .map(|tracked| tracked.key().clone())
             .collect();
+        let effective_at = self.removals_effective_at(listed_at, now);
         for host in removed {
-            self.on_removed(&host, now);
+            self.remove(&host, effective_at, now);
         }
         for record in records {
             self.on_record(record, now);
         }
+        self.on_read();
     }
 
     /// Handles a new or changed record from the registry.
@@ -295,10 +370,11 @@
 
     /// Handles the removal of a record from the registry.
     pub fn on_removed(&mut self, host: &HostId, now: Instant) {
-        let effective_at = self
-            .removals_effective_at
-            .filter(|at| *at > now)
-            .unwrap_or(now);
+        let effective_at = self.removals_effective_at(None, now);
+        self.remove(host, effective_at, now);
+    }
+
+    fn remove(&mut self, host: &HostId, effective_at: Instant, now: Instant) {
         if let Some(tracked) = self.hosts.get_mut(host)
             && tracked.unlisted_from.is_none()
         {
--- a/lib/src/process/gateway/follow.rs
+++ b/lib/src/process/gateway/follow.rs
@@ -29,9 +29,9 @@
 
 /// The local copy of the records of a feed.
 trait RecordSink<T> {
-    fn on_snapshot(&self, snapshot: Snapshot<T>);
-    fn on_changes(&self, changes: Changes<T>);
-    fn on_outage_ended(&self);
+    fn on_snapshot(&mut self, snapshot: Snapshot<T>);
+    fn on_changes(&mut self, changes: Changes<T>);
+    fn on_outage_ended(&mut self);
 }
 
 struct DocumentSink<C>(Arc<GatewayState<C>>);
@@ -40,7 +40,7 @@
 where
     C: Clock,
 {
-    fn on_snapshot(&self, snapshot: Snapshot<RouteDocument>) {
+    fn on_snapshot(&mut self, snapshot: Snapshot<RouteDocument>) {
         for document in snapshot.records {
             self.0.apply_document(document);
         }
@@ -48,54 +48,62 @@
         self.0.with_document_log(|log, _| log.on_snapshot(revision));
     }
 
-    fn on_changes(&self, changes: Changes<RouteDocument>) {
+    fn on_changes(&mut self, changes: Changes<RouteDocument>) {
         for document in &changes.changed {
             self.0.apply_document(document.clone());
         }
         self.0.with_document_log(|log, _| log.on_changes(changes));
     }
 
-    fn on_outage_ended(&self) {}
+    fn on_outage_ended(&mut self) {}
 }
 
-struct TargetSink<C>(Arc<GatewayState<C>>);
+struct TargetSink<C> {
+    state: Arc<GatewayState<C>>,
+    /// The time as of which the applied records are complete.
+    complete_at: Option<Instant>,
+}
 
 impl<C> RecordSink<TargetRecord> for TargetSink<C>
 where
     C: Clock,
 {
-    fn on_snapshot(&self, snapshot: Snapshot<TargetRecord>) {
+    fn on_snapshot(&mut self, snapshot: Snapshot<TargetRecord>) {
         let revision = snapshot.revision;
         let listings = self
-            .0
+            .state
             .with_host_tracker(|tracker| Listings::of_snapshot(tracker, &snapshot.records));
-        self.0
-            .update_host_tracker(|tracker, now| tracker.on_snapshot(snapshot.records, now));
-        self.0.log_listings(&listings, revision, "snapshot");
-        self.0.with_target_log(|log, _| log.on_snapshot(revision));
-        self.0.mark_targets_read();
+        let listed_at = self.complete_at;
+        self.state.update_host_tracker(|tracker, now| {
+            tracker.on_snapshot(snapshot.records, listed_at, now);
+        });
+        self.state.log_listings(&listings, revision, "snapshot");
+        self.state
+            .with_target_log(|log, _| log.on_snapshot(revision));
+        self.complete_at = self.state.targets_confirmed_at();
+        self.state.mark_targets_read();
     }
 
-    fn on_changes(&self, changes: Changes<TargetRecord>) {
-        if !changes.changed.is_empty() || !changes.removed.is_empty() {
+    fn on_changes(&mut self, changes: Changes<TargetRecord>) {
+        if changes.changed.is_empty() && changes.removed.is_empty() {
+            self.state.inner().host_tracker.on_read();
+        } else {
             let listings = self
-                .0
+                .state
                 .with_host_tracker(|tracker| Listings::of_changes(tracker, &changes));
-            self.0.update_host_tracker(|tracker, now| {
-                for host in changes.removed.iter().filter_map(|host| host.parse().ok()) {
-                    tracker.on_removed(&host, now);
-                }
-                for record in &changes.changed {
-                    tracker.on_record(record.clone(), now);
-                }
+            let listed_at = self.complete_at;
+            self.state.update_host_tracker(|tracker, now| {
+                tracker.on_changes(&changes, listed_at, now);
             });
-            self.0.log_listings(&listings, changes.revision, "changes");
+            self.state
+                .log_listings(&listings, changes.revision, "changes");
         }
-        self.0.with_target_log(|log, _| log.on_changes(changes));
+        self.state.with_target_log(|log, _| log.on_changes(changes));
+        self.complete_at = self.state.targets_confirmed_at();
     }
 
-    fn on_outage_ended(&self) {
-        self.0
+    fn on_outage_ended(&mut self) {
+        self.state
             .update_host_tracker(|tracker, now| tracker.on_outage_ended(now, REMOVAL_GRACE));
     }
 }
@@ -116,7 +124,10 @@
     C: Clock,
     P: Feed<TargetRecord>,
 {
-    let sink = TargetSink(Arc::clone(&state));
+    let sink = TargetSink {
+        state: Arc::clone(&state),
+        complete_at: None,
+    };
     follow(
         "targets",
         state,
@@ -127,6 +138,27 @@
     .await;
 }
 
+/// Applies removals of targets at the end of the time for which they are held back.
+pub(super) async fn apply_held_back_removals<C>(state: Arc<GatewayState<C>>)
+where
+    C: Clock,
+{
+    loop {
+        let changed = state.targets_changed.notified();
+        let now = state.clock.now();
+        let Some(next_at) = state.with_host_tracker(|tracker| tracker.next_removal_at(now)) else {
+            changed.await;
+            continue;
+        };
+        let wait = next_at.saturating_duration_since(now);
+        if tokio::time::timeout(wait, changed).await.is_err() {
+            // The list of targets in use is computed again, without the hosts whose time is over.
+            state.update_host_tracker(|_, _| {});
+            log::info!("removals of targets that were held back take effect");
+        }
+    }
+}
+
 /// Reads a snapshot and then long-polls for changes, with a batch delay between calls.
 ///
 /// Failed calls are repeated with exponential backoff. If the changes since the last revision are
@@ -135,7 +167,7 @@
     feed_name: &'static str,
     state: Arc<GatewayState<C>>,
     platform: P,
-    sink: S,
+    mut sink: S,
     batch_delay: G,
 ) where
     C: Clock,
--- a/lib/src/process/gateway/run.rs
+++ b/lib/src/process/gateway/run.rs
@@ -11,6 +11,7 @@
 
 use super::context::GatewayContext;
 use super::coordinate::coordinate;
+use super::follow::apply_held_back_removals;
 use super::follow::follow_documents;
 use super::follow::follow_targets;
 use super::gossip::discover_entries;
@@ -149,6 +150,7 @@
     let records = RelayedFeed::new(Arc::clone(&state), platform.clone());
     background.spawn(follow_documents(Arc::clone(&state), documents));
     background.spawn(follow_targets(Arc::clone(&state), records));
+    background.spawn(apply_held_back_removals(Arc::clone(&state)));
     background.spawn(discover_entries(Arc::clone(&state), platform.clone()));
     background.spawn(send_gossip(
         Arc::clone(&state),
--- a/lib/tests/test_formation.rs
+++ b/lib/tests/test_formation.rs
@@ -513,11 +513,11 @@
     simulation.is_registry_reachable = true;
     let now = simulation.now;
     simulation.tracker.on_outage_ended(now, REGISTRY_GRACE);
-    simulation.tracker.on_snapshot(Vec::new(), now);
+    simulation.tracker.on_snapshot(Vec::new(), None, now);
     simulation.run(Duration::from_secs(1));
     simulation
         .tracker
-        .on_snapshot(simulation.fleet.snapshot(), simulation.now);
+        .on_snapshot(simulation.fleet.snapshot(), None, simulation.now);
     simulation.run(Duration::from_secs(5));
     assert_eq!(serving(&simulation), (1, 1));
     simulation.assert_invariants();
--- a/lib/tests/test_host_tracker.rs
+++ b/lib/tests/test_host_tracker.rs
@@ -5,6 +5,8 @@
 
 use beryltray_lib::ids::HostId;
 use beryltray_lib::ids::Incarnation;
+use beryltray_lib::ids::Revision;
+use beryltray_lib::platform::feed::Changes;
 use beryltray_lib::process::formation::HostTracker;
 use beryltray_lib::target::record::Availability;
 use beryltray_lib::target::record::TargetRecord;
@@ -64,8 +66,8 @@
     tracker.on_removed(&host(), later);
     tracker.on_record(record(FIRST), later);
     assert!(!is_usable(&tracker, later));
-    tracker.on_snapshot(Vec::new(), later);
-    tracker.on_snapshot(vec![record(FIRST)], later);
+    tracker.on_snapshot(Vec::new(), None, later);
+    tracker.on_snapshot(vec![record(FIRST)], None, later);
     assert!(!is_usable(&tracker, later));
 }
 
@@ -111,3 +113,63 @@
     let stated = tracker.get(&host()).unwrap().stated_leaving.unwrap();
     assert_eq!((stated.stated_at, stated.confirmed_at), (now, later));
 }
+
+/// How long records may return after an outage.
+const GRACE: Duration = Duration::from_millis(2_300);
+/// The time from a removal until which requests may reach the host.
+const DRAIN_TIME: Duration = Duration::from_secs(2);
+
+fn removal() -> Changes<TargetRecord> {
+    Changes {
+        changed: Vec::new(),
+        removed: vec![host().to_string()],
+        revision: Revision(9),
+    }
+}
+
+#[test]
+fn on_changes_removal_read_first_after_outage_is_held_back() {
+    let now = Instant::now();
+    let mut tracker = HostTracker::new();
+    tracker.on_record(record(FIRST), now);
+    tracker.on_outage_ended(now, GRACE);
+    tracker.on_changes(&removal(), Some(now), now);
+    assert_eq!(tracker.next_removal_at(now), Some(now + GRACE));
+    assert!(is_usable(&tracker, now + GRACE - Duration::from_millis(1)));
+    assert!(!is_usable(&tracker, now + GRACE));
+    assert_eq!(tracker.next_removal_at(now + GRACE), None);
+}
+
+// Guards against requests to a host whose removal is newer than an outage, for as long as records may
+// return.
+#[test]
+fn on_changes_removal_newer_than_outage_takes_effect_within_drain_time() {
+    let start = Instant::now();
+    for read_ms in (0..3_000).step_by(50) {
+        let mut tracker = HostTracker::new();
+        tracker.on_record(record(FIRST), start);
+        tracker.on_outage_ended(start, GRACE);
+        tracker.on_read();
+        let listed_at = start + Duration::from_millis(read_ms);
+        let removed_at = listed_at + Duration::from_millis(40);
+        tracker.on_changes(&removal(), Some(listed_at), removed_at);
+        let last_request = listed_at + DRAIN_TIME - Duration::from_millis(400);
+        assert!(!is_usable(&tracker, last_request), "{read_ms} ms");
+        let after_grace = removed_at.max(start + GRACE);
+        assert!(!is_usable(&tracker, after_grace), "{read_ms} ms");
+    }
+}
+
+// Guards against a host without requests although its record, which expired in an outage, is back.
+#[test]
+fn on_changes_record_that_returns_in_time_keeps_host_usable() {
+    let now = Instant::now();
+    let mut tracker = HostTracker::new();
+    tracker.on_record(record(FIRST), now);
+    tracker.on_outage_ended(now, GRACE);
+    tracker.on_changes(&removal(), Some(now), now);
+    let returned_at = now + Duration::from_secs(2);
+    tracker.on_record(record(FIRST), returned_at);
+    assert_eq!(tracker.next_removal_at(returned_at), None);
+    assert!(is_usable(&tracker, now + GRACE));
+}
--- a/lib/testutils/src/formation.rs
+++ b/lib/testutils/src/formation.rs
@@ -150,7 +150,8 @@
     pub fn restore_registry(&mut self) {
         self.is_registry_reachable = true;
         self.tracker.on_outage_ended(self.now, REGISTRY_GRACE);
-        self.tracker.on_snapshot(self.fleet.snapshot(), self.now);
+        self.tracker
+            .on_snapshot(self.fleet.snapshot(), None, self.now);
     }
 
     /// Returns the leader of an open group with these weights, or its last member.
--- a/lib/testutils/src/handover.rs
+++ b/lib/testutils/src/handover.rs
@@ -243,7 +243,9 @@
             match entry.feed.pop_front() {
                 Some((_, FeedItem::Record(record))) => entry.tracker.on_record(*record, now),
                 Some((_, FeedItem::Removed(host))) => entry.tracker.on_removed(&host, now),
-                Some((_, FeedItem::Snapshot(records))) => entry.tracker.on_snapshot(records, now),
+                Some((_, FeedItem::Snapshot(records))) => {
+                    entry.tracker.on_snapshot(records, None, now)
+                }
                 None => {}
             }
         }
