gateway: outdated lists of all records from other entries are refused

What callers saw: none failed. An entry that can't read the platform, and whose history of changes is lost, takes all records from another entry.

A list from another entry with an older revision than the known one counts as a failed read, and that entry is passed over for 5 s. Lists from the platform itself are always taken, since its revisions are the measure.

--- a/lib/src/process/gateway/change_log.rs
+++ b/lib/src/process/gateway/change_log.rs
@@ -78,6 +78,11 @@
         }
     }
 
+    /// Returns the latest revision, or `None` before a snapshot was read.
+    pub fn revision(&self) -> Option<Revision> {
+        self.revision
+    }
+
     /// Returns the latest revision, or `None` if there is none or the last confirmation is older
     /// than `age_max`.
     pub fn confirmed_revision(&self, age_max: Duration, now: Instant) -> Option<Revision> {
--- a/lib/src/process/gateway/record_relay.rs
+++ b/lib/src/process/gateway/record_relay.rs
@@ -77,6 +77,11 @@
     where
         C: Clock;
 
+    /// Returns the latest revision of the records; `None` before they have been read.
+    fn revision<C>(state: &GatewayState<C>) -> Option<Revision>
+    where
+        C: Clock;
+
     /// Returns the age from which the records are too old.
     fn age_max<C>(state: &GatewayState<C>) -> Duration
     where
@@ -106,6 +111,13 @@
         state.targets_confirmed_at()
     }
 
+    fn revision<C>(state: &GatewayState<C>) -> Option<Revision>
+    where
+        C: Clock,
+    {
+        state.inner().target_log.revision()
+    }
+
     fn age_max<C>(state: &GatewayState<C>) -> Duration
     where
         C: Clock,
@@ -138,6 +150,13 @@
         state.document_confirmed_at()
     }
 
+    fn revision<C>(state: &GatewayState<C>) -> Option<Revision>
+    where
+        C: Clock,
+    {
+        state.inner().document_log.revision()
+    }
+
     fn age_max<C>(_state: &GatewayState<C>) -> Duration
     where
         C: Clock,
--- a/lib/src/process/gateway/relayed_feed.rs
+++ b/lib/src/process/gateway/relayed_feed.rs
@@ -304,6 +304,13 @@
             return from_platform;
         };
         let relayed = self.request_changes::<T>(upstream, None).await?;
+        // Records that were removed meanwhile would be listed again.
+        if T::revision(&self.state).is_some_and(|known| relayed.revision < known) {
+            self.state.on_upstream_failed(upstream);
+            return Err(FeedError::Platform(PlatformError::Unavailable {
+                reason: format!("the records of entry {upstream} are older than the known ones"),
+            }));
+        }
         Ok(Snapshot {
             records: relayed.changed,
             revision: relayed.revision,
