gateway: entries tell each other which targets leave by their records

Cause: each entry relied on its own reads alone. Records may be 1.2 s old before they are read elsewhere, and then the waits for the platform, for one peer after the other, and between repetitions add up. After an outage of its own, an entry held removals back that all others knew to be final.

An entry that has read that a target drains or is gone puts that into its datagrams for 3 s, with the platform's revision. It counts at another entry until that has itself read up to this revision, so it can neither outlast a target's return nor be older than what is known there. A removal that is held back takes effect, since an entry without an outage knows that no record can return. An entry counts a time without the platform's word in which records can expire as an outage, also if no call of it failed because it was paused; otherwise it would tell others that expired targets are gone.

--- a/lib/src/process/formation/host_tracker.rs
+++ b/lib/src/process/formation/host_tracker.rs
@@ -5,7 +5,9 @@
 
 use crate::ids::HostId;
 use crate::ids::Incarnation;
+use crate::ids::Revision;
 use crate::platform::feed::Changes;
+use crate::platform::feed::Snapshot;
 use crate::sorted::Keyed;
 use crate::sorted::SortedVec;
 use crate::target::record::Availability;
@@ -88,6 +90,17 @@
     pub confirmed_at: Instant,
 }
 
+/// The registry's statement that a host drains or is no longer listed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Departure {
+    /// A revision of the registry as of which the host drains or is not listed.
+    pub revision: Revision,
+    /// When the first entry read it; for a removal that is held back, when it takes effect.
+    pub known_at: Instant,
+    /// Whether the registry was read up to that revision here. Otherwise, another entry told it.
+    pub is_read: bool,
+}
+
 /// A host's registry record, with its liveness and own report.
 #[derive(Clone, Debug)]
 pub struct TrackedHost {
@@ -105,6 +118,8 @@
     pub relisted_at: Option<Instant>,
     /// What the host's current incarnation said in answers about its leaving; `None` if it did not.
     pub stated_leaving: Option<StatedLeaving>,
+    /// The registry's latest known statement that the host leaves; `None` if it is listed as ready.
+    pub departure: Option<Departure>,
     record_received_at: Instant,
     /// When the last answered call was sent.
     answered_at: Option<Instant>,
@@ -138,11 +153,12 @@
         self.unlisted_from.is_none_or(|at| now < at)
     }
 
-    /// Returns whether the host accepts new work, by its record and by its own answers. A host whose
-    /// record lags, because the registry is away or not reached, says first in its answers that it
-    /// leaves.
+    /// Returns whether the host accepts new work, by its record, by its own answers, and by what other
+    /// entries have read. A host whose record lags, because the registry is away or not reached, says
+    /// first in its answers that it leaves, and an entry that lags is told by others.
     pub fn availability(&self) -> Availability {
-        if self.stated_leaving.is_some() {
+        let is_told = self.departure.is_some_and(|departure| !departure.is_read);
+        if self.stated_leaving.is_some() || is_told {
             Availability::Draining
         } else {
             self.record.availability
@@ -216,6 +232,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct HostTracker {
     hosts: SortedVec<TrackedHost>,
+    /// The revision up to which the registry was read.
+    revision: Revision,
     /// The last outage of the registry.
     outage: Option<Outage>,
 }
@@ -255,20 +273,74 @@
         now: Instant,
     ) {
         let effective_at = self.removals_effective_at(listed_at, now);
+        self.revision = changes.revision;
         for host in changes.removed.iter().filter_map(|host| host.parse().ok()) {
             self.remove(&host, effective_at, now);
         }
         for record in &changes.changed {
             self.on_record(record.clone(), now);
         }
-        self.on_read();
+        self.on_read(changes.revision, now);
     }
 
-    /// Records that the registry was read, without changes or after they were applied.
-    pub fn on_read(&mut self) {
+    /// Records that the registry was read up to `revision`, without changes or after they were
+    /// applied. From then on the records count, not what other entries told up to that revision.
+    pub fn on_read(&mut self, revision: Revision, now: Instant) {
+        self.revision = revision;
         if let Some(outage) = &mut self.outage {
             outage.is_unread = false;
         }
+        for tracked in self.hosts.iter_mut() {
+            let Some(departure) = tracked.departure.filter(|departure| !departure.is_read) else {
+                continue;
+            };
+            let is_outdated =
+                now.saturating_duration_since(departure.known_at) >= UNLISTED_RETENTION;
+            if departure.revision <= revision || is_outdated {
+                tracked.departure = None;
+            }
+        }
+    }
+
+    /// Records that another entry has read at `known_at`, up to `revision`, that an incarnation of a
+    /// host drains or is not listed. Returns whether that is news.
+    ///
+    /// It counts until the registry has been read up to that revision here. A removal that is held
+    /// back because of an outage takes effect: the other entry knows that no record can return.
+    pub fn on_departure_told(
+        &mut self,
+        host: &HostId,
+        incarnation: Incarnation,
+        departure: (Revision, Instant),
+        now: Instant,
+    ) -> bool {
+        let read_until = self.revision;
+        let (revision, known_at) = departure;
+        let Some(tracked) = self.incarnation_mut(host, incarnation) else {
+            return false;
+        };
+        if revision <= read_until {
+            let is_held_back = tracked.unlisted_from.is_some_and(|at| now < at);
+            if is_held_back {
+                tracked.unlisted_from = Some(now);
+                tracked.departure = Some(Departure {
+                    revision: read_until,
+                    known_at,
+                    is_read: true,
+                });
+            }
+            return is_held_back;
+        }
+        let known = tracked.departure;
+        if known.is_some_and(|known| known.revision >= revision) {
+            return false;
+        }
+        tracked.departure = Some(Departure {
+            revision,
+            known_at,
+            is_read: false,
+        });
+        known.is_none()
     }
 
     /// Returns when the removals take effect that are read now. The hosts were listed at `listed_at`.
@@ -298,11 +370,16 @@
     /// `listed_at`.
     pub fn on_snapshot(
         &mut self,
-        records: Vec<TargetRecord>,
+        snapshot: Snapshot<TargetRecord>,
         listed_at: Option<Instant>,
         now: Instant,
     ) {
-        let listed: SortedVec<Listed> = records.iter().map(|r| Listed(r.host.clone())).collect();
+        self.revision = snapshot.revision;
+        let listed: SortedVec<Listed> = snapshot
+            .records
+            .iter()
+            .map(|r| Listed(r.host.clone()))
+            .collect();
         let is_absent = |tracked: &&TrackedHost| !listed.contains_key(tracked.key());
         let removed: Vec<HostId> = self
             .hosts
@@ -314,10 +391,10 @@
         for host in removed {
             self.remove(&host, effective_at, now);
         }
-        for record in records {
+        for record in snapshot.records {
             self.on_record(record, now);
         }
-        self.on_read();
+        self.on_read(snapshot.revision, now);
     }
 
     /// Handles a new or changed record from the registry.
@@ -355,9 +432,27 @@
         let stated_leaving = known
             .filter(|_| is_same_incarnation)
             .and_then(|known| known.stated_leaving);
+        let departure = known
+            .filter(|_| is_same_incarnation)
+            .and_then(|known| known.departure);
+        let departure = match (record.availability, departure) {
+            // Another entry has read more than this one.
+            (_, Some(told)) if !told.is_read && told.revision > self.revision => Some(told),
+            (Availability::Draining, Some(known)) if !was_unlisted => Some(Departure {
+                is_read: true,
+                ..known
+            }),
+            (Availability::Draining, _) => Some(Departure {
+                revision: self.revision,
+                known_at: now,
+                is_read: true,
+            }),
+            (Availability::Ready, _) => None,
+        };
         self.hosts.insert(TrackedHost {
             record,
             unlisted_from: None,
+            departure,
             liveness,
             own_report,
             first_listed_at,
@@ -375,10 +470,21 @@
     }
 
     fn remove(&mut self, host: &HostId, effective_at: Instant, now: Instant) {
+        let revision = self.revision;
         if let Some(tracked) = self.hosts.get_mut(host)
             && tracked.unlisted_from.is_none()
         {
+            let departure = tracked.departure;
+            // Another entry that has read it knows that no record can return.
+            let is_told = departure.is_some_and(|departure| !departure.is_read);
+            let effective_at = if is_told { now } else { effective_at };
             tracked.unlisted_from = Some(effective_at);
+            let known_at = departure.map_or(effective_at, |departure| departure.known_at);
+            tracked.departure = Some(Departure {
+                revision: departure.map_or(revision, |known| known.revision.max(revision)),
+                known_at,
+                is_read: departure.is_none_or(|known| known.revision <= revision),
+            });
         }
         self.hosts.retain(|tracked| {
             let unlisted_from = tracked.unlisted_from;
--- a/lib/src/process/gateway/follow.rs
+++ b/lib/src/process/gateway/follow.rs
@@ -24,6 +24,8 @@
 const RETRY_DELAY_MAX: Duration = Duration::from_millis(800);
 /// Calls that fail for at least this long count as an outage of the platform.
 const OUTAGE_MIN: Duration = Duration::from_millis(1_000);
+/// The least time in which a target's record can expire because the platform is away.
+const RECORD_EXPIRY_MIN: Duration = Duration::from_millis(2_400);
 /// How long after an outage removals are not applied, because expired records may return.
 const REMOVAL_GRACE: Duration = Duration::from_millis(2_300);
 
@@ -64,18 +66,33 @@
     complete_at: Option<Instant>,
 }
 
+impl<C> TargetSink<C>
+where
+    C: Clock,
+{
+    /// Counts a long time without the platform's word as an outage, also if no call has failed.
+    fn check_for_outage(&mut self) {
+        let now = self.state.clock.now();
+        let unread_for = self.complete_at.map(|at| now.saturating_duration_since(at));
+        if unread_for.is_some_and(|unread_for| unread_for >= RECORD_EXPIRY_MIN) {
+            self.on_outage_ended();
+        }
+    }
+}
+
 impl<C> RecordSink<TargetRecord> for TargetSink<C>
 where
     C: Clock,
 {
     fn on_snapshot(&mut self, snapshot: Snapshot<TargetRecord>) {
+        self.check_for_outage();
         let revision = snapshot.revision;
         let listings = self
             .state
             .with_host_tracker(|tracker| Listings::of_snapshot(tracker, &snapshot.records));
         let listed_at = self.complete_at;
         self.state.update_host_tracker(|tracker, now| {
-            tracker.on_snapshot(snapshot.records, listed_at, now);
+            tracker.on_snapshot(snapshot, listed_at, now);
         });
         self.state.log_listings(&listings, revision, "snapshot");
         self.state
@@ -85,8 +102,13 @@
     }
 
     fn on_changes(&mut self, changes: Changes<TargetRecord>) {
+        self.check_for_outage();
         if changes.changed.is_empty() && changes.removed.is_empty() {
-            self.state.inner().host_tracker.on_read();
+            let now = self.state.clock.now();
+            self.state
+                .inner()
+                .host_tracker
+                .on_read(changes.revision, now);
         } else {
             let listings = self
                 .state
--- a/lib/src/process/gateway/gossip.rs
+++ b/lib/src/process/gateway/gossip.rs
@@ -155,6 +155,7 @@
             can_forward: state.can_forward(),
             limits: payload.limits,
             leaving: payload.leaving,
+            departures: payload.departures,
             quarantine: state.with_quarantine(|quarantine, now| quarantine.gossip(now)),
         };
         let now = state.clock.now();
--- a/lib/src/process/gateway/peers.rs
+++ b/lib/src/process/gateway/peers.rs
@@ -11,6 +11,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::departures::GossipedDeparture;
 use super::leaving::GossipedLeaving;
 use super::limit_gossip::GossipedLimit;
 use super::quarantine_gossip::QuarantineGossip;
@@ -187,6 +188,9 @@
     /// Targets that said recently that they leave; an entry of an earlier version omits it.
     #[serde(default)]
     pub leaving: Vec<GossipedLeaving>,
+    /// Targets whose records said recently that they leave; an entry of an earlier version omits it.
+    #[serde(default)]
+    pub departures: Vec<GossipedDeparture>,
 }
 
 /// Another entry and its last datagram.
--- a/lib/src/process/gateway/state.rs
+++ b/lib/src/process/gateway/state.rs
@@ -11,6 +11,7 @@
 
 use super::change_log::ChangeLog;
 use super::crash_records::CrashRecord;
+use super::departures::GossipedDeparture;
 use super::leaving::GossipedLeaving;
 use super::limit_gossip::GossipedLimit;
 use super::metrics::GatewayMetrics;
@@ -66,6 +67,8 @@
     pub limits: Vec<GossipedLimit>,
     /// Targets that said recently that they leave.
     pub leaving: Vec<GossipedLeaving>,
+    /// Targets whose records said recently that they leave.
+    pub departures: Vec<GossipedDeparture>,
 }
 
 /// The interfaces of the platform that a gateway uses.
@@ -262,6 +265,7 @@
         inner.update_target_limits(now);
         let limits = inner.target_limits.gossip(now);
         let leaving = inner.gossiped_leaving(now);
+        let departures = inner.gossiped_departures(now);
         let backed_off = inner.update_target_backoffs(now);
         self.metrics.backed_off_targets.set(backed_off);
         let is_recent = |at: Instant| now.saturating_duration_since(at) < STALL_GOSSIP_TIME;
@@ -285,6 +289,7 @@
                 stalled,
                 limits,
                 leaving,
+                departures,
             };
         }
         let loads = inner.usage.iter().map(|(host, usage)| GossipedLoad {
@@ -305,6 +310,7 @@
             stalled,
             limits,
             leaving,
+            departures,
         }
     }
 
@@ -340,6 +346,7 @@
         if is_accepted {
             self.with_quarantine(|quarantine, now| quarantine.on_gossip(&message.quarantine, now));
             self.on_gossiped_leaving(&message.leaving);
+            self.on_gossiped_departures(&message.departures);
             let own = &self.settings.entry;
             self.with_target_limits(|limits, now| {
                 limits.on_gossip(own, &message.entry, &message.limits, now);
--- a/lib/tests/test_formation.rs
+++ b/lib/tests/test_formation.rs
@@ -16,6 +16,7 @@
 use beryltray_lib::version::routes::EngineProfile;
 use beryltray_lib::version::routes::ModelProfile;
 use beryltray_testutils::fleet::Partition;
+use beryltray_testutils::fleet::snapshot_of;
 use beryltray_testutils::formation::FormationSimulation;
 use beryltray_testutils::formation::REGISTRY_GRACE;
 use beryltray_testutils::formation::STEP;
@@ -513,11 +514,15 @@
     simulation.is_registry_reachable = true;
     let now = simulation.now;
     simulation.tracker.on_outage_ended(now, REGISTRY_GRACE);
-    simulation.tracker.on_snapshot(Vec::new(), None, now);
-    simulation.run(Duration::from_secs(1));
     simulation
         .tracker
-        .on_snapshot(simulation.fleet.snapshot(), None, simulation.now);
+        .on_snapshot(snapshot_of(Vec::new()), None, now);
+    simulation.run(Duration::from_secs(1));
+    simulation.tracker.on_snapshot(
+        snapshot_of(simulation.fleet.snapshot()),
+        None,
+        simulation.now,
+    );
     simulation.run(Duration::from_secs(5));
     assert_eq!(serving(&simulation), (1, 1));
     simulation.assert_invariants();
--- a/lib/tests/test_formation_handover.rs
+++ b/lib/tests/test_formation_handover.rs
@@ -15,6 +15,7 @@
 use beryltray_lib::version::routes::EngineProfile;
 use beryltray_lib::version::routes::ModelProfile;
 use beryltray_testutils::fleet::SimulatedFleet;
+use beryltray_testutils::fleet::snapshot_of;
 use beryltray_testutils::handover::HandoverSimulation;
 use beryltray_testutils::seeds::extra_seed;
 use rand::RngExt;
@@ -109,8 +110,8 @@
         members: vec![host.clone()],
     };
     fleet.order(&host, &join, None, now).unwrap();
-    tracker.on_snapshot(fleet.snapshot(), None, now);
-    tracker.on_snapshot(before, None, now + Duration::from_millis(100));
+    tracker.on_snapshot(snapshot_of(fleet.snapshot()), None, now);
+    tracker.on_snapshot(snapshot_of(before), None, now + Duration::from_millis(100));
     let membership = tracker.get(&host).and_then(|tracked| tracked.membership());
     assert_eq!(membership.map(|m| m.group.as_str()), Some("g1"));
 }
@@ -130,13 +131,13 @@
         members: vec![host.clone()],
     };
     fleet.order(&host, &join, None, now).unwrap();
-    tracker.on_snapshot(fleet.snapshot(), None, now);
+    tracker.on_snapshot(snapshot_of(fleet.snapshot()), None, now);
     fleet.change(&host, |host| host.draining_since = Some(now));
     let mut relayed = serde_json::to_value(fleet.snapshot()).unwrap();
     let fields = relayed[0].as_object_mut().unwrap();
     assert!(fields.remove("accepted_orders").is_some());
     let records: Vec<TargetRecord> = serde_json::from_value(relayed).unwrap();
-    tracker.on_snapshot(records, None, now + Duration::from_millis(100));
+    tracker.on_snapshot(snapshot_of(records), None, now + Duration::from_millis(100));
     let availability = tracker
         .get(&host)
         .map(|tracked| tracked.record.availability);
--- a/lib/tests/test_gateway_peers.rs
+++ b/lib/tests/test_gateway_peers.rs
@@ -51,6 +51,7 @@
         quarantine: QuarantineGossip::default(),
         limits: Vec::new(),
         leaving: Vec::new(),
+        departures: Vec::new(),
     }
 }
 
--- a/lib/tests/test_host_tracker.rs
+++ b/lib/tests/test_host_tracker.rs
@@ -7,6 +7,7 @@
 use beryltray_lib::ids::Incarnation;
 use beryltray_lib::ids::Revision;
 use beryltray_lib::platform::feed::Changes;
+use beryltray_lib::platform::feed::Snapshot;
 use beryltray_lib::process::formation::HostTracker;
 use beryltray_lib::target::record::Availability;
 use beryltray_lib::target::record::TargetRecord;
@@ -35,6 +36,13 @@
     }
 }
 
+fn snapshot(revision: u64, records: Vec<TargetRecord>) -> Snapshot<TargetRecord> {
+    Snapshot {
+        records,
+        revision: Revision(revision),
+    }
+}
+
 fn is_usable(tracker: &HostTracker, now: Instant) -> bool {
     tracker.get(&host()).is_some_and(|host| host.is_usable(now))
 }
@@ -66,8 +74,8 @@
     tracker.on_removed(&host(), later);
     tracker.on_record(record(FIRST), later);
     assert!(!is_usable(&tracker, later));
-    tracker.on_snapshot(Vec::new(), None, later);
-    tracker.on_snapshot(vec![record(FIRST)], None, later);
+    tracker.on_snapshot(snapshot(7, Vec::new()), None, later);
+    tracker.on_snapshot(snapshot(8, vec![record(FIRST)]), None, later);
     assert!(!is_usable(&tracker, later));
 }
 
@@ -127,6 +135,14 @@
     }
 }
 
+fn changed(revision: u64) -> Changes<TargetRecord> {
+    Changes {
+        changed: vec![record(FIRST)],
+        removed: Vec::new(),
+        revision: Revision(revision),
+    }
+}
+
 #[test]
 fn on_changes_removal_read_first_after_outage_is_held_back() {
     let now = Instant::now();
@@ -149,7 +165,7 @@
         let mut tracker = HostTracker::new();
         tracker.on_record(record(FIRST), start);
         tracker.on_outage_ended(start, GRACE);
-        tracker.on_read();
+        tracker.on_read(Revision(8), start);
         let listed_at = start + Duration::from_millis(read_ms);
         let removed_at = listed_at + Duration::from_millis(40);
         tracker.on_changes(&removal(), Some(listed_at), removed_at);
@@ -173,3 +189,80 @@
     assert_eq!(tracker.next_removal_at(returned_at), None);
     assert!(is_usable(&tracker, now + GRACE));
 }
+
+/// The departure of the host as of a revision.
+fn told(revision: u64, at: Instant) -> (Revision, Instant) {
+    (Revision(revision), at)
+}
+
+// Guards against requests from an entry whose reads lag, while others know that the host leaves.
+#[test]
+fn on_departure_told_host_is_unusable_until_registry_is_read_so_far() {
+    let now = Instant::now();
+    let mut tracker = HostTracker::new();
+    tracker.on_snapshot(snapshot(5, vec![record(FIRST)]), None, now);
+    assert!(tracker.on_departure_told(&host(), FIRST, told(9, now), now));
+    assert!(!tracker.on_departure_told(&host(), FIRST, told(9, now), now));
+    assert!(!is_usable(&tracker, now));
+    // An older state of the record, and a read that does not reach the revision.
+    tracker.on_changes(&changed(8), None, now);
+    assert!(!is_usable(&tracker, now));
+    // The record says ready as of the revision, so the host is back.
+    tracker.on_read(Revision(9), now);
+    assert!(is_usable(&tracker, now));
+    assert!(!tracker.on_departure_told(&host(), FIRST, told(9, now), now));
+    assert!(is_usable(&tracker, now));
+}
+
+#[test]
+fn on_departure_told_applies_to_one_incarnation() {
+    let now = Instant::now();
+    let mut tracker = HostTracker::new();
+    tracker.on_snapshot(snapshot(5, vec![record(FIRST)]), None, now);
+    assert!(!tracker.on_departure_told(&host(), SECOND, told(9, now), now));
+    assert!(is_usable(&tracker, now));
+    tracker.on_departure_told(&host(), FIRST, told(9, now), now);
+    tracker.on_record(record(SECOND), now);
+    assert!(is_usable(&tracker, now));
+}
+
+// Guards against a removal that is held back after an outage which only this entry had.
+#[test]
+fn on_departure_told_held_back_removal_takes_effect() {
+    let now = Instant::now();
+    let mut tracker = HostTracker::new();
+    tracker.on_snapshot(snapshot(5, vec![record(FIRST)]), None, now);
+    tracker.on_outage_ended(now, GRACE);
+    tracker.on_changes(&removal(), Some(now), now);
+    assert!(is_usable(&tracker, now));
+    assert!(tracker.on_departure_told(&host(), FIRST, told(7, now), now));
+    assert!(!is_usable(&tracker, now));
+    // The same, with the other entry's word first.
+    let mut tracker = HostTracker::new();
+    tracker.on_snapshot(snapshot(5, vec![record(FIRST)]), None, now);
+    tracker.on_departure_told(&host(), FIRST, told(9, now), now);
+    tracker.on_outage_ended(now, GRACE);
+    tracker.on_changes(&removal(), Some(now), now);
+    assert!(!is_usable(&tracker, now));
+}
+
+// Guards against departures that are gossiped without end, and against one of a removal that is held back.
+#[test]
+fn departure_is_known_from_the_first_read_on() {
+    let now = Instant::now();
+    let later = now + Duration::from_secs(1);
+    let mut draining = record(FIRST);
+    draining.availability = Availability::Draining;
+    let mut tracker = HostTracker::new();
+    tracker.on_record(draining.clone(), now);
+    tracker.on_record(draining, later);
+    let departure = |tracker: &HostTracker| tracker.get(&host()).unwrap().departure;
+    assert_eq!(departure(&tracker).unwrap().known_at, now);
+    tracker.on_changes(&removal(), None, later);
+    assert_eq!(departure(&tracker).unwrap().known_at, now);
+    tracker.on_changes(&changed(10), None, later);
+    assert_eq!(departure(&tracker), None);
+    tracker.on_outage_ended(later, GRACE);
+    tracker.on_changes(&removal(), None, later);
+    assert_eq!(departure(&tracker).unwrap().known_at, later + GRACE);
+}
--- a/lib/testutils/src/fleet.rs
+++ b/lib/testutils/src/fleet.rs
@@ -11,8 +11,10 @@
 use beryltray_lib::ids::GroupId;
 use beryltray_lib::ids::HostId;
 use beryltray_lib::ids::Incarnation;
+use beryltray_lib::ids::Revision;
 use beryltray_lib::ids::ServiceId;
 use beryltray_lib::ids::WeightsId;
+use beryltray_lib::platform::feed::Snapshot;
 use beryltray_lib::target::record::Availability;
 use beryltray_lib::target::record::CallError;
 use beryltray_lib::target::record::GroupOrder;
@@ -136,6 +138,14 @@
     removed: Vec<HostId>,
 }
 
+/// Returns a snapshot of records whose revision does not matter.
+pub fn snapshot_of(records: Vec<TargetRecord>) -> Snapshot<TargetRecord> {
+    Snapshot {
+        records,
+        revision: Revision(0),
+    }
+}
+
 impl SimulatedFleet {
     /// Creates a fleet with the given number of hosts in each domain.
     pub fn new(service: &str, profile: EngineProfile, domains: &[usize], now: Instant) -> Self {
--- a/lib/testutils/src/formation.rs
+++ b/lib/testutils/src/formation.rs
@@ -14,6 +14,7 @@
 use beryltray_lib::version::routes::EngineProfile;
 
 use crate::fleet::SimulatedFleet;
+use crate::fleet::snapshot_of;
 
 /// The time between two steps of the simulation.
 pub const STEP: Duration = Duration::from_millis(40);
@@ -151,7 +152,7 @@
         self.is_registry_reachable = true;
         self.tracker.on_outage_ended(self.now, REGISTRY_GRACE);
         self.tracker
-            .on_snapshot(self.fleet.snapshot(), None, self.now);
+            .on_snapshot(snapshot_of(self.fleet.snapshot()), None, self.now);
     }
 
     /// Returns the leader of an open group with these weights, or its last member.
--- a/lib/testutils/src/handover.rs
+++ b/lib/testutils/src/handover.rs
@@ -26,6 +26,7 @@
 
 use crate::fleet::Partition;
 use crate::fleet::SimulatedFleet;
+use crate::fleet::snapshot_of;
 
 /// The time between two steps of the simulation.
 const STEP: Duration = Duration::from_millis(20);
@@ -244,7 +245,8 @@
                 Some((_, FeedItem::Record(record))) => entry.tracker.on_record(*record, now),
                 Some((_, FeedItem::Removed(host))) => entry.tracker.on_removed(&host, now),
                 Some((_, FeedItem::Snapshot(records))) => {
-                    entry.tracker.on_snapshot(records, None, now)
+                    let snapshot = snapshot_of(records);
+                    entry.tracker.on_snapshot(snapshot, None, now);
                 }
                 None => {}
             }
