gateway: a departure that is told counts for earlier incarnations of the target, too

An entry whose reads lag may know neither that a target has started again under its ID nor that the new process leaves. The departure named the new incarnation and was ignored, and requests meant for the earlier process would have reached the one that leaves. Departures keep the incarnation that they are about now. Found while reading; on_departure_told_of_later_incarnation_host_is_unusable fails without the change.

--- a/lib/src/process/formation/host_tracker.rs
+++ b/lib/src/process/formation/host_tracker.rs
@@ -93,6 +93,9 @@
 /// The registry's statement that a host drains or is no longer listed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Departure {
+    /// The incarnation of the host that leaves. If another entry told it, it may be later than that of
+    /// the record.
+    pub incarnation: Incarnation,
     /// A revision of the registry as of which the host drains or is not listed.
     pub revision: Revision,
     /// When the first entry read it; for a removal that is held back, when it takes effect.
@@ -316,14 +319,18 @@
     ) -> bool {
         let read_until = self.revision;
         let (revision, known_at) = departure;
-        let Some(tracked) = self.incarnation_mut(host, incarnation) else {
+        // A later incarnation has replaced the known one, and would get the requests that are meant for it.
+        let known = self.hosts.get_mut(host);
+        let Some(tracked) = known.filter(|known| known.record.incarnation <= incarnation) else {
             return false;
         };
         if revision <= read_until {
-            let is_held_back = tracked.unlisted_from.is_some_and(|at| now < at);
+            let is_held_back = tracked.record.incarnation == incarnation
+                && tracked.unlisted_from.is_some_and(|at| now < at);
             if is_held_back {
                 tracked.unlisted_from = Some(now);
                 tracked.departure = Some(Departure {
+                    incarnation,
                     revision: read_until,
                     known_at,
                     is_read: true,
@@ -336,6 +343,7 @@
             return false;
         }
         tracked.departure = Some(Departure {
+            incarnation,
             revision,
             known_at,
             is_read: false,
@@ -433,8 +441,8 @@
             .filter(|_| is_same_incarnation)
             .and_then(|known| known.stated_leaving);
         let departure = known
-            .filter(|_| is_same_incarnation)
-            .and_then(|known| known.departure);
+            .and_then(|known| known.departure)
+            .filter(|departure| departure.incarnation == record.incarnation);
         let departure = match (record.availability, departure) {
             // Another entry has read more than this one.
             (_, Some(told)) if !told.is_read && told.revision > self.revision => Some(told),
@@ -443,6 +451,7 @@
                 ..known
             }),
             (Availability::Draining, _) => Some(Departure {
+                incarnation: record.incarnation,
                 revision: self.revision,
                 known_at: now,
                 is_read: true,
@@ -480,7 +489,9 @@
             let effective_at = if is_told { now } else { effective_at };
             tracked.unlisted_from = Some(effective_at);
             let known_at = departure.map_or(effective_at, |departure| departure.known_at);
+            let incarnation = tracked.record.incarnation;
             tracked.departure = Some(Departure {
+                incarnation: departure.map_or(incarnation, |departure| departure.incarnation),
                 revision: departure.map_or(revision, |known| known.revision.max(revision)),
                 known_at,
                 is_read: departure.is_none_or(|known| known.revision <= revision),
--- a/lib/src/process/gateway/departures.rs
+++ b/lib/src/process/gateway/departures.rs
@@ -72,7 +72,7 @@
             let age = now.checked_duration_since(departure.known_at)?;
             (age < GOSSIP_TIME).then(|| GossipedDeparture {
                 host: tracked.record.host.clone(),
-                incarnation: tracked.record.incarnation,
+                incarnation: departure.incarnation,
                 revision: departure.revision,
                 age_ms: age.as_millis() as u64,
             })
