gateway: records are read elsewhere from entries that are heard from

Those from which a datagram has arrived in the last 1.5 s go first now.

fallback_upstream_prefers_peers_that_are_heard_from fails without the change.

--- a/lib/src/process/gateway/peers.rs
+++ b/lib/src/process/gateway/peers.rs
@@ -36,8 +36,8 @@
 const UPSTREAM_KEY: &str = "records";
 /// How long a peer is not used as an upstream after a failed request.
 const UPSTREAM_BACKOFF: Duration = Duration::from_secs(5);
-/// How long a peer may be silent while requests are passed on to it. A sound one may pause for about
-/// a second.
+/// How long a peer may be silent while requests are passed on to it, or before others are preferred as
+/// an upstream. A sound one may pause for about a second.
 const FORWARDER_SILENCE_MAX: Duration = Duration::from_millis(1_500);
 /// How long other peers are preferred after a request failed that was passed on to one.
 const FORWARD_BACKOFF: Duration = Duration::from_secs(1);
@@ -249,6 +249,12 @@
 type Fitness = (CoreShare, u64);
 
 impl Peer {
+    /// Returns whether a recent datagram has arrived.
+    fn is_heard_from(&self, now: Instant) -> bool {
+        let silent_for = now.saturating_duration_since(self.last_seen_at);
+        self.number > 0 && silent_for < FORWARDER_SILENCE_MAX
+    }
+
     fn has_current_loads(&self, now: Instant) -> bool {
         self.sender_loads.is_some()
             && now.saturating_duration_since(self.last_seen_at) < PEER_LOAD_AGE_MAX
@@ -414,12 +420,16 @@
     }
 
     /// Returns a peer in any data centre to read records from while this entry can't read the
-    /// platform; `None` without a usable one.
+    /// platform; `None` without a usable one. Peers that were heard from recently are preferred, since
+    /// each one that does not answer costs a timeout.
     pub fn fallback_upstream(&self, now: Instant) -> Option<SocketAddr> {
         let own = self.own.as_str();
         let usable = self.usable_upstreams(now);
-        let best = usable.max_by_key(|peer| rendezvous_weight(own, peer.entry.as_str()))?;
-        Some(best.address)
+        let rank = |peer: &&Peer| {
+            let weight = rendezvous_weight(own, peer.entry.as_str());
+            (peer.is_heard_from(now), weight)
+        };
+        Some(usable.max_by_key(rank)?.address)
     }
 
     fn usable_upstreams(&self, now: Instant) -> impl Iterator<Item = &Peer> {
@@ -438,10 +448,7 @@
 
     /// Returns the peers that take requests which this entry passes on.
     pub fn forwarders(&self, now: Instant) -> Vec<Forwarder> {
-        let takes_requests = |peer: &&Peer| {
-            let silent_for = now.saturating_duration_since(peer.last_seen_at);
-            peer.can_forward && silent_for < FORWARDER_SILENCE_MAX
-        };
+        let takes_requests = |peer: &&Peer| peer.can_forward && peer.is_heard_from(now);
         let forwarder = |peer: &Peer| Forwarder {
             entry: peer.entry.clone(),
             address: peer.address,
--- a/lib/tests/test_gateway_peers.rs
+++ b/lib/tests/test_gateway_peers.rs
@@ -249,6 +249,28 @@
     assert_eq!(peers.fallback_upstream(later), Some(first));
 }
 
+// Guards against reads that time out at one silent entry after the other, while another one answers.
+#[test]
+fn fallback_upstream_prefers_peers_that_are_heard_from() {
+    let now = Instant::now();
+    let mut peers = Peers::new(
+        "entry-0".parse().unwrap(),
+        data_centre(),
+        CoreShare::default(),
+    );
+    for other in 1..8 {
+        let address = format!("127.0.0.1:{}", 1_000 + other).parse().unwrap();
+        let name = format!("entry-{other}").parse().unwrap();
+        peers.on_listed(name, address, data_centre(), CoreShare::default(), now);
+    }
+    for other in 1..8 {
+        let heard = message(other, 1, 1, &[]);
+        let heard_at = now + Duration::from_secs(10 * other as u64);
+        peers.on_message(&heard, heard_at);
+        assert_eq!(peers.fallback_upstream(heard_at), Some(heard.address));
+    }
+}
+
 /// The age from which a log is not passed on.
 const AGE_MAX: Duration = Duration::from_millis(1_200);
 
