gateway: only its next start ends a target's statement that it leaves

Cause: while the record said ready, each entry made a health check every ten seconds, and one that succeeded without the header took the statement back. Nothing says that a target repeats the statement there, and no target takes it back but by starting anew.

The check is gone, with TargetControl::is_healthy and the health path of a service, which nothing else used. A statement counts for the incarnation that made it. A target that made it by mistake gets no requests until it is restarted; beryltray_leaving_targets shows it.

--- a/lib/src/process/formation/host_tracker.rs
+++ b/lib/src/process/formation/host_tracker.rs
@@ -81,15 +81,6 @@
     }
 }
 
-/// A host's statement, in answers to requests, that it leaves.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct StatedLeaving {
-    /// When the host last said so.
-    pub stated_at: Instant,
-    /// When the host last said so or a health check last failed.
-    pub confirmed_at: Instant,
-}
-
 /// The registry's statement that a host drains or is no longer listed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Departure {
@@ -119,8 +110,9 @@
     pub first_listed_at: Instant,
     /// When the registry last listed the host's current incarnation again after dropping it.
     pub relisted_at: Option<Instant>,
-    /// What the host's current incarnation said in answers about its leaving; `None` if it did not.
-    pub stated_leaving: Option<StatedLeaving>,
+    /// When the host's current incarnation last said in an answer that it leaves; `None` if it did not.
+    /// It can't take that back: only the next incarnation gets requests again.
+    pub stated_leaving_at: Option<Instant>,
     /// The registry's latest known statement that the host leaves; `None` if it is listed as ready.
     pub departure: Option<Departure>,
     record_received_at: Instant,
@@ -161,7 +153,7 @@
     /// first in its answers that it leaves, and an entry that lags is told by others.
     pub fn availability(&self) -> Availability {
         let is_told = self.departure.is_some_and(|departure| !departure.is_read);
-        if self.stated_leaving.is_some() || is_told {
+        if self.stated_leaving_at.is_some() || is_told {
             Availability::Draining
         } else {
             self.record.availability
@@ -437,9 +429,9 @@
         let own_report = known
             .filter(|_| is_same_incarnation)
             .and_then(|known| known.own_report.clone());
-        let stated_leaving = known
+        let stated_leaving_at = known
             .filter(|_| is_same_incarnation)
-            .and_then(|known| known.stated_leaving);
+            .and_then(|known| known.stated_leaving_at);
         let departure = known
             .and_then(|known| known.departure)
             .filter(|departure| departure.incarnation == record.incarnation);
@@ -466,7 +458,7 @@
             own_report,
             first_listed_at,
             relisted_at,
-            stated_leaving,
+            stated_leaving_at,
             record_received_at: now,
             answered_at,
         });
@@ -552,30 +544,11 @@
         let Some(tracked) = self.incarnation_mut(host, incarnation) else {
             return false;
         };
-        let known = tracked.stated_leaving;
-        let stated_at = known.map_or(stated_at, |known| known.stated_at.max(stated_at));
-        tracked.stated_leaving = Some(StatedLeaving {
-            stated_at,
-            confirmed_at: stated_at,
-        });
+        let known = tracked.stated_leaving_at;
+        tracked.stated_leaving_at = known.max(Some(stated_at));
         known.is_none()
     }
 
-    /// Records that a health check of a host that says that it leaves has failed.
-    pub fn on_leaving_confirmed(&mut self, host: &HostId, incarnation: Incarnation, now: Instant) {
-        if let Some(tracked) = self.incarnation_mut(host, incarnation)
-            && let Some(stated) = &mut tracked.stated_leaving
-        {
-            stated.confirmed_at = now;
-        }
-    }
-
-    /// Records that a host does not leave after all, by its own statement. Returns whether that is news.
-    pub fn on_leaving_withdrawn(&mut self, host: &HostId, incarnation: Incarnation) -> bool {
-        let tracked = self.incarnation_mut(host, incarnation);
-        tracked.is_some_and(|tracked| tracked.stated_leaving.take().is_some())
-    }
-
     fn incarnation_mut(
         &mut self,
         host: &HostId,
--- a/lib/src/process/gateway/leaving.rs
+++ b/lib/src/process/gateway/leaving.rs
@@ -61,7 +61,7 @@
     /// ready.
     pub(super) fn leaving_count(&self, now: Instant) -> i64 {
         let leaves = |tracked: &&TrackedHost| {
-            tracked.stated_leaving.is_some()
+            tracked.stated_leaving_at.is_some()
                 && tracked.is_listed(now)
                 && tracked.record.availability == Availability::Ready
         };
@@ -92,7 +92,7 @@
     /// Returns the targets that said recently that they leave, for the next datagram.
     pub(super) fn gossiped_leaving(&self, now: Instant) -> Vec<GossipedLeaving> {
         let gossiped = |tracked: &TrackedHost| {
-            let age = now.saturating_duration_since(tracked.stated_leaving?.stated_at);
+            let age = now.saturating_duration_since(tracked.stated_leaving_at?);
             (age < GOSSIP_TIME).then(|| GossipedLeaving {
                 host: tracked.record.host.clone(),
                 incarnation: tracked.record.incarnation,
@@ -139,7 +139,7 @@
         let now = self.clock.now();
         let mut inner = self.inner();
         let tracker = &mut inner.host_tracker;
-        let known = tracker.get(host).and_then(|known| known.stated_leaving);
+        let known = tracker.get(host).and_then(|known| known.stated_leaving_at);
         // With the error of the age, a statement that is gossiped back would become newer each time.
         if known.is_some() && !is_own {
             return;
--- a/lib/src/process/gateway/mod.rs
+++ b/lib/src/process/gateway/mod.rs
@@ -15,7 +15,6 @@
 mod follow;
 mod gossip;
 mod leaving;
-mod leaving_check;
 mod limit_gossip;
 mod limit_state;
 mod link_check;
--- a/lib/src/process/gateway/run.rs
+++ b/lib/src/process/gateway/run.rs
@@ -17,7 +17,6 @@
 use super::gossip::discover_entries;
 use super::gossip::receive_gossip;
 use super::gossip::send_gossip;
-use super::leaving_check::check_leaving_targets;
 use super::listeners::GatewayListeners;
 use super::metrics::GatewayMetrics;
 use super::peer_handler::PeerHandler;
@@ -158,7 +157,6 @@
         incarnation,
     ));
     background.spawn(receive_gossip(Arc::clone(&state), peer_socket));
-    background.spawn(check_leaving_targets(Arc::clone(&state), targets.clone()));
     let stop_coordinating = shutdown.graceful.clone();
     let coordinator = coordinate(Arc::clone(&state), platform, targets, stop_coordinating);
     let coordinator = tokio::spawn(coordinator);
--- a/lib/src/target/record.rs
+++ b/lib/src/target/record.rs
@@ -277,16 +277,6 @@
         timeout: Duration,
     ) -> impl Future<Output = Result<TargetReport, CallError>> + Send;
 
-    /// Makes a health check at `path` of `host`, which is reached at `address`, within `timeout`.
-    /// Returns whether the host itself answers that it is healthy and does not leave.
-    fn is_healthy(
-        &self,
-        address: SocketAddr,
-        host: HostId,
-        path: String,
-        timeout: Duration,
-    ) -> impl Future<Output = Result<bool, CallError>> + Send;
-
     /// Sends an order to `host`, which is reached at `address`, within `timeout`.
     fn order(
         &self,
--- a/lib/src/version/routes.rs
+++ b/lib/src/version/routes.rs
@@ -169,9 +169,6 @@
     pub service: ServiceId,
     /// The maximum number of connections that one target accepts from all entries together.
     pub connections_max: u32,
-    /// The path of the targets' health check, if they have one.
-    #[serde(default)]
-    pub health_path: Option<String>,
     /// The profile of the model engines; `None` if the service runs no model.
     pub engine: Option<EngineProfile>,
 }
