gateway: a stream that broke off is resumed only by an event that follows

Cause: the end of the next target's answer was taken for the end of the stream, whatever it had brought, and blocks without an event ID were passed on wherever they stood.

A send that is to go on with a stream succeeds with the first event that follows those which the caller has. What comes before is dropped, and an end or a gap before it counts as a broken answer: the stream is resumed elsewhere if the plan allows it, or ends as broken off. If only the end of a complete stream was lost, the caller sees it break off and can ask for the rest itself. A stream whose events have no IDs is not resumed, since no target knows where to go on.

--- a/lib/src/request/forward/events.rs
+++ b/lib/src/request/forward/events.rs
@@ -183,6 +183,12 @@
         self.delivered
     }
 
+    /// Returns whether another target can go on where the caller is. That needs the ID of an event that
+    /// the caller has, unless it has none.
+    pub fn can_be_resumed(&self) -> bool {
+        self.delivered == 0 || self.last_event.is_some()
+    }
+
     /// Returns where an event with `id` belongs, without recording it.
     pub fn classify(&self, id: Option<u64>) -> EventPosition {
         match (id, self.last_event) {
--- a/lib/src/request/forward/stream.rs
+++ b/lib/src/request/forward/stream.rs
@@ -111,16 +111,16 @@
 where
     X: ForwardContext,
 {
-    let last_event = position.last_event();
-    first_answer(sends, first, |send| open_once(send, last_event)).await
+    let position = *position;
+    first_answer(sends, first, |send| open_once(send, position)).await
 }
 
-async fn open_once<X>(send: PlannedSend<X>, last_event: Option<u64>) -> SendEnd<Opened<X>>
+async fn open_once<X>(send: PlannedSend<X>, position: StreamPosition) -> SendEnd<Opened<X>>
 where
     X: ForwardContext,
 {
     let timeout = first_event_timeout(&send);
-    let answer_start = match send.send(last_event, timeout).await {
+    let answer_start = match send.send(position.last_event(), timeout).await {
         Ok(answer_start) => answer_start,
         Err(send_failure) => return SendEnd::Failed(send_failure),
     };
@@ -138,7 +138,11 @@
     };
     let result = if stream.answer_start.answer.is_signed {
         let limit = timeout.map_or(STREAM_IDLE_LIMIT, |timeout| timeout.if_stalled);
-        wait_for_item(&mut stream, limit).await
+        if position.delivered() > 0 {
+            wait_for_next_event(&mut stream, &position, limit).await
+        } else {
+            wait_for_item(&mut stream, limit).await
+        }
     } else {
         Err(SendFailure::Broken)
     };
@@ -270,6 +274,9 @@
         send_failure
     };
     end_send(stream, position, send_failure);
+    if !position.can_be_resumed() {
+        return false;
+    }
     match sends.next_step(send_failure) {
         NextStep::SendAgain => {}
         NextStep::ReturnTargetFailure | NextStep::End(_) => return false,
@@ -298,6 +305,9 @@
     X: ForwardContext,
 {
     stream.answer_start.send.on_silence();
+    if !position.can_be_resumed() {
+        return Ok(());
+    }
     let Some(send) = sends.next_send_beside() else {
         return Ok(());
     };
@@ -414,6 +424,37 @@
     }
 }
 
+/// Waits until an event is pending that follows those which the caller has, and drops all others.
+///
+/// A stream that ends without one may be a faulty target's, and would look complete to the caller.
+async fn wait_for_next_event<X>(
+    stream: &mut OpenStream<X>,
+    position: &StreamPosition,
+    limit: Duration,
+) -> Result<(), SendFailure>
+where
+    X: ForwardContext,
+{
+    loop {
+        wait_for_item(stream, limit).await?;
+        let Some(event) = &stream.pending else {
+            return Err(SendFailure::Broken);
+        };
+        let request = &stream.answer_start.send.request;
+        let id = request.context.protocol().event_id(event);
+        match id.map(|id| position.classify(Some(id))) {
+            Some(EventPosition::Next) => return Ok(()),
+            Some(EventPosition::AfterGap) => return Err(SendFailure::Broken),
+            Some(EventPosition::Duplicate) | None => {
+                if stream.progress.on_idle_block(event.len()) {
+                    return Err(SendFailure::Broken);
+                }
+                stream.pending = None;
+            }
+        }
+    }
+}
+
 /// Waits for the next complete event or the end of a stream. The wait fails as
 /// [`SendFailure::Silent`] after `limit`, or earlier if the target is stalled; the stream can still
 /// go on then.
