gateway: the refusal of another request is not taken for that of this one

Cause: whether an answer was a refusal was asked before whether it was the answer to this request. Each request has a connection of its own here, so that a refusal written after an answer meets no other request; but one that is written when the connection opens, or before the answer, was believed although it named another request.

An answer that names another request is discarded, refusal or not: the request may have run, and if it may run only once, it is not sent again. A refusal without an ID is believed as before.

Evidence: two of the three tests of test_repeated_refusals failed before with 'request 0 ran 2 times' (the refusal written at once, and after the request was read). The third, a refusal after the answer on a kept connection, passed before, too.

--- a/lib/src/request/forward/send.rs
+++ b/lib/src/request/forward/send.rs
@@ -172,7 +172,10 @@
 
     fn check_answer(&self, head: &response::Parts, answer: &AnswerHead) -> Result<(), SendFailure> {
         let request = &self.request;
-        if answer.is_not_run {
+        let answered_id = answer.request_id.as_ref();
+        let is_of_other = answered_id.is_some_and(|id| *id != request.caller_request.request_id);
+        // A refusal may come without an ID, but that of another request says nothing about this one.
+        if answer.is_not_run && !is_of_other {
             log_request!(
                 request, route = request.route.name.as_str(), target:% = self.target.host(),
                 send = self.number, status = head.status.as_u16(),
@@ -187,8 +190,7 @@
                 SendFailure::NotRun
             });
         }
-        let is_matching = answer.request_id.as_ref() == Some(&request.caller_request.request_id);
-        if !is_matching || answer.is_encoded {
+        if answered_id.is_none() || is_of_other || answer.is_encoded {
             self.log("answer is not of this request", head.status.as_u16());
             return Err(SendFailure::Broken);
         }
