gateway: odd numbers in records from another entry don't end the reads

An entry that reads records from another one added the time for which that says it held the request to its clock. An entry that answers at once, with records that are too old, was asked again and again, since only the wait for an answer was bounded by their age.

The sum is checked, and records older than those that an entry may pass on count as a failed read, so they are read elsewhere.

--- a/lib/src/process/gateway/relayed_feed.rs
+++ b/lib/src/process/gateway/relayed_feed.rs
@@ -107,8 +107,9 @@
         let Some(confirmed_ms_ago) = relayed.confirmed_ms_ago else {
             return;
         };
+        let now = self.state.clock.now();
         let held = Duration::from_millis(relayed.held_ms);
-        let answered_at = self.state.clock.now().min(sent_at + held);
+        let answered_at = sent_at.checked_add(held).map_or(now, |at| at.min(now));
         let confirmed_at = answered_at.checked_sub(Duration::from_millis(confirmed_ms_ago));
         if let Some(confirmed_at) = confirmed_at.filter(|_| !relayed.is_snapshot) {
             T::confirm(&self.state, confirmed_at);
@@ -254,6 +255,14 @@
             // snapshot.
             return Err(FeedError::HistoryLost { since });
         }
+        // An entry refuses to pass on records that are too old, but need not agree on the age.
+        let age = Duration::from_millis(relayed.confirmed_ms_ago.unwrap_or_default());
+        if age > T::age_max(&self.state) + RESPONSE_TIMEOUT {
+            self.state.on_upstream_failed(upstream);
+            return Err(FeedError::Platform(PlatformError::Unavailable {
+                reason: format!("the records of entry {upstream} are too old"),
+            }));
+        }
         let changes = Changes {
             changed: relayed.changed,
             removed: relayed.removed,
