gateway: tasks that panic are started again

A panic in the task that follows targets or the configuration, that reads datagrams or forms groups, ended that task for good: the process served on and stopped following, without a line that says so.

The task that sends datagrams is left out, since its numbers must not start again.

keep_running_task_that_panics_is_started_again_until_it_ends covers the restart itself; that a gateway goes on after a panic is not shown by a test, because no input is known that makes a task panic.

--- a/lib/src/process/gateway/run.rs
+++ b/lib/src/process/gateway/run.rs
@@ -33,6 +33,7 @@
 use crate::process::entry::ShutdownTokens;
 use crate::process::identity::incarnation_from_clock;
 use crate::process::lifecycle::Stage;
+use crate::process::supervise::keep_running;
 use crate::request::forward::handler::ForwardHandler;
 use crate::request::forward::protocol::CallerProtocol;
 use crate::target::record::TargetControl;
@@ -147,19 +148,42 @@
     ));
     let documents = RelayedFeed::new(Arc::clone(&state), platform.clone());
     let records = RelayedFeed::new(Arc::clone(&state), platform.clone());
-    background.spawn(follow_documents(Arc::clone(&state), documents));
-    background.spawn(follow_targets(Arc::clone(&state), records));
-    background.spawn(apply_held_back_removals(Arc::clone(&state)));
-    background.spawn(discover_entries(Arc::clone(&state), platform.clone()));
+    let task_state = Arc::clone(&state);
+    background.spawn(keep_running("follow configuration", move || {
+        follow_documents(Arc::clone(&task_state), documents.clone())
+    }));
+    let task_state = Arc::clone(&state);
+    background.spawn(keep_running("follow targets", move || {
+        follow_targets(Arc::clone(&task_state), records.clone())
+    }));
+    let task_state = Arc::clone(&state);
+    background.spawn(keep_running("apply removals", move || {
+        apply_held_back_removals(Arc::clone(&task_state))
+    }));
+    let (task_state, task_platform) = (Arc::clone(&state), platform.clone());
+    background.spawn(keep_running("discover entries", move || {
+        discover_entries(Arc::clone(&task_state), task_platform.clone())
+    }));
+    // The numbers of datagrams must not start again in one incarnation.
     background.spawn(send_gossip(
         Arc::clone(&state),
         Arc::clone(&peer_socket),
         incarnation,
     ));
-    background.spawn(receive_gossip(Arc::clone(&state), peer_socket));
+    let task_state = Arc::clone(&state);
+    background.spawn(keep_running("receive gossip", move || {
+        receive_gossip(Arc::clone(&task_state), Arc::clone(&peer_socket))
+    }));
     let stop_coordinating = shutdown.graceful.clone();
-    let coordinator = coordinate(Arc::clone(&state), platform, targets, stop_coordinating);
-    let coordinator = tokio::spawn(coordinator);
+    let task_state = Arc::clone(&state);
+    let coordinator = tokio::spawn(keep_running("coordinate", move || {
+        coordinate(
+            Arc::clone(&task_state),
+            platform.clone(),
+            targets.clone(),
+            stop_coordinating.clone(),
+        )
+    }));
     let context = GatewayContext {
         state: Arc::clone(&state),
         protocol,
--- a/lib/src/process/mod.rs
+++ b/lib/src/process/mod.rs
@@ -20,3 +20,4 @@
 pub mod settings;
 pub mod status;
 pub mod substitution;
+pub mod supervise;
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -39,6 +39,7 @@
 mod test_silence;
 mod test_spill;
 mod test_stragglers;
+mod test_supervise;
 mod test_target_backoffs;
 mod test_target_limits;
 mod test_target_links;
