tests: a soak of targets that leave by their records, with entries turned away by the store

A third kind of departure changes the record up to two times, some milliseconds apart, and then removes it or lets it drain, and the target starts again later. No entry that was undisturbed for the last 5.6 s (the longest disturbance and 3 s) may send it a request later than 2 s after that. The store also refuses the calls of single entries for a while, and BERYLTRAY_SOAK_ENTRIES sets the number of entries for runs by hand.

--- a/cli/tests/test_statement_soak.rs
+++ b/cli/tests/test_statement_soak.rs
@@ -1,5 +1,6 @@
-//! A soak of gateways in separate processes, while targets say that they leave, request a backoff and
-//! start again, and signals stop, end and restart the gateways, in series that overlap.
+//! A soak of gateways in separate processes, while targets leave by their answers or by their records,
+//! request a backoff and start again, the store refuses calls of a gateway, and signals stop, end and
+//! restart the gateways, in series that overlap.
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
@@ -25,13 +26,17 @@
 use rand::rngs::StdRng;
 
 use crate::paced_target::put_paced_configuration;
+use crate::stand_in::Access;
+use crate::stand_in::GuardedStore;
 use crate::stand_in::StoreStandIn;
 use crate::stand_in::record;
 use crate::stand_in::start;
 use crate::test_gateway_soak::Disturbance;
 use crate::test_gateway_soak::SoakEntry;
 
+/// The number of entries, unless the variable has another one.
 const ENTRIES: usize = 4;
+const ENTRIES_VARIABLE: &str = "BERYLTRAY_SOAK_ENTRIES";
 /// The entries that are not disturbed and thus never excused.
 const CALM_ENTRIES: usize = 2;
 const TARGETS: usize = 6;
@@ -42,6 +47,9 @@
 const DRAIN_TIME: Duration = Duration::from_secs(2);
 const BACKOFF_SLACK: Duration = Duration::from_millis(500);
 const ARRIVALS_MAX: usize = 2;
+/// How long after the start of a disturbance an entry is excused from the records of targets: the
+/// longest disturbance and the users' bound after its end.
+const EXCUSED_FOR: Duration = Duration::from_millis(2_600 + 3_000);
 const TIMEOUT: Duration = Duration::from_secs(10);
 const LIMIT_BYTES: usize = 1 << 20;
 
@@ -50,6 +58,8 @@
 enum Statement {
     None,
     Leaving,
+    /// Nothing, while its record says that it leaves.
+    Departing,
     Backoff(Duration),
 }
 
@@ -70,6 +80,8 @@
     statement: Statement,
     life: u64,
     arrivals: Vec<Arrival>,
+    /// When the store had accepted that a life drains or is gone.
+    departures: Vec<(u64, Instant)>,
 }
 
 #[derive(Clone, Debug)]
@@ -104,7 +116,7 @@
         headers.insert("beryltray-request-id", id);
         headers.insert("beryltray-response-seal", "3e1b".parse().unwrap());
         match statement {
-            Statement::None => {}
+            Statement::None | Statement::Departing => {}
             Statement::Leaving => {
                 headers.insert("server-leaving", "1".parse().unwrap());
             }
@@ -131,8 +143,9 @@
     let mut random = StdRng::seed_from_u64(seed);
     let id = format!("i-{number}");
     let ms = |random: &mut StdRng, range| Duration::from_millis(random.random_range(range));
-    let statement = match random.random_range(0..2) {
+    let statement = match random.random_range(0..3) {
         0 => Statement::Leaving,
+        1 => Statement::Departing,
         _ => Statement::Backoff(ms(&mut random, 700..3_500)),
     };
     let mut listed = record(address);
@@ -142,17 +155,33 @@
         state.life
     };
     listed["born"] = life.into();
-    match random.random_range(0..4) {
-        0 if statement == Statement::Leaving => store.remove("servers", &id),
-        1 if statement == Statement::Leaving => {
+    if statement == Statement::Departing {
+        // The record changes once or twice, and says a moment later that the target leaves.
+        for change in 0..random.random_range(0..3) {
+            listed["cold-remaining-ms"] = change.into();
+            store.put("servers", &id, &listed);
+            tokio::time::sleep(ms(&mut random, 5..80)).await;
+        }
+    }
+    let departs = match (statement, random.random_range(0..4)) {
+        (Statement::Departing, 0 | 2) | (Statement::Leaving, 0) => {
+            store.remove("servers", &id);
+            true
+        }
+        (Statement::Departing, _) | (Statement::Leaving, 1) => {
             listed["state"] = "draining".into();
             store.put("servers", &id, &listed);
+            true
         }
-        _ => {}
+        _ => false,
+    };
+    if departs {
+        let departure = (life, Instant::now());
+        target.state.lock().unwrap().departures.push(departure);
     }
     tokio::time::sleep(ms(&mut random, 500..6_000)).await;
     let mut state = target.state.lock().unwrap();
-    if statement == Statement::Leaving {
+    if statement == Statement::Leaving || departs {
         state.life += 1;
         listed["born"] = state.life.into();
         listed["state"] = "ready".into();
@@ -161,6 +190,13 @@
     state.statement = Statement::None;
 }
 
+/// Lets the store refuse the calls of an entry for a while.
+async fn refuse_calls(access: GuardedStore, time: Duration) {
+    access.set(Access::Refused);
+    tokio::time::sleep(time).await;
+    access.set(Access::Open);
+}
+
 /// Sends requests one after another, on a connection that is kept until the gateway closes it.
 async fn call_forever(entry: usize, callers: SocketAddr, started_at: Instant) -> Infallible {
     loop {
@@ -194,6 +230,7 @@
 struct Checked {
     leaving: usize,
     backoffs: usize,
+    departures: usize,
     broken: Vec<String>,
 }
 
@@ -201,8 +238,9 @@
 async fn soak(seed: u64) -> Checked {
     let mut random = StdRng::seed_from_u64(seed);
     let started_at = Instant::now();
+    let entry_count =
+        std::env::var(ENTRIES_VARIABLE).map_or(ENTRIES, |count| count.parse().unwrap());
     let store = StoreStandIn::default();
-    let store_address = start(store.clone()).await;
     put_paced_configuration(&store, 1);
     let mut targets = Vec::new();
     for number in 0..TARGETS {
@@ -210,6 +248,7 @@
             statement: Statement::None,
             life: 17,
             arrivals: Vec::new(),
+            departures: Vec::new(),
         };
         let state = Arc::new(Mutex::new(state));
         let target = Target { started_at, state };
@@ -218,22 +257,25 @@
         targets.push((target, address));
     }
     let mut entries = Vec::new();
+    let mut accesses = Vec::new();
     let mut calls = tokio::task::JoinSet::new();
-    for number in 0..ENTRIES {
-        let entry = SoakEntry::start(number, store_address).await;
+    for number in 0..entry_count {
+        let access = GuardedStore::new(&store);
+        let entry = SoakEntry::start(number, start(access.clone()).await).await;
+        accesses.push(access);
         for _ in 0..CALLERS {
             calls.spawn(call_forever(number, entry.callers, started_at));
         }
         entries.push(Arc::new(Mutex::new(entry)));
     }
-    let mut disturbed: Vec<Vec<Instant>> = vec![Vec::new(); ENTRIES];
+    let mut disturbed: Vec<Vec<Instant>> = vec![Vec::new(); entry_count];
     let mut version = 1;
     let mut says = tokio::task::JoinSet::new();
     while started_at.elapsed() < SOAK_TIME {
         tokio::time::sleep(Duration::from_millis(random.random_range(50..500))).await;
         let (number, entry) = (
             random.random_range(0..TARGETS),
-            random.random_range(0..ENTRIES),
+            random.random_range(0..entry_count),
         );
         let (target, address) = targets[number].clone();
         let is_silent = target.state.lock().unwrap().statement == Statement::None;
@@ -244,8 +286,13 @@
             }
             1 if entry >= CALM_ENTRIES && entries[entry].lock().unwrap().is_calm() => {
                 disturbed[entry].push(Instant::now());
-                let disturbance = Disturbance::draw(&mut random);
-                tokio::spawn(disturbance.run(Arc::clone(&entries[entry])));
+                if random.random_bool(0.3) {
+                    let time = Duration::from_millis(random.random_range(1_100..2_600));
+                    tokio::spawn(refuse_calls(accesses[entry].clone(), time));
+                } else {
+                    let disturbance = Disturbance::draw(&mut random);
+                    tokio::spawn(disturbance.run(Arc::clone(&entries[entry])));
+                }
             }
             2.. if is_silent => {
                 says.spawn(make_statement(
@@ -263,8 +310,9 @@
     says.join_all().await;
     let mut checked = Checked::default();
     for (target, _) in &targets {
-        let arrivals = &target.state.lock().unwrap().arrivals;
-        check(arrivals, &disturbed, &mut checked);
+        let state = target.state.lock().unwrap();
+        check(&state.arrivals, &disturbed, &mut checked);
+        check_departures(&state, &disturbed, &mut checked);
     }
     checked
 }
@@ -283,7 +331,7 @@
         };
         let later = arrivals.iter().filter(is_counted);
         let (count, allowed) = match told.statement {
-            Statement::None => continue,
+            Statement::None | Statement::Departing => continue,
             Statement::Leaving => {
                 checked.leaving += 1;
                 let drained_at = told.at + DRAIN_TIME;
@@ -302,6 +350,29 @@
     }
 }
 
+/// Checks that no entry sends requests to a target later than its drain time after the store had accepted
+/// that it leaves, unless the entry was disturbed shortly before.
+fn check_departures(state: &TargetState, disturbed: &[Vec<Instant>], checked: &mut Checked) {
+    for (life, departed_at) in &state.departures {
+        checked.departures += 1;
+        let is_late = |arrival: &&Arrival| {
+            let is_excused = |at: &Instant| (*at..*at + EXCUSED_FOR).contains(&arrival.sent_at);
+            arrival.life == *life
+                && arrival.sent_at > *departed_at + DRAIN_TIME
+                && !disturbed[arrival.entry].iter().any(is_excused)
+        };
+        let late: Vec<&Arrival> = state.arrivals.iter().filter(is_late).collect();
+        if let Some(first) = late.first() {
+            let late_ms = first.sent_at.duration_since(*departed_at).as_millis();
+            let count = late.len();
+            let entry = first.entry;
+            checked.broken.push(format!(
+                "{count} after a record of life {life}, the first by entry {entry} after {late_ms} ms"
+            ));
+        }
+    }
+}
+
 /// Guards against requests to targets that have said that they leave or want a backoff, while targets
 /// and entries change in series that overlap.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -310,5 +381,6 @@
     let checked = soak(seed).await;
     println!("seed {seed}: {checked:?}");
     assert!(checked.leaving > 0 && checked.backoffs > 0, "seed {seed}");
+    assert!(checked.departures > 0, "seed {seed}");
     assert!(checked.broken.is_empty(), "seed {seed}");
 }
