--- a/cli/tests/test_departed_targets.rs
+++ b/cli/tests/test_departed_targets.rs
@@ -5,13 +5,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use beryltray_lib::connection::body::RequestBody;
 use beryltray_lib::connection::body::ResponseBody;
 use beryltray_lib::connection::body::full_body;
-use beryltray_lib::connection::body::read_body;
-use beryltray_lib::connection::client::ClientConnection;
 use beryltray_lib::connection::server::HttpHandler;
-use beryltray_lib::ids::new_attempt_id;
 use beryltray_testutils::seeds::extra_seed;
 use http::Request;
 use http::Response;
@@ -26,6 +22,7 @@
 use crate::stand_in::record;
 use crate::stand_in::start;
 use crate::test_gateway_soak::SoakEntry;
+use crate::test_statement_soak::call_forever;
 
 const ENTRIES: usize = 3;
 const TARGETS: usize = 8;
@@ -34,8 +31,6 @@
 const CALLERS: usize = 4;
 /// The users' bound on the time from the removal of a target's record to the last request there.
 const DRAIN_TIME: Duration = Duration::from_secs(2);
-const TIMEOUT: Duration = Duration::from_secs(10);
-const LIMIT_BYTES: usize = 1 << 20;
 
 /// A target that records when callers sent the requests that it receives.
 #[derive(Clone, Debug)]
@@ -46,7 +41,7 @@
 
 impl HttpHandler for Target {
     async fn handle(&self, request: Request<Incoming>) -> Response<ResponseBody> {
-        let mut response = Response::new(full_body("whole"));
+        let mut response = Response::new(full_body("id: 1\ndata: x\n\n"));
         // The last part of the path is the time at which the caller sent the request.
         let sent_us = request.uri().path().rsplit('/').next();
         if let Some(Ok(sent_us)) = sent_us.map(str::parse) {
@@ -62,33 +57,6 @@
     }
 }
 
-/// Sends requests one after another, on a connection that is kept until the gateway closes it.
-async fn call_forever(callers: std::net::SocketAddr, started_at: Instant) {
-    loop {
-        let Ok(mut connection) = ClientConnection::open(callers, TIMEOUT).await else {
-            tokio::time::sleep(Duration::from_millis(20)).await;
-            continue;
-        };
-        loop {
-            let sent_us = started_at.elapsed().as_micros();
-            let request = Request::builder()
-                .uri(format!("/plain/{sent_us}"))
-                .header("host", "a.example")
-                .header("authorization", "Bearer key-1")
-                .header("beryltray-request-id", new_attempt_id().to_string())
-                .body(RequestBody::default());
-            let Ok(answer) = connection.send(request.unwrap()).await else {
-                break;
-            };
-            let read = read_body(answer.into_body(), LIMIT_BYTES, TIMEOUT).await;
-            tokio::time::sleep(Duration::from_millis(4)).await;
-            if read.is_err() || !connection.wait_until_usable().await {
-                break;
-            }
-        }
-    }
-}
-
 /// Guards against targets that are listed again: their records change and are removed while an entry
 /// is paused, which then reads both in one answer of another entry.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -114,7 +82,7 @@
     for number in 0..ENTRIES {
         let entry = SoakEntry::start(number, store_address).await;
         for _ in 0..CALLERS {
-            calls.spawn(call_forever(entry.callers, started_at));
+            calls.spawn(call_forever(number, entry.callers, started_at));
         }
         entries.push(entry);
     }
--- a/cli/tests/test_statement_soak.rs
+++ b/cli/tests/test_statement_soak.rs
@@ -198,7 +198,11 @@
 }
 
 /// Sends requests one after another, on a connection that is kept until the gateway closes it.
-async fn call_forever(entry: usize, callers: SocketAddr, started_at: Instant) -> Infallible {
+pub(crate) async fn call_forever(
+    entry: usize,
+    callers: SocketAddr,
+    started_at: Instant,
+) -> Infallible {
     loop {
         let Ok(mut connection) = ClientConnection::open(callers, TIMEOUT).await else {
             tokio::time::sleep(Duration::from_millis(20)).await;
--- a/lib/src/process/formation/host_tracker.rs
+++ b/lib/src/process/formation/host_tracker.rs
@@ -3,6 +3,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use super::departure::Departure;
+use super::outage::Outage;
 use crate::ids::HostId;
 use crate::ids::Incarnation;
 use crate::ids::Revision;
@@ -23,10 +25,6 @@
 /// How much older than the call that requests it the state in a host's report may be.
 const REPORT_STALENESS_MAX: Duration = Duration::from_millis(400);
 
-/// How long a removal that is newer than an outage is held back, from the time at which the host was
-/// last known to be listed. Hosts that are up write their records again in that time.
-const NEW_REMOVAL_DELAY_MAX: Duration = Duration::from_millis(1_500);
-
 /// How long after an answered call a host that the registry dropped counts as up.
 const ANSWER_VALIDITY: Duration = Duration::from_millis(900);
 
@@ -81,20 +79,6 @@
     }
 }
 
-/// The registry's statement that a host drains or is no longer listed.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Departure {
-    /// The incarnation of the host that leaves. If another entry told it, it may be later than that of
-    /// the record.
-    pub incarnation: Incarnation,
-    /// A revision of the registry as of which the host drains or is not listed.
-    pub revision: Revision,
-    /// When the first entry read it; for a removal that is held back, when it takes effect.
-    pub known_at: Instant,
-    /// Whether the registry was read up to that revision here. Otherwise, another entry told it.
-    pub is_read: bool,
-}
-
 /// A host's registry record, with its liveness and own report.
 #[derive(Clone, Debug)]
 pub struct TrackedHost {
@@ -233,15 +217,6 @@
     outage: Option<Outage>,
 }
 
-/// The end of an outage of the registry.
-#[derive(Clone, Copy, Debug)]
-struct Outage {
-    /// Until when records that expired during the outage may return.
-    records_return_until: Instant,
-    /// Whether nothing has been read since the outage, so that the next removals may be due to it.
-    is_unread: bool,
-}
-
 impl HostTracker {
     /// Creates a tracker without hosts.
     pub fn new() -> Self {
@@ -254,10 +229,7 @@
     /// If they are not in what is read first after the outage, they are held back by a time that is
     /// within the drain time of a host.
     pub fn on_outage_ended(&mut self, now: Instant, grace: Duration) {
-        self.outage = Some(Outage {
-            records_return_until: now + grace,
-            is_unread: true,
-        });
+        self.outage = Some(Outage::ended(now, grace));
     }
 
     /// Applies changes from the registry. All hosts that they remove were listed at `listed_at`.
@@ -283,7 +255,7 @@
     pub fn on_read(&mut self, revision: Revision, now: Instant) {
         self.revision = revision;
         if let Some(outage) = &mut self.outage {
-            outage.is_unread = false;
+            outage.on_read();
         }
         for tracked in self.hosts.iter_mut() {
             let Some(departure) = tracked.departure.filter(|departure| !departure.is_read) else {
@@ -345,16 +317,8 @@
 
     /// Returns when the removals take effect that are read now. The hosts were listed at `listed_at`.
     fn removals_effective_at(&self, listed_at: Option<Instant>, now: Instant) -> Instant {
-        let Some(outage) = self.outage else {
-            return now;
-        };
-        let held_back_until = match listed_at {
-            Some(at) if !outage.is_unread => {
-                outage.records_return_until.min(at + NEW_REMOVAL_DELAY_MAX)
-            }
-            _ => outage.records_return_until,
-        };
-        held_back_until.max(now)
+        self.outage
+            .map_or(now, |outage| outage.removals_effective_at(listed_at, now))
     }
 
     /// Returns when the next removal that is held back takes effect.
@@ -432,24 +396,8 @@
         let stated_leaving_at = known
             .filter(|_| is_same_incarnation)
             .and_then(|known| known.stated_leaving_at);
-        let departure = known
-            .and_then(|known| known.departure)
-            .filter(|departure| departure.incarnation == record.incarnation);
-        let departure = match (record.availability, departure) {
-            // Another entry has read more than this one.
-            (_, Some(told)) if !told.is_read && told.revision > self.revision => Some(told),
-            (Availability::Draining, Some(known)) if !was_unlisted => Some(Departure {
-                is_read: true,
-                ..known
-            }),
-            (Availability::Draining, _) => Some(Departure {
-                incarnation: record.incarnation,
-                revision: self.revision,
-                known_at: now,
-                is_read: true,
-            }),
-            (Availability::Ready, _) => None,
-        };
+        let departure = known.and_then(|known| known.departure);
+        let departure = Departure::on_record(departure, was_unlisted, &record, self.revision, now);
         self.hosts.insert(TrackedHost {
             record,
             unlisted_from: None,
@@ -475,19 +423,16 @@
         if let Some(tracked) = self.hosts.get_mut(host)
             && tracked.unlisted_from.is_none()
         {
-            let departure = tracked.departure;
             // Another entry that has read it knows that no record can return.
-            let is_told = departure.is_some_and(|departure| !departure.is_read);
+            let is_told = tracked
+                .departure
+                .is_some_and(|departure| !departure.is_read);
             let effective_at = if is_told { now } else { effective_at };
             tracked.unlisted_from = Some(effective_at);
-            let known_at = departure.map_or(effective_at, |departure| departure.known_at);
             let incarnation = tracked.record.incarnation;
-            tracked.departure = Some(Departure {
-                incarnation: departure.map_or(incarnation, |departure| departure.incarnation),
-                revision: departure.map_or(revision, |known| known.revision.max(revision)),
-                known_at,
-                is_read: departure.is_none_or(|known| known.revision <= revision),
-            });
+            let departure =
+                Departure::on_removed(tracked.departure, incarnation, revision, effective_at);
+            tracked.departure = Some(departure);
         }
         self.hosts.retain(|tracked| {
             let unlisted_from = tracked.unlisted_from;
--- a/lib/src/process/formation/mod.rs
+++ b/lib/src/process/formation/mod.rs
@@ -22,12 +22,14 @@
 
 mod balance;
 mod controller;
+mod departure;
 mod desired;
 mod free_hosts;
 mod group;
 mod host_tracker;
 mod join_check;
 mod load_limiter;
+mod outage;
 mod packing;
 mod phases;
 mod selection;
