--- a/lib/src/process/gateway/listings.rs
+++ b/lib/src/process/gateway/listings.rs
@@ -1,5 +1,7 @@
 //! Log lines for targets whose records begin or cease to say that they accept requests.
 
+use std::time::Duration;
+
 use super::state::GatewayState;
 use crate::clock::Clock;
 use crate::ids::HostId;
@@ -71,8 +73,7 @@
     pub(super) fn log_listings(&self, before: &Listings, revision: Revision, source: &str) {
         let now = self.clock.now();
         let inner = self.inner();
-        let records_age = inner.target_log.age(now);
-        let records_age_ms = records_age.map(|age| age.as_millis() as u64);
+        let records_age_ms = ms_text(inner.target_log.age(now));
         for (host, known) in &before.0 {
             let Some(tracked) = inner.host_tracker.get(host) else {
                 continue;
@@ -88,10 +89,15 @@
                 target:% = host, service:% = tracked.record.service,
                 incarnation:% = listing.incarnation, record = listing.text().as_str(),
                 before = known.map_or_else(|| String::from("none"), Listing::text).as_str(),
-                revision = revision.0, source = source, records_age_ms:? = records_age_ms,
-                held_back_ms:? = held_back.map(|time| time.as_millis() as u64);
+                revision = revision.0, source = source, records_age_ms = records_age_ms.as_str(),
+                held_back_ms = ms_text(held_back).as_str();
                 "record of a target changed"
             );
         }
     }
 }
+
+/// Returns a time in milliseconds, or "none".
+fn ms_text(time: Option<Duration>) -> String {
+    time.map_or_else(|| String::from("none"), |time| time.as_millis().to_string())
+}
