--- a/lib/src/process/formation/host_tracker.rs
+++ b/lib/src/process/formation/host_tracker.rs
@@ -269,49 +269,37 @@
         }
     }
 
-    /// Records that another entry has read at `known_at`, up to `revision`, that an incarnation of a
-    /// host drains or is not listed. Returns whether that is news.
+    /// Records that another entry tells that a host drains or is not listed. Returns whether that is
+    /// news.
     ///
     /// It counts until the registry has been read up to that revision here. A removal that is held
     /// back because of an outage takes effect: the other entry knows that no record can return.
-    pub fn on_departure_told(
-        &mut self,
-        host: &HostId,
-        incarnation: Incarnation,
-        departure: (Revision, Instant),
-        now: Instant,
-    ) -> bool {
+    pub fn on_departure_told(&mut self, host: &HostId, told: Departure, now: Instant) -> bool {
         let read_until = self.revision;
-        let (revision, known_at) = departure;
         // A later incarnation has replaced the known one, and would get the requests that are meant for it.
         let known = self.hosts.get_mut(host);
-        let Some(tracked) = known.filter(|known| known.record.incarnation <= incarnation) else {
+        let Some(tracked) = known.filter(|known| known.record.incarnation <= told.incarnation)
+        else {
             return false;
         };
-        if revision <= read_until {
-            let is_held_back = tracked.record.incarnation == incarnation
+        if told.revision <= read_until {
+            let is_held_back = tracked.record.incarnation == told.incarnation
                 && tracked.unlisted_from.is_some_and(|at| now < at);
             if is_held_back {
                 tracked.unlisted_from = Some(now);
                 tracked.departure = Some(Departure {
-                    incarnation,
                     revision: read_until,
-                    known_at,
                     is_read: true,
+                    ..told
                 });
             }
             return is_held_back;
         }
         let known = tracked.departure;
-        if known.is_some_and(|known| known.revision >= revision) {
+        if known.is_some_and(|known| known.revision >= told.revision) {
             return false;
         }
-        tracked.departure = Some(Departure {
-            incarnation,
-            revision,
-            known_at,
-            is_read: false,
-        });
+        tracked.departure = Some(told);
         known.is_none()
     }
 
--- a/lib/src/process/formation/mod.rs
+++ b/lib/src/process/formation/mod.rs
@@ -40,6 +40,7 @@
 
 pub use self::controller::FormationAction;
 pub use self::controller::FormationController;
+pub use self::departure::Departure;
 pub use self::group::Group;
 pub use self::group::GroupMember;
 pub use self::group::GroupPhase;
--- a/lib/src/process/gateway/departures.rs
+++ b/lib/src/process/gateway/departures.rs
@@ -16,6 +16,7 @@
 use crate::ids::HostId;
 use crate::ids::Incarnation;
 use crate::ids::Revision;
+use crate::process::formation::Departure;
 use crate::process::formation::TrackedHost;
 
 /// How long a departure is gossiped: several datagrams, and longer than the drain time, so that it
@@ -99,13 +100,14 @@
             };
             let mut inner = self.inner();
             let records_age = inner.target_log.age(now);
-            let is_news = inner.host_tracker.on_departure_told(
-                &gossiped.host,
-                gossiped.incarnation,
-                (gossiped.revision, known_at),
-                now,
-            );
-            if !is_news {
+            let told = Departure {
+                incarnation: gossiped.incarnation,
+                revision: gossiped.revision,
+                known_at,
+                is_read: false,
+            };
+            let tracker = &mut inner.host_tracker;
+            if !tracker.on_departure_told(&gossiped.host, told, now) {
                 continue;
             }
             inner.update_serving(now);
--- a/lib/tests/test_host_tracker.rs
+++ b/lib/tests/test_host_tracker.rs
@@ -8,6 +8,7 @@
 use beryltray_lib::ids::Revision;
 use beryltray_lib::platform::feed::Changes;
 use beryltray_lib::platform::feed::Snapshot;
+use beryltray_lib::process::formation::Departure;
 use beryltray_lib::process::formation::HostTracker;
 use beryltray_lib::target::record::Availability;
 use beryltray_lib::target::record::TargetRecord;
@@ -161,9 +162,14 @@
     assert!(is_usable(&tracker, now + GRACE));
 }
 
-/// The departure of the host as of a revision.
-fn told(revision: u64, at: Instant) -> (Revision, Instant) {
-    (Revision(revision), at)
+/// The departure of an incarnation of the host as of a revision, told by another entry.
+fn told(incarnation: Incarnation, revision: u64, known_at: Instant) -> Departure {
+    Departure {
+        incarnation,
+        revision: Revision(revision),
+        known_at,
+        is_read: false,
+    }
 }
 
 // Guards against requests from an entry whose reads lag, while others know that the host leaves.
@@ -172,8 +178,8 @@
     let now = Instant::now();
     let mut tracker = HostTracker::new();
     tracker.on_snapshot(snapshot(5, vec![record(FIRST)]), None, now);
-    assert!(tracker.on_departure_told(&host(), FIRST, told(9, now), now));
-    assert!(!tracker.on_departure_told(&host(), FIRST, told(9, now), now));
+    assert!(tracker.on_departure_told(&host(), told(FIRST, 9, now), now));
+    assert!(!tracker.on_departure_told(&host(), told(FIRST, 9, now), now));
     assert!(!is_usable(&tracker, now));
     // An older state of the record, and a read that does not reach the revision.
     tracker.on_changes(&changed(8), None, now);
@@ -181,7 +187,7 @@
     // The record says ready as of the revision, so the host is back.
     tracker.on_read(Revision(9), now);
     assert!(is_usable(&tracker, now));
-    assert!(!tracker.on_departure_told(&host(), FIRST, told(9, now), now));
+    assert!(!tracker.on_departure_told(&host(), told(FIRST, 9, now), now));
     assert!(is_usable(&tracker, now));
 }
 
@@ -190,10 +196,10 @@
     let now = Instant::now();
     let mut tracker = HostTracker::new();
     tracker.on_snapshot(snapshot(5, vec![record(FIRST)]), None, now);
-    tracker.on_departure_told(&host(), FIRST, told(9, now), now);
+    tracker.on_departure_told(&host(), told(FIRST, 9, now), now);
     tracker.on_record(record(SECOND), now);
     assert!(is_usable(&tracker, now));
-    assert!(!tracker.on_departure_told(&host(), FIRST, told(9, now), now));
+    assert!(!tracker.on_departure_told(&host(), told(FIRST, 9, now), now));
     assert!(is_usable(&tracker, now));
 }
 
@@ -204,7 +210,7 @@
     let now = Instant::now();
     let mut tracker = HostTracker::new();
     tracker.on_snapshot(snapshot(5, vec![record(FIRST)]), None, now);
-    assert!(tracker.on_departure_told(&host(), SECOND, told(9, now), now));
+    assert!(tracker.on_departure_told(&host(), told(SECOND, 9, now), now));
     assert!(!is_usable(&tracker, now));
     let started = Changes {
         changed: vec![record(SECOND)],
@@ -225,12 +231,12 @@
     tracker.on_outage_ended(now, GRACE);
     tracker.on_changes(&removal(), Some(now), now);
     assert!(is_usable(&tracker, now));
-    assert!(tracker.on_departure_told(&host(), FIRST, told(7, now), now));
+    assert!(tracker.on_departure_told(&host(), told(FIRST, 7, now), now));
     assert!(!is_usable(&tracker, now));
     // The same, with the other entry's word first.
     let mut tracker = HostTracker::new();
     tracker.on_snapshot(snapshot(5, vec![record(FIRST)]), None, now);
-    tracker.on_departure_told(&host(), FIRST, told(9, now), now);
+    tracker.on_departure_told(&host(), told(FIRST, 9, now), now);
     tracker.on_outage_ended(now, GRACE);
     tracker.on_changes(&removal(), Some(now), now);
     assert!(!is_usable(&tracker, now));
