gateway: cold targets get no more requests than they take

Cause: nothing read that a target is cold. A target that starts, or has lost its caches, got its full share at once.

The record says for how long the target remains cold, and the configuration at which rate its service's cold targets take requests. Each entry has a part of that rate, as of the limits that targets name in their answers; nothing of it is left to others, since a target is cold for seconds only. Services without such a rate are not affected.

--- a/lib/src/process/formation/host_tracker.rs
+++ b/lib/src/process/formation/host_tracker.rs
@@ -144,6 +144,11 @@
         }
     }
 
+    /// Returns whether the host is cold, by its record.
+    pub fn is_cold(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.record_received_at) < self.record.cold_for
+    }
+
     /// Returns whether the host can get new work: listed, not draining, and not replaced by another
     /// process.
     pub fn is_usable(&self, now: Instant) -> bool {
--- a/lib/src/process/gateway/mod.rs
+++ b/lib/src/process/gateway/mod.rs
@@ -7,6 +7,7 @@
 
 mod backoff_state;
 mod change_log;
+mod cold_targets;
 mod context;
 mod coordinate;
 mod crash_check;
--- a/lib/src/process/gateway/reservation.rs
+++ b/lib/src/process/gateway/reservation.rs
@@ -114,12 +114,15 @@
         }
     }
 
-    /// Returns the time until a request may be sent to a target, by the limit that it names and by the
-    /// backoff that it requested.
+    /// Returns the time until a request may be sent to a target, by the limit that it names, by the rate
+    /// of a cold target and by the backoff that it requested.
     fn time_until_send(&self, target: &ServingTarget, now: Instant) -> Duration {
         let limits = &self.target_limits;
         let by_limit = limits.time_until_send(&target.host, now);
-        by_limit.max(self.backoff_left(target, now))
+        let by_cold_rate = self.cold_limits.time_until_send(&target.host, now);
+        by_limit
+            .max(by_cold_rate)
+            .max(self.backoff_left(target, now))
     }
 
     fn backoff_left(&self, target: &ServingTarget, now: Instant) -> Duration {
@@ -220,6 +223,7 @@
         self.usage
             .on_start(&target.host, requirements.prompt_tokens, now);
         self.target_limits.on_send(&target.host, now);
+        self.cold_limits.on_send(&target.host, now);
         let backoff_trial = self.target_backoffs.on_send(&target.host, now);
         Ok(ChosenTarget {
             target,
--- a/lib/src/process/gateway/state.rs
+++ b/lib/src/process/gateway/state.rs
@@ -97,6 +97,8 @@
     /// the target has crashed.
     pub(super) broken_starts: Vec<CrashRecord>,
     pub(super) target_limits: TargetLimits,
+    /// The rates of cold targets; nothing of them is left to other entries.
+    pub(super) cold_limits: TargetLimits,
     pub(super) target_links: TargetLinks,
     pub(super) target_backoffs: TargetBackoffs,
 }
@@ -168,6 +170,7 @@
                 quarantine: Quarantine::new(),
                 broken_starts: Vec::new(),
                 target_limits: TargetLimits::new(),
+                cold_limits: TargetLimits::new(),
                 target_links: TargetLinks::new(),
                 target_backoffs: TargetBackoffs::new(),
             }),
@@ -218,6 +221,7 @@
         let now = self.clock.now();
         let mut inner = self.inner();
         change(&mut inner.host_tracker, now);
+        inner.update_cold_limits(now);
         inner.update_serving(now);
         for (service, count) in inner.serving_counts() {
             let labels = [service.as_str()];
@@ -263,6 +267,7 @@
         let now = self.clock.now();
         let mut inner = self.inner();
         inner.update_target_limits(now);
+        inner.update_cold_limits(now);
         let limits = inner.target_limits.gossip(now);
         let leaving = inner.gossiped_leaving(now);
         let departures = inner.gossiped_departures(now);
--- a/lib/src/target/record.rs
+++ b/lib/src/target/record.rs
@@ -96,6 +96,11 @@
     /// it.
     #[serde(default)]
     pub accepted_orders: Option<u64>,
+    /// How long the target remains cold after the record was written: it takes requests at the rate of
+    /// [`ServiceSpec::cold_rate`](crate::version::routes::ServiceSpec::cold_rate) at most. An entry of an
+    /// earlier version omits it.
+    #[serde(default)]
+    pub cold_for: Duration,
 }
 
 impl FeedRecord for TargetRecord {
--- a/lib/src/version/routes.rs
+++ b/lib/src/version/routes.rs
@@ -18,6 +18,7 @@
 use crate::platform::feed::FeedRecord;
 use crate::sorted::Keyed;
 use crate::sorted::SortedVec;
+use crate::units::RequestRate;
 
 /// Whether and how a route's requests may be retried.
 #[derive(Clone, Copy, Debug, Deserialize, Display, Eq, PartialEq, Serialize)]
@@ -169,6 +170,9 @@
     pub service: ServiceId,
     /// The maximum number of connections that one target accepts from all entries together.
     pub connections_max: u32,
+    /// The rate of requests that a cold target takes from all entries together; `None` without a limit.
+    #[serde(default)]
+    pub cold_rate: Option<RequestRate>,
     /// The profile of the model engines; `None` if the service runs no model.
     pub engine: Option<EngineProfile>,
 }
--- a/lib/tests/test_change_log.rs
+++ b/lib/tests/test_change_log.rs
@@ -1,5 +1,7 @@
 //! Tests of the changes of records that an entry passes on to others.
 
+use std::time::Duration;
+
 use beryltray_lib::ids::HostId;
 use beryltray_lib::ids::Incarnation;
 use beryltray_lib::ids::Revision;
@@ -23,6 +25,7 @@
         weights: Vec::new(),
         membership: None,
         accepted_orders: None,
+        cold_for: Duration::ZERO,
     }
 }
 
--- a/lib/tests/test_host_tracker.rs
+++ b/lib/tests/test_host_tracker.rs
@@ -34,6 +34,7 @@
         weights: Vec::new(),
         membership: None,
         accepted_orders: None,
+        cold_for: Duration::ZERO,
     }
 }
 
--- a/lib/testutils/src/fleet.rs
+++ b/lib/testutils/src/fleet.rs
@@ -699,6 +699,7 @@
             weights: host.last_weights.iter().cloned().collect(),
             membership: host.membership.clone(),
             accepted_orders: Some(host.accepted_orders),
+            cold_for: Duration::ZERO,
         }
     }
 }
