gateway: a counter of how often the serving targets are derived

beryltray_serving_updates_total counts, by cause, how often an entry derives the targets that can be sent requests from its hosts.

--- a/lib/src/process/gateway/departures.rs
+++ b/lib/src/process/gateway/departures.rs
@@ -12,6 +12,7 @@
 
 use super::state::GatewayState;
 use super::state::Inner;
+use super::state::ServingUpdate;
 use crate::clock::Clock;
 use crate::ids::HostId;
 use crate::ids::Incarnation;
@@ -110,7 +111,7 @@
             if !tracker.on_departure_told(&gossiped.host, told, now) {
                 continue;
             }
-            inner.update_serving(now);
+            self.update_serving(&mut inner, ServingUpdate::Departures, now);
             drop(inner);
             self.targets_changed.notify_waiters();
             let records_age = records_age.map_or(0, |age| age.as_millis() as u64);
--- a/lib/src/process/gateway/leaving.rs
+++ b/lib/src/process/gateway/leaving.rs
@@ -12,6 +12,7 @@
 
 use super::state::GatewayState;
 use super::state::Inner;
+use super::state::ServingUpdate;
 use crate::clock::Clock;
 use crate::ids::HostId;
 use crate::ids::Incarnation;
@@ -151,7 +152,7 @@
         let availability = tracked.map(|tracked| tracked.record.availability.to_string());
         let is_listed = tracked.is_some_and(|tracked| tracked.is_listed(now));
         self.metrics.leaving_targets.set(inner.leaving_count(now));
-        inner.update_serving(now);
+        self.update_serving(&mut inner, ServingUpdate::Leaving, now);
         drop(inner);
         self.targets_changed.notify_waiters();
         log::info!(
--- a/lib/src/process/gateway/metrics.rs
+++ b/lib/src/process/gateway/metrics.rs
@@ -43,6 +43,7 @@
     pub configuration_age_ms: IntGauge,
     /// Targets that can be sent requests, by service.
     pub serving_targets: IntGaugeVec,
+    serving_updates: IntCounterVec,
     /// Prompt parts that are quarantined.
     pub quarantined_parts: IntGauge,
     /// Requests that are quarantined by their content.
@@ -136,6 +137,11 @@
                 "Targets that can be sent requests.",
                 &["service"],
             )?,
+            serving_updates: counters(
+                "serving_updates_total",
+                "Times that the targets that can be sent requests were derived again, by cause.",
+                &["cause"],
+            )?,
             quarantined_parts: gauge(
                 "quarantined_prompt_parts",
                 "Prompt parts that are quarantined.",
@@ -205,6 +211,7 @@
         registry.register(Box::new(self.is_cut_off.clone()))?;
         registry.register(Box::new(self.passed_on.clone()))?;
         registry.register(Box::new(self.serving_targets.clone()))?;
+        registry.register(Box::new(self.serving_updates.clone()))?;
         registry.register(Box::new(self.quarantined_parts.clone()))?;
         registry.register(Box::new(self.quarantined_requests.clone()))?;
         registry.register(Box::new(self.target_crashes.clone()))?;
@@ -279,6 +286,11 @@
             .inc();
     }
 
+    /// Counts a time that the targets that can be sent requests were derived again.
+    pub fn count_serving_update(&self, cause: &str) {
+        self.serving_updates.with_label_values(&[cause]).inc();
+    }
+
     /// Counts an order to a host by its answer.
     pub fn count_order(&self, order: &str, answer: &str) {
         self.orders.with_label_values(&[order, answer]).inc();
--- a/lib/src/process/gateway/state.rs
+++ b/lib/src/process/gateway/state.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use derive_more::Display;
 use tokio::sync::Notify;
 
 use super::change_log::ChangeLog;
@@ -124,6 +125,23 @@
     inner: Mutex<Inner>,
 }
 
+/// Why the targets that can be sent requests are derived again.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub(super) enum ServingUpdate {
+    /// A new configuration is in force.
+    #[display("configuration")]
+    Configuration,
+    /// Records of hosts, or their reports to the entry that forms groups, have changed.
+    #[display("hosts")]
+    Hosts,
+    /// Other entries told that targets leave by their records.
+    #[display("departures")]
+    Departures,
+    /// Targets said in their answers that they leave.
+    #[display("leaving")]
+    Leaving,
+}
+
 impl<C> std::fmt::Debug for GatewayState<C> {
     fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         formatter
@@ -206,7 +224,7 @@
         let version = i64::try_from(document.version.0).unwrap_or(i64::MAX);
         self.metrics.configuration_version.set(version);
         inner.document = Some(Arc::new(document));
-        inner.update_serving(now);
+        self.update_serving(&mut inner, ServingUpdate::Configuration, now);
         drop(inner);
         self.update_readiness();
         self.targets_changed.notify_waiters();
@@ -222,7 +240,7 @@
         let mut inner = self.inner();
         change(&mut inner.host_tracker, now);
         inner.update_cold_limits(now);
-        inner.update_serving(now);
+        self.update_serving(&mut inner, ServingUpdate::Hosts, now);
         for (service, count) in inner.serving_counts() {
             let labels = [service.as_str()];
             self.metrics
@@ -235,6 +253,13 @@
         self.targets_changed.notify_waiters();
     }
 
+    /// Derives the targets that can be sent requests from the hosts and the configuration. This takes
+    /// time in proportion to the number of hosts, so it is done once for all changes of a message.
+    pub(super) fn update_serving(&self, inner: &mut Inner, cause: ServingUpdate, now: Instant) {
+        self.metrics.count_serving_update(&cause.to_string());
+        inner.update_serving(now);
+    }
+
     /// Records that the targets have been read, which the entry needs to become ready.
     pub fn mark_targets_read(&self) {
         self.inner().has_read_targets = true;
@@ -380,7 +405,7 @@
 }
 
 impl Inner {
-    pub(super) fn update_serving(&mut self, now: Instant) {
+    fn update_serving(&mut self, now: Instant) {
         let Some(document) = &self.document else {
             return;
         };
