gateway: groups across domains are found in one pass over the hosts

Cause: to learn the pace of each group, the derivation of the serving targets looked at all hosts for each leader: with 880 hosts and 130 groups some 110,000 comparisons of names for each change of a host. Its time grew with the square of the fleet.

Change: the groups whose members are in several domains are found by one sort of all memberships.

The new test has one group across domains among forty; it passes before and after, since only the cost changes.

--- a/lib/src/process/gateway/serving.rs
+++ b/lib/src/process/gateway/serving.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use crate::ids::DataCentreId;
+use crate::ids::FabricDomainId;
 use crate::ids::GroupId;
 use crate::ids::HostId;
 use crate::ids::Incarnation;
@@ -48,6 +49,11 @@
     now: Instant,
 ) -> Vec<ServingTarget> {
     let usable = tracker.iter().filter(|tracked| tracked.is_usable(now));
+    let memberships = tracker.iter().filter_map(|tracked| {
+        let membership = tracked.membership()?;
+        Some((&membership.group, tracked.record.domain.as_ref()))
+    });
+    let split_groups = SplitGroups::new(memberships);
     let target = |tracked: &TrackedHost| {
         let record = &tracked.record;
         let spec = document.service(&record.service)?;
@@ -59,7 +65,8 @@
                 if !is_open {
                     return None;
                 }
-                let pace = group_pace(tracker, tracked, engine);
+                let is_split = split_groups.contains(&membership.group);
+                let pace = group_pace(tracked, engine, is_split);
                 (record.weights.clone(), engine.slots, Some(pace))
             }
         };
@@ -82,18 +89,43 @@
     usable.filter_map(target).collect()
 }
 
+/// The groups whose members are in several fabric domains.
+struct SplitGroups<'a> {
+    /// Sorted, so that it can be searched.
+    groups: Vec<&'a GroupId>,
+}
+
+impl<'a> SplitGroups<'a> {
+    /// Finds them in one pass over the groups and domains of all members: this runs again for each
+    /// change of a host, and there may be hundreds of hosts and groups.
+    fn new<I>(memberships: I) -> Self
+    where
+        I: Iterator<Item = (&'a GroupId, Option<&'a FabricDomainId>)>,
+    {
+        let mut memberships: Vec<_> = memberships.collect();
+        memberships.sort_unstable();
+        let neighbours = memberships.windows(2);
+        let is_split = |pair: &&[(&GroupId, Option<&FabricDomainId>)]| {
+            pair[0].0 == pair[1].0 && pair[0].1 != pair[1].1
+        };
+        let mut groups: Vec<&GroupId> = neighbours.filter(is_split).map(|pair| pair[0].0).collect();
+        groups.dedup();
+        Self { groups }
+    }
+
+    fn contains(&self, group: &GroupId) -> bool {
+        self.groups.binary_search(&group).is_ok()
+    }
+}
+
 /// Returns a group's speed. The engine's times are multiplied by the factor of the loaded model
 /// and, if the members are in several fabric domains, by the factor for that.
-fn group_pace(tracker: &HostTracker, leader: &TrackedHost, engine: &EngineProfile) -> EnginePace {
+fn group_pace(leader: &TrackedHost, engine: &EngineProfile, is_split: bool) -> EnginePace {
     let model = engine
         .models
         .iter()
         .find(|m| leader.record.weights.contains(&m.weights));
     let mut factor = model.map_or(1.0, |model| model.pace);
-    let group = leader.membership().map(|m| &m.group);
-    let is_split = tracker.iter().any(|other| {
-        other.membership().map(|m| &m.group) == group && other.record.domain != leader.record.domain
-    });
     if is_split {
         factor *= engine.cross_domain_factor;
     }
--- a/lib/tests/test_serving_updates.rs
+++ b/lib/tests/test_serving_updates.rs
@@ -9,6 +9,7 @@
 use beryltray_lib::ids::HostId;
 use beryltray_lib::ids::Incarnation;
 use beryltray_lib::ids::Revision;
+use beryltray_lib::process::formation::HostTracker;
 use beryltray_lib::process::gateway::GatewayMetrics;
 use beryltray_lib::process::gateway::GatewaySettings;
 use beryltray_lib::process::gateway::GatewayState;
@@ -177,3 +178,29 @@
     state.on_peer_message(&repeated);
     assert_eq!(updates_for_departures(&state), 1);
 }
+
+// Guards against groups in one domain that count as slow, and groups in several that don't, beside many
+// other groups.
+#[test]
+fn serving_targets_only_groups_across_domains_are_slow() {
+    const GROUPS: usize = 40;
+    /// The group with one member in another domain.
+    const SPLIT: usize = 17;
+    let mut tracker = HostTracker::new();
+    let now = Instant::now();
+    for number in 0..GROUPS * GROUP_SIZE {
+        let is_elsewhere = number == SPLIT * GROUP_SIZE + 2;
+        let domain = if is_elsewhere { "domain-1" } else { "domain-0" };
+        tracker.on_record(record(number, domain), now);
+    }
+    let serving = serving_targets(&tracker, &document(), now);
+    assert_eq!(serving.len(), GROUPS);
+    let pace = |index: usize| serving[index].pace.unwrap();
+    let mut slower: Vec<usize> = Vec::new();
+    for index in 0..GROUPS {
+        if pace(index) != pace(0) {
+            slower.push(index);
+        }
+    }
+    assert_eq!(slower, [SPLIT]);
+}
