gateway: reports of hosts are applied once for each step of formation

Cause: the entry that forms groups requests a report from each host before it orders it to join, and from each host in doubt.

--- a/lib/src/process/gateway/coordinate.rs
+++ b/lib/src/process/gateway/coordinate.rs
@@ -52,11 +52,14 @@
         order: GroupOrder,
         answer: Result<OrderAnswer, CallError>,
     },
-    Report {
-        host: HostId,
-        report: Result<TargetReport, CallError>,
-        sent_at: Instant,
-    },
+    Report(ReceivedReport),
+}
+
+/// The report of a host, or the failure of the call for it.
+struct ReceivedReport {
+    host: HostId,
+    report: Result<TargetReport, CallError>,
+    sent_at: Instant,
 }
 
 /// Competes for the lease and forms groups until `stop` is cancelled; then releases the lease.
@@ -120,6 +123,8 @@
     /// The epoch under which orders may be sent; `None` without the lease.
     fence: Option<Epoch>,
     formation: Option<(Epoch, FormationController)>,
+    /// The reports that the next step applies.
+    reports: Vec<ReceivedReport>,
     result_sender: mpsc::Sender<CallResult>,
     lease_result_sender: mpsc::Sender<LeaseCallResult>,
     lease_result_receiver: mpsc::Receiver<LeaseCallResult>,
@@ -148,6 +153,7 @@
             lease: LeaseMachine::new(settings.with_term(LEASE_TERM)),
             fence: None,
             formation: None,
+            reports: Vec::new(),
             result_sender,
             lease_result_sender,
             lease_result_receiver,
@@ -156,6 +162,7 @@
 
     /// Polls the lease, and the formation controller while the lease is held.
     fn step(&mut self) {
+        self.apply_reports();
         let now = self.state.clock.now();
         let rank = self.state.with_peers(|peers| peers.rank_for(LEASE_KEY));
         self.lease
@@ -254,11 +261,11 @@
                     if let Err(error) = &report {
                         log::info!(host:% = host; "report: {error}");
                     }
-                    let result = CallResult::Report {
+                    let result = CallResult::Report(ReceivedReport {
                         host,
                         report,
                         sent_at,
-                    };
+                    });
                     result_sender.send(result).await.is_ok()
                 });
             }
@@ -280,16 +287,27 @@
                     formation.on_answer(&host, &order, &answer, now);
                 }
             }
-            CallResult::Report {
-                host,
-                report,
-                sent_at,
-            } => {
-                self.state
-                    .update_host_tracker(|tracker, _| tracker.on_report(&host, report, sent_at));
-                if let Some((_, formation)) = &mut self.formation {
-                    formation.on_report_done(&host, now);
-                }
+            CallResult::Report(report) => self.reports.push(report),
+        }
+    }
+
+    /// Applies the reports that have come since the last step. They are applied together, since each
+    /// change of the tracked hosts makes the entry derive the serving targets again.
+    fn apply_reports(&mut self) {
+        if self.reports.is_empty() {
+            return;
+        }
+        let now = self.state.clock.now();
+        let reports = std::mem::take(&mut self.reports);
+        let hosts: Vec<HostId> = reports.iter().map(|report| report.host.clone()).collect();
+        self.state.update_host_tracker(|tracker, _| {
+            for received in reports {
+                tracker.on_report(&received.host, received.report, received.sent_at);
+            }
+        });
+        if let Some((_, formation)) = &mut self.formation {
+            for host in hosts {
+                formation.on_report_done(&host, now);
             }
         }
     }
