formation: the search for members looks at the hosts of one domain

Cause: for each domain that lacked a group, the entry that forms groups determined for all 880 hosts whether they are free, and it counted the groups of each model in each domain by a pass over all groups.

Change: only the hosts of the domain in question are looked at; groups are counted in one pass.

The groups that are formed are the same.

--- a/lib/src/process/formation/balance.rs
+++ b/lib/src/process/formation/balance.rs
@@ -73,9 +73,7 @@
             group.service == plan.service
                 && group.weights == *weights
                 && group.domain.as_ref() == Some(domain)
-                && !group.is_warm_spare
-                && !group.is_cross_domain
-                && group.is_active()
+                && group.is_active_in_domain()
         })
     }
 
@@ -170,12 +168,10 @@
     pub(super) fn supply(&self, plan: &ServicePlan) -> Supply {
         let models = &plan.profile.models;
         let mut supply = self.cross_domain_supply(plan);
-        let domain_groups = self.groups.iter().filter(|group| {
-            group.service == plan.service
-                && !group.is_warm_spare
-                && !group.is_cross_domain
-                && group.is_active()
-        });
+        let domain_groups = self
+            .groups
+            .iter()
+            .filter(|group| group.service == plan.service && group.is_active_in_domain());
         for group in domain_groups {
             if let Some(model) = models.iter().position(|m| m.weights == group.weights) {
                 supply.add(model, 1.0);
--- a/lib/src/process/formation/desired.rs
+++ b/lib/src/process/formation/desired.rs
@@ -114,11 +114,17 @@
             }
         }
         for domain in domains.iter_mut() {
-            let count = |model: &ModelProfile| {
-                let active = self.active_domain_groups(plan, &domain.domain, &model.weights);
-                active.filter(|group| !is_released(group)).count()
-            };
-            domain.groups = models.iter().map(count).collect();
+            domain.groups.resize(models.len(), 0);
+        }
+        // One pass over the groups: there may be dozens of domains and more than a hundred groups.
+        for group in self.groups.iter().filter(|group| !is_released(group)) {
+            let is_counted = group.service == plan.service && group.is_active_in_domain();
+            let domain = group.domain.as_ref().filter(|_| is_counted);
+            let domain = domain.and_then(|domain| domains.get_mut(domain));
+            let model = models.iter().position(|m| m.weights == group.weights);
+            if let Some((domain, model)) = domain.zip(model) {
+                domain.groups[model] += 1;
+            }
         }
         let domains: Vec<DomainHosts> = domains.iter().cloned().collect();
         pack_domains(models, &plan.shares, &domains)
@@ -218,7 +224,7 @@
     ) -> bool {
         let is_least_supplied = self.supply(plan).is_least(model);
         let model = &plan.profile.models[model].clone();
-        let mut candidates = self.candidates(plan, model, tracker, now);
+        let mut candidates = self.candidates_in_domain(plan, domain, model, tracker, now);
         if !is_least_supplied {
             candidates.retain(|candidate| candidate.is_eviction_free);
         }
--- a/lib/src/process/formation/free_hosts.rs
+++ b/lib/src/process/formation/free_hosts.rs
@@ -47,9 +47,34 @@
         tracker: &HostTracker,
         now: Instant,
     ) -> Vec<Candidate> {
-        let free = tracker
-            .iter()
-            .filter(|tracked| self.is_free(plan, tracked, now));
+        self.candidates_among(plan, model, tracker.iter(), now)
+    }
+
+    /// Returns the hosts of a domain that are free to join a group of a model.
+    pub(super) fn candidates_in_domain(
+        &self,
+        plan: &ServicePlan,
+        domain: &FabricDomainId,
+        model: &ModelProfile,
+        tracker: &HostTracker,
+        now: Instant,
+    ) -> Vec<Candidate> {
+        let of_domain = tracker.iter();
+        let of_domain = of_domain.filter(|tracked| tracked.record.domain.as_ref() == Some(domain));
+        self.candidates_among(plan, model, of_domain, now)
+    }
+
+    fn candidates_among<'a, I>(
+        &self,
+        plan: &ServicePlan,
+        model: &ModelProfile,
+        hosts: I,
+        now: Instant,
+    ) -> Vec<Candidate>
+    where
+        I: Iterator<Item = &'a TrackedHost>,
+    {
+        let free = hosts.filter(|tracked| self.is_free(plan, tracked, now));
         let candidate = |tracked: &TrackedHost| {
             let domain = tracked.record.domain.clone()?;
             let (ready_in, needs_load) = self.time_to_join(tracked, model);
--- a/lib/src/process/formation/group.rs
+++ b/lib/src/process/formation/group.rs
@@ -132,6 +132,11 @@
         )
     }
 
+    /// Returns whether the group counts among the desired groups of its domain.
+    pub(super) fn is_active_in_domain(&self) -> bool {
+        !self.is_warm_spare && !self.is_cross_domain && self.is_active()
+    }
+
     /// Changes the group's phase and logs the change.
     pub fn enter(&mut self, phase: GroupPhase, now: Instant) {
         log::info!(
