gateway: late timers and hosts in no group are logged and counted

Cause: when few requests were served, no line or metric told whether the entries had processor time, nor why a host that is ready served in no group.

Change: beryltray_loop_delay_seconds and the line "a timer fired late" say how late an entry's timers fire. The reasons are derived in a module of their own, with tests on the simulated fleet.

--- a/lib/src/process/formation/free_hosts.rs
+++ b/lib/src/process/formation/free_hosts.rs
@@ -123,7 +123,7 @@
 
     /// Returns whether a host can be ordered into a group without breaking up the one that it is
     /// in.
-    fn is_free(&self, plan: &ServicePlan, tracked: &TrackedHost, now: Instant) -> bool {
+    pub(super) fn is_free(&self, plan: &ServicePlan, tracked: &TrackedHost, now: Instant) -> bool {
         let record = &tracked.record;
         if record.service != plan.service
             || !(tracked.is_usable(now) || tracked.is_up_unlisted(now))
--- a/lib/src/process/formation/mod.rs
+++ b/lib/src/process/formation/mod.rs
@@ -37,6 +37,7 @@
 mod spares;
 mod supply;
 mod takeover;
+mod waiting;
 
 pub use self::controller::FormationAction;
 pub use self::controller::FormationController;
@@ -59,3 +60,5 @@
 pub use self::selection::select_members;
 pub use self::settings::FormationSettings;
 pub use self::supply::Supply;
+pub use self::waiting::WaitReason;
+pub use self::waiting::WaitingHost;
--- a/lib/src/process/gateway/coordinate.rs
+++ b/lib/src/process/gateway/coordinate.rs
@@ -16,6 +16,8 @@
 use crate::platform::Table;
 use crate::process::formation::FormationAction;
 use crate::process::formation::FormationController;
+use crate::process::formation::WaitReason;
+use crate::process::formation::WaitingHost;
 use crate::process::lease::LeaseAction;
 use crate::process::lease::LeaseMachine;
 use crate::process::lease::LeaseSettings;
@@ -41,6 +43,10 @@
 /// How long after its start an entry assumes that there is no traffic yet, while neither it nor a
 /// peer has received a request.
 const QUIET_START_MAX: Duration = Duration::from_millis(7_500);
+/// The interval at which hosts without a group are counted and logged.
+const WAITING_COUNT_INTERVAL: Duration = Duration::from_secs(1);
+/// The most hosts without a group that a log line names.
+const WAITING_NAMED_MAX: usize = 8;
 /// The capacity of the channel of call results; finished calls wait while it is full.
 const CALL_RESULT_BUFFER: usize = 1024;
 
@@ -123,6 +129,8 @@
     /// The epoch under which orders may be sent; `None` without the lease.
     fence: Option<Epoch>,
     formation: Option<(Epoch, FormationController)>,
+    /// When the hosts without a group were last counted.
+    waiting_counted_at: Option<Instant>,
     /// The reports that the next step applies.
     reports: Vec<ReceivedReport>,
     result_sender: mpsc::Sender<CallResult>,
@@ -153,6 +161,7 @@
             lease: LeaseMachine::new(settings.with_term(LEASE_TERM)),
             fence: None,
             formation: None,
+            waiting_counted_at: None,
             reports: Vec::new(),
             result_sender,
             lease_result_sender,
@@ -181,6 +190,7 @@
                 .metrics
                 .holds_lease
                 .set(i64::from(epoch.is_some()));
+            self.state.metrics.reset_hosts_without_group();
         }
         let Some(epoch) = epoch else {
             return;
@@ -222,6 +232,44 @@
         for action in actions {
             self.start_call(epoch, action);
         }
+        self.count_waiting_hosts(now);
+    }
+
+    /// Counts and logs the hosts that are ready and in no group, by the reason, once in each
+    /// [`WAITING_COUNT_INTERVAL`].
+    fn count_waiting_hosts(&mut self, now: Instant) {
+        let is_due = self
+            .waiting_counted_at
+            .is_none_or(|at| now.saturating_duration_since(at) >= WAITING_COUNT_INTERVAL);
+        let Some((_, formation)) = self.formation.as_ref().filter(|_| is_due) else {
+            return;
+        };
+        self.waiting_counted_at = Some(now);
+        let Some(document) = self.state.document() else {
+            return;
+        };
+        let waiting = self
+            .state
+            .with_host_tracker(|tracker| formation.waiting_hosts(tracker, now));
+        for (service, _) in document.engine_services() {
+            for reason in WaitReason::ALL {
+                let of_reason =
+                    |host: &&WaitingHost| host.service == *service && host.reason == reason;
+                let hosts: Vec<&WaitingHost> = waiting.iter().filter(of_reason).collect();
+                let count = i64::try_from(hosts.len()).unwrap_or(i64::MAX);
+                let metrics = &self.state.metrics;
+                metrics.set_hosts_without_group(service, reason, count);
+                if count > 0 {
+                    let named = hosts.iter().take(WAITING_NAMED_MAX);
+                    let names: Vec<&str> = named.map(|host| host.host.as_str()).collect();
+                    log::info!(
+                        service:% = service, reason:% = reason, count = count,
+                        first = names.join(",").as_str();
+                        "hosts are in no group"
+                    );
+                }
+            }
+        }
     }
 
     fn start_call(&self, epoch: Epoch, action: FormationAction) {
--- a/lib/src/process/gateway/gossip.rs
+++ b/lib/src/process/gateway/gossip.rs
@@ -36,6 +36,9 @@
 /// packet on usual networks.
 const MESSAGE_LIMIT_BYTES: usize = 16 * 1024;
 
+/// The delay of a timer from which it is logged. Callers' first latency targets are about as long.
+const LOOP_DELAY_LOGGED: Duration = Duration::from_millis(250);
+
 /// The row of an entry in the list of entries.
 #[derive(Debug, Deserialize, Serialize)]
 struct EntryRow {
@@ -138,7 +141,15 @@
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Skip);
     let mut number = 0;
     loop {
-        ticks.tick().await;
+        let due_at = ticks.tick().await;
+        let delay = due_at.elapsed();
+        state.metrics.observe_loop_delay(delay);
+        if delay >= LOOP_DELAY_LOGGED {
+            log::warn!(
+                delay_ms = delay.as_millis() as u64;
+                "a timer fired late; the process lacks processor time"
+            );
+        }
         number += 1;
         let payload = state.gossip_payload();
         let message = PeerMessage {
--- a/lib/src/process/gateway/metrics.rs
+++ b/lib/src/process/gateway/metrics.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use prometheus::Encoder as _;
+use prometheus::Histogram;
 use prometheus::HistogramOpts;
 use prometheus::HistogramVec;
 use prometheus::IntCounter;
@@ -13,6 +14,7 @@
 use prometheus::TextEncoder;
 
 use crate::ids::ServiceId;
+use crate::process::formation::WaitReason;
 use crate::process::metrics::counters;
 use crate::process::metrics::gauge;
 use crate::process::metrics::gauges;
@@ -23,6 +25,9 @@
     0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.4, 0.5, 0.8, 1.5, 3.0, 6.0, 8.0,
 ];
 
+/// The upper bounds of the histogram buckets for the delay of timers, in seconds.
+const LOOP_DELAY_BUCKETS_S: [f64; 8] = [0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0];
+
 /// The metrics of a gateway.
 #[derive(Clone, Debug)]
 pub struct GatewayMetrics {
@@ -35,6 +40,8 @@
     broken_starts: IntCounterVec,
     retries: IntCounterVec,
     orders: IntCounterVec,
+    hosts_without_group: IntGaugeVec,
+    loop_delay_seconds: Histogram,
     /// Failed calls to the platform, by the feed that was read.
     pub platform_failures: IntCounterVec,
     /// The version of the configuration in force.
@@ -110,6 +117,18 @@
                 "Orders to hosts by answer.",
                 &["order", "answer"],
             )?,
+            hosts_without_group: gauges(
+                "hosts_without_group",
+                "Hosts that are ready and in no group, by the reason, at the entry that forms groups.",
+                &["service", "reason"],
+            )?,
+            loop_delay_seconds: Histogram::with_opts(
+                HistogramOpts::new(
+                    crate::process::metrics::prefixed_name("loop_delay_seconds"),
+                    "How late a timer fired: how long the process waited for processor time.",
+                )
+                .buckets(LOOP_DELAY_BUCKETS_S.to_vec()),
+            )?,
             platform_failures: counters(
                 "platform_failures_total",
                 "Calls to the platform that failed.",
@@ -205,6 +224,8 @@
         registry.register(Box::new(self.broken_starts.clone()))?;
         registry.register(Box::new(self.retries.clone()))?;
         registry.register(Box::new(self.orders.clone()))?;
+        registry.register(Box::new(self.hosts_without_group.clone()))?;
+        registry.register(Box::new(self.loop_delay_seconds.clone()))?;
         registry.register(Box::new(self.platform_failures.clone()))?;
         registry.register(Box::new(self.configuration_version.clone()))?;
         registry.register(Box::new(self.configuration_age_ms.clone()))?;
@@ -291,6 +312,24 @@
         self.serving_updates.with_label_values(&[cause]).inc();
     }
 
+    /// Sets how many ready hosts of a service are in no group for a reason.
+    pub fn set_hosts_without_group(&self, service: &ServiceId, reason: WaitReason, count: i64) {
+        let reason = reason.to_string();
+        let labels = [service.as_str(), reason.as_str()];
+        let gauge = self.hosts_without_group.with_label_values(&labels);
+        gauge.set(count);
+    }
+
+    /// Forgets the hosts in no group, when this entry no longer forms the groups.
+    pub fn reset_hosts_without_group(&self) {
+        self.hosts_without_group.reset();
+    }
+
+    /// Records how late a timer fired.
+    pub fn observe_loop_delay(&self, delay: Duration) {
+        self.loop_delay_seconds.observe(delay.as_secs_f64());
+    }
+
     /// Counts an order to a host by its answer.
     pub fn count_order(&self, order: &str, answer: &str) {
         self.orders.with_label_values(&[order, answer]).inc();
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -13,6 +13,7 @@
 mod test_formation_handover;
 mod test_formation_losses;
 mod test_formation_pauses;
+mod test_formation_waiting;
 mod test_forward;
 mod test_forward_loads;
 mod test_gateway_peers;
