tests: requests that come late in the graceful end of an entry

Another operator reports requests that came late in the grace, were passed on, and were cut without an answer at its end, among them ones that may not be repeated.

--- a/cli/tests/gateway_process.rs
+++ b/cli/tests/gateway_process.rs
@@ -5,6 +5,7 @@
 use std::path::PathBuf;
 use std::process::ExitStatus;
 use std::time::Duration;
+use std::time::Instant;
 
 use beryltray_lib::connection::body::RequestBody;
 use beryltray_lib::connection::body::read_body;
@@ -17,7 +18,10 @@
 use rand::RngExt as _;
 use rand::SeedableRng as _;
 use rand::rngs::StdRng;
+use tokio::io::AsyncReadExt as _;
+use tokio::io::AsyncWriteExt as _;
 use tokio::net::TcpListener;
+use tokio::net::TcpStream;
 use tokio::process::Child;
 use tokio::process::Command;
 use tokio::task::JoinSet;
@@ -33,6 +37,11 @@
 /// Longer than any answer takes.
 const TIMEOUT: Duration = Duration::from_secs(30);
 const LIMIT_BYTES: usize = 1 << 20;
+/// The time that the target takes for a request that is not answered before the process ends.
+const NEVER: Duration = Duration::from_secs(25);
+/// The time that it takes for a short request, and the time between two requests of a caller.
+const SHORT: Duration = Duration::from_millis(5);
+const BETWEEN_CALLS: Duration = Duration::from_millis(60);
 /// The number of callers of each kind.
 const CALLERS: u64 = 12;
 
@@ -227,6 +236,41 @@
         callers
     }
 
+    /// Starts callers that each send short requests on one connection for a while, then a last one
+    /// that the target does not answer before the process ends. `seed` determines when that is, within
+    /// `time`.
+    pub(crate) fn start_late_callers(&self, seed: u64, time: Duration) -> JoinSet<CallEnds> {
+        let mut callers = JoinSet::new();
+        for number in 0..2 * CALLERS {
+            let (address, target) = (self.callers, self.target.clone());
+            let mut random = StdRng::seed_from_u64(seed * 1_000 + number);
+            let last_after = time.mul_f64(random.random());
+            callers.spawn(call_late(address, target, number, last_after));
+        }
+        callers
+    }
+
+    /// Sends the requests together on a new connection, before any of them is answered. Returns all
+    /// bytes of the answers.
+    pub(crate) async fn call_pipelined(&self, calls: &[(AnswerPace, &str)]) -> String {
+        let mut stream = TcpStream::connect(self.callers).await.unwrap();
+        let requests = calls.iter().map(|(pace, id)| pace.request(id));
+        let bytes: String = requests
+            .map(|request| {
+                let headers = request.headers().iter();
+                let headers: String = headers
+                    .map(|(name, value)| format!("{name}: {}\r\n", value.to_str().unwrap()))
+                    .collect();
+                format!("GET {} HTTP/1.1\r\n{headers}\r\n", request.uri())
+            })
+            .collect();
+        stream.write_all(bytes.as_bytes()).await.unwrap();
+        let mut answers = Vec::new();
+        let read = tokio::time::timeout(TIMEOUT, stream.read_to_end(&mut answers));
+        read.await.unwrap().unwrap();
+        String::from_utf8(answers).unwrap()
+    }
+
     /// Waits until all callers have a request at the target.
     pub(crate) async fn wait_until_all_called(&self) {
         eventually(async || self.target.received_count() as u64 > 2 * CALLERS).await;
@@ -301,6 +345,37 @@
     ends
 }
 
+/// A caller that sends short requests, and after `last_after` one that is not answered in time.
+async fn call_late(
+    address: SocketAddr,
+    target: PacedTarget,
+    number: u64,
+    last_after: Duration,
+) -> CallEnds {
+    let start = Instant::now();
+    let mut ends = CallEnds::default();
+    let mut request = 0;
+    while let Ok(mut connection) = ClientConnection::open(address, TIMEOUT).await {
+        loop {
+            request += 1;
+            let id = format!("{number}-{request}");
+            let is_last = start.elapsed() >= last_after;
+            let delay = if is_last { NEVER } else { SHORT };
+            let pace = AnswerPace::Plain { delay };
+            let answer = send(&mut connection, pace, &id, &target).await;
+            ends.0.push(answer.end);
+            if is_last {
+                return ends;
+            }
+            tokio::time::sleep(BETWEEN_CALLS).await;
+            if !answer.keeps_connection || !connection.wait_until_usable().await {
+                break;
+            }
+        }
+    }
+    ends
+}
+
 struct CallAnswer {
     end: CallEnd,
     keeps_connection: bool,
--- a/cli/tests/runner.rs
+++ b/cli/tests/runner.rs
@@ -19,6 +19,7 @@
 mod test_entry_signals;
 mod test_experiment_command;
 mod test_gateway_soak;
+mod test_late_requests;
 mod test_load_command;
 mod test_promises;
 mod test_stand_in_command;
