gateway: the statements in a datagram that targets leave are applied together

Cause: the same as for departures: an entry derived its serving targets again for each statement in a datagram that it had not known. Many targets that drain say so in their answers at the same time.

Change: all statements of a datagram are applied, then the serving targets are derived once.

The new test sends 60 statements in a datagram: 60 derivations before, 1 after.

--- a/lib/src/process/gateway/leaving.rs
+++ b/lib/src/process/gateway/leaving.rs
@@ -57,6 +57,14 @@
     }
 }
 
+/// A target's statement that it leaves, as this entry applies it.
+#[derive(Clone, Copy, Debug)]
+struct Statement<'a> {
+    host: &'a HostId,
+    incarnation: Incarnation,
+    stated_at: Instant,
+}
+
 impl Inner {
     /// Returns the number of targets that say that they leave, while their records say that they are
     /// ready.
@@ -114,51 +122,73 @@
 {
     /// Records that a target said in an answer to this entry that it leaves.
     pub(super) fn on_leaving_stated(&self, host: &HostId, incarnation: Incarnation) {
-        let now = self.clock.now();
-        self.apply_leaving(host, incarnation, now, true);
+        let statement = Statement {
+            host,
+            incarnation,
+            stated_at: self.clock.now(),
+        };
+        self.apply_leaving(&[statement], true);
     }
 
     /// Applies what a peer gossips about targets that leave.
     pub(super) fn on_gossiped_leaving(&self, leaving: &[GossipedLeaving]) {
         let now = self.clock.now();
+        let mut statements = Vec::new();
         for gossiped in leaving.iter().take(GOSSIPED_MAX) {
             let age = Duration::from_millis(gossiped.age_ms);
             let Some(stated_at) = now.checked_sub(age).filter(|_| age < GOSSIP_TIME) else {
                 continue;
             };
-            self.apply_leaving(&gossiped.host, gossiped.incarnation, stated_at, false);
+            statements.push(Statement {
+                host: &gossiped.host,
+                incarnation: gossiped.incarnation,
+                stated_at,
+            });
         }
+        self.apply_leaving(&statements, false);
     }
 
-    fn apply_leaving(
-        &self,
-        host: &HostId,
-        incarnation: Incarnation,
-        stated_at: Instant,
-        is_own: bool,
-    ) {
+    fn apply_leaving(&self, statements: &[Statement<'_>], is_own: bool) {
         let now = self.clock.now();
         let mut inner = self.inner();
-        let tracker = &mut inner.host_tracker;
-        let known = tracker.get(host).and_then(|known| known.stated_leaving_at);
-        // With the error of the age, a statement that is gossiped back would become newer each time.
-        if known.is_some() && !is_own {
-            return;
+        let mut learned: Vec<&HostId> = Vec::new();
+        for statement in statements {
+            let tracker = &mut inner.host_tracker;
+            let known = tracker.get(statement.host);
+            let is_known = known.is_some_and(|known| known.stated_leaving_at.is_some());
+            // With the error of the age, a statement that is gossiped back would become newer each time.
+            if is_known && !is_own {
+                continue;
+            }
+            let Statement {
+                host,
+                incarnation,
+                stated_at,
+            } = *statement;
+            if tracker.on_leaving_stated(host, incarnation, stated_at) {
+                learned.push(host);
+            }
         }
-        if !tracker.on_leaving_stated(host, incarnation, stated_at) {
+        if learned.is_empty() {
             return;
         }
-        let tracked = tracker.get(host);
-        let availability = tracked.map(|tracked| tracked.record.availability.to_string());
-        let is_listed = tracked.is_some_and(|tracked| tracked.is_listed(now));
         self.metrics.leaving_targets.set(inner.leaving_count(now));
         self.update_serving(&mut inner, ServingUpdate::Leaving, now);
+        let record = |host: &HostId| {
+            let tracked = inner.host_tracker.get(host);
+            let availability = tracked.map(|tracked| tracked.record.availability.to_string());
+            let is_listed = tracked.is_some_and(|tracked| tracked.is_listed(now));
+            (availability.unwrap_or_default(), is_listed)
+        };
+        let records: Vec<(String, bool)> = learned.iter().map(|host| record(host)).collect();
         drop(inner);
         self.targets_changed.notify_waiters();
-        log::info!(
-            target:% = host, record = availability.unwrap_or_default().as_str(),
-            is_listed = is_listed, is_own = is_own;
-            "target says that it leaves"
-        );
+        for (host, (availability, is_listed)) in learned.into_iter().zip(records) {
+            log::info!(
+                target:% = host, record = availability.as_str(),
+                is_listed = is_listed, is_own = is_own;
+                "target says that it leaves"
+            );
+        }
     }
 }
--- a/lib/tests/test_serving_updates.rs
+++ b/lib/tests/test_serving_updates.rs
@@ -14,6 +14,7 @@
 use beryltray_lib::process::gateway::GatewaySettings;
 use beryltray_lib::process::gateway::GatewayState;
 use beryltray_lib::process::gateway::GossipedDeparture;
+use beryltray_lib::process::gateway::GossipedLeaving;
 use beryltray_lib::process::gateway::PeerMessage;
 use beryltray_lib::process::gateway::QuarantineGossip;
 use beryltray_lib::process::gateway::serving_targets;
@@ -138,11 +139,11 @@
     }
 }
 
-/// Returns how many times the state derived the serving targets because of departures.
-fn updates_for_departures(state: &GatewayState<ManualClock>) -> u64 {
+/// Returns how many times the state derived the serving targets because of `cause`.
+fn serving_updates(state: &GatewayState<ManualClock>, cause: &str) -> u64 {
     let text = String::from_utf8(state.metrics.render().unwrap()).unwrap();
-    let name = "beryltray_serving_updates_total{cause=\"departures\"} ";
-    let line = text.lines().find_map(|line| line.strip_prefix(name));
+    let name = format!("beryltray_serving_updates_total{{cause=\"{cause}\"}} ");
+    let line = text.lines().find_map(|line| line.strip_prefix(&name));
     line.map_or(0, |count| count.parse().unwrap())
 }
 
@@ -172,11 +173,37 @@
     let departures: Vec<GossipedDeparture> = (0..DEPARTURES).map(departure).collect();
     state.on_peer_message(&message(departures.clone()));
     assert_eq!(serving(now), (HOSTS - DEPARTURES) / GROUP_SIZE);
-    assert_eq!(updates_for_departures(&state), 1);
+    assert_eq!(serving_updates(&state, "departures"), 1);
     let mut repeated = message(departures);
     repeated.number = 2;
     state.on_peer_message(&repeated);
-    assert_eq!(updates_for_departures(&state), 1);
+    assert_eq!(serving_updates(&state, "departures"), 1);
+}
+
+// Guards against the same for targets that say in their answers that they leave.
+#[test]
+fn serving_update_statements_of_a_message_are_applied_together() {
+    const HOSTS: usize = 160;
+    const STATEMENTS: usize = 60;
+    let state = new_state();
+    state.update_host_tracker(|tracker, now| {
+        for number in 0..HOSTS {
+            tracker.on_record(record(number, "domain-0"), now);
+        }
+    });
+    let statement = |number: usize| GossipedLeaving {
+        host: host(number),
+        incarnation: Incarnation(1),
+        age_ms: 20,
+    };
+    let mut message = message(Vec::new());
+    message.leaving = (0..STATEMENTS).map(statement).collect();
+    state.on_peer_message(&message);
+    let now = state.clock.now();
+    let serving =
+        state.with_host_tracker(|tracker| serving_targets(tracker, &document(), now).len());
+    assert_eq!(serving, (HOSTS - STATEMENTS) / GROUP_SIZE);
+    assert_eq!(serving_updates(&state, "leaving"), 1);
 }
 
 // Guards against groups in one domain that count as slow, and groups in several that don't, beside many
