review: case 2, a machine regresses to an older configuration over a hop

Cause: the answer to a request that was passed on does not carry back the version by which it was handled.

--- a/review/lib/harness.rs
+++ b/review/lib/harness.rs
@@ -2,11 +2,12 @@
 //! separate processes. Uses the standard library only; all addresses are loopback addresses.
 #![allow(dead_code)]
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
@@ -208,11 +209,16 @@
 
 type Key = (String, String);
 
+/// The number of changes that the store keeps.
+const HISTORY_MAX: usize = 200;
+
 #[derive(Default)]
 struct Rows {
     /// The value, `None` if removed, and the version of its last change.
     rows: BTreeMap<Key, (Option<String>, u64)>,
-    history: Vec<(Key, Option<String>, u64)>,
+    history: VecDeque<(Key, Option<String>, u64)>,
+    /// The feed can't be read from a version below this one.
+    compacted_until: u64,
     version: u64,
 }
 
@@ -225,11 +231,17 @@
 impl Store {
     pub fn start() -> (Store, SocketAddr) {
         let store = Store::default();
-        let served = store.clone();
-        let address = listen(move |stream| served.serve(stream));
+        let address = store.open_door().0;
         (store, address)
     }
 
+    /// Listens at one more address. While the flag is set, calls there get no answer.
+    pub fn open_door(&self) -> (SocketAddr, Arc<AtomicBool>) {
+        let (served, is_silent) = (self.clone(), Arc::new(AtomicBool::new(false)));
+        let flag = Arc::clone(&is_silent);
+        (listen(move |stream| served.serve(stream, &flag)), is_silent)
+    }
+
     /// Writes a row, as the operator and the workers do.
     pub fn put(&self, table: &str, key: &str, value: &str) {
         let mut rows = self.rows.0.lock().unwrap();
@@ -239,11 +251,18 @@
         self.rows.1.notify_all();
     }
 
-    fn serve(&self, stream: TcpStream) {
+    fn serve(&self, stream: TcpStream, is_silent: &AtomicBool) {
         let mut writer = stream.try_clone().expect("a clone");
         let mut reader = BufReader::new(stream);
         while let Some(request) = Message::read(&mut reader) {
+            let hold = || is_silent.load(Ordering::Relaxed);
+            if hold() {
+                continue;
+            }
             let (status, body) = self.answer(&request);
+            if hold() {
+                continue;
+            }
             let head = format!("HTTP/1.1 {status} S\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n", body.len());
             if writer.write_all((head + &body).as_bytes()).is_err() {
                 return;
@@ -272,6 +291,9 @@
             "/rows-feed" => {
                 let after: u64 = parameter("after").parse().unwrap_or(0);
                 let until = Instant::now() + Duration::from_millis(parameter("wait-ms").parse().unwrap_or(0));
+                if after < rows.compacted_until {
+                    return (410, "{}".to_owned());
+                }
                 loop {
                     let changed = rows.history.iter().filter(|((t, _), _, version)| *t == table && *version > after);
                     let changed: Vec<String> = changed.map(|(key, value, version)| row(key, value.as_ref(), *version)).collect();
@@ -314,7 +336,10 @@
 
 impl Rows {
     fn write(&mut self, key: Key, value: Option<String>, version: u64) {
-        self.history.push((key.clone(), value.clone(), version));
+        self.history.push_back((key.clone(), value.clone(), version));
+        while self.history.len() > HISTORY_MAX {
+            self.compacted_until = self.history.pop_front().map_or(0, |(_, _, version)| version);
+        }
         self.rows.insert(key, (value, version));
     }
 }
@@ -349,10 +374,14 @@
 
 impl Entry {
     pub fn start(name: &str, store: SocketAddr, folder: &std::path::Path, more: &str) -> Entry {
+        Self::start_in("lakes-a", name, store, folder, more)
+    }
+
+    pub fn start_in(zone: &str, name: &str, store: SocketAddr, folder: &std::path::Path, more: &str) -> Entry {
         let (callers, ready, peers) = (free_port(), free_port(), free_port());
         let settings = folder.join(format!("{name}.ini"));
         let text = format!(
-            "[entry]\nname = {name}\ndata-centre = lakes-a\nfirst-start = true\nprocessor = 0.25\n\n\
+            "[entry]\nname = {name}\ndata-centre = {zone}\nfirst-start = true\nprocessor = 0.25\n\n\
              [listen]\ncallers = 127.0.0.1:{callers}\nreadiness = 127.0.0.1:{ready}\npeers = 127.0.0.1:{peers}\n\n\
              [platform]\ninterface = tables\naddress = {store}\n\n[shutdown]\nlimit = 8s\n{more}"
         );
@@ -397,6 +426,10 @@
         let _ = self.child.wait();
     }
 
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     pub fn signal(&self, name: &str) {
         let _ = Command::new("kill").args(["-s", name, &self.child.id().to_string()]).status();
     }
@@ -427,6 +460,23 @@
     }
 }
 
+/// Returns whether the other end of an accepted connection belongs to the process `pid`.
+pub fn is_from_process(stream: &TcpStream, pid: u32) -> bool {
+    let (Ok(peer), Ok(own)) = (stream.peer_addr(), stream.local_addr()) else { return false };
+    let hex = |address: SocketAddr| match address {
+        SocketAddr::V4(v4) => format!("{:08X}:{:04X}", u32::from_le_bytes(v4.ip().octets()), v4.port()),
+        SocketAddr::V6(_) => String::new(),
+    };
+    let (local, remote) = (hex(peer), hex(own));
+    let table = std::fs::read_to_string("/proc/net/tcp").unwrap_or_default();
+    let mut sockets = table.lines().map(|line| line.split_whitespace().collect::<Vec<_>>());
+    let inode = sockets.find(|fields| fields.len() > 9 && fields[1] == local && fields[2] == remote);
+    let Some(inode) = inode.map(|fields| format!("socket:[{}]", fields[9])) else { return false };
+    let files = std::fs::read_dir(format!("/proc/{pid}/fd"));
+    let mut links = files.into_iter().flatten().flatten().filter_map(|file| std::fs::read_link(file.path()).ok());
+    links.any(|link| link.to_string_lossy() == inode)
+}
+
 /// The record of what was sent, answered and run.
 #[derive(Clone)]
 pub struct Record {
