--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -37,6 +37,12 @@
 }
 
 fn main() {
+    // The code is returned first, so that all processes are ended and the folder is removed.
+    let code = run();
+    std::process::exit(code);
+}
+
+fn run() -> i32 {
     let record = Record::create(&std::env::args().nth(1).expect("the record's path"));
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let users = number("USERS", 42);
@@ -62,7 +68,7 @@
         ["front-1", "front-2"].iter().map(|name| Entry::start(name, store_address, &folder.0, "")).collect();
     if !entries.iter().all(|entry| entry.wait_until_ready(Duration::from_secs(10))) {
         record.line("an entry did not become ready");
-        std::process::exit(2);
+        return 2;
     }
     let is_over = Arc::new(AtomicBool::new(false));
     let in_burst = Arc::new(AtomicBool::new(false));
@@ -137,7 +143,7 @@
     println!("{summary}");
     drop(entries);
     drop(folder);
-    std::process::exit(i32::from(ends.iter().all(|count| *count >= ENDS)));
+    i32::from(ends.iter().all(|count| *count >= ENDS))
 }
 
 /// Sends a document in even pieces and returns the status of the answer; 0 if there is none.
--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -29,6 +29,12 @@
 }
 
 fn main() {
+    // The code is returned first, so that all processes are ended and the folder is removed.
+    let code = run();
+    std::process::exit(code);
+}
+
+fn run() -> i32 {
     let record = Record::create(&std::env::args().nth(1).expect("the record's path"));
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let folder = TempFolder::create();
@@ -63,7 +69,7 @@
     }
     if !entries.iter().all(|entry| entry.wait_until_ready(Duration::from_secs(10))) {
         record.line("an entry did not become ready");
-        std::process::exit(2);
+        return 2;
     }
     std::thread::sleep(Duration::from_secs(4));
     let mut broken = 0;
@@ -111,7 +117,7 @@
     println!("{summary}");
     drop(entries);
     drop(folder);
-    std::process::exit(if served < 100 { 2 } else { i32::from(broken > 0) });
+    if served < 100 { 2 } else { i32::from(broken > 0) }
 }
 
 /// Sends a request to the entry each [`INTERVAL`] and returns their IDs and when each was sent.
--- a/review/lib/harness.rs
+++ b/review/lib/harness.rs
@@ -242,6 +242,12 @@
         (listen(move |stream| served.serve(stream, &flag)), is_silent)
     }
 
+    /// Returns whether a row exists.
+    pub fn has(&self, table: &str, key: &str) -> bool {
+        let rows = self.rows.0.lock().unwrap();
+        rows.rows.get(&(table.to_owned(), key.to_owned())).is_some_and(|(value, _)| value.is_some())
+    }
+
     /// Writes a row, as the operator and the workers do.
     pub fn put(&self, table: &str, key: &str, value: &str) {
         let mut rows = self.rows.0.lock().unwrap();
@@ -351,14 +357,20 @@
     }
 }
 
-/// Returns a TCP port that is free for datagrams too.
+/// Ports that this process has handed out; none is handed out twice.
+static PORTS: Mutex<Vec<u16>> = Mutex::new(Vec::new());
+
+/// Returns a TCP port that is free for datagrams too. It lies below the range from which the system
+/// picks ports for connections, so that none of these takes it before the entry does.
 fn free_port() -> u16 {
+    let mut ports = PORTS.lock().unwrap();
+    let mut port = ports.last().map_or(10_000 + (std::process::id() % 200) as u16 * 100, |last| last + 1);
     loop {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-        let port = listener.local_addr().expect("an address").port();
-        if UdpSocket::bind(("127.0.0.1", port)).is_ok() {
+        if TcpListener::bind(("127.0.0.1", port)).is_ok() && UdpSocket::bind(("127.0.0.1", port)).is_ok() {
+            ports.push(port);
             return port;
         }
+        port = if port >= 32_000 { 10_000 } else { port + 1 };
     }
 }
 
@@ -378,10 +390,14 @@
     }
 
     pub fn start_in(zone: &str, name: &str, store: SocketAddr, folder: &std::path::Path, more: &str) -> Entry {
+        Self::start_with("first-start = true", zone, name, store, folder, more)
+    }
+
+    pub fn start_with(first_start: &str, zone: &str, name: &str, store: SocketAddr, folder: &std::path::Path, more: &str) -> Entry {
         let (callers, ready, peers) = (free_port(), free_port(), free_port());
         let settings = folder.join(format!("{name}.ini"));
         let text = format!(
-            "[entry]\nname = {name}\ndata-centre = {zone}\nfirst-start = true\nprocessor = 0.25\n\n\
+            "[entry]\nname = {name}\ndata-centre = {zone}\n{first_start}\nprocessor = 0.25\n\n\
              [listen]\ncallers = 127.0.0.1:{callers}\nreadiness = 127.0.0.1:{ready}\npeers = 127.0.0.1:{peers}\n\n\
              [platform]\ninterface = tables\naddress = {store}\n\n[shutdown]\nlimit = 8s\n{more}"
         );
