--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -1,36 +1,264 @@
-//! Two entries and a configuration with many routes that changes often. The platform kills a process
-//! that exceeds its memory and starts it again.
+//! An order to join a group gets no answer and is carried out some seconds later. Meanwhile the group's
+//! head is cut off from the store and from the entry that forms groups, while other entries reach it.
 #[path = "../lib/harness.rs"]
 mod harness;
 
-use harness::{Entry, Message, Record, Store, TempFolder, listen};
+use harness::{Entry, Json, Message, Record, Store, TempFolder, is_from_process, listen};
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-/// `memory-mb` of the sheet.
-const MEMORY_MB: f64 = 260.0;
-/// The idle routes of the site, and four times the routes that `big_config` adds at its largest dose.
-const ROUTES: usize = 110 + 4 * 350;
-/// The ends of a process's own accord that break the rule, on each of two machines.
-const ENDS: usize = 3;
-
-fn configuration(version: u64) -> String {
-    let mut routes = vec![format!(
-        "{{\"name\":\"r-0\",\"host\":\"ficu95.example\",\"prefix\":\"/x/\",\"kind\":\"idempotent\",\"timeout-ms\":{},\
-         \"target-latency-ms\":300,\"priority\":2,\"service\":\"ledger\",\"max-attempts\":2,\"public\":false}}", 1_500 + version % 2)];
-    for route in 1..ROUTES {
-        routes.push(format!(
-            "{{\"name\":\"r-fi{route:05}\",\"host\":\"ficu95.example\",\"prefix\":\"/pufi{route:05}/\",\"kind\":\"idempotent\",\"timeout-ms\":1500,\
-             \"target-latency-ms\":300,\"priority\":2,\"service\":\"ledger\",\"max-attempts\":2,\"public\":false,\"sticky\":false}}"));
-    }
-    format!(
-        "{{\"version\":{version},\"routes\":[{}],\
-         \"services\":[{{\"name\":\"ledger\",\"health-path\":\"/health\",\"max-connections\":110}}],\
-         \"limits\":{{\"max-header-bytes\":16384,\"max-body-bytes\":4194304,\"header-timeout-ms\":3000,\"idle-timeout-ms\":15000}},\
-         \"tenants\":[{{\"name\":\"tenant-1\",\"api-keys\":[\"key-1\"],\"priority\":1}}]}}", routes.join(","))
+const ZONES: [&str; 4] = ["lakes-a", "lakes-b", "lakes-c", "lakes-b"];
+/// The workers at the start, and those that are added later.
+const FIRST_WORKERS: usize = 4;
+const WORKERS: usize = 7;
+/// The times of the sheet's model of 3 workers.
+const LOAD: Duration = Duration::from_secs(12);
+const WARM: Duration = Duration::from_millis(1_100);
+const REJOIN: Duration = Duration::from_millis(200);
+const FORM: Duration = Duration::from_millis(300);
+/// Three heartbeat intervals of the sheet, after which the entry of a silent worker is removed.
+const EXPIRY: Duration = Duration::from_millis(3_600);
+/// When a late order is carried out, counted from its arrival (`fleetbench kinds`, `applied_late`).
+const LATE_MIN: Duration = Duration::from_secs(2);
+const LATE_MAX: Duration = Duration::from_secs(12);
+
+#[derive(Clone, Default)]
+struct Membership {
+    group: String,
+    epoch: u64,
+    rank: usize,
+    state: &'static str,
+    changes_at: Option<(Instant, &'static str)>,
+}
+
+struct Worker {
+    id: String,
+    address: Option<SocketAddr>,
+    born: u64,
+    seq: u64,
+    is_staged: bool,
+    is_up: bool,
+    /// Whether the model was that of the last group since the start.
+    was_last: bool,
+    membership: Option<Membership>,
+    /// Whether the worker is cut off from the store and from the entry that forms groups.
+    is_cut: bool,
+    /// An order that got no answer, and when it came.
+    late: Option<(Json, Instant)>,
+}
+
+impl Worker {
+    fn advance(&mut self) -> bool {
+        let Some(membership) = &mut self.membership else { return false };
+        match membership.changes_at {
+            Some((at, state)) if Instant::now() >= at => {
+                membership.state = state;
+                membership.changes_at = None;
+                self.is_staged = true;
+                self.was_last = true;
+                true
+            }
+            _ => false,
+        }
+    }
+
+    fn fields(&self) -> String {
+        let has_model = self.membership.as_ref().is_some_and(|m| m.state != "joining");
+        let models = if has_model { "{\"name\":\"m0\",\"version\":1,\"adapters\":[]}" } else { "" };
+        let group = self.membership.as_ref().map_or(String::new(), |m| {
+            format!(",\"group\":{{\"name\":\"{}\",\"epoch\":{},\"rank\":{},\"state\":\"{}\"}}", m.group, m.epoch, m.rank, m.state)
+        });
+        let staged = if self.is_staged { "\"m0\"" } else { "" };
+        format!("\"stage\":\"mixed\",\"models\":[{models}],\"domain\":\"d1\",\"staged\":[{staged}],\"seq\":{},\"born\":{}{group}", self.seq, self.born)
+    }
+
+    fn record(&self) -> String {
+        format!(
+            "{{\"service\":\"writers\",\"address\":\"{}\",\"zone\":\"lakes-a\",\"version\":\"v1\",\"slots\":26,\"state\":\"ready\",\"cold-remaining-ms\":0,{}}}",
+            self.address.expect("an address"), self.fields())
+    }
+
+    /// Carries out an order and returns the status of the answer.
+    fn order(&mut self, order: &Json, has_traffic: bool) -> u16 {
+        let epoch: u64 = order.text("epoch").parse().unwrap_or(0);
+        let group = order.text("group");
+        let is_own = self.membership.as_ref().is_some_and(|m| m.group == group && m.epoch == epoch);
+        match order.text("op").as_str() {
+            "join" if is_own => 200,
+            "join" => {
+                if self.membership.as_ref().is_some_and(|m| epoch < m.epoch) {
+                    return 412;
+                }
+                let members = order.list("members");
+                let Some(rank) = members.iter().position(|m| matches!(m, Json::Text(id) if *id == self.id)) else { return 409 };
+                let time = match (self.is_staged, has_traffic) {
+                    _ if self.was_last => REJOIN,
+                    (true, _) => WARM,
+                    (false, true) => LOAD,
+                    (false, false) => LOAD / 10,
+                };
+                self.seq += 1;
+                self.membership = Some(Membership { group, epoch, rank, state: "joining", changes_at: Some((Instant::now() + time, "ready")) });
+                202
+            }
+            "open" if is_own => {
+                let membership = self.membership.as_mut().expect("a membership");
+                match membership.state {
+                    "open" => 200,
+                    "ready" if membership.rank == 0 => {
+                        self.seq += 1;
+                        membership.changes_at.get_or_insert((Instant::now() + FORM, "open"));
+                        202
+                    }
+                    _ => 409,
+                }
+            }
+            "close" if is_own => {
+                self.seq += 1;
+                self.membership.as_mut().expect("a membership").state = "ready";
+                202
+            }
+            "leave" if is_own => {
+                self.seq += 1;
+                self.membership = None;
+                202
+            }
+            "leave" => 200,
+            "stage" => 200,
+            _ => 409,
+        }
+    }
+}
+
+struct Fleet {
+    workers: Vec<Mutex<Worker>>,
+    store: Store,
+    has_trouble: bool,
+    has_traffic: AtomicBool,
+    run: AtomicUsize,
+    /// The process of the entry that gave the last order.
+    holder: AtomicU32,
+    pids: Mutex<Vec<u32>>,
+    /// The members of the group whose first join is late, its head first.
+    late_group: Mutex<Option<(String, Vec<String>)>>,
+    broken: AtomicUsize,
+}
+
+impl Fleet {
+    fn publish(&self, worker: &Worker) {
+        if !worker.is_cut {
+            self.store.put("servers", &worker.id, &worker.record());
+        }
+    }
+
+    /// Returns whether the head of a group is open or closing and, by its own word, not broken.
+    fn serving_head(&self, group: &str, except: &str) -> Option<String> {
+        self.workers.iter().find_map(|worker| {
+            let Ok(worker) = worker.try_lock() else { return None };
+            let membership = worker.membership.as_ref()?;
+            let serves = membership.group == group && membership.rank == 0 && membership.state == "open";
+            (worker.id != except && serves).then(|| worker.id.clone())
+        })
+    }
+
+    fn carry_out(&self, worker: &mut Worker, order: &Json, text: &str, record: &Record) -> u16 {
+        let before = worker.membership.clone();
+        let status = worker.order(order, self.has_traffic.load(Ordering::Relaxed));
+        let next = order.text("group");
+        if let Some(before) = before.filter(|before| order.text("op") == "join" && status == 202 && before.group != next) {
+            let head = if before.rank == 0 && before.state == "open" { Some(worker.id.clone()) } else { self.serving_head(&before.group, &worker.id) };
+            if let Some(head) = head {
+                self.broken.fetch_add(1, Ordering::Relaxed);
+                record.line(&format!("TWO: {} takes a join of {next} while it is in {}, whose head {head} is open", worker.id, before.group));
+            }
+        }
+        record.line(&format!("{} carries out {text} -> {status}", worker.id));
+        self.publish(worker);
+        status
+    }
+
+    fn serve(&self, index: usize, stream: TcpStream, record: &Record) {
+        let pids = self.pids.lock().unwrap().clone();
+        let caller = pids.into_iter().find(|pid| is_from_process(&stream, *pid)).unwrap_or(0);
+        let mut writer = stream.try_clone().expect("a clone");
+        let mut reader = BufReader::new(stream);
+        while let Some(request) = Message::read(&mut reader) {
+            let mut worker = self.workers[index].lock().unwrap();
+            if !worker.is_up || (worker.is_cut && caller == self.holder.load(Ordering::Relaxed)) {
+                return;
+            }
+            let answer = |status: u16, headers: &str, body: &str| {
+                format!("HTTP/1.1 {status} A\r\n{headers}Content-Length: {}\r\n\r\n{body}", body.len())
+            };
+            let id = request.header("beryltray-request-id").unwrap_or_default().to_owned();
+            let answered = match request.path() {
+                "/report" => answer(200, "Content-Type: application/json\r\n", &format!("{{{},\"busy\":false,\"queued\":0,\"in-flight\":0}}", worker.fields())),
+                "/order" => {
+                    self.holder.store(caller, Ordering::Relaxed);
+                    let text = String::from_utf8_lossy(&request.body).into_owned();
+                    let order = Json::parse(&text);
+                    if self.is_late(&worker, &order) {
+                        record.line(&format!("{} leaves {text} unanswered", worker.id));
+                        worker.late = Some((order, Instant::now()));
+                        drop(worker);
+                        std::thread::sleep(Duration::from_secs(2));
+                        return;
+                    }
+                    if order.text("op") == "join" {
+                        self.carry_out_late(&mut worker, record);
+                    }
+                    let status = self.carry_out(&mut worker, &order, &text, record);
+                    answer(status, "", "")
+                }
+                _ if worker.membership.as_ref().is_some_and(|m| m.state == "open") => {
+                    self.run.fetch_add(1, Ordering::Relaxed);
+                    record.line(&format!("request {id} runs at {}", worker.id));
+                    answer(200, &format!("Beryltray-Request-Id: {id}\r\nBeryltray-Response-Seal: {}.{id}\r\nContent-Type: text/event-stream\r\n", worker.id), "id: 1\ndata: a\n\nid: 2\ndata: b\n\n")
+                }
+                _ => answer(421, &format!("Beryltray-Request-Id: {id}\r\nBeryltray-Not-Executed: 1\r\n"), ""),
+            };
+            drop(worker);
+            if writer.write_all(answered.as_bytes()).is_err() {
+                return;
+            }
+        }
+    }
+
+    /// Carries out the order that got no answer, if the worker has left the group meanwhile.
+    fn carry_out_late(&self, worker: &mut Worker, record: &Record) {
+        let has_left = worker.membership.is_none();
+        let late = worker.late.take_if(|(_, at)| has_left && at.elapsed() >= LATE_MIN && at.elapsed() <= LATE_MAX);
+        if let Some((order, at)) = late {
+            let text = format!("the late join of {} ({:.1} s after it came)", order.text("group"), at.elapsed().as_secs_f64());
+            self.carry_out(worker, &order, &text, record);
+        }
+    }
+
+    /// Returns whether an order is left unanswered: the first one to a member, other than the head, to
+    /// join the first whole group after the start of traffic.
+    fn is_late(&self, worker: &Worker, order: &Json) -> bool {
+        let members: Vec<String> = order.list("members").iter().map(|m| if let Json::Text(id) = m { id.clone() } else { String::new() }).collect();
+        if !self.has_trouble || !self.has_traffic.load(Ordering::Relaxed) || order.text("op") != "join" || members.len() < 3 || members[0] == worker.id {
+            return false;
+        }
+        let mut late_group = self.late_group.lock().unwrap();
+        if late_group.is_some() {
+            return false;
+        }
+        *late_group = Some((order.text("group"), members));
+        true
+    }
+}
+
+fn first_start(is_first: bool) -> &'static str {
+    if is_first { "first-start = true" } else { "first-start = false" }
+}
+
+fn start_entry(zone: &str, number: usize, store: SocketAddr, folder: &TempFolder, is_first: bool) -> Entry {
+    Entry::start_with(first_start(is_first), zone, &format!("front-{zone}-{number}"), store, &folder.0, "")
 }
 
 fn main() {
@@ -44,108 +272,132 @@
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let folder = TempFolder::create();
     let (store, store_address) = Store::start();
-    let run = Arc::new(AtomicUsize::new(0));
-    let mut version = 1;
-    store.put("op", "config", &configuration(version));
-    for index in 0..3 {
-        let id = format!("i-{index}");
-        let (run, name) = (Arc::clone(&run), id.clone());
-        let address = listen(move |stream| work(stream, &name, &run));
-        store.put("servers", &id, &format!(
-            "{{\"service\":\"ledger\",\"address\":\"{address}\",\"zone\":\"lakes-a\",\"version\":\"v1\",\"slots\":26,\
-             \"state\":\"ready\",\"cold-remaining-ms\":0,\"seq\":1,\"born\":17}}"));
-    }
-    let mut entries: Vec<Entry> = [("front-1", "lakes-a"), ("front-2", "lakes-b")]
-        .iter().map(|(name, zone)| Entry::start_in(zone, name, store_address, &folder.0, "")).collect();
+    store.put("op", "config",
+        "{\"version\":1,\"routes\":[{\"name\":\"r-1\",\"host\":\"a.example\",\"prefix\":\"/x/\",\"kind\":\"streaming\",\"timeout-ms\":6000,\
+         \"target-latency-ms\":400,\"priority\":1,\"service\":\"writers\",\"max-attempts\":2,\"public\":false,\"sticky\":true,\"resumable\":true,\"gap-target-ms\":250}],\
+         \"services\":[{\"name\":\"writers\",\"health-path\":\"/health\",\"max-connections\":314,\"engine\":{\"slots\":26,\"kv-capacity-tokens\":2470000,\"stride\":6,\
+         \"models\":[{\"name\":\"m0\",\"size\":3,\"share\":1.0,\"pace\":0.6,\"load-s\":12.0,\"warm-s\":1.1}],\"step_ms\":6.45,\"per_seq_ms\":0.0967,\"read_per_s\":56100.0,\
+         \"loads-per-s\":5.5,\"loads_at_once\":8,\"usual\":{\"prompt\":1115,\"answer\":152},\"retains\":1,\"far_x\":2.5,\"form-ms\":300.0}}],\
+         \"limits\":{\"max-header-bytes\":16384,\"max-body-bytes\":4194304,\"header-timeout-ms\":3000,\"idle-timeout-ms\":15000},\
+         \"tenants\":[{\"name\":\"tenant-1\",\"api-keys\":[\"key-1\"],\"priority\":1}]}");
+    let worker = |index: usize| Mutex::new(Worker {
+        id: format!("i-{index}"), address: None, born: 1_700_000_000_000, seq: 0, is_staged: false, is_up: true, was_last: false,
+        membership: None, is_cut: false, late: None });
+    let fleet = Arc::new(Fleet {
+        workers: (0..WORKERS).map(worker).collect(), store: store.clone(), has_trouble, has_traffic: AtomicBool::new(false),
+        run: AtomicUsize::new(0), holder: AtomicU32::new(0), pids: Mutex::default(), late_group: Mutex::default(), broken: AtomicUsize::new(0) });
+    let add = |index: usize| {
+        let (served, record) = (Arc::clone(&fleet), record.clone());
+        let address = listen(move |stream| served.serve(index, stream, &record));
+        let mut worker = fleet.workers[index].lock().unwrap();
+        worker.address = Some(address);
+        fleet.publish(&worker);
+    };
+    (0..FIRST_WORKERS).for_each(add);
+    let ticking = Arc::clone(&fleet);
+    std::thread::spawn(move || loop {
+        for worker in &ticking.workers {
+            let mut worker = worker.lock().unwrap();
+            if worker.is_up && worker.advance() {
+                ticking.publish(&worker);
+            }
+        }
+        std::thread::sleep(Duration::from_millis(2));
+    });
+    let mut entries = Vec::new();
+    for (number, zone) in ZONES.iter().enumerate() {
+        entries.push(start_entry(zone, number, store_address, &folder, true));
+    }
+    *fleet.pids.lock().unwrap() = entries.iter().map(Entry::pid).collect();
     if !entries.iter().all(|entry| entry.wait_until_ready(Duration::from_secs(10))) {
-        record.line("an entry did not become ready");
         return 2;
     }
-    let is_over = Arc::new(AtomicBool::new(false));
-    let (sent, whole) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicUsize::new(0)));
-    for (index, entry) in entries.iter().enumerate() {
-        for caller in 0..4 {
-            let (is_over, record, address) = (Arc::clone(&is_over), record.clone(), entry.callers);
-            let (sent, whole) = (Arc::clone(&sent), Arc::clone(&whole));
-            std::thread::spawn(move || {
-                let mut number = 0;
-                while !is_over.load(Ordering::Relaxed) {
-                    number += 1;
-                    let id = format!("{index}{caller}{number:014x}");
-                    sent.fetch_add(1, Ordering::Relaxed);
-                    let status = send(address, &id);
-                    record.line(&format!("request {id} is answered: {status}"));
-                    whole.fetch_add(usize::from(status == 200), Ordering::Relaxed);
-                    std::thread::sleep(Duration::from_millis(100));
-                }
-            });
-        }
-    }
-    let mut ends = [0usize; 2];
-    let mut peaks = [0f64; 2];
+    std::thread::sleep(Duration::from_secs(9));
+    fleet.has_traffic.store(true, Ordering::Relaxed);
+    record.line("traffic starts; empty workers are added");
+    (FIRST_WORKERS..WORKERS).for_each(add);
+    let callers = {
+        let (entries, record) = (entries.iter().map(|entry| entry.callers).collect::<Vec<_>>(), record.clone());
+        let until = Instant::now() + Duration::from_secs(34);
+        std::thread::spawn(move || measure(&entries, until, 'a', &record))
+    };
     let started = Instant::now();
-    let mut next_change = started + Duration::from_secs(2);
-    let (length, gap) = if has_trouble { (108, Duration::from_millis(80)) } else { (60, Duration::from_secs(3)) };
-    while started.elapsed() < Duration::from_secs(length) && ends.iter().any(|count| *count < ENDS) {
-        if Instant::now() >= next_change {
-            version += 3;
-            store.put("op", "config", &configuration(version));
-            record.line(&format!("version {version} is acknowledged"));
-            next_change += gap;
+    let mut head: Option<usize> = None;
+    let mut cut_at: Option<Instant> = None;
+    let mut is_removed = false;
+    while started.elapsed() < Duration::from_secs(34) {
+        let late_group = fleet.late_group.lock().unwrap().clone();
+        if let Some((group, members)) = late_group.filter(|_| head.is_none()) {
+            let index = (0..WORKERS).find(|index| format!("i-{index}") == members[0]).expect("the head");
+            let worker = fleet.workers[index].lock().unwrap();
+            if worker.membership.as_ref().is_some_and(|m| m.group == group && m.state == "open") {
+                head = Some(index);
+                cut_at = Some(Instant::now() + Duration::from_millis(500));
+            }
         }
-        for (index, entry) in entries.iter_mut().enumerate() {
-            let memory = entry.resident_mb();
-            peaks[index] = peaks[index].max(memory);
-            if memory > MEMORY_MB {
-                record.line(&format!("{} has {memory:.0} MB, more than {MEMORY_MB} MB: the platform kills it", entry.name));
-                entry.kill();
-                ends[index] += 1;
-                std::thread::sleep(Duration::from_millis(300));
-                entry.restart();
-            } else if !entry.is_running() {
-                record.line(&format!("{} ended by itself", entry.name));
-                ends[index] += 1;
-                entry.restart();
+        if let (Some(index), Some(at)) = (head, cut_at) {
+            let mut worker = fleet.workers[index].lock().unwrap();
+            if Instant::now() >= at && !worker.is_cut {
+                worker.is_cut = true;
+                record.line(&format!("{} is cut off from the store and from the entry that forms groups", worker.id));
+            }
+            if worker.is_cut && !is_removed && Instant::now() >= at + EXPIRY {
+                is_removed = true;
+                store.remove("servers", &worker.id);
+                record.line(&format!("the entry of {} is removed after three heartbeat intervals", worker.id));
             }
         }
-        std::thread::sleep(Duration::from_millis(5));
+        std::thread::sleep(Duration::from_millis(10));
     }
-    is_over.store(true, Ordering::Relaxed);
-    let count = |counter: &AtomicUsize| counter.load(Ordering::Relaxed);
-    let summary = format!(
-        "{ROUTES} routes; {} versions in {:.0} s; ends {ends:?}; peak MB {:.0?}; requests sent {}, answered with success {}, run {}",
-        (version - 1) / 3 + 1, started.elapsed().as_secs_f64(), peaks, count(&sent), count(&whole), count(&run));
+    let ends = callers.join().unwrap_or_default();
+    let served = ends.iter().filter(|(_, status)| *status == 200).count();
+    let broken = fleet.broken.load(Ordering::Relaxed);
+    let summary = format!("{} requests, {served} served; joins of a member of a group whose head is open: {broken}", ends.len());
     record.line(&summary);
     println!("{summary}");
     drop(entries);
     drop(folder);
-    i32::from(ends.iter().all(|count| *count >= ENDS))
+    if has_trouble && !is_removed {
+        return 2;
+    }
+    i32::from(broken > 0)
+}
+
+/// Sends requests to all entries until then; returns when each was sent and its status.
+fn measure(entries: &[SocketAddr], until: Instant, phase: char, record: &Record) -> Vec<(Instant, u16)> {
+    let ends = Arc::new(Mutex::new(Vec::new()));
+    let mut threads = Vec::new();
+    for (index, address) in entries.iter().enumerate() {
+        let (address, ends, record) = (*address, Arc::clone(&ends), record.clone());
+        threads.push(std::thread::spawn(move || {
+            let mut number = 0;
+            while Instant::now() < until {
+                number += 1;
+                let id = format!("{phase}{index}{number:012x}");
+                let at = Instant::now();
+                let status = send(address, &id);
+                record.line(&format!("request {id} is answered: {status}"));
+                ends.lock().unwrap().push((at, status));
+                std::thread::sleep(Duration::from_millis(100));
+            }
+        }));
+    }
+    for thread in threads {
+        let _ = thread.join();
+    }
+    let mut ends = std::mem::take(&mut *ends.lock().unwrap());
+    ends.sort();
+    ends
 }
 
 fn send(address: SocketAddr, id: &str) -> u16 {
     let Ok(mut stream) = TcpStream::connect_timeout(&address, Duration::from_secs(1)) else { return 0 };
-    let _ = stream.set_read_timeout(Some(Duration::from_secs(2)));
+    let _ = stream.set_read_timeout(Some(Duration::from_secs(7)));
     let head = format!(
-        "GET /x/1 HTTP/1.1\r\nHost: ficu95.example\r\nBeryltray-Request-Id: {id}\r\nBeryltray-Request-Deadline: 1500\r\n\
-         Authorization: Bearer key-1\r\n\r\n");
+        "POST /x/1 HTTP/1.1\r\nHost: a.example\r\nBeryltray-Request-Id: {id}\r\nBeryltray-Model: m0\r\nBeryltray-Token-Count: 1460,80\r\n\
+         Beryltray-Request-Deadline: 6000\r\nAuthorization: Bearer key-1\r\nContent-Length: 2\r\n\r\nhi");
     if stream.write_all(head.as_bytes()).is_err() {
         return 0;
     }
     Message::read(&mut BufReader::new(stream)).map_or(0, |answer| answer.status())
 }
-
-/// A worker of a plain service.
-fn work(stream: TcpStream, name: &str, run: &AtomicUsize) {
-    let mut writer = stream.try_clone().expect("a clone");
-    let mut reader = BufReader::new(stream);
-    while let Some(request) = Message::read(&mut reader) {
-        let id = request.header("beryltray-request-id").unwrap_or_default().to_owned();
-        run.fetch_add(1, Ordering::Relaxed);
-        std::thread::sleep(Duration::from_millis(20));
-        let answer = format!(
-            "HTTP/1.1 200 OK\r\nBeryltray-Request-Id: {id}\r\nBeryltray-Response-Seal: {name}.{id}\r\nBeryltray-Instance-Id: {name}\r\nContent-Length: 4\r\n\r\ndone");
-        if writer.write_all(answer.as_bytes()).is_err() {
-            return;
-        }
-    }
-}
--- a/review/lib/harness.rs
+++ b/review/lib/harness.rs
@@ -257,6 +257,15 @@
         self.rows.1.notify_all();
     }
 
+    /// Removes a row; the feed reports the removal.
+    pub fn remove(&self, table: &str, key: &str) {
+        let mut rows = self.rows.0.lock().unwrap();
+        rows.version += 1;
+        let version = rows.version;
+        rows.write((table.to_owned(), key.to_owned()), None, version);
+        self.rows.1.notify_all();
+    }
+
     fn serve(&self, stream: TcpStream, is_silent: &AtomicBool) {
         let mut writer = stream.try_clone().expect("a clone");
         let mut reader = BufReader::new(stream);
@@ -476,6 +485,58 @@
     }
 }
 
+/// How a request on a kept connection ended.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum End {
+    /// An answer came, with this status.
+    Status(u16),
+    /// No connection could be opened.
+    NotOpened,
+    /// The connection ended without an answer. Whether it had carried a request before.
+    Cut { was_kept: bool },
+}
+
+/// A client's connection that is kept for many requests.
+pub struct KeptConnection {
+    address: SocketAddr,
+    stream: Option<(TcpStream, BufReader<TcpStream>)>,
+    answered: usize,
+}
+
+impl KeptConnection {
+    pub fn new(address: SocketAddr) -> Self {
+        Self { address, stream: None, answered: 0 }
+    }
+
+    /// Sends a request with `write` and reads the answer; opens a connection if there is none.
+    pub fn call<F>(&mut self, write: F) -> End
+    where
+        F: FnOnce(&mut TcpStream) -> std::io::Result<()>,
+    {
+        if self.stream.is_none() {
+            self.answered = 0;
+            let Ok(stream) = TcpStream::connect_timeout(&self.address, Duration::from_secs(1)) else { return End::NotOpened };
+            let _ = stream.set_nodelay(true);
+            let _ = stream.set_read_timeout(Some(Duration::from_secs(9)));
+            let _ = stream.set_write_timeout(Some(Duration::from_secs(9)));
+            let reader = BufReader::new(stream.try_clone().expect("a clone"));
+            self.stream = Some((stream, reader));
+        }
+        let (stream, reader) = self.stream.as_mut().expect("a connection");
+        let written = write(stream);
+        let answer = written.ok().and_then(|()| Message::read(reader));
+        let Some(answer) = answer else {
+            self.stream = None;
+            return End::Cut { was_kept: self.answered > 0 };
+        };
+        self.answered += 1;
+        if answer.header("connection").is_some_and(|value| value.eq_ignore_ascii_case("close")) {
+            self.stream = None;
+        }
+        End::Status(answer.status())
+    }
+}
+
 /// Returns whether the other end of an accepted connection belongs to the process `pid`.
 pub fn is_from_process(stream: &TcpStream, pid: u32) -> bool {
     let (Ok(peer), Ok(own)) = (stream.peer_addr(), stream.local_addr()) else { return false };
