--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -1,19 +1,19 @@
-//! An order to join a group gets no answer and is carried out some seconds later. Meanwhile the group's
-//! head is cut off from the store and from the entry that forms groups, while other entries reach it.
+//! Orders get no answer and are carried out some seconds later. The head of a group is partitioned from
+//! the store, while entries reach it; it is ordered to leave its group and to join another one.
 #[path = "../lib/harness.rs"]
 mod harness;
 
-use harness::{Entry, Json, Message, Record, Store, TempFolder, is_from_process, listen};
+use harness::{Entry, Json, Message, Record, Store, TempFolder, listen};
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::sync::atomic::{AtomicBool, AtomicU32, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 const ZONES: [&str; 4] = ["lakes-a", "lakes-b", "lakes-c", "lakes-b"];
 /// The workers at the start, and those that are added later.
-const FIRST_WORKERS: usize = 4;
-const WORKERS: usize = 7;
+const FIRST_WORKERS: usize = 3;
+const WORKERS: usize = 6;
 /// The times of the sheet's model of 3 workers.
 const LOAD: Duration = Duration::from_secs(12);
 const WARM: Duration = Duration::from_millis(1_100);
@@ -21,9 +21,15 @@
 const FORM: Duration = Duration::from_millis(300);
 /// Three heartbeat intervals of the sheet, after which the entry of a silent worker is removed.
 const EXPIRY: Duration = Duration::from_millis(3_600);
+/// How long the head of the group is partitioned from the store.
+const CUT: Duration = Duration::from_secs(8);
 /// When a late order is carried out, counted from its arrival (`fleetbench kinds`, `applied_late`).
 const LATE_MIN: Duration = Duration::from_secs(2);
 const LATE_MAX: Duration = Duration::from_secs(12);
+/// The orders to join the next group are carried out this long after they came.
+const LATE_JOIN: Duration = Duration::from_millis(2_100);
+/// `stall-ms` of the sheet, after which a head whose members are gone is broken.
+const STALL: Duration = Duration::from_secs(4);
 
 #[derive(Clone, Default)]
 struct Membership {
@@ -44,10 +50,20 @@
     /// Whether the model was that of the last group since the start.
     was_last: bool,
     membership: Option<Membership>,
-    /// Whether the worker is cut off from the store and from the entry that forms groups.
+    /// Whether the worker is partitioned from the store.
     is_cut: bool,
-    /// An order that got no answer, and when it came.
-    late: Option<(Json, Instant)>,
+    /// Since when the head serves without all its members.
+    stalled_at: Option<Instant>,
+    /// The orders that got no answer.
+    late: Vec<LateOrder>,
+}
+
+/// An order that gets no answer.
+struct LateOrder {
+    order: Json,
+    came_at: Instant,
+    /// When it is carried out; `None` until that is decided.
+    due_at: Option<Instant>,
 }
 
 impl Worker {
@@ -65,6 +81,21 @@
         }
     }
 
+    /// Breaks the group of a head whose members have been gone for [`STALL`]. `groups` are those of all
+    /// workers.
+    fn break_if_stalled(&mut self, groups: &[Option<String>]) {
+        let Some(membership) = &mut self.membership else {
+            self.stalled_at = None;
+            return;
+        };
+        let members = groups.iter().filter(|group| group.as_ref() == Some(&membership.group)).count();
+        if membership.rank != 0 || membership.state != "open" || members == 3 || membership.group.starts_with('w') {
+            self.stalled_at = None;
+        } else if self.stalled_at.get_or_insert_with(Instant::now).elapsed() >= STALL {
+            membership.state = "broken";
+        }
+    }
+
     fn fields(&self) -> String {
         let has_model = self.membership.as_ref().is_some_and(|m| m.state != "joining");
         let models = if has_model { "{\"name\":\"m0\",\"version\":1,\"adapters\":[]}" } else { "" };
@@ -139,10 +170,9 @@
     has_trouble: bool,
     has_traffic: AtomicBool,
     run: AtomicUsize,
-    /// The process of the entry that gave the last order.
-    holder: AtomicU32,
-    pids: Mutex<Vec<u32>>,
-    /// The members of the group whose first join is late, its head first.
+    /// The orders that were left unanswered, and their groups.
+    left_unanswered: Mutex<Vec<(String, String)>>,
+    /// The group whose head carries out orders late, and its members, the head first.
     late_group: Mutex<Option<(String, Vec<String>)>>,
     broken: AtomicUsize,
 }
@@ -181,13 +211,11 @@
     }
 
     fn serve(&self, index: usize, stream: TcpStream, record: &Record) {
-        let pids = self.pids.lock().unwrap().clone();
-        let caller = pids.into_iter().find(|pid| is_from_process(&stream, *pid)).unwrap_or(0);
         let mut writer = stream.try_clone().expect("a clone");
         let mut reader = BufReader::new(stream);
         while let Some(request) = Message::read(&mut reader) {
             let mut worker = self.workers[index].lock().unwrap();
-            if !worker.is_up || (worker.is_cut && caller == self.holder.load(Ordering::Relaxed)) {
+            if !worker.is_up {
                 return;
             }
             let answer = |status: u16, headers: &str, body: &str| {
@@ -197,19 +225,14 @@
             let answered = match request.path() {
                 "/report" => answer(200, "Content-Type: application/json\r\n", &format!("{{{},\"busy\":false,\"queued\":0,\"in-flight\":0}}", worker.fields())),
                 "/order" => {
-                    self.holder.store(caller, Ordering::Relaxed);
                     let text = String::from_utf8_lossy(&request.body).into_owned();
                     let order = Json::parse(&text);
-                    if self.is_late(&worker, &order) {
+                    if self.is_late(&mut worker, &order) {
                         record.line(&format!("{} leaves {text} unanswered", worker.id));
-                        worker.late = Some((order, Instant::now()));
                         drop(worker);
                         std::thread::sleep(Duration::from_secs(2));
                         return;
                     }
-                    if order.text("op") == "join" {
-                        self.carry_out_late(&mut worker, record);
-                    }
                     let status = self.carry_out(&mut worker, &order, &text, record);
                     answer(status, "", "")
                 }
@@ -227,28 +250,57 @@
         }
     }
 
-    /// Carries out the order that got no answer, if the worker has left the group meanwhile.
+    /// Carries out the late orders that are due.
     fn carry_out_late(&self, worker: &mut Worker, record: &Record) {
-        let has_left = worker.membership.is_none();
-        let late = worker.late.take_if(|(_, at)| has_left && at.elapsed() >= LATE_MIN && at.elapsed() <= LATE_MAX);
-        if let Some((order, at)) = late {
-            let text = format!("the late join of {} ({:.1} s after it came)", order.text("group"), at.elapsed().as_secs_f64());
-            self.carry_out(worker, &order, &text, record);
+        let now = Instant::now();
+        while let Some(index) = worker.late.iter().position(|late| late.due_at.is_some_and(|at| now >= at)) {
+            let late = worker.late.remove(index);
+            let age = late.came_at.elapsed();
+            assert!(age >= LATE_MIN && age <= LATE_MAX, "a late order is carried out 2 to 12 s after it came");
+            let text = format!("the late {} of {} ({:.1} s after it came)", late.order.text("op"), late.order.text("group"), age.as_secs_f64());
+            self.carry_out(worker, &late.order, &text, record);
         }
     }
 
-    /// Returns whether an order is left unanswered: the first one to a member, other than the head, to
-    /// join the first whole group after the start of traffic.
-    fn is_late(&self, worker: &Worker, order: &Json) -> bool {
-        let members: Vec<String> = order.list("members").iter().map(|m| if let Json::Text(id) = m { id.clone() } else { String::new() }).collect();
-        if !self.has_trouble || !self.has_traffic.load(Ordering::Relaxed) || order.text("op") != "join" || members.len() < 3 || members[0] == worker.id {
+    /// Returns whether an order is left unanswered, which is then kept for later: of the head of the first
+    /// whole group after the start of traffic, the first order to join it and the first one to open it,
+    /// and the first two orders to join the next group.
+    fn is_late(&self, worker: &mut Worker, order: &Json) -> bool {
+        let (op, group) = (order.text("op"), order.text("group"));
+        if !self.has_trouble || !self.has_traffic.load(Ordering::Relaxed) {
             return false;
         }
+        let members: Vec<String> = order.list("members").iter().map(|m| if let Json::Text(id) = m { id.clone() } else { String::new() }).collect();
         let mut late_group = self.late_group.lock().unwrap();
-        if late_group.is_some() {
+        if late_group.is_none() && op == "join" && members.len() == 3 && members[0] == worker.id {
+            *late_group = Some((group.clone(), members));
+        }
+        let Some((first, head)) = late_group.as_ref().map(|(group, members)| (group.clone(), members[0].clone())) else { return false };
+        if head != worker.id {
+            return false;
+        }
+        let now = Instant::now();
+        let mut left = self.left_unanswered.lock().unwrap();
+        let same = left.iter().filter(|(o, g)| *o == op && *g == group).count();
+        let is_late = match op.as_str() {
+            "join" if group == first => same < 1,
+            "open" if group == first => same < 1,
+            // The orders of before come while those of the next group are on their way.
+            "join" if worker.membership.is_none() || same > 0 => same < 2,
+            _ => false,
+        };
+        if !is_late {
             return false;
         }
-        *late_group = Some((order.text("group"), members));
+        left.push((op.clone(), group.clone()));
+        let is_next = op == "join" && group != first;
+        if is_next && same == 0 {
+            for late in &mut worker.late {
+                let wait = if late.order.text("op") == "join" { 20 } else { 280 };
+                late.due_at.get_or_insert(now + Duration::from_millis(wait));
+            }
+        }
+        worker.late.push(LateOrder { order: order.clone(), came_at: now, due_at: is_next.then_some(now + LATE_JOIN) });
         true
     }
 }
@@ -282,10 +334,10 @@
          \"tenants\":[{\"name\":\"tenant-1\",\"api-keys\":[\"key-1\"],\"priority\":1}]}");
     let worker = |index: usize| Mutex::new(Worker {
         id: format!("i-{index}"), address: None, born: 1_700_000_000_000, seq: 0, is_staged: false, is_up: true, was_last: false,
-        membership: None, is_cut: false, late: None });
+        membership: None, is_cut: false, stalled_at: None, late: Vec::new() });
     let fleet = Arc::new(Fleet {
         workers: (0..WORKERS).map(worker).collect(), store: store.clone(), has_trouble, has_traffic: AtomicBool::new(false),
-        run: AtomicUsize::new(0), holder: AtomicU32::new(0), pids: Mutex::default(), late_group: Mutex::default(), broken: AtomicUsize::new(0) });
+        run: AtomicUsize::new(0), left_unanswered: Mutex::default(), late_group: Mutex::default(), broken: AtomicUsize::new(0) });
     let add = |index: usize| {
         let (served, record) = (Arc::clone(&fleet), record.clone());
         let address = listen(move |stream| served.serve(index, stream, &record));
@@ -294,13 +346,17 @@
         fleet.publish(&worker);
     };
     (0..FIRST_WORKERS).for_each(add);
-    let ticking = Arc::clone(&fleet);
+    let (ticking, tick_record) = (Arc::clone(&fleet), record.clone());
     std::thread::spawn(move || loop {
+        let group_of = |worker: &Mutex<Worker>| worker.lock().unwrap().membership.as_ref().map(|m| m.group.clone());
+        let groups: Vec<Option<String>> = ticking.workers.iter().map(group_of).collect();
         for worker in &ticking.workers {
             let mut worker = worker.lock().unwrap();
+            worker.break_if_stalled(&groups);
             if worker.is_up && worker.advance() {
                 ticking.publish(&worker);
             }
+            ticking.carry_out_late(&mut worker, &tick_record);
         }
         std::thread::sleep(Duration::from_millis(2));
     });
@@ -308,7 +364,6 @@
     for (number, zone) in ZONES.iter().enumerate() {
         entries.push(start_entry(zone, number, store_address, &folder, true));
     }
-    *fleet.pids.lock().unwrap() = entries.iter().map(Entry::pid).collect();
     if !entries.iter().all(|entry| entry.wait_until_ready(Duration::from_secs(10))) {
         return 2;
     }
@@ -337,9 +392,14 @@
         }
         if let (Some(index), Some(at)) = (head, cut_at) {
             let mut worker = fleet.workers[index].lock().unwrap();
-            if Instant::now() >= at && !worker.is_cut {
+            if Instant::now() >= at + CUT {
+                if std::mem::take(&mut worker.is_cut) {
+                    record.line(&format!("{} reaches the store again", worker.id));
+                    fleet.publish(&worker);
+                }
+            } else if Instant::now() >= at && !worker.is_cut {
                 worker.is_cut = true;
-                record.line(&format!("{} is cut off from the store and from the entry that forms groups", worker.id));
+                record.line(&format!("{} is partitioned from the store", worker.id));
             }
             if worker.is_cut && !is_removed && Instant::now() >= at + EXPIRY {
                 is_removed = true;
