gateway: the log of changes keeps the newest state of each record

Cause: an entry kept the last 512 batches of changes for the entries that read from it, whatever their size, and each version of the configuration was a record of its own. So up to 512 configurations stayed in memory, also where no entry reads.

All versions of the configuration are one record, whose newest version counts in whatever order they are read. Size and cost of a read depend on what is listed and not on the number of changes. Changes::append is gone, since nothing joins batches now. The gauge change_log_bytes shows the size of each log.

Why it works: a reader needs the state at its new revision, not the way to it. The generated reads of changes_since_generated_reads_agree_with_single_batches show that readers with any steps agree.

--- a/lib/src/platform/feed.rs
+++ b/lib/src/platform/feed.rs
@@ -24,6 +24,16 @@
 pub trait FeedRecord {
     /// Returns the key by which the feed names the record when it is removed.
     fn feed_key(&self) -> Cow<'_, str>;
+
+    /// Returns whether this record replaces `known`, an earlier change of the record with the same key.
+    fn replaces(&self, _known: &Self) -> bool {
+        true
+    }
+
+    /// Returns about how many bytes of memory the record takes, with what it refers to.
+    fn size_bytes(&self) -> usize {
+        std::mem::size_of_val(self)
+    }
 }
 
 /// The changes of records after a revision, as one state per record: a key is in one of the lists at
@@ -42,24 +52,6 @@
 where
     T: FeedRecord,
 {
-    /// Adds later changes, which replace those of the same records.
-    pub fn append(&mut self, later: Self) {
-        let changed = later.changed.iter().map(FeedRecord::feed_key);
-        let removed = later.removed.iter().map(|key| Cow::Borrowed(key.as_str()));
-        let mut replaced: Vec<Cow<'_, str>> = changed.chain(removed).collect();
-        replaced.sort();
-        let is_kept = |key: &str| {
-            replaced
-                .binary_search_by(|known| known.as_ref().cmp(key))
-                .is_err()
-        };
-        self.changed.retain(|record| is_kept(&record.feed_key()));
-        self.removed.retain(|key| is_kept(key));
-        self.changed.extend(later.changed);
-        self.removed.extend(later.removed);
-        self.revision = self.revision.max(later.revision);
-    }
-
     /// Returns whether a record is both changed and removed, so that its state is not known.
     pub fn is_ambiguous(&self) -> bool {
         let is_removed = |record: &T| {
--- a/lib/src/process/gateway/change_log.rs
+++ b/lib/src/process/gateway/change_log.rs
@@ -1,19 +1,63 @@
-//! A bounded log of record changes, from which an entry serves the entries that read from it.
+//! The latest changes of records, from which an entry serves the entries that read from it.
+//!
+//! A reader that is behind needs the newest state of each record that changed, not each change. So the
+//! log keeps one state per key, and its size depends on what is listed and not on how often that
+//! changes. Removals have no record, so their number would grow for ever; the oldest are dropped, and
+//! a reader that is behind those reads a snapshot.
 
-use std::collections::VecDeque;
 use std::time::Duration;
 use std::time::Instant;
 
 use crate::ids::Revision;
 use crate::platform::feed::Changes;
 use crate::platform::feed::FeedRecord;
+use crate::sorted::Keyed;
+use crate::sorted::SortedVec;
+
+/// The memory for removals: those of some thousand hosts, more than are lost within the seconds that a
+/// reader is behind.
+const REMOVALS_MAX_BYTES: usize = 512 * 1024;
+
+/// The newest state of a record that has changed.
+#[derive(Clone, Debug)]
+struct LoggedRecord<T> {
+    key: String,
+    /// The revision of the changes that the state was read with.
+    revision: Revision,
+    /// The record; `None` if it was removed.
+    record: Option<T>,
+}
+
+impl<T> Keyed for LoggedRecord<T> {
+    type Key = String;
+
+    fn key(&self) -> &String {
+        &self.key
+    }
+}
+
+impl<T> LoggedRecord<T>
+where
+    T: FeedRecord,
+{
+    fn size_bytes(&self) -> usize {
+        let record = self.record.as_ref().map_or(0, FeedRecord::size_bytes);
+        self.key_bytes() + record
+    }
+
+    fn key_bytes(&self) -> usize {
+        std::mem::size_of::<Self>() + self.key.len()
+    }
+}
 
-/// The number of batches that are kept. An entry that is further behind reads a snapshot.
-const BATCHES_MAX: usize = 512;
 /// The latest changes of one kind of record, with the platform's revisions.
 #[derive(Clone, Debug)]
 pub struct ChangeLog<T> {
-    batches: VecDeque<Changes<T>>,
+    records: SortedVec<LoggedRecord<T>>,
+    /// The memory of all logged states, in bytes.
+    size_bytes: usize,
+    /// The part of it that removals take.
+    removals_bytes: usize,
     /// The revision after which the log is complete.
     complete_after: Revision,
     revision: Option<Revision>,
@@ -23,7 +67,9 @@
 impl<T> Default for ChangeLog<T> {
     fn default() -> Self {
         Self {
-            batches: VecDeque::new(),
+            records: SortedVec::new(),
+            size_bytes: 0,
+            removals_bytes: 0,
             complete_after: Revision(0),
             revision: None,
             confirmed_at: None,
@@ -37,7 +83,9 @@
 {
     /// Restarts the log at the revision of a snapshot.
     pub fn on_snapshot(&mut self, revision: Revision) {
-        self.batches.clear();
+        self.records = SortedVec::new();
+        self.size_bytes = 0;
+        self.removals_bytes = 0;
         self.complete_after = revision;
         self.revision = Some(revision);
     }
@@ -64,18 +112,73 @@
         Some(now.saturating_duration_since(confirmed_at))
     }
 
-    /// Appends a batch of changes, which may be empty.
+    /// Adds a batch of changes, which may be empty. They replace the known states of their records.
     pub fn on_changes(&mut self, changes: Changes<T>) {
         self.revision = self.revision.max(Some(changes.revision));
-        if changes.changed.is_empty() && changes.removed.is_empty() {
-            return;
+        for key in changes.removed {
+            self.log_state(LoggedRecord {
+                key,
+                revision: changes.revision,
+                record: None,
+            });
+        }
+        for record in changes.changed {
+            let key = record.feed_key().into_owned();
+            let known = self.records.get(&key);
+            let known = known.and_then(|known| known.record.as_ref());
+            if known.is_some_and(|known| !record.replaces(known)) {
+                continue;
+            }
+            self.log_state(LoggedRecord {
+                key,
+                revision: changes.revision,
+                record: Some(record),
+            });
+        }
+        self.drop_oldest_removals();
+    }
+
+    fn log_state(&mut self, logged: LoggedRecord<T>) {
+        self.size_bytes += logged.size_bytes();
+        if logged.record.is_none() {
+            self.removals_bytes += logged.key_bytes();
+        }
+        if let Some(replaced) = self.records.insert(logged) {
+            self.size_bytes -= replaced.size_bytes();
+            if replaced.record.is_none() {
+                self.removals_bytes -= replaced.key_bytes();
+            }
         }
-        self.batches.push_back(changes);
-        if self.batches.len() > BATCHES_MAX
-            && let Some(oldest) = self.batches.pop_front()
-        {
-            self.complete_after = oldest.revision;
+    }
+
+    /// Drops the older half of the removals if they exceed [`REMOVALS_MAX_BYTES`], so that this is
+    /// seldom done.
+    fn drop_oldest_removals(&mut self) {
+        if self.removals_bytes <= REMOVALS_MAX_BYTES {
+            return;
         }
+        let removals = self.records.iter().filter(|logged| logged.record.is_none());
+        let mut revisions: Vec<Revision> = removals.map(|logged| logged.revision).collect();
+        revisions.sort();
+        let Some(complete_after) = revisions.get(revisions.len() / 2).copied() else {
+            return;
+        };
+        self.complete_after = self.complete_after.max(complete_after);
+        let mut dropped_bytes = 0;
+        self.records.retain(|logged| {
+            let is_dropped = logged.record.is_none() && logged.revision <= complete_after;
+            if is_dropped {
+                dropped_bytes += logged.key_bytes();
+            }
+            !is_dropped
+        });
+        self.size_bytes -= dropped_bytes;
+        self.removals_bytes -= dropped_bytes;
+    }
+
+    /// Returns about how many bytes of memory the logged states take.
+    pub fn size_bytes(&self) -> usize {
+        self.size_bytes
     }
 
     /// Returns the latest revision, or `None` before a snapshot was read.
@@ -91,10 +194,11 @@
         self.revision.filter(|_| is_recent)
     }
 
-    /// Returns the changes after `since`, or `None` if the log does not go back that far.
+    /// Returns the newest states of the records that changed after `since`, or `None` if the log does
+    /// not go back that far.
     ///
-    /// A batch whose range includes `since` is returned in full; applying its records again is
-    /// harmless.
+    /// A state is returned in full if its batch includes later revisions than `since`; applying it
+    /// again is harmless.
     pub fn changes_since(&self, since: Revision) -> Option<Changes<T>> {
         if since < self.complete_after {
             return None;
@@ -104,8 +208,11 @@
             removed: Vec::new(),
             revision: since.max(self.revision.unwrap_or(since)),
         };
-        for batch in self.batches.iter().filter(|batch| batch.revision > since) {
-            changes.append(batch.clone());
+        for logged in self.records.iter().filter(|logged| logged.revision > since) {
+            match &logged.record {
+                Some(record) => changes.changed.push(record.clone()),
+                None => changes.removed.push(logged.key.clone()),
+            }
         }
         Some(changes)
     }
--- a/lib/src/process/gateway/metrics.rs
+++ b/lib/src/process/gateway/metrics.rs
@@ -42,6 +42,7 @@
     orders: IntCounterVec,
     hosts_without_group: IntGaugeVec,
     loop_delay_seconds: Histogram,
+    change_log_bytes: IntGaugeVec,
     /// Failed calls to the platform, by the feed that was read.
     pub platform_failures: IntCounterVec,
     /// The version of the configuration in force.
@@ -129,6 +130,11 @@
                 )
                 .buckets(LOOP_DELAY_BUCKETS_S.to_vec()),
             )?,
+            change_log_bytes: gauges(
+                "change_log_bytes",
+                "Memory of the changes that are kept for other entries, by the kind of record.",
+                &["records"],
+            )?,
             platform_failures: counters(
                 "platform_failures_total",
                 "Calls to the platform that failed.",
@@ -226,6 +232,7 @@
         registry.register(Box::new(self.orders.clone()))?;
         registry.register(Box::new(self.hosts_without_group.clone()))?;
         registry.register(Box::new(self.loop_delay_seconds.clone()))?;
+        registry.register(Box::new(self.change_log_bytes.clone()))?;
         registry.register(Box::new(self.platform_failures.clone()))?;
         registry.register(Box::new(self.configuration_version.clone()))?;
         registry.register(Box::new(self.configuration_age_ms.clone()))?;
@@ -325,6 +332,13 @@
         self.hosts_without_group.reset();
     }
 
+    /// Sets the memory of the changes of one kind of record that are kept for other entries.
+    pub fn set_change_log_bytes(&self, records: &str, size_bytes: usize) {
+        let size_bytes = i64::try_from(size_bytes).unwrap_or(i64::MAX);
+        let gauge = self.change_log_bytes.with_label_values(&[records]);
+        gauge.set(size_bytes);
+    }
+
     /// Records how late a timer fired.
     pub fn observe_loop_delay(&self, delay: Duration) {
         self.loop_delay_seconds.observe(delay.as_secs_f64());
--- a/lib/src/process/gateway/record_state.rs
+++ b/lib/src/process/gateway/record_state.rs
@@ -54,7 +54,8 @@
         self.inner().document_log.confirmed_at()
     }
 
-    /// Updates the metrics of the records' ages and of the removals that are held back.
+    /// Updates the metrics of the records' ages, of what they keep in memory, and of the removals
+    /// that are held back.
     pub(super) fn update_record_metrics(&self) {
         let now = self.clock.now();
         let inner = self.inner();
@@ -69,6 +70,13 @@
         let held_back = hosts.filter(|tracked| tracked.unlisted_from.is_some_and(|at| now < at));
         let held_back = i64::try_from(held_back.count()).unwrap_or(i64::MAX);
         self.metrics.held_back_removals.set(held_back);
+        let logs = [
+            ("configuration", inner.document_log.size_bytes()),
+            ("targets", inner.target_log.size_bytes()),
+        ];
+        for (records, size_bytes) in logs {
+            self.metrics.set_change_log_bytes(records, size_bytes);
+        }
     }
 
     /// Returns the delay between two reads of the target records. Changes in that time are read by
@@ -127,10 +135,7 @@
         let inner = self.inner();
         let revision = inner.document_log.confirmed_revision(age_max, now)?;
         if let Some(changes) = since.and_then(|since| inner.document_log.changes_since(since)) {
-            // Each version is complete, so the reader needs only the newest one.
-            let newest = changes.changed.into_iter().max_by_key(|d| d.version);
-            let changed = newest.into_iter().collect();
-            return Some((false, Changes { changed, ..changes }));
+            return Some((false, changes));
         }
         let document = inner.document.as_ref()?;
         Some((
--- a/lib/src/target/record.rs
+++ b/lib/src/target/record.rs
@@ -107,6 +107,21 @@
     fn feed_key(&self) -> Cow<'_, str> {
         Cow::Borrowed(self.host.as_str())
     }
+
+    fn size_bytes(&self) -> usize {
+        let weights = self.staged.iter().chain(&self.weights);
+        let weights = weights.map(|weights| size_of::<WeightsId>() + weights.as_str().len());
+        let weights: usize = weights.sum();
+        let group = self.membership.iter().map(|m| m.group.as_str().len());
+        let group: usize = group.sum();
+        let domain = self
+            .domain
+            .as_ref()
+            .map_or(0, |domain| domain.as_str().len());
+        let names = self.host.as_str().len() + self.service.as_str().len();
+        let names = names + self.data_centre.as_str().len() + domain + group;
+        size_of::<Self>() + names + weights
+    }
 }
 
 impl Keyed for TargetRecord {
--- a/lib/src/version/routes.rs
+++ b/lib/src/version/routes.rs
@@ -20,6 +20,9 @@
 use crate::sorted::SortedVec;
 use crate::units::RequestRate;
 
+/// The key of the record whose versions are the documents.
+const FEED_KEY: &str = "configuration";
+
 /// Whether and how a route's requests may be retried.
 #[derive(Clone, Copy, Debug, Deserialize, Display, Eq, PartialEq, Serialize)]
 pub enum RouteKind {
@@ -109,6 +112,15 @@
         }
         None
     }
+
+    /// Returns about how many bytes of memory the route takes.
+    fn size_bytes(&self) -> usize {
+        let shares = self.shares.iter();
+        let shares = shares.map(|share| size_of::<ServiceShare>() + share.service.as_str().len());
+        let shares: usize = shares.sum();
+        let texts = self.name.len() + self.host.len() + self.prefix.len();
+        size_of::<Self>() + texts + shares
+    }
 }
 
 /// The parameters of a model as the engines of a service run it.
@@ -177,6 +189,16 @@
     pub engine: Option<EngineProfile>,
 }
 
+impl ServiceSpec {
+    /// Returns about how many bytes of memory the configuration takes.
+    fn size_bytes(&self) -> usize {
+        let models = self.engine.iter().flat_map(|engine| engine.models.iter());
+        let models = models.map(|model| size_of::<ModelProfile>() + model.weights.as_str().len());
+        let models: usize = models.sum();
+        size_of::<Self>() + self.service.as_str().len() + models
+    }
+}
+
 impl Keyed for ServiceSpec {
     type Key = ServiceId;
 
@@ -209,6 +231,13 @@
     pub priority: Option<u8>,
 }
 
+impl AccountKey {
+    /// Returns about how many bytes of memory the key takes.
+    fn size_bytes(&self) -> usize {
+        size_of::<Self>() + self.api_key.len() + self.account.as_str().len()
+    }
+}
+
 impl Keyed for AccountKey {
     type Key = String;
 
@@ -251,9 +280,22 @@
 }
 
 impl FeedRecord for RouteDocument {
-    /// Each version is a record of its own, so that readers can choose the newest one.
+    /// All versions are changes of one record.
     fn feed_key(&self) -> Cow<'_, str> {
-        Cow::Owned(self.version.to_string())
+        Cow::Borrowed(FEED_KEY)
+    }
+
+    /// The newest version counts, in whatever order they were read.
+    fn replaces(&self, known: &Self) -> bool {
+        self.version >= known.version
+    }
+
+    fn size_bytes(&self) -> usize {
+        let routes: usize = self.routes.iter().map(Route::size_bytes).sum();
+        let services: usize = self.services.iter().map(ServiceSpec::size_bytes).sum();
+        let keys = self.keys.iter().flat_map(SortedVec::iter);
+        let keys: usize = keys.map(AccountKey::size_bytes).sum();
+        size_of::<Self>() + routes + services + keys
     }
 }
 
--- a/lib/tests/test_change_log.rs
+++ b/lib/tests/test_change_log.rs
@@ -1,14 +1,21 @@
 //! Tests of the changes of records that an entry passes on to others.
 
+use std::borrow::Cow;
+use std::sync::Arc;
 use std::time::Duration;
 
+use beryltray_lib::ids::DocumentVersion;
 use beryltray_lib::ids::HostId;
 use beryltray_lib::ids::Incarnation;
 use beryltray_lib::ids::Revision;
 use beryltray_lib::platform::feed::Changes;
+use beryltray_lib::platform::feed::FeedRecord;
 use beryltray_lib::process::gateway::ChangeLog;
+use beryltray_lib::sorted::SortedVec;
 use beryltray_lib::target::record::Availability;
 use beryltray_lib::target::record::TargetRecord;
+use beryltray_lib::version::routes::CallerLimits;
+use beryltray_lib::version::routes::RouteDocument;
 use quickcheck::TestResult;
 
 fn record(host: &str, slots: u32) -> TargetRecord {
@@ -150,3 +157,123 @@
     }
     quickcheck::quickcheck(property as fn(Vec<HostChange>, Vec<u8>) -> TestResult);
 }
+
+fn document(version: u64) -> RouteDocument {
+    RouteDocument::new(
+        DocumentVersion(version),
+        CallerLimits {
+            head_limit_bytes: 16_384,
+            body_limit_bytes: 65_536,
+            head_timeout: Duration::from_secs(3),
+            idle_timeout: Duration::from_secs(15),
+        },
+        Vec::new(),
+        SortedVec::new(),
+        None,
+    )
+}
+
+fn document_changes(revision: u64, version: u64) -> Changes<RouteDocument> {
+    Changes {
+        changed: vec![document(version)],
+        removed: Vec::new(),
+        revision: Revision(revision),
+    }
+}
+
+// Guards against memory that grows with each version: an entry kept the last 512 configurations.
+#[test]
+fn on_changes_many_versions_only_newest_configuration_is_kept() {
+    let mut log = ChangeLog::default();
+    log.on_snapshot(Revision(10));
+    for version in 1..=600 {
+        log.on_changes(document_changes(10 + version, version));
+    }
+    let changes = log.changes_since(Revision(10)).unwrap();
+    assert_eq!(changes.changed, [document(600)]);
+    assert_eq!(changes.revision, Revision(610));
+    assert_eq!(log.changes_since(Revision(610)).unwrap().changed, []);
+}
+
+// Guards against readers that are set back to an older configuration, which was read later.
+#[test]
+fn on_changes_older_version_read_later_does_not_replace_newer_one() {
+    let mut log = ChangeLog::default();
+    log.on_snapshot(Revision(10));
+    log.on_changes(document_changes(12, 7));
+    log.on_changes(document_changes(13, 6));
+    let changes = log.changes_since(Revision(10)).unwrap();
+    assert_eq!(changes.changed, [document(7)]);
+    assert_eq!(changes.revision, Revision(13));
+}
+
+/// A large record that counts how many copies of it exist.
+#[derive(Clone)]
+struct CountedRecord {
+    key: String,
+    _copies: Arc<()>,
+}
+
+impl FeedRecord for CountedRecord {
+    fn feed_key(&self) -> Cow<'_, str> {
+        Cow::Borrowed(&self.key)
+    }
+
+    fn size_bytes(&self) -> usize {
+        20_000
+    }
+}
+
+// Guards against memory that grows with each change of a target's record.
+#[test]
+fn on_changes_changed_and_removed_records_hold_memory_of_listed_ones_only() {
+    const LISTED: usize = 8;
+    let copies = Arc::new(());
+    let mut log = ChangeLog::default();
+    log.on_snapshot(Revision(0));
+    let mut sizes = Vec::new();
+    for revision in 1..=4_000 {
+        let record = CountedRecord {
+            key: format!("i-{}", revision % LISTED),
+            _copies: Arc::clone(&copies),
+        };
+        log.on_changes(Changes {
+            changed: vec![record],
+            removed: Vec::new(),
+            revision: Revision(revision as u64),
+        });
+        sizes.push(log.size_bytes());
+    }
+    assert_eq!(Arc::strong_count(&copies), 1 + LISTED);
+    assert_eq!(sizes.iter().max(), sizes.last());
+    assert!(log.size_bytes() < (LISTED + 1) * 20_000);
+    let keys = (0..LISTED).map(|host| format!("i-{host}"));
+    log.on_changes(Changes {
+        changed: Vec::new(),
+        removed: keys.collect(),
+        revision: Revision(5_000),
+    });
+    assert_eq!(Arc::strong_count(&copies), 1);
+    assert!(log.size_bytes() < 20_000);
+}
+
+// Guards against memory that grows with each host that is replaced, and against readers that miss a
+// removal which is no longer known.
+#[test]
+fn on_changes_removals_beyond_limit_make_readers_take_a_snapshot() {
+    const SIZE_MAX_BYTES: usize = 1024 * 1024;
+    let mut log = ChangeLog::<TargetRecord>::default();
+    log.on_snapshot(Revision(0));
+    for revision in 1..=50_000 {
+        log.on_changes(removed(revision, &format!("i-{revision:08}")));
+        assert!(log.size_bytes() < SIZE_MAX_BYTES);
+    }
+    assert_eq!(log.changes_since(Revision(0)), None);
+    let mut complete = (0..50_000).filter_map(|since| {
+        let changes = log.changes_since(Revision(since))?;
+        Some((50_000 - since, changes.removed.len() as u64))
+    });
+    let (expected, found) = complete.next().unwrap();
+    assert_eq!(found, expected);
+    assert!(expected > 1_000);
+}
