forward: a waiting request does not keep the configuration

With a change each 0.08 s and requests that wait 8 s, up to 100 versions would be in memory at a time.

Cause: a request kept the document in force when it came while its body was read and until its answer or the head of its stream.

Change: the document is held only while the request is matched, after its body has been read; what applies to the request is copied as before. A request whose body comes slowly is thus matched against the newer version. The gauge configurations_in_memory counts the versions that are still in use.

--- a/lib/src/process/gateway/metrics.rs
+++ b/lib/src/process/gateway/metrics.rs
@@ -47,6 +47,8 @@
     pub platform_failures: IntCounterVec,
     /// The version of the configuration in force.
     pub configuration_version: IntGauge,
+    /// The versions of the configuration in memory: the one in force, and those in use by requests.
+    pub configurations_in_memory: IntGauge,
     /// The milliseconds since the platform last confirmed the configuration.
     pub configuration_age_ms: IntGauge,
     /// Targets that can be sent requests, by service.
@@ -144,6 +146,10 @@
                 "configuration_version",
                 "Version of the configuration in force.",
             )?,
+            configurations_in_memory: gauge(
+                "configurations_in_memory",
+                "Versions of the configuration in memory: the one in force, and those in use by requests.",
+            )?,
             is_cut_off: gauge(
                 "cut_off_from_targets",
                 "Whether no target is reached, so that requests are passed on to other entries.",
@@ -235,6 +241,7 @@
         registry.register(Box::new(self.change_log_bytes.clone()))?;
         registry.register(Box::new(self.platform_failures.clone()))?;
         registry.register(Box::new(self.configuration_version.clone()))?;
+        registry.register(Box::new(self.configurations_in_memory.clone()))?;
         registry.register(Box::new(self.configuration_age_ms.clone()))?;
         registry.register(Box::new(self.is_cut_off.clone()))?;
         registry.register(Box::new(self.passed_on.clone()))?;
--- a/lib/src/process/gateway/record_state.rs
+++ b/lib/src/process/gateway/record_state.rs
@@ -58,7 +58,7 @@
     /// that are held back.
     pub(super) fn update_record_metrics(&self) {
         let now = self.clock.now();
-        let inner = self.inner();
+        let mut inner = self.inner();
         let age_ms = |age: Duration| i64::try_from(age.as_millis()).unwrap_or(i64::MAX);
         if let Some(age) = inner.document_log.age(now) {
             self.metrics.configuration_age_ms.set(age_ms(age));
@@ -70,6 +70,10 @@
         let held_back = hosts.filter(|tracked| tracked.unlisted_from.is_some_and(|at| now < at));
         let held_back = i64::try_from(held_back.count()).unwrap_or(i64::MAX);
         self.metrics.held_back_removals.set(held_back);
+        inner.forget_unused_documents();
+        let documents = usize::from(inner.document.is_some()) + inner.replaced_documents.len();
+        let documents = i64::try_from(documents).unwrap_or(i64::MAX);
+        self.metrics.configurations_in_memory.set(documents);
         let logs = [
             ("configuration", inner.document_log.size_bytes()),
             ("targets", inner.target_log.size_bytes()),
--- a/lib/src/process/gateway/state.rs
+++ b/lib/src/process/gateway/state.rs
@@ -4,6 +4,7 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::Weak;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -79,6 +80,8 @@
 
 pub(super) struct Inner {
     pub(super) document: Option<Arc<RouteDocument>>,
+    /// The documents that were in force before and that are still in use.
+    pub(super) replaced_documents: Vec<Weak<RouteDocument>>,
     pub(super) host_tracker: HostTracker,
     pub(super) serving: Vec<ServingTarget>,
     pub(super) usage: UsageTracker,
@@ -173,6 +176,7 @@
             records_changed: Notify::new(),
             inner: Mutex::new(Inner {
                 document: None,
+                replaced_documents: Vec::new(),
                 host_tracker: HostTracker::new(),
                 serving: Vec::new(),
                 usage: UsageTracker::new(),
@@ -223,7 +227,10 @@
         );
         let version = i64::try_from(document.version.0).unwrap_or(i64::MAX);
         self.metrics.configuration_version.set(version);
-        inner.document = Some(Arc::new(document));
+        let replaced = inner.document.replace(Arc::new(document));
+        let replaced = replaced.as_ref().map(Arc::downgrade);
+        inner.replaced_documents.extend(replaced);
+        inner.forget_unused_documents();
         self.update_serving(&mut inner, ServingUpdate::Configuration, now);
         drop(inner);
         self.update_readiness();
@@ -405,6 +412,11 @@
 }
 
 impl Inner {
+    pub(super) fn forget_unused_documents(&mut self) {
+        let is_used = |document: &Weak<RouteDocument>| document.strong_count() > 0;
+        self.replaced_documents.retain(is_used);
+    }
+
     fn update_serving(&mut self, now: Instant) {
         let Some(document) = &self.document else {
             return;
--- a/lib/src/request/forward/handler.rs
+++ b/lib/src/request/forward/handler.rs
@@ -77,8 +77,9 @@
                 return (CallerRequest::default(), Err(Failure::Malformed));
             }
         };
-        let Some(document) = self.context.document() else {
-            return (caller_request, Err(not_run(NotRunReason::NotReady)));
+        let document = match self.document() {
+            Ok(document) => document,
+            Err(failure) => return (caller_request, Err(failure)),
         };
         // The other entry may have shown its callers the effect of its version.
         if let Some(hop) = hop.as_ref().filter(|hop| hop.version > document.version) {
@@ -90,6 +91,9 @@
             return (caller_request, Err(not_run(NotRunReason::NotReady)));
         }
         let limit_bytes = document.limits.body_limit_bytes;
+        // A request may wait for seconds. If it kept the document meanwhile, as many versions would be
+        // in memory as come in that time.
+        drop(document);
         let timeout = caller_request.timeout.unwrap_or(CALLER_TIMEOUT_DEFAULT);
         let read = read_body(body, limit_bytes, timeout / BODY_TIME_DIVISOR).await;
         let body = match read {
@@ -99,22 +103,29 @@
                 return (caller_request, Err(not_run(NotRunReason::Overloaded)));
             }
         };
-        let answer = match self.prepare(&document, head, body, &caller_request, hop, started_at) {
+        let answer = match self.prepare(head, body, &caller_request, hop, started_at) {
             Ok(sends) => forward(sends).await,
             Err(failure) => Err(failure),
         };
         (caller_request, answer)
     }
 
+    /// Returns the configuration in force.
+    fn document(&self) -> Result<Arc<RouteDocument>, Failure> {
+        let document = self.context.document();
+        document.ok_or(not_run(NotRunReason::NotReady))
+    }
+
+    /// Matches a request to the configuration in force and keeps a copy of what applies to it.
     fn prepare(
         &self,
-        document: &RouteDocument,
         head: http::request::Parts,
         body: Bytes,
         caller_request: &CallerRequest,
         hop: Option<Hop>,
         started_at: Instant,
     ) -> Result<RequestSends<X>, Failure> {
+        let document = self.document()?;
         let authorized = document.authorize(
             &caller_request.host,
             head.uri.path(),
