formation: orders name the number of orders that the host has accepted

Cause: a host that had accepted the order to leave g1 executed a join and an open of g1 that had got no answer, since it had seen no higher epoch. The join of g2, whose first order had got no answer either, was repeated without the check before a join, and reached the host while it led g1. The check itself only narrows the time between the host's word and the next order.

Change: each order names the number of orders that the host must have accepted, from its record, its report and its answers, and the host refuses it otherwise (`precondition`). After a refusal the host reports before the next order.

Why it works: an order takes effect in the state that its sender knew, or not at all. Once another order has begun something, no order sent before can take effect, and of all copies of an order at most one does.

The exploration is harsher: reports lag by up to 300 ms, a quarter of the late orders come after 4 to 12 s, hosts count only orders that begin something.

--- a/lib/src/process/formation/controller.rs
+++ b/lib/src/process/formation/controller.rs
@@ -10,6 +10,8 @@
 use super::host_tracker::TrackedHost;
 use super::join_check::JoinedHost;
 use super::load_limiter::LoadRateLimiter;
+use super::order_count::OrderCall;
+use super::order_count::OrderCount;
 use super::packing::Packing;
 use super::settings::FormationSettings;
 use crate::ids::Epoch;
@@ -41,6 +43,9 @@
         address: std::net::SocketAddr,
         /// The order to send.
         order: GroupOrder,
+        /// The number of orders that the host must have accepted to execute this one; `None` if the host
+        /// does not count them.
+        expected_orders: Option<u64>,
     },
     /// Request a report from a host, pass it to [`HostTracker::on_report`], then call
     /// [`FormationController::on_report_done`].
@@ -68,19 +73,17 @@
     }
 }
 
-/// The last call to a host. `next_allowed_at` is `None` while the call is unanswered, then the
-/// earliest time at which the same call may be repeated.
+/// The last request for a host's report. `next_allowed_at` is `None` while the call is unanswered, then
+/// the earliest time at which it may be repeated.
 #[derive(Clone, Debug)]
-pub(super) struct LastCall {
+pub(super) struct ReportCall {
     pub(super) host: HostId,
-    /// The order; `None` if the call requested a report.
-    pub(super) order: Option<GroupOrder>,
     pub(super) next_allowed_at: Option<Instant>,
     /// When the call was answered or failed; `None` while it is unanswered.
     pub(super) ended_at: Option<Instant>,
 }
 
-impl Keyed for LastCall {
+impl Keyed for ReportCall {
     type Key = HostId;
 
     fn key(&self) -> &HostId {
@@ -155,8 +158,9 @@
     pub(super) ended: SortedVec<EndedGroup>,
     pub(super) plans: SortedVec<ServicePlan>,
     pub(super) last_weights: SortedVec<LastWeights>,
-    pub(super) order_calls: SortedVec<LastCall>,
-    pub(super) report_calls: SortedVec<LastCall>,
+    pub(super) order_calls: SortedVec<OrderCall>,
+    pub(super) report_calls: SortedVec<ReportCall>,
+    pub(super) order_counts: SortedVec<OrderCount>,
     pub(super) joined_hosts: SortedVec<JoinedHost>,
     /// The leaders whose streams were reported as stalled, and when the polling of their groups
     /// ends.
@@ -201,6 +205,7 @@
             last_weights: SortedVec::new(),
             order_calls: SortedVec::new(),
             report_calls: SortedVec::new(),
+            order_counts: SortedVec::new(),
             joined_hosts: SortedVec::new(),
             stalled: Vec::new(),
             is_before_traffic: false,
@@ -256,16 +261,16 @@
         now: Instant,
     ) {
         let retry = match answer {
-            Ok(OrderAnswer::Accepted) => self.settings.order_retry,
+            Ok(answer) if answer.is_accepted() => self.settings.order_retry,
             Ok(_) => self.settings.conflict_retry,
             Err(_) => Duration::ZERO,
         };
-        self.order_calls.insert(LastCall {
-            host: host.clone(),
-            order: Some(order.clone()),
-            next_allowed_at: Some(now + retry),
-            ended_at: Some(now),
-        });
+        if let Some(call) = self.order_calls.get_mut(host) {
+            call.next_allowed_at = Some(now + retry);
+            call.ended_at = Some(now);
+            call.has_conflicted = matches!(answer, Ok(OrderAnswer::Conflict));
+        }
+        self.count_order(host, answer);
         self.record_join_answer(host, order, answer);
         let group = match order {
             GroupOrder::Join { group, .. }
@@ -275,7 +280,8 @@
             GroupOrder::Stage { .. } => {
                 if !matches!(
                     answer,
-                    Ok(OrderAnswer::Accepted) | Err(CallError::InDoubt { .. })
+                    Ok(OrderAnswer::Accepted | OrderAnswer::Unchanged)
+                        | Err(CallError::InDoubt { .. })
                 ) {
                     self.staging.remove(host);
                 }
@@ -286,7 +292,7 @@
             return;
         };
         match (order, answer) {
-            (GroupOrder::Join { .. }, Ok(OrderAnswer::Accepted)) => {
+            (GroupOrder::Join { .. }, Ok(answer)) if answer.is_accepted() => {
                 if let Some(member) = group.members.iter_mut().find(|m| m.host == *host) {
                     member.has_joined = true;
                 }
@@ -298,7 +304,7 @@
                 group.is_leader_stopped = true;
                 group.enter(GroupPhase::Ended, now);
             }
-            (GroupOrder::Close { .. }, Ok(OrderAnswer::Accepted)) => {
+            (GroupOrder::Close { .. }, Ok(answer)) if answer.is_accepted() => {
                 group.close_accepted_at = Some(now);
             }
             (GroupOrder::Leave { .. }, Err(CallError::InDoubt { .. })) => {
@@ -308,7 +314,12 @@
             // this group.
             (
                 GroupOrder::Leave { .. },
-                Ok(OrderAnswer::Accepted | OrderAnswer::Superseded | OrderAnswer::WrongTarget),
+                Ok(
+                    OrderAnswer::Accepted
+                    | OrderAnswer::Unchanged
+                    | OrderAnswer::Superseded
+                    | OrderAnswer::WrongTarget,
+                ),
             ) => {
                 group.may_have_received_leave = true;
                 let is_leader = group.leader().is_some_and(|leader| leader.host == *host);
@@ -326,9 +337,8 @@
 
     /// Handles the end of a call for a report, answered or not. The tracker must already have it.
     pub fn on_report_done(&mut self, host: &HostId, now: Instant) {
-        self.report_calls.insert(LastCall {
+        self.report_calls.insert(ReportCall {
             host: host.clone(),
-            order: None,
             next_allowed_at: Some(now + self.settings.report_interval),
             ended_at: Some(now),
         });
--- a/lib/src/process/formation/host_tracker.rs
+++ b/lib/src/process/formation/host_tracker.rs
@@ -198,6 +198,14 @@
         }
     }
 
+    /// Returns the highest number of accepted orders that the host's current process has told; `None`
+    /// if it does not count them.
+    pub fn accepted_orders(&self) -> Option<u64> {
+        let reported = self.own_report.as_ref();
+        let reported = reported.and_then(|report| report.accepted_orders);
+        self.record.accepted_orders.max(reported)
+    }
+
     /// Returns the time that [`Self::membership`] refers to.
     pub fn membership_at(&self) -> Instant {
         self.newer_report()
@@ -508,7 +516,7 @@
 }
 
 /// Returns whether both numbers are known and the first one is smaller.
-fn is_fewer(first: Option<u64>, second: Option<u64>) -> bool {
+pub(super) fn is_fewer(first: Option<u64>, second: Option<u64>) -> bool {
     first
         .zip(second)
         .is_some_and(|(first, second)| first < second)
--- a/lib/src/process/formation/join_check.rs
+++ b/lib/src/process/formation/join_check.rs
@@ -7,6 +7,9 @@
 //!   had ended, or
 //! - its answers to the joins and leaves of this lease holder. A host that has accepted a join under
 //!   this lease rejects those of earlier holders, so it is only moved by this one.
+//!
+//! Either counts only for the number of orders that the host had accepted then. If it is known to have
+//! accepted more, another order has been executed since.
 
 use super::controller::FormationController;
 use super::controller::is_warm_spare_id;
@@ -15,6 +18,7 @@
 use super::host_tracker::HostTracker;
 use super::host_tracker::OwnReport;
 use super::host_tracker::TrackedHost;
+use super::host_tracker::is_fewer;
 use crate::ids::Epoch;
 use crate::ids::GroupId;
 use crate::ids::HostId;
@@ -51,6 +55,9 @@
     host: HostId,
     incarnation: Incarnation,
     place: Place,
+    /// The number of orders that the host had accepted when it was there; `None` if it does not count
+    /// them.
+    accepted_orders: Option<u64>,
 }
 
 /// The group that a host is in, as its answers to orders prove.
@@ -83,7 +90,7 @@
         match order {
             GroupOrder::Join { group, epoch, .. } => {
                 let place = match answer {
-                    Ok(OrderAnswer::Accepted) => Place::In {
+                    Ok(answer) if answer.is_accepted() => Place::In {
                         group: group.clone(),
                         epoch: *epoch,
                     },
@@ -101,20 +108,33 @@
                     host: host.clone(),
                     incarnation: member.incarnation,
                     place,
+                    accepted_orders: self.counted_orders(host),
                 });
             }
             GroupOrder::Leave { group, .. } => {
+                let accepted_orders = self.counted_orders(host);
                 if let Some(joined) = self.joined_hosts.get_mut(host)
-                    && matches!(answer, Ok(OrderAnswer::Accepted))
+                    && matches!(answer, Ok(answer) if answer.is_accepted())
                     && matches!(&joined.place, Place::In { group: id, .. } if id == group)
                 {
                     joined.place = Place::Left;
+                    joined.accepted_orders = accepted_orders;
                 }
             }
             _ => {}
         }
     }
 
+    /// Records that a host which had accepted `expected` orders has now accepted `accepted`, and is where
+    /// it was unless the order moved it.
+    pub(super) fn update_place_count(&mut self, host: &HostId, expected: u64, accepted: u64) {
+        if let Some(joined) = self.joined_hosts.get_mut(host)
+            && joined.accepted_orders == Some(expected)
+        {
+            joined.accepted_orders = Some(accepted);
+        }
+    }
+
     /// Returns what has to happen before `member` is ordered to join `group`.
     pub(super) fn check_join(
         &self,
@@ -125,16 +145,20 @@
         if !self.settings.checks_before_join {
             return JoinCheck::Free;
         }
-        let last_order = self.order_calls.get(&member.host);
-        let is_repetition = last_order.is_some_and(|last| {
-            matches!(&last.order, Some(GroupOrder::Join { group: id, .. }) if *id == group.id)
-        });
-        let is_first_order = last_order.is_none() && self.lease_epoch == FIRST_LEASE_EPOCH;
-        if is_repetition || is_first_order {
+        let tracked = tracker.get(&member.host);
+        let tracked = tracked.filter(|host| host.record.incarnation == member.incarnation);
+        let known_orders = tracked.and_then(|host| self.known_orders(host));
+        let is_first_order = !self.order_calls.contains_key(&member.host)
+            && self.lease_epoch == FIRST_LEASE_EPOCH
+            && known_orders.is_none_or(|count| count == 0);
+        if is_first_order {
             return JoinCheck::Free;
         }
         let joined = self.joined_hosts.get(&member.host);
-        match joined.filter(|joined| joined.incarnation == member.incarnation) {
+        let is_current = |joined: &&JoinedHost| {
+            joined.incarnation == member.incarnation && joined.accepted_orders == known_orders
+        };
+        match joined.filter(is_current) {
             Some(JoinedHost {
                 place: Place::In { group: id, epoch },
                 ..
@@ -144,8 +168,6 @@
             }) => return JoinCheck::Free,
             _ => {}
         }
-        let tracked = tracker.get(&member.host);
-        let tracked = tracked.filter(|host| host.record.incarnation == member.incarnation);
         match tracked.and_then(|host| self.confirming_report(host)) {
             None => JoinCheck::Unconfirmed,
             Some(report) => match &report.membership {
@@ -156,14 +178,17 @@
     }
 
     /// Returns the host's own report if it was requested after the lease was acquired and after the last
-    /// order to the host had ended.
+    /// order to the host had ended, and the host is not known to have accepted more orders.
     fn confirming_report<'a>(&self, tracked: &'a TrackedHost) -> Option<&'a OwnReport> {
         let report = tracked.own_report.as_ref()?;
         let is_after_orders = match self.order_calls.get(&tracked.record.host) {
             Some(order) => order.ended_at.is_some_and(|at| report.requested_at > at),
             None => true,
         };
-        (report.requested_at > self.acquired_at && is_after_orders).then_some(report)
+        let is_outdated = is_fewer(report.accepted_orders, self.known_orders(tracked));
+        let is_confirming =
+            report.requested_at > self.acquired_at && is_after_orders && !is_outdated;
+        is_confirming.then_some(report)
     }
 
     /// Returns whether the host has confirmed that it is in a group that has not ended, whatever the
--- a/lib/src/process/formation/mod.rs
+++ b/lib/src/process/formation/mod.rs
@@ -13,6 +13,8 @@
 //! - A host is ordered to join a group only after it has itself confirmed to this lease holder that
 //!   it is in no group that may serve. What the registry says of it is not enough: a host that is
 //!   cut off from the registry may have joined a group of an earlier holder since.
+//! - An order names the number of orders that the host must have accepted, and the host refuses it
+//!   otherwise. So an order that arrives after another one has begun something has no effect.
 //! - A host is chosen for another group only after the leader of its group is known to have stopped
 //!   serving: closed, broken, or its process ended.
 //! - A group is opened only after each member was seen ready under the group's name and epoch. A
@@ -29,6 +31,7 @@
 mod host_tracker;
 mod join_check;
 mod load_limiter;
+mod order_count;
 mod outage;
 mod packing;
 mod phases;
--- a/lib/src/process/formation/phases.rs
+++ b/lib/src/process/formation/phases.rs
@@ -6,7 +6,7 @@
 
 use super::controller::FormationAction;
 use super::controller::FormationController;
-use super::controller::LastCall;
+use super::controller::ReportCall;
 use super::group::Group;
 use super::group::GroupMember;
 use super::group::GroupPhase;
@@ -14,9 +14,9 @@
 use super::host_tracker::Liveness;
 use super::host_tracker::TrackedHost;
 use super::join_check::JoinCheck;
+use super::order_count::OrderCall;
 use crate::ids::HostId;
 use crate::ids::WeightsId;
-use crate::sorted::SortedVec;
 use crate::target::record::Availability;
 use crate::target::record::CloseMode;
 use crate::target::record::GroupOrder;
@@ -104,7 +104,7 @@
                     group.enter(GroupPhase::Ended, now);
                 } else if all_ready {
                     group.enter(GroupPhase::Opening, now);
-                    self.order_open(group, now, actions);
+                    self.order_open(group, tracker, now, actions);
                 } else {
                     self.order_joins(group, &statuses, tracker, now, actions);
                     self.poll_pending_joins(group, &statuses, tracker, now, actions);
@@ -116,7 +116,7 @@
                 } else if leader == MemberStatus::Joined(MemberState::Open) {
                     group.enter(GroupPhase::Open, now);
                 } else {
-                    self.order_open(group, now, actions);
+                    self.order_open(group, tracker, now, actions);
                 }
             }
             GroupPhase::Open => {
@@ -188,7 +188,7 @@
                 epoch: group.epoch,
                 mode: CloseMode::Finish,
             };
-            self.order_leader(group, order, now, actions);
+            self.order_leader(group, order, tracker, now, actions);
         }
         self.poll_members_in_doubt(group, tracker, now, actions);
     }
@@ -210,13 +210,19 @@
         is_closed && is_newer
     }
 
-    fn order_open(&mut self, group: &mut Group, now: Instant, actions: &mut Vec<FormationAction>) {
+    fn order_open(
+        &mut self,
+        group: &mut Group,
+        tracker: &HostTracker,
+        now: Instant,
+        actions: &mut Vec<FormationAction>,
+    ) {
         group.may_have_served = true;
         let order = GroupOrder::Open {
             group: group.id.clone(),
             epoch: group.epoch,
         };
-        self.order_leader(group, order, now, actions);
+        self.order_leader(group, order, tracker, now, actions);
     }
 
     /// Orders the leader to leave until it has left or its process has ended. A leader that can't
@@ -255,7 +261,7 @@
         if leader_status == MemberStatus::Lost {
             self.release_members(group, tracker, now, actions);
         }
-        self.push_leave(group, &leader, now, actions);
+        self.push_leave(group, &leader, tracker, now, actions);
         self.request_report(&leader, now, actions);
     }
 
@@ -279,7 +285,7 @@
                 _ => {
                     all_left = false;
                     group.may_have_received_leave = true;
-                    self.push_leave(group, &member, now, actions);
+                    self.push_leave(group, &member, tracker, now, actions);
                 }
             }
         }
@@ -292,6 +298,7 @@
         &mut self,
         group: &Group,
         member: &GroupMember,
+        tracker: &HostTracker,
         now: Instant,
         actions: &mut Vec<FormationAction>,
     ) {
@@ -299,7 +306,7 @@
             group: group.id.clone(),
             epoch: group.epoch,
         };
-        self.push_order(member, order, now, actions);
+        self.push_order(member, order, tracker, now, actions);
     }
 
     fn member_status(
@@ -459,11 +466,13 @@
         now: Instant,
         actions: &mut Vec<FormationAction>,
     ) {
-        let ended_at = |calls: &SortedVec<LastCall>| calls.get(&member.host)?.ended_at;
-        let is_outdated = match (ended_at(&self.report_calls), ended_at(&self.order_calls)) {
-            (Some(report_at), Some(order_at)) => order_at >= report_at,
-            _ => false,
-        };
+        let report_call = self.report_calls.get(&member.host);
+        let order_call = self.order_calls.get(&member.host);
+        let reported_at = report_call.and_then(|call| call.ended_at);
+        let ordered_at = order_call.and_then(|call| call.ended_at);
+        let is_outdated = reported_at
+            .zip(ordered_at)
+            .is_some_and(|(reported_at, ordered_at)| ordered_at >= reported_at);
         if is_outdated {
             self.push_report(&member.host, member.address, actions);
         } else {
@@ -477,9 +486,8 @@
         address: SocketAddr,
         actions: &mut Vec<FormationAction>,
     ) {
-        self.report_calls.insert(LastCall {
+        self.report_calls.insert(ReportCall {
             host: host.clone(),
-            order: None,
             next_allowed_at: None,
             ended_at: None,
         });
@@ -519,10 +527,12 @@
                 members: group.members.iter().map(|m| m.host.clone()).collect(),
             };
             match self.check_join(group, member, tracker) {
-                JoinCheck::Free => self.push_order(member, order, now, actions),
+                JoinCheck::Free => {
+                    self.push_order(member, order, tracker, now, actions);
+                }
                 JoinCheck::Leaves { group, epoch } => {
                     let order = GroupOrder::Leave { group, epoch };
-                    self.push_order(member, order, now, actions);
+                    self.push_order(member, order, tracker, now, actions);
                 }
                 JoinCheck::Unconfirmed => self.request_confirmation(member, now, actions),
                 JoinCheck::Taken => {}
@@ -534,39 +544,55 @@
         &mut self,
         group: &Group,
         order: GroupOrder,
+        tracker: &HostTracker,
         now: Instant,
         actions: &mut Vec<FormationAction>,
     ) {
         if let Some(leader) = group.leader() {
-            self.push_order(leader, order, now, actions);
+            self.push_order(leader, order, tracker, now, actions);
         }
     }
 
+    /// Sends an order if it is due, and requests a report first if the host's number of orders is not
+    /// known. Returns whether the order is sent.
     pub(super) fn push_order(
         &mut self,
         member: &GroupMember,
         order: GroupOrder,
+        tracker: &HostTracker,
         now: Instant,
         actions: &mut Vec<FormationAction>,
-    ) {
+    ) -> bool {
         let is_due = self.order_calls.get(&member.host).is_none_or(|last| {
             // A new order waits only for the answer to the previous one. A repetition of the same
             // order also waits for the retry delay.
             last.next_allowed_at
-                .is_some_and(|at| now >= at || last.order.as_ref() != Some(&order))
+                .is_some_and(|at| now >= at || last.order != order)
         });
-        if is_due {
-            self.order_calls.insert(LastCall {
-                host: member.host.clone(),
-                order: Some(order.clone()),
-                next_allowed_at: None,
-                ended_at: None,
-            });
-            actions.push(FormationAction::Order {
-                host: member.host.clone(),
-                address: member.address,
-                order,
-            });
+        if !is_due {
+            return false;
         }
+        if self.must_report_before_order(member, tracker) {
+            self.request_confirmation(member, now, actions);
+            return false;
+        }
+        let expected_orders = self.expected_orders(member, tracker);
+        self.order_calls.insert(OrderCall {
+            host: member.host.clone(),
+            incarnation: member.incarnation,
+            order: order.clone(),
+            expected_orders,
+            next_allowed_at: None,
+            ended_at: None,
+            has_conflicted: false,
+        });
+        let is_expected = self.settings.expects_order_counts;
+        actions.push(FormationAction::Order {
+            host: member.host.clone(),
+            address: member.address,
+            order,
+            expected_orders: expected_orders.filter(|_| is_expected),
+        });
+        true
     }
 }
--- a/lib/src/process/formation/settings.rs
+++ b/lib/src/process/formation/settings.rs
@@ -25,6 +25,9 @@
     /// Whether a host has to confirm that it is in no other group before it is ordered to join one.
     /// Only tests that show what the check prevents turn it off.
     pub checks_before_join: bool,
+    /// Whether orders name the number of orders that the host must have accepted. Only tests that show
+    /// what that prevents turn it off.
+    pub expects_order_counts: bool,
 }
 
 impl Default for FormationSettings {
@@ -47,6 +50,7 @@
             // hosts are polled at the same time.
             lost_report_extra_interval: Duration::from_millis(800),
             checks_before_join: true,
+            expects_order_counts: true,
         }
     }
 }
--- a/lib/src/process/formation/spares.rs
+++ b/lib/src/process/formation/spares.rs
@@ -110,7 +110,7 @@
                 if !self.can_stage(plan, tracker, now) {
                     break;
                 }
-                self.stage(plan, tracked, weights, now, actions);
+                self.stage(plan, tracked, weights, tracker, now, actions);
             }
         }
         self.plans = plans;
@@ -194,6 +194,7 @@
         plan: &mut ServicePlan,
         tracked: &TrackedHost,
         weights: WeightsId,
+        tracker: &HostTracker,
         now: Instant,
         actions: &mut Vec<FormationAction>,
     ) {
@@ -205,16 +206,10 @@
             has_joined: false,
             has_left: false,
         };
-        let actions_before = actions.len();
-        self.push_order(
-            &member,
-            GroupOrder::Stage {
-                weights: weights.clone(),
-            },
-            now,
-            actions,
-        );
-        if actions.len() > actions_before {
+        let order = GroupOrder::Stage {
+            weights: weights.clone(),
+        };
+        if self.push_order(&member, order, tracker, now, actions) {
             if !self.is_before_traffic {
                 plan.load_limiter.on_started(1, now);
             }
--- a/lib/src/process/gateway/coordinate.rs
+++ b/lib/src/process/gateway/coordinate.rs
@@ -282,15 +282,28 @@
                 host,
                 address,
                 order,
+                expected_orders,
             } => {
                 tokio::spawn(async move {
-                    let sent = targets.order(address, host.clone(), order.clone(), ORDER_TIMEOUT);
+                    let sent = targets.order(
+                        address,
+                        host.clone(),
+                        order.clone(),
+                        expected_orders,
+                        ORDER_TIMEOUT,
+                    );
                     let answer = sent.await;
                     let label = answer.as_ref().map_or("no answer", OrderAnswer::label);
                     state.metrics.count_order(order.label(), label);
                     match &answer {
-                        Ok(answer) => log::info!(host:% = host, order:% = order; "order: {answer}"),
-                        Err(error) => log::warn!(host:% = host, order:% = order; "order: {error}"),
+                        Ok(answer) => log::info!(
+                            host:% = host, order:% = order, expected_orders:? = expected_orders;
+                            "order: {answer}"
+                        ),
+                        Err(error) => log::warn!(
+                            host:% = host, order:% = order, expected_orders:? = expected_orders;
+                            "order: {error}"
+                        ),
                     }
                     let result = CallResult::Order {
                         epoch,
--- a/lib/src/target/record.rs
+++ b/lib/src/target/record.rs
@@ -210,10 +210,14 @@
 /// A host's answer to an order.
 #[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
 pub enum OrderAnswer {
-    /// The host executes the order, or is already in the ordered state.
+    /// The host has begun to execute the order.
     #[display("accepted")]
     Accepted,
-    /// The order is not possible in the host's current state.
+    /// The host is already in the ordered state, so the order has begun nothing.
+    #[display("accepted, nothing to do")]
+    Unchanged,
+    /// The order is not possible in the host's current state, or the host has accepted another number of
+    /// orders than expected.
     #[display("conflict")]
     Conflict,
     /// The host has seen a newer epoch, or other members for this epoch.
@@ -241,10 +245,15 @@
 }
 
 impl OrderAnswer {
+    /// Returns whether the host is in the ordered state or about to be.
+    pub fn is_accepted(self) -> bool {
+        matches!(self, Self::Accepted | Self::Unchanged)
+    }
+
     /// Returns the label of the answer in metrics.
     pub fn label(&self) -> &'static str {
         match self {
-            Self::Accepted => "accepted",
+            Self::Accepted | Self::Unchanged => "accepted",
             Self::Conflict => "conflict",
             Self::Superseded => "superseded",
             Self::WrongTarget => "wrong target",
@@ -298,11 +307,15 @@
     ) -> impl Future<Output = Result<TargetReport, CallError>> + Send;
 
     /// Sends an order to `host`, which is reached at `address`, within `timeout`.
+    ///
+    /// The host refuses the order with [`OrderAnswer::Conflict`] if it has accepted another number of
+    /// orders than `expected_orders`; `None` sends the order without that condition.
     fn order(
         &self,
         address: SocketAddr,
         host: HostId,
         order: GroupOrder,
+        expected_orders: Option<u64>,
         timeout: Duration,
     ) -> impl Future<Output = Result<OrderAnswer, CallError>> + Send;
 }
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -11,6 +11,7 @@
 mod test_exchange;
 mod test_formation;
 mod test_formation_handover;
+mod test_formation_late_orders;
 mod test_formation_losses;
 mod test_formation_pauses;
 mod test_formation_waiting;
--- a/lib/tests/test_formation_handover.rs
+++ b/lib/tests/test_formation_handover.rs
@@ -4,10 +4,12 @@
 //! `BERYLTRAY_EXPLORE_SEED` selects other schedules and `BERYLTRAY_HANDOVER_SCHEDULES` sets their
 //! number.
 
+use std::ops::Range;
 use std::time::Duration;
 use std::time::Instant;
 
 use beryltray_lib::ids::Epoch;
+use beryltray_lib::process::formation::FormationSettings;
 use beryltray_lib::process::formation::HostTracker;
 use beryltray_lib::target::record::Availability;
 use beryltray_lib::target::record::GroupOrder;
@@ -26,6 +28,10 @@
 const SCHEDULES: u64 = 150;
 /// The environment variable that sets the number of schedules.
 const SCHEDULES_VARIABLE: &str = "BERYLTRAY_HANDOVER_SCHEDULES";
+/// The schedules that are explored for the violation of an entry that joins hosts without a check.
+const UNCHECKED_SEEDS: Range<u64> = 200..600;
+/// The schedules that are explored for the violation of an entry whose orders name no number of orders.
+const UNCOUNTED_SEEDS: Range<u64> = 1_500..2_000;
 /// The number of faults in a schedule.
 const FAULTS: usize = 14;
 
@@ -53,14 +59,35 @@
     }
 }
 
+/// Which faults a schedule has.
+#[derive(Clone, Copy, Debug)]
+enum Faults {
+    /// All kinds, in a fleet with groups of two models.
+    Mixed,
+    /// Restarts, cuts and hand-overs while many orders are late, in a small fleet with groups of two hosts.
+    LateOrders,
+}
+
 /// Runs the schedule of a seed and returns the violations.
-fn violations(seed: u64, joins_without_check: bool) -> Vec<String> {
+fn violations(seed: u64, faults: Faults, settings: FormationSettings) -> Vec<String> {
     let mut random = SmallRng::seed_from_u64(seed);
     let waits: Vec<u64> = (0..FAULTS).map(|_| random.random_range(0..1_600)).collect();
-    let mut simulation =
-        HandoverSimulation::open(profile(), &[8, 7], 3, random, joins_without_check);
+    let mut simulation = match faults {
+        Faults::Mixed => HandoverSimulation::open(profile(), &[8, 7], 3, random, settings),
+        Faults::LateOrders => {
+            let mut profile = profile();
+            profile.models.remove(0);
+            HandoverSimulation::open(profile, &[3, 2], 3, random, settings)
+        }
+    };
     for wait_ms in waits {
-        simulation.inject_fault();
+        match faults {
+            Faults::Mixed => simulation.inject_fault(),
+            Faults::LateOrders => {
+                simulation.delay_many_orders();
+                simulation.inject_fault_beside_late_orders();
+            }
+        }
         simulation.run(Duration::from_millis(wait_ms));
         if !simulation.fleet.violations.is_empty() {
             break;
@@ -69,29 +96,62 @@
     simulation.fleet.violations
 }
 
-/// Returns the seeds whose schedules violate the invariant, with the first violation of each.
-fn failing_seeds(schedules: u64, joins_without_check: bool) -> Vec<(u64, String)> {
+/// Returns the seeds of the schedules to explore.
+fn seeds() -> Range<u64> {
+    let schedules = std::env::var(SCHEDULES_VARIABLE).ok();
+    let schedules = schedules.and_then(|count| count.parse().ok());
     let first = extra_seed().wrapping_mul(1_000_000);
-    let violated = |seed| {
-        let found = violations(seed, joins_without_check).into_iter().next()?;
+    first..first + schedules.unwrap_or(SCHEDULES)
+}
+
+/// Returns the first seed whose schedule violates the invariant, with the first violation.
+fn find_violation(
+    mut seeds: Range<u64>,
+    faults: Faults,
+    settings: FormationSettings,
+) -> Option<(u64, String)> {
+    seeds.find_map(|seed| {
+        let found = violations(seed, faults, settings).into_iter().next()?;
         Some((seed, found))
-    };
-    (first..first + schedules).filter_map(violated).collect()
+    })
 }
 
 #[test]
 fn formation_handovers_keep_hosts_in_one_serving_group() {
-    let schedules = std::env::var(SCHEDULES_VARIABLE)
-        .ok()
-        .and_then(|count| count.parse().ok())
-        .unwrap_or(SCHEDULES);
-    assert_eq!(failing_seeds(schedules, false), Vec::new());
+    let settings = FormationSettings::default();
+    assert_eq!(find_violation(seeds(), Faults::Mixed, settings), None);
+}
+
+// Guards against hosts that execute late orders after they have left the group or restarted.
+#[test]
+fn formation_late_orders_keep_hosts_in_one_serving_group() {
+    let settings = FormationSettings::default();
+    let found = find_violation(seeds(), Faults::LateOrders, settings);
+    assert_eq!(found, None);
 }
 
 // The exploration has to find entries that order hosts to join without asking them first.
 #[test]
 fn formation_handovers_without_check_before_join_are_caught() {
-    assert!(!failing_seeds(SCHEDULES, true).is_empty());
+    let settings = FormationSettings {
+        checks_before_join: false,
+        expects_order_counts: false,
+        ..FormationSettings::default()
+    };
+    let found = find_violation(UNCHECKED_SEEDS, Faults::Mixed, settings);
+    assert!(found.is_some());
+}
+
+// The exploration has to find late orders that hosts execute because the orders name no number of
+// accepted orders.
+#[test]
+fn formation_late_orders_without_expected_counts_are_caught() {
+    let settings = FormationSettings {
+        expects_order_counts: false,
+        ..FormationSettings::default()
+    };
+    let found = find_violation(UNCOUNTED_SEEDS, Faults::LateOrders, settings);
+    assert!(found.is_some());
 }
 
 // Guards against records that an entry reads from a copy of the registry that lags: they showed a
@@ -109,7 +169,7 @@
         weights: "large".parse().unwrap(),
         members: vec![host.clone()],
     };
-    fleet.order(&host, &join, None, now).unwrap();
+    fleet.order(&host, &join, None, None, now).unwrap();
     tracker.on_snapshot(snapshot_of(fleet.snapshot()), None, now);
     tracker.on_snapshot(snapshot_of(before), None, now + Duration::from_millis(100));
     let membership = tracker.get(&host).and_then(|tracked| tracked.membership());
@@ -130,7 +190,7 @@
         weights: "large".parse().unwrap(),
         members: vec![host.clone()],
     };
-    fleet.order(&host, &join, None, now).unwrap();
+    fleet.order(&host, &join, None, None, now).unwrap();
     tracker.on_snapshot(snapshot_of(fleet.snapshot()), None, now);
     fleet.change(&host, |host| host.draining_since = Some(now));
     let mut relayed = serde_json::to_value(fleet.snapshot()).unwrap();
--- a/lib/tests/test_formation_pauses.rs
+++ b/lib/tests/test_formation_pauses.rs
@@ -81,11 +81,17 @@
                     simulation.tracker.on_report(&host, report, now);
                     simulation.formation.on_report_done(&host, now);
                 }
-                FormationAction::Order { host, order, .. } => {
+                FormationAction::Order {
+                    host,
+                    order,
+                    expected_orders,
+                    ..
+                } => {
                     if matches!(order, GroupOrder::Leave { .. }) {
                         leaving.push(host.clone());
                     }
-                    let answer = simulation.fleet.order(&host, &order, None, now);
+                    let fleet = &mut simulation.fleet;
+                    let answer = fleet.order(&host, &order, expected_orders, None, now);
                     simulation.formation.on_answer(&host, &order, &answer, now);
                 }
             }
--- a/lib/testutils/src/fleet.rs
+++ b/lib/testutils/src/fleet.rs
@@ -91,6 +91,22 @@
         self.staged.is_some() || (self.last_weights.is_some() && self.loading.is_none())
     }
 
+    /// Returns the number of orders that the host's process has accepted.
+    pub fn accepted_orders(&self) -> u64 {
+        self.accepted_orders
+    }
+
+    /// Returns what the host reports of itself.
+    pub fn report(&self) -> TargetReport {
+        TargetReport {
+            incarnation: Some(self.incarnation),
+            running: 0,
+            waiting: 0,
+            membership: self.membership.clone(),
+            accepted_orders: Some(self.accepted_orders),
+        }
+    }
+
     /// Removes all weights from the host, as if it were new.
     pub fn remove_weights(&mut self) {
         self.staged = None;
@@ -111,6 +127,7 @@
 struct DelayedOrder {
     host: HostId,
     order: GroupOrder,
+    expected_orders: Option<u64>,
     due_at: Instant,
 }
 
@@ -296,7 +313,7 @@
             .collect();
         self.delayed_orders.retain(|order| order.due_at > now);
         for delayed in due {
-            self.execute(&delayed.host, &delayed.order, now);
+            self.execute(&delayed.host, &delayed.order, delayed.expected_orders, now);
         }
         self.advance_loads(now);
         self.end_draining(now);
@@ -319,12 +336,13 @@
         }
     }
 
-    /// Sends an order to a host. With a `delay`, the host executes it later and the call gets no
-    /// answer.
+    /// Sends an order to a host, which refuses it if it has accepted another number of orders than
+    /// expected. With a `delay`, the host executes it later and the call gets no answer.
     pub fn order(
         &mut self,
         id: &HostId,
         order: &GroupOrder,
+        expected_orders: Option<u64>,
         delay: Option<Duration>,
         now: Instant,
     ) -> Result<OrderAnswer, CallError> {
@@ -333,24 +351,18 @@
             self.delayed_orders.push(DelayedOrder {
                 host: id.clone(),
                 order: order.clone(),
+                expected_orders,
                 due_at: now + delay,
             });
             let reason = String::from("no answer");
             return Err(CallError::InDoubt { reason });
         }
-        Ok(self.execute(id, order, now))
+        Ok(self.execute(id, order, expected_orders, now))
     }
 
     /// Requests a report from a host.
     pub fn report(&self, id: &HostId) -> Result<TargetReport, CallError> {
-        let host = self.reach(id)?;
-        Ok(TargetReport {
-            incarnation: Some(host.incarnation),
-            running: 0,
-            waiting: 0,
-            membership: host.membership.clone(),
-            accepted_orders: Some(host.accepted_orders),
-        })
+        Ok(self.reach(id)?.report())
     }
 
     fn reach(&self, id: &HostId) -> Result<&SimulatedHost, CallError> {
@@ -369,13 +381,22 @@
         }
     }
 
-    fn execute(&mut self, id: &HostId, order: &GroupOrder, now: Instant) -> OrderAnswer {
+    fn execute(
+        &mut self,
+        id: &HostId,
+        order: &GroupOrder,
+        expected_orders: Option<u64>,
+        now: Instant,
+    ) -> OrderAnswer {
         let Some(index) = self.hosts.iter().position(|host| host.id == *id) else {
             return OrderAnswer::WrongTarget;
         };
         if !self.hosts[index].is_alive {
             return OrderAnswer::Conflict;
         }
+        if expected_orders.is_some_and(|expected| expected != self.hosts[index].accepted_orders) {
+            return OrderAnswer::Conflict;
+        }
         self.changed.push(id.clone());
         let answer = self.begin(index, order, now);
         if answer == OrderAnswer::Accepted {
@@ -395,20 +416,22 @@
             GroupOrder::Open { group, epoch } => self.open(index, group, *epoch, now),
             GroupOrder::Close { group, epoch, .. } => self.close(index, group, *epoch, now),
             GroupOrder::Leave { group, epoch } => {
-                if self.is_member_of(index, group, *epoch) {
-                    self.hosts[index].membership = None;
-                    self.hosts[index].state_due_at = None;
-                    if self.hosts[index].loading.take().is_some() {
-                        self.hosts[index].last_weights = None;
-                    }
+                if !self.is_member_of(index, group, *epoch) {
+                    return OrderAnswer::Unchanged;
+                }
+                self.hosts[index].membership = None;
+                self.hosts[index].state_due_at = None;
+                if self.hosts[index].loading.take().is_some() {
+                    self.hosts[index].last_weights = None;
                 }
                 OrderAnswer::Accepted
             }
             GroupOrder::Stage { weights } => {
-                if self.hosts[index].staged.as_ref() != Some(weights) {
-                    self.hosts[index].staging = Some(self.load(weights));
-                    self.loads.push(now);
+                if self.hosts[index].staged.as_ref() == Some(weights) {
+                    return OrderAnswer::Unchanged;
                 }
+                self.hosts[index].staging = Some(self.load(weights));
+                self.loads.push(now);
                 OrderAnswer::Accepted
             }
         }
@@ -505,7 +528,7 @@
         if self.is_member_of(index, group, epoch) {
             let is_same = self.hosts[index].members == members;
             return if is_same {
-                OrderAnswer::Accepted
+                OrderAnswer::Unchanged
             } else {
                 OrderAnswer::Superseded
             };
@@ -580,7 +603,7 @@
         }
         let host = &self.hosts[index];
         match host.membership.as_ref().map(|m| m.state) {
-            Some(MemberState::Open) => return OrderAnswer::Accepted,
+            Some(MemberState::Open) => return OrderAnswer::Unchanged,
             Some(MemberState::Ready) => {}
             _ => return OrderAnswer::Conflict,
         }
@@ -615,12 +638,14 @@
             return OrderAnswer::Conflict;
         }
         let host = &mut self.hosts[index];
-        if let Some(membership) = &mut host.membership
-            && membership.state == MemberState::Open
-        {
-            membership.state = MemberState::Closing;
-            host.state_due_at = Some(now + CLOSING_TIME);
+        let Some(membership) = &mut host.membership else {
+            return OrderAnswer::Conflict;
+        };
+        if membership.state != MemberState::Open {
+            return OrderAnswer::Unchanged;
         }
+        membership.state = MemberState::Closing;
+        host.state_due_at = Some(now + CLOSING_TIME);
         OrderAnswer::Accepted
     }
 
--- a/lib/testutils/src/formation.rs
+++ b/lib/testutils/src/formation.rs
@@ -122,11 +122,18 @@
 
     fn execute(&mut self, action: FormationAction) {
         match action {
-            FormationAction::Order { host, order, .. } => {
+            FormationAction::Order {
+                host,
+                order,
+                expected_orders,
+                ..
+            } => {
                 self.order_count += 1;
                 let is_delayed = self.order_count.is_multiple_of(self.delay_every);
                 let delay = self.order_delay.filter(|_| is_delayed);
-                let answer = self.fleet.order(&host, &order, delay, self.now);
+                let answer = self
+                    .fleet
+                    .order(&host, &order, expected_orders, delay, self.now);
                 self.formation.on_answer(&host, &order, &answer, self.now);
             }
             FormationAction::Report { host, .. } => {
--- a/lib/testutils/src/handover.rs
+++ b/lib/testutils/src/handover.rs
@@ -2,7 +2,7 @@
 //!
 //! Each entry has its own view of the hosts, fed by its own copy of the registry, which may lag or
 //! be set back to an older state. Calls between entries and hosts take time, get lost, are executed
-//! late or twice, and a paused entry sends what it had decided before the pause after another entry
+//! late or twice, reports tell an earlier state, and a paused entry sends what it had decided before the pause after another entry
 //! has taken its place.
 
 use std::collections::VecDeque;
@@ -39,6 +39,14 @@
 const HISTORY_TIME: Duration = Duration::from_millis(1_500);
 /// How long after its streams stand still a leader is reported as stalled.
 const STALL_REPORT_DELAY: Duration = Duration::from_millis(500);
+/// How long after its call an order may be executed that gets no answer. Most are executed while what they
+/// are about still matters.
+const LATE_ORDER_MS: std::ops::Range<u64> = 300..4_000;
+const VERY_LATE_ORDER_MS: std::ops::Range<u64> = 4_000..12_000;
+/// One in this many late orders is executed very late.
+const VERY_LATE_EVERY: u32 = 4;
+/// The age of the state in a report.
+const REPORT_LAG_MS: std::ops::Range<u64> = 0..300;
 /// How long before the first request the fleet starts.
 const WARM_UP_TIME: Duration = Duration::from_secs(6);
 
@@ -104,21 +112,22 @@
     faults: CallFaults,
     registry: Vec<TargetRecord>,
     history: VecDeque<(Instant, Vec<TargetRecord>)>,
-    joins_without_check: bool,
+    /// The states that each host may still report, with the time from which on it was in them.
+    past_reports: Vec<VecDeque<(Instant, TargetReport)>>,
+    settings: FormationSettings,
 }
 
 impl HandoverSimulation {
     /// Creates a fleet with the given number of hosts in each domain and `entries` entries, of which
     /// the first one forms the groups, and runs it until the groups are open.
     ///
-    /// With `joins_without_check`, the entries order hosts to join without the check of what else
-    /// the hosts may be in, to show that the fleet detects it.
+    /// The entries use `settings`, so that a test can show that the fleet detects what a check prevents.
     pub fn open(
         profile: EngineProfile,
         domains: &[usize],
         entries: usize,
         random: SmallRng,
-        joins_without_check: bool,
+        settings: FormationSettings,
     ) -> Self {
         let now = Instant::now();
         let new_entry = |_| Entry {
@@ -143,7 +152,8 @@
             faults: CallFaults::default(),
             registry: Vec::new(),
             history: VecDeque::new(),
-            joins_without_check,
+            past_reports: Vec::new(),
+            settings,
         };
         simulation.fleet.is_before_traffic = true;
         simulation.acquire(0);
@@ -179,15 +189,32 @@
         }
     }
 
+    /// Makes many orders late or repeated, and many answers lost, until another fault changes that.
+    pub fn delay_many_orders(&mut self) {
+        self.faults = CallFaults {
+            late_every: 3,
+            lost_every: 6,
+            twice_every: 3,
+        };
+    }
+
+    /// Injects a fault that makes orders of an ended group arrive late: the group's hosts restart under
+    /// their names, are cut off, or get another holder.
+    pub fn inject_fault_beside_late_orders(&mut self) {
+        match self.random.random_range(0..8) {
+            0..3 => self.restart(),
+            3 | 4 => self.partition(),
+            5 => self.end_partitions(),
+            6 => self.change_holder(),
+            _ => self.pause_and_change_holder(),
+        }
+    }
+
     fn acquire(&mut self, entry: usize) {
         self.epoch += 1;
         self.holder = entry;
-        let settings = FormationSettings {
-            checks_before_join: !self.joins_without_check,
-            ..FormationSettings::default()
-        };
         self.entries[entry].formation = Some(FormationController::new(
-            settings,
+            self.settings,
             Epoch(self.epoch),
             self.now,
         ));
@@ -197,6 +224,7 @@
         self.now += STEP;
         self.fleet.advance(self.now);
         self.publish();
+        self.record_reports();
         self.deliver_calls();
         for index in 0..self.entries.len() {
             self.receive(index);
@@ -234,6 +262,43 @@
         }
     }
 
+    /// Records the states that hosts report with a delay.
+    fn record_reports(&mut self) {
+        let now = self.now;
+        let lag_max = Duration::from_millis(REPORT_LAG_MS.end);
+        let hosts = &self.fleet.hosts;
+        self.past_reports.resize_with(hosts.len(), VecDeque::new);
+        for (host, states) in hosts.iter().zip(&mut self.past_reports) {
+            let is_current = states.back().is_some_and(|(_, report)| {
+                Some(host.incarnation) == report.incarnation
+                    && Some(host.accepted_orders()) == report.accepted_orders
+                    && host.membership == report.membership
+            });
+            if !is_current {
+                states.push_back((now, host.report()));
+            }
+            let is_past = |(since, _): &(Instant, TargetReport)| {
+                now.saturating_duration_since(*since) > lag_max
+            };
+            while states.get(1).is_some_and(is_past) {
+                states.pop_front();
+            }
+        }
+    }
+
+    /// Returns the report of a host that answers now, with a state of its process of some time ago.
+    fn lagging_report(&mut self, host: &HostId) -> Result<TargetReport, CallError> {
+        let current = self.fleet.report(host)?;
+        let lag = Duration::from_millis(self.random.random_range(REPORT_LAG_MS));
+        let now = self.now;
+        let index = self.fleet.hosts.iter().position(|known| known.id == *host);
+        let states = index.and_then(|index| self.past_reports.get(index));
+        let mut states = states.into_iter().flatten().rev();
+        let reported = states.find(|(since, _)| now.saturating_duration_since(*since) >= lag);
+        let reported = reported.filter(|(_, report)| report.incarnation == current.incarnation);
+        Ok(reported.map_or(current, |(_, report)| report.clone()))
+    }
+
     fn receive(&mut self, index: usize) {
         let now = self.now;
         let entry = &mut self.entries[index];
@@ -304,7 +369,13 @@
         let is_twice = is_order && self.one_in(self.faults.twice_every);
         let mut arrives_at = self.now + latency;
         if is_late {
-            arrives_at += Duration::from_millis(self.random.random_range(300..4_000));
+            let is_very_late = self.one_in(VERY_LATE_EVERY);
+            let range = if is_very_late {
+                VERY_LATE_ORDER_MS
+            } else {
+                LATE_ORDER_MS
+            };
+            arrives_at += Duration::from_millis(self.random.random_range(range));
         }
         if is_twice {
             let extra = Duration::from_millis(self.random.random_range(50..3_000));
@@ -360,11 +431,16 @@
                 reason: String::from("the host can't be reached"),
             };
             let result = match &call.action {
-                FormationAction::Order { host, order, .. } => {
+                FormationAction::Order {
+                    host,
+                    order,
+                    expected_orders,
+                    ..
+                } => {
                     let answer = if is_cut {
                         Err(not_sent())
                     } else {
-                        self.fleet.order(host, order, None, now)
+                        self.fleet.order(host, order, *expected_orders, None, now)
                     };
                     CallResult::Order(host.clone(), order.clone(), answer)
                 }
@@ -372,7 +448,7 @@
                     let report = if is_cut {
                         Err(not_sent())
                     } else {
-                        self.fleet.report(host)
+                        self.lagging_report(host)
                     };
                     CallResult::Report(host.clone(), report, call.sent_at)
                 }
