formation: the number of orders is read from reports, not from records

Cause: `seq` of a record in the store is not that of a report. The first counts the writes of the record (the entry changes "when more than seq changes"), the second the orders. Both were read as the number of orders, also before: a report whose number was greater than that of a later record was taken as newer than it, so what the entry that forms groups believed of a host could stay old. And 200 does not mean that an order began nothing: a `leave` is done at once, is answered 200 and counts.

Change: a record has a write number, which tells the order of two records and nothing else; a report is newer than a record by time only. The number of orders comes from reports and answers. A `leave` answered 200 counts if the host was known to be in the group at that number; otherwise the host reports before the next order. In the simulation, a host's first record has number 7, and a leave is answered as on the platform.

--- a/lib/src/process/formation/controller.rs
+++ b/lib/src/process/formation/controller.rs
@@ -268,7 +268,6 @@
         if let Some(call) = self.order_calls.get_mut(host) {
             call.next_allowed_at = Some(now + retry);
             call.ended_at = Some(now);
-            call.has_conflicted = matches!(answer, Ok(OrderAnswer::Conflict));
         }
         self.count_order(host, answer);
         self.record_join_answer(host, order, answer);
@@ -280,8 +279,7 @@
             GroupOrder::Stage { .. } => {
                 if !matches!(
                     answer,
-                    Ok(OrderAnswer::Accepted | OrderAnswer::Unchanged)
-                        | Err(CallError::InDoubt { .. })
+                    Ok(OrderAnswer::Accepted | OrderAnswer::Done) | Err(CallError::InDoubt { .. })
                 ) {
                     self.staging.remove(host);
                 }
@@ -316,7 +314,7 @@
                 GroupOrder::Leave { .. },
                 Ok(
                     OrderAnswer::Accepted
-                    | OrderAnswer::Unchanged
+                    | OrderAnswer::Done
                     | OrderAnswer::Superseded
                     | OrderAnswer::WrongTarget,
                 ),
--- a/lib/src/process/formation/host_tracker.rs
+++ b/lib/src/process/formation/host_tracker.rs
@@ -71,12 +71,6 @@
             .checked_sub(staleness)
             .unwrap_or(self.requested_at)
     }
-
-    /// Returns whether the host wrote `record` before it had accepted all orders that this report
-    /// counts.
-    fn is_newer_than(&self, record: &TargetRecord) -> bool {
-        is_fewer(record.accepted_orders, self.accepted_orders)
-    }
 }
 
 /// A host's registry record, with its liveness and own report.
@@ -198,12 +192,10 @@
         }
     }
 
-    /// Returns the highest number of accepted orders that the host's current process has told; `None`
-    /// if it does not count them.
+    /// Returns the number of accepted orders that the host's current process has reported; `None` if it
+    /// has not reported yet or does not count them.
     pub fn accepted_orders(&self) -> Option<u64> {
-        let reported = self.own_report.as_ref();
-        let reported = reported.and_then(|report| report.accepted_orders);
-        self.record.accepted_orders.max(reported)
+        self.own_report.as_ref()?.accepted_orders
     }
 
     /// Returns the time that [`Self::membership`] refers to.
@@ -214,9 +206,7 @@
 
     fn newer_report(&self) -> Option<&OwnReport> {
         let own_report = self.own_report.as_ref();
-        own_report.filter(|report| {
-            report.as_of() > self.record_received_at || report.is_newer_than(&self.record)
-        })
+        own_report.filter(|report| report.as_of() > self.record_received_at)
     }
 }
 
@@ -369,7 +359,7 @@
             known.is_some_and(|known| known.record.incarnation == record.incarnation);
         // Records that were read from a lagging copy of the registry are older than the known one.
         let is_outdated = known.is_some_and(|known| {
-            is_same_incarnation && is_fewer(record.accepted_orders, known.record.accepted_orders)
+            is_same_incarnation && is_fewer(record.write_number, known.record.write_number)
         });
         if is_outdated {
             return;
--- a/lib/src/process/formation/join_check.rs
+++ b/lib/src/process/formation/join_check.rs
@@ -28,9 +28,6 @@
 use crate::target::record::GroupOrder;
 use crate::target::record::OrderAnswer;
 
-/// The epoch of the first lease. No orders have been sent before it was acquired.
-const FIRST_LEASE_EPOCH: Epoch = Epoch(1);
-
 /// What has to happen before a host is ordered to join a group.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(super) enum JoinCheck {
@@ -125,6 +122,30 @@
         }
     }
 
+    /// Returns whether a member was in a group when it had accepted `expected_orders`, by its answers or its
+    /// report.
+    pub(super) fn was_in_group(
+        &self,
+        member: &GroupMember,
+        group: &GroupId,
+        expected_orders: Option<u64>,
+        tracker: &HostTracker,
+    ) -> bool {
+        let joined = self.joined_hosts.get(&member.host);
+        let is_joined = joined.is_some_and(|joined| {
+            joined.incarnation == member.incarnation
+                && joined.accepted_orders == expected_orders
+                && matches!(&joined.place, Place::In { group: id, .. } if id == group)
+        });
+        let report = tracker.get(&member.host);
+        let report = report.and_then(|tracked| tracked.own_report.as_ref());
+        let is_reported = report.is_some_and(|report| {
+            report.accepted_orders == expected_orders
+                && report.membership.as_ref().map(|m| &m.group) == Some(group)
+        });
+        is_joined || is_reported
+    }
+
     /// Records that a host which had accepted `expected` orders has now accepted `accepted`, and is where
     /// it was unless the order moved it.
     pub(super) fn update_place_count(&mut self, host: &HostId, expected: u64, accepted: u64) {
@@ -148,10 +169,7 @@
         let tracked = tracker.get(&member.host);
         let tracked = tracked.filter(|host| host.record.incarnation == member.incarnation);
         let known_orders = tracked.and_then(|host| self.known_orders(host));
-        let is_first_order = !self.order_calls.contains_key(&member.host)
-            && self.lease_epoch == FIRST_LEASE_EPOCH
-            && known_orders.is_none_or(|count| count == 0);
-        if is_first_order {
+        if self.was_never_ordered(&member.host) && known_orders.is_none_or(|count| count == 0) {
             return JoinCheck::Free;
         }
         let joined = self.joined_hosts.get(&member.host);
--- a/lib/src/process/formation/phases.rs
+++ b/lib/src/process/formation/phases.rs
@@ -577,6 +577,12 @@
             return false;
         }
         let expected_orders = self.expected_orders(member, tracker);
+        let leaves_group = match &order {
+            GroupOrder::Leave { group, .. } => {
+                self.was_in_group(member, group, expected_orders, tracker)
+            }
+            _ => false,
+        };
         self.order_calls.insert(OrderCall {
             host: member.host.clone(),
             incarnation: member.incarnation,
@@ -584,7 +590,8 @@
             expected_orders,
             next_allowed_at: None,
             ended_at: None,
-            has_conflicted: false,
+            leaves_group,
+            is_count_unknown: false,
         });
         let is_expected = self.settings.expects_order_counts;
         actions.push(FormationAction::Order {
--- a/lib/src/target/record.rs
+++ b/lib/src/target/record.rs
@@ -91,11 +91,11 @@
     pub weights: Vec<WeightsId>,
     /// The host's membership in a group, if any.
     pub membership: Option<Membership>,
-    /// The number of orders that the target's process had accepted when the record was written;
-    /// `None` if the target does not count them, or from an entry of an earlier version, which omits
-    /// it.
-    #[serde(default)]
-    pub accepted_orders: Option<u64>,
+    /// The number of the write of the record since the start of the target's process, which tells the order of
+    /// two records; `None` if the target does not count its writes, or from an entry of an earlier version.
+    /// Entries call it `accepted_orders` between them.
+    #[serde(default, rename = "accepted_orders")]
+    pub write_number: Option<u64>,
     /// How long the target remains cold after the record was written: it takes requests at the rate of
     /// [`ServiceSpec::cold_rate`](crate::version::routes::ServiceSpec::cold_rate) at most. An entry of an
     /// earlier version omits it.
@@ -213,9 +213,9 @@
     /// The host has begun to execute the order.
     #[display("accepted")]
     Accepted,
-    /// The host is already in the ordered state, so the order has begun nothing.
-    #[display("accepted, nothing to do")]
-    Unchanged,
+    /// The host is in the ordered state: it was before, or the order took effect at once.
+    #[display("accepted, done")]
+    Done,
     /// The order is not possible in the host's current state, or the host has accepted another number of
     /// orders than expected.
     #[display("conflict")]
@@ -247,13 +247,13 @@
 impl OrderAnswer {
     /// Returns whether the host is in the ordered state or about to be.
     pub fn is_accepted(self) -> bool {
-        matches!(self, Self::Accepted | Self::Unchanged)
+        matches!(self, Self::Accepted | Self::Done)
     }
 
     /// Returns the label of the answer in metrics.
     pub fn label(&self) -> &'static str {
         match self {
-            Self::Accepted | Self::Unchanged => "accepted",
+            Self::Accepted | Self::Done => "accepted",
             Self::Conflict => "conflict",
             Self::Superseded => "superseded",
             Self::WrongTarget => "wrong target",
--- a/lib/testutils/src/fleet.rs
+++ b/lib/testutils/src/fleet.rs
@@ -42,6 +42,9 @@
 /// How long a host takes to join with the weights of its last group.
 const REJOIN_TIME: Duration = Duration::from_millis(200);
 
+/// The number of a host's first record, which differs from its number of orders.
+const FIRST_WRITE: u64 = 7;
+
 /// What a host is partitioned from, and how calls to it fail.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Partition {
@@ -79,6 +82,8 @@
     staging: Option<Load>,
     highest_epoch: Epoch,
     accepted_orders: u64,
+    /// The number of writes of the host's record.
+    record_writes: u64,
     state_due_at: Option<Instant>,
     stalled_since: Option<Instant>,
     last_heartbeat_at: Instant,
@@ -226,6 +231,7 @@
             host.staging = None;
             host.highest_epoch = Epoch(0);
             host.accepted_orders = 0;
+            host.record_writes = FIRST_WRITE;
             host.state_due_at = None;
             host.stalled_since = None;
             host.last_heartbeat_at = now;
@@ -247,6 +253,9 @@
         let mut changed = std::mem::take(&mut self.changed);
         changed.sort();
         changed.dedup();
+        for host in &mut self.hosts {
+            host.record_writes += u64::from(changed.binary_search(&host.id).is_ok());
+        }
         let reported = |id: &HostId| {
             let host = self.host(id)?;
             let has_live_record = host.is_alive && !host.partition.from_registry && host.is_listed;
@@ -401,6 +410,7 @@
         let answer = self.begin(index, order, now);
         if answer == OrderAnswer::Accepted {
             self.hosts[index].accepted_orders += 1;
+            self.hosts[index].record_writes += 1;
         }
         answer
     }
@@ -417,18 +427,21 @@
             GroupOrder::Close { group, epoch, .. } => self.close(index, group, *epoch, now),
             GroupOrder::Leave { group, epoch } => {
                 if !self.is_member_of(index, group, *epoch) {
-                    return OrderAnswer::Unchanged;
+                    return OrderAnswer::Done;
                 }
                 self.hosts[index].membership = None;
                 self.hosts[index].state_due_at = None;
                 if self.hosts[index].loading.take().is_some() {
                     self.hosts[index].last_weights = None;
                 }
-                OrderAnswer::Accepted
+                // A host has left at once, so the order is done, and it counts.
+                self.hosts[index].accepted_orders += 1;
+                self.hosts[index].record_writes += 1;
+                OrderAnswer::Done
             }
             GroupOrder::Stage { weights } => {
                 if self.hosts[index].staged.as_ref() == Some(weights) {
-                    return OrderAnswer::Unchanged;
+                    return OrderAnswer::Done;
                 }
                 self.hosts[index].staging = Some(self.load(weights));
                 self.loads.push(now);
@@ -528,7 +541,7 @@
         if self.is_member_of(index, group, epoch) {
             let is_same = self.hosts[index].members == members;
             return if is_same {
-                OrderAnswer::Unchanged
+                OrderAnswer::Done
             } else {
                 OrderAnswer::Superseded
             };
@@ -603,7 +616,7 @@
         }
         let host = &self.hosts[index];
         match host.membership.as_ref().map(|m| m.state) {
-            Some(MemberState::Open) => return OrderAnswer::Unchanged,
+            Some(MemberState::Open) => return OrderAnswer::Done,
             Some(MemberState::Ready) => {}
             _ => return OrderAnswer::Conflict,
         }
@@ -642,7 +655,7 @@
             return OrderAnswer::Conflict;
         };
         if membership.state != MemberState::Open {
-            return OrderAnswer::Unchanged;
+            return OrderAnswer::Done;
         }
         membership.state = MemberState::Closing;
         host.state_due_at = Some(now + CLOSING_TIME);
@@ -723,7 +736,7 @@
             staged: host.staged.iter().cloned().collect(),
             weights: host.last_weights.iter().cloned().collect(),
             membership: host.membership.clone(),
-            accepted_orders: Some(host.accepted_orders),
+            write_number: Some(host.record_writes),
             cold_for: Duration::ZERO,
         }
     }
@@ -745,6 +758,7 @@
         staging: None,
         highest_epoch: Epoch(0),
         accepted_orders: 0,
+        record_writes: FIRST_WRITE,
         state_due_at: None,
         stalled_since: None,
         last_heartbeat_at: now,
