gateway: log and count where records are read, how large and how late

- each refusal of a route or key says the age of the version by which it is made and where it was read last,
- 'configuration is in force' also says where the version was read, the size of the answer and the time of the read,
- a read that fails, and one of 64 KiB or more, is logged with its source and its time,
- beryltray_feed_reads_total and beryltray_feed_bytes_total count reads and bytes by kind of record and source,
- absent values of log fields are null and present ones are numbers: "confirmed_ms_ago" and "replaced" came out as "Some(523)".

Answers of a feed carry their size for this. No decision changes.

--- a/cli/src/logging.rs
+++ b/cli/src/logging.rs
@@ -10,6 +10,7 @@
 use log::kv::Key;
 use log::kv::Value;
 use log::kv::VisitSource;
+use log::kv::VisitValue;
 use tracing_appender::non_blocking::NonBlockingBuilder;
 use tracing_appender::non_blocking::WorkerGuard;
 
@@ -44,13 +45,44 @@
 
 impl<'kvs> VisitSource<'kvs> for JsonFields {
     fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), log::kv::Error> {
-        let value = match (value.to_u64(), value.to_f64(), value.to_bool()) {
-            (Some(number), _, _) => number.into(),
-            (None, Some(number), _) => number.into(),
-            (None, None, Some(is_true)) => is_true.into(),
-            (None, None, None) => value.to_string().into(),
-        };
-        self.0.insert(key.as_str().to_owned(), value);
+        let mut json = JsonValue(serde_json::Value::Null);
+        value.visit(&mut json)?;
+        self.0.insert(key.as_str().to_owned(), json.0);
+        Ok(())
+    }
+}
+
+/// A value as JSON: numbers, booleans and absent values as such, all others as text.
+struct JsonValue(serde_json::Value);
+
+impl<'v> VisitValue<'v> for JsonValue {
+    fn visit_any(&mut self, value: Value<'_>) -> Result<(), log::kv::Error> {
+        self.0 = value.to_string().into();
+        Ok(())
+    }
+
+    fn visit_null(&mut self) -> Result<(), log::kv::Error> {
+        self.0 = serde_json::Value::Null;
+        Ok(())
+    }
+
+    fn visit_u64(&mut self, number: u64) -> Result<(), log::kv::Error> {
+        self.0 = number.into();
+        Ok(())
+    }
+
+    fn visit_i64(&mut self, number: i64) -> Result<(), log::kv::Error> {
+        self.0 = number.into();
+        Ok(())
+    }
+
+    fn visit_f64(&mut self, number: f64) -> Result<(), log::kv::Error> {
+        self.0 = number.into();
+        Ok(())
+    }
+
+    fn visit_bool(&mut self, is_true: bool) -> Result<(), log::kv::Error> {
+        self.0 = is_true.into();
         Ok(())
     }
 }
--- a/lib/src/platform/feed.rs
+++ b/lib/src/platform/feed.rs
@@ -2,6 +2,7 @@
 
 use std::borrow::Cow;
 use std::future::Future;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use derive_more::Display;
@@ -62,6 +63,39 @@
     }
 }
 
+/// The content of an answer of a feed, and the size of the answer.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct FeedAnswer<A> {
+    /// The decoded snapshot or changes.
+    pub content: A,
+    /// The size of all bodies that were read for it.
+    pub size_bytes: usize,
+}
+
+impl<A> FeedAnswer<A> {
+    /// Converts the content and keeps the size.
+    pub fn map<B, F>(self, convert: F) -> FeedAnswer<B>
+    where
+        F: FnOnce(A) -> B,
+    {
+        FeedAnswer {
+            content: convert(self.content),
+            size_bytes: self.size_bytes,
+        }
+    }
+}
+
+/// Where records were read.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub enum RecordSource {
+    /// At the platform.
+    #[display("platform")]
+    Platform,
+    /// At another entry, by its address for entries.
+    #[display("{_0}")]
+    Entry(SocketAddr),
+}
+
 /// Why a snapshot or changes can't be read.
 #[derive(Clone, Debug, Display, Error, From)]
 pub enum FeedError {
@@ -80,12 +114,12 @@
 /// The platform's records of one kind.
 pub trait Feed<T>: Clone + Send + Sync + 'static {
     /// Returns all records and their revision.
-    fn snapshot(&self) -> impl Future<Output = Result<Snapshot<T>, FeedError>> + Send;
+    fn snapshot(&self) -> impl Future<Output = Result<FeedAnswer<Snapshot<T>>, FeedError>> + Send;
 
     /// Returns the changes after `since`, as soon as there are any, or none after `wait` (long poll).
     fn changes(
         &self,
         since: Revision,
         wait: Duration,
-    ) -> impl Future<Output = Result<Changes<T>, FeedError>> + Send;
+    ) -> impl Future<Output = Result<FeedAnswer<Changes<T>>, FeedError>> + Send;
 }
--- a/lib/src/process/gateway/context.rs
+++ b/lib/src/process/gateway/context.rs
@@ -22,6 +22,7 @@
 use crate::ids::Incarnation;
 use crate::ids::RequestFeature;
 use crate::ids::ServiceId;
+use crate::platform::feed::RecordSource;
 use crate::process::lifecycle::Stage;
 use crate::request::forward::context::ActiveQuarantine;
 use crate::request::forward::context::ChoiceInfo;
@@ -357,6 +358,15 @@
         self.state.clock.now()
     }
 
+    fn document_age(&self) -> Option<Duration> {
+        let confirmed_at = self.state.document_confirmed_at()?;
+        Some(self.now().saturating_duration_since(confirmed_at))
+    }
+
+    fn document_source(&self) -> Option<RecordSource> {
+        self.state.document_source()
+    }
+
     fn document(&self) -> Option<Arc<RouteDocument>> {
         self.state.document()
     }
--- a/lib/src/process/gateway/follow.rs
+++ b/lib/src/process/gateway/follow.rs
@@ -9,6 +9,7 @@
 use crate::clock::Clock;
 use crate::platform::feed::Changes;
 use crate::platform::feed::Feed;
+use crate::platform::feed::FeedAnswer;
 use crate::platform::feed::FeedError;
 use crate::platform::feed::Snapshot;
 use crate::target::record::TargetRecord;
@@ -224,12 +225,12 @@
         }
         match update {
             Ok(Update::Snapshot(snapshot)) => {
-                revision = Some(snapshot.revision);
-                sink.on_snapshot(snapshot);
+                revision = Some(snapshot.content.revision);
+                sink.on_snapshot(snapshot.content);
             }
             Ok(Update::Changes(changes)) => {
-                revision = Some(changes.revision);
-                sink.on_changes(changes);
+                revision = Some(changes.content.revision);
+                sink.on_changes(changes.content);
             }
             Err(FeedError::HistoryLost { since }) => {
                 log::info!(what = feed_name, since = since.0; "changes since the revision are no longer available; all records are read again");
@@ -265,6 +266,6 @@
 }
 
 enum Update<T> {
-    Snapshot(Snapshot<T>),
-    Changes(Changes<T>),
+    Snapshot(FeedAnswer<Snapshot<T>>),
+    Changes(FeedAnswer<Changes<T>>),
 }
--- a/lib/src/process/gateway/metrics.rs
+++ b/lib/src/process/gateway/metrics.rs
@@ -43,6 +43,8 @@
     hosts_without_group: IntGaugeVec,
     loop_delay_seconds: Histogram,
     change_log_bytes: IntGaugeVec,
+    feed_reads: IntCounterVec,
+    feed_bytes: IntCounterVec,
     /// Failed calls to the platform, by the feed that was read.
     pub platform_failures: IntCounterVec,
     /// The version of the configuration in force.
@@ -137,6 +139,16 @@
                 "Memory of the changes that are kept for other entries, by the kind of record.",
                 &["records"],
             )?,
+            feed_reads: counters(
+                "feed_reads_total",
+                "Reads of records, by where they were read and their result.",
+                &["records", "source", "result"],
+            )?,
+            feed_bytes: counters(
+                "feed_bytes_total",
+                "Bytes of the answers with records that were read completely.",
+                &["records", "source"],
+            )?,
             platform_failures: counters(
                 "platform_failures_total",
                 "Calls to the platform that failed.",
@@ -239,6 +251,8 @@
         registry.register(Box::new(self.hosts_without_group.clone()))?;
         registry.register(Box::new(self.loop_delay_seconds.clone()))?;
         registry.register(Box::new(self.change_log_bytes.clone()))?;
+        registry.register(Box::new(self.feed_reads.clone()))?;
+        registry.register(Box::new(self.feed_bytes.clone()))?;
         registry.register(Box::new(self.platform_failures.clone()))?;
         registry.register(Box::new(self.configuration_version.clone()))?;
         registry.register(Box::new(self.configurations_in_memory.clone()))?;
@@ -346,6 +360,14 @@
         gauge.set(size_bytes);
     }
 
+    /// Counts a read of records by its result.
+    pub fn count_feed_read(&self, records: &str, source: &str, result: &str, size_bytes: usize) {
+        let labels = [records, source, result];
+        self.feed_reads.with_label_values(&labels).inc();
+        let bytes = self.feed_bytes.with_label_values(&[records, source]);
+        bytes.inc_by(size_bytes as u64);
+    }
+
     /// Records how late a timer fired.
     pub fn observe_loop_delay(&self, delay: Duration) {
         self.loop_delay_seconds.observe(delay.as_secs_f64());
--- a/lib/src/process/gateway/record_relay.rs
+++ b/lib/src/process/gateway/record_relay.rs
@@ -18,6 +18,7 @@
 use serde::de::DeserializeOwned;
 
 use super::change_log::ChangeLog;
+use super::record_state::RecordRead;
 use super::state::GatewayState;
 use crate::clock::Clock;
 use crate::connection::body::ResponseBody;
@@ -66,6 +67,13 @@
 {
     /// The path of the records.
     const PATH: &'static str;
+    /// The value of the metrics' label `records`.
+    const LABEL: &'static str;
+
+    /// Records where the records were read last.
+    fn on_read<C>(state: &GatewayState<C>, read: RecordRead)
+    where
+        C: Clock;
 
     /// Records that the records are complete as of `at`, by an answer of the platform.
     fn confirm<C>(state: &GatewayState<C>, at: Instant)
@@ -96,6 +104,13 @@
 
 impl RelayedRecord for TargetRecord {
     const PATH: &'static str = TARGETS_PATH;
+    const LABEL: &'static str = "targets";
+
+    fn on_read<C>(_state: &GatewayState<C>, _read: RecordRead)
+    where
+        C: Clock,
+    {
+    }
 
     fn confirm<C>(state: &GatewayState<C>, at: Instant)
     where
@@ -135,6 +150,14 @@
 
 impl RelayedRecord for RouteDocument {
     const PATH: &'static str = CONFIGURATION_PATH;
+    const LABEL: &'static str = "configuration";
+
+    fn on_read<C>(state: &GatewayState<C>, read: RecordRead)
+    where
+        C: Clock,
+    {
+        state.inner().document_read = Some(read);
+    }
 
     fn confirm<C>(state: &GatewayState<C>, at: Instant)
     where
--- a/lib/src/process/gateway/record_state.rs
+++ b/lib/src/process/gateway/record_state.rs
@@ -9,6 +9,7 @@
 use crate::clock::Clock;
 use crate::ids::Revision;
 use crate::platform::feed::Changes;
+use crate::platform::feed::RecordSource;
 use crate::target::record::TargetRecord;
 use crate::version::routes::RouteDocument;
 
@@ -19,6 +20,16 @@
 /// The delay at the lease holder, which forms groups.
 const TARGETS_BATCH_DELAY_LEASE_HOLDER: Duration = Duration::from_millis(25);
 
+/// A read of records, for the log.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct RecordRead {
+    pub(super) source: RecordSource,
+    /// The size of the answer.
+    pub(super) size_bytes: usize,
+    /// The time from the call to the end of the answer, which includes a wait for changes.
+    pub(super) took: Duration,
+}
+
 impl<C> GatewayState<C>
 where
     C: Clock,
@@ -54,6 +65,11 @@
         self.inner().document_log.confirmed_at()
     }
 
+    /// Returns where the configuration was read last; `None` before the first read.
+    pub fn document_source(&self) -> Option<RecordSource> {
+        self.inner().document_read.map(|read| read.source)
+    }
+
     /// Updates the metrics of the records' ages, of what they keep in memory, and of the removals
     /// that are held back.
     pub(super) fn update_record_metrics(&self) {
--- a/lib/src/process/gateway/relayed_feed.rs
+++ b/lib/src/process/gateway/relayed_feed.rs
@@ -18,6 +18,7 @@
 use super::record_relay::RelayedChanges;
 use super::record_relay::RelayedRecord;
 use super::record_relay::SINCE_PARAMETER;
+use super::record_state::RecordRead;
 use super::state::GatewayState;
 use crate::clock::Clock;
 use crate::connection::body::RequestBody;
@@ -27,7 +28,9 @@
 use crate::platform::PlatformError;
 use crate::platform::feed::Changes;
 use crate::platform::feed::Feed;
+use crate::platform::feed::FeedAnswer;
 use crate::platform::feed::FeedError;
+use crate::platform::feed::RecordSource;
 use crate::platform::feed::Snapshot;
 
 /// The timeout of opening a connection, and of a response's head after the long poll time has passed.
@@ -44,6 +47,9 @@
 /// The least time for an answer before the records are read elsewhere, too.
 const ANSWER_TIME_MIN: Duration = Duration::from_millis(150);
 
+/// Answers of this size or more are logged.
+const LARGE_ANSWER_BYTES: usize = 64 * 1024;
+
 /// A feed that reads from the platform or from the current upstream entry.
 #[derive(Debug)]
 pub(super) struct RelayedFeed<C, P> {
@@ -79,18 +85,64 @@
 where
     C: Clock,
 {
+    /// Counts a read of records, and logs it if it failed or was large.
+    fn on_read<T, A, E>(
+        &self,
+        source: RecordSource,
+        sent_at: Instant,
+        answer: &Result<FeedAnswer<A>, E>,
+    ) where
+        T: RelayedRecord,
+        E: std::fmt::Display,
+    {
+        let took = self.state.clock.now().saturating_duration_since(sent_at);
+        let took_ms = took.as_millis() as u64;
+        let place = match source {
+            RecordSource::Platform => "platform",
+            RecordSource::Entry(_) => "entry",
+        };
+        let metrics = &self.state.metrics;
+        match answer {
+            Ok(answer) => {
+                let size_bytes = answer.size_bytes;
+                metrics.count_feed_read(T::LABEL, place, "read", size_bytes);
+                let read = RecordRead {
+                    source,
+                    size_bytes,
+                    took,
+                };
+                T::on_read(&self.state, read);
+                if size_bytes >= LARGE_ANSWER_BYTES {
+                    log::info!(
+                        records = T::PATH, source:% = source, size_bytes = size_bytes as u64,
+                        took_ms = took_ms;
+                        "large answer is read"
+                    );
+                }
+            }
+            Err(error) => {
+                metrics.count_feed_read(T::LABEL, place, "failed", 0);
+                log::info!(
+                    records = T::PATH, source:% = source, took_ms = took_ms;
+                    "read failed: {error}"
+                );
+            }
+        }
+    }
+
     async fn request_changes<T>(
         &self,
         upstream: SocketAddr,
         since: Option<Revision>,
-    ) -> Result<RelayedChanges<T>, PlatformError>
+    ) -> Result<FeedAnswer<RelayedChanges<T>>, PlatformError>
     where
         T: RelayedRecord,
     {
         let sent_at = self.state.clock.now();
         let relayed = self.send_changes_request(upstream, since).await;
+        self.on_read::<T, _, _>(RecordSource::Entry(upstream), sent_at, &relayed);
         match &relayed {
-            Ok(relayed) => self.confirm_relayed(relayed, sent_at),
+            Ok(relayed) => self.confirm_relayed(&relayed.content, sent_at),
             Err(error) => {
                 log::info!(source:% = upstream, records = T::PATH; "records are not passed on: {error}");
                 self.state.on_upstream_failed(upstream);
@@ -120,7 +172,7 @@
         &self,
         upstream: SocketAddr,
         since: Option<Revision>,
-    ) -> Result<RelayedChanges<T>, PlatformError>
+    ) -> Result<FeedAnswer<RelayedChanges<T>>, PlatformError>
     where
         T: RelayedRecord,
     {
@@ -165,8 +217,13 @@
         if connection.wait_until_usable().await {
             *self.lock_connection() = Some(connection);
         }
-        serde_json::from_slice(&body).map_err(|error| PlatformError::Protocol {
+        let content = serde_json::from_slice(&body);
+        let content = content.map_err(|error| PlatformError::Protocol {
             reason: error.to_string(),
+        })?;
+        Ok(FeedAnswer {
+            content,
+            size_bytes: body.len(),
         })
     }
 }
@@ -202,7 +259,7 @@
         upstream: Option<SocketAddr>,
         since: Revision,
         wait: Duration,
-    ) -> Result<Changes<T>, FeedError>
+    ) -> Result<FeedAnswer<Changes<T>>, FeedError>
     where
         P: Feed<T>,
         T: RelayedRecord,
@@ -215,7 +272,10 @@
 
     /// Reads the changes from the platform without a wait, and from another entry if the platform
     /// fails or does not answer soon.
-    async fn changes_elsewhere<T>(&self, since: Revision) -> Result<Changes<T>, FeedError>
+    async fn changes_elsewhere<T>(
+        &self,
+        since: Revision,
+    ) -> Result<FeedAnswer<Changes<T>>, FeedError>
     where
         P: Feed<T>,
         T: RelayedRecord,
@@ -245,11 +305,12 @@
         &self,
         upstream: SocketAddr,
         since: Revision,
-    ) -> Result<Changes<T>, FeedError>
+    ) -> Result<FeedAnswer<Changes<T>>, FeedError>
     where
         T: RelayedRecord,
     {
-        let relayed = self.request_changes::<T>(upstream, Some(since)).await?;
+        let answer = self.request_changes::<T>(upstream, Some(since)).await?;
+        let relayed = &answer.content;
         if relayed.is_snapshot {
             // The log of the upstream does not go back that far, so the caller must read a
             // snapshot.
@@ -263,29 +324,30 @@
                 reason: format!("the records of entry {upstream} are too old"),
             }));
         }
-        let changes = Changes {
+        let answer = answer.map(|relayed| Changes {
             changed: relayed.changed,
             removed: relayed.removed,
             revision: relayed.revision.max(since),
-        };
-        if changes.is_ambiguous() {
+        });
+        if answer.content.is_ambiguous() {
             // An entry of an earlier version joins changes without their order.
             return Err(FeedError::HistoryLost { since });
         }
-        Ok(changes)
+        Ok(answer)
     }
 
     async fn platform_changes<T>(
         &self,
         since: Revision,
         wait: Duration,
-    ) -> Result<Changes<T>, FeedError>
+    ) -> Result<FeedAnswer<Changes<T>>, FeedError>
     where
         P: Feed<T>,
         T: RelayedRecord,
     {
         let sent_at = self.state.clock.now();
         let changes = self.platform.changes(since, wait).await;
+        self.on_read::<T, _, _>(RecordSource::Platform, sent_at, &changes);
         if changes.is_ok() {
             let now = self.state.clock.now();
             T::confirm(&self.state, now.min(sent_at + wait + PLATFORM_ANSWER_TIME));
@@ -300,9 +362,10 @@
     P: Feed<T>,
     T: RelayedRecord,
 {
-    async fn snapshot(&self) -> Result<Snapshot<T>, FeedError> {
+    async fn snapshot(&self) -> Result<FeedAnswer<Snapshot<T>>, FeedError> {
         let sent_at = self.state.clock.now();
         let from_platform = self.platform.snapshot().await;
+        self.on_read::<T, _, _>(RecordSource::Platform, sent_at, &from_platform);
         if from_platform.is_ok() {
             T::confirm(&self.state, sent_at);
         }
@@ -312,7 +375,8 @@
         let Some(upstream) = self.state.fallback_upstream() else {
             return from_platform;
         };
-        let relayed = self.request_changes::<T>(upstream, None).await?;
+        let answer = self.request_changes::<T>(upstream, None).await?;
+        let relayed = &answer.content;
         // Records that were removed meanwhile would be listed again.
         if T::revision(&self.state).is_some_and(|known| relayed.revision < known) {
             self.state.on_upstream_failed(upstream);
@@ -320,16 +384,20 @@
                 reason: format!("the records of entry {upstream} are older than the known ones"),
             }));
         }
-        Ok(Snapshot {
+        Ok(answer.map(|relayed| Snapshot {
             records: relayed.changed,
             revision: relayed.revision,
-        })
+        }))
     }
 
     /// Reads the changes at the usual place. If that fails, or the records get too old meanwhile,
     /// they are also read elsewhere, and the first answer is used. The time without the platform's
     /// word is thus bounded, however many entries fail one after the other.
-    async fn changes(&self, since: Revision, wait: Duration) -> Result<Changes<T>, FeedError> {
+    async fn changes(
+        &self,
+        since: Revision,
+        wait: Duration,
+    ) -> Result<FeedAnswer<Changes<T>>, FeedError> {
         let upstream = self.state.upstream();
         let mut usual = std::pin::pin!(self.usual_changes(upstream, since, wait));
         match tokio::time::timeout(self.time_until_too_old::<T>(), &mut usual).await {
@@ -347,15 +415,15 @@
 }
 
 /// Returns whether the read need not be repeated elsewhere.
-fn is_settled<T>(changes: &Result<Changes<T>, FeedError>) -> bool {
+fn is_settled<T>(changes: &Result<FeedAnswer<Changes<T>>, FeedError>) -> bool {
     !matches!(changes, Err(FeedError::Platform(_)))
 }
 
 /// Runs both reads and returns the first result that is settled, or else the last one.
-async fn first_settled<T, A, B>(first: A, second: B) -> Result<Changes<T>, FeedError>
+async fn first_settled<T, A, B>(first: A, second: B) -> Result<FeedAnswer<Changes<T>>, FeedError>
 where
-    A: Future<Output = Result<Changes<T>, FeedError>>,
-    B: Future<Output = Result<Changes<T>, FeedError>>,
+    A: Future<Output = Result<FeedAnswer<Changes<T>>, FeedError>>,
+    B: Future<Output = Result<FeedAnswer<Changes<T>>, FeedError>>,
 {
     let mut first = std::pin::pin!(first);
     let mut second = std::pin::pin!(second);
--- a/lib/src/process/gateway/state.rs
+++ b/lib/src/process/gateway/state.rs
@@ -22,6 +22,7 @@
 use super::peers::Peers;
 use super::peers::SenderLoad;
 use super::quarantine::Quarantine;
+use super::record_state::RecordRead;
 use super::reservation::ServiceRetryBudget;
 use super::serving::ServingTarget;
 use super::serving::serving_targets;
@@ -94,6 +95,8 @@
     pub(super) peers: Peers,
     pub(super) target_log: ChangeLog<TargetRecord>,
     pub(super) document_log: ChangeLog<RouteDocument>,
+    /// The last read of the configuration.
+    pub(super) document_read: Option<RecordRead>,
     /// The stalled targets to gossip, and when each stalled.
     pub(super) stalled_to_gossip: Vec<(HostId, Instant)>,
     pub(super) quarantine: Quarantine,
@@ -188,6 +191,7 @@
                 peers,
                 target_log: ChangeLog::default(),
                 document_log: ChangeLog::default(),
+                document_read: None,
                 stalled_to_gossip: Vec::new(),
                 quarantine: Quarantine::new(),
                 broken_starts: Vec::new(),
@@ -218,11 +222,16 @@
         if known.is_some_and(|known| known >= document.version) {
             return;
         }
-        let confirmed_at = inner.document_log.confirmed_at();
-        let confirmed_ms = confirmed_at.map(|at| now.saturating_duration_since(at).as_millis());
+        let age = inner.document_log.age(now);
+        let read = inner.document_read;
+        let source = read.map(|read| read.source.to_string());
         log::info!(
-            version = document.version.0, replaced:? = known.map(|v| v.0),
-            routes = document.route_count(), confirmed_ms_ago:? = confirmed_ms;
+            version = document.version.0, replaced = known.map(|v| v.0),
+            routes = document.route_count(),
+            confirmed_ms_ago = age.map(|age| age.as_millis() as u64),
+            source = source.as_deref(),
+            size_bytes = read.map(|read| read.size_bytes as u64),
+            read_ms = read.map(|read| read.took.as_millis() as u64);
             "configuration is in force"
         );
         let version = i64::try_from(document.version.0).unwrap_or(i64::MAX);
--- a/lib/src/request/forward/context.rs
+++ b/lib/src/request/forward/context.rs
@@ -15,6 +15,7 @@
 use crate::ids::RequestFeature;
 use crate::ids::ServiceId;
 use crate::ids::WeightsId;
+use crate::platform::feed::RecordSource;
 use crate::units::RequestRate;
 use crate::version::routes::RouteDocument;
 
@@ -176,6 +177,13 @@
     /// Returns the configuration in force, or `None` before the first one is loaded.
     fn document(&self) -> Option<Arc<RouteDocument>>;
 
+    /// Returns the time since the platform confirmed that the configuration is the latest; `None`
+    /// if it has not done so yet.
+    fn document_age(&self) -> Option<Duration>;
+
+    /// Returns where the configuration was read last; `None` before the first read.
+    fn document_source(&self) -> Option<RecordSource>;
+
     /// Returns whether the process is shutting down; answers then ask callers to close connections.
     fn is_draining(&self) -> bool;
 
--- a/lib/src/request/forward/handler.rs
+++ b/lib/src/request/forward/handler.rs
@@ -132,9 +132,14 @@
             caller_request.api_key.as_deref(),
         );
         let authorized = authorized.map_err(|denial| {
+            let age = self.context.document_age();
+            let source = self.context.document_source();
+            let source = source.map(|source| source.to_string());
             log::info!(
                 request = caller_request.request_id.as_str(), host = caller_request.host.as_str(),
-                path = head.uri.path(), version = document.version.0;
+                path = head.uri.path(), version = document.version.0,
+                confirmed_ms_ago = age.map(|age| age.as_millis() as u64),
+                source = source.as_deref();
                 "request is not allowed: {denial}"
             );
             match denial {
