--- a/lib/src/connection/body.rs
+++ b/lib/src/connection/body.rs
@@ -66,6 +66,27 @@
     },
 }
 
+/// The time that a body may take: the longer, the more of it has arrived.
+///
+/// A single timeout for bodies of any size would break off large ones on slow links, however often
+/// they are read again.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct BodyPace {
+    /// The time in which a body without data may end.
+    pub timeout: Duration,
+    /// The rate at which data must arrive after that, on average.
+    pub bytes_per_s_min: u32,
+}
+
+impl BodyPace {
+    /// Returns the time from the start of a body in which the data after the first `received_bytes`
+    /// must arrive.
+    pub fn time_for(self, received_bytes: usize) -> Duration {
+        let received_bytes = u32::try_from(received_bytes).unwrap_or(u32::MAX);
+        self.timeout + Duration::from_secs(1) * received_bytes / self.bytes_per_s_min.max(1)
+    }
+}
+
 /// Returns a buffered body.
 pub fn full_body<B>(bytes: B) -> ResponseBody
 where
@@ -165,10 +186,25 @@
     B: Body,
     B::Error: std::error::Error,
 {
-    let read = tokio::time::timeout(timeout, collect_body(body, limit_bytes, None)).await;
+    let read = tokio::time::timeout(timeout, collect_body(body, limit_bytes, None, None)).await;
     read.unwrap_or(Err(ReadBodyError::Timeout { timeout }))
 }
 
+/// Reads a whole body like [`read_body`], within a time that grows with its size. The time counts
+/// from `started_at`.
+pub async fn read_body_at_pace<B>(
+    body: B,
+    limit_bytes: usize,
+    pace: BodyPace,
+    started_at: tokio::time::Instant,
+) -> Result<Bytes, ReadBodyError>
+where
+    B: Body,
+    B::Error: std::error::Error,
+{
+    collect_body(body, limit_bytes, None, Some((pace, started_at))).await
+}
+
 /// Reads a whole body like [`read_body`], within the process's limit on the memory of bodies. The
 /// wait for memory counts toward the timeout.
 pub async fn read_body_within<B>(
@@ -182,7 +218,8 @@
     B::Error: std::error::Error,
 {
     let reservation = Some(memory.reservation());
-    let read = tokio::time::timeout(timeout, collect_body(body, limit_bytes, reservation)).await;
+    let read =
+        tokio::time::timeout(timeout, collect_body(body, limit_bytes, reservation, None)).await;
     read.unwrap_or(Err(ReadBodyError::Timeout { timeout }))
 }
 
@@ -190,6 +227,7 @@
     body: B,
     limit_bytes: usize,
     mut reservation: Option<BodyReservation>,
+    pace: Option<(BodyPace, tokio::time::Instant)>,
 ) -> Result<Bytes, ReadBodyError>
 where
     B: Body,
@@ -202,7 +240,16 @@
     let mut body = std::pin::pin!(body);
     // The data is copied, since a frame of one byte keeps the connection's whole read buffer.
     let mut collected = BytesMut::new();
-    while let Some(frame) = body.frame().await {
+    loop {
+        let frame = match pace {
+            Some((pace, started_at)) => {
+                let timeout = pace.time_for(collected.len());
+                let frame = tokio::time::timeout_at(started_at + timeout, body.frame()).await;
+                frame.map_err(|_| ReadBodyError::Timeout { timeout })?
+            }
+            None => body.frame().await,
+        };
+        let Some(frame) = frame else { break };
         let frame = frame.map_err(|error| ReadBodyError::Broken {
             reason: error.to_string(),
         })?;
--- a/lib/src/platform/feed.rs
+++ b/lib/src/platform/feed.rs
@@ -107,19 +107,40 @@
         /// The revision that the caller asked for.
         since: Revision,
     },
+    /// The changes since the revision are larger than the reader wants; read a snapshot instead.
+    #[display(
+        "the changes since revision {since} have more than {limit_bytes} bytes. Hint: read all records again"
+    )]
+    TooLarge {
+        /// The revision that the caller asked for.
+        since: Revision,
+        /// The limit that the caller gave.
+        limit_bytes: usize,
+    },
     /// The call to the platform failed.
     Platform(PlatformError),
 }
 
+/// What a reader asks a feed for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ChangesRequest {
+    /// The revision up to which the reader knows all changes.
+    pub since: Revision,
+    /// The longest time to wait for a change.
+    pub wait: Duration,
+    /// The size above which the answer is not read, see [`FeedError::TooLarge`].
+    pub limit_bytes: usize,
+}
+
 /// The platform's records of one kind.
 pub trait Feed<T>: Clone + Send + Sync + 'static {
     /// Returns all records and their revision.
     fn snapshot(&self) -> impl Future<Output = Result<FeedAnswer<Snapshot<T>>, FeedError>> + Send;
 
-    /// Returns the changes after `since`, as soon as there are any, or none after `wait` (long poll).
+    /// Returns the changes after a revision, as soon as there are any, or none after a wait (long
+    /// poll).
     fn changes(
         &self,
-        since: Revision,
-        wait: Duration,
+        request: ChangesRequest,
     ) -> impl Future<Output = Result<FeedAnswer<Changes<T>>, FeedError>> + Send;
 }
--- a/lib/src/process/gateway/follow.rs
+++ b/lib/src/process/gateway/follow.rs
@@ -5,9 +5,12 @@
 use std::time::Instant;
 
 use super::listings::Listings;
+use super::read_plan::NextRead;
+use super::read_plan::ReadPlan;
 use super::state::GatewayState;
 use crate::clock::Clock;
 use crate::platform::feed::Changes;
+use crate::platform::feed::ChangesRequest;
 use crate::platform::feed::Feed;
 use crate::platform::feed::FeedAnswer;
 use crate::platform::feed::FeedError;
@@ -32,7 +35,12 @@
 
 /// The local copy of the records of a feed.
 trait RecordSink<T> {
-    fn on_snapshot(&mut self, snapshot: Snapshot<T>);
+    /// After how many failed reads of changes a snapshot is read.
+    const FAILURES_BEFORE_SNAPSHOT: u32;
+
+    /// Applies a snapshot. Returns whether another one should follow if changes were too large to be
+    /// read, since this one had news.
+    fn on_snapshot(&mut self, snapshot: Snapshot<T>) -> bool;
     fn on_changes(&mut self, changes: Changes<T>);
     fn on_outage_ended(&mut self);
 }
@@ -43,12 +51,19 @@
 where
     C: Clock,
 {
-    fn on_snapshot(&mut self, snapshot: Snapshot<RouteDocument>) {
-        for document in snapshot.records {
-            self.0.apply_document(document);
-        }
-        let revision = snapshot.revision;
-        self.0.with_document_log(|log, _| log.on_snapshot(revision));
+    /// A snapshot is no larger than one change.
+    const FAILURES_BEFORE_SNAPSHOT: u32 = 1;
+
+    fn on_snapshot(&mut self, snapshot: Snapshot<RouteDocument>) -> bool {
+        let known = self.0.document().map(|document| document.version);
+        // A configuration replaces all earlier ones, so a snapshot is the last change. The log goes on
+        // with it: otherwise all entries that read here would have to read a snapshot, too.
+        self.on_changes(Changes {
+            changed: snapshot.records,
+            removed: Vec::new(),
+            revision: snapshot.revision,
+        });
+        known < self.0.document().map(|document| document.version)
     }
 
     fn on_changes(&mut self, changes: Changes<RouteDocument>) {
@@ -85,7 +100,9 @@
 where
     C: Clock,
 {
-    fn on_snapshot(&mut self, snapshot: Snapshot<TargetRecord>) {
+    const FAILURES_BEFORE_SNAPSHOT: u32 = 2;
+
+    fn on_snapshot(&mut self, snapshot: Snapshot<TargetRecord>) -> bool {
         self.check_for_outage();
         let revision = snapshot.revision;
         let listings = self
@@ -100,6 +117,8 @@
             .with_target_log(|log, _| log.on_snapshot(revision));
         self.complete_at = self.state.targets_confirmed_at();
         self.state.mark_targets_read();
+        // Some of many records change all the time; those of a moment are not too large.
+        false
     }
 
     fn on_changes(&mut self, changes: Changes<TargetRecord>) {
@@ -185,7 +204,7 @@
 /// Reads a snapshot and then long-polls for changes, with a batch delay between calls.
 ///
 /// Failed calls are repeated with exponential backoff. If the changes since the last revision are
-/// no longer available, a snapshot is read again.
+/// no longer available or too large, a snapshot is read again.
 async fn follow<C, P, T, S, G>(
     feed_name: &'static str,
     state: Arc<GatewayState<C>>,
@@ -198,16 +217,20 @@
     S: RecordSink<T>,
     G: Fn(&GatewayState<C>) -> Duration,
 {
-    let mut revision = None;
+    let mut plan = ReadPlan::new(S::FAILURES_BEFORE_SNAPSHOT);
     let mut retry_delay = RETRY_DELAY_MIN;
     let mut failing_since: Option<Instant> = None;
     loop {
-        let update = match revision {
-            None => platform.snapshot().await.map(Update::Snapshot),
-            Some(since) => platform
-                .changes(since, long_poll_time(batch_delay(&state)))
-                .await
-                .map(Update::Changes),
+        let update = match plan.next_read() {
+            NextRead::Snapshot => platform.snapshot().await.map(Update::Snapshot),
+            NextRead::Changes { since, limit_bytes } => {
+                let request = ChangesRequest {
+                    since,
+                    wait: long_poll_time(batch_delay(&state)),
+                    limit_bytes,
+                };
+                platform.changes(request).await.map(Update::Changes)
+            }
         };
         let now = state.clock.now();
         if update.is_ok()
@@ -225,19 +248,31 @@
         }
         match update {
             Ok(Update::Snapshot(snapshot)) => {
-                revision = Some(snapshot.content.revision);
-                sink.on_snapshot(snapshot.content);
+                let revision = snapshot.content.revision;
+                let has_news = sink.on_snapshot(snapshot.content);
+                // Another entry passes on the newest state only, at no cost for the platform.
+                let has_news = has_news && state.upstream().is_none();
+                plan.on_snapshot(revision, snapshot.size_bytes, has_news);
             }
             Ok(Update::Changes(changes)) => {
-                revision = Some(changes.content.revision);
+                plan.on_changes(changes.content.revision);
                 sink.on_changes(changes.content);
             }
             Err(FeedError::HistoryLost { since }) => {
                 log::info!(what = feed_name, since = since.0; "changes since the revision are no longer available; all records are read again");
-                revision = None;
+                plan.on_history_lost();
+                continue;
+            }
+            Err(FeedError::TooLarge { since, limit_bytes }) => {
+                log::info!(
+                    what = feed_name, since = since.0, limit_bytes = limit_bytes as u64;
+                    "changes since the revision are too large; all records are read instead"
+                );
+                plan.on_changes_too_large();
                 continue;
             }
             Err(FeedError::Platform(error)) => {
+                plan.on_failure();
                 state
                     .metrics
                     .platform_failures
--- a/lib/src/process/gateway/relayed_feed.rs
+++ b/lib/src/process/gateway/relayed_feed.rs
@@ -27,6 +27,7 @@
 use crate::ids::Revision;
 use crate::platform::PlatformError;
 use crate::platform::feed::Changes;
+use crate::platform::feed::ChangesRequest;
 use crate::platform::feed::Feed;
 use crate::platform::feed::FeedAnswer;
 use crate::platform::feed::FeedError;
@@ -257,16 +258,15 @@
     async fn usual_changes<T>(
         &self,
         upstream: Option<SocketAddr>,
-        since: Revision,
-        wait: Duration,
+        request: ChangesRequest,
     ) -> Result<FeedAnswer<Changes<T>>, FeedError>
     where
         P: Feed<T>,
         T: RelayedRecord,
     {
         match upstream {
-            Some(upstream) => self.relayed_changes(upstream, since).await,
-            None => self.platform_changes(since, wait).await,
+            Some(upstream) => self.relayed_changes(upstream, request.since).await,
+            None => self.platform_changes(request).await,
         }
     }
 
@@ -274,13 +274,17 @@
     /// fails or does not answer soon.
     async fn changes_elsewhere<T>(
         &self,
-        since: Revision,
+        request: ChangesRequest,
     ) -> Result<FeedAnswer<Changes<T>>, FeedError>
     where
         P: Feed<T>,
         T: RelayedRecord,
     {
-        let mut platform = std::pin::pin!(self.platform_changes(since, Duration::ZERO));
+        let at_once = ChangesRequest {
+            wait: Duration::ZERO,
+            ..request
+        };
+        let mut platform = std::pin::pin!(self.platform_changes(at_once));
         let answered = tokio::time::timeout(PLATFORM_ANSWER_TIME, &mut platform).await;
         if let Ok(changes) = &answered
             && is_settled(changes)
@@ -289,7 +293,7 @@
         }
         let peer = async {
             match self.state.fallback_upstream() {
-                Some(peer) => self.relayed_changes(peer, since).await,
+                Some(peer) => self.relayed_changes(peer, request.since).await,
                 None => Err(FeedError::Platform(PlatformError::Unavailable {
                     reason: "no other entry can be asked".to_owned(),
                 })),
@@ -338,19 +342,19 @@
 
     async fn platform_changes<T>(
         &self,
-        since: Revision,
-        wait: Duration,
+        request: ChangesRequest,
     ) -> Result<FeedAnswer<Changes<T>>, FeedError>
     where
         P: Feed<T>,
         T: RelayedRecord,
     {
         let sent_at = self.state.clock.now();
-        let changes = self.platform.changes(since, wait).await;
+        let changes = self.platform.changes(request).await;
         self.on_read::<T, _, _>(RecordSource::Platform, sent_at, &changes);
         if changes.is_ok() {
             let now = self.state.clock.now();
-            T::confirm(&self.state, now.min(sent_at + wait + PLATFORM_ANSWER_TIME));
+            let answered_by = sent_at + request.wait + PLATFORM_ANSWER_TIME;
+            T::confirm(&self.state, now.min(answered_by));
         }
         changes
     }
@@ -393,22 +397,18 @@
     /// Reads the changes at the usual place. If that fails, or the records get too old meanwhile,
     /// they are also read elsewhere, and the first answer is used. The time without the platform's
     /// word is thus bounded, however many entries fail one after the other.
-    async fn changes(
-        &self,
-        since: Revision,
-        wait: Duration,
-    ) -> Result<FeedAnswer<Changes<T>>, FeedError> {
+    async fn changes(&self, request: ChangesRequest) -> Result<FeedAnswer<Changes<T>>, FeedError> {
         let upstream = self.state.upstream();
-        let mut usual = std::pin::pin!(self.usual_changes(upstream, since, wait));
+        let mut usual = std::pin::pin!(self.usual_changes(upstream, request));
         match tokio::time::timeout(self.time_until_too_old::<T>(), &mut usual).await {
             Ok(changes) if is_settled(&changes) => changes,
-            Ok(_) => self.changes_elsewhere(since).await,
+            Ok(_) => self.changes_elsewhere(request).await,
             Err(_) => {
                 log::info!(
                     records = T::PATH, source:? = upstream;
                     "records get too old; they are read elsewhere, too"
                 );
-                first_settled(usual, self.changes_elsewhere(since)).await
+                first_settled(usual, self.changes_elsewhere(request)).await
             }
         }
     }
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -33,6 +33,7 @@
 mod test_presence;
 mod test_quarantine;
 mod test_quarantine_simulation;
+mod test_read_plan;
 mod test_relay;
 mod test_request_limit_simulation;
 mod test_retry;
