forward: an entry with an old configuration doesn't say that a route or key is unknown

What callers saw: 404 for a route, or 401 for a key, that had been added while the entry didn't hear from the platform. Callers don't come back after these.

Cause: a refusal was made by the configuration in force, whatever its age. An entry can only know that there is no such route while it knows that its configuration is the latest.

Change: `in-force-within` of `[configuration]` is the time within which a change must be in force (the platform's `config-apply-ms`, 3 s without it). If the platform confirmed the configuration longer ago, an unknown route or key is answered 503 with Retry-After: the request was not run, and another entry may know the route. Requests that the configuration allows are served as before.

--- a/lib/src/process/gateway/context.rs
+++ b/lib/src/process/gateway/context.rs
@@ -363,6 +363,11 @@
         Some(self.now().saturating_duration_since(confirmed_at))
     }
 
+    fn is_document_current(&self) -> bool {
+        let age_max = self.state.settings.configuration_in_force_within;
+        self.document_age().is_some_and(|age| age <= age_max)
+    }
+
     fn document_source(&self) -> Option<RecordSource> {
         self.state.document_source()
     }
--- a/lib/src/process/gateway/settings.rs
+++ b/lib/src/process/gateway/settings.rs
@@ -28,6 +28,8 @@
 const FREE_RETRIES_MAX: u32 = 1_000_000;
 /// The time to stop without a setting.
 const STOP_LIMIT: Duration = Duration::from_secs(8);
+/// The time within which a change of the configuration must be in force, without a setting.
+const CONFIGURATION_IN_FORCE_WITHIN: Duration = Duration::from_secs(3);
 /// The free retries without a setting.
 const FREE_RETRIES: u32 = 130;
 
@@ -48,6 +50,9 @@
     /// Whether the whole system starts for the first time. Until the first request, the weight
     /// store then does not count loads.
     pub is_first_start: bool,
+    /// The time within which a change of the configuration must be in force everywhere. An entry whose
+    /// configuration was confirmed longer ago does not tell callers that a route or key is unknown.
+    pub configuration_in_force_within: Duration,
     /// The settings of group formation.
     pub formation: FormationSettings,
     /// The limits of retries, for all entries together.
@@ -100,6 +105,12 @@
             let _interface: String = s.optional_or("interface", String::new());
             s.required("address")
         });
+        let configuration_in_force_within = read_section(&mut reader, "configuration", |s| {
+            let default = TimeLimit(CONFIGURATION_IN_FORCE_WITHIN);
+            let within = s.optional_or("in-force-within", default).0;
+            // Zero gives no time.
+            if within.is_zero() { default.0 } else { within }
+        });
         let formation = read_section(&mut reader, "formation", formation_section);
         let retry = read_section(&mut reader, "retry", retry_section);
         let stop_limit = read_section(&mut reader, "shutdown", |s| {
@@ -121,6 +132,7 @@
             platform: platform.ok_or_else(already_reported)?,
             processor,
             is_first_start,
+            configuration_in_force_within,
             formation,
             retry,
             stop_limit,
--- a/lib/src/request/forward/context.rs
+++ b/lib/src/request/forward/context.rs
@@ -181,6 +181,10 @@
     /// if it has not done so yet.
     fn document_age(&self) -> Option<Duration>;
 
+    /// Returns whether the platform confirmed the configuration within the time in which a change must
+    /// be in force. Otherwise a route or a key that the configuration lacks may exist.
+    fn is_document_current(&self) -> bool;
+
     /// Returns where the configuration was read last; `None` before the first read.
     fn document_source(&self) -> Option<RecordSource>;
 
--- a/lib/src/request/forward/handler.rs
+++ b/lib/src/request/forward/handler.rs
@@ -142,6 +142,9 @@
                 source = source.as_deref();
                 "request is not allowed: {denial}"
             );
+            if !self.context.is_document_current() {
+                return not_run(NotRunReason::NotReady);
+            }
             match denial {
                 AccessDenial::NoRoute => Failure::NoRoute,
                 AccessDenial::UnknownKey => Failure::UnknownKey,
