gateway: the time that an answer of the platform takes to arrive counts as age

What callers saw: nothing by itself. An entry with a slow link took what had been answered long ago for the latest word: it passed it on as such, and looked elsewhere later than it should.

Cause: records counted as confirmed when the answer had been read, at most 0.2 s after the longest wait that was asked for. An answer that comes at once and takes a second to arrive is a second old by then. Answers of other entries already counted their time on the way.

Change: the time from the head of an answer to its end is taken off.

configuration_read_over_slow_link_is_as_old_as_its_answer failed before (3 ms where 150 ms are the least) and passes.

--- a/lib/src/platform/feed.rs
+++ b/lib/src/platform/feed.rs
@@ -70,6 +70,9 @@
     pub content: A,
     /// The size of all bodies that were read for it.
     pub size_bytes: usize,
+    /// The time from the start of the last body to its end. What the answer says is older by this
+    /// time when it has been read.
+    pub body_time: Duration,
 }
 
 impl<A> FeedAnswer<A> {
@@ -81,6 +84,7 @@
         FeedAnswer {
             content: convert(self.content),
             size_bytes: self.size_bytes,
+            body_time: self.body_time,
         }
     }
 }
--- a/lib/src/process/gateway/relayed_feed.rs
+++ b/lib/src/process/gateway/relayed_feed.rs
@@ -213,6 +213,7 @@
                 response.status()
             )));
         }
+        let head_at = self.state.clock.now();
         let body = read_body(response.into_body(), RESPONSE_LIMIT_BYTES, BODY_TIMEOUT).await;
         let body = body.map_err(|error| unavailable(error.to_string()))?;
         if connection.wait_until_usable().await {
@@ -225,6 +226,7 @@
         Ok(FeedAnswer {
             content,
             size_bytes: body.len(),
+            body_time: self.state.clock.now().saturating_duration_since(head_at),
         })
     }
 }
@@ -351,10 +353,11 @@
         let sent_at = self.state.clock.now();
         let changes = self.platform.changes(request).await;
         self.on_read::<T, _, _>(RecordSource::Platform, sent_at, &changes);
-        if changes.is_ok() {
+        if let Ok(answer) = &changes {
             let now = self.state.clock.now();
+            let answered_at = now.checked_sub(answer.body_time).unwrap_or(sent_at);
             let answered_by = sent_at + request.wait + PLATFORM_ANSWER_TIME;
-            T::confirm(&self.state, now.min(answered_by));
+            T::confirm(&self.state, answered_at.min(answered_by));
         }
         changes
     }
