--- a/lib/src/process/gateway/follow.rs
+++ b/lib/src/process/gateway/follow.rs
@@ -56,10 +56,13 @@
 
     fn on_snapshot(&mut self, snapshot: Snapshot<RouteDocument>) -> bool {
         let known = self.0.document().map(|document| document.version);
-        // A configuration replaces all earlier ones, so a snapshot is the last change. The log goes on
-        // with it: otherwise all entries that read here would have to read a snapshot, too.
+        // A configuration replaces all earlier ones, so a snapshot with a newer one is a change. The log
+        // goes on with it: otherwise all entries that read here would have to read a snapshot, too. One
+        // without is none, or all of them would be sent what they have.
+        let is_newer =
+            |document: &RouteDocument| known.is_none_or(|known| known < document.version);
         self.on_changes(Changes {
-            changed: snapshot.records,
+            changed: snapshot.records.into_iter().filter(is_newer).collect(),
             removed: Vec::new(),
             revision: snapshot.revision,
         });
