platform: an answer that falls silent is given up after a pause

What callers could have seen: changes that are late by seconds.

One that stalled after 0.5 MB was waited for until 2.9 s after the call, while the store's page says that a connection on which a response is lost delivers nothing further.

--- a/lib/src/connection/body.rs
+++ b/lib/src/connection/body.rs
@@ -76,14 +76,18 @@
     pub timeout: Duration,
     /// The rate at which data must arrive after that, on average.
     pub bytes_per_s_min: u32,
+    /// The longest pause in data after that.
+    pub pause_max: Duration,
 }
 
 impl BodyPace {
-    /// Returns the time from the start of a body in which the data after the first `received_bytes`
-    /// must arrive.
-    pub fn time_for(self, received_bytes: usize) -> Duration {
+    /// Returns the time from the start of a body in which more data must arrive, if `received_bytes`
+    /// have, the last of them at `last_data_after`.
+    pub fn time_for_more(self, received_bytes: usize, last_data_after: Duration) -> Duration {
         let received_bytes = u32::try_from(received_bytes).unwrap_or(u32::MAX);
-        self.timeout + Duration::from_secs(1) * received_bytes / self.bytes_per_s_min.max(1)
+        let earned = Duration::from_secs(1) * received_bytes / self.bytes_per_s_min.max(1);
+        let until_pause = last_data_after + self.pause_max;
+        (self.timeout + earned).min(until_pause).max(self.timeout)
     }
 }
 
@@ -243,7 +247,7 @@
     loop {
         let frame = match pace {
             Some((pace, started_at)) => {
-                let timeout = pace.time_for(collected.len());
+                let timeout = pace.time_for_more(collected.len(), started_at.elapsed());
                 let frame = tokio::time::timeout_at(started_at + timeout, body.frame()).await;
                 frame.map_err(|_| ReadBodyError::Timeout { timeout })?
             }
