--- a/lib/src/process/gateway/follow.rs
+++ b/lib/src/process/gateway/follow.rs
@@ -9,6 +9,7 @@
 use super::read_plan::ReadPlan;
 use super::state::GatewayState;
 use crate::clock::Clock;
+use crate::platform::PlatformError;
 use crate::platform::feed::Changes;
 use crate::platform::feed::ChangesRequest;
 use crate::platform::feed::Feed;
@@ -26,6 +27,8 @@
 /// The delay after the first failed call; it doubles up to the maximum.
 const RETRY_DELAY_MIN: Duration = Duration::from_millis(100);
 const RETRY_DELAY_MAX: Duration = Duration::from_millis(800);
+/// The longest pause between repeated snapshots, which leaves a slow link to other traffic.
+const REPEATED_SNAPSHOT_PAUSE_MAX: Duration = Duration::from_millis(200);
 /// Calls that fail for at least this long count as an outage of the platform.
 const OUTAGE_MIN: Duration = Duration::from_millis(1_000);
 /// The least time in which a target's record can expire because the platform is away.
@@ -35,8 +38,8 @@
 
 /// The local copy of the records of a feed.
 trait RecordSink<T> {
-    /// After how many failed reads of changes a snapshot is read.
-    const FAILURES_BEFORE_SNAPSHOT: u32;
+    /// After how many reads of changes without a complete answer a snapshot is read.
+    const LOST_ANSWERS_BEFORE_SNAPSHOT: u32;
 
     /// Applies a snapshot. Returns whether another one should follow if changes were too large to be
     /// read, since this one had news.
@@ -52,7 +55,7 @@
     C: Clock,
 {
     /// A snapshot is no larger than one change.
-    const FAILURES_BEFORE_SNAPSHOT: u32 = 1;
+    const LOST_ANSWERS_BEFORE_SNAPSHOT: u32 = 1;
 
     fn on_snapshot(&mut self, snapshot: Snapshot<RouteDocument>) -> bool {
         let known = self.0.document().map(|document| document.version);
@@ -103,7 +106,7 @@
 where
     C: Clock,
 {
-    const FAILURES_BEFORE_SNAPSHOT: u32 = 2;
+    const LOST_ANSWERS_BEFORE_SNAPSHOT: u32 = 2;
 
     fn on_snapshot(&mut self, snapshot: Snapshot<TargetRecord>) -> bool {
         self.check_for_outage();
@@ -220,10 +223,11 @@
     S: RecordSink<T>,
     G: Fn(&GatewayState<C>) -> Duration,
 {
-    let mut plan = ReadPlan::new(S::FAILURES_BEFORE_SNAPSHOT);
+    let mut plan = ReadPlan::new(S::LOST_ANSWERS_BEFORE_SNAPSHOT);
     let mut retry_delay = RETRY_DELAY_MIN;
     let mut failing_since: Option<Instant> = None;
     loop {
+        let started_at = state.clock.now();
         let update = match plan.next_read() {
             NextRead::Snapshot => platform.snapshot().await.map(Update::Snapshot),
             NextRead::Changes { since, limit_bytes } => {
@@ -275,7 +279,12 @@
                 continue;
             }
             Err(FeedError::Platform(error)) => {
-                plan.on_failure();
+                match &error {
+                    PlatformError::Ambiguous { .. } => plan.on_lost_answer(),
+                    PlatformError::Unavailable { .. } | PlatformError::Protocol { .. } => {
+                        plan.on_failure();
+                    }
+                }
                 state
                     .metrics
                     .platform_failures
@@ -291,7 +300,13 @@
             }
         }
         retry_delay = RETRY_DELAY_MIN;
-        tokio::time::sleep(batch_delay(&state)).await;
+        let pause = if plan.is_behind() {
+            let read_time = now.saturating_duration_since(started_at);
+            read_time.min(REPEATED_SNAPSHOT_PAUSE_MAX)
+        } else {
+            batch_delay(&state)
+        };
+        tokio::time::sleep(pause).await;
     }
 }
 
--- a/lib/src/process/gateway/read_plan.rs
+++ b/lib/src/process/gateway/read_plan.rs
@@ -42,10 +42,10 @@
 /// ```
 #[derive(Clone, Copy, Debug)]
 pub struct ReadPlan {
-    /// After how many failed reads of changes a snapshot is read.
-    failures_max: u32,
-    /// The reads that failed since the last successful one.
-    failures: u32,
+    /// After how many lost answers a snapshot is read.
+    lost_answers_max: u32,
+    /// The answers that were lost since the last successful read.
+    lost_answers: u32,
     /// The revision of the last read; `None` if a snapshot must be read first.
     revision: Option<Revision>,
     snapshot_bytes: usize,
@@ -54,12 +54,13 @@
 }
 
 impl ReadPlan {
-    /// Creates the plan of a reader without records. A snapshot is read after `failures_max` reads of
-    /// changes that failed one after the other, since the size of the changes may be the reason.
-    pub fn new(failures_max: u32) -> Self {
+    /// Creates the plan of a reader without records. A snapshot is read after `lost_answers_max` reads
+    /// of changes without a complete answer one after the other, since the size of the changes may be
+    /// the reason.
+    pub fn new(lost_answers_max: u32) -> Self {
         Self {
-            failures_max,
-            failures: 0,
+            lost_answers_max,
+            lost_answers: 0,
             revision: None,
             snapshot_bytes: 0,
             is_behind: false,
@@ -68,10 +69,10 @@
 
     /// Returns the next read.
     pub fn next_read(&self) -> NextRead {
-        let period = self.failures_max.saturating_add(1);
-        let has_failed_often = self.failures % period == self.failures_max;
+        let period = self.lost_answers_max.saturating_add(1);
+        let are_changes_lost = self.lost_answers % period == self.lost_answers_max;
         match self.revision {
-            Some(since) if !self.is_behind && !has_failed_often => NextRead::Changes {
+            Some(since) if !self.is_behind && !are_changes_lost => NextRead::Changes {
                 since,
                 limit_bytes: CHANGES_MIN_BYTES.max(self.snapshot_bytes + self.snapshot_bytes / 2),
             },
@@ -83,7 +84,7 @@
     /// more may have been made while it was read, and another snapshot is read.
     pub fn on_snapshot(&mut self, revision: Revision, size_bytes: usize, has_news: bool) {
         self.revision = Some(revision);
-        self.failures = 0;
+        self.lost_answers = 0;
         self.snapshot_bytes = size_bytes;
         self.is_behind &= has_news;
     }
@@ -91,7 +92,7 @@
     /// Records changes up to a revision.
     pub fn on_changes(&mut self, revision: Revision) {
         self.revision = Some(revision);
-        self.failures = 0;
+        self.lost_answers = 0;
     }
 
     /// Records that the changes exceed the limit.
@@ -104,10 +105,20 @@
         self.revision = None;
     }
 
-    /// Records that a read failed. Changes are read again after a failed snapshot, since other entries
-    /// can be asked for these at the same time.
+    /// Returns whether snapshots are repeated.
+    pub fn is_behind(&self) -> bool {
+        self.is_behind
+    }
+
+    /// Records that a read failed before an answer began, so that its size is not the reason.
     pub fn on_failure(&mut self) {
-        self.failures = self.failures.saturating_add(1);
+        self.is_behind = false;
+    }
+
+    /// Records that a read had no complete answer in time. Changes are read again after a lost snapshot,
+    /// since other entries can be asked for these at the same time.
+    pub fn on_lost_answer(&mut self) {
+        self.lost_answers = self.lost_answers.saturating_add(1);
         self.is_behind = false;
     }
 }
--- a/lib/tests/test_read_plan.rs
+++ b/lib/tests/test_read_plan.rs
@@ -20,6 +20,9 @@
 /// The modelled entry gives up reads that take longer.
 const READ_TIME_MAX: Duration = Duration::from_millis(1_700);
 
+/// The longest pause of the modelled entry between repeated snapshots.
+const PAUSE_MAX: Duration = Duration::from_millis(200);
+
 /// One record that changes at a fixed interval.
 #[derive(Clone, Copy, Debug)]
 struct Model {
@@ -87,7 +90,7 @@
                         now = answered_at + READ_TIME_MAX;
                         longest = longest.max(now.saturating_sub(first_missing));
                         if reader == Reader::Plan {
-                            plan.on_failure();
+                            plan.on_lost_answer();
                         }
                         continue;
                     }
@@ -95,8 +98,17 @@
                     plan.on_changes(Revision(version));
                 }
                 NextRead::Snapshot => {
-                    now = answered_at + self.transfer_time(1);
+                    let read_time = self.latency + self.transfer_time(1);
+                    now += read_time;
                     plan.on_snapshot(Revision(version), self.record_bytes as usize, is_new);
+                    if plan.is_behind() {
+                        if is_new {
+                            longest = longest.max(now.saturating_sub(first_missing));
+                        }
+                        known = version;
+                        now += read_time.min(PAUSE_MAX);
+                        continue;
+                    }
                 }
             }
             if is_new {
@@ -144,29 +156,29 @@
 
 /// Guards against reads of changes whose size makes them fail again and again.
 #[test]
-fn next_read_after_failed_changes_is_snapshot_and_after_failed_snapshot_changes() {
+fn next_read_after_lost_changes_is_snapshot_and_after_lost_snapshot_changes() {
     let mut plan = ReadPlan::new(1);
     plan.on_snapshot(Revision(7), 1_000, true);
     let changes = plan.next_read();
     assert!(matches!(changes, NextRead::Changes { since, .. } if since == Revision(7)));
-    plan.on_failure();
+    plan.on_lost_answer();
     assert_eq!(plan.next_read(), NextRead::Snapshot);
-    plan.on_failure();
+    plan.on_lost_answer();
     assert_eq!(plan.next_read(), changes);
-    plan.on_failure();
+    plan.on_lost_answer();
     plan.on_snapshot(Revision(9), 1_000, false);
     assert!(matches!(plan.next_read(), NextRead::Changes { since, .. } if since == Revision(9)));
 }
 
-/// Guards against snapshots of many records after each failed call.
+/// Guards against snapshots of many records after each lost answer.
 #[test]
-fn next_read_with_failures_allowed_is_snapshot_after_last_of_them() {
+fn next_read_with_lost_answers_allowed_is_snapshot_after_last_of_them() {
     let mut plan = ReadPlan::new(2);
     plan.on_snapshot(Revision(7), 1_000, true);
     let mut reads = Vec::new();
     for _ in 0..6 {
         reads.push(plan.next_read() == NextRead::Snapshot);
-        plan.on_failure();
+        plan.on_lost_answer();
     }
     assert_eq!(reads, [false, false, true, false, false, true]);
 }
@@ -182,3 +194,13 @@
     plan.on_snapshot(Revision(9), 1_000, false);
     assert!(matches!(plan.next_read(), NextRead::Changes { since, .. } if since == Revision(9)));
 }
+
+/// Guards against snapshots by all entries at once when a platform that refused calls is back: their
+/// size was not the reason.
+#[test]
+fn next_read_after_refused_changes_is_changes() {
+    let mut plan = ReadPlan::new(1);
+    plan.on_snapshot(Revision(7), 1_000, true);
+    plan.on_failure();
+    assert!(matches!(plan.next_read(), NextRead::Changes { since, .. } if since == Revision(7)));
+}
