forward: the age of a configuration is asked for before it is taken

A request could take an old configuration, have a newer one confirmed meanwhile, and then be refused by the old one as if that were the latest: 404 instead of 503, within some microseconds.

--- a/lib/src/request/forward/handler.rs
+++ b/lib/src/request/forward/handler.rs
@@ -125,6 +125,8 @@
         hop: Option<Hop>,
         started_at: Instant,
     ) -> Result<RequestSends<X>, Failure> {
+        // Asked before the document is taken, which may be replaced by the latest one meanwhile.
+        let is_current = self.context.is_document_current();
         let document = self.document()?;
         let authorized = document.authorize(
             &caller_request.host,
@@ -142,7 +144,7 @@
                 source = source.as_deref();
                 "request is not allowed: {denial}"
             );
-            if !self.context.is_document_current() {
+            if !is_current {
                 return not_run(NotRunReason::NotReady);
             }
             match denial {
