--- a/lib/src/process/gateway/follow.rs
+++ b/lib/src/process/gateway/follow.rs
@@ -7,13 +7,15 @@
 use super::listings::Listings;
 use super::read_plan::NextRead;
 use super::read_plan::ReadPlan;
+use super::record_relay::RelayedRecord;
+use super::relayed_feed::RecordUpdate;
+use super::relayed_feed::RelayedFeed;
 use super::state::GatewayState;
 use crate::clock::Clock;
 use crate::platform::PlatformError;
 use crate::platform::feed::Changes;
 use crate::platform::feed::ChangesRequest;
 use crate::platform::feed::Feed;
-use crate::platform::feed::FeedAnswer;
 use crate::platform::feed::FeedError;
 use crate::platform::feed::Snapshot;
 use crate::target::record::TargetRecord;
@@ -157,17 +159,17 @@
 }
 
 /// Keeps the configuration up to date.
-pub(super) async fn follow_documents<C, P>(state: Arc<GatewayState<C>>, platform: P)
+pub(super) async fn follow_documents<C, P>(state: Arc<GatewayState<C>>, feed: RelayedFeed<C, P>)
 where
     C: Clock,
     P: Feed<RouteDocument>,
 {
     let sink = DocumentSink(Arc::clone(&state));
-    follow("configuration", state, platform, sink, |_| Duration::ZERO).await;
+    follow("configuration", state, feed, sink, |_| Duration::ZERO).await;
 }
 
 /// Keeps the records of targets up to date.
-pub(super) async fn follow_targets<C, P>(state: Arc<GatewayState<C>>, platform: P)
+pub(super) async fn follow_targets<C, P>(state: Arc<GatewayState<C>>, feed: RelayedFeed<C, P>)
 where
     C: Clock,
     P: Feed<TargetRecord>,
@@ -179,7 +181,7 @@
     follow(
         "targets",
         state,
-        platform,
+        feed,
         sink,
         GatewayState::targets_batch_delay,
     )
@@ -214,12 +216,13 @@
 async fn follow<C, P, T, S, G>(
     feed_name: &'static str,
     state: Arc<GatewayState<C>>,
-    platform: P,
+    feed: RelayedFeed<C, P>,
     mut sink: S,
     batch_delay: G,
 ) where
     C: Clock,
     P: Feed<T>,
+    T: RelayedRecord,
     S: RecordSink<T>,
     G: Fn(&GatewayState<C>) -> Duration,
 {
@@ -229,14 +232,14 @@
     loop {
         let started_at = state.clock.now();
         let update = match plan.next_read() {
-            NextRead::Snapshot => platform.snapshot().await.map(Update::Snapshot),
+            NextRead::Snapshot => feed.snapshot().await.map(RecordUpdate::Snapshot),
             NextRead::Changes { since, limit_bytes } => {
                 let request = ChangesRequest {
                     since,
                     wait: long_poll_time(batch_delay(&state)),
                     limit_bytes,
                 };
-                platform.changes(request).await.map(Update::Changes)
+                feed.changes(request).await
             }
         };
         let now = state.clock.now();
@@ -254,14 +257,14 @@
             }
         }
         match update {
-            Ok(Update::Snapshot(snapshot)) => {
+            Ok(RecordUpdate::Snapshot(snapshot)) => {
                 let revision = snapshot.content.revision;
                 let has_news = sink.on_snapshot(snapshot.content);
                 // Another entry passes on the newest state only, at no cost for the platform.
                 let has_news = has_news && state.upstream().is_none();
                 plan.on_snapshot(revision, snapshot.size_bytes, has_news);
             }
-            Ok(Update::Changes(changes)) => {
+            Ok(RecordUpdate::Changes(changes)) => {
                 plan.on_changes(changes.content.revision);
                 sink.on_changes(changes.content);
             }
@@ -317,8 +320,3 @@
         .saturating_sub(batch_delay)
         .max(LONG_POLL_TIME_MIN)
 }
-
-enum Update<T> {
-    Snapshot(FeedAnswer<Snapshot<T>>),
-    Changes(FeedAnswer<Changes<T>>),
-}
--- a/lib/src/process/gateway/relayed_feed.rs
+++ b/lib/src/process/gateway/relayed_feed.rs
@@ -51,6 +51,15 @@
 /// Answers of this size or more are logged.
 const LARGE_ANSWER_BYTES: usize = 64 * 1024;
 
+/// What a reader that asked for changes gets.
+#[derive(Clone, Debug)]
+pub(super) enum RecordUpdate<T> {
+    /// All records, from an entry whose log does not go back to the reader's revision.
+    Snapshot(FeedAnswer<Snapshot<T>>),
+    /// The changes since the reader's revision.
+    Changes(FeedAnswer<Changes<T>>),
+}
+
 /// A feed that reads from the platform or from the current upstream entry.
 #[derive(Debug)]
 pub(super) struct RelayedFeed<C, P> {
@@ -142,12 +151,9 @@
         let sent_at = self.state.clock.now();
         let relayed = self.send_changes_request(upstream, since).await;
         self.on_read::<T, _, _>(RecordSource::Entry(upstream), sent_at, &relayed);
-        match &relayed {
-            Ok(relayed) => self.confirm_relayed(&relayed.content, sent_at),
-            Err(error) => {
-                log::info!(source:% = upstream, records = T::PATH; "records are not passed on: {error}");
-                self.state.on_upstream_failed(upstream);
-            }
+        if let Err(error) = &relayed {
+            log::info!(source:% = upstream, records = T::PATH; "records are not passed on: {error}");
+            self.state.on_upstream_failed(upstream);
         }
         relayed
     }
@@ -164,7 +170,7 @@
         let held = Duration::from_millis(relayed.held_ms);
         let answered_at = sent_at.checked_add(held).map_or(now, |at| at.min(now));
         let confirmed_at = answered_at.checked_sub(Duration::from_millis(confirmed_ms_ago));
-        if let Some(confirmed_at) = confirmed_at.filter(|_| !relayed.is_snapshot) {
+        if let Some(confirmed_at) = confirmed_at {
             T::confirm(&self.state, confirmed_at);
         }
     }
@@ -261,7 +267,7 @@
         &self,
         upstream: Option<SocketAddr>,
         request: ChangesRequest,
-    ) -> Result<FeedAnswer<Changes<T>>, FeedError>
+    ) -> Result<RecordUpdate<T>, FeedError>
     where
         P: Feed<T>,
         T: RelayedRecord,
@@ -277,7 +283,7 @@
     async fn changes_elsewhere<T>(
         &self,
         request: ChangesRequest,
-    ) -> Result<FeedAnswer<Changes<T>>, FeedError>
+    ) -> Result<RecordUpdate<T>, FeedError>
     where
         P: Feed<T>,
         T: RelayedRecord,
@@ -307,21 +313,19 @@
         }
     }
 
+    /// Reads the changes from another entry, or all of its records if its log does not go back to
+    /// `since`. All its readers then get them at the same time, so they must not turn to the platform.
     async fn relayed_changes<T>(
         &self,
         upstream: SocketAddr,
         since: Revision,
-    ) -> Result<FeedAnswer<Changes<T>>, FeedError>
+    ) -> Result<RecordUpdate<T>, FeedError>
     where
         T: RelayedRecord,
     {
+        let sent_at = self.state.clock.now();
         let answer = self.request_changes::<T>(upstream, Some(since)).await?;
         let relayed = &answer.content;
-        if relayed.is_snapshot {
-            // The log of the upstream does not go back that far, so the caller must read a
-            // snapshot.
-            return Err(FeedError::HistoryLost { since });
-        }
         // An entry refuses to pass on records that are too old, but need not agree on the age.
         let age = Duration::from_millis(relayed.confirmed_ms_ago.unwrap_or_default());
         if age > T::age_max(&self.state) + RESPONSE_TIMEOUT {
@@ -330,6 +334,17 @@
                 reason: format!("the records of entry {upstream} are too old"),
             }));
         }
+        if relayed.is_snapshot {
+            self.check_revision(upstream, relayed)?;
+        }
+        self.confirm_relayed(relayed, sent_at);
+        if relayed.is_snapshot {
+            log::info!(
+                records = T::PATH, source:% = upstream, since = since.0, revision = relayed.revision.0;
+                "the entry passes on all records instead of changes"
+            );
+            return Ok(RecordUpdate::Snapshot(answer.map(into_snapshot)));
+        }
         let answer = answer.map(|relayed| Changes {
             changed: relayed.changed,
             removed: relayed.removed,
@@ -339,13 +354,32 @@
             // An entry of an earlier version joins changes without their order.
             return Err(FeedError::HistoryLost { since });
         }
-        Ok(answer)
+        Ok(RecordUpdate::Changes(answer))
+    }
+
+    /// Fails if all records of another entry are older than the known ones: records that were removed
+    /// meanwhile would be listed again.
+    fn check_revision<T>(
+        &self,
+        upstream: SocketAddr,
+        relayed: &RelayedChanges<T>,
+    ) -> Result<(), FeedError>
+    where
+        T: RelayedRecord,
+    {
+        if T::revision(&self.state).is_none_or(|known| relayed.revision >= known) {
+            return Ok(());
+        }
+        self.state.on_upstream_failed(upstream);
+        Err(FeedError::Platform(PlatformError::Unavailable {
+            reason: format!("the records of entry {upstream} are older than the known ones"),
+        }))
     }
 
     async fn platform_changes<T>(
         &self,
         request: ChangesRequest,
-    ) -> Result<FeedAnswer<Changes<T>>, FeedError>
+    ) -> Result<RecordUpdate<T>, FeedError>
     where
         P: Feed<T>,
         T: RelayedRecord,
@@ -359,17 +393,15 @@
             let answered_by = sent_at + request.wait + PLATFORM_ANSWER_TIME;
             T::confirm(&self.state, answered_at.min(answered_by));
         }
-        changes
+        changes.map(RecordUpdate::Changes)
     }
-}
 
-impl<C, P, T> Feed<T> for RelayedFeed<C, P>
-where
-    C: Clock,
-    P: Feed<T>,
-    T: RelayedRecord,
-{
-    async fn snapshot(&self) -> Result<FeedAnswer<Snapshot<T>>, FeedError> {
+    /// Reads all records from the platform, or from another entry if the platform fails.
+    pub(super) async fn snapshot<T>(&self) -> Result<FeedAnswer<Snapshot<T>>, FeedError>
+    where
+        P: Feed<T>,
+        T: RelayedRecord,
+    {
         let sent_at = self.state.clock.now();
         let from_platform = self.platform.snapshot().await;
         self.on_read::<T, _, _>(RecordSource::Platform, sent_at, &from_platform);
@@ -383,24 +415,21 @@
             return from_platform;
         };
         let answer = self.request_changes::<T>(upstream, None).await?;
-        let relayed = &answer.content;
-        // Records that were removed meanwhile would be listed again.
-        if T::revision(&self.state).is_some_and(|known| relayed.revision < known) {
-            self.state.on_upstream_failed(upstream);
-            return Err(FeedError::Platform(PlatformError::Unavailable {
-                reason: format!("the records of entry {upstream} are older than the known ones"),
-            }));
-        }
-        Ok(answer.map(|relayed| Snapshot {
-            records: relayed.changed,
-            revision: relayed.revision,
-        }))
+        self.check_revision(upstream, &answer.content)?;
+        Ok(answer.map(into_snapshot))
     }
 
     /// Reads the changes at the usual place. If that fails, or the records get too old meanwhile,
     /// they are also read elsewhere, and the first answer is used. The time without the platform's
     /// word is thus bounded, however many entries fail one after the other.
-    async fn changes(&self, request: ChangesRequest) -> Result<FeedAnswer<Changes<T>>, FeedError> {
+    pub(super) async fn changes<T>(
+        &self,
+        request: ChangesRequest,
+    ) -> Result<RecordUpdate<T>, FeedError>
+    where
+        P: Feed<T>,
+        T: RelayedRecord,
+    {
         let upstream = self.state.upstream();
         let mut usual = std::pin::pin!(self.usual_changes(upstream, request));
         match tokio::time::timeout(self.time_until_too_old::<T>(), &mut usual).await {
@@ -417,16 +446,23 @@
     }
 }
 
+fn into_snapshot<T>(relayed: RelayedChanges<T>) -> Snapshot<T> {
+    Snapshot {
+        records: relayed.changed,
+        revision: relayed.revision,
+    }
+}
+
 /// Returns whether the read need not be repeated elsewhere.
-fn is_settled<T>(changes: &Result<FeedAnswer<Changes<T>>, FeedError>) -> bool {
+fn is_settled<T>(changes: &Result<RecordUpdate<T>, FeedError>) -> bool {
     !matches!(changes, Err(FeedError::Platform(_)))
 }
 
 /// Runs both reads and returns the first result that is settled, or else the last one.
-async fn first_settled<T, A, B>(first: A, second: B) -> Result<FeedAnswer<Changes<T>>, FeedError>
+async fn first_settled<T, A, B>(first: A, second: B) -> Result<RecordUpdate<T>, FeedError>
 where
-    A: Future<Output = Result<FeedAnswer<Changes<T>>, FeedError>>,
-    B: Future<Output = Result<FeedAnswer<Changes<T>>, FeedError>>,
+    A: Future<Output = Result<RecordUpdate<T>, FeedError>>,
+    B: Future<Output = Result<RecordUpdate<T>, FeedError>>,
 {
     let mut first = std::pin::pin!(first);
     let mut second = std::pin::pin!(second);
