gateway: a lost answer of the platform is told although another entry refused

Cause: changes are read at several places, and the last failure was returned. Another entry that refuses after the platform's answer was lost hid that the size may be the reason.

Change: the failure of a lost answer is kept. No test shows it by itself; the tests of storms and of relayed records pass.

--- a/lib/src/process/gateway/relayed_feed.rs
+++ b/lib/src/process/gateway/relayed_feed.rs
@@ -308,7 +308,7 @@
             }
         };
         match answered {
-            Ok(_) => peer.await,
+            Ok(failed) => settled_or_lost(failed, peer.await),
             Err(_) => first_settled(platform, peer).await,
         }
     }
@@ -434,7 +434,7 @@
         let mut usual = std::pin::pin!(self.usual_changes(upstream, request));
         match tokio::time::timeout(self.time_until_too_old::<T>(), &mut usual).await {
             Ok(changes) if is_settled(&changes) => changes,
-            Ok(_) => self.changes_elsewhere(request).await,
+            Ok(failed) => settled_or_lost(failed, self.changes_elsewhere(request).await),
             Err(_) => {
                 log::info!(
                     records = T::PATH, source:? = upstream;
@@ -458,7 +458,24 @@
     !matches!(changes, Err(FeedError::Platform(_)))
 }
 
-/// Runs both reads and returns the first result that is settled, or else the last one.
+/// Returns the second result if it is settled, or else the one that tells that an answer was lost: its
+/// size may be the reason.
+fn settled_or_lost<T>(
+    first: Result<RecordUpdate<T>, FeedError>,
+    second: Result<RecordUpdate<T>, FeedError>,
+) -> Result<RecordUpdate<T>, FeedError> {
+    let is_lost = matches!(
+        first,
+        Err(FeedError::Platform(PlatformError::Ambiguous { .. }))
+    );
+    if is_lost && !is_settled(&second) {
+        first
+    } else {
+        second
+    }
+}
+
+/// Runs both reads and returns the first result that is settled, or else that of a lost answer.
 async fn first_settled<T, A, B>(first: A, second: B) -> Result<RecordUpdate<T>, FeedError>
 where
     A: Future<Output = Result<RecordUpdate<T>, FeedError>>,
@@ -467,7 +484,11 @@
     let mut first = std::pin::pin!(first);
     let mut second = std::pin::pin!(second);
     tokio::select! {
-        changes = &mut first => if is_settled(&changes) { changes } else { second.await },
-        changes = &mut second => if is_settled(&changes) { changes } else { first.await },
+        changes = &mut first => {
+            if is_settled(&changes) { changes } else { settled_or_lost(changes, second.await) }
+        }
+        changes = &mut second => {
+            if is_settled(&changes) { changes } else { settled_or_lost(changes, first.await) }
+        }
     }
 }
