forward: refusals allow for the error of the configuration's age

What callers saw: 404, 3 s and more after the store had acknowledged a route, at entries that were starved of processor time.

Cause: an answer counts as composed when its head is read, at most 0.2 s after the longest wait of 0.8 s. A starved process reads it late, so that a configuration can be up to 1 s older than its age says. Refusals are allowed up to `in-force-within`.

Change: they are allowed up to 1 s less. A version that was acknowledged longer ago than the bound is then known to each entry that says 404 or 401.

--- a/lib/src/process/gateway/context.rs
+++ b/lib/src/process/gateway/context.rs
@@ -7,9 +7,11 @@
 
 use super::crash_check::check_target;
 use super::crash_records::Suspect;
+use super::follow::LONG_POLL_TIME;
 use super::passed_on::PassedOn;
 use super::passed_on::Reservation;
 use super::quarantine::Admission;
+use super::relayed_feed::PLATFORM_ANSWER_TIME;
 use super::reservation::ChosenTarget;
 use super::state::GatewayState;
 use super::state::Inner;
@@ -36,6 +38,9 @@
 use crate::request::forward::protocol::StatedLimit;
 use crate::version::routes::RouteDocument;
 
+/// How much older the configuration may be than the time since its confirmation. The platform may have
+/// answered at the start of a call whose answer was read at the end of its wait.
+const DOCUMENT_AGE_ERROR: Duration = LONG_POLL_TIME.saturating_add(PLATFORM_ANSWER_TIME);
 /// The number of complete events up to which an answer is at its start.
 const EVENTS_AT_START_MAX: u32 = 1;
 
@@ -365,7 +370,8 @@
 
     fn is_document_current(&self) -> bool {
         let age_max = self.state.settings.configuration_in_force_within;
-        self.document_age().is_some_and(|age| age <= age_max)
+        self.document_age()
+            .is_some_and(|age| age + DOCUMENT_AGE_ERROR <= age_max)
     }
 
     fn document_source(&self) -> Option<RecordSource> {
--- a/lib/src/process/gateway/follow.rs
+++ b/lib/src/process/gateway/follow.rs
@@ -23,7 +23,7 @@
 
 /// The longest time for which a call waits for a change. It is short, so that entries that read
 /// records here learn soon when this entry can't reach the platform.
-const LONG_POLL_TIME: Duration = Duration::from_millis(800);
+pub(super) const LONG_POLL_TIME: Duration = Duration::from_millis(800);
 /// The least such time. A shorter one would cost a call for each answer without changes.
 const LONG_POLL_TIME_MIN: Duration = Duration::from_millis(100);
 /// The delay after the first failed call; it doubles up to the maximum.
--- a/lib/src/process/gateway/relayed_feed.rs
+++ b/lib/src/process/gateway/relayed_feed.rs
@@ -44,7 +44,7 @@
 const RESPONSE_LIMIT_BYTES: usize = 8 * 1024 * 1024;
 /// How much longer than its wait a call to the platform may take while its answer counts as current
 /// at the time of its arrival. A longer call may have ended before this process could read it.
-const PLATFORM_ANSWER_TIME: Duration = Duration::from_millis(200);
+pub(super) const PLATFORM_ANSWER_TIME: Duration = Duration::from_millis(200);
 /// The least time for an answer before the records are read elsewhere, too.
 const ANSWER_TIME_MIN: Duration = Duration::from_millis(150);
 
