tests: storms of configurations at eight processes behind slow links

Eight entries as processes read 0.55 MB configurations over links of 2.5 MB/s each, from a store with 20 s of history whose feed answers with each version or with the newest only. Callers ask for the route of each version 3 s after the store took it.

--- a/cli/tests/runner.rs
+++ b/cli/tests/runner.rs
@@ -2,17 +2,30 @@
 
 mod cluster;
 mod gateway_process;
+#[allow(
+    dead_code,
+    reason = "the tests of the platform adapter use the other parts"
+)]
+#[path = "../../platform/tests/large_configuration.rs"]
+mod large_configuration;
 #[path = "../../platform/tests/paced_target.rs"]
 mod paced_target;
 #[allow(
     dead_code,
     reason = "the tests of the platform adapter use the other parts"
 )]
+#[path = "../../platform/tests/slow_link.rs"]
+mod slow_link;
+#[allow(
+    dead_code,
+    reason = "the tests of the platform adapter use the other parts"
+)]
 #[path = "../../platform/tests/stand_in.rs"]
 mod stand_in;
 mod test_callers;
 mod test_check_history_command;
 mod test_config_command;
+mod test_configuration_storm_soak;
 mod test_departed_targets;
 mod test_docs;
 mod test_entry_command;
--- a/cli/tests/test_gateway_soak.rs
+++ b/cli/tests/test_gateway_soak.rs
@@ -1,7 +1,9 @@
 //! Soaks of several gateways in separate processes with one store, while signals stop, end and
 //! restart them in series that overlap.
 
+use std::fs::OpenOptions;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::path::PathBuf;
 use std::process::Command;
 use std::sync::Arc;
@@ -39,6 +41,11 @@
 pub(crate) struct SoakEntry {
     process: std::process::Child,
     settings: PathBuf,
+    /// The file with the log lines, if they are kept.
+    log: Option<PathBuf>,
+    /// The number of processes that ran before the present one.
+    pub(crate) life: u64,
+    started_at: Instant,
     pub(crate) callers: SocketAddr,
     metrics: SocketAddr,
     /// The end of the present disturbance, or the time of the last one.
@@ -55,6 +62,15 @@
 
 impl SoakEntry {
     pub(crate) async fn start(number: usize, store: SocketAddr) -> Self {
+        Self::start_with_log(number, store, None).await
+    }
+
+    /// Starts an entry whose log lines are appended to a file.
+    pub(crate) async fn start_with_log(
+        number: usize,
+        store: SocketAddr,
+        log: Option<&Path>,
+    ) -> Self {
         let mut listeners = Vec::new();
         for _ in 0..4 {
             listeners.push(TcpListener::bind("127.0.0.1:0").await.unwrap());
@@ -75,8 +91,11 @@
         let settings = std::env::temp_dir().join(format!("soak-{}.ini", new_attempt_id()));
         std::fs::write(&settings, &text).unwrap();
         Self {
-            process: spawn(&settings),
+            process: spawn(&settings, log),
             settings,
+            log: log.map(Path::to_owned),
+            life: 0,
+            started_at: Instant::now(),
             callers,
             metrics,
             disturbed_until: Instant::now(),
@@ -84,6 +103,21 @@
         }
     }
 
+    /// Returns when the last disturbance ended or the present one ends.
+    pub(crate) fn disturbed_until(&self) -> Instant {
+        self.disturbed_until
+    }
+
+    /// Returns when the present process started.
+    pub(crate) fn started_at(&self) -> Instant {
+        self.started_at
+    }
+
+    /// Returns whether the process has ended.
+    pub(crate) fn has_ended(&mut self) -> bool {
+        self.process.try_wait().unwrap().is_some()
+    }
+
     /// Returns whether no disturbance is under way.
     pub(crate) fn is_calm(&self) -> bool {
         !self.is_stopped && self.disturbed_until < Instant::now()
@@ -105,15 +139,22 @@
 
     fn restart(&mut self) {
         self.end();
-        self.process = spawn(&self.settings);
+        self.process = spawn(&self.settings, self.log.as_deref());
+        self.life += 1;
+        self.started_at = Instant::now();
         self.is_stopped = false;
     }
 }
 
-fn spawn(settings: &PathBuf) -> std::process::Child {
+fn spawn(settings: &Path, log: Option<&Path>) -> std::process::Child {
     let mut command = Command::new(env!("CARGO_BIN_EXE_beryltray"));
     command.arg("entry").arg("--settings").arg(settings);
-    command.env("RUST_LOG", "error").spawn().unwrap()
+    let Some(log) = log else {
+        return command.env("RUST_LOG", "error").spawn().unwrap();
+    };
+    let file = OpenOptions::new().create(true).append(true).open(log);
+    command.env("RUST_LOG", "info").stdout(file.unwrap());
+    command.spawn().unwrap()
 }
 
 /// A disturbance of an entry.
@@ -144,7 +185,8 @@
             Self::Stop(time) | Self::Terminate(time) => time,
         };
         let begin = |entry: &mut SoakEntry| {
-            entry.disturbed_until = Instant::now() + time;
+            // Disturbances of an entry may overlap.
+            entry.disturbed_until = entry.disturbed_until.max(Instant::now() + time);
             match self {
                 Self::Stop(_) => entry.signal("STOP"),
                 Self::Terminate(_) => entry.signal("TERM"),
@@ -161,7 +203,7 @@
             Self::Kill => {}
         }
         entry.is_stopped = false;
-        entry.disturbed_until = Instant::now();
+        entry.disturbed_until = entry.disturbed_until.max(Instant::now());
     }
 }
 
