gateway: log and count answers of a feed that follow each other

A refusal says the version, its age and its source, but nothing told whether an entry had read all changes or was stepping through them: reads below 64 KiB weren't logged, and a large answer didn't say how many rows it had. An entry that steps from version to version can't be told from one that skips changes, or from one whose confirmations are late.

The second, fourth, eighth ... answer with changes in a row is logged with its revision, rows and size, and the gauge beryltray_feed_answers_with_changes counts them. No logic changes.

--- a/lib/src/platform/feed.rs
+++ b/lib/src/platform/feed.rs
@@ -70,6 +70,8 @@
     pub content: A,
     /// The size of all bodies that were read for it.
     pub size_bytes: usize,
+    /// The number of rows or records that were read, with those that do not count.
+    pub row_count: usize,
     /// The time from the start of the last body to its end. What the answer says is older by this
     /// time when it has been read.
     pub body_time: Duration,
@@ -84,6 +86,7 @@
         FeedAnswer {
             content: convert(self.content),
             size_bytes: self.size_bytes,
+            row_count: self.row_count,
             body_time: self.body_time,
         }
     }
--- a/lib/src/process/gateway/follow.rs
+++ b/lib/src/process/gateway/follow.rs
@@ -229,6 +229,7 @@
     let mut plan = ReadPlan::new(S::LOST_ANSWERS_BEFORE_SNAPSHOT);
     let mut retry_delay = RETRY_DELAY_MIN;
     let mut failing_since: Option<Instant> = None;
+    let mut answers_with_changes: u32 = 0;
     loop {
         let started_at = state.clock.now();
         let update = match plan.next_read() {
@@ -265,6 +266,24 @@
                 plan.on_snapshot(revision, snapshot.size_bytes, has_news);
             }
             Ok(RecordUpdate::Changes(changes)) => {
+                answers_with_changes = if changes.row_count == 0 {
+                    0
+                } else {
+                    answers_with_changes.saturating_add(1)
+                };
+                state
+                    .metrics
+                    .set_feed_answers_with_changes(T::LABEL, answers_with_changes);
+                // A reader that is behind has them one after the other. Changes may follow each other
+                // without end, so ever fewer are logged.
+                if answers_with_changes > 1 && answers_with_changes.is_power_of_two() {
+                    log::info!(
+                        what = feed_name, revision = changes.content.revision.0,
+                        rows = changes.row_count as u64, size_bytes = changes.size_bytes as u64,
+                        answers = answers_with_changes;
+                        "answers with changes follow each other"
+                    );
+                }
                 plan.on_changes(changes.content.revision);
                 sink.on_changes(changes.content);
             }
--- a/lib/src/process/gateway/metrics.rs
+++ b/lib/src/process/gateway/metrics.rs
@@ -50,6 +50,7 @@
     change_log_bytes: IntGaugeVec,
     feed_reads: IntCounterVec,
     feed_bytes: IntCounterVec,
+    feed_answers_with_changes: IntGaugeVec,
     /// Failed calls to the platform, by the feed that was read.
     pub platform_failures: IntCounterVec,
     /// The version of the configuration in force.
@@ -171,6 +172,11 @@
                 "Bytes of the answers with records that were read completely.",
                 &["records", "source"],
             )?,
+            feed_answers_with_changes: gauges(
+                "feed_answers_with_changes",
+                "Answers with changes of records since the last answer without any.",
+                &["records"],
+            )?,
             platform_failures: counters(
                 "platform_failures_total",
                 "Calls to the platform that failed.",
@@ -305,6 +311,7 @@
         registry.register(Box::new(self.loop_delay_seconds.clone()))?;
         registry.register(Box::new(self.change_log_bytes.clone()))?;
         registry.register(Box::new(self.feed_reads.clone()))?;
+        registry.register(Box::new(self.feed_answers_with_changes.clone()))?;
         registry.register(Box::new(self.feed_bytes.clone()))?;
         registry.register(Box::new(self.platform_failures.clone()))?;
         registry.register(Box::new(self.configuration_version.clone()))?;
@@ -461,6 +468,12 @@
         bytes.inc_by(size_bytes as u64);
     }
 
+    /// Sets how many answers with changes came one after the other.
+    pub fn set_feed_answers_with_changes(&self, records: &str, answers: u32) {
+        let gauge = self.feed_answers_with_changes.with_label_values(&[records]);
+        gauge.set(i64::from(answers));
+    }
+
     /// Records how late a timer fired.
     pub fn observe_loop_delay(&self, delay: Duration) {
         self.loop_delay_seconds.observe(delay.as_secs_f64());
--- a/lib/src/process/gateway/relayed_feed.rs
+++ b/lib/src/process/gateway/relayed_feed.rs
@@ -226,12 +226,13 @@
             *self.lock_connection() = Some(connection);
         }
         let content = serde_json::from_slice(&body);
-        let content = content.map_err(|error| PlatformError::Protocol {
+        let content: RelayedChanges<T> = content.map_err(|error| PlatformError::Protocol {
             reason: error.to_string(),
         })?;
         Ok(FeedAnswer {
-            content,
             size_bytes: body.len(),
+            row_count: content.changed.len() + content.removed.len(),
+            content,
             body_time: self.state.clock.now().saturating_duration_since(head_at),
         })
     }
