test_configuration_storm: stores that end answers of their feed early

The stand-in always answered with all changes, so no test had an answer that lacks some. It can now end an answer at a size, which then bears either the version of its last row or the newest one of the store.

--- a/cli/tests/test_configuration_storm_soak.rs
+++ b/cli/tests/test_configuration_storm_soak.rs
@@ -23,9 +23,12 @@
 use rand::rngs::StdRng;
 
 use crate::large_configuration::Operator;
+use crate::large_configuration::PARTIAL_ANSWER_BYTES;
 use crate::slow_link::SMALLEST_LINK_BYTES_PER_S;
 use crate::slow_link::SlowLink;
+use crate::stand_in::FeedLimit;
 use crate::stand_in::FeedRows;
+use crate::stand_in::PartialVersion;
 use crate::stand_in::StoreSettings;
 use crate::stand_in::StoreStandIn;
 use crate::stand_in::TargetAnswer;
@@ -86,17 +89,47 @@
     ends_at: Mutex<Option<Instant>>,
 }
 
+/// What the store's feed answers with.
+#[derive(Clone, Copy, Debug)]
+struct StoreFeed {
+    rows: FeedRows,
+    limit: Option<FeedLimit>,
+}
+
+impl StoreFeed {
+    const EACH_VERSION: Self = Self {
+        rows: FeedRows::EachVersion,
+        limit: None,
+    };
+    const NEWEST_ONLY: Self = Self {
+        rows: FeedRows::NewestOnly,
+        limit: None,
+    };
+
+    /// Returns a feed whose answers end early, after one version of a large configuration.
+    const fn partial(version: PartialVersion) -> Self {
+        Self {
+            rows: FeedRows::EachVersion,
+            limit: Some(FeedLimit {
+                rows_bytes: PARTIAL_ANSWER_BYTES,
+                version,
+            }),
+        }
+    }
+}
+
 fn lock_entry(entry: &Arc<Mutex<SoakEntry>>) -> MutexGuard<'_, SoakEntry> {
     entry.lock().unwrap()
 }
 
 impl Fleet {
     /// Starts the store, a target and the entries, and waits until these serve version 1.
-    async fn start(feed_rows: FeedRows) -> (Arc<Self>, Operator) {
+    async fn start(feed: StoreFeed) -> (Arc<Self>, Operator) {
         let store = StoreStandIn::new(StoreSettings {
-            feed_rows,
+            feed_rows: feed.rows,
             history: Some(STORE_HISTORY),
             is_waiting: true,
+            feed_limit: feed.limit,
         });
         let operator = Operator::new(&store);
         let target = TargetStandIn::new(vec![TargetAnswer {
@@ -532,9 +565,9 @@
 }
 
 /// Writes one storm while nothing is done to the store and the entries.
-async fn run_storm(feed_rows: FeedRows) -> Report {
+async fn run_storm(feed: StoreFeed) -> Report {
     let _one = ONE_RUN.lock().await;
-    let (fleet, mut operator) = Fleet::start(feed_rows).await;
+    let (fleet, mut operator) = Fleet::start(feed).await;
     let collected = tokio::spawn(collect(Arc::clone(&fleet)));
     fleet
         .write_versions(&mut operator, CALM_INTERVAL, EXCUSED_FOR)
@@ -551,27 +584,29 @@
 /// read had all versions since the last one: added routes were refused with 404 until changes paused.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn configuration_storm_at_eight_processes_is_in_force_in_time() {
-    run_storm(FeedRows::EachVersion).await.assert_in_force();
+    run_storm(StoreFeed::EACH_VERSION).await.assert_in_force();
 }
 
 /// Guards against a remedy that holds only if the store's feed answers with each version.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn configuration_storm_at_eight_processes_with_feed_of_newest_is_in_force_in_time() {
-    run_storm(FeedRows::NewestOnly).await.assert_in_force();
+    run_storm(StoreFeed::NEWEST_ONLY).await.assert_in_force();
+}
+
+/// Guards against entries that take a partial answer of the feed for all changes: they refused added routes
+/// with 404, seconds behind, and passed their version on as confirmed.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn configuration_storm_at_eight_processes_with_partial_answers_is_in_force_in_time() {
+    let feed = StoreFeed::partial(PartialVersion::LastRow);
+    run_storm(feed).await.assert_in_force();
 }
 
-/// Writes storms while the store and the entries are disturbed. Odd seeds have a feed that answers with
-/// the newest versions only.
-async fn soak(seed: u64) -> Report {
+/// Writes storms while the store and the entries are disturbed.
+async fn soak(seed: u64, feed: StoreFeed) -> Report {
     let _one = ONE_RUN.lock().await;
-    let feed_rows = if seed.is_multiple_of(2) {
-        FeedRows::EachVersion
-    } else {
-        FeedRows::NewestOnly
-    };
     let mut random = StdRng::seed_from_u64(seed);
     let mut next_random = || StdRng::seed_from_u64(random.random());
-    let (fleet, mut operator) = Fleet::start(feed_rows).await;
+    let (fleet, mut operator) = Fleet::start(feed).await;
     let collected = tokio::spawn(collect(Arc::clone(&fleet)));
     fleet
         .write_versions(&mut operator, CALM_INTERVAL, EXCUSED_FOR)
@@ -593,10 +628,31 @@
 }
 
 /// Guards against storms that are not in force in time, and against answers by older versions, while the
-/// store and the entries fail in series that overlap.
+/// store and the entries fail in series that overlap. Odd seeds have a feed that answers with the newest
+/// versions only.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn soak_configuration_storms_are_in_force_in_time_while_store_and_entries_fail() {
     let seed = 52 + extra_seed();
     println!("seed {seed}");
-    soak(seed).await.assert_in_force();
+    let feed = if seed.is_multiple_of(2) {
+        StoreFeed::EACH_VERSION
+    } else {
+        StoreFeed::NEWEST_ONLY
+    };
+    soak(seed, feed).await.assert_in_force();
+}
+
+/// Guards against the same with a store whose feed ends its answers early. On odd seeds such answers bear the
+/// store's newest version.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn soak_configuration_storms_with_partial_answers_are_in_force_in_time() {
+    let seed = 52 + extra_seed();
+    println!("seed {seed}");
+    let version = if seed.is_multiple_of(2) {
+        PartialVersion::LastRow
+    } else {
+        PartialVersion::Newest
+    };
+    let feed = StoreFeed::partial(version);
+    soak(seed, feed).await.assert_in_force();
 }
