host_tracker: hold removals back until a complete read after an outage

After an outage of the platform, the first answer of the feed ended the time in which removals may be due to the outage. The store may end an answer early; a removal of a record that expired in the outage then came with the second answer, took effect at once, and the target got no requests although its record returned within two seconds.

A read of records no longer ends that time; on_complete_read does, which the reader of the feed calls when its plan says as of when the records are complete. The test of newer removals calls on_complete_read too, since its read had no changes.

--- a/lib/src/process/formation/host_tracker.rs
+++ b/lib/src/process/formation/host_tracker.rs
@@ -249,8 +249,8 @@
     /// Handles the end of a registry outage. Records that expired during the outage may return, so
     /// removals are held back, by `grace` at most.
     ///
-    /// If they are not in what is read first after the outage, they are held back by a time that is
-    /// within the drain time of a host.
+    /// Those that are read after the first complete read are held back by a time that is within the drain
+    /// time of a host.
     pub fn on_outage_ended(&mut self, now: Instant, grace: Duration) {
         self.outage = Some(Outage::ended(now, grace));
     }
@@ -273,13 +273,18 @@
         self.on_read(changes.revision, now);
     }
 
+    /// Records that what was applied last had all changes that the registry knew. An answer may end early,
+    /// so that removals which are due to an outage come with a later one.
+    pub fn on_complete_read(&mut self) {
+        if let Some(outage) = &mut self.outage {
+            outage.on_complete_read();
+        }
+    }
+
     /// Records that the registry was read up to `revision`, without changes or after they were
     /// applied. From then on the records count, not what other entries told up to that revision.
     pub fn on_read(&mut self, revision: Revision, now: Instant) {
         self.revision = revision;
-        if let Some(outage) = &mut self.outage {
-            outage.on_read();
-        }
         for tracked in self.hosts.iter_mut() {
             let Some(departure) = tracked.departure.filter(|departure| !departure.is_read) else {
                 continue;
--- a/lib/src/process/formation/outage.rs
+++ b/lib/src/process/formation/outage.rs
@@ -12,8 +12,8 @@
 pub(super) struct Outage {
     /// Until when records that expired during the outage may return.
     records_return_until: Instant,
-    /// Whether nothing has been read since the outage, so that the next removals may be due to it.
-    is_unread: bool,
+    /// Whether no read since the outage had all changes, so that the next removals may be due to it.
+    is_incomplete: bool,
 }
 
 impl Outage {
@@ -21,13 +21,13 @@
     pub(super) fn ended(now: Instant, grace: Duration) -> Self {
         Self {
             records_return_until: now + grace,
-            is_unread: true,
+            is_incomplete: true,
         }
     }
 
-    /// Records that the registry was read.
-    pub(super) fn on_read(&mut self) {
-        self.is_unread = false;
+    /// Records that the registry was read and that no changes until then are missing.
+    pub(super) fn on_complete_read(&mut self) {
+        self.is_incomplete = false;
     }
 
     /// Returns when the removals take effect that are read now. The hosts were listed at `listed_at`.
@@ -37,7 +37,7 @@
         now: Instant,
     ) -> Instant {
         let held_back_until = match listed_at {
-            Some(at) if !self.is_unread => {
+            Some(at) if !self.is_incomplete => {
                 self.records_return_until.min(at + NEW_REMOVAL_DELAY_MAX)
             }
             _ => self.records_return_until,
--- a/lib/src/process/gateway/follow.rs
+++ b/lib/src/process/gateway/follow.rs
@@ -152,6 +152,10 @@
     }
 
     fn on_applied(&mut self, times: ReadTimes) {
+        // Another entry passes nothing on that is older than the shortest outage in which records expire.
+        if times.complete_at.is_some() {
+            self.state.inner().host_tracker.on_complete_read();
+        }
         self.answered_at = self.answered_at.max(times.answered_at);
         self.complete_at = self.state.targets_confirmed_at();
     }
--- a/lib/tests/test_host_tracker.rs
+++ b/lib/tests/test_host_tracker.rs
@@ -133,6 +133,56 @@
     assert_eq!(tracker.next_removal_at(now + GRACE), None);
 }
 
+/// Returns when the removal of the host takes effect that is read at `now`, second after an outage that
+/// ended then. `read_first` applies the first read.
+fn second_removal_effective_at<F>(
+    listed_at: Instant,
+    now: Instant,
+    read_first: F,
+) -> Option<Instant>
+where
+    F: FnOnce(&mut HostTracker),
+{
+    let mut tracker = HostTracker::new();
+    tracker.on_record(record(FIRST), listed_at);
+    tracker.on_outage_ended(now, GRACE);
+    read_first(&mut tracker);
+    tracker.on_changes(&removal(), Some(listed_at), now);
+    tracker.next_removal_at(now)
+}
+
+// Guards against a host without requests whose record expired in an outage, because the answer that was
+// read first after it ended before the removal.
+#[test]
+fn on_changes_removal_read_after_incomplete_read_is_held_back_as_long_as_records_return() {
+    let listed_at = Instant::now();
+    let now = listed_at + Duration::from_secs(3);
+    for known_at in [listed_at, now] {
+        let changes = second_removal_effective_at(known_at, now, |tracker| {
+            tracker.on_changes(&changed(8), Some(known_at), now);
+        });
+        assert_eq!(changes, Some(now + GRACE));
+    }
+}
+
+// Guards against an outage that holds back all removals until records no longer return, also those that
+// are newer.
+#[test]
+fn on_changes_removal_read_after_complete_read_is_held_back_within_drain_time() {
+    let now = Instant::now();
+    let held_back_until = Some(now + Duration::from_millis(1_500));
+    let changes = second_removal_effective_at(now, now, |tracker| {
+        tracker.on_changes(&changed(8), Some(now), now);
+        tracker.on_complete_read();
+    });
+    assert_eq!(changes, held_back_until);
+    let snapshot = second_removal_effective_at(now, now, |tracker| {
+        tracker.on_snapshot(snapshot(8, vec![record(FIRST)]), Some(now), now);
+        tracker.on_complete_read();
+    });
+    assert_eq!(snapshot, held_back_until);
+}
+
 // Guards against requests to a host whose removal is newer than an outage, for as long as records may
 // return.
 #[test]
@@ -143,6 +193,7 @@
         tracker.on_record(record(FIRST), start);
         tracker.on_outage_ended(start, GRACE);
         tracker.on_read(Revision(8), start);
+        tracker.on_complete_read();
         let listed_at = start + Duration::from_millis(read_ms);
         let removed_at = listed_at + Duration::from_millis(40);
         tracker.on_changes(&removal(), Some(listed_at), removed_at);
