--- a/lib/src/process/feed_reader/read_plan.rs
+++ b/lib/src/process/feed_reader/read_plan.rs
@@ -139,7 +139,10 @@
 
     /// Returns the next read, which is made at `source`.
     pub fn next_read(&self, source: RecordSource, now: Instant) -> NextRead {
-        let Some(since) = self.revision.filter(|_| !self.needs_snapshot()) else {
+        // Another entry can't tell whether changes are missing that were read at the platform.
+        let is_relayed = matches!(source, RecordSource::Entry(_));
+        let is_snapshot = self.needs_snapshot() || (is_relayed && self.is_unproven_too_large());
+        let Some(since) = self.revision.filter(|_| !is_snapshot) else {
             return NextRead::Snapshot;
         };
         let limit_bytes = self.limit_bytes().saturating_sub(self.unproven_bytes);
@@ -164,8 +167,7 @@
         if self.unproven_bytes == 0 {
             return None;
         }
-        let is_too_large = self.unproven_bytes >= self.limit_bytes();
-        let complete_at = self.complete_at.filter(|_| !is_too_large);
+        let complete_at = self.complete_at.filter(|_| !self.is_unproven_too_large());
         Some(complete_at.map_or(Duration::ZERO, |at| {
             (at + self.settings.check_after).saturating_duration_since(now)
         }))
@@ -178,6 +180,11 @@
             || self.unproven_answers >= self.settings.unproven_answers_max
     }
 
+    /// Returns whether the answers that prove nothing are together larger than a snapshot.
+    fn is_unproven_too_large(&self) -> bool {
+        self.unproven_bytes >= self.limit_bytes()
+    }
+
     /// Returns the size up to which changes cost less than a snapshot.
     fn limit_bytes(&self) -> usize {
         CHANGES_MIN_BYTES.max(self.snapshot_bytes + self.snapshot_bytes / 2)
--- a/lib/tests/test_read_plan.rs
+++ b/lib/tests/test_read_plan.rs
@@ -393,6 +393,40 @@
     ));
 }
 
+/// Guards against a size limit of single answers, which many small ones never reach.
+#[test]
+fn next_read_after_many_answers_is_checked_by_their_size_together() {
+    let start = Instant::now();
+    let mut plan = plan_after_snapshot(SETTINGS_OF_MANY, start);
+    for revision in 8..11 {
+        let answer = ChangesAnswer {
+            size_bytes: 100 * 1024,
+            ..answer(revision, true, start)
+        };
+        assert_eq!(plan.on_changes(&answer), None);
+    }
+    let next = plan.next_read(RecordSource::Platform, start);
+    let NextRead::Changes { wait_max, .. } = next else {
+        panic!("{next:?}");
+    };
+    assert!(wait_max.is_zero());
+    // Another entry can't tell whether changes are missing that were read at the platform.
+    let entry = RecordSource::Entry("127.0.0.1:9".parse().unwrap());
+    assert_eq!(plan.next_read(entry, start), NextRead::Snapshot);
+}
+
+/// Guards against records that are complete by the word of an entry that doesn't know it.
+#[test]
+fn on_relayed_changes_without_time_proves_nothing() {
+    let start = Instant::now();
+    let mut plan = plan_after_snapshot(SETTINGS, start);
+    plan.on_changes(&answer(8, true, start));
+    plan.on_relayed_changes(Revision(9), None);
+    assert!(plan.time_until_check(start).is_some());
+    plan.on_relayed_changes(Revision(9), Some(start));
+    assert_eq!(plan.time_until_check(start), None);
+}
+
 /// Guards against a reader that steps through what it has missed, however long that takes.
 #[test]
 fn next_read_after_answers_without_proof_is_snapshot() {
