gateway: tell an answer of the platform from the time as of which records are complete

An entry that passes records on tells as of when they are complete. The answers between entries say answered_ms_ago too; an entry of an earlier version omits it.

With several threads it could pass on a newer age than that of the records.

--- a/lib/src/process/gateway/change_log.rs
+++ b/lib/src/process/gateway/change_log.rs
@@ -62,6 +62,7 @@
     complete_after: Revision,
     revision: Option<Revision>,
     confirmed_at: Option<Instant>,
+    answered_at: Option<Instant>,
 }
 
 impl<T> Default for ChangeLog<T> {
@@ -73,6 +74,7 @@
             complete_after: Revision(0),
             revision: None,
             confirmed_at: None,
+            answered_at: None,
         }
     }
 }
@@ -105,6 +107,17 @@
         self.confirmed_at
     }
 
+    /// Records that the platform answered at `at`, here or to the entry that passed the answer on. The
+    /// answer may lack changes.
+    pub fn on_answered(&mut self, at: Instant) {
+        self.answered_at = self.answered_at.max(Some(at));
+    }
+
+    /// Returns when the platform last answered.
+    pub fn answered_at(&self) -> Option<Instant> {
+        self.answered_at
+    }
+
     /// Returns the time since the platform confirmed that the log is complete; `None` if it has not
     /// answered yet.
     pub fn age(&self, now: Instant) -> Option<Duration> {
--- a/lib/src/process/gateway/follow.rs
+++ b/lib/src/process/gateway/follow.rs
@@ -4,10 +4,10 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use super::change_log::ChangeLog;
 use super::listings::Listings;
 use super::metrics::GatewayMetrics;
 use super::record_relay::RelayedRecord;
+use super::relayed_feed::ReadTimes;
 use super::relayed_feed::RecordUpdate;
 use super::relayed_feed::RelayedFeed;
 use super::state::GatewayState;
@@ -18,7 +18,6 @@
 use crate::platform::feed::Feed;
 use crate::platform::feed::FeedAnswer;
 use crate::platform::feed::FeedError;
-use crate::platform::feed::FeedRecord;
 use crate::platform::feed::RecordSource;
 use crate::platform::feed::Snapshot;
 use crate::process::evacuation::OperatorRecord;
@@ -61,34 +60,6 @@
     fn on_outage_ended(&mut self);
 }
 
-/// The times of what an answer says.
-#[derive(Clone, Copy, Debug)]
-struct ReadTimes {
-    /// When the platform answered; `None` if another entry doesn't tell it.
-    answered_at: Option<Instant>,
-    /// As of when the records are complete with it; `None` if changes may be missing.
-    complete_at: Option<Instant>,
-}
-
-impl ReadTimes {
-    /// Returns the times of an answer that lacks nothing.
-    fn of_complete(at: Option<Instant>) -> Self {
-        Self {
-            answered_at: at,
-            complete_at: at,
-        }
-    }
-
-    fn confirm<T>(&self, log: &mut ChangeLog<T>)
-    where
-        T: Clone + FeedRecord,
-    {
-        if let Some(at) = self.complete_at {
-            log.confirm(at);
-        }
-    }
-}
-
 struct OperatorSink<C>(Arc<GatewayState<C>>);
 
 impl<C> RecordSink<OperatorRecord> for OperatorSink<C>
@@ -152,8 +123,10 @@
     }
 
     fn on_applied(&mut self, times: ReadTimes) {
-        // Another entry passes nothing on that is older than the shortest outage in which records expire.
-        if times.complete_at.is_some() {
+        // An answer from before an outage may be read after it.
+        let now = self.state.clock.now();
+        let is_recent = |at| now.saturating_duration_since(at) < RECORD_EXPIRY_MIN;
+        if times.complete_at.is_some_and(is_recent) {
             self.state.inner().host_tracker.on_complete_read();
         }
         self.answered_at = self.answered_at.max(times.answered_at);
@@ -349,8 +322,7 @@
                     limit_bytes,
                 };
                 if with_newest_revision {
-                    let (newest, update) =
-                        tokio::join!(feed.newest_revision(), feed.changes(request));
+                    let (update, newest) = feed.changes_with_newest_revision(request).await;
                     plan.on_newest_revision(newest, started_at);
                     update
                 } else {
@@ -372,18 +344,15 @@
                 sink.on_outage_ended();
             }
         }
+        let is_platform_answer = matches!(update, Ok(RecordUpdate::Changes { .. }));
         match update {
-            Ok(RecordUpdate::Snapshot {
-                answer,
-                complete_at,
-            }) => {
+            Ok(RecordUpdate::Snapshot { answer, times }) => {
                 let revision = answer.content.revision;
-                let times = ReadTimes::of_complete(complete_at);
                 let has_news = sink.on_snapshot(answer.content, times);
                 // Another entry passes on the newest state only, at no cost for the platform.
                 let has_news = has_news && state.upstream().is_none();
                 plan.on_snapshot(revision, answer.size_bytes, has_news);
-                if let Some(at) = complete_at {
+                if let Some(at) = times.complete_at {
                     plan.on_complete(at);
                 }
             }
@@ -405,13 +374,10 @@
                 };
                 sink.on_changes(answer.content, times);
             }
-            Ok(RecordUpdate::RelayedChanges {
-                answer,
-                complete_at,
-            }) => {
-                plan.on_relayed_changes(answer.content.revision, complete_at);
+            Ok(RecordUpdate::RelayedChanges { answer, times }) => {
+                plan.on_relayed_changes(answer.content.revision, times.complete_at);
                 answer_series.on_answer(&state.metrics, &answer);
-                sink.on_changes(answer.content, ReadTimes::of_complete(complete_at));
+                sink.on_changes(answer.content, times);
             }
             Err(FeedError::HistoryLost { since }) => {
                 log::info!(what = feed_name, since = since.0; "changes since the revision are no longer available; all records are read again");
@@ -451,7 +417,7 @@
         let pause = if plan.is_behind() {
             let read_time = now.saturating_duration_since(started_at);
             read_time.min(REPEATED_SNAPSHOT_PAUSE_MAX)
-        } else if upstream.is_none() {
+        } else if is_platform_answer {
             // Changes that the last answer lacks are read before the records get too old.
             let until_check = plan.time_until_check(state.clock.now());
             let pause = batch_delay(&state);
--- a/lib/src/process/gateway/record_relay.rs
+++ b/lib/src/process/gateway/record_relay.rs
@@ -58,6 +58,10 @@
     /// sent; an entry of an earlier version omits it.
     #[serde(default)]
     pub(super) confirmed_ms_ago: Option<u64>,
+    /// The milliseconds since the platform last answered, maybe without all changes; an entry of an
+    /// earlier version omits it.
+    #[serde(default)]
+    pub(super) answered_ms_ago: Option<u64>,
     /// How many milliseconds the request was held.
     #[serde(default)]
     pub(super) held_ms: u64,
@@ -82,6 +86,11 @@
     where
         C: Clock;
 
+    /// Returns when the platform last answered a read of the records.
+    fn answered_at<C>(state: &GatewayState<C>) -> Option<Instant>
+    where
+        C: Clock;
+
     /// Returns the latest revision of the records; `None` before they have been read.
     fn revision<C>(state: &GatewayState<C>) -> Option<Revision>
     where
@@ -116,6 +125,13 @@
         state.targets_confirmed_at()
     }
 
+    fn answered_at<C>(state: &GatewayState<C>) -> Option<Instant>
+    where
+        C: Clock,
+    {
+        state.inner().target_log.answered_at()
+    }
+
     fn revision<C>(state: &GatewayState<C>) -> Option<Revision>
     where
         C: Clock,
@@ -156,6 +172,13 @@
         state.document_confirmed_at()
     }
 
+    fn answered_at<C>(state: &GatewayState<C>) -> Option<Instant>
+    where
+        C: Clock,
+    {
+        state.inner().operator_log.answered_at()
+    }
+
     fn revision<C>(state: &GatewayState<C>) -> Option<Revision>
     where
         C: Clock,
@@ -231,10 +254,11 @@
         let mut has_waited = false;
         loop {
             let changed = self.state.records_changed.notified();
+            // Taken before the records, which may be replaced by newer ones meanwhile.
+            let confirmed_at = T::confirmed_at(&self.state);
             let Some((is_snapshot, changes)) = T::read(&self.state, since) else {
                 return empty_response(StatusCode::SERVICE_UNAVAILABLE);
             };
-            let confirmed_at = T::confirmed_at(&self.state);
             let has_changes =
                 is_snapshot || !changes.changed.is_empty() || !changes.removed.is_empty();
             // A new confirmation is passed on at once, so that it does not grow old on the way.
@@ -248,6 +272,7 @@
                     removed: changes.removed,
                     revision: changes.revision,
                     confirmed_ms_ago: confirmed_at.map(ms_since),
+                    answered_ms_ago: T::answered_at(&self.state).map(ms_since),
                     held_ms: ms_since(arrived_at),
                 });
             }
--- a/lib/src/process/gateway/relayed_feed.rs
+++ b/lib/src/process/gateway/relayed_feed.rs
@@ -14,6 +14,7 @@
 use http::StatusCode;
 use http::header::HOST;
 
+use super::change_log::ChangeLog;
 use super::record_relay::LONG_POLL_TIME;
 use super::record_relay::RelayedChanges;
 use super::record_relay::RelayedRecord;
@@ -31,6 +32,7 @@
 use crate::platform::feed::Feed;
 use crate::platform::feed::FeedAnswer;
 use crate::platform::feed::FeedError;
+use crate::platform::feed::FeedRecord;
 use crate::platform::feed::RecordSource;
 use crate::platform::feed::Snapshot;
 
@@ -45,23 +47,55 @@
 /// How much longer than its wait a call to the platform may take while its answer counts as current
 /// at the time of its arrival. A longer call may have ended before this process could read it.
 pub(super) const PLATFORM_ANSWER_TIME: Duration = Duration::from_millis(200);
-/// The timeout of a read of the platform's newest revision. Changes are read without it then.
-const NEWEST_REVISION_TIMEOUT: Duration = Duration::from_millis(700);
+/// How long changes that were read wait for the platform's newest revision. They are applied without it
+/// then.
+const NEWEST_REVISION_TIMEOUT: Duration = Duration::from_millis(100);
 /// The least time for an answer before the records are read elsewhere, too.
 const ANSWER_TIME_MIN: Duration = Duration::from_millis(150);
 
 /// Answers of this size or more are logged.
 const LARGE_ANSWER_BYTES: usize = 64 * 1024;
 
-/// Records that were read. `complete_at` is the time as of which nothing is missing after they have been
-/// applied; `None` if it isn't known.
+/// The times of what an answer says.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ReadTimes {
+    /// When the platform answered; `None` if another entry doesn't tell it.
+    pub(super) answered_at: Option<Instant>,
+    /// As of when the records are complete with it; `None` if changes may be missing.
+    pub(super) complete_at: Option<Instant>,
+}
+
+impl ReadTimes {
+    /// Returns the times of an answer that lacks nothing.
+    pub(super) fn of_complete(at: Option<Instant>) -> Self {
+        Self {
+            answered_at: at,
+            complete_at: at,
+        }
+    }
+
+    /// Renews the age of the records, to which the answer has been applied.
+    pub(super) fn confirm<T>(&self, log: &mut ChangeLog<T>)
+    where
+        T: Clone + FeedRecord,
+    {
+        if let Some(at) = self.answered_at {
+            log.on_answered(at);
+        }
+        if let Some(at) = self.complete_at {
+            log.confirm(at);
+        }
+    }
+}
+
+/// Records that were read.
 #[derive(Clone, Debug)]
 pub(super) enum RecordUpdate<T> {
     /// All records. A reader that asked for changes gets them from an entry whose log does not go back
     /// to the reader's revision.
     Snapshot {
         answer: FeedAnswer<Snapshot<T>>,
-        complete_at: Option<Instant>,
+        times: ReadTimes,
     },
     /// The changes since the reader's revision, as the platform answered at `answered_at`.
     Changes {
@@ -71,7 +105,7 @@
     /// The changes since the reader's revision, from another entry.
     RelayedChanges {
         answer: FeedAnswer<Changes<T>>,
-        complete_at: Option<Instant>,
+        times: ReadTimes,
     },
 }
 
@@ -173,17 +207,18 @@
         relayed
     }
 
-    /// Returns the time as of which relayed records are complete. The time on the way counts as age.
-    fn relayed_complete_at<T>(
-        &self,
-        relayed: &RelayedChanges<T>,
-        sent_at: Instant,
-    ) -> Option<Instant> {
-        let confirmed_ms_ago = relayed.confirmed_ms_ago?;
+    /// Returns when the platform answered, and as of when the records are complete, by another entry's
+    /// word. The time on the way counts as age.
+    fn relayed_times<T>(&self, relayed: &RelayedChanges<T>, sent_at: Instant) -> ReadTimes {
         let now = self.state.clock.now();
         let held = Duration::from_millis(relayed.held_ms);
-        let answered_at = sent_at.checked_add(held).map_or(now, |at| at.min(now));
-        answered_at.checked_sub(Duration::from_millis(confirmed_ms_ago))
+        let relayed_at = sent_at.checked_add(held).map_or(now, |at| at.min(now));
+        let before = |ms_ago: u64| relayed_at.checked_sub(Duration::from_millis(ms_ago));
+        let complete_at = relayed.confirmed_ms_ago.and_then(before);
+        ReadTimes {
+            answered_at: relayed.answered_ms_ago.and_then(before).or(complete_at),
+            complete_at,
+        }
     }
 
     async fn send_changes_request<T>(
@@ -349,7 +384,7 @@
         if relayed.is_snapshot {
             self.check_revision(upstream, relayed)?;
         }
-        let complete_at = self.relayed_complete_at(relayed, sent_at);
+        let times = self.relayed_times(relayed, sent_at);
         if relayed.is_snapshot {
             log::info!(
                 records = T::PATH, source:% = upstream, since = since.0, revision = relayed.revision.0;
@@ -357,7 +392,7 @@
             );
             return Ok(RecordUpdate::Snapshot {
                 answer: answer.map(into_snapshot),
-                complete_at,
+                times,
             });
         }
         let answer = answer.map(|relayed| Changes {
@@ -369,10 +404,7 @@
             // An entry of an earlier version joins changes without their order.
             return Err(FeedError::HistoryLost { since });
         }
-        Ok(RecordUpdate::RelayedChanges {
-            answer,
-            complete_at,
-        })
+        Ok(RecordUpdate::RelayedChanges { answer, times })
     }
 
     /// Fails if all records of another entry are older than the known ones: records that were removed
@@ -415,22 +447,34 @@
         })
     }
 
-    /// Returns the newest revision of the platform; `None` if the platform doesn't answer soon.
-    pub(super) async fn newest_revision<T>(&self) -> Option<Revision>
+    /// Reads the changes as [`RelayedFeed::changes`] does, and the newest revision of the platform at the
+    /// same time; `None` if the platform doesn't tell it soon after the changes.
+    pub(super) async fn changes_with_newest_revision<T>(
+        &self,
+        request: ChangesRequest,
+    ) -> (Result<RecordUpdate<T>, FeedError>, Option<Revision>)
     where
         P: Feed<T>,
         T: RelayedRecord,
     {
-        let read = self.platform.newest_revision();
-        match tokio::time::timeout(NEWEST_REVISION_TIMEOUT, read).await {
-            Ok(Ok(revision)) => Some(revision),
-            Ok(Err(error)) => {
+        let mut changes = std::pin::pin!(self.changes(request));
+        let mut newest = std::pin::pin!(self.platform.newest_revision());
+        let (changes, newest) = tokio::select! {
+            changes = &mut changes => {
+                let newest = tokio::time::timeout(NEWEST_REVISION_TIMEOUT, newest).await;
+                (changes, newest.ok())
+            }
+            newest = &mut newest => (changes.await, Some(newest)),
+        };
+        match newest {
+            Some(Ok(revision)) => (changes, Some(revision)),
+            Some(Err(error)) => {
                 log::info!(records = T::PATH; "newest revision can't be read: {error}");
-                None
+                (changes, None)
             }
-            Err(_) => {
+            None => {
                 log::info!(records = T::PATH; "newest revision is not read within the timeout");
-                None
+                (changes, None)
             }
         }
     }
@@ -448,7 +492,7 @@
             Ok(answer) => {
                 return Ok(RecordUpdate::Snapshot {
                     answer,
-                    complete_at: Some(sent_at),
+                    times: ReadTimes::of_complete(Some(sent_at)),
                 });
             }
             Err(failure) => failure,
@@ -457,11 +501,13 @@
         let Some(upstream) = upstream.filter(|_| matches!(failure, FeedError::Platform(_))) else {
             return Err(failure);
         };
+        let sent_at = self.state.clock.now();
         let answer = self.request_changes::<T>(upstream, None).await?;
         self.check_revision(upstream, &answer.content)?;
+        let times = self.relayed_times(&answer.content, sent_at);
         Ok(RecordUpdate::Snapshot {
             answer: answer.map(into_snapshot),
-            complete_at: None,
+            times,
         })
     }
 
