gateway: don't take a configuration for the latest while a newer one can't be read

What callers saw: 404 or 401 for routes and keys of a version that the entry can't read, for example one that was written for a later version of the program during an update. Entries that could read it refused them as well, as long as they read from such an entry.

Cause: the adapter logged a configuration that it can't decode and skipped it. The rest of the answer confirmed the records, so the entry took the version before for the latest, refused for good what that lacks, and passed it on as confirmed.

Meanwhile is_document_current is false, so that unknown routes and keys get 503 with Retry-After; the relay answers 501 to other entries, and these read the platform for 5 s; the entry reads the platform itself. The state changes before the answer's records are confirmed, so neither a request nor another entry can fall in between. Targets that can't be decoded count as removed as before, and rows of evacuations have effect whatever their value is. Gauge beryltray_configuration_unreadable.

--- a/lib/src/platform/feed.rs
+++ b/lib/src/platform/feed.rs
@@ -17,6 +17,8 @@
 pub struct Snapshot<T> {
     /// The records that could be decoded.
     pub records: Vec<T>,
+    /// The keys of records that can't be decoded and that count as changed, see [`Changes::unreadable`].
+    pub unreadable: Vec<String>,
     /// The revision of the snapshot, to be passed to [`Feed::changes`].
     pub revision: Revision,
 }
@@ -45,6 +47,9 @@
     pub changed: Vec<T>,
     /// The keys of records that were removed or can no longer be decoded.
     pub removed: Vec<String>,
+    /// The keys of records whose newest state can't be decoded and that don't count as removed. Their
+    /// former states stay, and the reader must not take them for the latest ones.
+    pub unreadable: Vec<String>,
     /// The revision up to which changes are included, to be passed to the next [`Feed::changes`]. If
     /// there are changes, the platform may have more after it that did not fit in its answer.
     pub revision: Revision,
--- a/lib/src/process/evacuation/record.rs
+++ b/lib/src/process/evacuation/record.rs
@@ -10,6 +10,7 @@
 use crate::platform::feed::Changes;
 use crate::platform::feed::FeedRecord;
 use crate::sorted::Keyed;
+use crate::version::routes::FEED_KEY;
 use crate::version::routes::RouteDocument;
 
 /// The start of the feed keys of evacuations, before the name of the data centre.
@@ -85,6 +86,9 @@
 }
 
 impl OperatorRecord {
+    /// The key by which a feed names the configuration.
+    pub const CONFIGURATION_FEED_KEY: &str = FEED_KEY;
+
     /// Returns the configuration; `None` for another record.
     pub fn configuration(&self) -> Option<&RouteDocument> {
         match self {
@@ -127,6 +131,7 @@
             changed: changed.collect(),
             // The configuration is never removed.
             removed: Vec::new(),
+            unreadable: changes.unreadable,
             revision: changes.revision,
         }
     }
--- a/lib/src/process/gateway/change_log.rs
+++ b/lib/src/process/gateway/change_log.rs
@@ -206,6 +206,7 @@
         let mut changes = Changes {
             changed: Vec::new(),
             removed: Vec::new(),
+            unreadable: Vec::new(),
             revision: since.max(self.revision.unwrap_or(since)),
         };
         for logged in self.records.iter().filter(|logged| logged.revision > since) {
--- a/lib/src/process/gateway/context.rs
+++ b/lib/src/process/gateway/context.rs
@@ -408,8 +408,8 @@
 
     fn is_document_current(&self) -> bool {
         let age_max = self.state.settings.configuration_in_force_within;
-        self.document_age()
-            .is_some_and(|age| age + DOCUMENT_AGE_ERROR <= age_max)
+        let is_young = |age| age + DOCUMENT_AGE_ERROR <= age_max;
+        !self.state.is_configuration_unreadable() && self.document_age().is_some_and(is_young)
     }
 
     fn document_source(&self) -> Option<RecordSource> {
--- a/lib/src/process/gateway/evacuation_state.rs
+++ b/lib/src/process/gateway/evacuation_state.rs
@@ -95,6 +95,7 @@
         Changes {
             changed,
             removed,
+            unreadable: snapshot.unreadable,
             revision,
         }
     }
@@ -107,6 +108,7 @@
         let Changes {
             mut changed,
             mut removed,
+            unreadable,
             revision,
         } = changes;
         let evacuations = OperatorRecord::evacuations_of(&changed);
@@ -126,6 +128,7 @@
         Changes {
             changed,
             removed,
+            unreadable,
             revision,
         }
     }
--- a/lib/src/process/gateway/follow.rs
+++ b/lib/src/process/gateway/follow.rs
@@ -104,7 +104,10 @@
     fn on_snapshot(&mut self, snapshot: Snapshot<OperatorRecord>, times: ReadTimes) -> bool {
         let revision = snapshot.revision;
         let known = self.0.document().map(|document| document.version);
+        let read =
+            (self.0).configuration_read(&snapshot.records, &snapshot.unreadable, snapshot.revision);
         let changes = self.0.apply_operator_snapshot(snapshot);
+        self.0.on_configuration_read(&read);
         // The log goes on with what the snapshot changes: otherwise all entries that read here would have
         // to read a snapshot, too. What they have already is none, or all of them would be sent it. Only
         // the first snapshot can't tell which evacuations have ended before it.
@@ -120,7 +123,10 @@
     }
 
     fn on_changes(&mut self, changes: Changes<OperatorRecord>, times: ReadTimes) {
+        let read =
+            (self.0).configuration_read(&changes.changed, &changes.unreadable, changes.revision);
         let changes = self.0.apply_operator_changes(changes);
+        self.0.on_configuration_read(&read);
         self.0.with_operator_log(|log, _| {
             log.on_changes(changes);
             times.confirm(log);
@@ -333,7 +339,7 @@
     let mut answer_series = AnswerSeries::default();
     loop {
         let started_at = state.clock.now();
-        let upstream = state.upstream();
+        let upstream = T::upstream(&state);
         let source = upstream.map_or(RecordSource::Platform, RecordSource::Entry);
         let update = match plan.next_read(source, started_at) {
             NextRead::Snapshot => feed.snapshot().await,
@@ -381,7 +387,7 @@
                 let times = ReadTimes::of_complete(complete_at);
                 let has_news = sink.on_snapshot(answer.content, times);
                 // Another entry passes on the newest state only, at no cost for the platform.
-                let has_news = has_news && state.upstream().is_none();
+                let has_news = has_news && T::upstream(&state).is_none();
                 plan.on_snapshot(revision, answer.size_bytes, has_news);
                 if let Some(at) = complete_at {
                     plan.on_complete(at);
--- a/lib/src/process/gateway/metrics.rs
+++ b/lib/src/process/gateway/metrics.rs
@@ -57,6 +57,8 @@
     pub configuration_version: IntGauge,
     /// The versions of the configuration in memory: the one in force, and those in use by requests.
     pub configurations_in_memory: IntGauge,
+    /// Whether the newest version of the configuration can't be read.
+    pub configuration_unreadable: IntGauge,
     /// The milliseconds since the platform last confirmed the configuration.
     pub configuration_age_ms: IntGauge,
     /// Targets that can be sent requests, by service.
@@ -190,6 +192,11 @@
                 "configurations_in_memory",
                 "Versions of the configuration in memory: the one in force, and those in use by requests.",
             )?,
+            configuration_unreadable: gauge(
+                "configuration_unreadable",
+                "Whether the newest version of the configuration can't be read, so that an older one \
+                 is in force.",
+            )?,
             is_cut_off: gauge(
                 "cut_off_from_targets",
                 "Whether no target is reached, so that requests are passed on to other entries.",
@@ -316,6 +323,7 @@
         registry.register(Box::new(self.platform_failures.clone()))?;
         registry.register(Box::new(self.configuration_version.clone()))?;
         registry.register(Box::new(self.configurations_in_memory.clone()))?;
+        registry.register(Box::new(self.configuration_unreadable.clone()))?;
         registry.register(Box::new(self.configuration_age_ms.clone()))?;
         registry.register(Box::new(self.is_cut_off.clone()))?;
         registry.register(Box::new(self.body_refusals.clone()))?;
--- a/lib/src/process/gateway/record_relay.rs
+++ b/lib/src/process/gateway/record_relay.rs
@@ -5,6 +5,7 @@
 //! of the platform everywhere, so an entry can switch to another upstream or to the platform at any
 //! time. An entry that can't read the platform reads from any other entry.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -17,6 +18,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+use super::record_state::NotRelayed;
 use super::record_state::RecordRead;
 use super::state::GatewayState;
 use crate::clock::Clock;
@@ -41,6 +43,10 @@
 /// The query parameter with the revision of the caller.
 pub(super) const SINCE_PARAMETER: &str = "since=";
 
+/// The status of a response if the newest state of a record can't be read here. An entry of an earlier
+/// version takes it for a failure.
+pub(super) const UNREADABLE_STATUS: StatusCode = StatusCode::NOT_IMPLEMENTED;
+
 /// The age from which the records of an entry are not passed on to others, beside the delay between
 /// its reads. It is longer than a long poll of the platform.
 const AGE_MAX: Duration = Duration::from_millis(1_200);
@@ -93,8 +99,21 @@
         C: Clock;
 
     /// Returns whether the result is a snapshot, and the changes after `since` or a snapshot of all
-    /// records; `None` if they are too old.
-    fn read<C>(state: &GatewayState<C>, since: Option<Revision>) -> Option<(bool, Changes<Self>)>
+    /// records.
+    fn read<C>(
+        state: &GatewayState<C>,
+        since: Option<Revision>,
+    ) -> Result<(bool, Changes<Self>), NotRelayed>
+    where
+        C: Clock;
+
+    /// Returns the entry to read the records from, or `None` if this entry reads the platform itself.
+    fn upstream<C>(state: &GatewayState<C>) -> Option<SocketAddr>
+    where
+        C: Clock;
+
+    /// Records that another entry can't read the newest state of the records.
+    fn on_unreadable_elsewhere<C>(state: &GatewayState<C>)
     where
         C: Clock;
 }
@@ -130,12 +149,28 @@
         AGE_MAX + state.targets_batch_delay()
     }
 
-    fn read<C>(state: &GatewayState<C>, since: Option<Revision>) -> Option<(bool, Changes<Self>)>
+    fn read<C>(
+        state: &GatewayState<C>,
+        since: Option<Revision>,
+    ) -> Result<(bool, Changes<Self>), NotRelayed>
     where
         C: Clock,
     {
         state.target_changes(since, Self::age_max(state))
     }
+
+    fn upstream<C>(state: &GatewayState<C>) -> Option<SocketAddr>
+    where
+        C: Clock,
+    {
+        state.upstream()
+    }
+
+    fn on_unreadable_elsewhere<C>(_state: &GatewayState<C>)
+    where
+        C: Clock,
+    {
+    }
 }
 
 impl RelayedRecord for OperatorRecord {
@@ -170,12 +205,29 @@
         AGE_MAX
     }
 
-    fn read<C>(state: &GatewayState<C>, since: Option<Revision>) -> Option<(bool, Changes<Self>)>
+    fn read<C>(
+        state: &GatewayState<C>,
+        since: Option<Revision>,
+    ) -> Result<(bool, Changes<Self>), NotRelayed>
     where
         C: Clock,
     {
         state.operator_changes(since, Self::age_max(state))
     }
+
+    fn upstream<C>(state: &GatewayState<C>) -> Option<SocketAddr>
+    where
+        C: Clock,
+    {
+        state.operator_upstream()
+    }
+
+    fn on_unreadable_elsewhere<C>(state: &GatewayState<C>)
+    where
+        C: Clock,
+    {
+        state.on_configuration_unreadable_elsewhere();
+    }
 }
 
 /// Serves records to the entries that use this one as their upstream.
@@ -231,8 +283,12 @@
         let mut has_waited = false;
         loop {
             let changed = self.state.records_changed.notified();
-            let Some((is_snapshot, changes)) = T::read(&self.state, since) else {
-                return empty_response(StatusCode::SERVICE_UNAVAILABLE);
+            let (is_snapshot, changes) = match T::read(&self.state, since) {
+                Ok(read) => read,
+                Err(NotRelayed::NotConfirmed) => {
+                    return empty_response(StatusCode::SERVICE_UNAVAILABLE);
+                }
+                Err(NotRelayed::Unreadable) => return empty_response(UNREADABLE_STATUS),
             };
             let confirmed_at = T::confirmed_at(&self.state);
             let has_changes =
--- a/lib/src/process/gateway/record_state.rs
+++ b/lib/src/process/gateway/record_state.rs
@@ -11,6 +11,8 @@
 use crate::platform::feed::Changes;
 use crate::platform::feed::RecordSource;
 use crate::process::evacuation::OperatorRecord;
+use crate::process::unreadable_configuration::ConfigurationRead;
+use crate::process::unreadable_configuration::ReadabilityChange;
 use crate::target::record::TargetRecord;
 use crate::version::routes::RouteDocument;
 
@@ -31,6 +33,15 @@
     pub(super) took: Duration,
 }
 
+/// Why records are not passed on to another entry.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum NotRelayed {
+    /// There are none, or the platform has not confirmed them for too long.
+    NotConfirmed,
+    /// The newest state of one of them can't be read.
+    Unreadable,
+}
+
 impl<C> GatewayState<C>
 where
     C: Clock,
@@ -118,27 +129,29 @@
     /// Returns whether the result is a snapshot, and the target records: those changed after
     /// `since`, or a snapshot of all if `since` is `None` or the log does not go back that far.
     ///
-    /// Returns `None` if the last confirmation by the platform is older than `age_max`.
-    pub fn target_changes(
+    /// Fails if the last confirmation by the platform is older than `age_max`.
+    pub(super) fn target_changes(
         &self,
         since: Option<Revision>,
         age_max: Duration,
-    ) -> Option<(bool, Changes<TargetRecord>)> {
+    ) -> Result<(bool, Changes<TargetRecord>), NotRelayed> {
         let now = self.clock.now();
         let inner = self.inner();
-        let revision = inner.target_log.confirmed_revision(age_max, now)?;
+        let revision = inner.target_log.confirmed_revision(age_max, now);
+        let revision = revision.ok_or(NotRelayed::NotConfirmed)?;
         if let Some(changes) = since.and_then(|since| inner.target_log.changes_since(since)) {
-            return Some((false, changes));
+            return Ok((false, changes));
         }
         let listed = inner
             .host_tracker
             .iter()
             .filter(|tracked| tracked.unlisted_from.is_none());
-        Some((
+        Ok((
             true,
             Changes {
                 changed: listed.map(|tracked| tracked.record.clone()).collect(),
                 removed: Vec::new(),
+                unreadable: Vec::new(),
                 revision,
             },
         ))
@@ -147,28 +160,34 @@
     /// Returns whether the result is a snapshot, and the operator's records: those changed after
     /// `since`, or a snapshot of all if `since` is `None` or the log does not go back that far.
     ///
-    /// Returns `None` if there is no configuration or the last confirmation by the platform is older
-    /// than `age_max`.
-    pub fn operator_changes(
+    /// Fails if there is no configuration, or a newer one that can't be read, or the last confirmation
+    /// by the platform is older than `age_max`.
+    pub(super) fn operator_changes(
         &self,
         since: Option<Revision>,
         age_max: Duration,
-    ) -> Option<(bool, Changes<OperatorRecord>)> {
+    ) -> Result<(bool, Changes<OperatorRecord>), NotRelayed> {
         let now = self.clock.now();
         let inner = self.inner();
-        let revision = inner.operator_log.confirmed_revision(age_max, now)?;
+        if inner.unreadable_configuration.is_unreadable() {
+            return Err(NotRelayed::Unreadable);
+        }
+        let revision = inner.operator_log.confirmed_revision(age_max, now);
+        let revision = revision.ok_or(NotRelayed::NotConfirmed)?;
         if let Some(changes) = since.and_then(|since| inner.operator_log.changes_since(since)) {
-            return Some((false, changes));
+            return Ok((false, changes));
         }
-        let document = RouteDocument::clone(inner.document.as_ref()?);
+        let document = inner.document.as_ref();
+        let document = RouteDocument::clone(document.ok_or(NotRelayed::NotConfirmed)?);
         let evacuations = inner.evacuations.iter().cloned();
         let mut records = vec![OperatorRecord::Configuration(document)];
         records.extend(evacuations.map(OperatorRecord::Evacuation));
-        Some((
+        Ok((
             true,
             Changes {
                 changed: records,
                 removed: Vec::new(),
+                unreadable: Vec::new(),
                 revision,
             },
         ))
@@ -184,6 +203,77 @@
         self.inner().peers.upstream(now)
     }
 
+    /// Returns the entry to read the operator's records from, or `None` if this entry reads the platform
+    /// itself.
+    pub(super) fn operator_upstream(&self) -> Option<SocketAddr> {
+        let now = self.clock.now();
+        let configuration = self.inner().unreadable_configuration;
+        let upstream = self.upstream()?;
+        (!configuration.must_read_platform(now)).then_some(upstream)
+    }
+
+    /// Returns whether there is a newer configuration than the one in force, which can't be read.
+    pub(super) fn is_configuration_unreadable(&self) -> bool {
+        self.inner().unreadable_configuration.is_unreadable()
+    }
+
+    /// Records that another entry can't read the newest configuration.
+    pub(super) fn on_configuration_unreadable_elsewhere(&self) {
+        let now = self.clock.now();
+        let configuration = &mut self.inner().unreadable_configuration;
+        configuration.on_unreadable_elsewhere(now);
+    }
+
+    /// Returns what an answer says of the configuration, before it is applied.
+    pub(super) fn configuration_read(
+        &self,
+        records: &[OperatorRecord],
+        unreadable: &[String],
+        revision: Revision,
+    ) -> ConfigurationRead {
+        let inner = self.inner();
+        let mut configurations = records.iter().filter_map(OperatorRecord::configuration);
+        let source = inner.document_read.map(|read| read.source);
+        ConfigurationRead {
+            source: source.unwrap_or(RecordSource::Platform),
+            revision,
+            is_unreadable: unreadable
+                .iter()
+                .any(|key| key == OperatorRecord::CONFIGURATION_FEED_KEY),
+            version: configurations.next().map(|document| document.version),
+            known_revision: inner.operator_log.revision(),
+            known_version: inner.document.as_ref().map(|document| document.version),
+        }
+    }
+
+    /// Records what an answer says of the configuration. This is done after its records are applied, so
+    /// that no request takes the version before for the latest, and before they are confirmed to other
+    /// entries.
+    pub(super) fn on_configuration_read(&self, read: &ConfigurationRead) {
+        let change = self.inner().unreadable_configuration.on_read(read);
+        let version = read.known_version.map(|version| version.0);
+        match change {
+            Some(ReadabilityChange::Lost) => {
+                self.metrics.configuration_unreadable.set(1);
+                log::error!(
+                    version = version, revision = read.revision.0;
+                    "the newest configuration can't be read; requests for what the one in force lacks \
+                     are refused for the moment. Hint: write one that this version of the program knows, \
+                     or update the program"
+                );
+            }
+            Some(ReadabilityChange::Regained) => {
+                self.metrics.configuration_unreadable.set(0);
+                log::info!(
+                    replaced = version, version = read.version.map(|version| version.0),
+                    revision = read.revision.0;
+                    "the newest configuration can be read again"
+                );
+            }
+            None => {}
+        }
+    }
+
     /// Returns an entry to read records from while the platform can't be read here; `None` without
     /// a usable one.
     pub fn fallback_upstream(&self) -> Option<SocketAddr> {
--- a/lib/src/process/gateway/relayed_feed.rs
+++ b/lib/src/process/gateway/relayed_feed.rs
@@ -18,6 +18,7 @@
 use super::record_relay::RelayedChanges;
 use super::record_relay::RelayedRecord;
 use super::record_relay::SINCE_PARAMETER;
+use super::record_relay::UNREADABLE_STATUS;
 use super::record_state::RecordRead;
 use super::state::GatewayState;
 use crate::clock::Clock;
@@ -224,6 +225,9 @@
             ))
         })?;
         let response = response.map_err(|error| unavailable(error.to_string()))?;
+        if response.status() == UNREADABLE_STATUS {
+            T::on_unreadable_elsewhere(&self.state);
+        }
         if response.status() != StatusCode::OK {
             return Err(unavailable(format!(
                 "the entry answered {}",
@@ -363,6 +367,7 @@
         let answer = answer.map(|relayed| Changes {
             changed: relayed.changed,
             removed: relayed.removed,
+            unreadable: Vec::new(),
             revision: relayed.revision.max(since),
         });
         if answer.content.is_ambiguous() {
@@ -476,7 +481,7 @@
         P: Feed<T>,
         T: RelayedRecord,
     {
-        let upstream = self.state.upstream();
+        let upstream = T::upstream(&self.state);
         let mut usual = std::pin::pin!(self.usual_changes(upstream, request));
         match tokio::time::timeout(self.time_until_too_old::<T>(), &mut usual).await {
             Ok(changes) if is_settled(&changes) => changes,
@@ -495,6 +500,7 @@
 fn into_snapshot<T>(relayed: RelayedChanges<T>) -> Snapshot<T> {
     Snapshot {
         records: relayed.changed,
+        unreadable: Vec::new(),
         revision: relayed.revision,
     }
 }
--- a/lib/src/process/gateway/state.rs
+++ b/lib/src/process/gateway/state.rs
@@ -45,6 +45,7 @@
 use crate::process::formation::HostTracker;
 use crate::process::lifecycle::Lifecycle;
 use crate::process::lifecycle::Stage;
+use crate::process::unreadable_configuration::UnreadableConfiguration;
 use crate::request::forward::buffered::ANSWER_LIMIT_BYTES;
 use crate::request::forward::sampling::LogSampler;
 use crate::request::overload::Overload;
@@ -109,6 +110,7 @@
     pub(super) operator_log: ChangeLog<OperatorRecord>,
     /// The last read of the configuration.
     pub(super) document_read: Option<RecordRead>,
+    pub(super) unreadable_configuration: UnreadableConfiguration,
     /// The stalled targets to gossip, and when each stalled.
     pub(super) stalled_to_gossip: Vec<(HostId, Instant)>,
     pub(super) quarantine: Quarantine,
@@ -215,6 +217,7 @@
                 target_log: ChangeLog::default(),
                 operator_log: ChangeLog::default(),
                 document_read: None,
+                unreadable_configuration: UnreadableConfiguration::default(),
                 stalled_to_gossip: Vec::new(),
                 quarantine: Quarantine::new(),
                 broken_starts: Vec::new(),
--- a/lib/src/process/mod.rs
+++ b/lib/src/process/mod.rs
@@ -24,3 +24,4 @@
 pub mod status;
 pub mod substitution;
 pub mod supervise;
+pub mod unreadable_configuration;
--- a/lib/src/version/routes.rs
+++ b/lib/src/version/routes.rs
@@ -21,7 +21,7 @@
 use crate::units::RequestRate;
 
 /// The key of the record whose versions are the documents.
-const FEED_KEY: &str = "configuration";
+pub(crate) const FEED_KEY: &str = "configuration";
 
 /// Whether and how a route's requests may be retried.
 #[derive(Clone, Copy, Debug, Deserialize, Display, Eq, PartialEq, Serialize)]
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -57,3 +57,4 @@
 mod test_target_limits;
 mod test_target_links;
 mod test_units;
+mod test_unreadable_configuration;
--- a/lib/tests/test_change_log.rs
+++ b/lib/tests/test_change_log.rs
@@ -40,6 +40,7 @@
     Changes {
         changed: vec![record],
         removed: Vec::new(),
+        unreadable: Vec::new(),
         revision: Revision(revision),
     }
 }
@@ -48,6 +49,7 @@
     Changes {
         changed: Vec::new(),
         removed: vec![host.to_owned()],
+        unreadable: Vec::new(),
         revision: Revision(revision),
     }
 }
@@ -177,6 +179,7 @@
     Changes {
         changed: vec![document(version)],
         removed: Vec::new(),
+        unreadable: Vec::new(),
         revision: Revision(revision),
     }
 }
@@ -240,6 +243,7 @@
         log.on_changes(Changes {
             changed: vec![record],
             removed: Vec::new(),
+            unreadable: Vec::new(),
             revision: Revision(revision as u64),
         });
         sizes.push(log.size_bytes());
@@ -251,6 +255,7 @@
     log.on_changes(Changes {
         changed: Vec::new(),
         removed: keys.collect(),
+        unreadable: Vec::new(),
         revision: Revision(5_000),
     });
     assert_eq!(Arc::strong_count(&copies), 1);
--- a/lib/tests/test_gateway_peers.rs
+++ b/lib/tests/test_gateway_peers.rs
@@ -291,6 +291,7 @@
     Changes {
         changed: changed.iter().copied().map(Number).collect(),
         removed: Vec::new(),
+        unreadable: Vec::new(),
         revision: Revision(revision),
     }
 }
--- a/lib/tests/test_host_tracker.rs
+++ b/lib/tests/test_host_tracker.rs
@@ -45,6 +45,7 @@
 fn snapshot(revision: u64, records: Vec<TargetRecord>) -> Snapshot<TargetRecord> {
     Snapshot {
         records,
+        unreadable: Vec::new(),
         revision: Revision(revision),
     }
 }
@@ -108,6 +109,7 @@
     Changes {
         changed: Vec::new(),
         removed: vec![host().to_string()],
+        unreadable: Vec::new(),
         revision: Revision(9),
     }
 }
@@ -116,6 +118,7 @@
     Changes {
         changed: vec![record(FIRST)],
         removed: Vec::new(),
+        unreadable: Vec::new(),
         revision: Revision(revision),
     }
 }
--- a/lib/testutils/src/fleet.rs
+++ b/lib/testutils/src/fleet.rs
@@ -164,6 +164,7 @@
 pub fn snapshot_of(records: Vec<TargetRecord>) -> Snapshot<TargetRecord> {
     Snapshot {
         records,
+        unreadable: Vec::new(),
         revision: Revision(0),
     }
 }
