forward: go back to no version older than other entries have shown

Cause: the request carries the version of the entry that passes it on, but the answer didn't carry back the version by which it was handled.

Now the answer of a hop says it, unless the request was not run. The header is named as one of the connection, so that entries of earlier versions drop it; it never reaches callers, and a target's header of that name doesn't count. The machine ShownVersion remembers the newest such version. It is demanded of each further hop; until the own version has reached it, nothing is sent to targets by the older one, first sends and retries alike (503 with Retry-After, or the target's failure), and unknown routes and keys are answered with 503.

--- a/lib/src/process/gateway/context.rs
+++ b/lib/src/process/gateway/context.rs
@@ -19,6 +19,7 @@
 use crate::clock::Clock;
 use crate::connection::body_budget::BodyBudget;
 use crate::connection::body_memory::BodyMemory;
+use crate::ids::DocumentVersion;
 use crate::ids::EntryId;
 use crate::ids::GroupId;
 use crate::ids::HostId;
@@ -408,8 +409,16 @@
 
     fn is_document_current(&self) -> bool {
         let age_max = self.state.settings.configuration_in_force_within;
-        self.document_age()
-            .is_some_and(|age| age + DOCUMENT_AGE_ERROR <= age_max)
+        let is_recent = |age| age + DOCUMENT_AGE_ERROR <= age_max;
+        self.document_age().is_some_and(is_recent) && !self.state.has_shown_newer_version()
+    }
+
+    fn required_version(&self) -> Option<DocumentVersion> {
+        self.state.required_version()
+    }
+
+    fn on_version_shown(&self, version: DocumentVersion) {
+        self.state.on_version_shown(version);
     }
 
     fn document_source(&self) -> Option<RecordSource> {
@@ -507,10 +516,12 @@
                 return Ok(Reservation::Entry(passed_on));
             }
         }
-        let reserved = self
-            .state
-            .inner()
-            .reserve_target(requirements, &self.state.settings, now);
+        let mut inner = self.state.inner();
+        if !inner.shown_version.allows(requirements.version) {
+            return Err(NoTarget::Outdated);
+        }
+        let reserved = inner.reserve_target(requirements, &self.state.settings, now);
+        drop(inner);
         if let Err(NoTarget::Limited { backed_off, .. }) = &reserved {
             let metrics = &self.state.metrics;
             if *backed_off > 0 {
--- a/lib/src/process/gateway/state.rs
+++ b/lib/src/process/gateway/state.rs
@@ -34,6 +34,7 @@
 use crate::clock::Clock;
 use crate::connection::body_budget::BodyBudget;
 use crate::connection::body_memory::BodyMemory;
+use crate::ids::DocumentVersion;
 use crate::ids::HostId;
 use crate::ids::ServiceId;
 use crate::platform::Table;
@@ -53,6 +54,7 @@
 use crate::sorted::SortedVec;
 use crate::target::record::TargetRecord;
 use crate::version::routes::RouteDocument;
+use crate::version::shown::ShownVersion;
 
 /// How long a stalled target is gossiped; this spans several datagrams.
 const STALL_GOSSIP_TIME: Duration = Duration::from_millis(400);
@@ -93,6 +95,8 @@
 
 pub(super) struct Inner {
     pub(super) document: Option<Arc<RouteDocument>>,
+    /// What other entries have shown to callers of this one.
+    pub(super) shown_version: ShownVersion,
     /// The documents that were in force before and that are still in use.
     pub(super) replaced_documents: Vec<Weak<RouteDocument>>,
     pub(super) host_tracker: HostTracker,
@@ -202,6 +206,7 @@
             records_changed: Notify::new(),
             inner: Mutex::new(Inner {
                 document: None,
+                shown_version: ShownVersion::new(),
                 replaced_documents: Vec::new(),
                 host_tracker: HostTracker::new(),
                 serving: Vec::new(),
@@ -242,6 +247,35 @@
         self.inner().document.clone()
     }
 
+    /// Records that another entry has handled a request of this process by `version`.
+    pub(super) fn on_version_shown(&self, version: DocumentVersion) {
+        let mut inner = self.inner();
+        let is_newer = inner.shown_version.on_shown(version);
+        let in_force = inner.document.as_ref().map(|document| document.version);
+        drop(inner);
+        if is_newer && in_force < Some(version) {
+            log::info!(
+                version = in_force.map(|version| version.0), shown = version.0;
+                "another entry handles requests by a newer configuration"
+            );
+        }
+    }
+
+    /// Returns the oldest version by which other entries may handle requests of this process.
+    pub(super) fn required_version(&self) -> Option<DocumentVersion> {
+        let inner = self.inner();
+        let in_force = inner.document.as_ref().map(|document| document.version);
+        inner.shown_version.required_with(in_force)
+    }
+
+    /// Returns whether other entries have handled requests of this process by a newer configuration than
+    /// the one in force.
+    pub(super) fn has_shown_newer_version(&self) -> bool {
+        let inner = self.inner();
+        let document = inner.document.as_ref();
+        document.is_some_and(|document| !inner.shown_version.allows(document.version))
+    }
+
     /// Puts a configuration in force unless its version is not newer than the current one.
     pub fn apply_document(&self, document: RouteDocument) {
         let now = self.clock.now();
--- a/lib/src/request/forward/context.rs
+++ b/lib/src/request/forward/context.rs
@@ -14,6 +14,7 @@
 use crate::connection::body_budget::BodyBudget;
 use crate::connection::body_memory::BodyMemory;
 use crate::ids::AccountId;
+use crate::ids::DocumentVersion;
 use crate::ids::EntryId;
 use crate::ids::HostId;
 use crate::ids::RequestFeature;
@@ -31,6 +32,8 @@
 pub struct TargetRequirements {
     /// The service that the target must serve.
     pub service: ServiceId,
+    /// The version of the configuration by which the request was accepted.
+    pub version: DocumentVersion,
     /// The weights that the target must have loaded; `None` for services without models.
     pub weights: Option<WeightsId>,
     /// The length of the prompt in tokens.
@@ -102,6 +105,9 @@
         /// The number of these targets.
         targets: usize,
     },
+    /// Another entry has handled a request of this process by a newer configuration than this request
+    /// was accepted by.
+    Outdated,
     /// The targets that meet the requirements take no more requests for now, by the limits that
     /// they name or the backoff that they request.
     Limited {
@@ -225,9 +231,17 @@
     fn document_age(&self) -> Option<Duration>;
 
     /// Returns whether the platform confirmed the configuration within the time in which a change must
-    /// be in force. Otherwise a route or a key that the configuration lacks may exist.
+    /// be in force, and this process has not shown a newer one. Otherwise a route or a key that the
+    /// configuration lacks may exist.
     fn is_document_current(&self) -> bool;
 
+    /// Returns the oldest version of the configuration by which other entries may handle requests of this
+    /// process: it has shown no newer one. `None` if any will do.
+    fn required_version(&self) -> Option<DocumentVersion>;
+
+    /// Records that another entry has handled a request of this process by `version`.
+    fn on_version_shown(&self, version: DocumentVersion);
+
     /// Returns where the configuration was read last; `None` before the first read.
     fn document_source(&self) -> Option<RecordSource>;
 
--- a/lib/src/request/forward/handler.rs
+++ b/lib/src/request/forward/handler.rs
@@ -19,6 +19,7 @@
 use super::context::ForwardContext;
 use super::context::TargetRequirements;
 use super::hop::Hop;
+use super::hop::add_handled_by;
 use super::hop::take_hop;
 use super::plan::SendPlan;
 use super::protocol::CallerProtocol as _;
@@ -37,6 +38,7 @@
 use crate::connection::server::HttpHandler;
 use crate::hash::content_digest;
 use crate::ids::AccountId;
+use crate::ids::DocumentVersion;
 use crate::ids::RequestFeature;
 use crate::request::outcome::NotRunReason;
 use crate::request::outcome::UnknownReason;
@@ -55,6 +57,13 @@
 /// The timeout of requests that do not set one.
 const CALLER_TIMEOUT_DEFAULT: Duration = Duration::from_secs(30);
 
+/// Where a request came from, and when.
+struct Arrival {
+    /// The hop, if another entry has passed the request on.
+    hop: Option<Hop>,
+    started_at: Instant,
+}
+
 /// Answers callers' requests by forwarding them to targets.
 #[derive(Clone, Debug)]
 pub struct ForwardHandler<X> {
@@ -70,10 +79,12 @@
         Self { context }
     }
 
+    /// Answers a request, and tells in `handled_by` by which version of the configuration.
     async fn answer(
         &self,
         request: Request<Incoming>,
         started_at: Instant,
+        handled_by: &mut Option<DocumentVersion>,
     ) -> (CallerRequest, Result<Response<ResponseBody>, Failure>) {
         let (mut head, body) = request.into_parts();
         let hop = self
@@ -88,10 +99,11 @@
             }
         };
         let read = self
-            .read_body(&head, body, &caller_request, hop.as_ref())
+            .read_body(&head, body, &caller_request, hop.as_ref(), handled_by)
             .await;
+        let arrival = Arrival { hop, started_at };
         let prepared =
-            read.and_then(|body| self.prepare(head, body, &caller_request, hop, started_at));
+            read.and_then(|body| self.prepare(head, body, &caller_request, arrival, handled_by));
         let answer = match prepared {
             Ok(sends) => forward(sends).await,
             Err(failure) => Err(failure),
@@ -108,8 +120,9 @@
         mut body: Incoming,
         caller_request: &CallerRequest,
         hop: Option<&Hop>,
+        handled_by: &mut Option<DocumentVersion>,
     ) -> Result<Bytes, Failure> {
-        let admitted = self.admit(head, &body, caller_request, hop);
+        let admitted = self.admit(head, &body, caller_request, hop, handled_by);
         let (share, limits) = match admitted {
             Ok(admitted) => admitted,
             Err(failure) => {
@@ -145,11 +158,13 @@
         body: &Incoming,
         caller_request: &CallerRequest,
         hop: Option<&Hop>,
+        handled_by: &mut Option<DocumentVersion>,
     ) -> Result<(BodyShare, RequestBodyLimits), Failure> {
         // The document is not kept while the body is read. A request may wait for seconds, and as many
         // versions would be in memory as come in that time.
         let is_current = self.context.is_document_current();
         let document = self.document()?;
+        *handled_by = Some(document.version);
         // The other entry may have shown its callers the effect of its version.
         if let Some(hop) = hop.filter(|hop| hop.version > document.version) {
             log::info!(
@@ -256,12 +271,13 @@
         head: http::request::Parts,
         body: Bytes,
         caller_request: &CallerRequest,
-        hop: Option<Hop>,
-        started_at: Instant,
+        Arrival { hop, started_at }: Arrival,
+        handled_by: &mut Option<DocumentVersion>,
     ) -> Result<RequestSends<X>, Failure> {
         // Asked before the document is taken, which may be replaced by the latest one meanwhile.
         let is_current = self.context.is_document_current();
         let document = self.document()?;
+        *handled_by = Some(document.version);
         let authorized = self.authorize(&document, is_current, &head, caller_request)?;
         let route = authorized.route.clone();
         let service = route.pick_service(&caller_request.request_id).cloned();
@@ -289,6 +305,7 @@
         let features = parts.chain([RequestFeature::from(content)]);
         let requirements = TargetRequirements {
             service: service.clone(),
+            version: document.version,
             weights: caller_request.weights.clone(),
             prompt_tokens: caller_request.prompt_tokens,
             excluded: Vec::new(),
@@ -400,8 +417,9 @@
         // In HTTP/2 the rest of a body is cancelled by its stream.
         let is_http1 = request.version() < Version::HTTP_2;
         let request_id = protocol.request_id(request.headers()).unwrap_or_default();
+        let mut handled_by = None;
         let (caller_request, answer) = tokio::select! {
-            answered = self.answer(request, started_at) => answered,
+            answered = self.answer(request, started_at, &mut handled_by) => answered,
             () = self.context.stop_limit_reached() => {
                 log::warn!(request = request_id.as_str(); "request is not answered before the shutdown");
                 let request = CallerRequest { request_id, ..CallerRequest::default() };
@@ -411,11 +429,13 @@
         let closes_connection = answer
             .as_ref()
             .is_err_and(|failure| failure.closes_connection());
+        // A request that was not run shows nothing of the configuration.
+        let is_not_run = answer.as_ref().is_err_and(Failure::is_not_run);
         let mut response = match answer {
             Ok(response) => response,
             Err(failure) => {
                 let mut response = protocol.failure_answer(&caller_request.request_id, failure);
-                if self.context.is_behind_hop() && failure.is_not_run() {
+                if self.context.is_behind_hop() && is_not_run {
                     protocol.attest_not_run(response.headers_mut());
                 }
                 response
@@ -425,6 +445,10 @@
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(CONNECTION, close);
         }
+        if self.context.is_behind_hop() {
+            let shown = handled_by.filter(|_| !is_not_run);
+            add_handled_by(response.headers_mut(), shown);
+        }
         response
     }
 }
--- a/lib/src/request/forward/hop.rs
+++ b/lib/src/request/forward/hop.rs
@@ -6,16 +6,20 @@
 use http::HeaderMap;
 use http::HeaderName;
 use http::HeaderValue;
+use http::header::CONNECTION;
 
 use crate::ids::DocumentVersion;
 use crate::ids::EntryId;
 
 /// The name of the entry that passes the request on.
 const FORWARDING_ENTRY: HeaderName = HeaderName::from_static("x-forwarding-entry");
-/// The version of the configuration by which that entry has accepted the request.
+/// The oldest version of the configuration by which the request may be handled: the one by which that
+/// entry has accepted it, or a newer one that it has shown.
 const CONFIGURATION_VERSION: HeaderName = HeaderName::from_static("x-configuration-version");
+/// The version of the configuration by which the other entry has handled the request, in its answer.
+const HANDLED_BY_VERSION: HeaderName = HeaderName::from_static("x-handled-by-version");
 
-/// Marks a request that `entry` passes on.
+/// Marks a request that `entry` passes on. `version` is the oldest one by which it may be handled.
 pub(super) fn add_hop(headers: &mut HeaderMap, entry: &EntryId, version: Option<DocumentVersion>) {
     match HeaderValue::from_str(entry.as_str()) {
         Ok(value) => {
@@ -38,7 +42,7 @@
 pub(super) struct Hop {
     /// The name of that entry.
     pub(super) entry: String,
-    /// The version of the configuration by which it has accepted the request.
+    /// The oldest version of the configuration by which the request may be handled.
     pub(super) version: DocumentVersion,
 }
 
@@ -55,3 +59,27 @@
         version: DocumentVersion(text(version).parse().unwrap_or_default()),
     }
 }
+
+/// Marks the answer to a request that was passed on: it was handled by `version`, or by none. A header of
+/// the target with that name says nothing of it.
+///
+/// The mark is named as a header of the connection, so that an entry of an earlier version drops it
+/// instead of sending it to its caller.
+pub(super) fn add_handled_by(headers: &mut HeaderMap, version: Option<DocumentVersion>) {
+    headers.remove(HANDLED_BY_VERSION);
+    if let Some(version) = version {
+        headers.insert(HANDLED_BY_VERSION, HeaderValue::from(version.0));
+        headers.append(CONNECTION, HeaderValue::from(HANDLED_BY_VERSION));
+    }
+}
+
+/// Removes the mark of another entry's answer, and returns the version by which it has handled the
+/// request; `None` if it does not say so, as an entry of an earlier version.
+pub(super) fn take_handled_by(headers: &mut HeaderMap) -> Option<DocumentVersion> {
+    let value = headers.remove(HANDLED_BY_VERSION)?;
+    let version = value.to_str().ok().and_then(|text| text.parse().ok());
+    if version.is_none() {
+        log::warn!(value:? = value; "invalid version in the answer of an entry");
+    }
+    version.map(DocumentVersion)
+}
--- a/lib/src/request/forward/send.rs
+++ b/lib/src/request/forward/send.rs
@@ -14,6 +14,7 @@
 use super::context::ForwardContext;
 use super::context::TargetReservation;
 use super::hop::add_hop;
+use super::hop::take_handled_by;
 use super::plan::AnswerTimeout;
 use super::plan::SendFailure;
 use super::protocol::AnswerHead;
@@ -136,13 +137,18 @@
         timeout: Option<AnswerTimeout>,
     ) -> Result<AnswerStart<X>, SendFailure> {
         let sent = self.exchange_heads(last_event, timeout).await;
-        let (connection, head, body) = match sent {
+        let (connection, mut head, body) = match sent {
             Ok(sent) => sent,
             Err(send_failure) => {
                 self.target.on_end(Some(send_failure));
                 return Err(send_failure);
             }
         };
+        if self.target.passed_on_by().is_some()
+            && let Some(version) = take_handled_by(&mut head.headers)
+        {
+            self.request.context.on_version_shown(version);
+        }
         let answer = self.request.context.protocol().read_answer(&head);
         let checked = self.check_answer(&head, &answer);
         // A misdirected request may have reached another target, at an address that is used again. Any
@@ -290,12 +296,7 @@
                     last_event,
                 };
                 let mut headers = protocol.hop_headers(&forwarded.head.headers, &fields);
-                let document = forwarded.context.document();
-                add_hop(
-                    &mut headers,
-                    entry,
-                    document.map(|document| document.version),
-                );
+                add_hop(&mut headers, entry, forwarded.context.required_version());
                 headers
             }
             None => {
--- a/lib/src/request/forward/sends.rs
+++ b/lib/src/request/forward/sends.rs
@@ -105,6 +105,9 @@
                     }
                     tokio::time::sleep_until(available_at).await;
                 }
+                Err(NoTarget::Outdated) => {
+                    return Err(self.plan.failure(NotRunReason::NotReady));
+                }
                 Err(NoTarget::Leaving { .. }) => {
                     let failure = self.plan.failure(NotRunReason::NoTarget);
                     return Err(with_retry_after(failure, LEAVING_RETRY_AFTER));
@@ -171,6 +174,14 @@
                 "request is not sent: the queue is too long and no target is free"
             );
         }
+        if let Err(NoTarget::Outdated) = &reserved {
+            log_request!(
+                request, route = request.route.name.as_str(), service:% = request.service,
+                version = self.requirements.version.0,
+                required_version:% = OrNone(request.context.required_version().map(|version| version.0));
+                "request is not sent: this entry has shown a newer configuration"
+            );
+        }
         if let Err(NoTarget::Leaving { targets }) = &reserved {
             log_request!(
                 request, route = request.route.name.as_str(), service:% = request.service,
--- a/lib/src/version/mod.rs
+++ b/lib/src/version/mod.rs
@@ -8,6 +8,7 @@
 pub mod parse;
 pub mod placement_check;
 pub mod routes;
+pub mod shown;
 pub mod store;
 pub mod write;
 
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -49,6 +49,7 @@
 mod test_routing;
 mod test_serving_updates;
 mod test_share_members;
+mod test_shown_version;
 mod test_silence;
 mod test_spill;
 mod test_stragglers;
--- a/lib/tests/test_forward_loads.rs
+++ b/lib/tests/test_forward_loads.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use beryltray_lib::ids::DocumentVersion;
 use beryltray_lib::request::forward::admit::admit;
 use beryltray_lib::request::forward::choose::EnginePace;
 use beryltray_lib::request::forward::choose::TargetCandidate;
@@ -54,6 +55,7 @@
 fn requirements(is_new: bool) -> TargetRequirements {
     TargetRequirements {
         service: "writers".parse().unwrap(),
+        version: DocumentVersion(1),
         weights: None,
         prompt_tokens: PROMPT_TOKENS as u32,
         excluded: Vec::new(),
@@ -95,7 +97,10 @@
         random.random_range(0..n)
     });
     admitted.map_err(|no_target| match no_target {
-        NoTarget::Absent | NoTarget::Leaving { .. } | NoTarget::Evacuated { .. } => 1.0,
+        NoTarget::Absent
+        | NoTarget::Leaving { .. }
+        | NoTarget::Evacuated { .. }
+        | NoTarget::Outdated => 1.0,
         NoTarget::Limited { available_in, .. } => available_in.as_secs_f64(),
         NoTarget::Busy { room_in, .. } => room_in.max(MODEL_RETRY_AFTER_MIN).as_secs_f64(),
         NoTarget::Quarantined(quarantine) => quarantine.time_left.as_secs_f64(),
--- a/lib/tests/test_overload.rs
+++ b/lib/tests/test_overload.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use beryltray_lib::ids::DocumentVersion;
 use beryltray_lib::request::forward::context::TargetRequirements;
 use beryltray_lib::request::overload::ModelKey;
 use beryltray_lib::request::overload::Overload;
@@ -30,6 +31,7 @@
 fn requirements(priority: u8, latency_target_ms: u64) -> TargetRequirements {
     TargetRequirements {
         service: model().service,
+        version: DocumentVersion(1),
         weights: model().weights,
         prompt_tokens: 700,
         excluded: Vec::new(),
--- a/lib/tests/test_overload_simulation.rs
+++ b/lib/tests/test_overload_simulation.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use beryltray_lib::ids::DocumentVersion;
 use beryltray_lib::request::forward::admit::admit;
 use beryltray_lib::request::forward::choose::EnginePace;
 use beryltray_lib::request::forward::choose::TargetCandidate;
@@ -211,6 +212,7 @@
             let left_ms = kind.timeout_ms.saturating_sub(now_ms - request.first_at_ms);
             let requirements = TargetRequirements {
                 service: model.service.clone(),
+                version: DocumentVersion(1),
                 weights: None,
                 prompt_tokens: 0,
                 excluded: Vec::new(),
--- a/lib/tests/test_pace.rs
+++ b/lib/tests/test_pace.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use beryltray_lib::ids::DocumentVersion;
 use beryltray_lib::ids::HostId;
 use beryltray_lib::ids::Incarnation;
 use beryltray_lib::process::gateway::UsageTracker;
@@ -133,6 +134,7 @@
 fn requirements() -> TargetRequirements {
     TargetRequirements {
         service: "chat".parse().unwrap(),
+        version: DocumentVersion(1),
         weights: Some("small".parse().unwrap()),
         prompt_tokens: 674,
         excluded: Vec::new(),
