--- a/lib/src/platform/feed.rs
+++ b/lib/src/platform/feed.rs
@@ -21,6 +21,9 @@
     pub unreadable: Vec<String>,
     /// The revision of the snapshot, to be passed to [`Feed::changes`].
     pub revision: Revision,
+    /// The revision of the last change of a record in it, also of one that can't be decoded; `None` if
+    /// there is no record or the source doesn't tell it.
+    pub last_change: Option<Revision>,
 }
 
 /// A record of a feed.
--- a/lib/src/process/gateway/context.rs
+++ b/lib/src/process/gateway/context.rs
@@ -25,6 +25,7 @@
 use crate::ids::HostId;
 use crate::ids::Incarnation;
 use crate::ids::RequestFeature;
+use crate::ids::Revision;
 use crate::ids::ServiceId;
 use crate::ids::WeightsId;
 use crate::platform::feed::RecordSource;
@@ -427,6 +428,10 @@
         self.state.document_source()
     }
 
+    fn document_revision(&self) -> Option<Revision> {
+        self.state.inner().operator_log.revision()
+    }
+
     fn document(&self) -> Option<Arc<RouteDocument>> {
         self.state.document()
     }
--- a/lib/src/process/gateway/relayed_feed.rs
+++ b/lib/src/process/gateway/relayed_feed.rs
@@ -431,6 +431,21 @@
         }))
     }
 
+    /// Logs a snapshot of the platform and what was known before. A last change that was known already, or
+    /// an older snapshot than that, tells that the platform's answers don't fit together.
+    fn log_snapshot<T>(&self, snapshot: &Snapshot<T>)
+    where
+        T: RelayedRecord,
+    {
+        let known = T::revision(&self.state);
+        log::info!(
+            records = T::PATH, revision = snapshot.revision.0,
+            last_change = snapshot.last_change.map(|revision| revision.0),
+            known_revision = known.map(|revision| revision.0);
+            "all records are read"
+        );
+    }
+
     async fn platform_changes<T>(
         &self,
         request: ChangesRequest,
@@ -495,6 +510,7 @@
         self.on_read::<T, _, _>(RecordSource::Platform, sent_at, &from_platform);
         let failure = match from_platform {
             Ok(answer) => {
+                self.log_snapshot(&answer.content);
                 return Ok(RecordUpdate::Snapshot {
                     answer,
                     times: ReadTimes::of_complete(Some(sent_at)),
@@ -548,6 +564,7 @@
         records: relayed.changed,
         unreadable: Vec::new(),
         revision: relayed.revision,
+        last_change: None,
     }
 }
 
--- a/lib/src/process/gateway/state.rs
+++ b/lib/src/process/gateway/state.rs
@@ -296,6 +296,7 @@
             services_without_order = document.services_without_order().len(),
             confirmed_ms_ago = age.map(|age| age.as_millis() as u64),
             source = source.as_deref(),
+            known_revision = inner.operator_log.revision().map(|revision| revision.0),
             size_bytes = read.map(|read| read.size_bytes as u64),
             read_ms = read.map(|read| read.took.as_millis() as u64);
             "configuration is in force"
--- a/lib/src/request/forward/context.rs
+++ b/lib/src/request/forward/context.rs
@@ -18,6 +18,7 @@
 use crate::ids::EntryId;
 use crate::ids::HostId;
 use crate::ids::RequestFeature;
+use crate::ids::Revision;
 use crate::ids::ServiceId;
 use crate::ids::WeightsId;
 use crate::platform::feed::RecordSource;
@@ -245,6 +246,10 @@
     /// Returns where the configuration was read last; `None` before the first read.
     fn document_source(&self) -> Option<RecordSource>;
 
+    /// Returns the revision up to which the records of the operator have been read; `None` before the first
+    /// read.
+    fn document_revision(&self) -> Option<Revision>;
+
     /// Returns whether the process is shutting down; answers then ask callers to close connections.
     fn is_draining(&self) -> bool;
 
--- a/lib/src/request/forward/handler.rs
+++ b/lib/src/request/forward/handler.rs
@@ -248,11 +248,12 @@
             let age = self.context.document_age();
             let source = self.context.document_source();
             let source = source.map(|source| source.to_string());
+            let revision = self.context.document_revision();
             log::info!(
                 request = caller_request.request_id.as_str(), host = caller_request.host.as_str(),
                 path = head.uri.path(), version = document.version.0,
                 confirmed_ms_ago = age.map(|age| age.as_millis() as u64),
-                source = source.as_deref();
+                revision = revision.map(|revision| revision.0), source = source.as_deref();
                 "request is not allowed: {denial}"
             );
             if !is_current {
--- a/lib/tests/test_host_tracker.rs
+++ b/lib/tests/test_host_tracker.rs
@@ -47,6 +47,7 @@
         records,
         unreadable: Vec::new(),
         revision: Revision(revision),
+        last_change: None,
     }
 }
 
--- a/lib/testutils/src/fleet.rs
+++ b/lib/testutils/src/fleet.rs
@@ -166,6 +166,7 @@
         records,
         unreadable: Vec::new(),
         revision: Revision(0),
+        last_change: None,
     }
 }
 
