feed_reader: read all records at intervals, in case the feed has missed a change

What callers saw: routes that had been added were refused with 404, at all entries of a data centre, until the next change of the configuration, by entries that took theirs for the latest.

Cause: an answer of the feed without changes is taken for the word that none are missing, and the reader goes on from its revision. A change that the feed goes past without bringing it, for example since the store reads its newest version after its rows, is never read, and each later answer confirms the old version. Entries that read from that one have reached the same revision, so that they got nothing even once it had the change.

Change: an entry that reads the configuration at the platform reads all of the operator's rows again after half of in-force-within, and a long poll ends when that is due. A change up to the revision that the feed had reached is logged and counted (beryltray_missed_changes_total). Entries tell their readers the version in force, and a reader that would not have it with the changes that it gets reads all records of that entry. Entries don't read more while the newest configuration can't be read somewhere: many read the platform then, and those that can't read it refuse nothing for good.

The model's settings have the interval of the product; its assertions, cases and bounds are unchanged.

--- a/lib/src/process/feed_reader/read_plan.rs
+++ b/lib/src/process/feed_reader/read_plan.rs
@@ -8,6 +8,9 @@
 //! An answer with changes may end early: the platform bounds its size, and the rest comes with the next
 //! read. Such a reader must not take itself for current. Only these show that nothing is missing: a
 //! snapshot, an answer without changes, or changes up to a revision that was the platform's newest.
+//!
+//! A change that the feed doesn't bring would never be noticed by its reader, which is sure that it has
+//! all of them. So a snapshot is also read at intervals, if the settings say so.
 
 use std::time::Duration;
 use std::time::Instant;
@@ -35,6 +38,9 @@
     /// After an answer with changes, how long after the time as of which all changes are known it is
     /// checked that none are missing.
     pub check_after: Duration,
+    /// How long after a snapshot another one is read at the platform, in case the feed has missed a change;
+    /// `None` if none is read for that.
+    pub resync_after: Option<Duration>,
 }
 
 /// The next read of a feed.
@@ -85,10 +91,12 @@
 ///     unproven_answers_max: 1,
 ///     wait_max: Duration::from_millis(800),
 ///     check_after: Duration::ZERO,
+///     resync_after: None,
 /// });
 /// let now = Instant::now();
 /// let source = RecordSource::Platform;
 /// assert_eq!(plan.next_read(source, now), NextRead::Snapshot);
+/// plan.on_snapshot_request(now);
 /// plan.on_snapshot(Revision(7), 1_000_000, true);
 /// plan.on_complete(now);
 /// let changes = NextRead::Changes {
@@ -109,6 +117,10 @@
     /// The revision of the last read; `None` if a snapshot must be read first.
     revision: Option<Revision>,
     snapshot_bytes: usize,
+    /// When a snapshot was asked for last.
+    snapshot_asked_at: Option<Instant>,
+    /// Whether snapshots are read after [`ReadPlanSettings::resync_after`].
+    is_resync_allowed: bool,
     /// Whether the changes were too large, and no snapshot without news was read since.
     is_behind: bool,
     /// The time as of which all changes are known; `None` if there is none.
@@ -129,6 +141,8 @@
             lost_answers: 0,
             revision: None,
             snapshot_bytes: 0,
+            snapshot_asked_at: None,
+            is_resync_allowed: true,
             is_behind: false,
             complete_at: None,
             unproven_bytes: 0,
@@ -141,7 +155,10 @@
     pub fn next_read(&self, source: RecordSource, now: Instant) -> NextRead {
         // Another entry can't tell whether changes are missing that were read at the platform.
         let is_relayed = matches!(source, RecordSource::Entry(_));
-        let is_snapshot = self.needs_snapshot() || (is_relayed && self.is_unproven_too_large());
+        let time_until_resync = self.time_until_resync(now).filter(|_| !is_relayed);
+        let is_snapshot = self.needs_snapshot()
+            || (is_relayed && self.is_unproven_too_large())
+            || time_until_resync == Some(Duration::ZERO);
         let Some(since) = self.revision.filter(|_| !is_snapshot) else {
             return NextRead::Snapshot;
         };
@@ -154,6 +171,7 @@
         };
         let wait_max = self.settings.wait_max;
         let wait_max = time_until_check.map_or(wait_max, |time| time.min(wait_max));
+        let wait_max = time_until_resync.map_or(wait_max, |time| time.min(wait_max));
         NextRead::Changes {
             since,
             limit_bytes,
@@ -173,6 +191,13 @@
         }))
     }
 
+    /// Returns the time until a snapshot is read in case the feed has missed a change; `None` if none is.
+    fn time_until_resync(&self, now: Instant) -> Option<Duration> {
+        let due_at = self.snapshot_asked_at? + self.settings.resync_after?;
+        let time = due_at.saturating_duration_since(now);
+        self.is_resync_allowed.then_some(time)
+    }
+
     fn needs_snapshot(&self) -> bool {
         let period = self.settings.lost_answers_max.saturating_add(1);
         self.is_behind
@@ -198,6 +223,23 @@
         self.newest = None;
     }
 
+    /// Sets whether snapshots are read after [`ReadPlanSettings::resync_after`].
+    pub fn set_resync_allowed(&mut self, is_allowed: bool) {
+        self.is_resync_allowed = is_allowed;
+    }
+
+    /// Records that a snapshot is asked for. Unless the plan needs it for another reason, the next one follows
+    /// after the time of the settings, also if this one fails.
+    pub fn on_snapshot_request(&mut self, now: Instant) {
+        self.snapshot_asked_at = Some(now);
+    }
+
+    /// Returns whether the feed has been read up to `revision`, so that a change of that revision that the
+    /// reader doesn't have was missed.
+    pub fn has_reached(&self, revision: Revision) -> bool {
+        self.revision >= Some(revision)
+    }
+
     /// Records a snapshot. `has_news` tells whether the reader has caught up with changes by it: then
     /// more may have been made while it was read, and another snapshot is read.
     pub fn on_snapshot(&mut self, revision: Revision, size_bytes: usize, has_news: bool) {
--- a/lib/src/process/gateway/follow.rs
+++ b/lib/src/process/gateway/follow.rs
@@ -211,7 +211,14 @@
     P: Feed<OperatorRecord>,
 {
     let sink = OperatorSink(Arc::clone(&state));
-    follow("configuration", state, feed, sink, |_| Duration::ZERO).await;
+    // Half of the time is left for the readers of this entry.
+    let resync_after = state.settings.configuration_in_force_within / 2;
+    let batch_delay = |_: &GatewayState<C>| Duration::ZERO;
+    let no_delay = FollowSettings {
+        batch_delay,
+        resync_after: Some(resync_after),
+    };
+    follow("configuration", state, feed, sink, no_delay).await;
 }
 
 /// Keeps the records of targets up to date.
@@ -225,14 +232,12 @@
         answered_at: None,
         complete_at: None,
     };
-    follow(
-        "targets",
-        state,
-        feed,
-        sink,
-        GatewayState::targets_batch_delay,
-    )
-    .await;
+    let settings = FollowSettings {
+        batch_delay: GatewayState::targets_batch_delay,
+        // A snapshot of targets is passed on in full to all readers.
+        resync_after: None,
+    };
+    follow("targets", state, feed, sink, settings).await;
 }
 
 /// Applies removals of targets at the end of the time for which they are held back.
@@ -284,6 +289,14 @@
     }
 }
 
+/// How a feed is followed, beside what its sink says.
+struct FollowSettings<G> {
+    /// Returns the delay between two calls.
+    batch_delay: G,
+    /// See [`ReadPlanSettings::resync_after`].
+    resync_after: Option<Duration>,
+}
+
 /// Reads a snapshot and then long-polls for changes, with a batch delay between calls.
 ///
 /// Failed calls are repeated with exponential backoff. If the changes since the last revision are
@@ -293,7 +306,10 @@
     state: Arc<GatewayState<C>>,
     feed: RelayedFeed<C, P>,
     mut sink: S,
-    batch_delay: G,
+    FollowSettings {
+        batch_delay,
+        resync_after,
+    }: FollowSettings<G>,
 ) where
     C: Clock,
     P: Feed<T>,
@@ -306,6 +322,7 @@
         unproven_answers_max: S::UNPROVEN_ANSWERS_BEFORE_SNAPSHOT,
         wait_max: LONG_POLL_TIME,
         check_after: S::CHECK_AFTER,
+        resync_after,
     });
     let mut retry_delay = RETRY_DELAY_MIN;
     let mut failing_since: Option<Instant> = None;
@@ -314,8 +331,13 @@
         let started_at = state.clock.now();
         let upstream = T::upstream(&state);
         let source = upstream.map_or(RecordSource::Platform, RecordSource::Entry);
+        // Many entries read the platform then, and those that can't read it don't take theirs for the latest.
+        plan.set_resync_allowed(!state.is_configuration_unreadable_somewhere());
         let update = match plan.next_read(source, started_at) {
-            NextRead::Snapshot => feed.snapshot().await,
+            NextRead::Snapshot => {
+                plan.on_snapshot_request(started_at);
+                feed.snapshot().await
+            }
             NextRead::Changes {
                 since,
                 limit_bytes,
@@ -354,7 +376,16 @@
         match update {
             Ok(RecordUpdate::Snapshot { answer, times }) => {
                 let revision = answer.content.revision;
+                let last_change = answer.content.last_change;
                 let has_news = sink.on_snapshot(answer.content, times);
+                if let Some(missed) = last_change.filter(|last| has_news && plan.has_reached(*last))
+                {
+                    state.metrics.count_missed_change(T::LABEL);
+                    log::warn!(
+                        what = feed_name, revision = revision.0, last_change = missed.0;
+                        "the feed has missed a change; it is read with all records"
+                    );
+                }
                 // Another entry passes on the newest state only, at no cost for the platform.
                 let has_news = has_news && T::upstream(&state).is_none();
                 plan.on_snapshot(revision, answer.size_bytes, has_news);
--- a/lib/src/process/gateway/metrics.rs
+++ b/lib/src/process/gateway/metrics.rs
@@ -49,6 +49,7 @@
     loop_delay_seconds: Histogram,
     change_log_bytes: IntGaugeVec,
     feed_reads: IntCounterVec,
+    missed_changes: IntCounterVec,
     feed_bytes: IntCounterVec,
     feed_answers_with_changes: IntGaugeVec,
     /// Failed calls to the platform, by the feed that was read.
@@ -169,6 +170,11 @@
                 "Reads of records, by where they were read and their result.",
                 &["records", "source", "result"],
             )?,
+            missed_changes: counters(
+                "missed_changes_total",
+                "Snapshots with a change that the feed had missed.",
+                &["records"],
+            )?,
             feed_bytes: counters(
                 "feed_bytes_total",
                 "Bytes of the answers with records that were read completely.",
@@ -318,6 +324,7 @@
         registry.register(Box::new(self.loop_delay_seconds.clone()))?;
         registry.register(Box::new(self.change_log_bytes.clone()))?;
         registry.register(Box::new(self.feed_reads.clone()))?;
+        registry.register(Box::new(self.missed_changes.clone()))?;
         registry.register(Box::new(self.feed_answers_with_changes.clone()))?;
         registry.register(Box::new(self.feed_bytes.clone()))?;
         registry.register(Box::new(self.platform_failures.clone()))?;
@@ -476,6 +483,11 @@
         bytes.inc_by(size_bytes as u64);
     }
 
+    /// Counts a snapshot with a change that the feed has missed.
+    pub fn count_missed_change(&self, records: &str) {
+        self.missed_changes.with_label_values(&[records]).inc();
+    }
+
     /// Sets how many answers with changes came one after the other.
     pub fn set_feed_answers_with_changes(&self, records: &str, answers: u32) {
         let gauge = self.feed_answers_with_changes.with_label_values(&[records]);
--- a/lib/src/process/gateway/record_relay.rs
+++ b/lib/src/process/gateway/record_relay.rs
@@ -25,6 +25,7 @@
 use crate::connection::body::ResponseBody;
 use crate::connection::body::full_body;
 use crate::connection::server::HttpHandler;
+use crate::ids::DocumentVersion;
 use crate::ids::Revision;
 use crate::platform::feed::Changes;
 use crate::platform::feed::FeedRecord;
@@ -71,6 +72,10 @@
     /// How many milliseconds the request was held.
     #[serde(default)]
     pub(super) held_ms: u64,
+    /// The version of the configuration in force at the entry. Other records have none, and an entry of an
+    /// earlier version omits it.
+    #[serde(default)]
+    pub(super) version: Option<DocumentVersion>,
 }
 
 /// A kind of record that entries relay.
@@ -116,6 +121,14 @@
     where
         C: Clock;
 
+    /// Returns the version that is in force here; `None` if the records have no version in common.
+    fn version_in_force<C>(state: &GatewayState<C>) -> Option<DocumentVersion>
+    where
+        C: Clock;
+
+    /// Returns the version that the record brings into force, if any.
+    fn version(&self) -> Option<DocumentVersion>;
+
     /// Returns the entry to read the records from, or `None` if this entry reads the platform itself.
     fn upstream<C>(state: &GatewayState<C>) -> Option<SocketAddr>
     where
@@ -175,6 +188,17 @@
         state.target_changes(since, Self::age_max(state))
     }
 
+    fn version_in_force<C>(_state: &GatewayState<C>) -> Option<DocumentVersion>
+    where
+        C: Clock,
+    {
+        None
+    }
+
+    fn version(&self) -> Option<DocumentVersion> {
+        None
+    }
+
     fn upstream<C>(state: &GatewayState<C>) -> Option<SocketAddr>
     where
         C: Clock,
@@ -238,6 +262,17 @@
         state.operator_changes(since, Self::age_max(state))
     }
 
+    fn version_in_force<C>(state: &GatewayState<C>) -> Option<DocumentVersion>
+    where
+        C: Clock,
+    {
+        state.document().map(|document| document.version)
+    }
+
+    fn version(&self) -> Option<DocumentVersion> {
+        self.configuration().map(|document| document.version)
+    }
+
     fn upstream<C>(state: &GatewayState<C>) -> Option<SocketAddr>
     where
         C: Clock,
@@ -308,6 +343,7 @@
             let changed = self.state.records_changed.notified();
             // Taken before the records, which may be replaced by newer ones meanwhile.
             let confirmed_at = T::confirmed_at(&self.state);
+            let version = T::version_in_force(&self.state);
             let (is_snapshot, changes) = match T::read(&self.state, since) {
                 Ok(read) => read,
                 Err(NotRelayed::NotConfirmed) => {
@@ -330,6 +366,7 @@
                     confirmed_ms_ago: confirmed_at.map(ms_since),
                     answered_ms_ago: T::answered_at(&self.state).map(ms_since),
                     held_ms: ms_since(arrived_at),
+                    version,
                 });
             }
             has_waited = tokio::time::timeout_at(deadline, changed).await.is_err();
--- a/lib/src/process/gateway/record_state.rs
+++ b/lib/src/process/gateway/record_state.rs
@@ -217,6 +217,15 @@
         self.inner().unreadable_configuration.is_unreadable()
     }
 
+    /// Returns whether this entry, or another one that was asked for it lately, can't read the newest
+    /// configuration.
+    pub(super) fn is_configuration_unreadable_somewhere(&self) -> bool {
+        let now = self.clock.now();
+        self.inner()
+            .unreadable_configuration
+            .must_read_platform(now)
+    }
+
     /// Records that another entry can't read the newest configuration.
     pub(super) fn on_configuration_unreadable_elsewhere(&self) {
         let now = self.clock.now();
--- a/lib/src/process/gateway/relayed_feed.rs
+++ b/lib/src/process/gateway/relayed_feed.rs
@@ -374,8 +374,16 @@
     where
         T: RelayedRecord,
     {
-        let sent_at = self.state.clock.now();
-        let answer = self.request_changes::<T>(upstream, Some(since)).await?;
+        let mut sent_at = self.state.clock.now();
+        let mut answer = self.request_changes::<T>(upstream, Some(since)).await?;
+        if self.lacks_version(&answer.content) {
+            log::warn!(
+                records = T::PATH, source:% = upstream, since = since.0;
+                "the entry has a version that its changes don't bring; all of its records are read"
+            );
+            sent_at = self.state.clock.now();
+            answer = self.request_changes::<T>(upstream, None).await?;
+        }
         let relayed = &answer.content;
         // An entry refuses to pass on records that are too old, but need not agree on the age.
         let age = Duration::from_millis(relayed.confirmed_ms_ago.unwrap_or_default());
@@ -412,6 +420,17 @@
         Ok(RecordUpdate::RelayedChanges { answer, times })
     }
 
+    /// Returns whether another entry has a newer version in force than this one will have with the changes
+    /// that it passes on. Both may have read the feed up to the same revision, and the feed has missed it.
+    fn lacks_version<T>(&self, relayed: &RelayedChanges<T>) -> bool
+    where
+        T: RelayedRecord,
+    {
+        let known = T::version_in_force(&self.state);
+        let changed = relayed.changed.iter().filter_map(T::version);
+        relayed.version > changed.max().max(known)
+    }
+
     /// Fails if all records of another entry are older than the known ones: records that were removed
     /// meanwhile would be listed again.
     fn check_revision<T>(
--- a/lib/tests/test_read_plan.rs
+++ b/lib/tests/test_read_plan.rs
@@ -29,6 +29,9 @@
 /// The latency of a platform that isn't slowed down.
 const FAST_LATENCY_MAX: Duration = Duration::from_millis(100);
 
+/// Half of [`IN_FORCE_WITHIN`], as in the product.
+const RESYNC_AFTER: Duration = Duration::from_millis(1_500);
+
 /// The longest pause of the modelled entry between repeated snapshots.
 const PAUSE_MAX: Duration = Duration::from_millis(200);
 
@@ -38,6 +41,7 @@
     unproven_answers_max: 1,
     wait_max: Duration::from_millis(800),
     check_after: Duration::ZERO,
+    resync_after: Some(RESYNC_AFTER),
 };
 
 /// The settings of a reader of many records.
@@ -45,6 +49,7 @@
     lost_answers_max: 2,
     unproven_answers_max: 3,
     check_after: Duration::from_millis(800),
+    resync_after: None,
     ..SETTINGS
 };
 
@@ -55,7 +60,7 @@
     changes_every: Duration,
     /// The time from a call to the start of its answer.
     latency: Duration,
-    /// How many changes the platform puts into an answer.
+    /// How many changes the platform puts into an answer; none if its feed never brings one.
     answer_records_max: u64,
 }
 
@@ -137,6 +142,10 @@
                 return Ok((0, answered_at));
             }
         }
+        if self.model.answer_records_max == 0 {
+            self.now = answered_at + wait_max;
+            return Ok((0, self.now));
+        }
         let missing = self.model.version_at(answered_at) - self.known;
         let records = missing.min(self.model.answer_records_max);
         let size_bytes = records * self.model.record_bytes;
@@ -199,12 +208,14 @@
 
     fn follow_plan(self, course: &mut Course, settings: ReadPlanSettings) {
         let mut plan = ReadPlan::new(settings);
+        plan.on_snapshot_request(course.start);
         plan.on_snapshot(Revision(0), self.record_bytes as usize, true);
         plan.on_complete(course.start);
         while course.now < MODELLED_TIME {
             let now = course.instant(course.now);
             match plan.next_read(RecordSource::Platform, now) {
                 NextRead::Snapshot => {
+                    plan.on_snapshot_request(now);
                     let sent_at = course.now;
                     let version = self.version_at(sent_at + self.latency);
                     let has_news = version > course.known;
@@ -306,6 +317,69 @@
     assert!(outcome.longest_error > IN_FORCE_WITHIN, "{outcome:?}");
 }
 
+const SILENT_FEED: Model = Model {
+    answer_records_max: 0,
+    ..STORM
+};
+
+/// Guards against a reader that never gets a change which the feed doesn't bring.
+#[test]
+fn next_read_changes_missed_by_feed_are_read_in_time() {
+    for changes_every_ms in [60, 500, 1_100, 7_000] {
+        let model = Model {
+            changes_every: Duration::from_millis(changes_every_ms),
+            ..SILENT_FEED
+        };
+        let outcome = model.run(Reader::Plan(SETTINGS));
+        assert!(
+            outcome.longest_delay < IN_FORCE_WITHIN,
+            "{model:?}: {outcome:?}"
+        );
+    }
+}
+
+/// The model shows the fault of a reader that relies on the feed alone.
+#[test]
+fn next_read_changes_missed_by_feed_without_snapshots_caught() {
+    let settings = ReadPlanSettings {
+        resync_after: None,
+        ..SETTINGS
+    };
+    let outcome = SILENT_FEED.run(Reader::Plan(settings));
+    assert!(outcome.longest_delay > IN_FORCE_WITHIN, "{outcome:?}");
+}
+
+/// Guards against snapshots that come late, since a long poll is under way when one is due, and against
+/// snapshots of the platform by a reader of another entry.
+#[test]
+fn next_read_before_resync_is_shorter_poll_then_snapshot() {
+    let start = Instant::now();
+    let mut plan = plan_after_snapshot(SETTINGS, start);
+    plan.on_snapshot_request(start);
+    let at = start + RESYNC_AFTER - Duration::from_millis(200);
+    let NextRead::Changes { wait_max, .. } = plan.next_read(RecordSource::Platform, at) else {
+        panic!("a snapshot comes too early");
+    };
+    assert_eq!(wait_max, Duration::from_millis(200));
+    let due_at = start + RESYNC_AFTER;
+    assert_eq!(
+        plan.next_read(RecordSource::Platform, due_at),
+        NextRead::Snapshot
+    );
+    let entry = RecordSource::Entry("127.0.0.1:1".parse().unwrap());
+    assert!(matches!(
+        plan.next_read(entry, due_at),
+        NextRead::Changes { .. }
+    ));
+    // A snapshot that fails is not asked for again at once.
+    plan.on_snapshot_request(due_at);
+    plan.on_failure();
+    assert!(matches!(
+        plan.next_read(RecordSource::Platform, due_at),
+        NextRead::Changes { .. }
+    ));
+}
+
 /// Returns changes of one record of 100 bytes, or none.
 fn answer(revision: u64, has_changes: bool, answered_at: Instant) -> ChangesAnswer {
     ChangesAnswer {
