--- a/lib/src/process/feed_reader/mod.rs
+++ b/lib/src/process/feed_reader/mod.rs
@@ -1,8 +1,10 @@
 //! How a feed of platform records is read: which read comes next, and as of when its reader knows all
 //! changes.
 
+mod older_snapshots;
 mod read_plan;
 
+pub use self::older_snapshots::OlderSnapshots;
 pub use self::read_plan::ChangesAnswer;
 pub use self::read_plan::NextRead;
 pub use self::read_plan::ReadPlan;
--- a/lib/src/process/feed_reader/read_plan.rs
+++ b/lib/src/process/feed_reader/read_plan.rs
@@ -254,6 +254,8 @@
     /// made until then are known once the feed has been read up to it. `None` if the platform didn't tell
     /// it, so that only an answer without changes shows that none are missing.
     pub fn on_newest_revision(&mut self, newest: Option<Revision>, asked_at: Instant) {
+        // One below a revision that has been read is that of a copy that lags.
+        let newest = newest.filter(|newest| self.revision <= Some(*newest));
         self.newest = Some((newest.unwrap_or(Revision(u64::MAX)), asked_at));
     }
 
--- a/lib/src/process/gateway/relayed_feed.rs
+++ b/lib/src/process/gateway/relayed_feed.rs
@@ -36,6 +36,7 @@
 use crate::platform::feed::FeedRecord;
 use crate::platform::feed::RecordSource;
 use crate::platform::feed::Snapshot;
+use crate::process::feed_reader::OlderSnapshots;
 
 /// The timeout of opening a connection, and of a response's head after the long poll time has passed.
 /// Entries are close to each other and respond at once.
@@ -116,6 +117,7 @@
     state: Arc<GatewayState<C>>,
     platform: P,
     connection: Arc<Mutex<Option<ClientConnection>>>,
+    older_snapshots: Arc<Mutex<OlderSnapshots>>,
 }
 
 impl<C, P> Clone for RelayedFeed<C, P>
@@ -127,6 +129,7 @@
             state: Arc::clone(&self.state),
             platform: self.platform.clone(),
             connection: Arc::clone(&self.connection),
+            older_snapshots: Arc::clone(&self.older_snapshots),
         }
     }
 }
@@ -137,6 +140,7 @@
             state,
             platform,
             connection: Arc::default(),
+            older_snapshots: Arc::default(),
         }
     }
 }
@@ -450,19 +454,26 @@
         }))
     }
 
-    /// Logs a snapshot of the platform and what was known before. A last change that was known already, or
-    /// an older snapshot than that, tells that the platform's answers don't fit together.
-    fn log_snapshot<T>(&self, snapshot: &Snapshot<T>)
+    /// Returns whether a snapshot of the platform is used, and logs it with what was known before. A last change
+    /// that was known already, or an older snapshot than that, tells that the platform's answers don't
+    /// fit together.
+    fn is_used<T>(&self, snapshot: &Snapshot<T>) -> bool
     where
         T: RelayedRecord,
     {
         let known = T::revision(&self.state);
+        let now = self.state.clock.now();
+        // The state is valid after every statement, so a poisoned mutex can still be used.
+        let older = self.older_snapshots.lock();
+        let mut older = older.unwrap_or_else(PoisonError::into_inner);
+        let is_used = older.is_used(snapshot.revision, known, now);
         log::info!(
             records = T::PATH, revision = snapshot.revision.0,
             last_change = snapshot.last_change.map(|revision| revision.0),
-            known_revision = known.map(|revision| revision.0);
+            known_revision = known.map(|revision| revision.0), is_used = is_used;
             "all records are read"
         );
+        is_used
     }
 
     async fn platform_changes<T>(
@@ -528,13 +539,15 @@
         let from_platform = self.platform.snapshot().await;
         self.on_read::<T, _, _>(RecordSource::Platform, sent_at, &from_platform);
         let failure = match from_platform {
-            Ok(answer) => {
-                self.log_snapshot(&answer.content);
+            Ok(answer) if self.is_used(&answer.content) => {
                 return Ok(RecordUpdate::Snapshot {
                     answer,
                     times: ReadTimes::of_complete(Some(sent_at)),
                 });
             }
+            Ok(_) => FeedError::Platform(PlatformError::Unavailable {
+                reason: "all records are read from a copy that lags".to_owned(),
+            }),
             Err(failure) => failure,
         };
         let upstream = self.state.fallback_upstream();
--- a/lib/tests/test_read_plan.rs
+++ b/lib/tests/test_read_plan.rs
@@ -8,6 +8,7 @@
 use beryltray_lib::platform::feed::RecordSource;
 use beryltray_lib::process::feed_reader::ChangesAnswer;
 use beryltray_lib::process::feed_reader::NextRead;
+use beryltray_lib::process::feed_reader::OlderSnapshots;
 use beryltray_lib::process::feed_reader::ReadPlan;
 use beryltray_lib::process::feed_reader::ReadPlanSettings;
 use quickcheck::TestResult;
@@ -349,6 +350,32 @@
     assert!(outcome.longest_delay > IN_FORCE_WITHIN, "{outcome:?}");
 }
 
+/// Guards against a proof by the newest revision of a copy that lags: it is below what has been read.
+#[test]
+fn on_changes_up_to_older_newest_revision_proves_nothing() {
+    let start = Instant::now();
+    let mut plan = plan_after_snapshot(SETTINGS, start);
+    plan.on_newest_revision(Some(Revision(6)), start);
+    assert_eq!(plan.on_changes(&answer(9, true, start)), None);
+}
+
+/// Guards against snapshots of a copy that lags, and against a platform that has gone back and is never
+/// read again.
+#[test]
+fn is_used_older_snapshots_only_if_they_stay() {
+    let start = Instant::now();
+    let mut older = OlderSnapshots::default();
+    let known = Some(Revision(9));
+    for seconds in 0..30 {
+        let now = start + Duration::from_secs(seconds);
+        assert!(!older.is_used(Revision(seconds % 9), known, now));
+    }
+    let late = start + Duration::from_secs(30);
+    assert!(older.is_used(Revision(3), known, late));
+    assert!(older.is_used(Revision(9), known, late));
+    assert!(!older.is_used(Revision(3), known, late));
+}
+
 /// Guards against snapshots that come late, since a long poll is under way when one is due, and against
 /// snapshots of the platform by a reader of another entry.
 #[test]
