routes: requests of a route that can't be read get 503, not 404

Cause: the decoder skipped such a route with a line in the log, and nothing else knew of it.

Requests for which it is the longest match get 503 with Retry-After; other requests are not affected. The count is in the line \"configuration is in force\" and in beryltray_unreadable_routes.

Evidence: request_of_unreadable_route_is_unavailable failed before (200 by the route of the shorter prefix) and passes.

--- a/lib/src/process/gateway/metrics.rs
+++ b/lib/src/process/gateway/metrics.rs
@@ -60,6 +60,8 @@
     pub configurations_in_memory: IntGauge,
     /// Whether the newest version of the configuration can't be read.
     pub configuration_unreadable: IntGauge,
+    /// The routes of the configuration in force that can't be read.
+    pub unreadable_routes: IntGauge,
     /// The milliseconds since the platform last confirmed the configuration.
     pub configuration_age_ms: IntGauge,
     /// Targets that can be sent requests, by service.
@@ -198,6 +200,10 @@
                 "configurations_in_memory",
                 "Versions of the configuration in memory: the one in force, and those in use by requests.",
             )?,
+            unreadable_routes: gauge(
+                "unreadable_routes",
+                "Routes of the configuration in force that can't be read.",
+            )?,
             configuration_unreadable: gauge(
                 "configuration_unreadable",
                 "Whether the newest version of the configuration can't be read, so that an older one \
@@ -331,6 +337,7 @@
         registry.register(Box::new(self.configuration_version.clone()))?;
         registry.register(Box::new(self.configurations_in_memory.clone()))?;
         registry.register(Box::new(self.configuration_unreadable.clone()))?;
+        registry.register(Box::new(self.unreadable_routes.clone()))?;
         registry.register(Box::new(self.configuration_age_ms.clone()))?;
         registry.register(Box::new(self.is_cut_off.clone()))?;
         registry.register(Box::new(self.body_refusals.clone()))?;
--- a/lib/src/process/gateway/state.rs
+++ b/lib/src/process/gateway/state.rs
@@ -293,6 +293,7 @@
         log::info!(
             version = document.version.0, replaced = known.map(|v| v.0),
             routes = document.route_count(),
+            unreadable_routes = document.unreadable_route_count(),
             services_without_order = document.services_without_order().len(),
             confirmed_ms_ago = age.map(|age| age.as_millis() as u64),
             source = source.as_deref(),
@@ -303,6 +304,9 @@
         );
         let version = i64::try_from(document.version.0).unwrap_or(i64::MAX);
         self.metrics.configuration_version.set(version);
+        let unreadable_routes = i64::try_from(document.unreadable_route_count());
+        let unreadable_routes = unreadable_routes.unwrap_or(i64::MAX);
+        self.metrics.unreadable_routes.set(unreadable_routes);
         inner.overload.set_priorities(document.priorities());
         let without_order = document.services_without_order();
         inner.overload.set_services_without_order(without_order);
--- a/lib/src/request/forward/handler.rs
+++ b/lib/src/request/forward/handler.rs
@@ -260,6 +260,7 @@
                 return not_run(NotRunReason::NotReady);
             }
             match denial {
+                AccessDenial::UnreadableRoute => not_run(NotRunReason::NotReady),
                 AccessDenial::NoRoute => Failure::NoRoute,
                 AccessDenial::UnknownKey => Failure::UnknownKey,
             }
--- a/lib/src/version/routes.rs
+++ b/lib/src/version/routes.rs
@@ -246,9 +246,28 @@
     }
 }
 
+/// The host name and path prefix of a route that can't be read.
+#[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct UnreadableRoute {
+    /// The host name in the request.
+    pub host: String,
+    /// The path prefix, which starts and ends with a slash.
+    pub prefix: String,
+}
+
+impl UnreadableRoute {
+    /// Returns about how many bytes of memory the route takes.
+    fn size_bytes(&self) -> usize {
+        size_of::<Self>() + self.host.len() + self.prefix.len()
+    }
+}
+
 /// Why a request is not authorized.
 #[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
 pub enum AccessDenial {
+    /// The route that matches the host name and path can't be read.
+    #[display("unreadable route")]
+    UnreadableRoute,
     /// No route matches the host name and path.
     #[display("no route")]
     NoRoute,
@@ -274,6 +293,9 @@
     /// The limits on the requests and connections of callers.
     pub limits: CallerLimits,
     routes: Vec<Route>,
+    /// Sorted. An entry of an earlier version omits them.
+    #[serde(default)]
+    unreadable_routes: Vec<UnreadableRoute>,
     services: SortedVec<ServiceSpec>,
     /// `None` if the environment has no accounts, so that callers need no key.
     keys: Option<SortedVec<AccountKey>>,
@@ -292,10 +314,12 @@
 
     fn size_bytes(&self) -> usize {
         let routes: usize = self.routes.iter().map(Route::size_bytes).sum();
+        let unreadable = self.unreadable_routes.iter();
+        let unreadable: usize = unreadable.map(UnreadableRoute::size_bytes).sum();
         let services: usize = self.services.iter().map(ServiceSpec::size_bytes).sum();
         let keys = self.keys.iter().flat_map(SortedVec::iter);
         let keys: usize = keys.map(AccountKey::size_bytes).sum();
-        size_of::<Self>() + routes + services + keys
+        size_of::<Self>() + routes + unreadable + services + keys
     }
 }
 
@@ -313,25 +337,40 @@
             version,
             limits,
             routes,
+            unreadable_routes: Vec::new(),
             services,
             keys,
         }
     }
 
+    /// Adds routes that can't be read. Requests that they match are not allowed, whatever other routes
+    /// match them.
+    pub fn with_unreadable_routes(mut self, mut unreadable: Vec<UnreadableRoute>) -> Self {
+        unreadable.sort();
+        self.unreadable_routes = unreadable;
+        self
+    }
+
     /// Returns the route of `host` with the longest prefix of `path`; `None` if no route matches.
     pub fn find_route(&self, host: &str, path: &str) -> Option<&Route> {
-        let mut end = path.len();
-        while let Some(slash) = path[..end].rfind('/') {
-            let prefix = &path[..=slash];
+        prefixes_of(path).find_map(|prefix| {
             let position = self.routes.binary_search_by(|route| {
                 (route.host.as_str(), route.prefix.as_str()).cmp(&(host, prefix))
             });
-            if let Ok(index) = position {
-                return self.routes.get(index);
-            }
-            end = slash;
-        }
-        None
+            self.routes.get(position.ok()?)
+        })
+    }
+
+    /// Returns the length of the longest prefix of `path` that is that of an unreadable route of `host`.
+    fn unreadable_prefix_len(&self, host: &str, path: &str) -> Option<usize> {
+        let mut prefixes = prefixes_of(path);
+        let is_unreadable = |prefix: &&str| {
+            let position = self.unreadable_routes.binary_search_by(|route| {
+                (route.host.as_str(), route.prefix.as_str()).cmp(&(host, *prefix))
+            });
+            position.is_ok()
+        };
+        prefixes.find(is_unreadable).map(str::len)
     }
 
     /// Matches a request to a route and checks its API key.
@@ -341,7 +380,12 @@
         path: &str,
         api_key: Option<&str>,
     ) -> Result<AuthorizedRequest<'_>, AccessDenial> {
-        let route = self.find_route(host, path).ok_or(AccessDenial::NoRoute)?;
+        let route = self.find_route(host, path);
+        let matched_len = route.map(|route| route.prefix.len());
+        if self.unreadable_prefix_len(host, path) > matched_len {
+            return Err(AccessDenial::UnreadableRoute);
+        }
+        let route = route.ok_or(AccessDenial::NoRoute)?;
         let Some(keys) = self.keys.as_ref().filter(|_| !route.is_public) else {
             return Ok(AuthorizedRequest {
                 route,
@@ -399,4 +443,15 @@
     pub fn route_count(&self) -> usize {
         self.routes.len()
     }
+
+    /// Returns the number of routes that can't be read.
+    pub fn unreadable_route_count(&self) -> usize {
+        self.unreadable_routes.len()
+    }
+}
+
+/// Returns the prefixes of a path that end with a slash, the longest first.
+fn prefixes_of(path: &str) -> impl Iterator<Item = &str> {
+    let slashes = path.rmatch_indices('/');
+    slashes.map(|(slash, _)| &path[..=slash])
 }
