--- a/cli/tests/test_configuration_storm_soak.rs
+++ b/cli/tests/test_configuration_storm_soak.rs
@@ -106,6 +106,11 @@
         limit: None,
     };
 
+    const WITHOUT_OPERATOR: Self = Self {
+        rows: FeedRows::WithoutOperator,
+        limit: None,
+    };
+
     /// Returns a feed whose answers end early, after one version of a large configuration.
     const fn partial(version: PartialVersion) -> Self {
         Self {
@@ -601,6 +606,15 @@
     run_storm(feed).await.assert_in_force();
 }
 
+/// Guards against entries that are sure of an old version since the feed misses all changes, and against
+/// readers of others that never get what those have read with all records.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn configuration_storm_at_eight_processes_with_missed_changes_is_in_force_in_time() {
+    run_storm(StoreFeed::WITHOUT_OPERATOR)
+        .await
+        .assert_in_force();
+}
+
 /// Writes storms while the store and the entries are disturbed.
 async fn soak(seed: u64, feed: StoreFeed) -> Report {
     let _one = ONE_RUN.lock().await;
--- a/lib/src/platform/feed.rs
+++ b/lib/src/platform/feed.rs
@@ -133,7 +133,16 @@
         /// The limit that the caller gave.
         limit_bytes: usize,
     },
+    /// A snapshot was read from a copy of the platform that lags behind what is known.
+    #[display(
+        "all records were read from a copy that has only reached revision {revision}. Hint: read changes instead"
+    )]
+    Lagging {
+        /// The revision of the snapshot.
+        revision: Revision,
+    },
     /// The call to the platform failed.
+    #[from]
     Platform(PlatformError),
 }
 
@@ -160,6 +169,10 @@
         request: ChangesRequest,
     ) -> impl Future<Output = Result<FeedAnswer<Changes<T>>, FeedError>> + Send;
 
-    /// Returns the newest revision of the platform, of any record.
-    fn newest_revision(&self) -> impl Future<Output = Result<Revision, PlatformError>> + Send;
+    /// Returns the newest revision of the platform, of any record, as its feed tells it. `since` is a
+    /// revision that the platform has reached.
+    fn newest_revision(
+        &self,
+        since: Revision,
+    ) -> impl Future<Output = Result<Revision, PlatformError>> + Send;
 }
--- a/lib/src/process/feed_reader/read_plan.rs
+++ b/lib/src/process/feed_reader/read_plan.rs
@@ -121,6 +121,9 @@
     snapshot_asked_at: Option<Instant>,
     /// Whether snapshots are read after [`ReadPlanSettings::resync_after`].
     is_resync_allowed: bool,
+    /// Whether a snapshot was answered by a copy that lags, so that changes are read at any size until
+    /// none are missing.
+    is_snapshot_lagging: bool,
     /// Whether the changes were too large, and no snapshot without news was read since.
     is_behind: bool,
     /// The time as of which all changes are known; `None` if there is none.
@@ -143,6 +146,7 @@
             snapshot_bytes: 0,
             snapshot_asked_at: None,
             is_resync_allowed: true,
+            is_snapshot_lagging: false,
             is_behind: false,
             complete_at: None,
             unproven_bytes: 0,
@@ -156,14 +160,19 @@
         // Another entry can't tell whether changes are missing that were read at the platform.
         let is_relayed = matches!(source, RecordSource::Entry(_));
         let time_until_resync = self.time_until_resync(now).filter(|_| !is_relayed);
-        let is_snapshot = self.needs_snapshot()
-            || (is_relayed && self.is_unproven_too_large())
-            || time_until_resync == Some(Duration::ZERO);
+        let is_snapshot = !self.is_snapshot_lagging
+            && (self.needs_snapshot()
+                || (is_relayed && self.is_unproven_too_large())
+                || time_until_resync == Some(Duration::ZERO));
         let Some(since) = self.revision.filter(|_| !is_snapshot) else {
             return NextRead::Snapshot;
         };
         let limit_bytes = self.limit_bytes().saturating_sub(self.unproven_bytes);
-        let limit_bytes = limit_bytes.max(ANSWER_MIN_BYTES);
+        let limit_bytes = if self.is_snapshot_lagging {
+            usize::MAX
+        } else {
+            limit_bytes.max(ANSWER_MIN_BYTES)
+        };
         let time_until_check = match source {
             RecordSource::Platform => self.time_until_check(now),
             // Another entry says as of when its records are complete.
@@ -195,7 +204,7 @@
     fn time_until_resync(&self, now: Instant) -> Option<Duration> {
         let due_at = self.snapshot_asked_at? + self.settings.resync_after?;
         let time = due_at.saturating_duration_since(now);
-        self.is_resync_allowed.then_some(time)
+        (self.is_resync_allowed && !self.is_snapshot_lagging).then_some(time)
     }
 
     fn needs_snapshot(&self) -> bool {
@@ -218,6 +227,7 @@
     /// Records that all changes until `at` are known.
     pub fn on_complete(&mut self, at: Instant) {
         self.complete_at = self.complete_at.max(Some(at));
+        self.is_snapshot_lagging = false;
         self.unproven_bytes = 0;
         self.unproven_answers = 0;
         self.newest = None;
@@ -295,6 +305,13 @@
     /// Records that the changes exceed the limit.
     pub fn on_changes_too_large(&mut self) {
         self.is_behind = true;
+        self.is_snapshot_lagging = false;
+    }
+
+    /// Records that a snapshot was answered by a copy that lags.
+    pub fn on_lagging_snapshot(&mut self) {
+        self.on_failure();
+        self.is_snapshot_lagging = true;
     }
 
     /// Records that changes after the last revision are no longer available.
--- a/lib/src/process/gateway/follow.rs
+++ b/lib/src/process/gateway/follow.rs
@@ -429,12 +429,11 @@
                 plan.on_changes_too_large();
                 continue;
             }
-            Err(FeedError::Platform(error)) => {
+            Err(error @ (FeedError::Platform(_) | FeedError::Lagging { .. })) => {
                 match &error {
-                    PlatformError::Ambiguous { .. } => plan.on_lost_answer(),
-                    PlatformError::Unavailable { .. } | PlatformError::Protocol { .. } => {
-                        plan.on_failure();
-                    }
+                    FeedError::Lagging { .. } => plan.on_lagging_snapshot(),
+                    FeedError::Platform(PlatformError::Ambiguous { .. }) => plan.on_lost_answer(),
+                    _ => plan.on_failure(),
                 }
                 state
                     .metrics
--- a/lib/src/process/gateway/relayed_feed.rs
+++ b/lib/src/process/gateway/relayed_feed.rs
@@ -454,23 +454,36 @@
         }))
     }
 
-    /// Returns whether a snapshot of the platform is used, and logs it with what was known before. A last change
-    /// that was known already, or an older snapshot than that, tells that the platform's answers don't
-    /// fit together.
-    fn is_used<T>(&self, snapshot: &Snapshot<T>) -> bool
+    /// Returns the revision up to which the platform is known to have come: that of the records, or the newest
+    /// one that its feed tells.
+    async fn reached_revision<T>(&self) -> Option<Revision>
+    where
+        P: Feed<T>,
+        T: RelayedRecord,
+    {
+        let known = T::revision(&self.state)?;
+        let newest = self.platform.newest_revision(known);
+        let newest = tokio::time::timeout(NEWEST_REVISION_TIMEOUT, newest).await;
+        let newest = newest.ok().and_then(Result::ok);
+        Some(newest.map_or(known, |newest| newest.max(known)))
+    }
+
+    /// Returns whether a snapshot of the platform is used, which had `reached` a revision before. It is logged, as
+    /// it may show that the platform's answers don't fit together.
+    fn is_used<T>(&self, snapshot: &Snapshot<T>, reached: Option<Revision>) -> bool
     where
         T: RelayedRecord,
     {
-        let known = T::revision(&self.state);
         let now = self.state.clock.now();
         // The state is valid after every statement, so a poisoned mutex can still be used.
         let older = self.older_snapshots.lock();
         let mut older = older.unwrap_or_else(PoisonError::into_inner);
-        let is_used = older.is_used(snapshot.revision, known, now);
+        let is_used = older.is_used(snapshot.revision, reached, now);
         log::info!(
             records = T::PATH, revision = snapshot.revision.0,
             last_change = snapshot.last_change.map(|revision| revision.0),
-            known_revision = known.map(|revision| revision.0), is_used = is_used;
+            known_revision = T::revision(&self.state).map(|revision| revision.0),
+            reached_revision = reached.map(|revision| revision.0), is_used = is_used;
             "all records are read"
         );
         is_used
@@ -508,7 +521,7 @@
         T: RelayedRecord,
     {
         let mut changes = std::pin::pin!(self.changes(request));
-        let mut newest = std::pin::pin!(self.platform.newest_revision());
+        let mut newest = std::pin::pin!(self.platform.newest_revision(request.since));
         let (changes, newest) = tokio::select! {
             changes = &mut changes => {
                 let newest = tokio::time::timeout(NEWEST_REVISION_TIMEOUT, newest).await;
@@ -535,28 +548,39 @@
         P: Feed<T>,
         T: RelayedRecord,
     {
+        // Asked for first: a snapshot below it was answered by a copy that lags.
+        let reached = self.reached_revision::<T>().await;
         let sent_at = self.state.clock.now();
         let from_platform = self.platform.snapshot().await;
         self.on_read::<T, _, _>(RecordSource::Platform, sent_at, &from_platform);
         let failure = match from_platform {
-            Ok(answer) if self.is_used(&answer.content) => {
+            Ok(answer) if self.is_used(&answer.content, reached) => {
                 return Ok(RecordUpdate::Snapshot {
                     answer,
                     times: ReadTimes::of_complete(Some(sent_at)),
                 });
             }
-            Ok(_) => FeedError::Platform(PlatformError::Unavailable {
-                reason: "all records are read from a copy that lags".to_owned(),
-            }),
+            Ok(answer) => FeedError::Lagging {
+                revision: answer.content.revision,
+            },
             Err(failure) => failure,
         };
         let upstream = self.state.fallback_upstream();
-        let Some(upstream) = upstream.filter(|_| matches!(failure, FeedError::Platform(_))) else {
+        let is_elsewhere = matches!(failure, FeedError::Platform(_) | FeedError::Lagging { .. });
+        let Some(upstream) = upstream.filter(|_| is_elsewhere) else {
             return Err(failure);
         };
         let sent_at = self.state.clock.now();
-        let answer = self.request_changes::<T>(upstream, None).await?;
-        self.check_revision(upstream, &answer.content)?;
+        let answer = self.request_changes::<T>(upstream, None).await;
+        let checked = answer.map_err(FeedError::from).and_then(|answer| {
+            self.check_revision(upstream, &answer.content)?;
+            Ok(answer)
+        });
+        let answer = match checked {
+            Ok(answer) => answer,
+            Err(_) if matches!(failure, FeedError::Lagging { .. }) => return Err(failure),
+            Err(error) => return Err(error),
+        };
         let times = self.relayed_times(&answer.content, sent_at);
         Ok(RecordUpdate::Snapshot {
             answer: answer.map(into_snapshot),
