--- a/lib/src/process/gateway/relayed_feed.rs
+++ b/lib/src/process/gateway/relayed_feed.rs
@@ -566,21 +566,12 @@
             Err(failure) => failure,
         };
         let upstream = self.state.fallback_upstream();
-        let is_elsewhere = matches!(failure, FeedError::Platform(_) | FeedError::Lagging { .. });
-        let Some(upstream) = upstream.filter(|_| is_elsewhere) else {
+        let Some(upstream) = upstream.filter(|_| matches!(failure, FeedError::Platform(_))) else {
             return Err(failure);
         };
         let sent_at = self.state.clock.now();
-        let answer = self.request_changes::<T>(upstream, None).await;
-        let checked = answer.map_err(FeedError::from).and_then(|answer| {
-            self.check_revision(upstream, &answer.content)?;
-            Ok(answer)
-        });
-        let answer = match checked {
-            Ok(answer) => answer,
-            Err(_) if matches!(failure, FeedError::Lagging { .. }) => return Err(failure),
-            Err(error) => return Err(error),
-        };
+        let answer = self.request_changes::<T>(upstream, None).await?;
+        self.check_revision(upstream, &answer.content)?;
         let times = self.relayed_times(&answer.content, sent_at);
         Ok(RecordUpdate::Snapshot {
             answer: answer.map(into_snapshot),
