--- a/lib/src/process/gateway/metrics.rs
+++ b/lib/src/process/gateway/metrics.rs
@@ -50,6 +50,7 @@
     change_log_bytes: IntGaugeVec,
     feed_reads: IntCounterVec,
     missed_changes: IntCounterVec,
+    lagging_snapshots: IntCounterVec,
     feed_bytes: IntCounterVec,
     feed_answers_with_changes: IntGaugeVec,
     /// Failed calls to the platform, by the feed that was read.
@@ -177,6 +178,11 @@
                 "Snapshots with a change that the feed had missed.",
                 &["records"],
             )?,
+            lagging_snapshots: counters(
+                "lagging_snapshots_total",
+                "Snapshots of the platform below the revision that it had reached before.",
+                &["records"],
+            )?,
             feed_bytes: counters(
                 "feed_bytes_total",
                 "Bytes of the answers with records that were read completely.",
@@ -331,6 +337,7 @@
         registry.register(Box::new(self.change_log_bytes.clone()))?;
         registry.register(Box::new(self.feed_reads.clone()))?;
         registry.register(Box::new(self.missed_changes.clone()))?;
+        registry.register(Box::new(self.lagging_snapshots.clone()))?;
         registry.register(Box::new(self.feed_answers_with_changes.clone()))?;
         registry.register(Box::new(self.feed_bytes.clone()))?;
         registry.register(Box::new(self.platform_failures.clone()))?;
@@ -495,6 +502,11 @@
         self.missed_changes.with_label_values(&[records]).inc();
     }
 
+    /// Counts a snapshot of the platform that was older than what the platform had reached before.
+    pub fn count_lagging_snapshot(&self, records: &str) {
+        self.lagging_snapshots.with_label_values(&[records]).inc();
+    }
+
     /// Sets how many answers with changes came one after the other.
     pub fn set_feed_answers_with_changes(&self, records: &str, answers: u32) {
         let gauge = self.feed_answers_with_changes.with_label_values(&[records]);
--- a/lib/src/process/gateway/relayed_feed.rs
+++ b/lib/src/process/gateway/relayed_feed.rs
@@ -90,6 +90,14 @@
     }
 }
 
+/// The revision up to which the platform is known to have come.
+#[derive(Clone, Debug)]
+struct ReachedRevision {
+    revision: Revision,
+    /// Why the platform's newest revision is not known, so that `revision` is that of this entry's records.
+    newest_failure: Option<String>,
+}
+
 /// Records that were read.
 #[derive(Clone, Debug)]
 pub(super) enum RecordUpdate<T> {
@@ -456,7 +464,7 @@
 
     /// Returns the revision up to which the platform is known to have come: that of the records, or the newest
     /// one that its feed tells.
-    async fn reached_revision<T>(&self) -> Option<Revision>
+    async fn reached_revision<T>(&self) -> Option<ReachedRevision>
     where
         P: Feed<T>,
         T: RelayedRecord,
@@ -464,26 +472,42 @@
         let known = T::revision(&self.state)?;
         let newest = self.platform.newest_revision(known);
         let newest = tokio::time::timeout(NEWEST_REVISION_TIMEOUT, newest).await;
-        let newest = newest.ok().and_then(Result::ok);
-        Some(newest.map_or(known, |newest| newest.max(known)))
+        let newest = newest.map_err(|_| "no answer within the timeout".to_owned());
+        let newest = newest.and_then(|newest| newest.map_err(|error| error.to_string()));
+        Some(match newest {
+            Ok(newest) => ReachedRevision {
+                revision: newest.max(known),
+                newest_failure: None,
+            },
+            Err(failure) => ReachedRevision {
+                revision: known,
+                newest_failure: Some(failure),
+            },
+        })
     }
 
     /// Returns whether a snapshot of the platform is used, which had `reached` a revision before. It is logged, as
     /// it may show that the platform's answers don't fit together.
-    fn is_used<T>(&self, snapshot: &Snapshot<T>, reached: Option<Revision>) -> bool
+    fn is_used<T>(&self, snapshot: &Snapshot<T>, reached: Option<&ReachedRevision>) -> bool
     where
         T: RelayedRecord,
     {
         let now = self.state.clock.now();
+        let reached_revision = reached.map(|reached| reached.revision);
         // The state is valid after every statement, so a poisoned mutex can still be used.
         let older = self.older_snapshots.lock();
         let mut older = older.unwrap_or_else(PoisonError::into_inner);
-        let is_used = older.is_used(snapshot.revision, reached, now);
+        let is_used = older.is_used(snapshot.revision, reached_revision, now);
+        if !is_used {
+            self.state.metrics.count_lagging_snapshot(T::LABEL);
+        }
         log::info!(
             records = T::PATH, revision = snapshot.revision.0,
             last_change = snapshot.last_change.map(|revision| revision.0),
             known_revision = T::revision(&self.state).map(|revision| revision.0),
-            reached_revision = reached.map(|revision| revision.0), is_used = is_used;
+            reached_revision = reached_revision.map(|revision| revision.0),
+            newest_failure = reached.and_then(|reached| reached.newest_failure.as_deref()),
+            is_used = is_used;
             "all records are read"
         );
         is_used
@@ -554,7 +578,7 @@
         let from_platform = self.platform.snapshot().await;
         self.on_read::<T, _, _>(RecordSource::Platform, sent_at, &from_platform);
         let failure = match from_platform {
-            Ok(answer) if self.is_used(&answer.content, reached) => {
+            Ok(answer) if self.is_used(&answer.content, reached.as_ref()) => {
                 return Ok(RecordUpdate::Snapshot {
                     answer,
                     times: ReadTimes::of_complete(Some(sent_at)),
