feed_reader: read records by a refused transaction while copies of the platform lag

What callers saw: for 14 s no version of the configuration came into force and added routes got 503, at all entries at once (CONFIG), and requests reached targets that had left (DRAIN).

While reads of rows lag, that is each of them, so that the entry read nothing for as long as they lag (hypothesis 1). If the feed answers the question for its newest revision with 410, too, since it comes from before the end of the history, there was nothing to compare with, and the first copy that had caught up with the silent second was taken for the present state (hypothesis 2).

Otherwise the feed is read at once and shows it. That also holds for the first one after a start. - One that lags is not used for its states. The records that are known or listed in it are read by a transaction whose preconditions never hold; a refusal returns their present rows, and no copy answers it. The feed is read from that revision on.

--- a/lib/src/platform/feed.rs
+++ b/lib/src/platform/feed.rs
@@ -170,9 +170,20 @@
     ) -> impl Future<Output = Result<FeedAnswer<Changes<T>>, FeedError>> + Send;
 
     /// Returns the newest revision of the platform, of any record, as its feed tells it. `since` is a
-    /// revision that the platform has reached.
+    /// revision that the platform has reached. Fails with [`FeedError::HistoryLost`] if the history doesn't
+    /// go back that far.
     fn newest_revision(
         &self,
         since: Revision,
-    ) -> impl Future<Output = Result<Revision, PlatformError>> + Send;
+    ) -> impl Future<Output = Result<Revision, FeedError>> + Send;
+
+    /// Returns the present states of the records with these feed keys, and a revision that the platform had
+    /// reached then: a linearizable read, which no copy of the platform that lags answers. Those without a
+    /// record are in [`Changes::removed`].
+    ///
+    /// It costs the platform as much as a write. Records with other keys are not read.
+    fn linearizable_read(
+        &self,
+        keys: Vec<String>,
+    ) -> impl Future<Output = Result<FeedAnswer<Changes<T>>, FeedError>> + Send;
 }
--- a/lib/src/process/evacuation/record.rs
+++ b/lib/src/process/evacuation/record.rs
@@ -40,7 +40,7 @@
     }
 
     /// Returns the data centre of a feed key; `None` if it is the key of another record.
-    fn data_centre_of(feed_key: &str) -> Option<DataCentreId> {
+    pub fn data_centre_of(feed_key: &str) -> Option<DataCentreId> {
         feed_key.strip_prefix(FEED_KEY_PREFIX)?.parse().ok()
     }
 }
--- a/lib/src/process/feed_reader/older_snapshots.rs
+++ b/lib/src/process/feed_reader/older_snapshots.rs
@@ -39,4 +39,9 @@
         let since = *self.since.get_or_insert(now);
         now.saturating_duration_since(since) >= LAG_MAX
     }
+
+    /// Records that the platform itself has not gone back.
+    pub fn on_platform_confirmed(&mut self) {
+        self.since = None;
+    }
 }
--- a/lib/src/process/feed_reader/read_plan.rs
+++ b/lib/src/process/feed_reader/read_plan.rs
@@ -6,8 +6,8 @@
 //! each read.
 //!
 //! An answer with changes may end early: the platform bounds its size, and the rest comes with the next
-//! read. Such a reader must not take itself for current. Only these show that nothing is missing: a
-//! snapshot, an answer without changes, or changes up to a revision that was the platform's newest.
+//! read. Such a reader must not take itself for current. Only these show that nothing is missing: an
+//! answer without changes, or a snapshot or changes up to a revision that was the platform's newest.
 //!
 //! A change that the feed doesn't bring would never be noticed by its reader, which is sure that it has
 //! all of them. So a snapshot is also read at intervals, if the settings say so.
@@ -21,6 +21,9 @@
 /// Changes up to this size are read in any case. A link of 20 Mbit/s carries them in a tenth of a
 /// second.
 const CHANGES_MIN_BYTES: usize = 256 * 1024;
+/// How long after a linearizable read a snapshot is read for records that it lacks, if the settings have no
+/// interval.
+const UNKNOWN_RECORDS_DELAY: Duration = Duration::from_secs(1);
 /// The least size limit of an answer, so that one without changes can always be read.
 const ANSWER_MIN_BYTES: usize = 64 * 1024;
 
@@ -124,6 +127,10 @@
     /// Whether a snapshot was answered by a copy that lags, so that changes are read at any size until
     /// none are missing.
     is_snapshot_lagging: bool,
+    /// Whether the last snapshot is not known to have all changes of some time, so that the feed must show it.
+    is_snapshot_unproven: bool,
+    /// Whether records may be missing whose keys were not known to a linearizable read.
+    may_lack_records: bool,
     /// Whether the changes were too large, and no snapshot without news was read since.
     is_behind: bool,
     /// The time as of which all changes are known; `None` if there is none.
@@ -147,6 +154,8 @@
             snapshot_asked_at: None,
             is_resync_allowed: true,
             is_snapshot_lagging: false,
+            is_snapshot_unproven: false,
+            may_lack_records: false,
             is_behind: false,
             complete_at: None,
             unproven_bytes: 0,
@@ -191,6 +200,9 @@
 
     /// Returns the time until it is checked that no changes are missing; `None` if none can be.
     pub fn time_until_check(&self, now: Instant) -> Option<Duration> {
+        if self.is_snapshot_unproven {
+            return Some(Duration::ZERO);
+        }
         if self.unproven_bytes == 0 {
             return None;
         }
@@ -200,9 +212,12 @@
         }))
     }
 
-    /// Returns the time until a snapshot is read in case the feed has missed a change; `None` if none is.
+    /// Returns the time until a snapshot is read in case the feed has missed a change, or for records that a
+    /// linearizable read lacks; `None` if none is.
     fn time_until_resync(&self, now: Instant) -> Option<Duration> {
-        let due_at = self.snapshot_asked_at? + self.settings.resync_after?;
+        let for_unknown = self.may_lack_records.then_some(UNKNOWN_RECORDS_DELAY);
+        let resync_after = self.settings.resync_after.or(for_unknown)?;
+        let due_at = self.snapshot_asked_at? + resync_after;
         let time = due_at.saturating_duration_since(now);
         (self.is_resync_allowed && !self.is_snapshot_lagging).then_some(time)
     }
@@ -228,6 +243,7 @@
     pub fn on_complete(&mut self, at: Instant) {
         self.complete_at = self.complete_at.max(Some(at));
         self.is_snapshot_lagging = false;
+        self.is_snapshot_unproven = false;
         self.unproven_bytes = 0;
         self.unproven_answers = 0;
         self.newest = None;
@@ -250,16 +266,28 @@
         self.revision >= Some(revision)
     }
 
-    /// Records a snapshot. `has_news` tells whether the reader has caught up with changes by it: then
+    /// Records a snapshot. Unless [`ReadPlan::on_complete`] follows, the feed is read at once to show that no
+    /// changes are missing. `has_news` tells whether the reader has caught up with changes by it: then
     /// more may have been made while it was read, and another snapshot is read.
     pub fn on_snapshot(&mut self, revision: Revision, size_bytes: usize, has_news: bool) {
         self.revision = Some(revision);
         self.lost_answers = 0;
         self.snapshot_bytes = size_bytes;
+        self.is_snapshot_unproven = true;
+        self.may_lack_records = false;
         self.is_behind &= has_news;
         self.unproven_answers = 0;
     }
 
+    /// Records a linearizable read of all records whose keys are known, which was asked for at `asked_at`.
+    pub fn on_linearizable_read(&mut self, revision: Revision, asked_at: Instant) {
+        self.revision = Some(revision);
+        self.lost_answers = 0;
+        self.is_behind = false;
+        self.may_lack_records = true;
+        self.on_complete(asked_at);
+    }
+
     /// Records the platform's newest revision, which was asked for at `asked_at`: all changes that were
     /// made until then are known once the feed has been read up to it. `None` if the platform didn't tell
     /// it, so that only an answer without changes shows that none are missing.
--- a/lib/src/process/gateway/follow.rs
+++ b/lib/src/process/gateway/follow.rs
@@ -416,6 +416,15 @@
                 answer_series.on_answer(&state.metrics, &answer);
                 sink.on_changes(answer.content, times);
             }
+            Ok(RecordUpdate::LinearizableRead { answer, asked_at }) => {
+                plan.on_linearizable_read(answer.content.revision, asked_at);
+                let times = ReadTimes::of_complete(Some(asked_at));
+                if T::revision(&state).is_some() {
+                    sink.on_changes(answer.content, times);
+                } else {
+                    sink.on_snapshot(first_snapshot(answer.content), times);
+                }
+            }
             Err(FeedError::HistoryLost { since }) => {
                 log::info!(what = feed_name, since = since.0; "changes since the revision are no longer available; all records are read again");
                 plan.on_history_lost();
@@ -465,6 +474,16 @@
     }
 }
 
+/// Returns the states of an entry's first records as a snapshot.
+fn first_snapshot<T>(states: Changes<T>) -> Snapshot<T> {
+    Snapshot {
+        records: states.changed,
+        unreadable: states.unreadable,
+        revision: states.revision,
+        last_change: None,
+    }
+}
+
 /// Returns how long a call waits for a change, so that calls with a delay between them confirm the
 /// records as often as those without.
 fn long_poll_time(batch_delay: Duration) -> Duration {
--- a/lib/src/process/gateway/peers.rs
+++ b/lib/src/process/gateway/peers.rs
@@ -383,6 +383,12 @@
         true
     }
 
+    /// Returns the data centres of this entry and of its peers, with repetitions.
+    pub fn data_centres(&self) -> impl Iterator<Item = &DataCentreId> {
+        let of_peers = self.peers.iter().map(|peer| &peer.data_centre);
+        std::iter::once(&self.data_centre).chain(of_peers)
+    }
+
     /// Records that the list of entries has been read, after [`Peers::on_listed`] for each.
     pub fn on_list_read(&mut self, listed: &[EntryId], now: Instant) {
         self.listed_at.get_or_insert(now);
--- a/lib/src/process/gateway/record_relay.rs
+++ b/lib/src/process/gateway/record_relay.rs
@@ -121,6 +121,16 @@
     where
         C: Clock;
 
+    /// Returns the feed keys of all records that may exist, as far as they are known.
+    fn known_keys<C>(state: &GatewayState<C>) -> Vec<String>
+    where
+        C: Clock;
+
+    /// Drops the states of records that are known already.
+    fn retain_news<C>(state: &GatewayState<C>, states: &mut Changes<Self>)
+    where
+        C: Clock;
+
     /// Returns the version that is in force here; `None` if the records have no version in common.
     fn version_in_force<C>(state: &GatewayState<C>) -> Option<DocumentVersion>
     where
@@ -188,6 +198,20 @@
         state.target_changes(since, Self::age_max(state))
     }
 
+    fn known_keys<C>(state: &GatewayState<C>) -> Vec<String>
+    where
+        C: Clock,
+    {
+        state.known_target_keys()
+    }
+
+    fn retain_news<C>(state: &GatewayState<C>, states: &mut Changes<Self>)
+    where
+        C: Clock,
+    {
+        state.retain_target_news(states);
+    }
+
     fn version_in_force<C>(_state: &GatewayState<C>) -> Option<DocumentVersion>
     where
         C: Clock,
@@ -262,6 +286,20 @@
         state.operator_changes(since, Self::age_max(state))
     }
 
+    fn known_keys<C>(state: &GatewayState<C>) -> Vec<String>
+    where
+        C: Clock,
+    {
+        state.known_operator_keys()
+    }
+
+    /// Outdated records are dropped where the changes are applied.
+    fn retain_news<C>(_state: &GatewayState<C>, _states: &mut Changes<Self>)
+    where
+        C: Clock,
+    {
+    }
+
     fn version_in_force<C>(state: &GatewayState<C>) -> Option<DocumentVersion>
     where
         C: Clock,
--- a/lib/src/process/gateway/record_state.rs
+++ b/lib/src/process/gateway/record_state.rs
@@ -7,9 +7,12 @@
 use super::change_log::ChangeLog;
 use super::state::GatewayState;
 use crate::clock::Clock;
+use crate::ids::DataCentreId;
+use crate::ids::HostId;
 use crate::ids::Revision;
 use crate::platform::feed::Changes;
 use crate::platform::feed::RecordSource;
+use crate::process::evacuation::EvacuationRecord;
 use crate::process::evacuation::OperatorRecord;
 use crate::process::unreadable_configuration::ConfigurationRead;
 use crate::process::unreadable_configuration::ReadabilityChange;
@@ -157,6 +160,48 @@
         ))
     }
 
+    /// Returns the keys of all targets that are or were listed.
+    pub(super) fn known_target_keys(&self) -> Vec<String> {
+        let inner = self.inner();
+        let hosts = inner.host_tracker.iter();
+        hosts
+            .map(|tracked| tracked.record.host.to_string())
+            .collect()
+    }
+
+    /// Drops the states of targets that are known already.
+    pub(super) fn retain_target_news(&self, states: &mut Changes<TargetRecord>) {
+        let inner = self.inner();
+        let listed = |host: &HostId| {
+            let tracked = inner.host_tracker.get(host);
+            tracked.filter(|tracked| tracked.unlisted_from.is_none())
+        };
+        states.changed.retain(|record| {
+            let known = listed(&record.host);
+            known.is_none_or(|known| known.record != *record)
+        });
+        states.removed.retain(|key| {
+            let host = key.parse::<HostId>();
+            host.is_ok_and(|host| listed(&host).is_some())
+        });
+    }
+
+    /// Returns the feed keys of the configuration and of the evacuations of all known data centres.
+    pub(super) fn known_operator_keys(&self) -> Vec<String> {
+        let inner = self.inner();
+        let of_hosts = inner.host_tracker.iter();
+        let of_hosts = of_hosts.map(|tracked| &tracked.record.data_centre);
+        let of_entries = inner.peers.data_centres();
+        let evacuated = inner.evacuations.iter().map(|record| &record.data_centre);
+        let mut data_centres: Vec<&DataCentreId> =
+            of_hosts.chain(of_entries).chain(evacuated).collect();
+        data_centres.sort_unstable();
+        data_centres.dedup();
+        let evacuations = data_centres.into_iter().map(EvacuationRecord::feed_key_of);
+        let configuration = OperatorRecord::CONFIGURATION_FEED_KEY.to_owned();
+        std::iter::once(configuration).chain(evacuations).collect()
+    }
+
     /// Returns whether the result is a snapshot, and the operator's records: those changed after
     /// `since`, or a snapshot of all if `since` is `None` or the log does not go back that far.
     ///
--- a/lib/src/process/gateway/relayed_feed.rs
+++ b/lib/src/process/gateway/relayed_feed.rs
@@ -36,7 +36,11 @@
 use crate::platform::feed::FeedRecord;
 use crate::platform::feed::RecordSource;
 use crate::platform::feed::Snapshot;
+use crate::process::feed_reader::ChangesSince;
+use crate::process::feed_reader::NewestRevision;
 use crate::process::feed_reader::OlderSnapshots;
+use crate::process::feed_reader::SnapshotCheck;
+use crate::process::feed_reader::SnapshotUse;
 
 /// The timeout of opening a connection, and of a response's head after the long poll time has passed.
 /// Entries are close to each other and respond at once.
@@ -90,14 +94,6 @@
     }
 }
 
-/// The revision up to which the platform is known to have come.
-#[derive(Clone, Debug)]
-struct ReachedRevision {
-    revision: Revision,
-    /// Why the platform's newest revision is not known, so that `revision` is that of this entry's records.
-    newest_failure: Option<String>,
-}
-
 /// Records that were read.
 #[derive(Clone, Debug)]
 pub(super) enum RecordUpdate<T> {
@@ -117,6 +113,11 @@
         answer: FeedAnswer<Changes<T>>,
         times: ReadTimes,
     },
+    /// What has changed of all records whose keys are known, by a linearizable read at `asked_at`.
+    LinearizableRead {
+        answer: FeedAnswer<Changes<T>>,
+        asked_at: Instant,
+    },
 }
 
 /// A feed that reads from the platform or from the current upstream entry.
@@ -301,6 +302,13 @@
 }
 
 impl<C, P> RelayedFeed<C, P> {
+    fn lock_older_snapshots(&self) -> MutexGuard<'_, OlderSnapshots> {
+        // The state is valid after every statement, so a poisoned mutex can still be used.
+        self.older_snapshots
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn lock_connection(&self) -> MutexGuard<'_, Option<ClientConnection>> {
         // An option is valid after every statement, so a poisoned mutex can still be used.
         self.connection
@@ -462,55 +470,131 @@
         }))
     }
 
-    /// Returns the revision up to which the platform is known to have come: that of the records, or the newest
-    /// one that its feed tells.
-    async fn reached_revision<T>(&self) -> Option<ReachedRevision>
+    /// Returns what the platform's feed tells a reader that knows `since` of its newest revision, and why it
+    /// doesn't.
+    async fn newest_revision<T>(&self, since: Revision) -> (NewestRevision, Option<String>)
     where
         P: Feed<T>,
         T: RelayedRecord,
     {
-        let known = T::revision(&self.state)?;
-        let newest = self.platform.newest_revision(known);
-        let newest = tokio::time::timeout(NEWEST_REVISION_TIMEOUT, newest).await;
-        let newest = newest.map_err(|_| "no answer within the timeout".to_owned());
-        let newest = newest.and_then(|newest| newest.map_err(|error| error.to_string()));
-        Some(match newest {
-            Ok(newest) => ReachedRevision {
-                revision: newest.max(known),
-                newest_failure: None,
-            },
-            Err(failure) => ReachedRevision {
-                revision: known,
-                newest_failure: Some(failure),
-            },
-        })
+        let newest = self.platform.newest_revision(since);
+        match tokio::time::timeout(NEWEST_REVISION_TIMEOUT, newest).await {
+            Ok(Ok(newest)) => (NewestRevision::Told(newest), None),
+            Ok(Err(error @ FeedError::HistoryLost { .. })) => {
+                (NewestRevision::HistoryLost, Some(error.to_string()))
+            }
+            Ok(Err(error)) => (NewestRevision::NotTold, Some(error.to_string())),
+            Err(_) => {
+                let failure = "no answer within the timeout".to_owned();
+                (NewestRevision::NotTold, Some(failure))
+            }
+        }
     }
 
-    /// Returns whether a snapshot of the platform is used, which had `reached` a revision before. It is logged, as
-    /// it may show that the platform's answers don't fit together.
-    fn is_used<T>(&self, snapshot: &Snapshot<T>, reached: Option<&ReachedRevision>) -> bool
+    /// Returns what the platform's feed tells of the changes since a snapshot. They are read later.
+    async fn changes_since<T>(&self, snapshot: Revision) -> ChangesSince
     where
+        P: Feed<T>,
         T: RelayedRecord,
     {
+        let changes = self.platform.changes(ChangesRequest {
+            since: snapshot,
+            wait: Duration::ZERO,
+            limit_bytes: LARGE_ANSWER_BYTES,
+        });
+        match tokio::time::timeout(NEWEST_REVISION_TIMEOUT, changes).await {
+            Ok(Ok(answer)) if answer.row_count == 0 => ChangesSince::None,
+            Ok(Ok(_) | Err(FeedError::TooLarge { .. })) => ChangesSince::Some,
+            Ok(Err(FeedError::HistoryLost { .. })) => ChangesSince::HistoryLost,
+            Ok(Err(error)) => {
+                log::info!(
+                    records = T::PATH, since = snapshot.0;
+                    "changes since a snapshot can't be read: {error}"
+                );
+                ChangesSince::NotTold
+            }
+            Err(_) => ChangesSince::NotTold,
+        }
+    }
+
+    /// Returns what a snapshot of the platform counts as. It is logged, as it may show that the platform's
+    /// answers don't fit together.
+    async fn judge_snapshot<T>(
+        &self,
+        snapshot: &Snapshot<T>,
+        check: SnapshotCheck,
+        newest_failure: Option<String>,
+    ) -> SnapshotUse
+    where
+        P: Feed<T>,
+        T: RelayedRecord,
+    {
+        let revision = snapshot.revision;
+        let mut judged = check.judge(revision);
+        if judged == SnapshotUse::InDoubt {
+            let changes = self.changes_since::<T>(revision).await;
+            judged = SnapshotCheck::judge_in_doubt(changes);
+        }
+        let reached = check.reached();
         let now = self.state.clock.now();
-        let reached_revision = reached.map(|reached| reached.revision);
-        // The state is valid after every statement, so a poisoned mutex can still be used.
-        let older = self.older_snapshots.lock();
-        let mut older = older.unwrap_or_else(PoisonError::into_inner);
-        let is_used = older.is_used(snapshot.revision, reached_revision, now);
+        let has_gone_back =
+            self.lock_older_snapshots().is_used(revision, reached, now) && Some(revision) < reached;
+        if has_gone_back {
+            judged = SnapshotUse::Unproven;
+        }
+        let is_used = judged != SnapshotUse::Lagging;
         if !is_used {
             self.state.metrics.count_lagging_snapshot(T::LABEL);
         }
         log::info!(
-            records = T::PATH, revision = snapshot.revision.0,
+            records = T::PATH, revision = revision.0,
             last_change = snapshot.last_change.map(|revision| revision.0),
             known_revision = T::revision(&self.state).map(|revision| revision.0),
-            reached_revision = reached_revision.map(|revision| revision.0),
-            newest_failure = reached.and_then(|reached| reached.newest_failure.as_deref()),
-            is_used = is_used;
+            reached_revision = reached.map(|revision| revision.0),
+            newest_failure = newest_failure.as_deref(),
+            is_used = is_used, is_complete = judged == SnapshotUse::Complete;
             "all records are read"
         );
-        is_used
+        judged
+    }
+
+    /// Reads the records that are known or in a snapshot of a copy that lags so that no such copy answers.
+    async fn linearizable_read<T>(
+        &self,
+        lagging: &Snapshot<T>,
+        reached: Option<Revision>,
+    ) -> Result<RecordUpdate<T>, FeedError>
+    where
+        P: Feed<T>,
+        T: RelayedRecord,
+    {
+        let mut keys = T::known_keys(&self.state);
+        keys.extend(
+            lagging
+                .records
+                .iter()
+                .map(|record| record.feed_key().into_owned()),
+        );
+        keys.sort_unstable();
+        keys.dedup();
+        let asked_at = self.state.clock.now();
+        let read = self.platform.linearizable_read(keys).await;
+        self.on_read::<T, _, _>(RecordSource::Platform, asked_at, &read);
+        let mut answer = read?;
+        let revision = answer.content.revision;
+        if reached.is_some_and(|reached| revision < reached) {
+            return Err(FeedError::Lagging { revision });
+        }
+        self.lock_older_snapshots().on_platform_confirmed();
+        let states = &mut answer.content;
+        T::retain_news(&self.state, states);
+        log::info!(
+            records = T::PATH, revision = revision.0, lagging_revision = lagging.revision.0,
+            read = answer.row_count as u64, changed = states.changed.len() as u64,
+            removed = states.removed.len() as u64;
+            "all records were read from a copy that lags; they are read again by a transaction"
+        );
+        Ok(RecordUpdate::LinearizableRead { answer, asked_at })
     }
 
     async fn platform_changes<T>(
@@ -572,21 +656,42 @@
         P: Feed<T>,
         T: RelayedRecord,
     {
+        let known = T::revision(&self.state);
+        let newest_asked_at = self.state.clock.now();
         // Asked for first: a snapshot below it was answered by a copy that lags.
-        let reached = self.reached_revision::<T>().await;
+        let (check, newest_failure) = match known {
+            Some(known) => {
+                let (newest, failure) = self.newest_revision::<T>(known).await;
+                (SnapshotCheck::after_records(known, newest), failure)
+            }
+            None => (SnapshotCheck::of_first(), None),
+        };
         let sent_at = self.state.clock.now();
         let from_platform = self.platform.snapshot().await;
         self.on_read::<T, _, _>(RecordSource::Platform, sent_at, &from_platform);
         let failure = match from_platform {
-            Ok(answer) if self.is_used(&answer.content, reached.as_ref()) => {
-                return Ok(RecordUpdate::Snapshot {
-                    answer,
-                    times: ReadTimes::of_complete(Some(sent_at)),
-                });
+            Ok(answer) => {
+                let judged = self.judge_snapshot(&answer.content, check, newest_failure);
+                let complete_at = match judged.await {
+                    SnapshotUse::Complete => Some(newest_asked_at),
+                    SnapshotUse::Unproven | SnapshotUse::InDoubt => None,
+                    SnapshotUse::Lagging => {
+                        let read = self
+                            .linearizable_read(&answer.content, check.reached())
+                            .await;
+                        return read.map_err(|error| {
+                            log::info!(records = T::PATH; "linearizable read failed: {error}");
+                            let revision = answer.content.revision;
+                            FeedError::Lagging { revision }
+                        });
+                    }
+                };
+                let times = ReadTimes {
+                    answered_at: Some(sent_at),
+                    complete_at,
+                };
+                return Ok(RecordUpdate::Snapshot { answer, times });
             }
-            Ok(answer) => FeedError::Lagging {
-                revision: answer.content.revision,
-            },
             Err(failure) => failure,
         };
         let upstream = self.state.fallback_upstream();
