tests: soak of lost histories while reads of rows lag

Eight entries in processes of their own (BERYLTRAY_SOAK_ENTRIES sets another number) while the store's feed falls silent, its history ends, it refuses calls and reads of rows lag by up to 6.5 s, in series that overlap; targets drain or go without a word and are replaced, the configuration changes each 0.5 s, and signals stop, end and restart five of the entries. A route must be served 3 s after its version was accepted or the feed's silence has ended, and a target that leaves gets nothing later than that; after refused calls and disturbances an entry is excused for 4 s, as the users' rules are. Transactions take 4 ms, one after the other.

--- a/cli/tests/runner.rs
+++ b/cli/tests/runner.rs
@@ -35,6 +35,7 @@
 mod test_late_requests;
 mod test_load_command;
 mod test_log_lines;
+mod test_lost_history_soak;
 mod test_promises;
 mod test_stand_in_command;
 mod test_statement_soak;
--- a/cli/tests/test_configuration_storm_soak.rs
+++ b/cli/tests/test_configuration_storm_soak.rs
@@ -146,7 +146,7 @@
             is_waiting: true,
             feed_limit: feed.limit,
             operator_lag: feed.operator_lag,
-            tells_newest_version: false,
+            ..StoreSettings::default()
         });
         let operator = Operator::new(&store);
         let target = TargetStandIn::new(vec![TargetAnswer {
