client: an answer whose status HTTP doesn't have is broken

What callers saw: an answer of a target with status 600 to 999 reached the caller as an answer, with the target's signature; with Beryltray-Not-Executed it counted as the word that the request was not run, and the caller got 503. 000, 001, 099, 20, 2000, -1, nothing and other texts got the caller 502 already, since the decoder refuses them.

Cause: the decoder takes any number from 100 to 999, and no place asked for more than that a status is not 1xx. RFC 9110 (section 15) has no status above 599.

Change: the client of all connections, to targets, for their health and reports, to the platform and to other entries, fails with such an answer as with one that can't be read. The request may have run, so that it promises nothing.

--- a/lib/src/connection/client.rs
+++ b/lib/src/connection/client.rs
@@ -23,6 +23,9 @@
 use super::receive_limit::ReceivedBody;
 use super::tcp_options::set_tcp_options;
 
+/// The highest status of HTTP.
+const STATUS_MAX: u16 = 599;
+
 /// Why a request got no response.
 #[derive(Clone, Debug, Display, Eq, Error, PartialEq)]
 pub enum SendError {
@@ -135,7 +138,7 @@
     ///
     /// The caller must keep the connection until it has read the response body. Dropping the
     /// connection aborts the body, and the server sees that the client disconnected. The response
-    /// fails if the server sends too much that is not body data.
+    /// fails if the server sends too much that is not body data, or if its status is not a final one of HTTP.
     pub async fn send(
         &mut self,
         request: Request<RequestBody>,
@@ -156,9 +159,11 @@
                 SendError::MaybeSent { address, reason }
             }
         })?;
-        // Of the 1xx statuses only 101 ends a head, and no upgrade is ever requested.
-        if response.status().is_informational() {
-            let reason = format!("the server answered {}", response.status());
+        // Of the 1xx statuses only 101 ends a head, and no upgrade is ever requested. The decoder takes any
+        // number from 100 to 999, but HTTP has no class of statuses above 599 (RFC 9110, section 15).
+        let status = response.status();
+        if status.is_informational() || status.as_u16() > STATUS_MAX {
+            let reason = format!("the server answered with status {}", status.as_u16());
             return Err(SendError::MaybeSent { address, reason });
         }
         Ok(response.map(|body| ReceivedBody::new(body, self.received.clone())))
--- a/lib/tests/test_connection.rs
+++ b/lib/tests/test_connection.rs
@@ -62,6 +62,32 @@
     assert!(!is_sent_again);
 }
 
+/// Guards against statuses that HTTP doesn't have and that pass for those of an answer: the client is that of targets,
+/// of their reports, of the platform and of other entries.
+#[tokio::test]
+async fn send_answered_with_status_outside_http_fails() {
+    for status in ["000", "099", "101", "600", "999"] {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let answer = format!("HTTP/1.1 {status} X\r\ncontent-length: 5\r\n\r\nwhole");
+        let server = tokio::spawn(async move {
+            let (mut accepted, _) = listener.accept().await.unwrap();
+            let mut buffer = [0; 4096];
+            accepted.read(&mut buffer).await.unwrap();
+            accepted.write_all(answer.as_bytes()).await.unwrap();
+        });
+        let mut connection = ClientConnection::open(address, CONNECT_TIMEOUT)
+            .await
+            .unwrap();
+        let sent = connection.send(request()).await;
+        assert!(
+            matches!(sent, Err(SendError::MaybeSent { .. })),
+            "status {status}: {sent:?}"
+        );
+        server.await.unwrap();
+    }
+}
+
 #[tokio::test]
 async fn open_refused_is_not_sent() {
     // The socket is bound but does not listen, which keeps the port from parallel tests.
