--- a/lib/tests/test_connection.rs
+++ b/lib/tests/test_connection.rs
@@ -73,7 +73,7 @@
         let server = tokio::spawn(async move {
             let (mut accepted, _) = listener.accept().await.unwrap();
             let mut buffer = [0; 4096];
-            accepted.read(&mut buffer).await.unwrap();
+            assert!(accepted.read(&mut buffer).await.unwrap() > 0);
             accepted.write_all(answer.as_bytes()).await.unwrap();
         });
         let mut connection = ClientConnection::open(address, CONNECT_TIMEOUT)
