--- a/lib/src/process/gateway/mod.rs
+++ b/lib/src/process/gateway/mod.rs
@@ -40,6 +40,7 @@
 mod serving;
 mod settings;
 mod share_members;
+mod snapshot_reads;
 mod state;
 mod target_backoffs;
 mod target_limits;
--- a/lib/src/process/gateway/relayed_feed.rs
+++ b/lib/src/process/gateway/relayed_feed.rs
@@ -36,11 +36,7 @@
 use crate::platform::feed::FeedRecord;
 use crate::platform::feed::RecordSource;
 use crate::platform::feed::Snapshot;
-use crate::process::feed_reader::ChangesSince;
-use crate::process::feed_reader::NewestRevision;
 use crate::process::feed_reader::OlderSnapshots;
-use crate::process::feed_reader::SnapshotCheck;
-use crate::process::feed_reader::SnapshotUse;
 
 /// The timeout of opening a connection, and of a response's head after the long poll time has passed.
 /// Entries are close to each other and respond at once.
@@ -55,12 +51,12 @@
 pub(super) const PLATFORM_ANSWER_TIME: Duration = Duration::from_millis(200);
 /// How long changes that were read wait for the platform's newest revision. They are applied without it
 /// then.
-const NEWEST_REVISION_TIMEOUT: Duration = Duration::from_millis(100);
+pub(super) const NEWEST_REVISION_TIMEOUT: Duration = Duration::from_millis(100);
 /// The least time for an answer before the records are read elsewhere, too.
 const ANSWER_TIME_MIN: Duration = Duration::from_millis(150);
 
 /// Answers of this size or more are logged.
-const LARGE_ANSWER_BYTES: usize = 64 * 1024;
+pub(super) const LARGE_ANSWER_BYTES: usize = 64 * 1024;
 
 /// The times of what an answer says.
 #[derive(Clone, Copy, Debug)]
@@ -123,10 +119,10 @@
 /// A feed that reads from the platform or from the current upstream entry.
 #[derive(Debug)]
 pub(super) struct RelayedFeed<C, P> {
-    state: Arc<GatewayState<C>>,
-    platform: P,
+    pub(super) state: Arc<GatewayState<C>>,
+    pub(super) platform: P,
     connection: Arc<Mutex<Option<ClientConnection>>>,
-    older_snapshots: Arc<Mutex<OlderSnapshots>>,
+    pub(super) older_snapshots: Arc<Mutex<OlderSnapshots>>,
 }
 
 impl<C, P> Clone for RelayedFeed<C, P>
@@ -159,7 +155,7 @@
     C: Clock,
 {
     /// Counts a read of records, and logs it if it failed or was large.
-    fn on_read<T, A, E>(
+    pub(super) fn on_read<T, A, E>(
         &self,
         source: RecordSource,
         sent_at: Instant,
@@ -203,7 +199,7 @@
         }
     }
 
-    async fn request_changes<T>(
+    pub(super) async fn request_changes<T>(
         &self,
         upstream: SocketAddr,
         since: Option<Revision>,
@@ -223,7 +219,11 @@
 
     /// Returns when the platform answered, and as of when the records are complete, by another entry's
     /// word. The time on the way counts as age.
-    fn relayed_times<T>(&self, relayed: &RelayedChanges<T>, sent_at: Instant) -> ReadTimes {
+    pub(super) fn relayed_times<T>(
+        &self,
+        relayed: &RelayedChanges<T>,
+        sent_at: Instant,
+    ) -> ReadTimes {
         let now = self.state.clock.now();
         let held = Duration::from_millis(relayed.held_ms);
         let relayed_at = sent_at.checked_add(held).map_or(now, |at| at.min(now));
@@ -302,13 +302,6 @@
 }
 
 impl<C, P> RelayedFeed<C, P> {
-    fn lock_older_snapshots(&self) -> MutexGuard<'_, OlderSnapshots> {
-        // The state is valid after every statement, so a poisoned mutex can still be used.
-        self.older_snapshots
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-    }
-
     fn lock_connection(&self) -> MutexGuard<'_, Option<ClientConnection>> {
         // An option is valid after every statement, so a poisoned mutex can still be used.
         self.connection
@@ -453,7 +446,7 @@
 
     /// Fails if all records of another entry are older than the known ones: records that were removed
     /// meanwhile would be listed again.
-    fn check_revision<T>(
+    pub(super) fn check_revision<T>(
         &self,
         upstream: SocketAddr,
         relayed: &RelayedChanges<T>,
@@ -470,133 +463,6 @@
         }))
     }
 
-    /// Returns what the platform's feed tells a reader that knows `since` of its newest revision, and why it
-    /// doesn't.
-    async fn newest_revision<T>(&self, since: Revision) -> (NewestRevision, Option<String>)
-    where
-        P: Feed<T>,
-        T: RelayedRecord,
-    {
-        let newest = self.platform.newest_revision(since);
-        match tokio::time::timeout(NEWEST_REVISION_TIMEOUT, newest).await {
-            Ok(Ok(newest)) => (NewestRevision::Told(newest), None),
-            Ok(Err(error @ FeedError::HistoryLost { .. })) => {
-                (NewestRevision::HistoryLost, Some(error.to_string()))
-            }
-            Ok(Err(error)) => (NewestRevision::NotTold, Some(error.to_string())),
-            Err(_) => {
-                let failure = "no answer within the timeout".to_owned();
-                (NewestRevision::NotTold, Some(failure))
-            }
-        }
-    }
-
-    /// Returns what the platform's feed tells of the changes since a snapshot. They are read later.
-    async fn changes_since<T>(&self, snapshot: Revision) -> ChangesSince
-    where
-        P: Feed<T>,
-        T: RelayedRecord,
-    {
-        let changes = self.platform.changes(ChangesRequest {
-            since: snapshot,
-            wait: Duration::ZERO,
-            limit_bytes: LARGE_ANSWER_BYTES,
-        });
-        match tokio::time::timeout(NEWEST_REVISION_TIMEOUT, changes).await {
-            Ok(Ok(answer)) if answer.row_count == 0 => ChangesSince::None,
-            Ok(Ok(_) | Err(FeedError::TooLarge { .. })) => ChangesSince::Some,
-            Ok(Err(FeedError::HistoryLost { .. })) => ChangesSince::HistoryLost,
-            Ok(Err(error)) => {
-                log::info!(
-                    records = T::PATH, since = snapshot.0;
-                    "changes since a snapshot can't be read: {error}"
-                );
-                ChangesSince::NotTold
-            }
-            Err(_) => ChangesSince::NotTold,
-        }
-    }
-
-    /// Returns what a snapshot of the platform counts as. It is logged, as it may show that the platform's
-    /// answers don't fit together.
-    async fn judge_snapshot<T>(
-        &self,
-        snapshot: &Snapshot<T>,
-        check: SnapshotCheck,
-        newest_failure: Option<String>,
-    ) -> SnapshotUse
-    where
-        P: Feed<T>,
-        T: RelayedRecord,
-    {
-        let revision = snapshot.revision;
-        let mut judged = check.judge(revision);
-        if judged == SnapshotUse::InDoubt {
-            let changes = self.changes_since::<T>(revision).await;
-            judged = SnapshotCheck::judge_in_doubt(changes);
-        }
-        let reached = check.reached();
-        let now = self.state.clock.now();
-        let has_gone_back =
-            self.lock_older_snapshots().is_used(revision, reached, now) && Some(revision) < reached;
-        if has_gone_back {
-            judged = SnapshotUse::Unproven;
-        }
-        let is_used = judged != SnapshotUse::Lagging;
-        if !is_used {
-            self.state.metrics.count_lagging_snapshot(T::LABEL);
-        }
-        log::info!(
-            records = T::PATH, revision = revision.0,
-            last_change = snapshot.last_change.map(|revision| revision.0),
-            known_revision = T::revision(&self.state).map(|revision| revision.0),
-            reached_revision = reached.map(|revision| revision.0),
-            newest_failure = newest_failure.as_deref(),
-            is_used = is_used, is_complete = judged == SnapshotUse::Complete;
-            "all records are read"
-        );
-        judged
-    }
-
-    /// Reads the records that are known or in a snapshot of a copy that lags so that no such copy answers.
-    async fn linearizable_read<T>(
-        &self,
-        lagging: &Snapshot<T>,
-        reached: Option<Revision>,
-    ) -> Result<RecordUpdate<T>, FeedError>
-    where
-        P: Feed<T>,
-        T: RelayedRecord,
-    {
-        let mut keys = T::known_keys(&self.state);
-        keys.extend(
-            lagging
-                .records
-                .iter()
-                .map(|record| record.feed_key().into_owned()),
-        );
-        keys.sort_unstable();
-        keys.dedup();
-        let asked_at = self.state.clock.now();
-        let read = self.platform.linearizable_read(keys).await;
-        self.on_read::<T, _, _>(RecordSource::Platform, asked_at, &read);
-        let mut answer = read?;
-        let revision = answer.content.revision;
-        if reached.is_some_and(|reached| revision < reached) {
-            return Err(FeedError::Lagging { revision });
-        }
-        self.lock_older_snapshots().on_platform_confirmed();
-        let states = &mut answer.content;
-        T::retain_news(&self.state, states);
-        log::info!(
-            records = T::PATH, revision = revision.0, lagging_revision = lagging.revision.0,
-            read = answer.row_count as u64, changed = states.changed.len() as u64,
-            removed = states.removed.len() as u64;
-            "all records were read from a copy that lags; they are read again by a transaction"
-        );
-        Ok(RecordUpdate::LinearizableRead { answer, asked_at })
-    }
-
     async fn platform_changes<T>(
         &self,
         request: ChangesRequest,
@@ -650,64 +516,6 @@
         }
     }
 
-    /// Reads all records from the platform, or from another entry if the platform fails.
-    pub(super) async fn snapshot<T>(&self) -> Result<RecordUpdate<T>, FeedError>
-    where
-        P: Feed<T>,
-        T: RelayedRecord,
-    {
-        let known = T::revision(&self.state);
-        let newest_asked_at = self.state.clock.now();
-        // Asked for first: a snapshot below it was answered by a copy that lags.
-        let (check, newest_failure) = match known {
-            Some(known) => {
-                let (newest, failure) = self.newest_revision::<T>(known).await;
-                (SnapshotCheck::after_records(known, newest), failure)
-            }
-            None => (SnapshotCheck::of_first(), None),
-        };
-        let sent_at = self.state.clock.now();
-        let from_platform = self.platform.snapshot().await;
-        self.on_read::<T, _, _>(RecordSource::Platform, sent_at, &from_platform);
-        let failure = match from_platform {
-            Ok(answer) => {
-                let judged = self.judge_snapshot(&answer.content, check, newest_failure);
-                let complete_at = match judged.await {
-                    SnapshotUse::Complete => Some(newest_asked_at),
-                    SnapshotUse::Unproven | SnapshotUse::InDoubt => None,
-                    SnapshotUse::Lagging => {
-                        let read = self
-                            .linearizable_read(&answer.content, check.reached())
-                            .await;
-                        return read.map_err(|error| {
-                            log::info!(records = T::PATH; "linearizable read failed: {error}");
-                            let revision = answer.content.revision;
-                            FeedError::Lagging { revision }
-                        });
-                    }
-                };
-                let times = ReadTimes {
-                    answered_at: Some(sent_at),
-                    complete_at,
-                };
-                return Ok(RecordUpdate::Snapshot { answer, times });
-            }
-            Err(failure) => failure,
-        };
-        let upstream = self.state.fallback_upstream();
-        let Some(upstream) = upstream.filter(|_| matches!(failure, FeedError::Platform(_))) else {
-            return Err(failure);
-        };
-        let sent_at = self.state.clock.now();
-        let answer = self.request_changes::<T>(upstream, None).await?;
-        self.check_revision(upstream, &answer.content)?;
-        let times = self.relayed_times(&answer.content, sent_at);
-        Ok(RecordUpdate::Snapshot {
-            answer: answer.map(into_snapshot),
-            times,
-        })
-    }
-
     /// Reads the changes at the usual place. If that fails, or the records get too old meanwhile,
     /// they are also read elsewhere, and the first answer is used. The time without the platform's
     /// word is thus bounded, however many entries fail one after the other.
@@ -735,7 +543,7 @@
     }
 }
 
-fn into_snapshot<T>(relayed: RelayedChanges<T>) -> Snapshot<T> {
+pub(super) fn into_snapshot<T>(relayed: RelayedChanges<T>) -> Snapshot<T> {
     Snapshot {
         records: relayed.changed,
         unreadable: Vec::new(),
--- /dev/null
+++ b/lib/src/process/gateway/snapshot_reads.rs
@@ -0,0 +1,223 @@
+//! Reads of all records from the platform: what a snapshot counts as, and what is read in place of one that
+//! lags.
+
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use super::record_relay::RelayedRecord;
+use super::relayed_feed::LARGE_ANSWER_BYTES;
+use super::relayed_feed::NEWEST_REVISION_TIMEOUT;
+use super::relayed_feed::ReadTimes;
+use super::relayed_feed::RecordUpdate;
+use super::relayed_feed::RelayedFeed;
+use super::relayed_feed::into_snapshot;
+use crate::clock::Clock;
+use crate::ids::Revision;
+use crate::platform::feed::ChangesRequest;
+use crate::platform::feed::Feed;
+use crate::platform::feed::FeedError;
+use crate::platform::feed::RecordSource;
+use crate::platform::feed::Snapshot;
+use crate::process::feed_reader::ChangesSince;
+use crate::process::feed_reader::NewestRevision;
+use crate::process::feed_reader::OlderSnapshots;
+use crate::process::feed_reader::SnapshotCheck;
+use crate::process::feed_reader::SnapshotUse;
+
+impl<C, P> RelayedFeed<C, P>
+where
+    C: Clock,
+{
+    /// Reads all records from the platform, or from another entry if the platform fails.
+    pub(super) async fn snapshot<T>(&self) -> Result<RecordUpdate<T>, FeedError>
+    where
+        P: Feed<T>,
+        T: RelayedRecord,
+    {
+        let known = T::revision(&self.state);
+        let newest_asked_at = self.state.clock.now();
+        // Asked for first: a snapshot below it was answered by a copy that lags.
+        let (check, newest_failure) = match known {
+            Some(known) => {
+                let (newest, failure) = self.newest_revision::<T>(known).await;
+                (SnapshotCheck::after_records(known, newest), failure)
+            }
+            None => (SnapshotCheck::of_first(), None),
+        };
+        let sent_at = self.state.clock.now();
+        let from_platform = self.platform.snapshot().await;
+        self.on_read::<T, _, _>(RecordSource::Platform, sent_at, &from_platform);
+        let failure = match from_platform {
+            Ok(answer) => {
+                let judged = self.judge_snapshot(&answer.content, check, newest_failure);
+                let complete_at = match judged.await {
+                    SnapshotUse::Complete => Some(newest_asked_at),
+                    SnapshotUse::Unproven | SnapshotUse::InDoubt => None,
+                    SnapshotUse::Lagging => {
+                        let read = self
+                            .linearizable_read(&answer.content, check.reached())
+                            .await;
+                        return read.map_err(|error| {
+                            log::info!(records = T::PATH; "linearizable read failed: {error}");
+                            let revision = answer.content.revision;
+                            FeedError::Lagging { revision }
+                        });
+                    }
+                };
+                let times = ReadTimes {
+                    answered_at: Some(sent_at),
+                    complete_at,
+                };
+                return Ok(RecordUpdate::Snapshot { answer, times });
+            }
+            Err(failure) => failure,
+        };
+        let upstream = self.state.fallback_upstream();
+        let Some(upstream) = upstream.filter(|_| matches!(failure, FeedError::Platform(_))) else {
+            return Err(failure);
+        };
+        let sent_at = self.state.clock.now();
+        let answer = self.request_changes::<T>(upstream, None).await?;
+        self.check_revision(upstream, &answer.content)?;
+        let times = self.relayed_times(&answer.content, sent_at);
+        Ok(RecordUpdate::Snapshot {
+            answer: answer.map(into_snapshot),
+            times,
+        })
+    }
+
+    /// Returns what the platform's feed tells a reader that knows `since` of its newest revision, and why it
+    /// doesn't.
+    async fn newest_revision<T>(&self, since: Revision) -> (NewestRevision, Option<String>)
+    where
+        P: Feed<T>,
+        T: RelayedRecord,
+    {
+        let newest = self.platform.newest_revision(since);
+        match tokio::time::timeout(NEWEST_REVISION_TIMEOUT, newest).await {
+            Ok(Ok(newest)) => (NewestRevision::Told(newest), None),
+            Ok(Err(error @ FeedError::HistoryLost { .. })) => {
+                (NewestRevision::HistoryLost, Some(error.to_string()))
+            }
+            Ok(Err(error)) => (NewestRevision::NotTold, Some(error.to_string())),
+            Err(_) => {
+                let failure = "no answer within the timeout".to_owned();
+                (NewestRevision::NotTold, Some(failure))
+            }
+        }
+    }
+
+    /// Returns what the platform's feed tells of the changes since a snapshot. They are read later.
+    async fn changes_since<T>(&self, snapshot: Revision) -> ChangesSince
+    where
+        P: Feed<T>,
+        T: RelayedRecord,
+    {
+        let changes = self.platform.changes(ChangesRequest {
+            since: snapshot,
+            wait: Duration::ZERO,
+            limit_bytes: LARGE_ANSWER_BYTES,
+        });
+        match tokio::time::timeout(NEWEST_REVISION_TIMEOUT, changes).await {
+            Ok(Ok(answer)) if answer.row_count == 0 => ChangesSince::None,
+            Ok(Ok(_) | Err(FeedError::TooLarge { .. })) => ChangesSince::Some,
+            Ok(Err(FeedError::HistoryLost { .. })) => ChangesSince::HistoryLost,
+            Ok(Err(error)) => {
+                log::info!(
+                    records = T::PATH, since = snapshot.0;
+                    "changes since a snapshot can't be read: {error}"
+                );
+                ChangesSince::NotTold
+            }
+            Err(_) => ChangesSince::NotTold,
+        }
+    }
+
+    /// Returns what a snapshot of the platform counts as. It is logged, as it may show that the platform's
+    /// answers don't fit together.
+    async fn judge_snapshot<T>(
+        &self,
+        snapshot: &Snapshot<T>,
+        check: SnapshotCheck,
+        newest_failure: Option<String>,
+    ) -> SnapshotUse
+    where
+        P: Feed<T>,
+        T: RelayedRecord,
+    {
+        let revision = snapshot.revision;
+        let mut judged = check.judge(revision);
+        if judged == SnapshotUse::InDoubt {
+            let changes = self.changes_since::<T>(revision).await;
+            judged = SnapshotCheck::judge_in_doubt(changes);
+        }
+        let reached = check.reached();
+        let now = self.state.clock.now();
+        let has_gone_back =
+            self.lock_older_snapshots().is_used(revision, reached, now) && Some(revision) < reached;
+        if has_gone_back {
+            judged = SnapshotUse::Unproven;
+        }
+        let is_used = judged != SnapshotUse::Lagging;
+        if !is_used {
+            self.state.metrics.count_lagging_snapshot(T::LABEL);
+        }
+        log::info!(
+            records = T::PATH, revision = revision.0,
+            last_change = snapshot.last_change.map(|revision| revision.0),
+            known_revision = T::revision(&self.state).map(|revision| revision.0),
+            reached_revision = reached.map(|revision| revision.0),
+            newest_failure = newest_failure.as_deref(),
+            is_used = is_used, is_complete = judged == SnapshotUse::Complete;
+            "all records are read"
+        );
+        judged
+    }
+
+    /// Reads the records that are known or in a snapshot of a copy that lags so that no such copy answers.
+    async fn linearizable_read<T>(
+        &self,
+        lagging: &Snapshot<T>,
+        reached: Option<Revision>,
+    ) -> Result<RecordUpdate<T>, FeedError>
+    where
+        P: Feed<T>,
+        T: RelayedRecord,
+    {
+        let mut keys = T::known_keys(&self.state);
+        keys.extend(
+            lagging
+                .records
+                .iter()
+                .map(|record| record.feed_key().into_owned()),
+        );
+        keys.sort_unstable();
+        keys.dedup();
+        let asked_at = self.state.clock.now();
+        let read = self.platform.linearizable_read(keys).await;
+        self.on_read::<T, _, _>(RecordSource::Platform, asked_at, &read);
+        let mut answer = read?;
+        let revision = answer.content.revision;
+        if reached.is_some_and(|reached| revision < reached) {
+            return Err(FeedError::Lagging { revision });
+        }
+        self.lock_older_snapshots().on_platform_confirmed();
+        let states = &mut answer.content;
+        T::retain_news(&self.state, states);
+        log::info!(
+            records = T::PATH, revision = revision.0, lagging_revision = lagging.revision.0,
+            read = answer.row_count as u64, changed = states.changed.len() as u64,
+            removed = states.removed.len() as u64;
+            "all records were read from a copy that lags; they are read again by a transaction"
+        );
+        Ok(RecordUpdate::LinearizableRead { answer, asked_at })
+    }
+
+    fn lock_older_snapshots(&self) -> MutexGuard<'_, OlderSnapshots> {
+        // The state is valid after every statement, so a poisoned mutex can still be used.
+        self.older_snapshots
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
