tests: entries of the soak of lost histories are in three data centres

One entry of each data centre reads the store, so that the soak had one such reader and the lease holder; now it has three, and each calm entry is in another data centre.

--- a/cli/tests/test_gateway_soak.rs
+++ b/cli/tests/test_gateway_soak.rs
@@ -70,6 +70,16 @@
         number: usize,
         store: SocketAddr,
         log: Option<&Path>,
+    ) -> Self {
+        Self::start_in("lakes-a", number, store, log).await
+    }
+
+    /// Starts an entry like [`Self::start_with_log`] in a data centre.
+    pub(crate) async fn start_in(
+        data_centre: &str,
+        number: usize,
+        store: SocketAddr,
+        log: Option<&Path>,
     ) -> Self {
         let mut listeners = Vec::new();
         for _ in 0..4 {
@@ -84,7 +94,7 @@
         // The calm entries read from the others, which have more processor time.
         let processor = if number < CALM_ENTRIES { 0.1 } else { 1.0 };
         let text = format!(
-            "[entry]\nname = entry-{number}\ndata-centre = lakes-a\nprocessor = {processor}\n\
+            "[entry]\nname = entry-{number}\ndata-centre = {data_centre}\nprocessor = {processor}\n\
              [listen]\ncallers = {callers}\nreadiness = {readiness}\npeers = {peers}\n\
              metrics = {metrics}\n[platform]\ninterface = tables\naddress = {store}\n"
         );
--- a/cli/tests/test_lost_history_soak.rs
+++ b/cli/tests/test_lost_history_soak.rs
@@ -42,6 +42,8 @@
 const LOGS_VARIABLE: &str = "BERYLTRAY_SOAK_LOGS";
 /// The entries that are not disturbed and thus never excused.
 const CALM_ENTRIES: usize = 3;
+/// The entries' data centres. The calm entries are in different ones.
+const DATA_CENTRES: [&str; 3] = ["lakes-a", "lakes-b", "lakes-c"];
 const TARGETS: usize = 10;
 /// The targets that stay.
 const STAYING: usize = 3;
@@ -358,7 +360,8 @@
         let log = logs
             .as_ref()
             .map(|logs| logs.join(format!("entry-{number}.log")));
-        let entry = SoakEntry::start_with_log(number, store_address, log.as_deref()).await;
+        let data_centre = DATA_CENTRES[number % DATA_CENTRES.len()];
+        let entry = SoakEntry::start_in(data_centre, number, store_address, log.as_deref()).await;
         callers.push(entry.callers);
         for _ in 0..CALLERS {
             calls.spawn(call_forever(Arc::clone(&course), number, entry.callers));
