record_relay: tell readers which records are known after a linearizable read

Cause: a linearizable read has the records of known keys only. A target that was added while the history was lost was unknown to some entries. An entry that knew it read from one that didn't, took over its word that nothing had changed, and dropped by that word what a third entry had told of the target's leaving (log of entry 1: told at revision 81, cleared by a revision of its upstream, read as draining 1.6 s later at revision 91).

A reader reads those of its listed records that are not among them by a transaction of its own. A reader that may lack records itself asks an entry that doesn't for all of its records.

--- a/lib/src/process/gateway/follow.rs
+++ b/lib/src/process/gateway/follow.rs
@@ -375,6 +375,7 @@
         let is_platform_answer = matches!(update, Ok(RecordUpdate::Changes { .. }));
         match update {
             Ok(RecordUpdate::Snapshot { answer, times }) => {
+                T::set_may_lack_records(&state, times.may_lack_records);
                 let revision = answer.content.revision;
                 let last_change = answer.content.last_change;
                 let has_news = sink.on_snapshot(answer.content, times);
@@ -408,15 +409,18 @@
                 let times = ReadTimes {
                     answered_at: Some(answered_at),
                     complete_at,
+                    may_lack_records: T::may_lack_records(&state),
                 };
                 sink.on_changes(answer.content, times);
             }
             Ok(RecordUpdate::RelayedChanges { answer, times }) => {
+                T::set_may_lack_records(&state, times.may_lack_records);
                 plan.on_relayed_changes(answer.content.revision, times.complete_at);
                 answer_series.on_answer(&state.metrics, &answer);
                 sink.on_changes(answer.content, times);
             }
             Ok(RecordUpdate::LinearizableRead { answer, asked_at }) => {
+                T::set_may_lack_records(&state, true);
                 plan.on_linearizable_read(answer.content.revision, asked_at);
                 let times = ReadTimes::of_complete(Some(asked_at));
                 if T::revision(&state).is_some() {
--- a/lib/src/process/gateway/record_relay.rs
+++ b/lib/src/process/gateway/record_relay.rs
@@ -76,6 +76,10 @@
     /// earlier version omits it.
     #[serde(default)]
     pub(super) version: Option<DocumentVersion>,
+    /// The keys of all records that the entry knows, if it may lack others: it knows nothing of their changes.
+    /// An entry of an earlier version omits it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(super) known_keys: Option<Vec<String>>,
 }
 
 /// A kind of record that entries relay.
@@ -126,6 +130,21 @@
     where
         C: Clock;
 
+    /// Returns whether records may be missing whose keys are not known here.
+    fn may_lack_records<C>(state: &GatewayState<C>) -> bool
+    where
+        C: Clock;
+
+    /// Sets whether records may be missing whose keys are not known here.
+    fn set_may_lack_records<C>(state: &GatewayState<C>, may_lack_records: bool)
+    where
+        C: Clock;
+
+    /// Returns the keys of the records that exist by what is known here.
+    fn listed_keys<C>(state: &GatewayState<C>) -> Vec<String>
+    where
+        C: Clock;
+
     /// Drops the states of records that are known already.
     fn retain_news<C>(state: &GatewayState<C>, states: &mut Changes<Self>)
     where
@@ -205,6 +224,27 @@
         state.known_target_keys()
     }
 
+    fn may_lack_records<C>(state: &GatewayState<C>) -> bool
+    where
+        C: Clock,
+    {
+        state.inner().may_lack_targets
+    }
+
+    fn set_may_lack_records<C>(state: &GatewayState<C>, may_lack_records: bool)
+    where
+        C: Clock,
+    {
+        state.inner().may_lack_targets = may_lack_records;
+    }
+
+    fn listed_keys<C>(state: &GatewayState<C>) -> Vec<String>
+    where
+        C: Clock,
+    {
+        state.listed_target_keys()
+    }
+
     fn retain_news<C>(state: &GatewayState<C>, states: &mut Changes<Self>)
     where
         C: Clock,
@@ -293,6 +333,27 @@
         state.known_operator_keys()
     }
 
+    /// The keys of all records of the operator are known.
+    fn may_lack_records<C>(_state: &GatewayState<C>) -> bool
+    where
+        C: Clock,
+    {
+        false
+    }
+
+    fn set_may_lack_records<C>(_state: &GatewayState<C>, _may_lack_records: bool)
+    where
+        C: Clock,
+    {
+    }
+
+    fn listed_keys<C>(_state: &GatewayState<C>) -> Vec<String>
+    where
+        C: Clock,
+    {
+        Vec::new()
+    }
+
     /// Outdated records are dropped where the changes are applied.
     fn retain_news<C>(_state: &GatewayState<C>, _states: &mut Changes<Self>)
     where
@@ -382,6 +443,7 @@
             // Taken before the records, which may be replaced by newer ones meanwhile.
             let confirmed_at = T::confirmed_at(&self.state);
             let version = T::version_in_force(&self.state);
+            let may_lack_records = T::may_lack_records(&self.state);
             let (is_snapshot, changes) = match T::read(&self.state, since) {
                 Ok(read) => read,
                 Err(NotRelayed::NotConfirmed) => {
@@ -405,6 +467,7 @@
                     answered_ms_ago: T::answered_at(&self.state).map(ms_since),
                     held_ms: ms_since(arrived_at),
                     version,
+                    known_keys: may_lack_records.then(|| T::known_keys(&self.state)),
                 });
             }
             has_waited = tokio::time::timeout_at(deadline, changed).await.is_err();
--- a/lib/src/process/gateway/record_state.rs
+++ b/lib/src/process/gateway/record_state.rs
@@ -169,6 +169,16 @@
             .collect()
     }
 
+    /// Returns the keys of all targets that are listed.
+    pub(super) fn listed_target_keys(&self) -> Vec<String> {
+        let inner = self.inner();
+        let listed = inner.host_tracker.iter();
+        let listed = listed.filter(|tracked| tracked.unlisted_from.is_none());
+        listed
+            .map(|tracked| tracked.record.host.to_string())
+            .collect()
+    }
+
     /// Drops the states of targets that are known already.
     pub(super) fn retain_target_news(&self, states: &mut Changes<TargetRecord>) {
         let inner = self.inner();
--- a/lib/src/process/gateway/relayed_feed.rs
+++ b/lib/src/process/gateway/relayed_feed.rs
@@ -65,6 +65,8 @@
     pub(super) answered_at: Option<Instant>,
     /// As of when the records are complete with it; `None` if changes may be missing.
     pub(super) complete_at: Option<Instant>,
+    /// Whether nothing is known of records that the source doesn't know.
+    pub(super) may_lack_records: bool,
 }
 
 impl ReadTimes {
@@ -73,6 +75,7 @@
         Self {
             answered_at: at,
             complete_at: at,
+            may_lack_records: false,
         }
     }
 
@@ -232,6 +235,7 @@
         ReadTimes {
             answered_at: relayed.answered_ms_ago.and_then(before).or(complete_at),
             complete_at,
+            may_lack_records: relayed.known_keys.is_some(),
         }
     }
 
@@ -385,6 +389,7 @@
         since: Revision,
     ) -> Result<RecordUpdate<T>, FeedError>
     where
+        P: Feed<T>,
         T: RelayedRecord,
     {
         let mut sent_at = self.state.clock.now();
@@ -397,6 +402,14 @@
             sent_at = self.state.clock.now();
             answer = self.request_changes::<T>(upstream, None).await?;
         }
+        let is_catching_up = T::may_lack_records(&self.state) && !answer.content.is_snapshot;
+        if is_catching_up && answer.content.known_keys.is_none() {
+            // Records that are missing here may have changed before `since`.
+            sent_at = self.state.clock.now();
+            answer = self.request_changes::<T>(upstream, None).await?;
+        }
+        self.read_records_in_doubt(upstream, &mut answer.content)
+            .await?;
         let relayed = &answer.content;
         // An entry refuses to pass on records that are too old, but need not agree on the age.
         let age = Duration::from_millis(relayed.confirmed_ms_ago.unwrap_or_default());
--- a/lib/src/process/gateway/snapshot_reads.rs
+++ b/lib/src/process/gateway/snapshot_reads.rs
@@ -1,10 +1,12 @@
 //! Reads of all records from the platform: what a snapshot counts as, and what is read in place of one that
 //! lags.
 
+use std::net::SocketAddr;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use super::record_relay::RelayedChanges;
 use super::record_relay::RelayedRecord;
 use super::relayed_feed::LARGE_ANSWER_BYTES;
 use super::relayed_feed::NEWEST_REVISION_TIMEOUT;
@@ -24,6 +26,19 @@
 use crate::process::feed_reader::OlderSnapshots;
 use crate::process::feed_reader::SnapshotCheck;
 use crate::process::feed_reader::SnapshotUse;
+use crate::sorted::Keyed;
+use crate::sorted::SortedVec;
+
+/// The key of a record that another entry knows.
+struct KnownKey(String);
+
+impl Keyed for KnownKey {
+    type Key = String;
+
+    fn key(&self) -> &String {
+        &self.0
+    }
+}
 
 impl<C, P> RelayedFeed<C, P>
 where
@@ -68,6 +83,7 @@
                 let times = ReadTimes {
                     answered_at: Some(sent_at),
                     complete_at,
+                    may_lack_records: false,
                 };
                 return Ok(RecordUpdate::Snapshot { answer, times });
             }
@@ -78,7 +94,9 @@
             return Err(failure);
         };
         let sent_at = self.state.clock.now();
-        let answer = self.request_changes::<T>(upstream, None).await?;
+        let mut answer = self.request_changes::<T>(upstream, None).await?;
+        self.read_records_in_doubt(upstream, &mut answer.content)
+            .await?;
         self.check_revision(upstream, &answer.content)?;
         let times = self.relayed_times(&answer.content, sent_at);
         Ok(RecordUpdate::Snapshot {
@@ -175,6 +193,40 @@
         judged
     }
 
+    /// Adds the present states of the records that are listed here and that another entry doesn't know, which
+    /// thus can't tell that they have changed.
+    pub(super) async fn read_records_in_doubt<T>(
+        &self,
+        upstream: SocketAddr,
+        relayed: &mut RelayedChanges<T>,
+    ) -> Result<(), FeedError>
+    where
+        P: Feed<T>,
+        T: RelayedRecord,
+    {
+        let Some(known_keys) = &relayed.known_keys else {
+            return Ok(());
+        };
+        let known: SortedVec<KnownKey> = known_keys.iter().cloned().map(KnownKey).collect();
+        let mut in_doubt = T::listed_keys(&self.state);
+        in_doubt.retain(|key| !known.contains_key(key));
+        if in_doubt.is_empty() {
+            return Ok(());
+        }
+        let count = in_doubt.len() as u64;
+        let sent_at = self.state.clock.now();
+        let read = self.platform.linearizable_read(in_doubt).await;
+        self.on_read::<T, _, _>(RecordSource::Platform, sent_at, &read);
+        let states = read?.content;
+        log::info!(
+            records = T::PATH, source:% = upstream, read = count, removed = states.removed.len() as u64;
+            "records that the entry doesn't know are read by a transaction"
+        );
+        relayed.changed.extend(states.changed);
+        relayed.removed.extend(states.removed);
+        Ok(())
+    }
+
     /// Reads the records that are known or in a snapshot of a copy that lags so that no such copy answers.
     async fn linearizable_read<T>(
         &self,
--- a/lib/src/process/gateway/state.rs
+++ b/lib/src/process/gateway/state.rs
@@ -108,6 +108,8 @@
     pub(super) stalled_targets: Vec<HostId>,
     pub(super) request_count: u64,
     pub(super) has_read_targets: bool,
+    /// Whether targets may be listed whose keys are not known here, since the last read was one of known keys.
+    pub(super) may_lack_targets: bool,
     pub(super) sampler: LogSampler,
     pub(super) peers: Peers,
     pub(super) target_log: ChangeLog<TargetRecord>,
@@ -217,6 +219,7 @@
                 stalled_targets: Vec::new(),
                 request_count: 0,
                 has_read_targets: false,
+                may_lack_targets: false,
                 sampler: LogSampler::new(now),
                 peers,
                 target_log: ChangeLog::default(),
