tests: entries of the soak of lost histories start again if a port is taken

The run waits now until each entry serves, and tries other ports if its process has ended before, as the soak of storms does. A process that ends later still counts.

--- a/cli/tests/test_lost_history_soak.rs
+++ b/cli/tests/test_lost_history_soak.rs
@@ -3,6 +3,7 @@
 //! and restart the entries, in series that overlap.
 
 use std::net::SocketAddr;
+use std::path::Path;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -322,6 +323,27 @@
     ended: Vec<usize>,
 }
 
+/// Starts an entry and waits until it serves. Tries other ports if another process took one of the free ports
+/// first.
+async fn start_serving(
+    data_centre: &str,
+    number: usize,
+    store: SocketAddr,
+    log: Option<&Path>,
+) -> SoakEntry {
+    loop {
+        let mut entry = SoakEntry::start_in(data_centre, number, store, log).await;
+        let given_up_at = Instant::now() + TIMEOUT;
+        while !entry.has_ended() {
+            if ask(&mut None, entry.callers, "/new-1/1").await == Some(200) {
+                return entry;
+            }
+            assert!(Instant::now() < given_up_at, "entry {number} doesn't serve");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+}
+
 async fn soak(seed: u64) -> Broken {
     let mut random = StdRng::seed_from_u64(seed);
     let mut next_random = || StdRng::seed_from_u64(random.random());
@@ -361,7 +383,7 @@
             .as_ref()
             .map(|logs| logs.join(format!("entry-{number}.log")));
         let data_centre = DATA_CENTRES[number % DATA_CENTRES.len()];
-        let entry = SoakEntry::start_in(data_centre, number, store_address, log.as_deref()).await;
+        let entry = start_serving(data_centre, number, store_address, log.as_deref()).await;
         callers.push(entry.callers);
         for _ in 0..CALLERS {
             calls.spawn(call_forever(Arc::clone(&course), number, entry.callers));
