change_log: pass states on that were read at a later revision than the others

Cause: records that the upstream doesn't know are read by a transaction as of a later revision (169) than the upstream's answer (164), and were logged with that answer's revision. A reader of the entry that had come up to 164 was not sent the removal, and dropped what a third entry had told of it when it came to 169 (logs of entries 5 and 2).

Change: such states are logged at their own revision, and the revision up to which all changes are known stays that of the answer.

Evidence: changes_since_state_of_later_revision_reaches_current_readers (written with the fix; the log had no such states before).

--- a/lib/src/process/gateway/change_log.rs
+++ b/lib/src/process/gateway/change_log.rs
@@ -128,6 +128,12 @@
     /// Adds a batch of changes, which may be empty. They replace the known states of their records.
     pub fn on_changes(&mut self, changes: Changes<T>) {
         self.revision = self.revision.max(Some(changes.revision));
+        self.on_states(changes);
+    }
+
+    /// Adds states of some records that were read apart from the others, as of a later revision than that up to
+    /// which all changes are known. Readers that have come that far are sent them, too.
+    pub fn on_states(&mut self, changes: Changes<T>) {
         for key in changes.removed {
             self.log_state(LoggedRecord {
                 key,
--- a/lib/src/process/gateway/follow.rs
+++ b/lib/src/process/gateway/follow.rs
@@ -374,7 +374,11 @@
         }
         let is_platform_answer = matches!(update, Ok(RecordUpdate::Changes { .. }));
         match update {
-            Ok(RecordUpdate::Snapshot { answer, times }) => {
+            Ok(RecordUpdate::Snapshot {
+                answer,
+                times,
+                later_states,
+            }) => {
                 T::set_may_lack_records(&state, times.may_lack_records);
                 let revision = answer.content.revision;
                 let last_change = answer.content.last_change;
@@ -387,6 +391,9 @@
                         "the feed has missed a change; it is read with all records"
                     );
                 }
+                if let Some(states) = later_states {
+                    T::log_states(&state, states);
+                }
                 // Another entry passes on the newest state only, at no cost for the platform.
                 let has_news = has_news && T::upstream(&state).is_none();
                 plan.on_snapshot(revision, answer.size_bytes, has_news);
@@ -413,11 +420,18 @@
                 };
                 sink.on_changes(answer.content, times);
             }
-            Ok(RecordUpdate::RelayedChanges { answer, times }) => {
+            Ok(RecordUpdate::RelayedChanges {
+                answer,
+                times,
+                later_states,
+            }) => {
                 T::set_may_lack_records(&state, times.may_lack_records);
                 plan.on_relayed_changes(answer.content.revision, times.complete_at);
                 answer_series.on_answer(&state.metrics, &answer);
                 sink.on_changes(answer.content, times);
+                if let Some(states) = later_states {
+                    T::log_states(&state, states);
+                }
             }
             Ok(RecordUpdate::LinearizableRead { answer, asked_at }) => {
                 T::set_may_lack_records(&state, true);
--- a/lib/src/process/gateway/record_relay.rs
+++ b/lib/src/process/gateway/record_relay.rs
@@ -140,6 +140,11 @@
     where
         C: Clock;
 
+    /// Passes states on that were read apart from the others, at a later revision.
+    fn log_states<C>(state: &GatewayState<C>, states: Changes<Self>)
+    where
+        C: Clock;
+
     /// Returns the keys of the records that exist by what is known here.
     fn listed_keys<C>(state: &GatewayState<C>) -> Vec<String>
     where
@@ -238,6 +243,13 @@
         state.inner().may_lack_targets = may_lack_records;
     }
 
+    fn log_states<C>(state: &GatewayState<C>, states: Changes<Self>)
+    where
+        C: Clock,
+    {
+        state.with_target_log(|log, _| log.on_states(states));
+    }
+
     fn listed_keys<C>(state: &GatewayState<C>) -> Vec<String>
     where
         C: Clock,
@@ -347,6 +359,13 @@
     {
     }
 
+    fn log_states<C>(state: &GatewayState<C>, states: Changes<Self>)
+    where
+        C: Clock,
+    {
+        state.with_operator_log(|log, _| log.on_states(states));
+    }
+
     fn listed_keys<C>(_state: &GatewayState<C>) -> Vec<String>
     where
         C: Clock,
--- a/lib/src/process/gateway/relayed_feed.rs
+++ b/lib/src/process/gateway/relayed_feed.rs
@@ -101,6 +101,8 @@
     Snapshot {
         answer: FeedAnswer<Snapshot<T>>,
         times: ReadTimes,
+        /// News among them that were read apart from the others, at a later revision.
+        later_states: Option<Changes<T>>,
     },
     /// The changes since the reader's revision, as the platform answered at `answered_at`.
     Changes {
@@ -111,6 +113,8 @@
     RelayedChanges {
         answer: FeedAnswer<Changes<T>>,
         times: ReadTimes,
+        /// News among them that were read apart from the others, at a later revision.
+        later_states: Option<Changes<T>>,
     },
     /// What has changed of all records whose keys are known, by a linearizable read at `asked_at`.
     LinearizableRead {
@@ -408,8 +412,8 @@
             sent_at = self.state.clock.now();
             answer = self.request_changes::<T>(upstream, None).await?;
         }
-        self.read_records_in_doubt(upstream, &mut answer.content)
-            .await?;
+        let in_doubt = self.read_records_in_doubt(upstream, &mut answer.content);
+        let later_states = in_doubt.await?;
         let relayed = &answer.content;
         // An entry refuses to pass on records that are too old, but need not agree on the age.
         let age = Duration::from_millis(relayed.confirmed_ms_ago.unwrap_or_default());
@@ -431,6 +435,7 @@
             return Ok(RecordUpdate::Snapshot {
                 answer: answer.map(into_snapshot),
                 times,
+                later_states,
             });
         }
         let answer = answer.map(|relayed| Changes {
@@ -443,7 +448,11 @@
             // An entry of an earlier version joins changes without their order.
             return Err(FeedError::HistoryLost { since });
         }
-        Ok(RecordUpdate::RelayedChanges { answer, times })
+        Ok(RecordUpdate::RelayedChanges {
+            answer,
+            times,
+            later_states,
+        })
     }
 
     /// Returns whether another entry has a newer version in force than this one will have with the changes
--- a/lib/src/process/gateway/snapshot_reads.rs
+++ b/lib/src/process/gateway/snapshot_reads.rs
@@ -16,6 +16,7 @@
 use super::relayed_feed::into_snapshot;
 use crate::clock::Clock;
 use crate::ids::Revision;
+use crate::platform::feed::Changes;
 use crate::platform::feed::ChangesRequest;
 use crate::platform::feed::Feed;
 use crate::platform::feed::FeedError;
@@ -85,7 +86,11 @@
                     complete_at,
                     may_lack_records: false,
                 };
-                return Ok(RecordUpdate::Snapshot { answer, times });
+                return Ok(RecordUpdate::Snapshot {
+                    answer,
+                    times,
+                    later_states: None,
+                });
             }
             Err(failure) => failure,
         };
@@ -95,13 +100,14 @@
         };
         let sent_at = self.state.clock.now();
         let mut answer = self.request_changes::<T>(upstream, None).await?;
-        self.read_records_in_doubt(upstream, &mut answer.content)
-            .await?;
+        let in_doubt = self.read_records_in_doubt(upstream, &mut answer.content);
+        let later_states = in_doubt.await?;
         self.check_revision(upstream, &answer.content)?;
         let times = self.relayed_times(&answer.content, sent_at);
         Ok(RecordUpdate::Snapshot {
             answer: answer.map(into_snapshot),
             times,
+            later_states,
         })
     }
 
@@ -194,37 +200,38 @@
     }
 
     /// Adds the present states of the records that are listed here and that another entry doesn't know, which
-    /// thus can't tell that they have changed.
+    /// thus can't tell that they have changed. Returns those of them that are news, as of their own revision.
     pub(super) async fn read_records_in_doubt<T>(
         &self,
         upstream: SocketAddr,
         relayed: &mut RelayedChanges<T>,
-    ) -> Result<(), FeedError>
+    ) -> Result<Option<Changes<T>>, FeedError>
     where
         P: Feed<T>,
         T: RelayedRecord,
     {
         let Some(known_keys) = &relayed.known_keys else {
-            return Ok(());
+            return Ok(None);
         };
         let known: SortedVec<KnownKey> = known_keys.iter().cloned().map(KnownKey).collect();
         let mut in_doubt = T::listed_keys(&self.state);
         in_doubt.retain(|key| !known.contains_key(key));
         if in_doubt.is_empty() {
-            return Ok(());
+            return Ok(None);
         }
         let count = in_doubt.len() as u64;
         let sent_at = self.state.clock.now();
         let read = self.platform.linearizable_read(in_doubt).await;
         self.on_read::<T, _, _>(RecordSource::Platform, sent_at, &read);
-        let states = read?.content;
+        let mut states = read?.content;
         log::info!(
             records = T::PATH, source:% = upstream, read = count, removed = states.removed.len() as u64;
             "records that the entry doesn't know are read by a transaction"
         );
-        relayed.changed.extend(states.changed);
-        relayed.removed.extend(states.removed);
-        Ok(())
+        relayed.changed.extend(states.changed.iter().cloned());
+        relayed.removed.extend(states.removed.iter().cloned());
+        T::retain_news(&self.state, &mut states);
+        Ok(Some(states))
     }
 
     /// Reads the records that are known or in a snapshot of a copy that lags so that no such copy answers.
--- a/lib/tests/test_change_log.rs
+++ b/lib/tests/test_change_log.rs
@@ -74,6 +74,17 @@
     assert_eq!(changes.revision, Revision(12));
 }
 
+/// Guards against a state that was read apart from the others and that readers never get who have come as far as
+/// the others: a target that was gone went on to get requests from them.
+#[test]
+fn changes_since_state_of_later_revision_reaches_current_readers() {
+    let mut log = log_of(vec![changed(12, record("host-1", 6))]);
+    log.on_states(removed(15, "host-1"));
+    let changes = log.changes_since(Revision(12)).unwrap();
+    assert_eq!(changes.removed, ["host-1"]);
+    assert_eq!(changes.revision, Revision(12));
+}
+
 #[test]
 fn changes_since_record_changed_after_removal_is_changed() {
     let log = log_of(vec![
