formation, serving: hosts of services without groups are in no group

What callers would see: a whole record whose service the configuration doesn't name, but with the name of a live group, took that group out of service. When the lease passed to another entry, also at a restart of all, the group counted as incomplete and was released; if the record was in an evacuated data centre, the group got no requests, and in another fabric domain it counted as slow. Its host got orders and was asked for reports.

Cause: groups were derived from the records of all hosts. Only the choice of free hosts looked at the service.

Change: members count, and are asked for reports, only if their service forms groups by the configuration. So removed records of plain services are no longer asked for reports either, which nothing used. The groups of a service count from the version on that names it.

--- a/lib/src/process/formation/controller.rs
+++ b/lib/src/process/formation/controller.rs
@@ -411,8 +411,12 @@
             tracked.is_listed(now) && !tracked.is_lost(self.settings.report_misses)
         };
         let is_recently_relisted = |tracked: &TrackedHost| self.is_recently_relisted(tracked, now);
+        let hosts = tracker
+            .iter()
+            .filter(|tracked| self.can_form_groups(tracked));
+        let hosts: Vec<&TrackedHost> = hosts.collect();
         let unknown =
-            super::takeover::unknown_groups(tracker, is_known, is_reachable, is_recently_relisted);
+            super::takeover::unknown_groups(&hosts, is_known, is_reachable, is_recently_relisted);
         for reported in unknown {
             let group = reported.into_group(&self.plans, now);
             log::info!(
@@ -424,6 +428,11 @@
         }
     }
 
+    /// Returns whether a host can be in a group. One of another service can't, whatever its record says.
+    pub(super) fn can_form_groups(&self, tracked: &TrackedHost) -> bool {
+        self.plans.contains_key(&tracked.record.service)
+    }
+
     /// Records the weights of each host's last group.
     fn record_last_weights(&mut self, tracker: &HostTracker) {
         for tracked in tracker.iter() {
--- a/lib/src/process/formation/phases.rs
+++ b/lib/src/process/formation/phases.rs
@@ -426,7 +426,8 @@
                 .unlisted_from
                 .is_some_and(|at| now.saturating_duration_since(at) < UNLISTED_POLL_TIME);
             let is_in_doubt = (tracked.is_usable(now) && is_lost) || is_unlisted;
-            if !is_in_doubt || tracked.is_evacuated || self.group_of(&record.host).is_some() {
+            let is_asked = is_in_doubt && !tracked.is_evacuated && self.can_form_groups(tracked);
+            if !is_asked || self.group_of(&record.host).is_some() {
                 continue;
             }
             let extra_interval = if is_lost {
--- a/lib/src/process/formation/takeover.rs
+++ b/lib/src/process/formation/takeover.rs
@@ -8,7 +8,6 @@
 use super::group::Group;
 use super::group::GroupMember;
 use super::group::GroupPhase;
-use super::host_tracker::HostTracker;
 use super::host_tracker::TrackedHost;
 use crate::ids::FabricDomainId;
 use crate::ids::GroupId;
@@ -27,14 +26,14 @@
     has_leader: bool,
 }
 
-/// Returns the groups for which `is_known` returns false for one of their members.
+/// Returns the groups of these hosts for which `is_known` returns false for one of their members.
 ///
 /// A group is returned only if `is_reachable` is true for one of its members: nothing can be done
 /// for the others, whose records expire later. A group without a known leader is returned only if
 /// `is_recently_relisted` is false for all of its members, since the leader may be listed again
 /// soon.
 pub(super) fn unknown_groups<'a, F, G, H>(
-    tracker: &'a HostTracker,
+    hosts: &[&'a TrackedHost],
     is_known: F,
     is_reachable: G,
     is_recently_relisted: H,
@@ -45,7 +44,7 @@
     H: Fn(&TrackedHost) -> bool,
 {
     let mut reported: Vec<ReportedGroup<'a>> = Vec::new();
-    for tracked in tracker.iter() {
+    for tracked in hosts.iter().copied() {
         let Some(membership) = tracked.membership() else {
             continue;
         };
@@ -57,7 +56,7 @@
             continue;
         }
         let is_member = |other: &&TrackedHost| other.membership().is_some_and(|m| m.group == *id);
-        let mut members: Vec<&TrackedHost> = tracker.iter().filter(is_member).collect();
+        let mut members: Vec<&TrackedHost> = hosts.iter().copied().filter(is_member).collect();
         members.sort_by_key(|tracked| tracked.membership().map(|m| m.rank));
         let first_rank = members
             .first()
--- a/lib/src/process/gateway/serving.rs
+++ b/lib/src/process/gateway/serving.rs
@@ -49,12 +49,24 @@
     now: Instant,
 ) -> Vec<ServingTarget> {
     let usable = tracker.iter().filter(|tracked| tracked.is_usable(now));
-    let memberships = tracker.iter().filter_map(|tracked| {
-        let membership = tracked.membership()?;
-        Some((&membership.group, tracked.record.domain.as_ref()))
-    });
+    // Hosts of other services form no groups, whatever their records say.
+    let can_form_groups = |tracked: &&TrackedHost| {
+        let spec = document.service(&tracked.record.service);
+        spec.is_some_and(|spec| spec.engine.is_some())
+    };
+    let memberships = tracker
+        .iter()
+        .filter(can_form_groups)
+        .filter_map(|tracked| {
+            let membership = tracked.membership()?;
+            Some((&membership.group, tracked.record.domain.as_ref()))
+        });
     let split_groups = SplitGroups::new(memberships);
-    let evacuated_groups = evacuated_groups(tracker);
+    let evacuated_groups = if tracker.has_evacuated() {
+        evacuated_groups(tracker.iter().filter(can_form_groups))
+    } else {
+        Vec::new()
+    };
     let target = |tracked: &TrackedHost| {
         let record = &tracked.record;
         let spec = document.service(&record.service)?;
@@ -92,11 +104,11 @@
 
 /// Returns the groups with a member in an evacuated data centre. A request to their leader would reach
 /// that member, too.
-fn evacuated_groups(tracker: &HostTracker) -> Vec<&GroupId> {
-    if !tracker.has_evacuated() {
-        return Vec::new();
-    }
-    let evacuated = tracker.iter().filter(|tracked| tracked.is_evacuated);
+fn evacuated_groups<'a, I>(hosts: I) -> Vec<&'a GroupId>
+where
+    I: Iterator<Item = &'a TrackedHost>,
+{
+    let evacuated = hosts.filter(|tracked| tracked.is_evacuated);
     let memberships = evacuated.filter_map(TrackedHost::membership);
     let mut groups: Vec<&GroupId> = memberships.map(|membership| &membership.group).collect();
     groups.sort_unstable();
--- a/lib/tests/test_formation.rs
+++ b/lib/tests/test_formation.rs
@@ -5,6 +5,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use beryltray_lib::ids::Epoch;
+use beryltray_lib::ids::GroupId;
 use beryltray_lib::ids::HostId;
 use beryltray_lib::ids::WeightsId;
 use beryltray_lib::process::formation::DomainHosts;
@@ -13,6 +15,8 @@
 use beryltray_lib::process::formation::LoadRateLimiter;
 use beryltray_lib::process::formation::pack_domains;
 use beryltray_lib::target::record::MemberState;
+use beryltray_lib::target::record::Membership;
+use beryltray_lib::target::record::TargetRecord;
 use beryltray_lib::version::routes::EngineProfile;
 use beryltray_lib::version::routes::ModelProfile;
 use beryltray_testutils::fleet::Partition;
@@ -241,6 +245,43 @@
     simulation.assert_invariants();
 }
 
+/// Guards against a sound group that ends because the record of a host of a service that forms no groups names
+/// it, and against orders to such hosts.
+#[test]
+fn formation_new_lease_holder_ignores_hosts_of_other_services() {
+    let mut simulation = open_simulation(&[11, 11, 11]);
+    let accepted_joins_before = simulation.fleet.accepted_joins;
+    let groups: Vec<GroupId> = simulation
+        .formation
+        .groups()
+        .map(|g| g.id.clone())
+        .collect();
+    let own = "g77".parse().unwrap();
+    let sample = simulation.fleet.snapshot().remove(0);
+    for (number, group) in groups.into_iter().chain([own]).enumerate() {
+        let record = TargetRecord {
+            host: format!("other-{number}").parse().unwrap(),
+            service: "unknown".parse().unwrap(),
+            membership: Some(Membership {
+                group,
+                epoch: Epoch(9),
+                rank: 0,
+                state: MemberState::Open,
+            }),
+            ..sample.clone()
+        };
+        simulation.tracker.on_record(record, simulation.now);
+    }
+    simulation.contacted.clear();
+    simulation.change_lease_holder();
+    simulation.run(Duration::from_secs(3));
+    assert_eq!(simulation.fleet.accepted_joins, accepted_joins_before);
+    assert_eq!(serving(&simulation), (3, 3));
+    let is_other = |host: &&HostId| host.as_str().starts_with("other-");
+    assert_eq!(simulation.contacted.iter().find(is_other), None);
+    simulation.assert_invariants();
+}
+
 #[test]
 fn formation_new_lease_holder_releases_groups_that_were_never_opened() {
     let mut simulation = new_simulation(&[11]);
--- a/lib/tests/test_serving_updates.rs
+++ b/lib/tests/test_serving_updates.rs
@@ -235,6 +235,29 @@
     assert_eq!(serving_updates(&state, "leaving"), 1);
 }
 
+// Guards against a group that is slowed down or not used because a record of a service that forms no groups
+// names it, in another domain or in an evacuated data centre.
+#[test]
+fn serving_targets_group_named_in_record_of_other_service_is_unchanged() {
+    let now = Instant::now();
+    let mut tracker = HostTracker::new();
+    for number in 0..GROUP_SIZE {
+        tracker.on_record(record(number, "domain-0"), now);
+    }
+    let before = serving_targets(&tracker, &document(), now);
+    assert_eq!(before.len(), 1);
+    let other = TargetRecord {
+        host: "other".parse().unwrap(),
+        service: "unknown".parse().unwrap(),
+        data_centre: "lakes-b".parse().unwrap(),
+        ..record(1, "domain-1")
+    };
+    tracker.on_record(other, now);
+    assert_eq!(serving_targets(&tracker, &document(), now), before);
+    tracker.set_evacuated(vec!["lakes-b".parse().unwrap()]);
+    assert_eq!(serving_targets(&tracker, &document(), now), before);
+}
+
 // Guards against a pace where none is asked for, and against a new group that the others don't hear of.
 #[test]
 fn serving_update_new_group_is_paced_if_enabled() {
