platform, gossip: rows that can't be used have one log line an answer, with a key

Change: an answer has one line, with the number of such rows, and the key and the error of the first one.

--- a/cli/tests/test_log_lines.rs
+++ b/cli/tests/test_log_lines.rs
@@ -9,6 +9,7 @@
 use http::Request;
 use http::StatusCode;
 use serde_json::Value;
+use serde_json::json;
 
 use crate::cluster::eventually;
 use crate::paced_target::put_paced_configuration;
@@ -80,3 +81,32 @@
     drop(entry);
     std::fs::remove_file(&log).unwrap();
 }
+
+/// Guards against a line in the log for each row of another writer at each read.
+#[tokio::test]
+async fn log_lines_of_other_writers_rows_are_few_and_name_one() {
+    const ROWS: usize = 600;
+    const LINES_MAX: usize = ROWS / 20;
+    let store = StoreStandIn::default();
+    put_paced_configuration(&store, 1);
+    for number in 0..ROWS {
+        let name = format!("odd&{number:03}");
+        store.put_bytes("servers", &name, b"\xff");
+        store.put("beryltray", &format!("entry/{name}"), &json!({"entry": 7}));
+    }
+    let log = std::env::temp_dir().join(format!("log-lines-{}.log", new_attempt_id()));
+    let entry = SoakEntry::start_with_log(0, start(store.clone()).await, Some(&log)).await;
+    for (message, key_field, first) in [
+        ("skipping invalid target record", "target_key", "odd&000"),
+        ("using ", "key", "entry/odd&000"),
+        ("invalid entry row", "key", "entry/odd&000"),
+    ] {
+        eventually(async || !lines_with(&log, message).is_empty()).await;
+        let lines = lines_with(&log, message);
+        assert!(lines.len() <= LINES_MAX, "{message}: {}", lines.len());
+        assert_eq!(lines[0][key_field], first, "{}", lines[0]);
+        assert_eq!(lines[0]["count"], ROWS, "{}", lines[0]);
+    }
+    drop(entry);
+    std::fs::remove_file(&log).unwrap();
+}
--- a/lib/src/process/gateway/gossip.rs
+++ b/lib/src/process/gateway/gossip.rs
@@ -112,6 +112,9 @@
 {
     let now = state.clock.now();
     let mut listed = Vec::new();
+    // They are logged in one line, since there may be many and the rows are read again and again.
+    let mut invalid_count = 0_u64;
+    let mut first_invalid = None;
     for row in platform.scan(ENTRY_PREFIX.to_owned()).await? {
         match serde_json::from_str::<EntryRow>(&row.value) {
             Ok(row) => {
@@ -121,10 +124,17 @@
                 });
             }
             Err(error) => {
-                log::warn!(key = row.key.as_str(); "invalid entry row is ignored: {error}")
+                invalid_count += 1;
+                first_invalid.get_or_insert((row.key, error));
             }
         }
     }
+    if let Some((key, error)) = first_invalid {
+        log::warn!(
+            count = invalid_count, key = key.as_str();
+            "invalid entry rows are ignored, the first one: {error}"
+        );
+    }
     state.with_peers(|peers| peers.on_list_read(&listed, now));
     Ok(())
 }
