configuration: an account that can't be read doesn't make all of it unreadable

What callers would see: one client account of another form, such as one with the name `R&D`, made the whole configuration unreadable. Entries went on with the version before it, and one that was started served nobody.

Cause: routes and services were read one by one, accounts all together.

Change: accounts are read one by one, too. Requests with the keys of one that can't be read get 503 with Retry-After and not 401, since their keys aren't unknown and a later version may be readable. Embedders: `AccessDenial` has `UnreadableAccount`, and `RouteDocument` has `with_unreadable_keys`. An entry of an earlier version that reads from this one answers 401.

--- a/lib/src/request/forward/handler.rs
+++ b/lib/src/request/forward/handler.rs
@@ -260,7 +260,9 @@
                 return not_run(NotRunReason::NotReady);
             }
             match denial {
-                AccessDenial::UnreadableRoute => not_run(NotRunReason::NotReady),
+                AccessDenial::UnreadableRoute | AccessDenial::UnreadableAccount => {
+                    not_run(NotRunReason::NotReady)
+                }
                 AccessDenial::NoRoute => Failure::NoRoute,
                 AccessDenial::UnknownKey => Failure::UnknownKey,
             }
--- a/lib/src/version/routes.rs
+++ b/lib/src/version/routes.rs
@@ -268,6 +268,9 @@
     /// The route that matches the host name and path can't be read.
     #[display("unreadable route")]
     UnreadableRoute,
+    /// The account that the API key belongs to can't be read.
+    #[display("unreadable account")]
+    UnreadableAccount,
     /// No route matches the host name and path.
     #[display("no route")]
     NoRoute,
@@ -299,6 +302,9 @@
     services: SortedVec<ServiceSpec>,
     /// `None` if the environment has no accounts, so that callers need no key.
     keys: Option<SortedVec<AccountKey>>,
+    /// The API keys of accounts that can't be read. Sorted. An entry of an earlier version omits them.
+    #[serde(default)]
+    unreadable_keys: Vec<String>,
 }
 
 impl FeedRecord for RouteDocument {
@@ -319,7 +325,11 @@
         let services: usize = self.services.iter().map(ServiceSpec::size_bytes).sum();
         let keys = self.keys.iter().flat_map(SortedVec::iter);
         let keys: usize = keys.map(AccountKey::size_bytes).sum();
-        size_of::<Self>() + routes + unreadable + services + keys
+        let unreadable_keys = self.unreadable_keys.iter();
+        let unreadable_keys: usize = unreadable_keys
+            .map(|key| size_of::<String>() + key.len())
+            .sum();
+        size_of::<Self>() + routes + unreadable + services + keys + unreadable_keys
     }
 }
 
@@ -340,6 +350,7 @@
             unreadable_routes: Vec::new(),
             services,
             keys,
+            unreadable_keys: Vec::new(),
         }
     }
 
@@ -351,6 +362,14 @@
         self
     }
 
+    /// Adds the API keys of accounts that can't be read. Requests with them are not allowed, unless they are also
+    /// those of an account that can be read.
+    pub fn with_unreadable_keys(mut self, mut unreadable: Vec<String>) -> Self {
+        unreadable.sort();
+        self.unreadable_keys = unreadable;
+        self
+    }
+
     /// Returns the route of `host` with the longest prefix of `path`; `None` if no route matches.
     pub fn find_route(&self, host: &str, path: &str) -> Option<&Route> {
         prefixes_of(path).find_map(|prefix| {
@@ -393,9 +412,14 @@
             });
         };
         let api_key = api_key.ok_or(AccessDenial::UnknownKey)?;
-        let account = keys
-            .get(&api_key.to_owned())
-            .ok_or(AccessDenial::UnknownKey)?;
+        let account = keys.get(&api_key.to_owned()).ok_or_else(|| {
+            let position = self
+                .unreadable_keys
+                .binary_search_by(|unreadable| unreadable.as_str().cmp(api_key));
+            position.map_or(AccessDenial::UnknownKey, |_| {
+                AccessDenial::UnreadableAccount
+            })
+        })?;
         Ok(AuthorizedRequest {
             route,
             account: Some(account),
