tests: entries of soaks listen at ports that the system gives to no connection

What was seen: one of 50 runs of a soak, six at a time, had 1,334 requests without an answer. An entry that was killed couldn't start again: "can't listen at 127.0.0.1:42411: Address already in use". Its port had been chosen by the system, which had given it to a connection meanwhile.

Change: the ports of these entries are drawn from 15000 to 29999, below those of connections. No check is changed.

--- a/cli/tests/test_gateway_soak.rs
+++ b/cli/tests/test_gateway_soak.rs
@@ -37,6 +37,9 @@
 const TIMEOUT: Duration = Duration::from_secs(20);
 const LIMIT_BYTES: usize = 1 << 20;
 
+/// Ports below those that the system gives to connections.
+const LISTEN_PORTS: std::ops::Range<u16> = 15_000..30_000;
+
 /// An entry that the soak disturbs.
 pub(crate) struct SoakEntry {
     process: std::process::Child,
@@ -83,7 +86,7 @@
     ) -> Self {
         let mut listeners = Vec::new();
         for _ in 0..4 {
-            listeners.push(TcpListener::bind("127.0.0.1:0").await.unwrap());
+            listeners.push(bind_listen_port().await);
         }
         let addresses = listeners.iter().map(|listener| listener.local_addr());
         let addresses = addresses.map(Result::unwrap).collect::<Vec<_>>();
@@ -156,6 +159,16 @@
     }
 }
 
+/// Binds a free port that the system gives to no connection, so that it is still free when an entry starts again.
+async fn bind_listen_port() -> TcpListener {
+    loop {
+        let port: u16 = rand::random_range(LISTEN_PORTS);
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)).await {
+            return listener;
+        }
+    }
+}
+
 fn spawn(settings: &Path, log: Option<&Path>) -> std::process::Child {
     let mut command = Command::new(env!("CARGO_BIN_EXE_beryltray"));
     command.arg("entry").arg("--settings").arg(settings);
