tests: a soak of entries that restart beside odd rows

Three entries as processes, or as many as BERYLTRAY_SOAK_ENTRIES says, with 620 rows or more of another writer in the tables of targets, of the operator and of entries, which come, change and go while signals stop, end and restart the entries in series that overlap. The history is discarded now and then, and at the end all entries are killed at once. From 4 s after a start or a disturbance each request must be served, on connections that are kept, and nothing may connect to the address in the odd rows.

--- a/cli/tests/runner.rs
+++ b/cli/tests/runner.rs
@@ -36,6 +36,7 @@
 mod test_load_command;
 mod test_log_lines;
 mod test_lost_history_soak;
+mod test_odd_rows_soak;
 mod test_promises;
 mod test_stand_in_command;
 mod test_statement_soak;
--- a/cli/tests/test_lost_history_soak.rs
+++ b/cli/tests/test_lost_history_soak.rs
@@ -147,8 +147,18 @@
     document
 }
 
+/// Returns the number of entries in the environment's variable, or `default` without it.
+pub(crate) fn entry_count(default: usize) -> usize {
+    let count = std::env::var(ENTRIES_VARIABLE);
+    count.map_or(default, |count| count.parse().unwrap())
+}
+
 /// Sends a request on a connection that is kept until the entry closes it. Returns the status of a whole answer.
-async fn ask(open: &mut Option<ClientConnection>, callers: SocketAddr, path: &str) -> Option<u16> {
+pub(crate) async fn ask(
+    open: &mut Option<ClientConnection>,
+    callers: SocketAddr,
+    path: &str,
+) -> Option<u16> {
     let mut connection = match open.take().filter(ClientConnection::is_usable) {
         Some(kept) => kept,
         None => ClientConnection::open(callers, TIMEOUT).await.ok()?,
@@ -347,8 +357,7 @@
 async fn soak(seed: u64) -> Broken {
     let mut random = StdRng::seed_from_u64(seed);
     let mut next_random = || StdRng::seed_from_u64(random.random());
-    let entry_count = std::env::var(ENTRIES_VARIABLE);
-    let entry_count = entry_count.map_or(ENTRIES, |count| count.parse().unwrap());
+    let entry_count = entry_count(ENTRIES);
     let logs = std::env::var(LOGS_VARIABLE)
         .map(std::path::PathBuf::from)
         .ok();
