store: rows for evacuations without a valid name have one log line an answer

The operator's rows are read again after half of in-force-within, and each such row had a line at each read, as those of targets had. The line's words are unchanged; it has the count, and the first row's key.

Evidence: log_lines_of_other_writers_rows_are_few_and_name_one, with 600 such rows, failed before (600 lines) and passes.

--- a/cli/tests/test_log_lines.rs
+++ b/cli/tests/test_log_lines.rs
@@ -93,12 +93,18 @@
         let name = format!("odd&{number:03}");
         store.put_bytes("servers", &name, b"\xff");
         store.put("beryltray", &format!("entry/{name}"), &json!({"entry": 7}));
+        store.put("op", &format!("evacuate/{name}"), &json!({}));
     }
     let log = std::env::temp_dir().join(format!("log-lines-{}.log", new_attempt_id()));
     let entry = SoakEntry::start_with_log(0, start(store.clone()).await, Some(&log)).await;
     for (message, key_field, first) in [
         ("skipping invalid target record", "target_key", "odd&000"),
         ("using ", "key", "entry/odd&000"),
+        (
+            "evacuated data centre has no valid name",
+            "key",
+            "evacuate/odd&000",
+        ),
         ("invalid entry row", "key", "entry/odd&000"),
     ] {
         eventually(async || !lines_with(&log, message).is_empty()).await;
