platform: a host of an odd form doesn't make the host list unreadable

The same as for rows of the store, in the product's own interface: one host without a field, or with a name that isn't one, made the whole answer unreadable, so that changes of the list weren't followed while it stood. Rows of groups and assignments were read one by one already.

Change: hosts are read one by one; one line in the log has the number of others and the first one's name. An answer without a list is an error, as before.

Evidence: hosts_skips_odd_ones failed before ("invalid type: null, expected struct ListedHost") and passes.

--- a/lib/src/platform/http.rs
+++ b/lib/src/platform/http.rs
@@ -8,8 +8,10 @@
 use http::Request;
 use http::StatusCode;
 use http::header::HOST;
+use serde::Deserialize;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use serde_json::Value;
 
 use super::CommitOutcome;
 use super::HostList;
@@ -181,6 +183,35 @@
     }
 }
 
+/// A [`wire::HostsResponse`] in which single hosts may be of another form.
+#[derive(Deserialize)]
+struct HostItems {
+    hosts: Vec<Value>,
+}
+
+/// Returns the hosts that can be read. The others are logged in one line and skipped.
+fn readable_hosts(items: &[Value]) -> Vec<ListedHost> {
+    let mut hosts = Vec::with_capacity(items.len());
+    let mut first_error = None;
+    for item in items {
+        match ListedHost::deserialize(item) {
+            Ok(host) => hosts.push(host),
+            Err(error) => {
+                let name = item.get("host").and_then(Value::as_str);
+                first_error.get_or_insert((name, error));
+            }
+        }
+    }
+    if let Some((name, error)) = first_error {
+        let count = (items.len() - hosts.len()) as u64;
+        log::warn!(
+            count = count, host = name;
+            "skipping invalid hosts of the host list, the first one: {error}"
+        );
+    }
+    hosts
+}
+
 impl<C> HostList for HttpPlatform<C>
 where
     C: Clock,
@@ -189,7 +220,7 @@
         let (_, body) = self
             .exchange(Method::GET, wire::HOSTS_PATH, Bytes::new())
             .await?;
-        let answer: wire::HostsResponse = serde_json::from_slice(&body).map_err(protocol_error)?;
-        Ok(answer.hosts)
+        let answer: HostItems = serde_json::from_slice(&body).map_err(protocol_error)?;
+        Ok(readable_hosts(&answer.hosts))
     }
 }
--- a/stand-ins/tests/test_platform.rs
+++ b/stand-ins/tests/test_platform.rs
@@ -3,6 +3,11 @@
 use std::net::SocketAddr;
 
 use beryltray_lib::clock::SystemClock;
+use beryltray_lib::connection::body::ResponseBody;
+use beryltray_lib::connection::body::full_body;
+use beryltray_lib::connection::server::HttpHandler;
+use beryltray_lib::connection::server::ServerSettings;
+use beryltray_lib::connection::server::serve;
 use beryltray_lib::ids::Revision;
 use beryltray_lib::ids::new_attempt_id;
 use beryltray_lib::platform::Check;
@@ -20,6 +25,12 @@
 use beryltray_stand_ins::platform;
 use beryltray_stand_ins::platform::PlatformSettings;
 use beryltray_stand_ins::truth::PlatformTruth;
+use http::Request;
+use http::Response;
+use hyper::body::Incoming;
+use serde_json::json;
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
 
 use crate::common::TEST_TIMEOUT;
 use crate::common::fetch_truth;
@@ -145,3 +156,45 @@
     let current = list.hosts().await.unwrap();
     assert_eq!(current[0].state, ListedState::Leaving);
 }
+
+/// A platform whose host list has this text.
+#[derive(Clone, Debug)]
+struct HostListText(String);
+
+impl HttpHandler for HostListText {
+    async fn handle(&self, _request: Request<Incoming>) -> Response<ResponseBody> {
+        Response::new(full_body(self.0.clone()))
+    }
+}
+
+async fn listed_hosts(text: String) -> Result<Vec<ListedHost>, PlatformError> {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let never = CancellationToken::new();
+    let handler = HostListText(text);
+    tokio::spawn(serve(listener, handler, ServerSettings::default(), never));
+    client(address).hosts().await
+}
+
+/// Guards against a host list that can't be read because of one of its hosts.
+#[tokio::test]
+async fn hosts_skips_odd_ones() {
+    let host = |name: &str| {
+        json!({"host": name, "service": "ledger", "address": "127.0.0.1:1", "data_centre": "lakes-a",
+               "domain": "d-1", "state": "live"})
+    };
+    let mut without_domain = host("h-3");
+    without_domain.as_object_mut().unwrap().remove("domain");
+    let hosts = [
+        json!(null),
+        host("h-1"),
+        host("b&part=z"),
+        without_domain,
+        host("h-2"),
+    ];
+    let listed = listed_hosts(json!({"hosts": hosts}).to_string()).await;
+    let names: Vec<String> = listed.unwrap().iter().map(|h| h.host.to_string()).collect();
+    assert_eq!(names, ["h-1", "h-2"]);
+    let without_list = listed_hosts(String::from("{}")).await;
+    assert!(without_list.is_err(), "{without_list:?}");
+}
