--- a/cli/tests/test_odd_rows_soak.rs
+++ b/cli/tests/test_odd_rows_soak.rs
@@ -23,12 +23,12 @@
 use rand::rngs::StdRng;
 use serde_json::Value;
 use serde_json::json;
-use tokio::net::TcpListener;
 use tokio::task::JoinSet;
 
 use crate::stand_in::StoreSettings;
 use crate::stand_in::StoreStandIn;
 use crate::stand_in::configuration;
+use crate::stand_in::count_connections;
 use crate::stand_in::record;
 use crate::stand_in::start;
 use crate::test_gateway_soak::Disturbance;
@@ -202,20 +202,6 @@
     }
 }
 
-/// Listens and counts the connections, which it closes.
-async fn count_connections() -> (SocketAddr, Arc<AtomicUsize>) {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
-    let count = Arc::new(AtomicUsize::new(0));
-    let counter = Arc::clone(&count);
-    tokio::spawn(async move {
-        while listener.accept().await.is_ok() {
-            counter.fetch_add(1, Ordering::SeqCst);
-        }
-    });
-    (address, count)
-}
-
 /// Guards against entries that serve nothing, or send to the address in a row that names no target, while another
 /// writer's rows stand.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
