--- a/review/second/case_6.rs
+++ b/review/second/case_6.rs
@@ -29,6 +29,7 @@
         let routes = [Route {
             prefix: "/book/",
             kind: "non_idempotent",
+            priority: 2,
             timeout_ms: DEADLINE_MS,
             max_attempts: 1,
             is_resumable: false,
@@ -37,7 +38,7 @@
         let run: Arc<Mutex<Vec<String>>> = Arc::default();
         for id in ["i-desk-1", "i-desk-2", "i-desk-3"] {
             let (run, record) = (Arc::clone(&run), record.clone());
-            start_worker(&store, id, move |call| {
+            start_worker(&store, id, 26, move |call| {
                 let request = call.request_id();
                 record.line(&format!("worker {id} runs {request}"));
                 run.lock().unwrap().push(request.clone());
@@ -47,7 +48,7 @@
                 Ok(())
             });
         }
-        let mut entry = Entry::start(&store);
+        let mut entry = Entry::start(&store, 1);
         if !entry.wait_until_ready() {
             return NOT_RUN;
         }
--- a/review/second/common.rs
+++ b/review/second/common.rs
@@ -481,26 +481,34 @@
 pub struct Route {
     pub prefix: &'static str,
     pub kind: &'static str,
+    pub priority: u8,
     pub timeout_ms: u32,
     pub max_attempts: u32,
     pub is_resumable: bool,
 }
 
-/// Puts a configuration with these routes, all to the service `desk`.
+/// Puts a configuration with these routes, all to the service `desk`, and one tenant.
 pub fn put_configuration(store: &Store, version: u32, routes: &[Route]) {
+    let tenant = format!(r#"{{"name":"{TENANT}","api-keys":["{API_KEY}"],"priority":1}}"#);
+    put_configuration_with_tenants(store, version, routes, &[tenant]);
+}
+
+/// Puts a configuration with these routes, all to the service `desk`, and these tenants.
+pub fn put_configuration_with_tenants(store: &Store, version: u32, routes: &[Route], tenants: &[String]) {
+    let tenants = tenants.join(",");
     let mut text = format!(r#"{{"version":{version},"routes":["#);
     for (index, route) in routes.iter().enumerate() {
         let comma = if index == 0 { "" } else { "," };
         write!(
             text,
-            r#"{comma}{{"name":"r-{index}","host":"{HOST}","prefix":"{}","kind":"{}","timeout-ms":{},"target-latency-ms":300,"priority":1,"service":"desk","max-attempts":{},"public":false,"resumable":{}}}"#,
-            route.prefix, route.kind, route.timeout_ms, route.max_attempts, route.is_resumable
+            r#"{comma}{{"name":"r-{index}","host":"{HOST}","prefix":"{}","kind":"{}","timeout-ms":{},"target-latency-ms":300,"priority":{},"service":"desk","max-attempts":{},"public":false,"resumable":{}}}"#,
+            route.prefix, route.kind, route.timeout_ms, route.priority, route.max_attempts, route.is_resumable
         )
         .unwrap();
     }
     write!(
         text,
-        r#"],"services":[{{"name":"desk","health-path":"/health","max-connections":110,"protocol":"h1","tls":false}}],"limits":{{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000}},"tenants":[{{"name":"{TENANT}","api-keys":["{API_KEY}"],"priority":1}}]}}"#
+        r#"],"services":[{{"name":"desk","health-path":"/health","max-connections":110,"protocol":"h1","tls":false}}],"limits":{{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000}},"tenants":[{tenants}]}}"#
     )
     .unwrap();
     store.put("op", "config", &text);
@@ -540,7 +548,7 @@
 }
 
 /// Starts a worker that registers itself and answers with `answer`. The connection is closed if that fails.
-pub fn start_worker<F>(store: &Store, id: &'static str, answer: F)
+pub fn start_worker<F>(store: &Store, id: &'static str, slots: usize, answer: F)
 where
     F: Fn(&mut WorkerCall<'_>) -> std::io::Result<()> + Send + Sync + 'static,
 {
@@ -569,7 +577,7 @@
     thread::spawn(move || {
         for seq in 1u64.. {
             let value = format!(
-                r#"{{"service":"desk","address":"{address}","zone":"lakes-a","version":"v1","slots":26,"state":"ready","cold-remaining-ms":0,"seq":{seq},"born":{born_ms}}}"#
+                r#"{{"service":"desk","address":"{address}","zone":"lakes-a","version":"v1","slots":{slots},"state":"ready","cold-remaining-ms":0,"seq":{seq},"born":{born_ms}}}"#
             );
             store.put("servers", id, &value);
             thread::sleep(Duration::from_millis(1_200));
@@ -588,20 +596,21 @@
 }
 
 impl Entry {
-    /// Starts an entry; its log goes to the folder that is removed at the end.
-    pub fn start(store: &Store) -> Self {
+    /// Starts an entry with this number in its name; its log goes to the folder that is removed at the end.
+    pub fn start(store: &Store, number: usize) -> Self {
+        let name = format!("front-lakes-a-{number}");
         let listeners: Vec<TcpListener> =
             (0..4).map(|_| TcpListener::bind("127.0.0.1:0").expect("a free port")).collect();
         let addresses: Vec<SocketAddr> =
             listeners.iter().map(|listener| listener.local_addr().unwrap()).collect();
         drop(listeners);
         let ports: Vec<String> = addresses.iter().map(|address| address.port().to_string()).collect();
-        let folder = std::env::temp_dir().join(format!("review-second-{}", std::process::id()));
+        let folder = std::env::temp_dir().join(format!("review-second-{}-{number}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("a temporary folder");
         let template = std::fs::read_to_string("deploy/entry.ini").expect("the template of the settings");
         let metrics = format!("127.0.0.1:{}", ports[2]);
         let values = [
-            ("{{node}}", "front-lakes-a-1"),
+            ("{{node}}", name.as_str()),
             ("{{zone}}", "lakes-a"),
             ("{{bootstrap}}", "true"),
             ("{{limits.cpu-share}}", "0.25"),
@@ -653,6 +662,12 @@
         false
     }
 
+    /// Returns the lines of the process's log so far that contain a text.
+    pub fn log_lines(&self, text: &str) -> Vec<String> {
+        let log = std::fs::read_to_string(self.folder.join("entry.log")).unwrap_or_default();
+        log.lines().filter(|line| line.contains(text)).map(str::to_owned).collect()
+    }
+
     pub fn is_running(&mut self) -> bool {
         matches!(self.process.try_wait(), Ok(None))
     }
@@ -677,8 +692,20 @@
 
 /// The head of a client's request with its key and a body of this length.
 pub fn request_head(method: &str, path: &str, id: &str, deadline_ms: u32, body_bytes: usize) -> String {
+    request_head_with_key(API_KEY, method, path, id, deadline_ms, body_bytes)
+}
+
+/// The same with another key.
+pub fn request_head_with_key(
+    key: &str,
+    method: &str,
+    path: &str,
+    id: &str,
+    deadline_ms: u32,
+    body_bytes: usize,
+) -> String {
     format!(
-        "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nBeryltray-Request-Id: {id}\r\nBeryltray-Request-Deadline: {deadline_ms}\r\nAuthorization: Bearer {API_KEY}\r\nContent-Length: {body_bytes}\r\n\r\n"
+        "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nBeryltray-Request-Id: {id}\r\nBeryltray-Request-Deadline: {deadline_ms}\r\nAuthorization: Bearer {key}\r\nContent-Length: {body_bytes}\r\n\r\n"
     )
 }
 
