--- a/review/second/common.rs
+++ b/review/second/common.rs
@@ -538,6 +538,20 @@
         )
     }
 
+    /// Sends a whole stream with the worker's seal: an event for each of these ids, 20 ms apart, that follows
+    /// the last one that the request names.
+    pub fn answer_stream(&mut self, ids: &[u64]) -> std::io::Result<()> {
+        let last: Option<u64> = self.head.get("last-event-id").and_then(|text| text.parse().ok());
+        let headers = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n";
+        self.writer.write_all(self.sealed_head("200 OK", headers).as_bytes())?;
+        for id in ids.iter().filter(|id| last.is_none_or(|last| **id > last)) {
+            let event = format!("id: {id}\ndata: text-{id}\n\n");
+            self.writer.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
+            thread::sleep(Duration::from_millis(20));
+        }
+        self.writer.write_all(b"0\r\n\r\n")
+    }
+
     /// Sends a whole answer with the worker's seal.
     pub fn answer(&mut self, status: &str, body: &[u8]) -> std::io::Result<()> {
         let head = self.sealed_head(status, &format!("Content-Length: {}\r\n", body.len()));
