--- a/review/second/common.rs
+++ b/review/second/common.rs
@@ -601,6 +601,9 @@
 
 // ---- the entry's process ----
 
+/// The ids of the processes that run, for a script that has to end early.
+static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
 /// A process of the role `entry`, started with the command of the deploy file and rendered settings.
 pub struct Entry {
     process: Child,
@@ -670,6 +673,7 @@
             .stderr(log)
             .spawn()
             .expect("target/release/beryltray can be started");
+        STARTED.lock().unwrap().push(process.id());
         Self { process, folder, callers: addresses[0], readiness: addresses[1] }
     }
 
@@ -719,6 +723,7 @@
 impl Drop for Entry {
     fn drop(&mut self) {
         let _ = self.process.kill();
+        STARTED.lock().unwrap().retain(|id| *id != self.process.id());
         let _ = self.process.wait();
         let _ = std::fs::remove_dir_all(&self.folder);
     }
@@ -818,7 +823,12 @@
         let result = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| case(&case_record)));
         let _ = sender.send(result.unwrap_or(NOT_RUN));
     });
-    let status = receiver.recv_timeout(Duration::from_secs(110)).unwrap_or(NOT_RUN);
+    let status = receiver.recv_timeout(Duration::from_secs(110)).unwrap_or_else(|_| {
+        for id in STARTED.lock().unwrap().drain(..) {
+            let _ = Command::new("kill").args(["-s", "KILL", &id.to_string()]).status();
+        }
+        NOT_RUN
+    });
     let text = match status {
         HELD => "the rule held",
         BROKEN => "the rule was broken",
