--- a/lib/src/process/evacuation/evacuations.rs
+++ b/lib/src/process/evacuation/evacuations.rs
@@ -95,6 +95,14 @@
         changes
     }
 
+    /// Forgets the revisions of what is known, since the platform has another history. The next read decides.
+    pub fn on_history_ended(&mut self) {
+        self.complete_until = None;
+        for record in self.active.iter_mut() {
+            record.revision = Revision(0);
+        }
+    }
+
     fn put(&mut self, record: &EvacuationRecord) -> Option<EvacuationChange> {
         let known = self.active.get(&record.data_centre);
         let known_until = match known {
--- a/lib/src/process/feed_reader/snapshot_check.rs
+++ b/lib/src/process/feed_reader/snapshot_check.rs
@@ -69,10 +69,11 @@
 }
 
 impl SnapshotCheck {
-    /// Creates the check of a reader without records.
-    pub fn of_first() -> Self {
+    /// Creates the check of a reader without records. `reached` is a revision that the platform had reached by
+    /// its writes, if any is known.
+    pub fn of_first(reached: Option<Revision>) -> Self {
         Self {
-            reached: None,
+            reached,
             newest_before: None,
         }
     }
--- a/lib/src/process/formation/departure.rs
+++ b/lib/src/process/formation/departure.rs
@@ -22,6 +22,10 @@
 }
 
 impl Departure {
+    /// The revision of what was known of an earlier history of the registry. No read of the present one goes up
+    /// to it.
+    pub(super) const OF_EARLIER_HISTORY: Revision = Revision(u64::MAX);
+
     /// Returns the departure of a host whose record was read in the changes up to `revision`, if it had
     /// the departure `known` before.
     pub(super) fn on_record(
--- a/lib/src/process/formation/host_tracker.rs
+++ b/lib/src/process/formation/host_tracker.rs
@@ -96,6 +96,9 @@
     pub departure: Option<Departure>,
     /// Whether the host's data centre is evacuated, so that nothing may be sent to it.
     pub is_evacuated: bool,
+    /// Whether the host was removed in an earlier history of the registry. A record from before the removal may
+    /// come back with a restored registry.
+    was_removed_in_earlier_history: bool,
     record_received_at: Instant,
     /// When the last answered call was sent.
     answered_at: Option<Instant>,
@@ -297,6 +300,19 @@
         }
     }
 
+    /// Forgets the revision, since the registry has come back in an earlier state. What was known of hosts that
+    /// leave counts until a record that was written since says otherwise, or for [`UNLISTED_RETENTION`] if
+    /// another entry told it.
+    pub fn on_history_ended(&mut self, now: Instant) {
+        self.revision = Revision(0);
+        for tracked in self.hosts.iter_mut() {
+            tracked.was_removed_in_earlier_history |= !tracked.is_listed(now);
+            if let Some(departure) = &mut tracked.departure {
+                departure.revision = Departure::OF_EARLIER_HISTORY;
+            }
+        }
+    }
+
     /// Records that another entry tells that a host drains or is not listed. Returns whether that is
     /// news.
     ///
@@ -386,7 +402,13 @@
         let is_outdated = known.is_some_and(|known| {
             is_same_incarnation && is_fewer(record.write_number, known.record.write_number)
         });
-        if is_outdated {
+        let is_from_before_removal = known.is_some_and(|known| {
+            let numbers = known.record.write_number.zip(record.write_number);
+            is_same_incarnation
+                && known.was_removed_in_earlier_history
+                && numbers.is_some_and(|(known, restored)| restored <= known)
+        });
+        if is_outdated || is_from_before_removal {
             return;
         }
         let was_unlisted = known.is_some_and(|known| known.unlisted_from.is_some());
@@ -425,6 +447,7 @@
             first_listed_at,
             relisted_at,
             stated_leaving_at,
+            was_removed_in_earlier_history: false,
             record_received_at: now,
             answered_at,
         });
--- a/lib/src/process/gateway/change_log.rs
+++ b/lib/src/process/gateway/change_log.rs
@@ -92,6 +92,13 @@
         self.revision = Some(revision);
     }
 
+    /// Forgets all changes and the revision, since the platform has another history. The log is of no use to
+    /// readers until a snapshot was read.
+    pub fn on_history_ended(&mut self) {
+        self.on_snapshot(Revision(0));
+        self.revision = None;
+    }
+
     /// Records that the log is complete as of `at`, by an answer of the platform.
     ///
     /// The answer may have come through other entries. `at` is then the time of the platform's
--- a/lib/src/process/gateway/coordinate.rs
+++ b/lib/src/process/gateway/coordinate.rs
@@ -23,6 +23,7 @@
 use crate::process::lease::LeaseAction;
 use crate::process::lease::LeaseMachine;
 use crate::process::lease::LeaseSettings;
+use crate::process::platform_history::KnownRevision;
 use crate::target::record::CallError;
 use crate::target::record::GroupOrder;
 use crate::target::record::OrderAnswer;
@@ -120,7 +121,11 @@
 /// The result of a call to the platform for the lease.
 enum LeaseCallResult {
     Read(Result<Option<crate::platform::Row>, PlatformError>),
-    Commit(Result<CommitOutcome, PlatformError>),
+    Commit {
+        /// What was known before the transaction was sent.
+        known: KnownRevision,
+        committed: Result<CommitOutcome, PlatformError>,
+    },
 }
 
 struct Coordinator<C, P, T> {
@@ -402,6 +407,7 @@
     fn call_platform(&self, action: LeaseAction) {
         let platform = self.platform.clone();
         let sender = self.lease_result_sender.clone();
+        let known = self.state.known_before_write();
         tokio::spawn(async move {
             let result = match action {
                 LeaseAction::Read { key } => {
@@ -409,7 +415,8 @@
                     LeaseCallResult::Read(read.map(|rows| rows.into_iter().next().flatten()))
                 }
                 LeaseAction::Commit(transaction) => {
-                    LeaseCallResult::Commit(platform.commit(transaction).await)
+                    let committed = platform.commit(transaction).await;
+                    LeaseCallResult::Commit { known, committed }
                 }
             };
             sender.send(result).await.is_ok()
@@ -418,12 +425,14 @@
 
     fn on_lease_result(&mut self, result: LeaseCallResult) {
         let now = self.state.clock.now();
-        if let LeaseCallResult::Commit(Ok(CommitOutcome::Committed { revision })) = &result {
-            self.state.on_committed(*revision);
-        }
         match result {
             LeaseCallResult::Read(read) => self.lease.on_read(read, now),
-            LeaseCallResult::Commit(answer) => self.lease.on_commit(answer, now),
+            LeaseCallResult::Commit { known, committed } => {
+                if let Ok(CommitOutcome::Committed { revision }) = committed {
+                    self.state.on_committed(known, revision);
+                }
+                self.lease.on_commit(committed, now);
+            }
         }
     }
 
--- a/lib/src/process/gateway/follow.rs
+++ b/lib/src/process/gateway/follow.rs
@@ -13,6 +13,7 @@
 use super::state::GatewayState;
 use crate::clock::Clock;
 use crate::platform::PlatformError;
+use crate::platform::Table;
 use crate::platform::feed::Changes;
 use crate::platform::feed::ChangesRequest;
 use crate::platform::feed::Feed;
@@ -208,7 +209,7 @@
 pub(super) async fn follow_operator<C, P>(state: Arc<GatewayState<C>>, feed: RelayedFeed<C, P>)
 where
     C: Clock,
-    P: Feed<OperatorRecord>,
+    P: Feed<OperatorRecord> + Table,
 {
     let sink = OperatorSink(Arc::clone(&state));
     // Half of the time is left for the readers of this entry.
@@ -225,7 +226,7 @@
 pub(super) async fn follow_targets<C, P>(state: Arc<GatewayState<C>>, feed: RelayedFeed<C, P>)
 where
     C: Clock,
-    P: Feed<TargetRecord>,
+    P: Feed<TargetRecord> + Table,
 {
     let sink = TargetSink {
         state: Arc::clone(&state),
@@ -312,7 +313,7 @@
     }: FollowSettings<G>,
 ) where
     C: Clock,
-    P: Feed<T>,
+    P: Feed<T> + Table,
     T: RelayedRecord,
     S: RecordSink<T>,
     G: Fn(&GatewayState<C>) -> Duration,
@@ -327,37 +328,56 @@
     let mut retry_delay = RETRY_DELAY_MIN;
     let mut failing_since: Option<Instant> = None;
     let mut answer_series = AnswerSeries::default();
+    let mut history_changed = state.subscribe_to_history();
     loop {
+        let history = *history_changed.borrow_and_update();
         let started_at = state.clock.now();
         let upstream = T::upstream(&state);
         let source = upstream.map_or(RecordSource::Platform, RecordSource::Entry);
         // Many entries read the platform then, and those that can't read it don't take theirs for the latest.
         plan.set_resync_allowed(!state.is_configuration_unreadable_somewhere());
-        let update = match plan.next_read(source, started_at) {
-            NextRead::Snapshot => {
-                plan.on_snapshot_request(started_at);
-                feed.snapshot().await
-            }
-            NextRead::Changes {
-                since,
-                limit_bytes,
-                wait_max,
-                with_newest_revision,
-            } => {
-                let request = ChangesRequest {
+        let next_read = plan.next_read(source, started_at);
+        let read = async {
+            match next_read {
+                NextRead::Snapshot => (feed.snapshot().await, None),
+                NextRead::Changes {
                     since,
-                    wait: long_poll_time(batch_delay(&state)).min(wait_max),
                     limit_bytes,
-                };
-                if with_newest_revision {
-                    let (update, newest) = feed.changes_with_newest_revision(request).await;
-                    plan.on_newest_revision(newest, started_at);
-                    update
-                } else {
-                    feed.changes(request).await
+                    wait_max,
+                    with_newest_revision,
+                } => {
+                    let request = ChangesRequest {
+                        since,
+                        wait: long_poll_time(batch_delay(&state)).min(wait_max),
+                        limit_bytes,
+                    };
+                    if with_newest_revision {
+                        let (update, newest) = feed.changes_with_newest_revision(request).await;
+                        (update, Some(newest))
+                    } else {
+                        (feed.changes(request).await, None)
+                    }
                 }
             }
         };
+        if next_read == NextRead::Snapshot {
+            plan.on_snapshot_request(started_at);
+        }
+        let (update, newest) = tokio::select! {
+            read = read => read,
+            Ok(()) = history_changed.changed() => {
+                plan.on_history_lost();
+                continue;
+            }
+        };
+        if state.history_id() != history {
+            // The answer may be of the history that has ended.
+            plan.on_history_lost();
+            continue;
+        }
+        if let Some(newest) = newest {
+            plan.on_newest_revision(newest, started_at);
+        }
         let now = state.clock.now();
         if update.is_ok()
             && let Some(since) = failing_since.take()
--- a/lib/src/process/gateway/gossip.rs
+++ b/lib/src/process/gateway/gossip.rs
@@ -180,6 +180,7 @@
             paces: payload.paces,
             demand: payload.demand,
             quarantine: state.with_quarantine(|quarantine, now| quarantine.gossip(now)),
+            history: state.history_id(),
         };
         let now = state.clock.now();
         let grants = message.limits.iter().flat_map(|limit| &limit.grants);
--- a/lib/src/process/gateway/metrics.rs
+++ b/lib/src/process/gateway/metrics.rs
@@ -53,6 +53,7 @@
     lagging_snapshots: IntCounterVec,
     lagging_transactions: IntCounterVec,
     writes_below_known_revision: IntCounter,
+    platform_returns: IntCounter,
     feed_bytes: IntCounterVec,
     feed_answers_with_changes: IntGaugeVec,
     /// Failed calls to the platform, by the feed that was read.
@@ -194,6 +195,10 @@
                 crate::process::metrics::prefixed_name("writes_below_known_revision_total"),
                 "Writes of this entry at a lower revision than the records had reached before.",
             )?,
+            platform_returns: IntCounter::new(
+                crate::process::metrics::prefixed_name("platform_returns_total"),
+                "Returns of the platform in an earlier state that this entry has detected or heard of.",
+            )?,
             feed_bytes: counters(
                 "feed_bytes_total",
                 "Bytes of the answers with records that were read completely.",
@@ -351,6 +356,7 @@
         registry.register(Box::new(self.lagging_snapshots.clone()))?;
         registry.register(Box::new(self.lagging_transactions.clone()))?;
         registry.register(Box::new(self.writes_below_known_revision.clone()))?;
+        registry.register(Box::new(self.platform_returns.clone()))?;
         registry.register(Box::new(self.feed_answers_with_changes.clone()))?;
         registry.register(Box::new(self.feed_bytes.clone()))?;
         registry.register(Box::new(self.platform_failures.clone()))?;
@@ -531,6 +537,11 @@
         self.writes_below_known_revision.inc();
     }
 
+    /// Counts a return of the platform in an earlier state.
+    pub fn count_platform_return(&self) {
+        self.platform_returns.inc();
+    }
+
     /// Sets how many answers with changes came one after the other.
     pub fn set_feed_answers_with_changes(&self, records: &str, answers: u32) {
         let gauge = self.feed_answers_with_changes.with_label_values(&[records]);
--- a/lib/src/process/gateway/mod.rs
+++ b/lib/src/process/gateway/mod.rs
@@ -18,6 +18,7 @@
 mod evacuation_state;
 mod follow;
 mod gossip;
+mod history;
 mod leaving;
 mod limit_gossip;
 mod limit_state;
--- a/lib/src/process/gateway/peers.rs
+++ b/lib/src/process/gateway/peers.rs
@@ -22,6 +22,7 @@
 use crate::ids::HostId;
 use crate::ids::Incarnation;
 use crate::process::demand::DemandGossip;
+use crate::process::platform_history::HistoryId;
 use crate::request::pace::GossipedPace;
 use crate::sorted::Keyed;
 use crate::sorted::SortedVec;
@@ -200,6 +201,9 @@
     /// version omits it.
     #[serde(default)]
     pub demand: DemandGossip,
+    /// The history of the platform that the sender reads; an entry of an earlier version omits it.
+    #[serde(default, skip_serializing_if = "HistoryId::is_first")]
+    pub history: HistoryId,
 }
 
 /// Another entry and its last datagram.
--- a/lib/src/process/gateway/record_relay.rs
+++ b/lib/src/process/gateway/record_relay.rs
@@ -30,6 +30,7 @@
 use crate::platform::feed::Changes;
 use crate::platform::feed::FeedRecord;
 use crate::process::evacuation::OperatorRecord;
+use crate::process::platform_history::HistoryId;
 use crate::target::record::TargetRecord;
 
 /// The longest time for which a request waits for a change.
@@ -44,6 +45,10 @@
 /// The query parameter with the revision of the caller.
 pub(super) const SINCE_PARAMETER: &str = "since=";
 
+/// The header of a request with the history of the platform that the revision belongs to. An entry of an earlier
+/// version ignores it.
+pub(super) const HISTORY_HEADER: &str = "beryltray-history";
+
 /// The status of a response if the newest state of a record can't be read here. An entry of an earlier
 /// version takes it for a failure.
 pub(super) const UNREADABLE_STATUS: StatusCode = StatusCode::NOT_IMPLEMENTED;
@@ -80,6 +85,9 @@
     /// An entry of an earlier version omits it.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub(super) known_keys: Option<Vec<String>>,
+    /// The history of the platform that the revision belongs to. An entry of an earlier version omits it.
+    #[serde(default, skip_serializing_if = "HistoryId::is_first")]
+    pub(super) history: HistoryId,
 }
 
 /// A kind of record that entries relay.
@@ -429,6 +437,12 @@
         let since = query
             .strip_prefix(SINCE_PARAMETER)
             .and_then(|number| number.parse().ok());
+        let history = request.headers().get(HISTORY_HEADER);
+        let history = history.and_then(|history| history.to_str().ok()?.parse().ok());
+        let history: HistoryId = history.unwrap_or_default();
+        self.state.on_history_told(history);
+        // A revision of another history says nothing of what the caller lacks.
+        let since = since.filter(|_| history == self.state.history_id());
         match request.uri().path() {
             TARGETS_PATH => self.respond(since, same_changes::<TargetRecord>).await,
             OPERATOR_PATH => self.respond(since, same_changes::<OperatorRecord>).await,
@@ -456,6 +470,7 @@
         let arrived_at = self.state.clock.now();
         let deadline = tokio::time::Instant::now() + LONG_POLL_TIME;
         let known_at = T::confirmed_at(&self.state);
+        let history = self.state.history_id();
         let mut has_waited = false;
         loop {
             let changed = self.state.records_changed.notified();
@@ -470,6 +485,10 @@
                 }
                 Err(NotRelayed::Unreadable) => return empty_response(UNREADABLE_STATUS),
             };
+            // The revision may have been one of the history that has ended meanwhile.
+            if self.state.history_id() != history {
+                return empty_response(StatusCode::SERVICE_UNAVAILABLE);
+            }
             let has_changes =
                 is_snapshot || !changes.changed.is_empty() || !changes.removed.is_empty();
             // A new confirmation is passed on at once, so that it does not grow old on the way.
@@ -487,6 +506,7 @@
                     held_ms: ms_since(arrived_at),
                     version,
                     known_keys: may_lack_records.then(|| T::known_keys(&self.state)),
+                    history,
                 });
             }
             has_waited = tokio::time::timeout_at(deadline, changed).await.is_err();
--- a/lib/src/process/gateway/record_state.rs
+++ b/lib/src/process/gateway/record_state.rs
@@ -85,22 +85,6 @@
         self.inner().document_read.map(|read| read.source)
     }
 
-    /// Logs a write of this entry whose revision is below that of known records: the platform has come back in an
-    /// earlier state, while a copy that lags accepts no writes.
-    pub(super) fn on_committed(&self, revision: Revision) {
-        let inner = self.inner();
-        let known = inner.target_log.revision();
-        let known = known.max(inner.operator_log.revision());
-        drop(inner);
-        if let Some(known) = known.filter(|known| revision < *known) {
-            self.metrics.count_write_below_known_revision();
-            log::warn!(
-                revision = revision.0, known_revision = known.0;
-                "a write has a lower revision than known records"
-            );
-        }
-    }
-
     /// Updates the metrics of the records' ages, of what they keep in memory, and of the removals
     /// that are held back.
     pub(super) fn update_record_metrics(&self) {
--- a/lib/src/process/gateway/relayed_feed.rs
+++ b/lib/src/process/gateway/relayed_feed.rs
@@ -15,6 +15,7 @@
 use http::header::HOST;
 
 use super::change_log::ChangeLog;
+use super::record_relay::HISTORY_HEADER;
 use super::record_relay::LONG_POLL_TIME;
 use super::record_relay::RelayedChanges;
 use super::record_relay::RelayedRecord;
@@ -268,10 +269,12 @@
             Some(since) => format!("{}?{SINCE_PARAMETER}{}", T::PATH, since.0),
             None => T::PATH.to_owned(),
         };
+        let history = self.state.history_id();
         let request = Request::builder()
             .method(Method::GET)
             .uri(path)
             .header(HOST, upstream.to_string())
+            .header(HISTORY_HEADER, history.to_string())
             .body(RequestBody::default())
             .map_err(|error| unavailable(error.to_string()))?;
         let head_timeout = LONG_POLL_TIME + RESPONSE_TIMEOUT;
@@ -301,6 +304,13 @@
         let content: RelayedChanges<T> = content.map_err(|error| PlatformError::Protocol {
             reason: error.to_string(),
         })?;
+        self.state.on_history_told(content.history);
+        if content.history != history {
+            return Err(unavailable(format!(
+                "the records are of history {} of the platform, not of {history}",
+                content.history
+            )));
+        }
         Ok(FeedAnswer {
             size_bytes: body.len(),
             row_count: content.changed.len() + content.removed.len(),
--- a/lib/src/process/gateway/snapshot_reads.rs
+++ b/lib/src/process/gateway/snapshot_reads.rs
@@ -17,6 +17,7 @@
 use super::relayed_feed::into_snapshot;
 use crate::clock::Clock;
 use crate::ids::Revision;
+use crate::platform::Table;
 use crate::platform::feed::Changes;
 use crate::platform::feed::ChangesRequest;
 use crate::platform::feed::Feed;
@@ -49,7 +50,7 @@
     /// Reads all records from the platform, or from another entry if the platform fails.
     pub(super) async fn snapshot<T>(&self) -> Result<RecordUpdate<T>, FeedError>
     where
-        P: Feed<T>,
+        P: Feed<T> + Table,
         T: RelayedRecord,
     {
         let known = T::revision(&self.state);
@@ -60,7 +61,10 @@
                 let (newest, failure) = self.newest_revision::<T>(known).await;
                 (SnapshotCheck::after_records(known, newest), failure)
             }
-            None => (SnapshotCheck::of_first(), None),
+            None => (
+                SnapshotCheck::of_first(self.state.reached_by_writes()),
+                None,
+            ),
         };
         let sent_at = self.state.clock.now();
         let from_platform = self.platform.snapshot().await;
@@ -72,6 +76,10 @@
                     SnapshotUse::Complete => Some(newest_asked_at),
                     SnapshotUse::Unproven | SnapshotUse::InDoubt => None,
                     SnapshotUse::Lagging => {
+                        if self.has_platform_gone_back().await {
+                            let revision = answer.content.revision;
+                            return Err(FeedError::Lagging { revision });
+                        }
                         let read = self
                             .linearizable_read(&answer.content, check.reached())
                             .await;
--- a/lib/src/process/gateway/state.rs
+++ b/lib/src/process/gateway/state.rs
@@ -10,6 +10,7 @@
 
 use derive_more::Display;
 use tokio::sync::Notify;
+use tokio::sync::watch;
 
 use super::change_log::ChangeLog;
 use super::crash_records::CrashRecord;
@@ -46,6 +47,8 @@
 use crate::process::formation::HostTracker;
 use crate::process::lifecycle::Lifecycle;
 use crate::process::lifecycle::Stage;
+use crate::process::platform_history::HistoryId;
+use crate::process::platform_history::PlatformHistory;
 use crate::process::unreadable_configuration::UnreadableConfiguration;
 use crate::request::forward::buffered::ANSWER_LIMIT_BYTES;
 use crate::request::forward::sampling::LogSampler;
@@ -112,6 +115,7 @@
     pub(super) may_lack_targets: bool,
     pub(super) sampler: LogSampler,
     pub(super) peers: Peers,
+    pub(super) history: PlatformHistory,
     pub(super) target_log: ChangeLog<TargetRecord>,
     pub(super) operator_log: ChangeLog<OperatorRecord>,
     /// The last read of the configuration.
@@ -150,6 +154,10 @@
     pub targets_changed: Notify,
     /// Notified when records that other entries read here have changed.
     pub records_changed: Notify,
+    /// Holds the present history of the platform.
+    pub(super) history_changed: watch::Sender<HistoryId>,
+    /// When this entry last wrote a row to learn the platform's revision. Locked during the write.
+    pub(super) probed_at: tokio::sync::Mutex<Option<Instant>>,
     /// The process's metrics.
     pub metrics: GatewayMetrics,
     /// The limit on the memory of answers that are read completely.
@@ -208,6 +216,8 @@
             lifecycle: Lifecycle::default(),
             targets_changed: Notify::new(),
             records_changed: Notify::new(),
+            history_changed: watch::Sender::new(HistoryId::default()),
+            probed_at: tokio::sync::Mutex::new(None),
             inner: Mutex::new(Inner {
                 document: None,
                 shown_version: ShownVersion::new(),
@@ -222,6 +232,7 @@
                 may_lack_targets: false,
                 sampler: LogSampler::new(now),
                 peers,
+                history: PlatformHistory::default(),
                 target_log: ChangeLog::default(),
                 operator_log: ChangeLog::default(),
                 document_read: None,
@@ -479,6 +490,8 @@
         }
         drop(inner);
         if is_accepted {
+            // The revisions in the datagram are of this history.
+            self.on_history_told(message.history);
             self.with_quarantine(|quarantine, now| quarantine.on_gossip(&message.quarantine, now));
             self.on_gossiped_leaving(&message.leaving);
             self.on_gossiped_departures(&message.departures);
--- a/lib/src/process/mod.rs
+++ b/lib/src/process/mod.rs
@@ -17,6 +17,7 @@
 pub mod metrics;
 pub mod peer;
 pub mod placement;
+pub mod platform_history;
 pub mod presence;
 pub mod service_targets;
 pub mod services;
--- a/lib/src/process/unreadable_configuration/state.rs
+++ b/lib/src/process/unreadable_configuration/state.rs
@@ -108,6 +108,12 @@
         }
     }
 
+    /// Forgets the revision of a version that can't be read, since the platform has another history. The next
+    /// read of one that can be read counts as later.
+    pub fn on_history_ended(&mut self) {
+        self.unreadable_at = self.unreadable_at.map(|_| Revision(0));
+    }
+
     /// Records that another entry can't read the newest version.
     pub fn on_unreadable_elsewhere(&mut self, now: Instant) {
         self.platform_read_until = Some(now + PLATFORM_READ_TIME);
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -38,6 +38,7 @@
 mod test_pace;
 mod test_peer;
 mod test_peer_table;
+mod test_platform_history;
 mod test_presence;
 mod test_quarantine;
 mod test_quarantine_simulation;
--- a/lib/tests/test_gateway_peers.rs
+++ b/lib/tests/test_gateway_peers.rs
@@ -19,6 +19,7 @@
 use beryltray_lib::process::gateway::QuarantineGossip;
 use beryltray_lib::process::gateway::Recipient;
 use beryltray_lib::process::gateway::SenderLoad;
+use beryltray_lib::process::platform_history::HistoryId;
 use beryltray_lib::request::forward::choose::TargetCandidate;
 use beryltray_lib::request::forward::choose::choose_target;
 use beryltray_lib::units::CoreShare;
@@ -55,6 +56,7 @@
         departures: Vec::new(),
         paces: Vec::new(),
         demand: DemandGossip::default(),
+        history: HistoryId::default(),
     }
 }
 
--- a/lib/tests/test_serving_updates.rs
+++ b/lib/tests/test_serving_updates.rs
@@ -20,6 +20,7 @@
 use beryltray_lib::process::gateway::PeerMessage;
 use beryltray_lib::process::gateway::QuarantineGossip;
 use beryltray_lib::process::gateway::serving_targets;
+use beryltray_lib::process::platform_history::HistoryId;
 use beryltray_lib::target::record::Availability;
 use beryltray_lib::target::record::MemberState;
 use beryltray_lib::target::record::Membership;
@@ -145,6 +146,7 @@
         departures,
         paces: Vec::new(),
         demand: DemandGossip::default(),
+        history: HistoryId::default(),
     }
 }
 
--- a/lib/tests/test_snapshot_check.rs
+++ b/lib/tests/test_snapshot_check.rs
@@ -56,7 +56,7 @@
             Some(known) => {
                 SnapshotCheck::after_records(known, self.newest_revision(known, begun_at))
             }
-            None => SnapshotCheck::of_first(),
+            None => SnapshotCheck::of_first(None),
         };
         let revision = self.snapshot_at(begun_at + 1);
         let judged = match check.judge(revision) {
