--- a/cli/tests/test_lost_history_soak.rs
+++ b/cli/tests/test_lost_history_soak.rs
@@ -1,5 +1,5 @@
 //! A soak of entries in separate processes whose store discards its history, falls silent and refuses calls, and
-//! answers reads of rows from copies that lag, while targets leave, the configuration changes, and signals stop, end
+//! answers reads of rows from copies that lag, or comes back in an earlier state, while targets leave, the configuration changes, and signals stop, end
 //! and restart the entries, in series that overlap.
 
 use std::net::SocketAddr;
@@ -216,6 +216,25 @@
     Duration::from_millis(random.random_range(range))
 }
 
+/// Takes the store away and brings it back in an earlier state, after which the operator and the targets write their
+/// rows again. What is known of the time before is not excused for long: only the outage is.
+async fn restore_store(
+    course: &Course,
+    store: &StoreStandIn,
+    guard: &GuardedStore,
+    random: &mut StdRng,
+) {
+    let away = random_ms(random, 300..4_000);
+    let age = random_ms(random, 100..4_000);
+    let from = Instant::now();
+    let fault = (from, from + away, EXCUSED_FOR);
+    course.store_faults.lock().unwrap().push(fault);
+    guard.set(Access::Refused);
+    tokio::time::sleep(away).await;
+    store.restore_and_rewrite(away + age, &["op", "servers"]);
+    guard.set(Access::Open);
+}
+
 /// Lets the store fail in several ways, one after the other and with copies that lag meanwhile, until a time.
 async fn disturb_store(
     course: Arc<Course>,
@@ -223,8 +242,14 @@
     guard: GuardedStore,
     mut random: StdRng,
     until: Instant,
+    is_restored: bool,
 ) {
     while Instant::now() < until {
+        if is_restored && random.random_bool(0.6) {
+            restore_store(&course, &store, &guard, &mut random).await;
+            tokio::time::sleep(random_ms(&mut random, 300..5_000)).await;
+            continue;
+        }
         if random.random_bool(0.7) {
             let lag = random_ms(&mut random, 1_000..6_500);
             store.lag_reads(lag, random_ms(&mut random, 2_000..13_000));
@@ -354,7 +379,8 @@
     }
 }
 
-async fn soak(seed: u64) -> Broken {
+/// Runs the entries beside the faults of a seed. `is_restored` says whether the store comes back in earlier states, too.
+async fn soak(seed: u64, is_restored: bool) -> Broken {
     let mut random = StdRng::seed_from_u64(seed);
     let mut next_random = || StdRng::seed_from_u64(random.random());
     let entry_count = entry_count(ENTRIES);
@@ -407,6 +433,7 @@
         guard,
         next_random(),
         until,
+        is_restored,
     );
     let faults = tokio::spawn(faults);
     let leaving = replace_targets(
@@ -481,7 +508,20 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn soak_lost_histories_with_lagging_reads_delay_nothing() {
     let seed = 60 + extra_seed();
-    let broken = soak(seed).await;
+    let broken = soak(seed, false).await;
+    println!("seed {seed}: {broken:?}");
+    assert!(broken.asked > 0 && broken.departures > 0, "seed {seed}");
+    assert!(broken.unserved.is_empty(), "seed {seed}: {broken:?}");
+    assert!(broken.late.is_empty(), "seed {seed}: {broken:?}");
+    assert!(broken.ended.is_empty(), "seed {seed}: {broken:?}");
+}
+
+/// Guards against entries that compare revisions of the store's earlier and present histories: changes and leavings
+/// took no effect until its counter had passed what they knew.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn soak_restored_stores_delay_nothing() {
+    let seed = 80 + extra_seed();
+    let broken = soak(seed, true).await;
     println!("seed {seed}: {broken:?}");
     assert!(broken.asked > 0 && broken.departures > 0, "seed {seed}");
     assert!(broken.unserved.is_empty(), "seed {seed}: {broken:?}");
