--- a/lib/src/process/feed_reader/read_plan.rs
+++ b/lib/src/process/feed_reader/read_plan.rs
@@ -133,6 +133,8 @@
     may_lack_records: bool,
     /// Whether the changes were too large, and no snapshot without news was read since.
     is_behind: bool,
+    /// Whether the platform has been away since the last snapshot, so that it may have come back in an earlier state.
+    is_after_outage: bool,
     /// The time as of which all changes are known; `None` if there is none.
     complete_at: Option<Instant>,
     /// The size of the answers with changes since then.
@@ -157,6 +159,7 @@
             is_snapshot_unproven: false,
             may_lack_records: false,
             is_behind: false,
+            is_after_outage: false,
             complete_at: None,
             unproven_bytes: 0,
             unproven_answers: 0,
@@ -172,6 +175,7 @@
         let is_snapshot = !self.is_snapshot_lagging
             && (self.needs_snapshot()
                 || (is_relayed && self.is_unproven_too_large())
+                || (!is_relayed && self.is_after_outage)
                 || time_until_resync == Some(Duration::ZERO));
         let Some(since) = self.revision.filter(|_| !is_snapshot) else {
             return NextRead::Snapshot;
@@ -276,6 +280,7 @@
         self.snapshot_bytes = size_bytes;
         self.is_snapshot_unproven = true;
         self.may_lack_records = false;
+        self.is_after_outage = false;
         self.is_behind &= has_news;
         self.unproven_answers = 0;
     }
@@ -285,6 +290,7 @@
         self.revision = Some(revision);
         self.lost_answers = 0;
         self.is_behind = false;
+        self.is_after_outage = false;
         self.may_lack_records = true;
         self.on_complete(asked_at);
     }
@@ -322,10 +328,19 @@
         complete_at
     }
 
+    /// Records that the platform answers again after an outage. A snapshot is read there: if the platform has come
+    /// back in an earlier state, changes since a revision that it had given out before lack what was written up to
+    /// that revision since.
+    pub fn on_outage_ended(&mut self) {
+        self.is_after_outage = true;
+    }
+
     /// Records changes that another entry passes on, with the time as of which it knows all changes.
     pub fn on_relayed_changes(&mut self, revision: Revision, complete_at: Option<Instant>) {
         self.revision = self.revision.max(Some(revision));
         self.lost_answers = 0;
+        // That entry reads a snapshot after an outage, and passes all of it on.
+        self.is_after_outage = false;
         if let Some(at) = complete_at {
             self.on_complete(at);
         }
--- a/lib/src/process/gateway/follow.rs
+++ b/lib/src/process/gateway/follow.rs
@@ -391,6 +391,10 @@
             if is_outage {
                 sink.on_outage_ended();
             }
+            let unanswered_for = T::answered_at(&state).map(|at| now.saturating_duration_since(at));
+            if unanswered_for.is_some_and(|time| time >= OUTAGE_MIN) {
+                plan.on_outage_ended();
+            }
         }
         let is_platform_answer = matches!(update, Ok(RecordUpdate::Changes { .. }));
         match update {
--- a/lib/tests/test_read_plan.rs
+++ b/lib/tests/test_read_plan.rs
@@ -680,3 +680,26 @@
     plan.on_failure();
     assert!(reads_changes(&plan, 7, now));
 }
+
+/// Guards against a reader that goes on from a revision of a platform that has come back in an earlier state, and against
+/// one that reads a snapshot although another entry passes all records on.
+#[test]
+fn next_read_after_outage_is_snapshot_of_platform() {
+    let now = Instant::now();
+    let mut plan = ReadPlan::new(SETTINGS_OF_MANY);
+    plan.on_snapshot_request(now);
+    plan.on_snapshot(Revision(45), 1_000, false);
+    plan.on_complete(now);
+    plan.on_outage_ended();
+    let entry = RecordSource::Entry("127.0.0.1:7880".parse().unwrap());
+    assert_ne!(plan.next_read(entry, now), NextRead::Snapshot);
+    assert_eq!(
+        plan.next_read(RecordSource::Platform, now),
+        NextRead::Snapshot
+    );
+    plan.on_snapshot(Revision(60), 1_000, false);
+    assert_ne!(
+        plan.next_read(RecordSource::Platform, now),
+        NextRead::Snapshot
+    );
+}
