--- a/lib/src/process/demand/state.rs
+++ b/lib/src/process/demand/state.rs
@@ -8,6 +8,7 @@
 use super::message::LeaseHolder;
 use super::meter::DemandMeter;
 use crate::ids::EntryId;
+use crate::ids::Epoch;
 
 /// One in this many datagrams is sent to the lease holder: one in 0.9 s, so that two may be lost
 /// before a report expires. With a hundred entries more would take much of its link.
@@ -60,6 +61,11 @@
         }
     }
 
+    /// Returns the epoch of the latest known lease holder; `None` without one.
+    pub fn latest_epoch(&self) -> Option<Epoch> {
+        self.lease_holder.as_ref().map(|holder| holder.epoch)
+    }
+
     /// Returns the lease holder if the datagram with this number has to be sent to it.
     pub fn recipient(&self, number: u64) -> Option<&EntryId> {
         let holder = self.lease_holder.as_ref()?;
--- a/lib/src/process/gateway/coordinate.rs
+++ b/lib/src/process/gateway/coordinate.rs
@@ -187,6 +187,10 @@
         let rank = self.state.with_peers(|peers| peers.rank_for(LEASE_KEY));
         self.lease
             .set_read_interval_factor(LeaseSettings::read_interval_factor_of(rank));
+        // The platform may have lost the row of a later holder, whose epochs must not be given out again.
+        if let Some(epoch) = self.state.latest_lease_epoch() {
+            self.lease.on_epoch(epoch);
+        }
         if let Some(action) = self.lease.poll(now, new_attempt_id) {
             self.call_platform(action);
         }
--- a/lib/src/process/gateway/demand_state.rs
+++ b/lib/src/process/gateway/demand_state.rs
@@ -59,6 +59,11 @@
         self.inner().demand.on_lease_holder(holder);
     }
 
+    /// Returns the epoch of the latest lease that this entry has held or heard of; `None` before that.
+    pub(super) fn latest_lease_epoch(&self) -> Option<Epoch> {
+        self.inner().demand.latest_epoch()
+    }
+
     /// Returns the lease holder if the datagram with this number has to be sent to it.
     pub(super) fn demand_recipient(&self, number: u64) -> Option<EntryId> {
         self.inner().demand.recipient(number).cloned()
