--- a/lib/src/process/gateway/coordinate.rs
+++ b/lib/src/process/gateway/coordinate.rs
@@ -23,6 +23,7 @@
 use crate::process::lease::LeaseAction;
 use crate::process::lease::LeaseMachine;
 use crate::process::lease::LeaseSettings;
+use crate::process::platform_history::HistoryId;
 use crate::process::platform_history::KnownRevision;
 use crate::target::record::CallError;
 use crate::target::record::GroupOrder;
@@ -133,6 +134,8 @@
     platform: P,
     targets: T,
     lease: LeaseMachine,
+    /// The history of the platform that the revisions of the lease belong to.
+    history: HistoryId,
     /// The epoch under which orders may be sent; `None` without the lease.
     fence: Option<Epoch>,
     formation: Option<(Epoch, FormationController)>,
@@ -169,6 +172,7 @@
             platform,
             targets,
             lease: LeaseMachine::new(settings.with_term(LEASE_TERM)),
+            history: HistoryId::default(),
             fence: None,
             formation: None,
             demand,
@@ -187,6 +191,11 @@
         let rank = self.state.with_peers(|peers| peers.rank_for(LEASE_KEY));
         self.lease
             .set_read_interval_factor(LeaseSettings::read_interval_factor_of(rank));
+        let history = self.state.history_id();
+        if self.history != history {
+            self.history = history;
+            self.lease.on_history_ended();
+        }
         // The platform may have lost the row of a later holder, whose epochs must not be given out again.
         if let Some(epoch) = self.state.latest_lease_epoch() {
             self.lease.on_epoch(epoch);
@@ -432,10 +441,17 @@
         match result {
             LeaseCallResult::Read(read) => self.lease.on_read(read, now),
             LeaseCallResult::Commit { known, committed } => {
-                if let Ok(CommitOutcome::Committed { revision }) = committed {
+                let revision = match committed {
+                    Ok(CommitOutcome::Committed { revision }) => Some(revision),
+                    Ok(CommitOutcome::Refused { .. }) | Err(_) => None,
+                };
+                let has_gone_back = self.lease.on_commit(committed, now);
+                if let Some(revision) = revision {
                     self.state.on_committed(known, revision);
+                    if has_gone_back {
+                        self.state.on_earlier_row_replaced(known, revision);
+                    }
                 }
-                self.lease.on_commit(committed, now);
             }
         }
     }
--- a/lib/src/process/gateway/history.rs
+++ b/lib/src/process/gateway/history.rs
@@ -91,6 +91,24 @@
         evidence
     }
 
+    /// Applies a write that has replaced a row which had been replaced before.
+    pub(super) fn on_earlier_row_replaced(&self, known: KnownRevision, revision: Revision) {
+        let now = self.clock.now();
+        let mut inner = self.inner();
+        let history = &mut inner.history;
+        if !history.on_earlier_row_replaced(known, revision, rand::random()) {
+            return;
+        }
+        let history = history.id();
+        inner.on_history_ended(now);
+        drop(inner);
+        log::warn!(
+            revision = revision.0, history:% = history;
+            "the platform had a row that had been replaced"
+        );
+        self.announce_history(history);
+    }
+
     /// Applies the history of the platform that another entry reads. An earlier one changes nothing.
     pub(super) fn on_history_told(&self, told: HistoryId) {
         let now = self.clock.now();
--- a/lib/src/process/lease/machine.rs
+++ b/lib/src/process/lease/machine.rs
@@ -51,6 +51,8 @@
     attempt: AttemptId,
     lease: LeaseRow,
     sent_at: Instant,
+    /// The revision of the row that it replaces; `None` if there was none.
+    replaces: Option<Revision>,
 }
 
 /// The row as it was last seen.
@@ -92,6 +94,9 @@
     /// unchanged.
     unresolved_writes: Vec<SentWrite>,
     must_read: bool,
+    /// The greatest revision of the row that was seen in the present history of the platform; `None` before the
+    /// first.
+    greatest_revision: Option<Revision>,
     /// The greatest epoch seen in the lease's row, a group's row or a host's report.
     highest_epoch: Epoch,
     next_call_at: Option<Instant>,
@@ -108,6 +113,7 @@
             pending_call: None,
             unresolved_writes: Vec::new(),
             must_read: false,
+            greatest_revision: None,
             highest_epoch: Epoch::default(),
             next_call_at: None,
             is_stopped: false,
@@ -197,22 +203,37 @@
         }
     }
 
-    /// Handles the result of a commit.
+    /// Handles the result of a commit. Returns whether it shows that the platform has come back in an earlier
+    /// state: it had a row that had been replaced.
     ///
     /// A write whose answer was lost is never resent. The next call reads the row, whose attempt ID
     /// shows whether the write took effect.
-    pub fn on_commit(&mut self, answer: Result<CommitOutcome, PlatformError>, now: Instant) {
+    pub fn on_commit(
+        &mut self,
+        answer: Result<CommitOutcome, PlatformError>,
+        now: Instant,
+    ) -> bool {
         let Some(PendingCall::Commit(sent)) = self.pending_call.take() else {
-            return;
+            return false;
         };
         match answer {
             Ok(CommitOutcome::Committed { revision }) => {
+                // A row that is gone may have been removed by hand.
+                let replaced = sent.replaces;
+                let has_gone_back =
+                    replaced.is_some_and(|replaced| Some(replaced) < self.greatest_revision);
+                self.greatest_revision = Some(revision);
                 self.record_held_lease(sent, revision, now);
                 self.schedule(now);
+                return has_gone_back;
             }
             Ok(CommitOutcome::Refused { current }) => {
                 self.on_row(current.into_iter().next().flatten(), now);
                 self.schedule(now);
+                if self.held.is_some() {
+                    // The row is an earlier one of this entry, and may be from a copy that lags.
+                    self.next_call_at = Some(now + self.settings.retry_interval());
+                }
             }
             Err(PlatformError::Unavailable { .. }) => {
                 self.next_call_at = Some(now + self.settings.retry_interval());
@@ -228,6 +249,12 @@
                 self.next_call_at = Some(now + self.settings.retry_interval());
             }
         }
+        false
+    }
+
+    /// Forgets the revisions of the row, since the platform has another history. The lease is held on.
+    pub fn on_history_ended(&mut self) {
+        self.greatest_revision = None;
     }
 
     /// Stops the machine and returns the transaction that releases the lease, if it is held.
@@ -304,6 +331,10 @@
             attempt,
             lease,
             sent_at,
+            replaces: match self.seen {
+                SeenRow::Present { revision, .. } => Some(revision),
+                SeenRow::Unread | SeenRow::Absent => None,
+            },
         };
         self.pending_call = Some(PendingCall::Commit(sent));
         Some(LeaseAction::Commit(transaction))
@@ -329,6 +360,7 @@
     fn record_held_lease(&mut self, sent: SentWrite, revision: Revision, now: Instant) {
         let epoch = sent.lease.epoch;
         self.on_epoch(epoch);
+        self.greatest_revision = self.greatest_revision.max(Some(revision));
         self.held = Some(HeldLease {
             epoch,
             sent_at: sent.sent_at,
@@ -371,7 +403,15 @@
             self.on_epoch(lease.epoch);
         }
         self.unresolved_writes.clear();
-        self.held = None;
+        self.greatest_revision = self.greatest_revision.max(Some(row.revision));
+        // A row of this entry under the same epoch comes back with a platform in an earlier state. No other entry
+        // can have taken the lease over from the row.
+        let (entry, incarnation) = (&self.settings.entry, self.settings.incarnation);
+        let own_epoch = lease
+            .as_ref()
+            .filter(|lease| lease.holder == *entry && lease.incarnation == incarnation)
+            .map(|lease| lease.epoch);
+        self.held = self.held.filter(|held| own_epoch == Some(held.epoch));
         self.seen = SeenRow::Present {
             revision: row.revision,
             lease,
--- a/lib/src/process/platform_history/machine.rs
+++ b/lib/src/process/platform_history/machine.rs
@@ -100,6 +100,22 @@
         }
     }
 
+    /// Applies a write that has replaced a row which had been replaced before, so that the platform has gone back
+    /// whatever the write's revision is. Returns whether the history ends by it.
+    pub fn on_earlier_row_replaced(
+        &mut self,
+        known: KnownRevision,
+        revision: Revision,
+        nonce: u32,
+    ) -> bool {
+        let is_news = known.history == self.id;
+        if is_news {
+            self.id = self.id.next(revision, nonce);
+            self.written = None;
+        }
+        is_news
+    }
+
     /// Applies the history that another entry reads. Returns whether it is a later one.
     pub fn on_told(&mut self, told: HistoryId) -> bool {
         if told <= self.id {
--- a/lib/tests/test_lease.rs
+++ b/lib/tests/test_lease.rs
@@ -224,6 +224,35 @@
     assert_eq!(machine.fence(now).unwrap().epoch, Epoch(2));
 }
 
+/// Guards against a return of the platform that no revision shows, since its counter has passed the known ones: the holder
+/// lost the lease and read on from revisions that had been given out twice.
+#[test]
+fn lease_renewal_of_restored_row_shows_return_of_platform() {
+    let start = Instant::now();
+    let mut table = LeaseTable::default();
+    let mut machine = holding_machine(&mut table, start);
+    let restored = table.row.clone();
+    let mut now = start + settings(0).renewal_interval();
+    table.run_calls(&mut machine, now);
+    // Other rows have been written since, so that later revisions are above all known ones.
+    table.row = restored;
+    table.last_revision += 100;
+    now += settings(0).renewal_interval();
+    let mut transaction = due_commit(&mut machine, &mut table, now);
+    let refused = table.commit(&transaction);
+    assert!(matches!(refused, CommitOutcome::Refused { .. }));
+    assert!(!machine.on_commit(Ok(refused), now));
+    now += settings(0).retry_interval();
+    transaction = due_commit(&mut machine, &mut table, now);
+    let renewed = table.commit(&transaction);
+    assert!(machine.on_commit(Ok(renewed), now));
+    assert_eq!(machine.fence(now).unwrap().epoch, Epoch(1));
+    now += settings(0).renewal_interval();
+    transaction = due_commit(&mut machine, &mut table, now);
+    let renewed = table.commit(&transaction);
+    assert!(!machine.on_commit(Ok(renewed), now));
+}
+
 /// An operation on the data centre's groups, in the sequential specification of the table.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 enum GroupOp {
