--- a/lib/src/process/gateway/follow.rs
+++ b/lib/src/process/gateway/follow.rs
@@ -318,13 +318,14 @@
     S: RecordSink<T>,
     G: Fn(&GatewayState<C>) -> Duration,
 {
-    let mut plan = ReadPlan::new(ReadPlanSettings {
+    let plan_settings = ReadPlanSettings {
         lost_answers_max: S::LOST_ANSWERS_BEFORE_SNAPSHOT,
         unproven_answers_max: S::UNPROVEN_ANSWERS_BEFORE_SNAPSHOT,
         wait_max: LONG_POLL_TIME,
         check_after: S::CHECK_AFTER,
         resync_after,
-    });
+    };
+    let mut plan = ReadPlan::new(plan_settings);
     let mut retry_delay = RETRY_DELAY_MIN;
     let mut failing_since: Option<Instant> = None;
     let mut answer_series = AnswerSeries::default();
@@ -366,13 +367,13 @@
         let (update, newest) = tokio::select! {
             read = read => read,
             Ok(()) = history_changed.changed() => {
-                plan.on_history_lost();
+                plan = ReadPlan::new(plan_settings);
                 continue;
             }
         };
         if state.history_id() != history {
             // The answer may be of the history that has ended.
-            plan.on_history_lost();
+            plan = ReadPlan::new(plan_settings);
             continue;
         }
         if let Some(newest) = newest {
