--- a/lib/src/process/gateway/gossip.rs
+++ b/lib/src/process/gateway/gossip.rs
@@ -69,7 +69,13 @@
             }
         };
         match result {
-            Ok(()) => tokio::time::sleep(DISCOVERY_INTERVAL).await,
+            Ok(true) => tokio::time::sleep(DISCOVERY_INTERVAL).await,
+            Ok(false) => {
+                // A platform that has come back in an earlier state may have lost the row.
+                log::info!("this entry is not in the list of entries; it registers again");
+                is_registered = false;
+                tokio::time::sleep(RETRY_DELAY).await;
+            }
             Err(error) => {
                 log::warn!("can't register in or read the list of entries; retrying: {error}");
                 tokio::time::sleep(RETRY_DELAY).await;
@@ -105,7 +111,8 @@
     }
 }
 
-async fn read_entries<C, P>(state: &GatewayState<C>, platform: &P) -> Result<(), PlatformError>
+/// Adds the listed entries to the peers. Returns whether this entry is listed.
+async fn read_entries<C, P>(state: &GatewayState<C>, platform: &P) -> Result<bool, PlatformError>
 where
     C: Clock,
     P: Table,
@@ -136,7 +143,7 @@
         );
     }
     state.with_peers(|peers| peers.on_list_read(&listed, now));
-    Ok(())
+    Ok(listed.contains(&state.settings.entry))
 }
 
 /// Sends this entry's gossip to its peers at intervals.
