--- a/lib/tests/test_evacuations.rs
+++ b/lib/tests/test_evacuations.rs
@@ -111,3 +111,16 @@
         true
     }
 }
+
+/// Guards against orders that are ignored because the platform, which came back in an earlier state, gives out their
+/// revisions again, and against ones that end with it and stay in force.
+#[test]
+fn evacuations_after_history_ended_follow_next_snapshot() {
+    let mut evacuations = Evacuations::new();
+    evacuations.on_snapshot(&[order("a", 30), order("b", 40)], Revision(45));
+    evacuations.on_history_ended();
+    assert_eq!(evacuated(&evacuations), ["a", "b"]);
+    let changes = evacuations.on_snapshot(&[order("a", 30), order("c", 39)], Revision(39));
+    assert!(changes.contains(&ended("b", 39)), "{changes:?}");
+    assert_eq!(evacuated(&evacuations), ["a", "c"]);
+}
--- a/lib/tests/test_host_tracker.rs
+++ b/lib/tests/test_host_tracker.rs
@@ -352,3 +352,79 @@
     assert_eq!(tracked.membership().map(|m| m.group.as_str()), Some("g1"));
     assert_eq!(tracked.accepted_orders(), Some(9));
 }
+
+fn written(number: u64, availability: Availability) -> TargetRecord {
+    TargetRecord {
+        write_number: Some(number),
+        availability,
+        ..record(FIRST)
+    }
+}
+
+/// Guards against a host that is used again because a registry in an earlier state lists its record from before it left.
+#[test]
+fn on_history_ended_restored_record_does_not_bring_departed_host_back() {
+    let now = Instant::now();
+    let mut tracker = HostTracker::new();
+    tracker.on_snapshot(
+        snapshot(40, vec![written(3, Availability::Ready)]),
+        None,
+        now,
+    );
+    let removed = Changes {
+        changed: Vec::new(),
+        removed: vec![host().to_string()],
+        unreadable: Vec::new(),
+        revision: Revision(45),
+    };
+    tracker.on_changes(&removed, None, now);
+    tracker.on_history_ended(now);
+    tracker.on_snapshot(
+        snapshot(38, vec![written(3, Availability::Ready)]),
+        None,
+        now,
+    );
+    assert!(!is_usable(&tracker, now));
+    tracker.on_record(written(4, Availability::Ready), now);
+    assert!(is_usable(&tracker, now));
+}
+
+/// Guards against a host that drains and is used again because a registry in an earlier state lists it as ready.
+#[test]
+fn on_history_ended_restored_record_does_not_make_draining_host_ready() {
+    let now = Instant::now();
+    let mut tracker = HostTracker::new();
+    let draining = written(4, Availability::Draining);
+    tracker.on_snapshot(snapshot(45, vec![draining]), None, now);
+    tracker.on_history_ended(now);
+    tracker.on_snapshot(
+        snapshot(38, vec![written(3, Availability::Ready)]),
+        None,
+        now,
+    );
+    assert!(!is_usable(&tracker, now));
+}
+
+/// Guards against the word of another entry that is forgotten because a registry in an earlier state comes to its
+/// revision again.
+#[test]
+fn on_history_ended_departure_of_earlier_history_still_counts() {
+    let now = Instant::now();
+    let mut tracker = HostTracker::new();
+    tracker.on_snapshot(snapshot(40, vec![record(FIRST)]), None, now);
+    assert!(tracker.on_departure_told(&host(), told(FIRST, 45, now), now));
+    tracker.on_history_ended(now);
+    tracker.on_snapshot(snapshot(60, vec![record(FIRST)]), None, now);
+    assert!(!is_usable(&tracker, now));
+}
+
+/// Guards against a departure that is ignored since its revision is below one of the earlier history.
+#[test]
+fn on_history_ended_departure_of_present_history_is_news() {
+    let now = Instant::now();
+    let mut tracker = HostTracker::new();
+    tracker.on_snapshot(snapshot(45, vec![record(FIRST)]), None, now);
+    tracker.on_history_ended(now);
+    assert!(tracker.on_departure_told(&host(), told(FIRST, 39, now), now));
+    assert!(!is_usable(&tracker, now));
+}
