--- a/cli/tests/test_lost_history_soak.rs
+++ b/cli/tests/test_lost_history_soak.rs
@@ -216,21 +216,28 @@
     Duration::from_millis(random.random_range(range))
 }
 
-/// Takes the store away and brings it back in an earlier state, after which the operator and the targets write their
-/// rows again. What is known of the time before is not excused for long: only the outage is.
+/// Takes the store away, on some returns for no time at all, and brings it back in an earlier state, after which the
+/// operator and the targets write their rows again.
 async fn restore_store(
     course: &Course,
     store: &StoreStandIn,
     guard: &GuardedStore,
     random: &mut StdRng,
 ) {
-    let away = random_ms(random, 300..4_000);
+    let is_away = random.random_bool(0.7);
+    let away = if is_away {
+        random_ms(random, 300..4_000)
+    } else {
+        Duration::ZERO
+    };
     let age = random_ms(random, 100..4_000);
     let from = Instant::now();
     let fault = (from, from + away, EXCUSED_FOR);
     course.store_faults.lock().unwrap().push(fault);
-    guard.set(Access::Refused);
-    tokio::time::sleep(away).await;
+    if is_away {
+        guard.set(Access::Refused);
+        tokio::time::sleep(away).await;
+    }
     store.restore_and_rewrite(away + age, &["op", "servers"]);
     guard.set(Access::Open);
 }
