--- a/lib/src/process/gateway/follow.rs
+++ b/lib/src/process/gateway/follow.rs
@@ -26,6 +26,7 @@
 use crate::process::feed_reader::NextRead;
 use crate::process::feed_reader::ReadPlan;
 use crate::process::feed_reader::ReadPlanSettings;
+use crate::process::platform_history::HistoryId;
 use crate::target::record::TargetRecord;
 
 /// The longest time for which a call waits for a change. It is short, so that entries that read
@@ -330,8 +331,14 @@
     let mut failing_since: Option<Instant> = None;
     let mut answer_series = AnswerSeries::default();
     let mut history_changed = state.subscribe_to_history();
+    let mut plan_history = HistoryId::default();
     loop {
-        let history = *history_changed.borrow_and_update();
+        history_changed.mark_unchanged();
+        let history = state.history_id();
+        if history != plan_history {
+            plan = ReadPlan::new(plan_settings);
+            plan_history = history;
+        }
         let started_at = state.clock.now();
         let upstream = T::upstream(&state);
         let source = upstream.map_or(RecordSource::Platform, RecordSource::Entry);
@@ -366,14 +373,10 @@
         }
         let (update, newest) = tokio::select! {
             read = read => read,
-            Ok(()) = history_changed.changed() => {
-                plan = ReadPlan::new(plan_settings);
-                continue;
-            }
+            Ok(()) = history_changed.changed() => continue,
         };
         if state.history_id() != history {
             // The answer may be of the history that has ended.
-            plan = ReadPlan::new(plan_settings);
             continue;
         }
         if let Some(newest) = newest {
