--- a/lib/src/process/gateway/follow.rs
+++ b/lib/src/process/gateway/follow.rs
@@ -499,7 +499,10 @@
                     log::warn!(what = feed_name; "platform can't be read: {error}");
                     failing_since = Some(now);
                 }
-                tokio::time::sleep(retry_delay).await;
+                tokio::select! {
+                    () = tokio::time::sleep(retry_delay) => {}
+                    Ok(()) = history_changed.changed() => {}
+                }
                 retry_delay = (retry_delay * 2).min(RETRY_DELAY_MAX);
                 continue;
             }
--- a/lib/src/process/gateway/history.rs
+++ b/lib/src/process/gateway/history.rs
@@ -23,12 +23,17 @@
 /// The key of the row that entries write to learn the platform's present revision. All write the same one, so
 /// that the number of rows doesn't grow.
 const PROBE_KEY: &str = "history/probe";
-/// The least time between two such writes of an entry.
+/// The least time between two such writes of an entry. With many entries it is longer, see [`probe_spread`].
 const PROBE_INTERVAL_MIN: Duration = Duration::from_secs(1);
-/// The writes of all entries at the same time are spread over this time for each of them. The first one that
-/// proves a return tells the others.
-const PROBE_SPREAD_PER_ENTRY: Duration = Duration::from_millis(4);
-const PROBE_SPREAD_MAX: Duration = Duration::from_millis(500);
+/// The writes of all entries are spread over this time for each of them, which is half of the rate at which the
+/// platform accepts writes to one part of a table. The first one that proves a return tells the others.
+const PROBE_SPREAD_PER_ENTRY: Duration = Duration::from_millis(8);
+
+/// Returns the time over which the writes of this many entries are spread.
+fn probe_spread(entries: usize) -> Duration {
+    let entries = u32::try_from(entries).unwrap_or(u32::MAX);
+    PROBE_SPREAD_PER_ENTRY.saturating_mul(entries)
+}
 
 impl Inner {
     /// Returns the greatest revision of the records that were read in the present history.
@@ -142,15 +147,13 @@
     /// Returns whether the platform has come back in an earlier state, by a write. Copies that lag accept none.
     pub(super) async fn has_platform_gone_back(&self) -> bool {
         let state = &self.state;
-        let entries = state.with_peers(|peers| peers.entry_count());
-        let entries = u32::try_from(entries).unwrap_or(u32::MAX);
-        let spread = PROBE_SPREAD_PER_ENTRY.saturating_mul(entries);
-        let spread = spread.min(PROBE_SPREAD_MAX);
+        let spread = probe_spread(state.with_peers(|peers| peers.entry_count()));
         tokio::time::sleep(spread.mul_f64(rand::random())).await;
         // Both feeds of an entry are in doubt at the same time, and one write serves them.
         let mut probed_at = state.probed_at.lock().await;
         let now = state.clock.now();
-        let is_recent = |at| now.saturating_duration_since(at) < PROBE_INTERVAL_MIN;
+        let interval = PROBE_INTERVAL_MIN.max(spread * 2);
+        let is_recent = |at| now.saturating_duration_since(at) < interval;
         if probed_at.is_some_and(is_recent) {
             return false;
         }
