--- a/lib/src/process/gateway/record_relay.rs
+++ b/lib/src/process/gateway/record_relay.rs
@@ -414,6 +414,15 @@
     }
 }
 
+/// What another entry asks for.
+#[derive(Clone, Copy, Debug)]
+struct AskedChanges {
+    /// The revision up to which it knows all changes; `None` if it knows none.
+    since: Option<Revision>,
+    /// The history of the platform that the answer is to be of.
+    history: HistoryId,
+}
+
 /// Serves records to the entries that use this one as their upstream.
 #[derive(Debug)]
 pub(super) struct RecordRelayHandler<C> {
@@ -437,18 +446,20 @@
         let since = query
             .strip_prefix(SINCE_PARAMETER)
             .and_then(|number| number.parse().ok());
-        let history = request.headers().get(HISTORY_HEADER);
-        let history = history.and_then(|history| history.to_str().ok()?.parse().ok());
-        let history: HistoryId = history.unwrap_or_default();
-        self.state.on_history_told(history);
+        let asked = request.headers().get(HISTORY_HEADER);
+        let asked = asked.and_then(|history| history.to_str().ok()?.parse().ok());
+        let asked: HistoryId = asked.unwrap_or_default();
+        self.state.on_history_told(asked);
+        let history = self.state.history_id();
         // A revision of another history says nothing of what the caller lacks.
-        let since = since.filter(|_| history == self.state.history_id());
+        let since = since.filter(|_| asked == history);
+        let asked = AskedChanges { since, history };
         match request.uri().path() {
-            TARGETS_PATH => self.respond(since, same_changes::<TargetRecord>).await,
-            OPERATOR_PATH => self.respond(since, same_changes::<OperatorRecord>).await,
+            TARGETS_PATH => self.respond(asked, same_changes::<TargetRecord>).await,
+            OPERATOR_PATH => self.respond(asked, same_changes::<OperatorRecord>).await,
             CONFIGURATION_PATH => {
                 let convert = OperatorRecord::configuration_changes;
-                self.respond(since, convert).await
+                self.respond(asked, convert).await
             }
             _ => empty_response(StatusCode::NOT_FOUND),
         }
@@ -459,9 +470,9 @@
 where
     C: Clock,
 {
-    /// Answers with the records changed after `since` as soon as there are any, as `convert` returns
+    /// Answers with the records changed after the revision as soon as there are any, as `convert` returns
     /// them.
-    async fn respond<T, A, F>(&self, since: Option<Revision>, convert: F) -> Response<ResponseBody>
+    async fn respond<T, A, F>(&self, asked: AskedChanges, convert: F) -> Response<ResponseBody>
     where
         T: RelayedRecord,
         A: Serialize,
@@ -470,7 +481,7 @@
         let arrived_at = self.state.clock.now();
         let deadline = tokio::time::Instant::now() + LONG_POLL_TIME;
         let known_at = T::confirmed_at(&self.state);
-        let history = self.state.history_id();
+        let AskedChanges { since, history } = asked;
         let mut has_waited = false;
         loop {
             let changed = self.state.records_changed.notified();
