--- a/lib/src/process/gateway/history.rs
+++ b/lib/src/process/gateway/history.rs
@@ -144,8 +144,10 @@
     C: Clock,
     P: Table,
 {
-    /// Returns whether the platform has come back in an earlier state, by a write. Copies that lag accept none.
-    pub(super) async fn has_platform_gone_back(&self) -> bool {
+    /// Writes a row after all reads were below what is known. Copies that lag accept no writes, so its revision tells
+    /// whether the platform has come back in an earlier state. Entries that hear of that from another one need no
+    /// write of their own.
+    pub(super) async fn write_probe(&self) {
         let state = &self.state;
         let spread = probe_spread(state.with_peers(|peers| peers.entry_count()));
         tokio::time::sleep(spread.mul_f64(rand::random())).await;
@@ -155,7 +157,7 @@
         let interval = PROBE_INTERVAL_MIN.max(spread * 2);
         let is_recent = |at| now.saturating_duration_since(at) < interval;
         if probed_at.is_some_and(is_recent) {
-            return false;
+            return;
         }
         let known = state.known_before_write();
         let committed = self.platform.commit(Transaction {
@@ -175,15 +177,12 @@
                     revision = revision.0, evidence:? = evidence;
                     "a row is written to learn the platform's revision"
                 );
-                matches!(evidence, WriteEvidence::WentBack { .. })
             }
             Ok(CommitOutcome::Refused { .. }) => {
                 log::warn!("the platform refused a write without conditions");
-                false
             }
             Err(error) => {
                 log::info!("the platform's revision can't be learned by a write: {error}");
-                false
             }
         }
     }
--- a/lib/src/process/gateway/snapshot_reads.rs
+++ b/lib/src/process/gateway/snapshot_reads.rs
@@ -76,18 +76,17 @@
                     SnapshotUse::Complete => Some(newest_asked_at),
                     SnapshotUse::Unproven | SnapshotUse::InDoubt => None,
                     SnapshotUse::Lagging => {
-                        if self.has_platform_gone_back().await {
-                            let revision = answer.content.revision;
-                            return Err(FeedError::Lagging { revision });
+                        let read = self.linearizable_read(&answer.content, check.reached());
+                        let error = match read.await {
+                            Ok(update) => return Ok(update),
+                            Err(error) => error,
+                        };
+                        log::info!(records = T::PATH; "linearizable read failed: {error}");
+                        if matches!(error, FeedError::Lagging { .. }) {
+                            self.write_probe().await;
                         }
-                        let read = self
-                            .linearizable_read(&answer.content, check.reached())
-                            .await;
-                        return read.map_err(|error| {
-                            log::info!(records = T::PATH; "linearizable read failed: {error}");
-                            let revision = answer.content.revision;
-                            FeedError::Lagging { revision }
-                        });
+                        let revision = answer.content.revision;
+                        return Err(FeedError::Lagging { revision });
                     }
                 };
                 let times = ReadTimes {
