--- a/lib/src/process/gateway/record_relay.rs
+++ b/lib/src/process/gateway/record_relay.rs
@@ -10,9 +10,11 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use http::HeaderMap;
 use http::Request;
 use http::Response;
 use http::StatusCode;
+use http::header::HeaderValue;
 use hyper::body::Incoming;
 use serde::Deserialize;
 use serde::Serialize;
@@ -45,8 +47,8 @@
 /// The query parameter with the revision of the caller.
 pub(super) const SINCE_PARAMETER: &str = "since=";
 
-/// The header of a request with the history of the platform that the revision belongs to. An entry of an earlier
-/// version ignores it.
+/// The header of a request with the history of the platform that the revision belongs to, and of a refusal with that
+/// of the entry. An entry of an earlier version ignores it.
 pub(super) const HISTORY_HEADER: &str = "beryltray-history";
 
 /// The status of a response if the newest state of a record can't be read here. An entry of an earlier
@@ -446,9 +448,7 @@
         let since = query
             .strip_prefix(SINCE_PARAMETER)
             .and_then(|number| number.parse().ok());
-        let asked = request.headers().get(HISTORY_HEADER);
-        let asked = asked.and_then(|history| history.to_str().ok()?.parse().ok());
-        let asked: HistoryId = asked.unwrap_or_default();
+        let asked = history_in(request.headers());
         self.state.on_history_told(asked);
         let history = self.state.history_id();
         // A revision of another history says nothing of what the caller lacks.
@@ -491,14 +491,12 @@
             let may_lack_records = T::may_lack_records(&self.state);
             let (is_snapshot, changes) = match T::read(&self.state, since) {
                 Ok(read) => read,
-                Err(NotRelayed::NotConfirmed) => {
-                    return empty_response(StatusCode::SERVICE_UNAVAILABLE);
-                }
+                Err(NotRelayed::NotConfirmed) => return self.not_confirmed(),
                 Err(NotRelayed::Unreadable) => return empty_response(UNREADABLE_STATUS),
             };
             // The revision may have been one of the history that has ended meanwhile.
             if self.state.history_id() != history {
-                return empty_response(StatusCode::SERVICE_UNAVAILABLE);
+                return self.not_confirmed();
             }
             let has_changes =
                 is_snapshot || !changes.changed.is_empty() || !changes.removed.is_empty();
@@ -523,6 +521,24 @@
             has_waited = tokio::time::timeout_at(deadline, changed).await.is_err();
         }
     }
+
+    /// Refuses for the moment, and tells the history of the platform: its end may be the reason.
+    fn not_confirmed(&self) -> Response<ResponseBody> {
+        let mut response = empty_response(StatusCode::SERVICE_UNAVAILABLE);
+        let history = self.state.history_id().to_string();
+        // The text has digits and dots only.
+        if let Ok(history) = HeaderValue::try_from(history) {
+            response.headers_mut().insert(HISTORY_HEADER, history);
+        }
+        response
+    }
+}
+
+/// Returns the history that the headers name, or the first one without a valid one.
+pub(super) fn history_in(headers: &HeaderMap) -> HistoryId {
+    let history = headers.get(HISTORY_HEADER);
+    let history = history.and_then(|history| history.to_str().ok()?.parse().ok());
+    history.unwrap_or_default()
 }
 
 fn same_changes<T>(changes: Changes<T>) -> Changes<T> {
--- a/lib/src/process/gateway/relayed_feed.rs
+++ b/lib/src/process/gateway/relayed_feed.rs
@@ -21,6 +21,7 @@
 use super::record_relay::RelayedRecord;
 use super::record_relay::SINCE_PARAMETER;
 use super::record_relay::UNREADABLE_STATUS;
+use super::record_relay::history_in;
 use super::record_state::RecordRead;
 use super::state::GatewayState;
 use crate::clock::Clock;
@@ -217,11 +218,15 @@
         T: RelayedRecord,
     {
         let sent_at = self.state.clock.now();
+        let history = self.state.history_id();
         let relayed = self.send_changes_request(upstream, since).await;
         self.on_read::<T, _, _>(RecordSource::Entry(upstream), sent_at, &relayed);
         if let Err(error) = &relayed {
             log::info!(source:% = upstream, records = T::PATH; "records are not passed on: {error}");
-            self.state.on_upstream_failed(upstream);
+            // An entry that tells of another history has none of its records yet, and has not failed.
+            if self.state.history_id() == history {
+                self.state.on_upstream_failed(upstream);
+            }
         }
         relayed
     }
@@ -245,7 +250,7 @@
         }
     }
 
-    async fn send_changes_request<T>(
+    pub(super) async fn send_changes_request<T>(
         &self,
         upstream: SocketAddr,
         since: Option<Revision>,
@@ -285,6 +290,7 @@
             ))
         })?;
         let response = response.map_err(|error| unavailable(error.to_string()))?;
+        self.state.on_history_told(history_in(response.headers()));
         if response.status() == UNREADABLE_STATUS {
             T::on_unreadable_elsewhere(&self.state);
         }
--- a/lib/src/process/gateway/snapshot_reads.rs
+++ b/lib/src/process/gateway/snapshot_reads.rs
@@ -21,6 +21,7 @@
 use crate::platform::feed::Changes;
 use crate::platform::feed::ChangesRequest;
 use crate::platform::feed::Feed;
+use crate::platform::feed::FeedAnswer;
 use crate::platform::feed::FeedError;
 use crate::platform::feed::RecordSource;
 use crate::platform::feed::Snapshot;
@@ -32,6 +33,11 @@
 use crate::sorted::Keyed;
 use crate::sorted::SortedVec;
 
+/// How long an upstream is asked for all records after the platform has come back in an earlier state, and the pause
+/// before it is asked again.
+const UPSTREAM_SNAPSHOT_TIME: Duration = Duration::from_millis(600);
+const UPSTREAM_SNAPSHOT_PAUSE: Duration = Duration::from_millis(60);
+
 /// The key of a record that another entry knows.
 struct KnownKey(String);
 
@@ -54,6 +60,10 @@
         T: RelayedRecord,
     {
         let known = T::revision(&self.state);
+        let is_after_return = known.is_none() && !self.state.history_id().is_first();
+        if is_after_return && let Some(update) = self.snapshot_of_upstream().await {
+            return Ok(update);
+        }
         let newest_asked_at = self.state.clock.now();
         // Asked for first: a snapshot below it was answered by a copy that lags.
         let (check, newest_failure) = match known {
@@ -107,7 +117,21 @@
             return Err(failure);
         };
         let sent_at = self.state.clock.now();
-        let mut answer = self.request_changes::<T>(upstream, None).await?;
+        let answer = self.request_changes::<T>(upstream, None).await?;
+        self.relayed_snapshot(upstream, answer, sent_at).await
+    }
+
+    /// Returns all records of another entry, which was asked for them at `sent_at`.
+    async fn relayed_snapshot<T>(
+        &self,
+        upstream: SocketAddr,
+        mut answer: FeedAnswer<RelayedChanges<T>>,
+        sent_at: Instant,
+    ) -> Result<RecordUpdate<T>, FeedError>
+    where
+        P: Feed<T>,
+        T: RelayedRecord,
+    {
         let in_doubt = self.read_records_in_doubt(upstream, &mut answer.content);
         let later_states = in_doubt.await?;
         self.check_revision(upstream, &answer.content)?;
@@ -119,6 +143,41 @@
         })
     }
 
+    /// Reads all records from the upstream after the platform has come back in an earlier state, as soon as the
+    /// upstream has read them itself. Returns `None` without an upstream, or if it doesn't have them soon.
+    ///
+    /// All entries need them at that moment, more than the platform answers at once.
+    async fn snapshot_of_upstream<T>(&self) -> Option<RecordUpdate<T>>
+    where
+        P: Feed<T>,
+        T: RelayedRecord,
+    {
+        let upstream = T::upstream(&self.state)?;
+        let given_up_at = self.state.clock.now() + UPSTREAM_SNAPSHOT_TIME;
+        loop {
+            let sent_at = self.state.clock.now();
+            // An upstream that has not read them yet has not failed.
+            match self.send_changes_request::<T>(upstream, None).await {
+                Ok(answer) => {
+                    let update = self.relayed_snapshot(upstream, answer, sent_at).await;
+                    return update
+                        .inspect_err(|error| {
+                            log::info!(records = T::PATH; "records of the upstream are not used: {error}");
+                        })
+                        .ok();
+                }
+                Err(error) if self.state.clock.now() >= given_up_at => {
+                    log::info!(
+                        records = T::PATH, source:% = upstream;
+                        "the upstream has no records of the present history yet: {error}"
+                    );
+                    return None;
+                }
+                Err(_) => tokio::time::sleep(UPSTREAM_SNAPSHOT_PAUSE).await,
+            }
+        }
+    }
+
     /// Returns what the platform's feed tells a reader that knows `since` of its newest revision, and why it
     /// doesn't.
     async fn newest_revision<T>(&self, since: Revision) -> (NewestRevision, Option<String>)
