--- a/lib/src/platform/mod.rs
+++ b/lib/src/platform/mod.rs
@@ -53,7 +53,8 @@
     pub key: String,
     /// The row's value, as JSON text.
     pub value: String,
-    /// The revision, which changes with every write to the row and is never reused.
+    /// The revision, which changes with every write to the row. It is reused only by a platform that is restored
+    /// from a copy, see [`crate::process::platform_history`].
     pub revision: Revision,
     /// The attempt ID of the transaction that last wrote the row.
     pub attempt: AttemptId,
--- a/lib/src/process/feed_reader/older_snapshots.rs
+++ b/lib/src/process/feed_reader/older_snapshots.rs
@@ -6,7 +6,7 @@
 use crate::ids::Revision;
 
 /// How long older snapshots are not used. A copy of the platform that lags catches up within this time;
-/// after it, the platform itself has gone back.
+/// after it, the platform itself has gone back and accepts no write that proves it.
 const LAG_MAX: Duration = Duration::from_secs(30);
 
 /// The snapshots of a feed that are older than the known records.
--- a/lib/src/process/gateway/mod.rs
+++ b/lib/src/process/gateway/mod.rs
@@ -19,6 +19,7 @@
 mod follow;
 mod gossip;
 mod history;
+mod history_probe;
 mod leaving;
 mod limit_gossip;
 mod limit_state;
--- a/lib/src/process/gateway/record_relay.rs
+++ b/lib/src/process/gateway/record_relay.rs
@@ -536,9 +536,14 @@
 
 /// Returns the history that the headers name, or the first one without a valid one.
 pub(super) fn history_in(headers: &HeaderMap) -> HistoryId {
-    let history = headers.get(HISTORY_HEADER);
-    let history = history.and_then(|history| history.to_str().ok()?.parse().ok());
-    history.unwrap_or_default()
+    let Some(text) = headers.get(HISTORY_HEADER) else {
+        return HistoryId::default();
+    };
+    let text = String::from_utf8_lossy(text.as_bytes());
+    text.parse().unwrap_or_else(|error| {
+        log::info!("the history that another entry tells can't be read: {error}");
+        HistoryId::default()
+    })
 }
 
 fn same_changes<T>(changes: Changes<T>) -> Changes<T> {
