--- a/lib/src/request/forward/buffered.rs
+++ b/lib/src/request/forward/buffered.rs
@@ -9,7 +9,6 @@
 use super::context::TargetReservation as _;
 use super::plan::AnswerTimeout;
 use super::plan::SendFailure;
-use super::protocol::CallerProtocol as _;
 use super::protocol::Failure;
 use super::send::AnswerStart;
 use super::send::PlannedSend;
@@ -19,7 +18,6 @@
 use super::sends::SendEnd;
 use super::sends::first_answer;
 use crate::connection::body::ResponseBody;
-use crate::connection::body::full_body;
 use crate::connection::body::read_body_within;
 
 /// The maximum size of an answer's body. A larger answer is treated as broken.
@@ -28,8 +26,8 @@
 /// latency target.
 const SEND_TIMEOUT_FACTOR: f64 = 0.9;
 
-/// Sends a request until a target answers it or no further send is possible. In the latter case,
-/// the last failure answer of a target is returned, if there is one.
+/// Sends a request until a target answers it or no further send is possible. In the latter case, the
+/// request ends as the last failure of a target says, if there is one.
 pub(super) async fn forward_buffered<X>(
     mut sends: RequestSends<X>,
 ) -> Result<Response<ResponseBody>, Failure>
@@ -88,30 +86,12 @@
             return SendEnd::Failed(SendFailure::Broken);
         }
     };
-    let is_success = head.status.is_success();
-    if is_success && !answer.is_signed {
+    if head.status.is_success() && !answer.is_signed {
         send.log("answer is not signed", head.status.as_u16());
         send.target.on_end(Some(SendFailure::Broken));
         return SendEnd::Failed(SendFailure::Broken);
     }
-    if is_success {
-        send.target.on_event();
-    }
-    let is_failure = head.status.is_server_error();
-    send.target
-        .on_end(is_failure.then_some(SendFailure::TargetFailed));
-    let mut response = Response::new(full_body(bytes));
-    *response.status_mut() = head.status;
-    *response.headers_mut() = send
-        .request
-        .context
-        .protocol()
-        .caller_headers(&head.headers);
-    if is_failure {
-        SendEnd::FailureAnswer(response)
-    } else {
-        SendEnd::Answer(response)
-    }
+    send.end_with_answer(&head, &answer, bytes)
 }
 
 /// Waits for `timeout`; forever without one.
--- a/lib/src/request/forward/protocol.rs
+++ b/lib/src/request/forward/protocol.rs
@@ -107,6 +107,9 @@
     pub request_id: Option<String>,
     /// Whether the target attests that it did not run the request.
     pub is_not_run: bool,
+    /// Whether callers take the answer's status as the promise that the request was not run and never
+    /// will be, whatever the target attests.
+    pub promises_not_run: bool,
     /// Whether the target does not serve such requests, or no longer does.
     pub is_misdirected: bool,
     /// Whether the answer carries the target's signature.
--- a/lib/src/request/forward/send.rs
+++ b/lib/src/request/forward/send.rs
@@ -11,6 +11,8 @@
 use http::response;
 use tokio::sync::Notify;
 
+use super::answer_gate::AnswerUse;
+use super::answer_gate::judge_answer;
 use super::context::ForwardContext;
 use super::context::TargetReservation;
 use super::hop::add_hop;
@@ -22,7 +24,10 @@
 use super::protocol::CallerRequest;
 use super::protocol::HopFields;
 use super::protocol::SendFields;
+use super::sends::SendEnd;
 use crate::connection::body::RequestBody;
+use crate::connection::body::ResponseBody;
+use crate::connection::body::full_body;
 use crate::connection::client::ClientConnection;
 use crate::connection::client::SendError;
 use crate::connection::receive_limit::ReceivedBody;
@@ -203,6 +208,40 @@
         Ok(())
     }
 
+    /// Ends the send with the target's whole answer, and decides what the caller gets of it.
+    pub(super) fn end_with_answer(
+        mut self,
+        head: &response::Parts,
+        answer: &AnswerHead,
+        body: Bytes,
+    ) -> SendEnd<Response<ResponseBody>> {
+        let status = head.status.as_u16();
+        let answer_use = judge_answer(self.request.route.kind, head.status, answer);
+        let is_failure = answer_use != AnswerUse::Return;
+        if head.status.is_success() {
+            self.target.on_event();
+        }
+        self.target
+            .on_end(is_failure.then_some(SendFailure::TargetFailed));
+        if let AnswerUse::Replace(failure) = answer_use {
+            self.log(
+                "target refused without attesting that the request was not run",
+                status,
+            );
+            return SendEnd::TargetFailed(Err(failure));
+        }
+        let mut response = Response::new(full_body(body));
+        *response.status_mut() = head.status;
+        let protocol = self.request.context.protocol();
+        *response.headers_mut() = protocol.caller_headers(&head.headers);
+        if is_failure {
+            self.log("target answered with an error status", status);
+            SendEnd::TargetFailed(Ok(response))
+        } else {
+            SendEnd::Answer(response)
+        }
+    }
+
     async fn exchange_heads(
         &mut self,
         last_event: Option<u64>,
--- a/lib/src/request/forward/sends.rs
+++ b/lib/src/request/forward/sends.rs
@@ -41,12 +41,27 @@
 pub(super) enum SendEnd<T> {
     /// The answer to return.
     Answer(T),
-    /// The target's failure answer, which is returned if no other send brings an answer.
-    FailureAnswer(T),
+    /// The target failed. This is how the request ends if no other send brings an answer: with the
+    /// target's answer or with a failure of this process.
+    TargetFailed(Result<T, Failure>),
     /// No complete answer.
     Failed(SendFailure),
 }
 
+impl<T> SendEnd<T> {
+    /// Converts the target's answer, if there is one.
+    pub(super) fn map_answer<F, U>(self, convert: F) -> SendEnd<U>
+    where
+        F: FnOnce(T) -> U,
+    {
+        match self {
+            Self::Answer(answer) => SendEnd::Answer(convert(answer)),
+            Self::TargetFailed(end) => SendEnd::TargetFailed(end.map(convert)),
+            Self::Failed(send_failure) => SendEnd::Failed(send_failure),
+        }
+    }
+}
+
 /// The state of a request's sends.
 #[derive(Debug)]
 pub(super) struct RequestSends<X> {
@@ -325,7 +340,7 @@
 /// Runs `first` and further sends until one brings an answer, no further one is possible, or the
 /// deadline passes. `start` runs a send to its end.
 ///
-/// Without an answer, the last failure answer of a target is returned, if there is one.
+/// Without an answer, the request ends as the last failure of a target says, if there is one.
 pub(super) async fn first_answer<X, S, F, T>(
     sends: &mut RequestSends<X>,
     mut first: PlannedSend<X>,
@@ -343,7 +358,7 @@
     let mut deadline = std::pin::pin!(tokio::time::sleep(sends.request.time_left()));
     let mut in_progress = FuturesUnordered::new();
     in_progress.push(start(first));
-    let mut failure_answer = None;
+    let mut target_failure = None;
     loop {
         let end = tokio::select! {
             Some(end) = in_progress.next() => end,
@@ -352,13 +367,13 @@
                 continue;
             }
             () = &mut deadline => {
-                return failure_answer.ok_or(sends.plan.timeout_failure());
+                return target_failure.unwrap_or(Err(sends.plan.timeout_failure()));
             }
         };
         let send_failure = match end {
             SendEnd::Answer(answer) => return Ok(answer),
-            SendEnd::FailureAnswer(answer) => {
-                failure_answer = Some(answer);
+            SendEnd::TargetFailed(end) => {
+                target_failure = Some(end);
                 SendFailure::TargetFailed
             }
             SendEnd::Failed(send_failure) => send_failure,
@@ -369,17 +384,17 @@
             continue;
         }
         if sends.request.time_left().is_zero() {
-            return failure_answer.ok_or(sends.plan.timeout_failure());
+            return target_failure.unwrap_or(Err(sends.plan.timeout_failure()));
         }
         match sends.next_step(send_failure) {
             NextStep::SendAgain => match sends.next_send().await {
                 Ok(send) => in_progress.push(start(send)),
-                Err(failure) => return failure_answer.ok_or(failure),
+                Err(failure) => return target_failure.unwrap_or(Err(failure)),
             },
             NextStep::ReturnTargetFailure => {
-                return failure_answer.ok_or(sends.plan.timeout_failure());
+                return target_failure.unwrap_or(Err(sends.plan.timeout_failure()));
             }
-            NextStep::End(failure) => return failure_answer.ok_or(failure),
+            NextStep::End(failure) => return target_failure.unwrap_or(Err(failure)),
         }
     }
 }
--- a/lib/src/request/forward/stream.rs
+++ b/lib/src/request/forward/stream.rs
@@ -31,7 +31,6 @@
 use super::sends::first_answer;
 use crate::connection::body::BodySender;
 use crate::connection::body::ResponseBody;
-use crate::connection::body::full_body;
 use crate::connection::body::read_body_within;
 use crate::connection::body::streamed_body;
 use crate::connection::body_memory::BodyReservation;
@@ -165,26 +164,19 @@
         mut send,
         connection,
         head,
+        answer,
         body,
-        ..
     } = answer_start;
     let left = send.request.time_left();
     let memory = send.request.context.body_memory();
     let read = read_body_within(body, FAILURE_BODY_LIMIT_BYTES, left, memory).await;
     drop(connection);
-    send.target.on_end(Some(SendFailure::TargetFailed));
     let Ok(bytes) = read else {
+        send.target.on_end(Some(SendFailure::TargetFailed));
         return SendEnd::Failed(SendFailure::Broken);
     };
-    send.log("target answered with an error status", head.status.as_u16());
-    let mut response = Response::new(full_body(bytes));
-    *response.status_mut() = head.status;
-    *response.headers_mut() = send
-        .request
-        .context
-        .protocol()
-        .caller_headers(&head.headers);
-    SendEnd::FailureAnswer(Opened::Answer(response))
+    send.end_with_answer(&head, &answer, bytes)
+        .map_answer(Opened::Answer)
 }
 
 /// Returns how long a target may take for the head of a stream's answer before it counts as silent,
--- a/lib/src/request/outcome.rs
+++ b/lib/src/request/outcome.rs
@@ -51,6 +51,9 @@
     /// The answer does not belong to the attempt, is malformed or lacks its end marker.
     #[display("the answer is not whole")]
     IncompleteAnswer,
+    /// The target refused the request, but did not attest that it was not run.
+    #[display("the target refused it without attesting that it was not run")]
+    UnattestedRefusal,
     /// An earlier attempt claimed the idempotency key and its result was never recorded.
     #[display("an earlier attempt's result was never recorded")]
     ClaimAbandoned,
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -1,6 +1,7 @@
 //! The library's integration tests, built as one test binary.
 
 mod test_admission;
+mod test_answer_gate;
 mod test_body_pace;
 mod test_change;
 mod test_change_log;
