--- a/lib/src/ids.rs
+++ b/lib/src/ids.rs
@@ -1,5 +1,6 @@
 //! Newtypes for identifiers and version numbers.
 
+use std::cmp::Ordering;
 use std::str::FromStr;
 
 use derive_more::Display;
@@ -35,6 +36,12 @@
         /// The invalid text.
         text: String,
     },
+    /// The text is not a whole number that fits 128 bits.
+    #[display("{text:?} is not the ID of an event. Hint: use digits only")]
+    NotAnEventId {
+        /// The invalid text.
+        text: String,
+    },
     /// The text is not a hexadecimal number of up to 32 digits.
     #[display("{text:?} is not hexadecimal. Hint: use up to 32 digits and letters a to f")]
     NotHexadecimal {
@@ -261,6 +268,54 @@
     }
 }
 
+/// The ID of an event of a stream: a whole number. Within the answer of one target the IDs increase, by
+/// steps of any size.
+///
+/// It is written with the leading zeros that it was read with, so that targets are told the same text.
+#[derive(Clone, Copy, Debug, Display)]
+#[display("{value:0digits$}", digits = usize::from(*digits))]
+pub struct EventId {
+    value: u128,
+    digits: u8,
+}
+
+impl FromStr for EventId {
+    type Err = ParseIdError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let parse = || {
+            // The parser of numbers also accepts a sign.
+            let is_number = text.bytes().all(|byte| byte.is_ascii_digit());
+            let value = text.parse().ok().filter(|_| is_number)?;
+            let digits = u8::try_from(text.len()).ok()?;
+            Some(Self { value, digits })
+        };
+        parse().ok_or_else(|| ParseIdError::NotAnEventId {
+            text: text.to_owned(),
+        })
+    }
+}
+
+impl PartialEq for EventId {
+    fn eq(&self, other: &Self) -> bool {
+        self.value == other.value
+    }
+}
+
+impl Eq for EventId {}
+
+impl PartialOrd for EventId {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for EventId {
+    fn cmp(&self, other: &Self) -> Ordering {
+        self.value.cmp(&other.value)
+    }
+}
+
 /// The digest of all that makes up a request apart from its identifier. It is written in
 /// hexadecimal with 32 digits, the first of which is at least 8.
 #[derive(Clone, Copy, Debug, Display, Eq, Hash, Ord, PartialEq, PartialOrd)]
--- a/lib/src/request/forward/events.rs
+++ b/lib/src/request/forward/events.rs
@@ -4,6 +4,8 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 
+use crate::ids::EventId;
+
 /// The maximum size of an event. A stream that exceeds it is treated as broken.
 const EVENT_LIMIT_BYTES: usize = 1024 * 1024;
 /// The field names of server-sent events; a line that begins with a colon is a comment.
@@ -119,13 +121,13 @@
 /// once.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct ProgressTracker {
-    highest_id: Option<u64>,
+    highest_id: Option<EventId>,
     idle_bytes: usize,
 }
 
 impl ProgressTracker {
     /// Records an event that the target has not sent before.
-    pub fn on_new_event(&mut self, id: Option<u64>) {
+    pub fn on_new_event(&mut self, id: Option<EventId>) {
         self.highest_id = id.or(self.highest_id);
         self.idle_bytes = 0;
     }
@@ -137,36 +139,36 @@
     }
 
     /// Returns whether an event with an ID is one that the target has not sent before.
-    pub fn is_new(&self, id: u64) -> bool {
+    pub fn is_new(&self, id: EventId) -> bool {
         self.highest_id.is_none_or(|highest| id > highest)
     }
 }
 
-/// The position of an event relative to those that the caller has received. After a retry, the new
-/// target may repeat events or skip some.
+/// The position of an event relative to those that the caller has received.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum EventPosition {
-    /// The event follows the last one that the caller has.
+    /// The event follows those that the caller has.
     Next,
     /// The caller already has the event.
-    Duplicate,
-    /// At least one event between the last one and this one is missing.
-    AfterGap,
+    Known,
+    /// The answer has not reached the last event that the caller has, and the event has no ID.
+    Unnumbered,
+    /// The answer repeats events that the caller has, but none ends where the caller's last one does. The
+    /// event holds a part of what the caller has.
+    Overlapping,
 }
 
 /// The position up to which the caller has received a stream.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct StreamPosition {
-    last_event: Option<u64>,
-    /// The largest difference between the IDs of consecutive events so far. An event that is
-    /// farther ahead follows a gap.
-    step: Option<u64>,
+    last_event: Option<EventId>,
     delivered: u64,
+    has_disorder: bool,
 }
 
 impl StreamPosition {
     /// Creates the position of a caller that has the stream up to `last_event`.
-    pub fn new(last_event: Option<u64>) -> Self {
+    pub fn new(last_event: Option<EventId>) -> Self {
         Self {
             last_event,
             ..Self::default()
@@ -174,7 +176,7 @@
     }
 
     /// Returns the ID of the last event that the caller has.
-    pub fn last_event(&self) -> Option<u64> {
+    pub fn last_event(&self) -> Option<EventId> {
         self.last_event
     }
 
@@ -184,30 +186,58 @@
     }
 
     /// Returns whether another target can go on where the caller is. That needs the ID of an event that
-    /// the caller has, unless it has none.
+    /// the caller has, unless it has none, and IDs that have increased so far.
     pub fn can_be_resumed(&self) -> bool {
-        self.delivered == 0 || self.last_event.is_some()
-    }
-
-    /// Returns where an event with `id` belongs, without recording it.
-    pub fn classify(&self, id: Option<u64>) -> EventPosition {
-        match (id, self.last_event) {
-            (Some(id), Some(last)) if id <= last => EventPosition::Duplicate,
-            (Some(id), Some(last)) => match self.step {
-                Some(step) if id > last + step => EventPosition::AfterGap,
-                _ => EventPosition::Next,
-            },
-            _ => EventPosition::Next,
-        }
+        self.delivered == 0 || (self.last_event.is_some() && !self.has_disorder)
     }
 
     /// Records that an event was delivered to the caller.
-    pub fn on_delivered(&mut self, id: Option<u64>) {
+    pub fn on_delivered(&mut self, id: Option<EventId>) {
         self.delivered += 1;
-        if let (Some(id), Some(last)) = (id, self.last_event) {
-            let step = id.saturating_sub(last);
-            self.step = Some(self.step.map_or(step, |known| known.max(step)));
+        let Some(id) = id else {
+            return;
+        };
+        if self.last_event.is_some_and(|last| id <= last) {
+            self.has_disorder = true;
+        } else {
+            self.last_event = Some(id);
+        }
+    }
+}
+
+/// Finds the event of one answer that follows those which the caller has.
+///
+/// A target that is to go on after the caller's last event may repeat events first. From the first event
+/// that follows on, nothing is concluded from IDs: they increase by steps of any size, and the framing of the
+/// answer shows whether it is whole.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct ResumePoint {
+    /// The last event of the answer that the caller already had.
+    last_known: Option<EventId>,
+    is_passed: bool,
+}
+
+impl ResumePoint {
+    /// Returns where the answer's next event belongs.
+    pub fn classify(&mut self, id: Option<EventId>, position: &StreamPosition) -> EventPosition {
+        let last = position.last_event().filter(|_| !self.is_passed);
+        match (id, last) {
+            (_, None) => {
+                self.is_passed = true;
+                EventPosition::Next
+            }
+            (None, Some(_)) => EventPosition::Unnumbered,
+            (Some(id), Some(last)) if id <= last => {
+                self.last_known = Some(id);
+                EventPosition::Known
+            }
+            (Some(_), Some(last)) if self.last_known.is_some_and(|known| known != last) => {
+                EventPosition::Overlapping
+            }
+            (Some(_), Some(_)) => {
+                self.is_passed = true;
+                EventPosition::Next
+            }
         }
-        self.last_event = id.or(self.last_event);
     }
 }
--- a/lib/src/request/forward/protocol.rs
+++ b/lib/src/request/forward/protocol.rs
@@ -11,6 +11,7 @@
 
 use crate::connection::body::ResponseBody;
 use crate::ids::AccountId;
+use crate::ids::EventId;
 use crate::ids::HostId;
 use crate::ids::PromptPartId;
 use crate::ids::WeightsId;
@@ -37,7 +38,7 @@
     /// The maximum length of the answer in tokens.
     pub answer_tokens_max: u32,
     /// The ID of the last event that the caller received, if it resumes a stream.
-    pub last_event: Option<u64>,
+    pub last_event: Option<EventId>,
     /// The parts of the prompt that other requests may share; empty if none are named.
     pub prompt_parts: Vec<PromptPartId>,
 }
@@ -66,7 +67,7 @@
     /// The time that remains until the request's deadline.
     pub time_left: Duration,
     /// The last event that was already delivered; the target resumes the stream after it.
-    pub last_event: Option<u64>,
+    pub last_event: Option<EventId>,
     /// How urgent the request is among others in the target's queue; `None` if all are alike.
     pub urgency: Option<Urgency>,
 }
@@ -77,7 +78,7 @@
     /// The time that remains until the request's deadline.
     pub time_left: Duration,
     /// The last event that was already delivered; the target resumes the stream after it.
-    pub last_event: Option<u64>,
+    pub last_event: Option<EventId>,
 }
 
 /// A target's load as reported in an answer.
@@ -199,5 +200,5 @@
     fn failure_answer(&self, request_id: &str, failure: Failure) -> http::Response<ResponseBody>;
 
     /// Returns the ID of a stream's event, if it has one.
-    fn event_id(&self, event: &Bytes) -> Option<u64>;
+    fn event_id(&self, event: &Bytes) -> Option<EventId>;
 }
--- a/lib/src/request/forward/send.rs
+++ b/lib/src/request/forward/send.rs
@@ -32,6 +32,7 @@
 use crate::connection::client::SendError;
 use crate::connection::receive_limit::ReceivedBody;
 use crate::ids::AccountId;
+use crate::ids::EventId;
 use crate::ids::ServiceId;
 use crate::version::routes::Route;
 
@@ -138,7 +139,7 @@
     /// failure or the request's deadline.
     pub(super) async fn send(
         mut self,
-        last_event: Option<u64>,
+        last_event: Option<EventId>,
         timeout: Option<AnswerTimeout>,
     ) -> Result<AnswerStart<X>, SendFailure> {
         let sent = self.exchange_heads(last_event, timeout).await;
@@ -244,7 +245,7 @@
 
     async fn exchange_heads(
         &mut self,
-        last_event: Option<u64>,
+        last_event: Option<EventId>,
         timeout: Option<AnswerTimeout>,
     ) -> Result<(ClientConnection, response::Parts, ReceivedBody), SendFailure> {
         let connect_timeout = CONNECT_TIMEOUT.min(self.request.time_left());
@@ -324,7 +325,7 @@
         }
     }
 
-    fn target_request(&self, last_event: Option<u64>) -> Request<RequestBody> {
+    fn target_request(&self, last_event: Option<EventId>) -> Request<RequestBody> {
         let forwarded = &self.request;
         let protocol = forwarded.context.protocol();
         let time_left = forwarded.time_left();
--- a/lib/src/request/forward/stream.rs
+++ b/lib/src/request/forward/stream.rs
@@ -14,6 +14,7 @@
 use super::events::EventPosition;
 use super::events::EventSplitter;
 use super::events::ProgressTracker;
+use super::events::ResumePoint;
 use super::events::StreamPosition;
 use super::plan::AnswerTimeout;
 use super::plan::NextStep;
@@ -48,6 +49,7 @@
     answer_start: AnswerStart<X>,
     splitter: EventSplitter,
     progress: ProgressTracker,
+    resume_point: ResumePoint,
     /// The memory for the next event.
     reservation: BodyReservation,
     /// The next event, if it has arrived and is not forwarded yet.
@@ -55,6 +57,23 @@
     has_ended: bool,
 }
 
+impl<X> OpenStream<X>
+where
+    X: ForwardContext,
+{
+    /// Logs that the answer does not go on where the caller is, and returns how its send ends.
+    fn on_overlap(&self, position: &StreamPosition) -> SendFailure {
+        let PlannedSend {
+            request, target, ..
+        } = &self.answer_start.send;
+        log_request!(request, target:% = target.host(),
+            last_event:% = OrNone(position.last_event());
+            "target did not resume the stream after the caller's last event"
+        );
+        SendFailure::Broken
+    }
+}
+
 /// The next item of a stream.
 enum StreamItem {
     Event(Bytes),
@@ -132,6 +151,7 @@
         answer_start,
         splitter: EventSplitter::new(),
         progress: ProgressTracker::default(),
+        resume_point: ResumePoint::default(),
         pending: None,
         has_ended: false,
     };
@@ -383,10 +403,12 @@
         } else if stream.progress.on_idle_block(event.len()) {
             return Err(ForwardEnd::Failed(SendFailure::Broken));
         }
-        match position.classify(id) {
-            EventPosition::Duplicate => continue,
-            EventPosition::AfterGap => return Err(ForwardEnd::Failed(SendFailure::Broken)),
-            EventPosition::Next => {}
+        match stream.resume_point.classify(id, position) {
+            EventPosition::Known => continue,
+            EventPosition::Overlapping => {
+                return Err(ForwardEnd::Failed(stream.on_overlap(position)));
+            }
+            EventPosition::Next | EventPosition::Unnumbered => {}
         }
         if sender.send(event).await.is_err() {
             return Err(ForwardEnd::CallerDisconnected);
@@ -434,10 +456,10 @@
         };
         let request = &stream.answer_start.send.request;
         let id = request.context.protocol().event_id(event);
-        match id.map(|id| position.classify(Some(id))) {
-            Some(EventPosition::Next) => return Ok(()),
-            Some(EventPosition::AfterGap) => return Err(SendFailure::Broken),
-            Some(EventPosition::Duplicate) | None => {
+        match stream.resume_point.classify(id, position) {
+            EventPosition::Next => return Ok(()),
+            EventPosition::Overlapping => return Err(stream.on_overlap(position)),
+            EventPosition::Known | EventPosition::Unnumbered => {
                 if stream.progress.on_idle_block(event.len()) {
                     return Err(SendFailure::Broken);
                 }
