--- a/lib/src/request/forward/answer_gate.rs
+++ b/lib/src/request/forward/answer_gate.rs
@@ -11,7 +11,7 @@
 use crate::request::outcome::UnknownReason;
 use crate::version::routes::RouteKind;
 
-/// What becomes of a target's whole answer.
+/// What becomes of a target's answer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum AnswerUse {
     /// It ends the request and is returned unchanged.
@@ -21,10 +21,15 @@
     /// The target failed, and its status would tell the caller what the target does not attest. If no
     /// other target brings an answer, the request ends with this failure.
     Replace(Failure),
+    /// It is no answer to this request: a success without the target's signature.
+    Discard,
 }
 
 /// Decides what becomes of a target's answer to a request on a route of `kind`.
 ///
+/// The head of the answer is enough for the decision. The body of a success must also be read to its end, or
+/// be forwarded so that an incomplete one does not look complete.
+///
 /// A target's attestation that it did not run the request is no answer to return, and never gets here.
 pub fn judge_answer(kind: RouteKind, status: StatusCode, answer: &AnswerHead) -> AnswerUse {
     if answer.promises_not_run {
@@ -37,8 +42,10 @@
         };
     }
     // A target that answers without a stream where one is due has failed, whatever its status is.
-    let has_no_stream = kind.is_stream() && status != StatusCode::OK;
-    if status.is_server_error() || has_no_stream {
+    let has_no_stream = kind.is_stream() && !status.is_success();
+    if status.is_success() && !answer.is_signed {
+        AnswerUse::Discard
+    } else if status.is_server_error() || has_no_stream {
         AnswerUse::ReturnIfLast
     } else {
         AnswerUse::Return
--- a/lib/src/request/forward/buffered.rs
+++ b/lib/src/request/forward/buffered.rs
@@ -86,11 +86,6 @@
             return SendEnd::Failed(SendFailure::Broken);
         }
     };
-    if head.status.is_success() && !answer.is_signed {
-        send.log("answer is not signed", head.status.as_u16());
-        send.target.on_end(Some(SendFailure::Broken));
-        return SendEnd::Failed(SendFailure::Broken);
-    }
     send.end_with_answer(&head, &answer, bytes)
 }
 
--- a/lib/src/request/forward/send.rs
+++ b/lib/src/request/forward/send.rs
@@ -209,6 +209,18 @@
         Ok(())
     }
 
+    /// Decides what becomes of the target's answer.
+    pub(super) fn judge_answer(&self, head: &response::Parts, answer: &AnswerHead) -> AnswerUse {
+        judge_answer(self.request.route.kind, head.status, answer)
+    }
+
+    /// Ends the send with an answer that may not be returned.
+    pub(super) fn discard_answer(&mut self, head: &response::Parts) -> SendFailure {
+        self.log("answer is not signed", head.status.as_u16());
+        self.target.on_end(Some(SendFailure::Broken));
+        SendFailure::Broken
+    }
+
     /// Ends the send with the target's whole answer, and decides what the caller gets of it.
     pub(super) fn end_with_answer(
         mut self,
@@ -217,7 +229,10 @@
         body: Bytes,
     ) -> SendEnd<Response<ResponseBody>> {
         let status = head.status.as_u16();
-        let answer_use = judge_answer(self.request.route.kind, head.status, answer);
+        let answer_use = self.judge_answer(head, answer);
+        if answer_use == AnswerUse::Discard {
+            return SendEnd::Failed(self.discard_answer(head));
+        }
         let is_failure = answer_use != AnswerUse::Return;
         if head.status.is_success() {
             self.target.on_event();
--- a/lib/src/request/forward/stream.rs
+++ b/lib/src/request/forward/stream.rs
@@ -5,9 +5,9 @@
 
 use bytes::Bytes;
 use http::Response;
-use http::StatusCode;
 use http_body_util::BodyExt as _;
 
+use super::answer_gate::AnswerUse;
 use super::context::ForwardContext;
 use super::context::TargetReservation as _;
 use super::events::BlockKind;
@@ -115,7 +115,7 @@
     X: ForwardContext,
 {
     Stream(Box<OpenStream<X>>),
-    /// The target answered with another status than 200.
+    /// The target answered with a failure.
     Answer(Response<ResponseBody>),
 }
 
@@ -138,12 +138,19 @@
     X: ForwardContext,
 {
     let timeout = first_event_timeout(&send);
-    let answer_start = match send.send(position.last_event(), timeout).await {
+    let mut answer_start = match send.send(position.last_event(), timeout).await {
         Ok(answer_start) => answer_start,
         Err(send_failure) => return SendEnd::Failed(send_failure),
     };
-    if answer_start.head.status != StatusCode::OK {
-        return read_failure_answer(answer_start).await;
+    let AnswerStart {
+        send, head, answer, ..
+    } = &mut answer_start;
+    match send.judge_answer(head, answer) {
+        AnswerUse::Return => {}
+        AnswerUse::Discard => return SendEnd::Failed(send.discard_answer(head)),
+        AnswerUse::ReturnIfLast | AnswerUse::Replace(_) => {
+            return read_failure_answer(answer_start).await;
+        }
     }
     let memory = answer_start.send.request.context.body_memory();
     let mut stream = OpenStream {
@@ -155,15 +162,11 @@
         pending: None,
         has_ended: false,
     };
-    let result = if stream.answer_start.answer.is_signed {
-        let limit = timeout.map_or(STREAM_IDLE_LIMIT, |timeout| timeout.if_stalled);
-        if position.delivered() > 0 {
-            wait_for_next_event(&mut stream, &position, limit).await
-        } else {
-            wait_for_item(&mut stream, limit).await
-        }
+    let limit = timeout.map_or(STREAM_IDLE_LIMIT, |timeout| timeout.if_stalled);
+    let result = if position.delivered() > 0 {
+        wait_for_next_event(&mut stream, &position, limit).await
     } else {
-        Err(SendFailure::Broken)
+        wait_for_item(&mut stream, limit).await
     };
     let send = &mut stream.answer_start.send;
     match result {
--- a/lib/tests/test_answer_gate.rs
+++ b/lib/tests/test_answer_gate.rs
@@ -19,12 +19,16 @@
 ];
 
 fn head(promises_not_run: bool) -> AnswerHead {
+    head_with_signature(promises_not_run, true)
+}
+
+fn head_with_signature(promises_not_run: bool, is_signed: bool) -> AnswerHead {
     AnswerHead {
         request_id: Some(String::from("9c41")),
         is_not_run: false,
         promises_not_run,
         is_misdirected: false,
-        is_signed: true,
+        is_signed,
         is_encoded: false,
         load: None,
         limit: StatedLimit::Unlimited,
@@ -75,3 +79,17 @@
         }
     }
 }
+
+/// Guards against a success without a signature that is returned because its status is not 200.
+#[test]
+fn judge_answer_success_is_returned_only_with_signature() {
+    for kind in KINDS {
+        for status in (200..300).map(|status| StatusCode::from_u16(status).unwrap()) {
+            for (is_signed, expected) in [(true, AnswerUse::Return), (false, AnswerUse::Discard)] {
+                let answer = head_with_signature(false, is_signed);
+                let answer_use = judge_answer(kind, status, &answer);
+                assert_eq!(answer_use, expected, "{status} on {kind}, {is_signed}");
+            }
+        }
+    }
+}
