--- a/lib/src/request/forward/stream.rs
+++ b/lib/src/request/forward/stream.rs
@@ -4,10 +4,15 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::HeaderValue;
 use http::Response;
+use http::StatusCode;
+use http::header::CONTENT_TYPE;
+use http::response;
 use http_body_util::BodyExt as _;
 
 use super::answer_gate::AnswerUse;
+use super::buffered::ANSWER_LIMIT_BYTES;
 use super::context::ForwardContext;
 use super::context::TargetReservation as _;
 use super::events::BlockKind;
@@ -38,6 +43,8 @@
 
 /// How long one stream may make no progress while other streams of its target do.
 const STREAM_IDLE_LIMIT: Duration = Duration::from_millis(1_500);
+/// The media type of streams.
+const EVENT_STREAM: &str = "text/event-stream";
 /// The maximum size of a failure answer's body that is returned to the caller.
 const FAILURE_BODY_LIMIT_BYTES: usize = 1024 * 1024;
 
@@ -115,7 +122,7 @@
     X: ForwardContext,
 {
     Stream(Box<OpenStream<X>>),
-    /// The target answered with a failure.
+    /// The target answered with a failure, or with a success that is no stream.
     Answer(Response<ResponseBody>),
 }
 
@@ -146,10 +153,10 @@
         send, head, answer, ..
     } = &mut answer_start;
     match send.judge_answer(head, answer) {
-        AnswerUse::Return => {}
+        AnswerUse::Return if is_stream(head) => {}
         AnswerUse::Discard => return SendEnd::Failed(send.discard_answer(head)),
-        AnswerUse::ReturnIfLast | AnswerUse::Replace(_) => {
-            return read_failure_answer(answer_start).await;
+        AnswerUse::Return | AnswerUse::ReturnIfLast | AnswerUse::Replace(_) => {
+            return read_whole_answer(answer_start).await;
         }
     }
     let memory = answer_start.send.request.context.body_memory();
@@ -179,7 +186,20 @@
     }
 }
 
-async fn read_failure_answer<X>(answer_start: AnswerStart<X>) -> SendEnd<Opened<X>>
+/// Returns whether the body of a success is forwarded event by event. With another status than 200 it may be
+/// anything, and is no stream unless its type says so.
+fn is_stream(head: &response::Parts) -> bool {
+    let media_type = head.headers.get(CONTENT_TYPE);
+    let is_event_stream = |value: &HeaderValue| {
+        let type_length = EVENT_STREAM.len();
+        let prefix = value.as_bytes().get(..type_length);
+        prefix.is_some_and(|prefix| prefix.eq_ignore_ascii_case(EVENT_STREAM.as_bytes()))
+    };
+    head.status == StatusCode::OK || media_type.is_some_and(is_event_stream)
+}
+
+/// Reads an answer that is not forwarded as a stream.
+async fn read_whole_answer<X>(answer_start: AnswerStart<X>) -> SendEnd<Opened<X>>
 where
     X: ForwardContext,
 {
@@ -192,10 +212,15 @@
     } = answer_start;
     let left = send.request.time_left();
     let memory = send.request.context.body_memory();
-    let read = read_body_within(body, FAILURE_BODY_LIMIT_BYTES, left, memory).await;
+    let (limit_bytes, end_if_cut) = if head.status.is_success() {
+        (ANSWER_LIMIT_BYTES, SendFailure::Broken)
+    } else {
+        (FAILURE_BODY_LIMIT_BYTES, SendFailure::TargetFailed)
+    };
+    let read = read_body_within(body, limit_bytes, left, memory).await;
     drop(connection);
     let Ok(bytes) = read else {
-        send.target.on_end(Some(SendFailure::TargetFailed));
+        send.target.on_end(Some(end_if_cut));
         return SendEnd::Failed(SendFailure::Broken);
     };
     send.end_with_answer(&head, &answer, bytes)
