--- a/cli/tests/runner.rs
+++ b/cli/tests/runner.rs
@@ -22,6 +22,7 @@
 )]
 #[path = "../../platform/tests/stand_in.rs"]
 mod stand_in;
+mod test_answer_soak;
 mod test_callers;
 mod test_check_history_command;
 mod test_config_command;
